Workspace, shared types and stand-ins in memory

Cause: nothing to build on yet. Conclusion: packages can now be built side by side against fixed interfaces.

--- /dev/null
+++ b/apps/papayahilld/bin/papayahilld.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js'
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,31 @@
+import { readFileSync } from 'node:fs'
+import neostandard from 'neostandard'
+
+/** Allowed imports between the workspace's own packages: layers.json lists, for each, what lies below it. */
+const layers = JSON.parse(readFileSync(new URL('./layers.json', import.meta.url), 'utf8'))
+
+const layerRule = ([name, below]) => ({
+  files: [`packages/${name}/src/**/*.ts`, `apps/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [{
+        group: ['@papayahill/*', ...below.map((dep) => `!@papayahill/${dep}`)],
+        message: `${name} may import only what layers.json lists for it`
+      }, {
+        group: ['@papayahill/*/*'],
+        message: 'import a package by its index only'
+      }]
+    }]
+  }
+})
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] }),
+  {
+    rules: {
+      'no-void': ['error', { allowAsStatement: true }],
+      'max-len': ['error', { code: 140, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignorePattern: '^\\s*\\| \\{ readonly' }]
+    }
+  },
+  ...Object.entries(layers).map(layerRule)
+]
--- /dev/null
+++ b/packages/claims/src/types.ts
@@ -0,0 +1,63 @@
+import type {
+  BodyDigest, ClassId, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, RequestId, ServiceId, WorkspaceId
+} from '@papayahill/common'
+
+/** A request that may run at most once, before it is sent. */
+export interface ClaimRequest {
+  readonly workspace: WorkspaceId
+  readonly class: ClassId
+  readonly service: ServiceId
+  readonly key: IdempotencyKey
+  readonly digest: BodyDigest
+  readonly request: RequestId
+  /** How long the caller can wait for another attempt's outcome. */
+  readonly patience: Millis
+}
+
+/** The final answer of a claimed request, kept and given again to each later caller. */
+export type ClaimOutcome =
+  | { readonly kind: 'answered', readonly body: Json }
+  | { readonly kind: 'failed', readonly failure: Failure }
+
+/** The right to send one request once. */
+export interface ClaimAttempt {
+  /** Call in the tick in which the first byte is handed over; false means that the right is gone: do not send. */
+  dispatch (): boolean
+  /**
+   * Nothing of it was sent. Resolves to true once the claim is released, so that `not-run` is true;
+   * false where that could not be recorded: the answer is then `unknown`.
+   */
+  notSent (): Promise<boolean>
+  /** Records the outcome; resolves once it is in the store or held by two peers. */
+  finish (outcome: ClaimOutcome): Promise<void>
+  /** It was sent and what became of it is not known. */
+  lost (): Promise<void>
+}
+
+export type ClaimDecision =
+  | { readonly kind: 'run', readonly attempt: ClaimAttempt }
+  | { readonly kind: 'replay', readonly outcome: ClaimOutcome }
+  | { readonly kind: 'refuse', readonly failure: Failure }
+
+/** A claim as operators see it. */
+export interface ClaimStatus {
+  readonly workspace: WorkspaceId
+  readonly key: IdempotencyKey
+  readonly class: ClassId
+  readonly service: ServiceId
+  readonly state: 'claimed' | 'answered' | 'failed' | 'unknown'
+  readonly owner: InstanceId
+  readonly ownerIncarnation: Incarnation
+}
+
+export type Resolution = 'ran' | 'not-run'
+
+export interface Claims {
+  begin (request: ClaimRequest): Promise<ClaimDecision>
+  /** Claims whose outcome is not known, for operators. */
+  unknown (): Promise<readonly ClaimStatus[]>
+  /** An operator's word on an unknown claim. */
+  resolve (workspace: WorkspaceId, key: IdempotencyKey, resolution: Resolution): Promise<Failure | undefined>
+  /** Hands outcomes over before a planned stop. */
+  drain (): Promise<void>
+}
--- /dev/null
+++ b/packages/invariants/src/index.ts
@@ -0,0 +1,2 @@
+export { Trace } from './Trace.js'
+export type * from './types.js'
--- /dev/null
+++ b/packages/orders/src/types.ts
@@ -0,0 +1,43 @@
+import type { EndpointId, Failure, ServiceId, VersionId } from '@papayahill/common'
+import type { ListedEndpoint } from '@papayahill/platform'
+import type { Result } from 'true-myth'
+
+/** What operators may order an endpoint to do. */
+export type OrderAction =
+  | { readonly kind: 'load-model', readonly model: string }
+  | { readonly kind: 'load-adapter', readonly adapter: string }
+  | { readonly kind: 'load-version', readonly version: VersionId }
+  | { readonly kind: 'change-role', readonly role: string }
+
+/** An order as it is sent; endpoints that check it refuse a fencing number below the highest seen. */
+export interface Order {
+  readonly endpoint: EndpointId
+  readonly action: OrderAction
+  readonly fence: number
+}
+
+export type OrderState = 'accepted' | 'sent' | 'done' | 'refused' | 'unknown'
+
+export interface OrderStatus {
+  readonly id: string
+  readonly service: ServiceId
+  readonly endpoint: EndpointId
+  readonly action: OrderAction
+  readonly state: OrderState
+  readonly detail: string
+}
+
+/** Delivers one order to one endpoint. */
+export interface OrderChannel {
+  deliver (endpoint: ListedEndpoint, order: Order): Promise<Result<void, OrderRefusal>>
+}
+
+export interface OrderRefusal {
+  readonly kind: 'old-fence' | 'unreachable' | 'failed' | 'unknown'
+  readonly detail: string
+}
+
+export interface Orders {
+  give (service: ServiceId, endpoint: EndpointId, action: OrderAction): Promise<Result<OrderStatus, Failure>>
+  status (): readonly OrderStatus[]
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+export { GOSSIP_RETENTION } from './constants.js'
+export type * from './types.js'
--- /dev/null
+++ b/packages/pipeline/src/types.ts
@@ -0,0 +1,47 @@
+import type {
+  BodyDigest, ClassId, Failure, IdempotencyKey, Json, Millis, RequestId, StageUsage, WorkspaceId
+} from '@papayahill/common'
+import type { Result } from 'true-myth'
+
+/** A caller's request, as the edge hands it over. */
+export interface CallerRequest {
+  readonly id: RequestId
+  readonly workspace: WorkspaceId
+  readonly class: ClassId
+  readonly body: Json
+  readonly digest: BodyDigest
+  readonly key?: IdempotencyKey
+  readonly isStreamed: boolean
+  /** Monotonic time at which the request's first byte arrived. */
+  readonly startedAt: Millis
+  /** Aborted when the caller goes away. */
+  readonly signal: AbortSignal
+}
+
+/** One numbered part of a streamed answer; indexes count from 0 without gaps. */
+export interface AnswerChunk {
+  readonly index: number
+  readonly text: string
+}
+
+/** Where a streamed answer goes while it arrives. */
+export interface AnswerSink {
+  /** False asks to wait for {@link AnswerSink.drained} before more is sent. */
+  chunk (chunk: AnswerChunk): boolean
+  drained (): Promise<void>
+}
+
+export interface Answer {
+  readonly request: RequestId
+  readonly body: Json
+  /** Number of chunks sent to the sink. */
+  readonly chunks: number
+  readonly isReplayed: boolean
+  readonly usage: StageUsage
+}
+
+export interface PipelineRunner {
+  run (request: CallerRequest, sink: AnswerSink): Promise<Result<Answer, Failure>>
+  /** Requests that have no final answer yet. */
+  readonly running: number
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export { EMPTY_CONFIG } from './emptyConfig.js'
+export type * from './types.js'
--- /dev/null
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -0,0 +1,346 @@
+import { brand, millis, tokens } from '@papayahill/common'
+import type {
+  CallId, Clock, EndpointIncarnation, IdempotencyKey, InstanceId, Json, Millis, Random, RequestId, StageUsage
+} from '@papayahill/common'
+import type {
+  CacheEvent, CallError, KeyStatus, LoadReport, StageAnswer, StageCall, StageChunk
+} from '@papayahill/endpoints'
+import type { Trace } from '@papayahill/invariants'
+import type { ListedEndpoint } from '@papayahill/platform'
+import type { ServiceKind } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import { WORK_MODELS } from './workModel.js'
+import type { WorkModel } from './workModel.js'
+
+/** Faults of an endpoint, changed while it runs. Shares are from 0 to 1. */
+export interface EndpointFaults {
+  failShare: number
+  slowFactor: number
+  /** Calls start and never end. */
+  isHanging: boolean
+  /** Share of answers that echo another call. */
+  crossShare: number
+  /** Share of calls whose connection is cut half-way. */
+  cutShare: number
+  /** Reports are not answered or pushed. */
+  isSilent: boolean
+}
+
+const NO_FAULTS: EndpointFaults = {
+  failShare: 0, slowFactor: 1, isHanging: false, crossShare: 0, cutShare: 0, isSilent: false
+}
+
+const NO_USAGE: StageUsage = { tokensIn: tokens(0), tokensCached: tokens(0), tokensOut: tokens(0), busy: millis(0) }
+
+const HALF = 0.5
+const MAX_HANG = millis(3_600_000)
+/** Service times vary evenly by this share around their mean. */
+const SPREAD = 0.3
+
+export interface FakeEndpointOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly trace: Trace
+  readonly listed: ListedEndpoint
+  readonly kind: ServiceKind
+  readonly model?: WorkModel
+}
+
+/** What an endpoint's owner bills for one call, kept by the stand-in itself. */
+export interface Bill {
+  readonly call: CallId
+  readonly workspace: string
+  readonly class: string
+  readonly usage: StageUsage
+}
+
+/**
+ * One back end instance in memory: batches calls, slows down above what it bears, starts cold,
+ * caches prefixes, performs effects by key and keeps its own bills.
+ *
+ * @example
+ * const endpoint = new FakeEndpoint({ clock, random, trace, listed, kind: 'plain' })
+ * endpoint.faults.slowFactor = 10
+ * endpoint.restart({ isSilent: false })
+ */
+export class FakeEndpoint {
+  readonly listed: ListedEndpoint
+  readonly kind: ServiceKind
+  readonly model: WorkModel
+  readonly faults: EndpointFaults = { ...NO_FAULTS }
+  readonly bills: Bill[] = []
+  readonly #clock: Clock
+  readonly #random: Random
+  readonly #trace: Trace
+  readonly #running = new Map<string, AbortController>()
+  readonly #outcomes = new Map<IdempotencyKey, Json | 'running'>()
+  readonly #restartListeners = new Set<(isSilent: boolean) => void>()
+  readonly #cacheListeners = new Set<(event: CacheEvent) => void>()
+  readonly #prefixes = new Set<string>()
+  #life = 0
+  #completed = 0
+  #reports = 0
+  #cacheEvents = 0
+  #calls = 0
+  #lastCall: CallId | undefined
+  #isAlive = true
+  #isSilentRestart = false
+
+  constructor (options: FakeEndpointOptions) {
+    this.listed = options.listed
+    this.kind = options.kind
+    this.model = options.model ?? WORK_MODELS[options.kind]
+    this.#clock = options.clock
+    this.#random = options.random
+    this.#trace = options.trace
+  }
+
+  get incarnation (): EndpointIncarnation {
+    return brand<EndpointIncarnation>(`${this.listed.id}@${this.#life}`)
+  }
+
+  get isAlive (): boolean {
+    return this.#isAlive
+  }
+
+  get running (): number {
+    return this.#running.size
+  }
+
+  get completed (): number {
+    return this.#completed
+  }
+
+  get bears (): number {
+    const grown = this.model.bearsCold + Math.floor(this.#completed / this.model.completedPerStep)
+    return Math.min(this.model.bearsWarm, grown)
+  }
+
+  get isWarm (): boolean {
+    return this.bears >= this.model.bearsWarm
+  }
+
+  /** Makes the endpoint warm at once, as one that has served for long. */
+  warmUp (): void {
+    this.#completed = Math.max(this.#completed, this.model.bearsWarm * this.model.completedPerStep)
+  }
+
+  /** Starts a new, cold life. A silent restart keeps connections and running calls. */
+  restart (options: { readonly isSilent: boolean }): void {
+    this.#isAlive = true
+    this.#life++
+    this.#completed = 0
+    this.#reports = 0
+    this.#prefixes.clear()
+    this.#isSilentRestart = options.isSilent
+    if (!options.isSilent) this.#abortAll()
+    for (const listener of this.#restartListeners) listener(options.isSilent)
+  }
+
+  /** Dies; connections break and running calls are cut. */
+  kill (): void {
+    this.#isAlive = false
+    this.#abortAll()
+    for (const listener of this.#restartListeners) listener(false)
+  }
+
+  onRestart (listener: (isSilent: boolean) => void): void {
+    this.#restartListeners.add(listener)
+  }
+
+  onCacheEvent (listener: (event: CacheEvent) => void): void {
+    this.#cacheListeners.add(listener)
+  }
+
+  report (): LoadReport {
+    this.#reports++
+    const bears = this.bears
+    return {
+      endpoint: this.listed.id,
+      incarnation: this.incarnation,
+      sequence: this.#reports,
+      running: Math.min(this.running, bears),
+      queued: Math.max(0, this.running - bears),
+      completed: this.#completed,
+      bears,
+      bearsWarm: this.model.bearsWarm,
+      isWarm: this.isWarm
+    }
+  }
+
+  keyStatus (key: IdempotencyKey): KeyStatus {
+    const outcome = this.#outcomes.get(key)
+    if (outcome === undefined) return { kind: 'not-run' }
+    if (outcome === 'running') return { kind: 'running' }
+    return { kind: 'ran', body: outcome }
+  }
+
+  /** Runs one call. `instance` is who sent it, for the trace. */
+  async serve (
+    call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal, instance?: InstanceId
+  ): Promise<Result<StageAnswer, CallError>> {
+    if (!this.#isAlive) return Result.err({ outcome: 'not-sent', detail: 'connection refused' })
+    const abort = new AbortController()
+    const runKey = `${this.#calls++}`
+    this.#running.set(runKey, abort)
+    this.#traceStart(call, instance)
+    const life = this.#life
+    const started = this.#clock.now()
+    const result = await this.#work(call, onChunk, AbortSignal.any([signal, abort.signal]))
+    this.#running.delete(runKey)
+    const busy = millis(this.#clock.now() - started)
+    if (result.isOk && life === this.#life) this.#completed++
+    return this.#settle(call, result, busy, signal, abort.signal)
+  }
+
+  #settle (
+    call: StageCall, result: Result<StageAnswer, CallError>, busy: Millis, caller: AbortSignal, own: AbortSignal
+  ): Result<StageAnswer, CallError> {
+    const isCancelled = caller.aborted && !own.aborted
+    const outcome = result.isOk ? 'done' : isCancelled ? 'cancelled' : 'failed'
+    this.#trace.add({ type: 'work-ended', at: this.#clock.now(), endpoint: this.listed.id, call: call.id, outcome })
+    const usage = { ...(result.isOk ? result.value.usage : result.error.usage ?? NO_USAGE), busy }
+    this.bills.push({ call: call.id, workspace: call.workspace, class: call.class, usage })
+    if (result.isErr) return Result.err({ ...result.error, usage })
+    return Result.ok({ ...result.value, usage })
+  }
+
+  async #work (
+    call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
+  ): Promise<Result<StageAnswer, CallError>> {
+    const isCached = this.#touchPrefix(call.prefix)
+    const read: StageUsage = {
+      ...NO_USAGE,
+      tokensIn: tokens(isCached ? this.model.tokensIn * (1 - this.model.prefixSaving) : this.model.tokensIn),
+      tokensCached: tokens(isCached ? this.model.tokensIn * this.model.prefixSaving : 0)
+    }
+    const isFailing = this.#random.next() < this.faults.failShare
+    const isCut = this.#random.next() < this.faults.cutShare
+    const startTime = this.model.callTime * (isCached ? 1 - this.model.prefixSaving : 1)
+    if (!await this.#spend(startTime * this.#vary(), signal)) return this.#aborted(signal, read)
+    if (isFailing) return Result.err({ outcome: 'failed', detail: 'the endpoint answered 500', usage: read })
+    this.#perform(call)
+    if (call.isStreamed || this.model.chunks > 0) return await this.#stream(call, onChunk, signal, read, isCut)
+    if (isCut) return Result.err({ outcome: 'cut', detail: 'the connection was cut', usage: read })
+    return Result.ok(this.#answer(call, read, ''))
+  }
+
+  async #stream (
+    call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal, read: StageUsage, isCut: boolean
+  ): Promise<Result<StageAnswer, CallError>> {
+    let text = call.resume?.text ?? ''
+    let usage = read
+    const first = call.resume?.chunks ?? 0
+    const cutAt = first + Math.floor((this.model.chunks - first) * HALF)
+    for (let index = first; index < this.model.chunks; index++) {
+      if (isCut && index === cutAt) return Result.err({ outcome: 'cut', detail: 'the stream was cut', usage })
+      if (index > first && !await this.#spend(this.model.chunkGap, signal)) return this.#aborted(signal, usage)
+      const part = `${call.id.request}:${index} `
+      text += part
+      usage = { ...usage, tokensOut: tokens(usage.tokensOut + this.model.tokensPerChunk) }
+      if (call.isStreamed) onChunk({ call: this.#echo(call.id), index, text: part, tokens: this.model.tokensPerChunk })
+    }
+    return Result.ok(this.#answer(call, usage, text))
+  }
+
+  #answer (call: StageCall, usage: StageUsage, text: string): StageAnswer {
+    const echo = this.#random.next() < this.faults.crossShare ? this.#crossed(call.id) : call.id
+    this.#lastCall = call.id
+    const body: Json = { madeFor: echo.request, stage: echo.stage, text }
+    if (call.key !== undefined) this.#outcomes.set(call.key, body)
+    return { call: echo, body, usage }
+  }
+
+  /** An action with an effect in the world, such as an order: each run of it counts. */
+  #perform (call: StageCall): void {
+    if (call.key === undefined) return
+    this.#outcomes.set(call.key, 'running')
+    this.#trace.add({
+      type: 'effect', at: this.#clock.now(), service: call.service, workspace: call.workspace, key: call.key, request: call.id.request
+    })
+  }
+
+  #echo (id: CallId): CallId {
+    return this.#random.next() < this.faults.crossShare ? this.#crossed(id) : id
+  }
+
+  #crossed (id: CallId): CallId {
+    return this.#lastCall ?? { ...id, request: brand<RequestId>(`${id.request}-crossed`) }
+  }
+
+  /** Spends `span` of work; slower while more runs than is borne. False where the call was aborted. */
+  async #spend (span: number, signal: AbortSignal): Promise<boolean> {
+    const overload = Math.max(1, this.running / this.bears)
+    const wait = this.faults.isHanging ? MAX_HANG : millis(span * overload * this.faults.slowFactor)
+    if (signal.aborted) return false
+    return await new Promise((resolve) => {
+      const stop = (): void => {
+        timer.cancel()
+        resolve(false)
+      }
+      const timer = this.#clock.after(wait, () => {
+        signal.removeEventListener('abort', stop)
+        resolve(true)
+      })
+      signal.addEventListener('abort', stop, { once: true })
+    })
+  }
+
+  #vary (): number {
+    return 1 - SPREAD + 2 * SPREAD * this.#random.next()
+  }
+
+  #aborted (signal: AbortSignal, usage: StageUsage): Result<StageAnswer, CallError> {
+    const isCut = signal.reason === CUT
+    return Result.err({ outcome: isCut ? 'cut' : 'cancelled', detail: isCut ? 'the endpoint died' : 'cancelled', usage })
+  }
+
+  #abortAll (): void {
+    for (const abort of this.#running.values()) abort.abort(CUT)
+  }
+
+  #touchPrefix (prefix: string | undefined): boolean {
+    if (prefix === undefined || this.model.cachedPrefixes === 0) return false
+    const isCached = this.#prefixes.delete(prefix)
+    this.#prefixes.add(prefix)
+    if (!isCached) this.#emitCache('stored', prefix)
+    if (this.#prefixes.size > this.model.cachedPrefixes) this.#evictOldest()
+    return isCached
+  }
+
+  #evictOldest (): void {
+    const [oldest] = this.#prefixes
+    if (oldest === undefined) return
+    this.#prefixes.delete(oldest)
+    this.#emitCache('evicted', oldest)
+  }
+
+  #emitCache (kind: CacheEvent['kind'], prefix: string): void {
+    this.#cacheEvents++
+    const event: CacheEvent = {
+      endpoint: this.listed.id, incarnation: this.incarnation, sequence: this.#cacheEvents, kind, prefix
+    }
+    for (const listener of this.#cacheListeners) listener(event)
+  }
+
+  #traceStart (call: StageCall, instance: InstanceId | undefined): void {
+    this.#trace.add({
+      type: 'work-started',
+      at: this.#clock.now(),
+      endpoint: this.listed.id,
+      incarnation: this.incarnation,
+      domain: this.listed.domain,
+      service: this.listed.service,
+      version: this.listed.version,
+      call: call.id,
+      instance,
+      key: call.key,
+      running: this.running,
+      bears: this.bears,
+      isWarm: this.isWarm,
+      isSilentRestart: this.#isSilentRestart
+    })
+  }
+}
+
+const CUT = Symbol('cut')
--- /dev/null
+++ b/packages/standins/src/workModel.ts
@@ -0,0 +1,78 @@
+import { microUnits, millis, tokens } from '@papayahill/common'
+import type { Millis, Tokens } from '@papayahill/common'
+import type { Prices, ServiceKind } from '@papayahill/settings'
+
+/** How long work takes at an endpoint, and how much of it the endpoint bears at once. */
+export interface WorkModel {
+  /** Mean time of one call; for engines, until the first chunk without a cached prefix. */
+  readonly callTime: Millis
+  /** Share of `callTime` that a cached prefix saves. */
+  readonly prefixSaving: number
+  readonly chunks: number
+  readonly chunkGap: Millis
+  readonly tokensPerChunk: Tokens
+  readonly tokensIn: Tokens
+  /** Calls borne at once right after a start. */
+  readonly bearsCold: number
+  /** Calls borne at once when warm. */
+  readonly bearsWarm: number
+  /** How many completed calls raise what is borne by one. */
+  readonly completedPerStep: number
+  /** Prompt prefixes the cache holds. */
+  readonly cachedPrefixes: number
+}
+
+const PLAIN: WorkModel = {
+  callTime: millis(25),
+  prefixSaving: 0,
+  chunks: 0,
+  chunkGap: millis(0),
+  tokensPerChunk: tokens(0),
+  tokensIn: tokens(0),
+  bearsCold: 2,
+  bearsWarm: 12,
+  completedPerStep: 4,
+  cachedPrefixes: 0
+}
+
+/** Usual behaviour of each kind of service; tests vary it by spreading. */
+export const WORK_MODELS: Readonly<Record<ServiceKind, WorkModel>> = {
+  engine: {
+    ...PLAIN,
+    callTime: millis(220),
+    prefixSaving: 0.7,
+    chunks: 24,
+    chunkGap: millis(22),
+    tokensPerChunk: tokens(4),
+    tokensIn: tokens(600),
+    bearsCold: 2,
+    bearsWarm: 16,
+    cachedPrefixes: 32
+  },
+  encoder: { ...PLAIN, callTime: millis(18), tokensIn: tokens(600) },
+  retriever: { ...PLAIN, callTime: millis(35) },
+  reranker: { ...PLAIN, callTime: millis(45), tokensIn: tokens(1200) },
+  plain: PLAIN
+}
+
+const FREE: Prices = {
+  perCall: microUnits(0),
+  perSecond: microUnits(0),
+  perThousandTokensIn: microUnits(0),
+  perThousandTokensCached: microUnits(0),
+  perThousandTokensOut: microUnits(0)
+}
+
+/** Prices that the stand-ins bill by, as the examples' settings state them. */
+export const STANDIN_PRICES: Readonly<Record<ServiceKind, Prices>> = {
+  engine: {
+    ...FREE,
+    perThousandTokensIn: microUnits(500),
+    perThousandTokensCached: microUnits(50),
+    perThousandTokensOut: microUnits(1500)
+  },
+  encoder: { ...FREE, perCall: microUnits(10), perThousandTokensIn: microUnits(20) },
+  retriever: { ...FREE, perCall: microUnits(40) },
+  reranker: { ...FREE, perCall: microUnits(15), perThousandTokensIn: microUnits(30) },
+  plain: { ...FREE, perCall: microUnits(100) }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,14 @@
+import { fileURLToPath } from 'node:url'
+import { defineConfig } from 'vitest/config'
+
+const PACKAGE_SOURCE = fileURLToPath(new URL('./packages/$1/src/index.ts', import.meta.url))
+
+export default defineConfig({
+  resolve: {
+    alias: [{ find: /^@papayahill\/([a-z]+)$/, replacement: PACKAGE_SOURCE }]
+  },
+  test: {
+    include: ['packages/*/src/**/*.test.ts', 'apps/*/src/**/*.test.ts'],
+    testTimeout: 60_000
+  }
+})
