--- /dev/null
+++ b/packages/invariants/src/checks/answersWhole.ts
@@ -0,0 +1,24 @@
+import type { Trace } from '../Trace.js'
+import type { Breach, TraceEventOf } from '../types.js'
+
+const isContiguous = (chunks: readonly number[]): boolean => chunks.every((chunk, index) => chunk === index)
+
+const faultOf = (answer: TraceEventOf<'request-answered'>, isExcused: boolean): string | undefined => {
+  if (answer.outcome === 'cut') return isExcused ? undefined : 'was cut though its instance lived'
+  if (answer.outcome !== 'answered') return undefined
+  if (!answer.isWhole) return 'was called whole but was not'
+  if (!isContiguous(answer.chunks ?? [])) return `came in chunks ${answer.chunks?.join(' ')}`
+  return undefined
+}
+
+/** Every answer is whole, with each chunk once and in order; only the death of an instance cuts one. */
+export const checkAnswersWhole = (trace: Trace): readonly Breach[] => {
+  const instanceOf = new Map(trace.ofType('request-sent').map((sent) => [sent.request, sent.instance]))
+  const died = new Set(trace.ofType('instance-died').map((death) => death.instance))
+  return trace.ofType('request-answered').flatMap((answer): readonly Breach[] => {
+    const instance = instanceOf.get(answer.request)
+    const fault = faultOf(answer, instance !== undefined && died.has(instance))
+    if (fault === undefined) return []
+    return [{ promise: 'answers-whole', at: answer.at, detail: `the answer to ${answer.request} ${fault}` }]
+  })
+}
