Pauses and deaths of one instance in the stand-ins

Cause: failure tests need a pause or a death of one instance among several in one process. Change: a gate through which an instance's timers, answers and calls pass; gated clock, table, objects, list, access.

--- /dev/null
+++ b/packages/standins/src/gated.ts
@@ -0,0 +1,185 @@
+import type { Clock, EpochMillis, IdempotencyKey, Json, Millis, Timer } from '@papayahill/common'
+import type {
+  CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport, StageAnswer, StageCall, StageChunk
+} from '@papayahill/endpoints'
+import type {
+  Commit, InstanceList, InstanceListing, ListedEndpoint, ObjectStore, Row, RowKey, StoreError, TableService, Transaction
+} from '@papayahill/platform'
+import type { ServiceKind } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import type { LifeGate } from './LifeGate.js'
+
+/** The clock of one instance: reads go on, timers wait for the gate. */
+export class GatedClock implements Clock {
+  readonly #clock: Clock
+  readonly #gate: LifeGate
+
+  constructor (clock: Clock, gate: LifeGate) {
+    this.#clock = clock
+    this.#gate = gate
+  }
+
+  now (): Millis {
+    return this.#clock.now()
+  }
+
+  wall (): EpochMillis {
+    return this.#clock.wall()
+  }
+
+  after (delay: Millis, fire: () => void): Timer {
+    let isCancelled = false
+    const timer = this.#clock.after(delay, () => this.#gate.run(() => { if (!isCancelled) fire() }))
+    return {
+      cancel: () => {
+        isCancelled = true
+        timer.cancel()
+      }
+    }
+  }
+
+  every (period: Millis, fire: () => void): Timer {
+    let isCancelled = false
+    let timer: Timer
+    const again = (): void => {
+      timer = this.after(period, () => {
+        again()
+        fire()
+      })
+      if (isCancelled) timer.cancel()
+    }
+    again()
+    return {
+      cancel: () => {
+        isCancelled = true
+        timer.cancel()
+      }
+    }
+  }
+
+  sleep (delay: Millis): Promise<void> {
+    return new Promise((resolve) => { this.after(delay, resolve) })
+  }
+}
+
+/** One instance's way to the table service. */
+export class GatedTable implements TableService {
+  readonly #table: TableService
+  readonly #gate: LifeGate
+
+  constructor (table: TableService, gate: LifeGate) {
+    this.#table = table
+    this.#gate = gate
+  }
+
+  read (keys: readonly RowKey[]): Promise<Result<readonly Row[], StoreError>> {
+    return this.#gate.pass(this.#table.read(keys))
+  }
+
+  scan (prefix: string, after: RowKey | undefined, limit: number): Promise<Result<readonly Row[], StoreError>> {
+    return this.#gate.pass(this.#table.scan(prefix, after, limit))
+  }
+
+  commit (transaction: Transaction): Promise<Result<Commit, StoreError>> {
+    return this.#gate.pass(this.#table.commit(transaction))
+  }
+}
+
+/** One instance's way to the object store. */
+export class GatedObjectStore implements ObjectStore {
+  readonly #objects: ObjectStore
+  readonly #gate: LifeGate
+
+  constructor (objects: ObjectStore, gate: LifeGate) {
+    this.#objects = objects
+    this.#gate = gate
+  }
+
+  get (name: string): Promise<Result<Json | undefined, StoreError>> {
+    return this.#gate.pass(this.#objects.get(name))
+  }
+
+  put (name: string, value: Json): Promise<Result<void, StoreError>> {
+    return this.#gate.pass(this.#objects.put(name, value))
+  }
+}
+
+/** One instance's way to the instance list. */
+export class GatedInstanceList implements InstanceList {
+  readonly #list: InstanceList
+  readonly #gate: LifeGate
+
+  constructor (list: InstanceList, gate: LifeGate) {
+    this.#list = list
+    this.#gate = gate
+  }
+
+  list (): Promise<Result<InstanceListing, StoreError>> {
+    return this.#gate.pass(this.#list.list())
+  }
+}
+
+class GatedConnection implements EndpointConnection {
+  readonly #connection: EndpointConnection
+  readonly #gate: LifeGate
+
+  constructor (connection: EndpointConnection, gate: LifeGate) {
+    this.#connection = connection
+    this.#gate = gate
+  }
+
+  get incarnation (): EndpointConnection['incarnation'] {
+    return this.#connection.incarnation
+  }
+
+  get isOpen (): boolean {
+    return this.#connection.isOpen
+  }
+
+  call (
+    call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
+  ): Promise<Result<StageAnswer, CallError>> {
+    const passChunk = (chunk: StageChunk): void => this.#gate.run(() => onChunk(chunk))
+    return this.#gate.pass(this.#connection.call(call, passChunk, signal))
+  }
+
+  onClose (listener: () => void): void {
+    this.#connection.onClose(() => this.#gate.run(listener))
+  }
+
+  close (): void {
+    this.#connection.close()
+  }
+}
+
+/** One instance's way to the endpoints. */
+export class GatedEndpointAccess implements EndpointAccess {
+  readonly #access: EndpointAccess
+  readonly #gate: LifeGate
+
+  constructor (access: EndpointAccess, gate: LifeGate) {
+    this.#access = access
+    this.#gate = gate
+  }
+
+  async open (endpoint: ListedEndpoint, kind: ServiceKind): Promise<Result<EndpointConnection, CallError>> {
+    const opened = await this.#gate.pass(this.#access.open(endpoint, kind))
+    return opened.map((connection) => new GatedConnection(connection, this.#gate))
+  }
+
+  report (endpoint: ListedEndpoint): Promise<Result<LoadReport, CallError>> {
+    return this.#gate.pass(this.#access.report(endpoint))
+  }
+
+  onReport (listener: (report: LoadReport) => void): void {
+    this.#access.onReport((report) => this.#gate.run(() => listener(report)))
+  }
+
+  onCacheEvent (listener: (event: CacheEvent) => void): void {
+    this.#access.onCacheEvent((event) => this.#gate.run(() => listener(event)))
+  }
+
+  lookUp (endpoint: ListedEndpoint, key: IdempotencyKey): Promise<Result<KeyStatus, CallError>> {
+    return this.#gate.pass(this.#access.lookUp(endpoint, key))
+  }
+}
