--- /dev/null
+++ b/packages/instance/src/constants.ts
@@ -0,0 +1,6 @@
+import { millis, seconds } from '@papayahill/common'
+
+/** How long the balancer gets to see that the health check fails before the instance stops listening to it. */
+export const BALANCER_NOTICE = seconds(2)
+/** How often a draining instance looks whether its last request has ended. */
+export const DRAIN_POLL = millis(50)
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export type * from './types.js'
--- /dev/null
+++ b/packages/testbed/src/FakeOrderChannel.ts
@@ -0,0 +1,20 @@
+import type { EndpointId } from '@papayahill/common'
+import type { Order, OrderChannel, OrderRefusal } from '@papayahill/orders'
+import type { ListedEndpoint } from '@papayahill/platform'
+import { Result } from 'true-myth'
+
+/** Endpoints that take orders and refuse a fencing number below the highest seen. */
+export class FakeOrderChannel implements OrderChannel {
+  readonly delivered: Order[] = []
+  readonly #highest = new Map<EndpointId, number>()
+
+  deliver (endpoint: ListedEndpoint, order: Order): Promise<Result<void, OrderRefusal>> {
+    const highest = this.#highest.get(endpoint.id) ?? 0
+    if (order.fence < highest) {
+      return Promise.resolve(Result.err({ kind: 'old-fence', detail: `${order.fence} is below ${highest}` }))
+    }
+    this.#highest.set(endpoint.id, order.fence)
+    this.delivered.push(order)
+    return Promise.resolve(Result.ok(undefined))
+  }
+}
