Platform clients over HTTP and the stand-ins' listeners

Cause: instances must reach the platform and endpoints by HTTP. Change: undici clients with conditional reads; commits tell unavailable from unknown; stand-ins of table, objects, list and endpoints over polka with faults changed by PUT /faults; engines answer OpenAI-compatible completions with SSE.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,6 @@
+export { PLATFORM_EVENTS } from './events.js'
+export type { HttpExchangeOptions } from './HttpExchange.js'
+export { HttpInstanceList } from './HttpInstanceList.js'
+export { HttpObjectStore } from './HttpObjectStore.js'
+export { HttpTableService } from './HttpTableService.js'
 export type * from './types.js'
--- /dev/null
+++ b/packages/standins/src/http/serveEndpoint.ts
@@ -0,0 +1,186 @@
+import type { Clock, InstanceId, Json, Timer } from '@papayahill/common'
+import { brand, isJsonObject, millis } from '@papayahill/common'
+import type { CallError, StageCall } from '@papayahill/endpoints'
+import type { FakeEndpoint } from '../FakeEndpoint.js'
+import { answerCompletion } from './completions.js'
+import { faultRoutes, HttpStandIn, readJson, sendJson } from './HttpStandIn.js'
+import type { StandInHandler, StandInRequest, StandInResponse, StandInRoute } from './HttpStandIn.js'
+import { readCall } from './readCall.js'
+
+const PUSH_PERIOD = millis(500)
+
+export interface ServeEndpointOptions {
+  readonly endpoint: FakeEndpoint
+  readonly clock: Clock
+  /** 0 takes any free one. */
+  readonly port?: number
+  /** Whether orders with an old fencing number are refused. */
+  readonly checksFencing?: boolean
+}
+
+/** An endpoint's listener; `order` keeps what it was told to do. */
+export interface EndpointServer {
+  readonly server: HttpStandIn
+  readonly orders: readonly Json[]
+  close (): Promise<void>
+}
+
+const STATUS_OF: Readonly<Partial<Record<CallError['outcome'], number>>> = { refused: 503, cancelled: 499 }
+
+const callOptions = (req: StandInRequest, res: StandInResponse): { signal: AbortSignal, instance: InstanceId | undefined } => {
+  const abort = new AbortController()
+  res.on('close', () => { if (!res.writableFinished) abort.abort() })
+  const sender = req.headers['x-instance']
+  return { signal: abort.signal, instance: typeof sender === 'string' ? brand<InstanceId>(sender) : undefined }
+}
+
+/** Answers one call of a pool or plain service. */
+const answerCall = async (
+  endpoint: FakeEndpoint, req: StandInRequest, res: StandInResponse, call: StageCall
+): Promise<void> => {
+  const { signal, instance } = callOptions(req, res)
+  const result = await endpoint.serve(call, () => {}, signal, instance)
+  if (res.destroyed) return
+  if (result.isOk) {
+    const { call: echo, body, usage } = result.value
+    return sendJson(res, 200, { id: `${echo.request}/${echo.stage}/${echo.attempt}`, output: body, usage })
+  }
+  if (result.error.outcome === 'cut') res.destroy()
+  else sendJson(res, STATUS_OF[result.error.outcome] ?? 500, { detail: result.error.detail, usage: result.error.usage })
+}
+
+class OrderDesk {
+  readonly orders: Json[] = []
+  readonly #checksFencing: boolean
+  #highest = 0
+
+  constructor (checksFencing: boolean) {
+    this.#checksFencing = checksFencing
+  }
+
+  readonly handle: StandInHandler = async (req, res) => {
+    const order = await readJson(req)
+    const fence = isJsonObject(order) && typeof order.fence === 'number' ? order.fence : 0
+    if (this.#checksFencing && fence < this.#highest) {
+      return sendJson(res, 409, { detail: `fence ${fence} is below ${this.#highest}` })
+    }
+    this.#highest = Math.max(this.#highest, fence)
+    this.orders.push(order)
+    sendJson(res, 200, {})
+  }
+}
+
+/** Pushes reports and cache events to whoever listens. */
+class EventFeed {
+  readonly #endpoint: FakeEndpoint
+  readonly #listeners = new Set<StandInResponse>()
+  readonly #timer: Timer
+
+  constructor (endpoint: FakeEndpoint, clock: Clock) {
+    this.#endpoint = endpoint
+    this.#timer = clock.every(PUSH_PERIOD, () => this.#pushReport())
+    endpoint.onCacheEvent((event) => this.#push('cache', event))
+  }
+
+  readonly handle: StandInHandler = (_req, res) => {
+    res.writeHead(200, { 'content-type': 'text/event-stream' })
+    res.flushHeaders()
+    this.#listeners.add(res)
+    res.on('close', () => this.#listeners.delete(res))
+  }
+
+  close (): void {
+    this.#timer.cancel()
+  }
+
+  #pushReport (): void {
+    if (this.#listeners.size === 0 || this.#endpoint.faults.isSilent || !this.#endpoint.isAlive) return
+    this.#push('report', this.#endpoint.report())
+  }
+
+  #push (event: string, data: unknown): void {
+    for (const res of this.#listeners) res.write(`event: ${event}\ndata: ${JSON.stringify(data)}\n\n`)
+  }
+}
+
+const callRoutes = (endpoint: FakeEndpoint): readonly StandInRoute[] => [
+  {
+    method: 'POST',
+    path: '/v1/completions',
+    handle: async (req, res) => {
+      const call = readCall(endpoint, req, await readJson(req))
+      const { signal, instance } = callOptions(req, res)
+      await answerCompletion(endpoint, res, call, signal, instance)
+    }
+  },
+  ...['encode', 'retrieve', 'rerank', 'call'].map((verb): StandInRoute => ({
+    method: 'POST',
+    path: `/v1/${verb}`,
+    handle: async (req, res) => { await answerCall(endpoint, req, res, readCall(endpoint, req, await readJson(req))) }
+  }))
+]
+
+const stateRoutes = (endpoint: FakeEndpoint): readonly StandInRoute[] => [
+  { method: 'GET', path: '/v1/identity', handle: (_req, res) => sendJson(res, 200, { incarnation: endpoint.incarnation }) },
+  {
+    method: 'GET',
+    path: '/v1/load',
+    handle: (_req, res) => {
+      if (endpoint.faults.isSilent) sendJson(res, 503, { detail: 'no report now' })
+      else sendJson(res, 200, endpoint.report())
+    }
+  },
+  {
+    method: 'GET',
+    path: '/v1/keys/:key',
+    handle: (req, res) => sendJson(res, 200, endpoint.keyStatus(brand(decodeURIComponent(req.params.key ?? ''))))
+  },
+  {
+    method: 'PUT',
+    path: '/restart',
+    handle: async (req, res) => {
+      const body = await readJson(req)
+      endpoint.restart({ isSilent: isJsonObject(body) && body.isSilent === true })
+      sendJson(res, 200, { incarnation: endpoint.incarnation })
+    }
+  }
+]
+
+const withIncarnation = (endpoint: FakeEndpoint, route: StandInRoute): StandInRoute => ({
+  ...route,
+  handle: (req, res) => {
+    res.setHeader('x-incarnation', endpoint.incarnation)
+    return route.handle(req, res)
+  }
+})
+
+/**
+ * Serves one endpoint over HTTP: calls by kind (`POST /v1/completions`, `encode`, `retrieve`, `rerank`,
+ * `call`), `GET /v1/identity`, `GET /v1/load`, `GET /v1/events` (SSE), `GET /v1/keys/:key`, `POST /v1/orders`,
+ * and for its operators `PUT /faults` and `PUT /restart`. Each answer names the incarnation.
+ *
+ * @example
+ * const { server } = await serveEndpoint({ endpoint, clock, port: 9101 })
+ */
+export const serveEndpoint = async (options: ServeEndpointOptions): Promise<EndpointServer> => {
+  const { endpoint, clock } = options
+  const desk = new OrderDesk(options.checksFencing ?? false)
+  const feed = new EventFeed(endpoint, clock)
+  const routes: readonly StandInRoute[] = [
+    ...callRoutes(endpoint),
+    ...stateRoutes(endpoint),
+    { method: 'GET', path: '/v1/events', handle: feed.handle },
+    { method: 'POST', path: '/v1/orders', handle: desk.handle },
+    ...faultRoutes(endpoint.faults)
+  ]
+  const server = await HttpStandIn.listen(routes.map((route) => withIncarnation(endpoint, route)), options.port)
+  endpoint.onRestart((isSilent) => { if (!isSilent) server.cutAll() })
+  return {
+    server,
+    orders: desk.orders,
+    close: () => {
+      feed.close()
+      return server.close()
+    }
+  }
+}
