--- /dev/null
+++ b/packages/endpoints/src/events.ts
@@ -0,0 +1,10 @@
+import { defineEvents } from '@papayahill/common'
+
+/** Events of the endpoints, 3001 to 3099. */
+export const ENDPOINTS_EVENTS = defineEvents({
+  endpointListed: { number: 3001, level: 'info', text: 'An endpoint appeared in the platform\'s list; it takes work once it is connected and has reported.' },
+  endpointUnlisted: { number: 3002, level: 'info', text: 'An endpoint is no longer in the platform\'s list; it takes no new work here.' },
+  endpointState: { number: 3003, level: 'info', text: 'An endpoint changed its state of life as this instance sees it.' },
+  listUnreadable: { number: 3004, level: 'warn', text: 'The platform\'s instance list could not be read; the last one stays in use.' },
+  listDistrusted: { number: 3005, level: 'warn', text: 'The platform\'s instance list lost most endpoints at once; the last one stays in use until it is confirmed.' }
+})
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -1,5 +1,5 @@
 import type {
-  CallId, CallOutcome, ClassId, DomainId, EndpointId, EndpointIncarnation, IdempotencyKey, Json, Millis, ServiceId,
+  CallId, CallOutcome, ClassId, DomainId, EndpointId, EndpointIncarnation, IdempotencyKey, Incarnation, InstanceId, Json, Millis, ServiceId,
   StageUsage, Tokens, VersionId, WorkspaceId
 } from '@papayahill/common'
 import type { ServiceKind } from '@papayahill/settings'
@@ -174,3 +174,51 @@
   readonly busy: number
   readonly limit: number
 }
+
+/** A life of an entry instance in the roster. */
+export interface RosterLife {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+  /** Roster version at which this life joined. */
+  readonly joinedAt: number
+}
+
+/** A life that left the roster and is still on record. */
+export interface DepartedLife extends RosterLife {
+  readonly departedAt: number
+}
+
+/** The roster record as this instance last read it. */
+export interface RosterRecord {
+  readonly version: number
+  readonly members: readonly RosterLife[]
+  readonly departed: readonly DepartedLife[]
+}
+
+/** What the endpoints need of this instance's copy of the roster. */
+export interface RosterCopy {
+  view (): RosterRecord
+  /** Age of the copy by the local monotonic clock, from the start of the read that confirmed it; Infinity before it. */
+  age (): Millis
+  /** Whether this life of this instance is in the roster, as last read. */
+  isMember (): boolean
+  onChange (listener: () => void): void
+}
+
+/** One value that an instance published on the share channel. */
+export interface ShareEntry {
+  readonly key: string
+  readonly owner: InstanceId
+  readonly incarnation: Incarnation
+  readonly value: Json
+}
+
+/** How instances tell each other about endpoints: one topic of the peers' links, best effort. */
+export interface ShareChannel {
+  /** Asks one instance; undefined where no answer came in time. */
+  ask (to: InstanceId, message: Json, timeout: Millis): Promise<Json | undefined>
+  /** Sets the one answerer of other instances' questions. */
+  handle (answer: (from: InstanceId, message: Json) => Json): void
+  publish (key: string, value: Json): void
+  onEntry (listener: (entry: ShareEntry) => void): void
+}
