--- a/packages/cost/src/index.ts
+++ b/packages/cost/src/index.ts
@@ -1,1 +1,6 @@
+export { callCost } from './callCost.js'
+export { CostKeeper } from './CostKeeper.js'
+export type { CostKeeperOptions } from './CostKeeper.js'
+export { dayOf } from './dayOf.js'
+export { COST_EVENTS } from './events.js'
 export type * from './types.js'
