--- /dev/null
+++ b/packages/instance/src/Instance.ts
@@ -0,0 +1,177 @@
+import { ClaimKeeper } from '@papayahill/claims'
+import { ConfigKeeper, MeteredTable, RosterKeeper } from '@papayahill/control'
+import { CostKeeper } from '@papayahill/cost'
+import { EndpointTable } from '@papayahill/endpoints'
+import { ServingMetrics } from '@papayahill/metrics'
+import { OrderKeeper } from '@papayahill/orders'
+import type { Peers } from '@papayahill/peers'
+import { PipelineServer } from '@papayahill/pipeline'
+import { MoveKeeper } from '@papayahill/rollout'
+import { ServiceScheduler } from '@papayahill/scheduling'
+import { refusal } from '@papayahill/common'
+import type { DomainId, Failure, InstanceId } from '@papayahill/common'
+import type { OperatorConfig } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import { BALANCER_NOTICE, DRAIN_POLL, START_LIMIT, START_POLL } from './constants.js'
+import { INSTANCE_EVENTS } from './events.js'
+import { keyLookUp } from './keyLookUp.js'
+import { shareChannel } from './shareChannel.js'
+import type { EntryInstance, InstanceOptions } from './types.js'
+import { versionCapacity } from './versionCapacity.js'
+
+type Phase = 'starting' | 'serving' | 'draining' | 'stopped'
+
+/**
+ * One entry instance, put together from its parts. It owns no decision itself but the order of start and stop.
+ *
+ * @example
+ * const instance = new Instance({ self, domain, region, clock, random, log, table, objects, instanceList, access, orderChannel, peers })
+ * await instance.start()
+ * const answer = await instance.runner.run(request, sink)
+ */
+export class Instance implements EntryInstance {
+  readonly self: InstanceId
+  readonly peers: Peers
+  readonly table: MeteredTable
+  readonly roster: RosterKeeper
+  readonly config: ConfigKeeper
+  readonly pool: EndpointTable
+  readonly claims: ClaimKeeper
+  readonly moves: MoveKeeper
+  readonly cost: CostKeeper
+  readonly metrics: ServingMetrics
+  readonly orders: OrderKeeper
+  readonly scheduler: ServiceScheduler
+  readonly runner: PipelineServer
+  readonly #options: InstanceOptions
+  #phase: Phase = 'starting'
+
+  constructor (options: InstanceOptions) {
+    const { self, clock, random, log, peers, objects } = options
+    const incarnation = peers.incarnation
+    this.#options = options
+    this.self = self
+    this.peers = peers
+    this.table = new MeteredTable({
+      table: options.table, clock, random: random.fork(), members: () => this.roster.view().members.length, log
+    })
+    const shared = { self, incarnation, clock, table: this.table, peers, log }
+    this.roster = new RosterKeeper({ ...shared, random: random.fork() })
+    this.config = new ConfigKeeper({ ...shared, random: random.fork(), objects, roster: this.roster })
+    const config = (): OperatorConfig => this.config.view().config
+    this.pool = this.#createPool()
+    this.claims = new ClaimKeeper({
+      ...shared,
+      random: random.fork(),
+      roster: this.roster,
+      lookUp: keyLookUp({ access: options.access, pool: this.pool, config })
+    })
+    this.moves = new MoveKeeper({
+      ...shared, random: random.fork(), config: this.config, capacity: versionCapacity(this.pool)
+    })
+    this.cost = new CostKeeper({ ...shared, config })
+    this.metrics = new ServingMetrics({ clock })
+    this.orders = new OrderKeeper({
+      self,
+      incarnation,
+      clock,
+      table: this.table,
+      rosterAge: () => this.roster.age(),
+      list: options.instanceList,
+      channel: options.orderChannel,
+      checksFencing: (service) => config().services.get(service)?.checksFencing ?? false,
+      log
+    })
+    this.scheduler = new ServiceScheduler({ clock, random: random.fork(), pool: this.pool, config, log })
+    this.runner = new PipelineServer({
+      clock,
+      random: random.fork(),
+      scheduler: this.scheduler,
+      claims: this.claims,
+      config,
+      versionsFor: (service, route) => this.moves.versionsFor(service, route),
+      checkBudget: (workspace, classId) => this.cost.check(workspace, classId),
+      observers: [this.moves, this.cost, this.metrics],
+      log
+    })
+  }
+
+  get isReady (): boolean {
+    return this.#phase === 'serving' && this.config.isReady
+  }
+
+  /** Resolves once the instance has a configuration; an error names what it waited for in vain. */
+  async start (): Promise<Result<void, Failure>> {
+    await this.roster.start()
+    await this.config.start()
+    if (!await this.#waitForConfig()) {
+      return Result.err(refusal('not-ready', 'neither the store nor a peer gave a configuration'))
+    }
+    this.pool.start()
+    this.claims.start()
+    this.moves.start()
+    this.cost.start()
+    this.scheduler.start()
+    this.#phase = 'serving'
+    this.#options.log.emit(INSTANCE_EVENTS.instanceReady, { instance: this.self, version: this.config.view().version })
+    return Result.ok(undefined)
+  }
+
+  async drain (): Promise<void> {
+    if (this.#phase === 'draining') return
+    this.#phase = 'draining'
+    this.#options.log.emit(INSTANCE_EVENTS.instanceDraining, { instance: this.self, running: this.runner.running })
+    await this.#options.clock.sleep(BALANCER_NOTICE)
+    while (this.runner.running > 0) await this.#options.clock.sleep(DRAIN_POLL)
+    await this.claims.drain()
+    await this.cost.flush()
+    await this.roster.leave()
+    this.#options.log.emit(INSTANCE_EVENTS.instanceDrained, { instance: this.self })
+  }
+
+  async stop (): Promise<void> {
+    this.#phase = 'stopped'
+    this.scheduler.stop()
+    this.cost.stop()
+    this.moves.stop()
+    this.claims.stop()
+    this.pool.stop()
+    this.config.stop()
+    this.roster.stop()
+    await this.peers.close()
+  }
+
+  async #waitForConfig (): Promise<boolean> {
+    const { clock } = this.#options
+    const until = clock.now() + START_LIMIT
+    while (!this.config.isReady) {
+      if (clock.now() >= until) return false
+      await clock.sleep(START_POLL)
+    }
+    return true
+  }
+
+  #createPool (): EndpointTable {
+    const { self, domain, clock, random, log, access, instanceList, peers } = this.#options
+    return new EndpointTable({
+      self: { id: self, incarnation: peers.incarnation },
+      domain,
+      regionOf: (id) => this.config.view().config.domains.get(id)?.region,
+      clock,
+      random: random.fork(),
+      access,
+      list: instanceList,
+      roster: this.roster,
+      shares: shareChannel(peers),
+      domainsOut: () => this.#domainsOut(),
+      serviceKind: (service) => this.config.view().config.services.get(service)?.kind,
+      log
+    })
+  }
+
+  #domainsOut (): ReadonlySet<DomainId> {
+    const { config, unrecordedOuts } = this.config.view()
+    if (unrecordedOuts.size === 0) return config.domainsOut
+    return new Set([...config.domainsOut, ...unrecordedOuts])
+  }
+}
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,1 +1,3 @@
+export { INSTANCE_EVENTS } from './events.js'
+export { Instance } from './Instance.js'
 export type * from './types.js'
