Adapters to endpoints over HTTP

Cause: the pool needs connections that are bound to one life of an endpoint. Change: each TCP connection confirms the life before work flows and is never replaced by the client; adapters by kind; streams whole only with their end mark; reports polled and pushed. Call keys travel percent-encoded.

--- /dev/null
+++ b/packages/backends/src/EndpointFeed.ts
@@ -0,0 +1,71 @@
+import type { Clock, Timer } from '@papayahill/common'
+import type { CacheEvent, LoadReport } from '@papayahill/endpoints'
+import { createParser } from 'eventsource-parser'
+import type { EventSourceMessage } from 'eventsource-parser'
+import type { Dispatcher } from 'undici'
+import { FEED_RETRY } from './constants.js'
+import { parseJson } from './parseJson.js'
+import { readCacheEvent, readReport } from './readReport.js'
+
+export interface EndpointFeedOptions {
+  readonly origin: string
+  readonly clock: Clock
+  readonly dispatcher: Dispatcher
+  readonly onReport: (report: LoadReport) => void
+  readonly onCacheEvent: (event: CacheEvent) => void
+}
+
+/**
+ * Hears what an endpoint pushes, until stopped; a lost feed is asked for again.
+ *
+ * @example
+ * const feed = new EndpointFeed({ origin, clock, dispatcher, onReport, onCacheEvent })
+ * feed.start()
+ */
+export class EndpointFeed {
+  readonly #options: EndpointFeedOptions
+  readonly #abort = new AbortController()
+  #timer: Timer | undefined
+
+  constructor (options: EndpointFeedOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    void this.#listen()
+  }
+
+  stop (): void {
+    this.#abort.abort()
+    this.#timer?.cancel()
+  }
+
+  async #listen (): Promise<void> {
+    const isOffered = await this.#read().catch(() => true)
+    if (isOffered && !this.#abort.signal.aborted) this.#timer = this.#options.clock.after(FEED_RETRY, () => this.start())
+  }
+
+  /** False where the endpoint pushes nothing. */
+  async #read (): Promise<boolean> {
+    const { origin, dispatcher } = this.#options
+    const { statusCode, body } = await dispatcher.request({
+      origin, path: '/v1/events', method: 'GET', signal: this.#abort.signal, bodyTimeout: 0
+    })
+    if (statusCode !== 200) {
+      await body.dump()
+      return statusCode >= 500
+    }
+    const parser = createParser({ onEvent: (event) => this.#take(event) })
+    const decoder = new TextDecoder()
+    for await (const part of body) parser.feed(decoder.decode(part as Buffer, { stream: true }))
+    return true
+  }
+
+  #take (event: EventSourceMessage): void {
+    const data = parseJson(event.data)
+    const report = event.event === 'report' ? readReport(data) : undefined
+    if (report !== undefined) this.#options.onReport(report)
+    const change = event.event === 'cache' ? readCacheEvent(data) : undefined
+    if (change !== undefined) this.#options.onCacheEvent(change)
+  }
+}
--- /dev/null
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -0,0 +1,124 @@
+import type { Clock, EndpointId, EventLog, IdempotencyKey, InstanceId, Json } from '@papayahill/common'
+import type {
+  CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport
+} from '@papayahill/endpoints'
+import type { Address, ListedEndpoint } from '@papayahill/platform'
+import { isIPv6 } from 'node:net'
+import { Result } from 'true-myth'
+import { Agent } from 'undici'
+import { QUERY_CONNECTIONS, QUERY_TIMEOUT } from './constants.js'
+import { EndpointFeed } from './EndpointFeed.js'
+import { BACKENDS_EVENTS } from './events.js'
+import { HttpConnection } from './HttpConnection.js'
+import { openSocket } from './openSocket.js'
+import { parseJson } from './parseJson.js'
+import { readKeyStatus, readReport } from './readReport.js'
+
+export interface HttpEndpointAccessOptions {
+  readonly self: InstanceId
+  readonly clock: Clock
+  readonly log: EventLog
+}
+
+/** Writes an endpoint's address as an origin. */
+export const originOf = ({ ip, port }: Address): string => `http://${isIPv6(ip) ? `[${ip}]` : ip}:${port}`
+
+/**
+ * Endpoints over HTTP: a connection carries work only once the endpoint's life was confirmed on it.
+ *
+ * @example
+ * const access = new HttpEndpointAccess({ self, clock, log })
+ * const connection = await access.open(endpoint, 'engine')
+ */
+export class HttpEndpointAccess implements EndpointAccess {
+  readonly #options: HttpEndpointAccessOptions
+  readonly #agent = new Agent({ connections: QUERY_CONNECTIONS })
+  readonly #connections = new Set<EndpointConnection>()
+  readonly #feeds = new Map<EndpointId, EndpointFeed>()
+  readonly #reportListeners: Array<(report: LoadReport) => void> = []
+  readonly #cacheListeners: Array<(event: CacheEvent) => void> = []
+
+  constructor (options: HttpEndpointAccessOptions) {
+    this.#options = options
+  }
+
+  async open (endpoint: ListedEndpoint): Promise<Result<EndpointConnection, CallError>> {
+    const { clock, log } = this.#options
+    const origin = originOf(endpoint.address)
+    const opened = await openSocket(origin, clock)
+    if (opened.isErr) {
+      log.emit(BACKENDS_EVENTS.openFailed, { endpoint: endpoint.id, detail: opened.error })
+      return Result.err({ outcome: 'not-sent', detail: opened.error })
+    }
+    const connection = new HttpConnection({ ...this.#options, endpoint, origin, first: opened.value })
+    log.emit(BACKENDS_EVENTS.connectionOpened, { endpoint: endpoint.id, incarnation: connection.incarnation })
+    this.#follow(endpoint, origin, connection)
+    return Result.ok(connection)
+  }
+
+  async report (endpoint: ListedEndpoint): Promise<Result<LoadReport, CallError>> {
+    return (await this.#query(endpoint, '/v1/load')).andThen((body) => found(readReport(body)))
+  }
+
+  onReport (listener: (report: LoadReport) => void): void {
+    this.#reportListeners.push(listener)
+  }
+
+  onCacheEvent (listener: (event: CacheEvent) => void): void {
+    this.#cacheListeners.push(listener)
+  }
+
+  async lookUp (endpoint: ListedEndpoint, key: IdempotencyKey): Promise<Result<KeyStatus, CallError>> {
+    const path = `/v1/keys/${encodeURIComponent(key)}`
+    return (await this.#query(endpoint, path)).andThen((body) => found(readKeyStatus(body)))
+  }
+
+  /** Closes all connections and feeds. */
+  async close (): Promise<void> {
+    for (const feed of this.#feeds.values()) feed.stop()
+    for (const connection of this.#connections) connection.close()
+    await this.#agent.destroy()
+  }
+
+  #follow (endpoint: ListedEndpoint, origin: string, connection: EndpointConnection): void {
+    this.#connections.add(connection)
+    this.#feeds.get(endpoint.id)?.stop()
+    const feed = new EndpointFeed({
+      origin,
+      clock: this.#options.clock,
+      dispatcher: this.#agent,
+      onReport: (report) => { for (const listener of this.#reportListeners) listener(report) },
+      onCacheEvent: (event) => { for (const listener of this.#cacheListeners) listener(event) }
+    })
+    this.#feeds.set(endpoint.id, feed)
+    feed.start()
+    connection.onClose(() => this.#unfollow(endpoint.id, feed, connection))
+  }
+
+  #unfollow (endpoint: EndpointId, feed: EndpointFeed, connection: EndpointConnection): void {
+    feed.stop()
+    this.#connections.delete(connection)
+    if (this.#feeds.get(endpoint) === feed) this.#feeds.delete(endpoint)
+  }
+
+  async #query (endpoint: ListedEndpoint, path: string): Promise<Result<Json, CallError>> {
+    const abort = new AbortController()
+    const timer = this.#options.clock.after(QUERY_TIMEOUT, () => abort.abort())
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal
+      })
+      const text = await body.text()
+      return statusCode === 200 ? Result.ok(parseJson(text)) : Result.err(failed(`the endpoint answered ${statusCode}`))
+    } catch (err) {
+      return Result.err(failed(err instanceof Error ? err.message : String(err)))
+    } finally {
+      timer.cancel()
+    }
+  }
+}
+
+const failed = (detail: string): CallError => ({ outcome: 'failed', detail })
+
+const found = <Value>(value: Value | undefined): Result<Value, CallError> =>
+  value === undefined ? Result.err(failed('the endpoint answered in an unknown form')) : Result.ok(value)
--- /dev/null
+++ b/packages/backends/src/openSocket.ts
@@ -0,0 +1,32 @@
+import { brand, isJsonObject } from '@papayahill/common'
+import type { Clock, EndpointIncarnation } from '@papayahill/common'
+import { Result } from 'true-myth'
+import { ConfirmedSocket } from './ConfirmedSocket.js'
+import { OPEN_TIMEOUT } from './constants.js'
+import { parseJson } from './parseJson.js'
+
+/** A connection with the life that the endpoint named on it. */
+export interface OpenedSocket {
+  readonly socket: ConfirmedSocket
+  readonly incarnation: EndpointIncarnation
+}
+
+const incarnationIn = (text: string): EndpointIncarnation | undefined => {
+  const body = parseJson(text)
+  return isJsonObject(body) && typeof body.incarnation === 'string' ? brand<EndpointIncarnation>(body.incarnation) : undefined
+}
+
+/** Opens one connection and asks on it which life of the endpoint answers. */
+export const openSocket = async (origin: string, clock: Clock): Promise<Result<OpenedSocket, string>> => {
+  const socket = new ConfirmedSocket(origin)
+  const abort = new AbortController()
+  const timer = clock.after(OPEN_TIMEOUT, () => abort.abort())
+  let text = ''
+  const listener = { onStart: () => {}, onData: (data: Buffer) => { text += data.toString() } }
+  const result = await socket.exchange({ method: 'GET', path: '/v1/identity', headers: {} }, listener, abort.signal)
+  timer.cancel()
+  const incarnation = incarnationIn(text)
+  if (result.isOk && incarnation !== undefined) return Result.ok({ socket, incarnation })
+  socket.close()
+  return Result.err(result.isErr ? result.error.detail : 'it did not name its life')
+}
--- a/packages/standins/src/http/readCall.ts
+++ b/packages/standins/src/http/readCall.ts
@@ -38,7 +38,7 @@
     class: brand<ClassId>(headerOf(req, 'x-class') ?? ''),
     workspace: brand<WorkspaceId>(headerOf(req, 'x-workspace') ?? ''),
     body: body.input ?? body.prompt ?? null,
-    key: key === undefined ? undefined : brand<IdempotencyKey>(key),
+    key: key === undefined ? undefined : brand<IdempotencyKey>(decodeURIComponent(key)),
     priority: Number(body.priority ?? 0),
     timeout: CALL_TIMEOUT,
     prefix: textOf(body.cache_prefix),
