Strict slots, life cycle, shares and ejection of endpoints

Cause: the thin table sent work by report alone, so several instances together could exceed what a cold endpoint bears.

--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -16,3 +16,31 @@
 export const PERIOD_JITTER = 0.2
 /** Wait before an endpoint that refused a connection is tried again. */
 export const RECONNECT_DELAY = millis(250)
+/** Instances among whose lives the slots of one cold endpoint are dealt out. */
+export const SLOT_OWNERS = 16
+/** Most slots of one cold endpoint that are dealt out one by one. */
+export const COLD_SLOTS_MAX = 64
+/** What an endpoint is taken to bear while its reports are missing. */
+export const UNKNOWN_BEARS = 1
+/** After this time the calls of an instance that left the roster have ended: the longest call timeout. */
+export const DEPARTED_CALL_MAX = seconds(60)
+/** A call handed over this long before a report was asked for is in that report. */
+export const HANDOVER_MARGIN = millis(100)
+/** Longest wait for another instance's word about its calls. */
+export const WORD_TIMEOUT = millis(500)
+/** Period in which states are looked over: silence, suspicion, words, domains. */
+export const UPKEEP_PERIOD = millis(100)
+/** Reports that may be missed before they count as vanished. */
+export const MISSED_REPORTS = 3
+/** Report polls of one instance per second, over all warm endpoints. */
+export const WARM_POLLS_PER_SECOND = 8
+/** Warm endpoints of one service and version that one instance keeps connections to. */
+export const WARM_ENDPOINTS = 6
+/** A running call this many times longer than the mean of its service makes the endpoint suspect. */
+export const SUSPECT_FACTOR = 3
+/** No call is overdue before this time. */
+export const SUSPECT_MIN = millis(50)
+/** Share of the room in a fresh report that one of a single pair of instances may borrow. */
+export const BORROW_SHARE = 1.5
+/** Longest age of a report on which slots are borrowed. */
+export const BORROW_MAX_AGE = seconds(2)
--- a/packages/endpoints/src/events.ts
+++ b/packages/endpoints/src/events.ts
@@ -6,5 +6,9 @@
   endpointUnlisted: { number: 3002, level: 'info', text: 'An endpoint is no longer in the platform\'s list; it takes no new work here.' },
   endpointState: { number: 3003, level: 'info', text: 'An endpoint changed its state of life as this instance sees it.' },
   listUnreadable: { number: 3004, level: 'warn', text: 'The platform\'s instance list could not be read; the last one stays in use.' },
-  listDistrusted: { number: 3005, level: 'warn', text: 'The platform\'s instance list lost most endpoints at once; the last one stays in use until it is confirmed.' }
+  listDistrusted: { number: 3005, level: 'warn', text: 'The platform\'s instance list lost most endpoints at once; the last one stays in use until it is confirmed.' },
+  silentRestart: { number: 3006, level: 'warn', text: 'An endpoint started a new life without breaking its connections; it counts as cold from now on.' },
+  endpointEjected: { number: 3007, level: 'warn', text: 'An endpoint failed, hung or was far slower than its like; it gets no new work from this instance for a while.' },
+  endpointReadmitted: { number: 3008, level: 'info', text: 'An ejected endpoint gets work again, one call at first.' },
+  reportsMissing: { number: 3009, level: 'warn', text: 'An endpoint\'s reports stopped coming; it counts as cold until the next one.' }
 })
--- /dev/null
+++ b/packages/endpoints/src/slots.ts
@@ -0,0 +1,85 @@
+import { hash32 } from '@papayahill/common'
+import type { EndpointId, EndpointIncarnation } from '@papayahill/common'
+import { SLOT_OWNERS } from './constants.js'
+import type { RosterLife, RosterRecord } from './types.js'
+
+/** One endpoint life whose slots are dealt out. */
+export interface SlottedEndpoint {
+  readonly id: EndpointId
+  readonly incarnation: EndpointIncarnation
+}
+
+interface Ranked {
+  readonly life: RosterLife
+  readonly rank: number
+}
+
+const comesFirst = (left: Ranked, right: Ranked): boolean =>
+  left.rank > right.rank || (left.rank === right.rank && left.life.incarnation > right.life.incarnation)
+
+const rankBy = (lives: readonly RosterLife[], text: string): readonly Ranked[] =>
+  lives.map((life) => ({ life, rank: hash32(`${text} ${life.incarnation}`) }))
+
+/**
+ * The lives among which an endpoint's slots are dealt out: the first in rendezvous order, so that
+ * a cold endpoint concerns few instances of many.
+ *
+ * @example
+ * slotCandidates(record.members, endpoint.id).some((life) => life.incarnation === self.incarnation)
+ */
+export const slotCandidates = (lives: readonly RosterLife[], endpoint: EndpointId): readonly RosterLife[] => {
+  if (lives.length <= SLOT_OWNERS) return lives
+  return [...rankBy(lives, endpoint)]
+    .sort((left, right) => comesFirst(left, right) ? -1 : 1)
+    .slice(0, SLOT_OWNERS)
+    .map(({ life }) => life)
+}
+
+/**
+ * The one owner of a slot under a set of lives; undefined where there is none.
+ *
+ * @example
+ * slotOwner(slotCandidates(record.members, endpoint.id), endpoint, 0)
+ */
+export const slotOwner = (
+  candidates: readonly RosterLife[], endpoint: SlottedEndpoint, slot: number
+): RosterLife | undefined => {
+  let first: Ranked | undefined
+  for (const ranked of rankBy(candidates, `${endpoint.incarnation} ${slot}`)) {
+    if (first === undefined || comesFirst(ranked, first)) first = ranked
+  }
+  return first?.life
+}
+
+/** The lives that were in the roster at a version, as far as the record still tells. */
+export const livesAt = (record: RosterRecord, version: number): readonly RosterLife[] => [
+  ...record.members.filter((life) => life.joinedAt <= version),
+  ...record.departed.filter((life) => life.joinedAt <= version && version < life.departedAt)
+]
+
+/** Versions after `since`, before the newest, at which the roster was another than before. */
+const pastVersions = (record: RosterRecord, since: number): readonly number[] => {
+  const versions = new Set<number>([since])
+  for (const life of record.members) versions.add(life.joinedAt)
+  for (const life of record.departed) versions.add(life.joinedAt).add(life.departedAt)
+  return [...versions].filter((version) => version >= since && version < record.version)
+}
+
+/**
+ * Every life that may have owned a slot at a version from `since` on, before the newest one: versions that
+ * this instance never saw are worked out from the record.
+ *
+ * @example
+ * earlierOwners(record, endpoint, 0, clearSince).filter((life) => life.incarnation !== self.incarnation)
+ */
+export const earlierOwners = (
+  record: RosterRecord, endpoint: SlottedEndpoint, slot: number, since = 0
+): readonly RosterLife[] => {
+  const owners = new Map<string, RosterLife>()
+  for (const version of pastVersions(record, since)) {
+    const candidates = slotCandidates(livesAt(record, version), endpoint.id)
+    const owner = slotOwner(candidates, endpoint, slot)
+    if (owner !== undefined) owners.set(owner.incarnation, owner)
+  }
+  return [...owners.values()]
+}
