--- /dev/null
+++ b/packages/pipeline/src/FirstChunkTimes.ts
@@ -0,0 +1,23 @@
+import { millis } from '@papayahill/common'
+import type { ClassId, Millis } from '@papayahill/common'
+import { FIRST_CHUNK_WEIGHT } from './constants.js'
+
+/**
+ * Moving mean, per class, of the time from a call's start to its first chunk.
+ *
+ * @example
+ * times.note(classId, millis(230))
+ * times.mean(classId) // 230
+ */
+export class FirstChunkTimes {
+  readonly #means = new Map<ClassId, number>()
+
+  note (classId: ClassId, took: Millis): void {
+    const mean = this.#means.get(classId) ?? took
+    this.#means.set(classId, mean + FIRST_CHUNK_WEIGHT * (took - mean))
+  }
+
+  mean (classId: ClassId): Millis {
+    return millis(this.#means.get(classId) ?? 0)
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/PipelineServer.ts
@@ -0,0 +1,177 @@
+import { millis, refusal } from '@papayahill/common'
+import type {
+  ClassId, Clock, EventLog, Failure, Millis, Random, RequestRecord, ServiceId, ServingObserver, StageRecord, VersionId, WorkspaceId
+} from '@papayahill/common'
+import type { Claims } from '@papayahill/claims'
+import type { Scheduler } from '@papayahill/scheduling'
+import type { ClassSettings, OperatorConfig, PipelineSettings } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import { FirstChunkTimes } from './FirstChunkTimes.js'
+import { RequestRun } from './RequestRun.js'
+import type { RunContext } from './RunContext.js'
+import { StageCaller } from './StageCaller.js'
+import type { Route } from './StagePlan.js'
+import type { Answer, AnswerSink, CallerRequest, PipelineRunner } from './types.js'
+import { markWaste } from './wasteOf.js'
+
+export interface PipelineServerOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly scheduler: Scheduler
+  readonly claims: Claims
+  readonly config: () => OperatorConfig
+  /** Versions that may serve a route now, the preferred first. */
+  readonly versionsFor: (service: ServiceId, route: Route) => readonly VersionId[]
+  /** Refuses where a budget is used up. */
+  readonly checkBudget: (workspace: WorkspaceId, classId: ClassId) => Result<void, Failure>
+  readonly observers: readonly ServingObserver[]
+  readonly log: EventLog
+}
+
+interface ClassRoute {
+  readonly settings: ClassSettings
+  readonly pipeline: PipelineSettings
+}
+
+/**
+ * Takes callers' requests through their pipelines and gives each one final answer.
+ *
+ * @example
+ * const server = new PipelineServer(options)
+ * const answer = await server.run(request, sink)
+ */
+export class PipelineServer implements PipelineRunner {
+  readonly #options: PipelineServerOptions
+  readonly #context: RunContext
+  #running = 0
+
+  constructor (options: PipelineServerOptions) {
+    this.#options = options
+    const { clock, random, scheduler, claims, versionsFor, log } = options
+    const caller = new StageCaller(clock, log)
+    const stageEnded = (record: StageRecord): void => {
+      for (const observer of options.observers) observer.stageEnded(record)
+    }
+    this.#context = {
+      clock, random, scheduler, claims, versionsFor, log, caller, stageEnded, firstChunks: new FirstChunkTimes()
+    }
+  }
+
+  get running (): number {
+    return this.#running
+  }
+
+  async run (request: CallerRequest, sink: AnswerSink): Promise<Result<Answer, Failure>> {
+    const checked = this.#check(request)
+    if (checked.isErr) {
+      this.#reportUnchecked(request, checked.error)
+      return Result.err(checked.error)
+    }
+    this.#running++
+    const { settings, pipeline } = checked.value
+    const { services } = this.#options.config()
+    const run = new RequestRun({ context: this.#context, request, sink, settings, pipeline, services })
+    return await this.#admit(request, checked.value, run)
+  }
+
+  async #admit (request: CallerRequest, route: ClassRoute, run: RequestRun): Promise<Result<Answer, Failure>> {
+    const admitted = this.#takeIn(request, route)
+    if (admitted.isErr) {
+      const refused = await run.refuse(admitted.error)
+      this.#running--
+      this.#tellEnd(this.#record(request, run, refused, route.settings), run, refused)
+      return refused
+    }
+    return await this.#serve(request, route, run)
+  }
+
+  #takeIn (request: CallerRequest, route: ClassRoute): Result<void, Failure> {
+    const { scheduler, checkBudget } = this.#options
+    const paid = checkBudget(request.workspace, request.class)
+    if (paid.isErr) return paid
+    return scheduler.admit({
+      request: request.id,
+      workspace: request.workspace,
+      class: route.settings,
+      pipeline: route.pipeline,
+      startedAt: request.startedAt
+    })
+  }
+
+  async #serve (request: CallerRequest, route: ClassRoute, run: RequestRun): Promise<Result<Answer, Failure>> {
+    const work = run.work()
+    const answer = await Promise.race([work, run.givenUp])
+    const record = this.#record(request, run, answer, route.settings)
+    this.#options.scheduler.finished(request.id, record.isTargetMet)
+    void work.then(() => {
+      this.#running--
+      this.#tellEnd(record, run, answer)
+    })
+    return answer
+  }
+
+  #check (request: CallerRequest): Result<ClassRoute, Failure> {
+    const { classes, pipelines, workspaces } = this.#options.config()
+    const workspace = workspaces.get(request.workspace)
+    if (workspace === undefined) return refuse('unknown-workspace', `no workspace is called ${request.workspace}`)
+    const settings = classes.get(request.class)
+    const pipeline = settings && pipelines.get(settings.pipeline)
+    if (settings === undefined || pipeline === undefined) return refuse('unknown-class', `no class is called ${request.class}`)
+    const isAllowed = workspace.classes?.includes(request.class) ?? true
+    if (!isAllowed) return refuse('forbidden', `workspace ${request.workspace} may not use class ${request.class}`)
+    const isKeyMissing = !settings.repeatable && settings.keyRequired && request.key === undefined
+    if (isKeyMissing) return refuse('key-required', `class ${request.class} needs an Idempotency-Key`)
+    return Result.ok({ settings, pipeline })
+  }
+
+  #reportUnchecked (request: CallerRequest, cause: Failure): void {
+    const record = this.#record(request, undefined, Result.err(cause), undefined)
+    for (const observer of this.#options.observers) observer.requestEnded(record, [])
+  }
+
+  #tellEnd (record: RequestRecord, run: RequestRun, answer: Result<Answer, Failure>): void {
+    const stages = answer.isOk ? run.stages : markWaste(run.stages, answer.error)
+    for (const observer of this.#options.observers) observer.requestEnded(record, stages)
+  }
+
+  #record (
+    request: CallerRequest, run: RequestRun | undefined, answer: Result<Answer, Failure>, settings: ClassSettings | undefined
+  ): RequestRecord {
+    const took = millis(this.#options.clock.now() - request.startedAt)
+    const firstChunk = run?.firstChunkAt === undefined ? undefined : millis(run.firstChunkAt - request.startedAt)
+    const worstGap = run?.worstGap
+    return {
+      request: request.id,
+      class: request.class,
+      workspace: request.workspace,
+      outcome: outcomeOf(answer),
+      error: answer.isErr ? answer.error.kind : undefined,
+      run: answer.isErr ? answer.error.run : undefined,
+      isTargetMet: answer.isOk && settings !== undefined && meets(settings, { took, firstChunk, worstGap }),
+      startedAt: request.startedAt,
+      took,
+      firstChunk,
+      worstGap
+    }
+  }
+}
+
+const refuse = (kind: Failure['kind'], detail: string): Result<never, Failure> => Result.err(refusal(kind, detail))
+
+const outcomeOf = (answer: Result<Answer, Failure>): RequestRecord['outcome'] => {
+  if (answer.isOk) return 'answered'
+  return answer.error.run === 'not-run' ? 'refused' : 'failed'
+}
+
+interface Times {
+  readonly took: Millis
+  readonly firstChunk?: Millis
+  readonly worstGap?: Millis
+}
+
+const meets = (settings: ClassSettings, times: Times): boolean => {
+  const { deadline, firstChunk, betweenChunks } = settings.target
+  const isFirstInTime = times.firstChunk === undefined || firstChunk === undefined || times.firstChunk <= firstChunk
+  const isSteady = times.worstGap === undefined || betweenChunks === undefined || times.worstGap <= betweenChunks
+  return times.took <= deadline && isFirstInTime && isSteady
+}
--- /dev/null
+++ b/packages/pipeline/src/RunContext.ts
@@ -0,0 +1,20 @@
+import type { Clock, EventLog, Random, ServiceId, StageRecord, VersionId } from '@papayahill/common'
+import type { Claims } from '@papayahill/claims'
+import type { Scheduler } from '@papayahill/scheduling'
+import type { FirstChunkTimes } from './FirstChunkTimes.js'
+import type { StageCaller } from './StageCaller.js'
+import type { Route } from './StagePlan.js'
+
+/** What all requests of an instance share. */
+export interface RunContext {
+  readonly clock: Clock
+  readonly random: Random
+  readonly scheduler: Scheduler
+  readonly claims: Claims
+  readonly versionsFor: (service: ServiceId, route: Route) => readonly VersionId[]
+  readonly log: EventLog
+  readonly caller: StageCaller
+  readonly firstChunks: FirstChunkTimes
+  /** Told of each stage call that ended. */
+  readonly stageEnded: (record: StageRecord) => void
+}
--- a/packages/pipeline/src/index.ts
+++ b/packages/pipeline/src/index.ts
@@ -1,1 +1,5 @@
+export { PIPELINE_EVENTS } from './events.js'
+export { PipelineServer } from './PipelineServer.js'
+export type { PipelineServerOptions } from './PipelineServer.js'
+export type { Route } from './StagePlan.js'
 export type * from './types.js'
--- /dev/null
+++ b/packages/scheduling/src/Commitments.ts
@@ -0,0 +1,80 @@
+import type { ClassId, RequestId, ServiceId, StageId } from '@papayahill/common'
+import type { ClassSettings, PipelineSettings } from '@papayahill/settings'
+
+/** Calls that admitted requests still need of one service, for one class and stage. */
+export interface PendingCalls {
+  readonly class: ClassSettings
+  readonly stage: StageId
+  /** Calls not yet sent. */
+  waiting: number
+}
+
+interface Commitment {
+  readonly class: ClassSettings
+  /** Stages that have not got a slot yet, with their services. */
+  readonly ahead: Map<StageId, ServiceId>
+}
+
+/**
+ * What admitted requests still need of each service, so that the entrance can tell what is already promised.
+ *
+ * @example
+ * commitments.add(request, classSettings, pipeline)
+ * commitments.started(request, stage)
+ * commitments.remove(request)
+ */
+export class Commitments {
+  readonly #requests = new Map<RequestId, Commitment>()
+  readonly #pending = new Map<ServiceId, Map<string, PendingCalls>>()
+
+  get size (): number {
+    return this.#requests.size
+  }
+
+  add (request: RequestId, settings: ClassSettings, pipeline: PipelineSettings): void {
+    const ahead = new Map(pipeline.stages.map((stage) => [stage.id, stage.service]))
+    this.#requests.set(request, { class: settings, ahead })
+    for (const stage of pipeline.stages) this.#count(settings, stage.id, stage.service, 1)
+  }
+
+  /** The stage got its slot. */
+  started (request: RequestId, stage: StageId): void {
+    const commitment = this.#requests.get(request)
+    const service = commitment?.ahead.get(stage)
+    if (commitment === undefined || service === undefined) return
+    commitment.ahead.delete(stage)
+    this.#count(commitment.class, stage, service, -1)
+  }
+
+  /** Ends the request; tells its class where it was known. */
+  remove (request: RequestId): ClassSettings | undefined {
+    const commitment = this.#requests.get(request)
+    if (commitment === undefined) return undefined
+    this.#requests.delete(request)
+    for (const [stage, service] of commitment.ahead) this.#count(commitment.class, stage, service, -1)
+    return commitment.class
+  }
+
+  pending (service: ServiceId): Iterable<PendingCalls> {
+    return this.#pending.get(service)?.values() ?? []
+  }
+
+  #count (settings: ClassSettings, stage: StageId, service: ServiceId, change: number): void {
+    const calls = this.#pendingOf(service)
+    const key = keyOf(settings.id, stage)
+    const entry = calls.get(key) ?? { class: settings, stage, waiting: 0 }
+    entry.waiting += change
+    if (entry.waiting > 0) calls.set(key, entry)
+    else calls.delete(key)
+  }
+
+  #pendingOf (service: ServiceId): Map<string, PendingCalls> {
+    const known = this.#pending.get(service)
+    if (known !== undefined) return known
+    const calls = new Map<string, PendingCalls>()
+    this.#pending.set(service, calls)
+    return calls
+  }
+}
+
+const keyOf = (classId: ClassId, stage: StageId): string => `${classId}/${stage}`
