--- /dev/null
+++ b/packages/bench/src/moves/fixedSchedule.ts
@@ -0,0 +1,53 @@
+import { epochMillis } from '@papayahill/common'
+import type { VersionId } from '@papayahill/common'
+import type { MoveStatus } from '@papayahill/rollout'
+import { NEW, OLD, SERVICE } from './MoveRig.js'
+import type { Policy, PolicyMaker, PolicyParts } from './MoveRig.js'
+
+const WEIGHTS = [0.1, 0.25, 0.5, 0.75, 1] as const
+const MOVING_PART = 0.9
+
+/** Moves by weight on a fixed schedule and asks for no evidence. */
+class FixedSchedule implements Policy {
+  readonly #parts: PolicyParts
+
+  constructor (parts: PolicyParts) {
+    this.#parts = parts
+  }
+
+  start (): void {
+    if (this.#parts.index > 0) return
+    const { clock, config } = this.#parts
+    clock.every(1000 as never, () => {
+      const move = config.view().config.moves.get(SERVICE)
+      if (move === undefined || this.#weight() < 1) return
+      void config.propose([{ kind: 'move-done', service: SERVICE, version: NEW }], 'schedule')
+    })
+  }
+
+  stop (): void {}
+
+  versionsFor (): readonly VersionId[] {
+    const isNew = this.#parts.random.next() < this.#weight()
+    return isNew ? [NEW, OLD] : [OLD]
+  }
+
+  status (): readonly MoveStatus[] {
+    return [{ service: SERVICE, from: OLD, to: NEW, by: epochMillis(0), state: 'moving', share: this.#weight(), because: '', isRecorded: true }]
+  }
+
+  stageEnded (): void {}
+
+  requestEnded (): void {}
+
+  #weight (): number {
+    const { config, clock, scenario } = this.#parts
+    const { moves, services } = config.view().config
+    const move = moves.get(SERVICE)
+    if (move === undefined) return services.get(SERVICE)?.version === NEW ? 1 : 0
+    const passed = 1 - (move.by - clock.wall()) / (scenario.duration * 1000)
+    return WEIGHTS[Math.min(WEIGHTS.length - 1, Math.floor(passed / MOVING_PART * WEIGHTS.length))] ?? 0
+  }
+}
+
+export const makeFixedSchedule: PolicyMaker = (parts) => new FixedSchedule(parts)
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -1,11 +1,23 @@
-import { epochMillis } from '@papayahill/common'
+import { brand, epochMillis, hash32, MILLIS_PER_SECOND } from '@papayahill/common'
 import type {
-  Clock, EventLog, Incarnation, InstanceId, Random, RequestRecord, ServiceId, StageRecord, VersionId
+  Clock, EventLog, Incarnation, InstanceId, Millis, OperatorName, Random, RequestRecord, ServiceId, StageRecord, Timer, VersionId
 } from '@papayahill/common'
-import type { ConfigLog } from '@papayahill/control'
+import type { ConfigLog, ConfigView } from '@papayahill/control'
 import type { Peers } from '@papayahill/peers'
 import type { TableService } from '@papayahill/platform'
-import type { Moves, MoveStatus, Route } from './types.js'
+import type { MoveSettings } from '@papayahill/settings'
+import { capacityShare } from './capacityShare.js'
+import { CallRate } from './CallRate.js'
+import { JUDGE_PERIOD, POLL_PERIOD, TURN_PERIOD } from './constants.js'
+import { ROLLOUT_EVENTS } from './events.js'
+import { EvidenceLink } from './EvidenceLink.js'
+import type { MoveNews } from './EvidenceLink.js'
+import type { MoveRecord, RecordedMove } from './moveRow.js'
+import { MoveStore } from './MoveStore.js'
+import { OpenMove } from './OpenMove.js'
+import { planStep } from './planStep.js'
+import type { StepDecision } from './planStep.js'
+import type { MoveState, Moves, MoveStatus, Route } from './types.js'
 
 /** What a version's endpoints may take from this instance. */
 export interface VersionCapacity {
@@ -27,10 +39,25 @@
   readonly log: EventLog
 }
 
-const FIRST_SHARE = 0.02
+/** A move in hand, with what the last look at it decided. */
+interface Entry {
+  readonly open: OpenMove
+  readonly rate: CallRate
+  decision: StepDecision
+  /** Since when a step or the end has been due. */
+  dueSince: Millis | undefined
+  polledAt: Millis | undefined
+  isBusy: boolean
+  isLateSaid: boolean
+  waitSaid: MoveState | undefined
+}
+
+const AUTHOR = brand<OperatorName>('papayahill')
+const UNCONFIRMED: StepDecision = { kind: 'hold', state: 'moving', because: 'the store has not confirmed the move yet' }
 
 /**
- * Moves traffic between versions on evidence.
+ * Moves traffic between versions on evidence: raises the new version's share by recorded steps, takes it
+ * back at once and for good where it does worse than the old one, and closes the move when it is done.
  *
  * @example
  * const moves = new MoveKeeper({ self, incarnation, clock, random, table, peers, config, capacity, log })
@@ -39,44 +66,282 @@
  */
 export class MoveKeeper implements Moves {
   readonly #options: MoveKeeperOptions
+  readonly #store: MoveStore
+  readonly #link: EvidenceLink
+  readonly #entries = new Map<ServiceId, Entry>()
+  readonly #closed = new Map<ServiceId, MoveStatus>()
+  #timer: Timer | undefined
 
   constructor (options: MoveKeeperOptions) {
     this.#options = options
+    this.#store = new MoveStore(options.table)
+    this.#link = new EvidenceLink(options)
+    this.#link.onNews((news) => this.#hear(news, false))
+    options.config.onChange((view) => this.#sync(view))
   }
 
-  start (): void {}
+  start (): void {
+    this.#sync(this.#options.config.view())
+    this.#timer ??= this.#options.clock.every(JUDGE_PERIOD, () => this.#tick())
+  }
 
-  stop (): void {}
+  stop (): void {
+    this.#timer?.cancel()
+    this.#timer = undefined
+  }
 
   versionsFor (service: ServiceId, route: Route): readonly VersionId[] {
-    void route
-    const { config, random } = this.#options
-    const view = config.view().config
-    const move = view.moves.get(service)
-    if (move !== undefined) return random.next() < FIRST_SHARE ? [move.to, move.from] : [move.from, move.to]
-    const version = view.services.get(service)?.version
-    return version === undefined ? [] : [version]
+    const open = this.#entries.get(service)?.open
+    if (open === undefined) return this.#settled(service)
+    const { from, to } = open.move
+    if (open.share === 0) return [from]
+    if (open.isNewPreferred(route)) return [to, from]
+    return open.isProven ? [from, to] : [from]
   }
 
   status (): readonly MoveStatus[] {
-    return [...this.#options.config.view().config.moves.values()].map((move) => ({
-      service: move.service,
-      from: move.from,
-      to: move.to,
-      by: epochMillis(move.by),
-      state: 'moving',
-      share: FIRST_SHARE,
-      because: 'the move has begun',
-      isRecorded: true
-    }))
+    const open = [...this.#entries.values()].map((entry) => this.#statusOf(entry))
+    return [...open, ...this.#closed.values()]
   }
 
   stageEnded (record: StageRecord): void {
-    void record
+    const entry = this.#entries.get(record.service)
+    if (entry === undefined) return
+    entry.open.count(record)
+    entry.rate.count(record.took)
   }
 
   requestEnded (record: RequestRecord, stages: readonly StageRecord[]): void {
     void record
     void stages
   }
+
+  #settled (service: ServiceId): readonly VersionId[] {
+    const { config } = this.#options.config.view()
+    const move = config.moves.get(service)
+    const version = move?.from ?? config.services.get(service)?.version
+    return version === undefined ? [] : [version]
+  }
+
+  /** Opens and closes moves as the configuration in force says. */
+  #sync (view: ConfigView): void {
+    for (const move of view.config.moves.values()) {
+      const known = this.#entries.get(move.service)?.open.move
+      if (known?.startedAt !== move.startedAt) this.#open(move)
+    }
+    for (const [service, entry] of this.#entries) {
+      if (!view.config.moves.has(service)) this.#close(service, entry, view)
+    }
+  }
+
+  #open (move: MoveSettings): void {
+    const { random, clock, log } = this.#options
+    const open = new OpenMove(move, random.fork())
+    this.#entries.set(move.service, {
+      open,
+      rate: new CallRate(clock),
+      decision: UNCONFIRMED,
+      dueSince: undefined,
+      polledAt: undefined,
+      isBusy: false,
+      isLateSaid: false,
+      waitSaid: undefined
+    })
+    this.#closed.delete(move.service)
+    this.#link.forget(move.service)
+    for (const news of this.#link.known()) this.#hear(news, true)
+    log.emit(ROLLOUT_EVENTS.moveStarted, { service: move.service, from: move.from, to: move.to, by: move.by })
+  }
+
+  #close (service: ServiceId, entry: Entry, view: ConfigView): void {
+    const { move, takeBack } = entry.open
+    this.#entries.delete(service)
+    const isDone = view.config.services.get(service)?.version === move.to
+    const state = isDone ? 'done' : takeBack === undefined ? 'stopped' : 'taken-back'
+    const because = isDone ? entry.decision.because : takeBack?.because ?? 'an operator stopped the move'
+    this.#closed.set(service, { ...this.#statusOf(entry), state, share: isDone ? 1 : 0, because, isRecorded: true })
+    const kind = isDone ? ROLLOUT_EVENTS.moveDone : ROLLOUT_EVENTS.moveStopped
+    this.#options.log.emit(kind, { service, version: move.to, because })
+  }
+
+  #hear (news: MoveNews, isJudged: boolean): void {
+    const entry = this.#entries.get(news.service)
+    if (entry === undefined) return
+    if (news.kind === 'step') return this.#adopt(entry, news.row)
+    if (news.startedAt !== entry.open.move.startedAt) return
+    if (news.kind === 'taken-back') return this.#takeBack(entry, news.because)
+    if (isJudged) entry.open.merged.takeJudged(news.life, news.counts)
+    else entry.open.merged.take(news.life, news.counts)
+  }
+
+  #tick (): void {
+    for (const entry of this.#entries.values()) {
+      this.#judge(entry)
+      this.#link.publishCounts(entry.open)
+      void this.#act(entry)
+    }
+  }
+
+  #judge (entry: Entry): void {
+    const { open } = entry
+    const { self, incarnation, clock } = this.#options
+    open.merged.take(`${self} ${incarnation}`, open.own.since(undefined))
+    const verdict = open.judge(clock.now())
+    if (verdict !== undefined) this.#takeBack(entry, verdict)
+    entry.decision = this.#decide(entry)
+    this.#report(entry)
+  }
+
+  #takeBack (entry: Entry, because: string): void {
+    const { open } = entry
+    if (!open.latch(because)) return
+    const { service, to } = open.move
+    this.#link.publishTakeBack(open.move, because)
+    this.#options.log.emit(ROLLOUT_EVENTS.moveTakenBack, { service, version: to, because })
+  }
+
+  #decide ({ open, rate }: Entry): StepDecision {
+    const { record, move } = open
+    if (record === undefined && open.rowVersion === 0 && !this.#hasPolled(move.service)) return UNCONFIRMED
+    const now = this.#options.clock.wall()
+    const begunAt = record?.begunAt ?? now
+    const capacity = this.#options.capacity(move.service, move.to)
+    return planStep({
+      now,
+      begunAt,
+      by: move.by,
+      steppedAt: record?.steppedAt ?? now,
+      share: open.share,
+      routes: open.progress(now - begunAt),
+      doubt: open.doubt(),
+      capacityShare: capacityShare(capacity, rate.concurrency())
+    })
+  }
+
+  #hasPolled (service: ServiceId): boolean {
+    return this.#entries.get(service)?.polledAt !== undefined
+  }
+
+  /** Does what is due and needs the store or the configuration; one thing at a time for each move. */
+  async #act (entry: Entry): Promise<void> {
+    if (entry.isBusy) return
+    entry.isBusy = true
+    try {
+      await this.#poll(entry)
+      if (entry.open.takeBack !== undefined) await this.#recordTakeBack(entry)
+      else if (entry.open.record?.state === 'done') await this.#finish(entry)
+      else await this.#step(entry)
+    } finally {
+      entry.isBusy = false
+    }
+  }
+
+  async #poll (entry: Entry): Promise<void> {
+    const now = this.#options.clock.now()
+    if (entry.polledAt !== undefined && now - entry.polledAt < POLL_PERIOD) return
+    const row = await this.#store.read(entry.open.move.service)
+    if (row === undefined) return
+    entry.polledAt = now
+    this.#adopt(entry, row)
+    const { takeBack, move, isTakeBackRecorded } = entry.open
+    if (takeBack !== undefined && !isTakeBackRecorded) this.#link.publishTakeBack(move, takeBack.because)
+  }
+
+  async #recordTakeBack (entry: Entry): Promise<void> {
+    const { open } = entry
+    if (open.isTakeBackRecorded || open.takeBack === undefined || entry.polledAt === undefined) return
+    const { because } = open.takeBack
+    await this.#write(entry, { ...this.#recordOf(open), state: 'taken-back', share: 0, because })
+    if (open.isTakeBackRecorded) this.#options.log.emit(ROLLOUT_EVENTS.takeBackRecorded, { service: open.move.service, because })
+  }
+
+  async #step (entry: Entry): Promise<void> {
+    const { decision, open } = entry
+    if (decision.kind === 'hold' || !this.#isMyTurn(entry)) return
+    const isDone = decision.kind === 'done'
+    const share = isDone ? 1 : decision.share
+    const record = this.#recordOf(open)
+    const steppedAt = this.#options.clock.wall()
+    await this.#write(entry, { ...record, state: isDone ? 'done' : 'moving', share, steppedAt, because: decision.because })
+  }
+
+  /** Closes the move in the configuration; a take-back that the store knows of comes first. */
+  async #finish (entry: Entry): Promise<void> {
+    if (!this.#isMyTurn(entry)) return
+    const { open } = entry
+    const { service, to } = open.move
+    const { config } = this.#options
+    const { version } = config.view()
+    const row = await this.#store.read(service)
+    if (row === undefined) return
+    this.#adopt(entry, row)
+    if (open.takeBack !== undefined) return
+    await config.propose([{ kind: 'move-done', service, version: to }], AUTHOR, version)
+  }
+
+  /** Instances take turns in an order of their own for each step, so that they seldom race. */
+  #isMyTurn (entry: Entry): boolean {
+    const { clock, self, peers } = this.#options
+    entry.dueSince ??= clock.now()
+    const salt = `${entry.open.move.service} ${entry.open.rowVersion}`
+    const place = hash32(`${salt} ${self}`)
+    const before = peers.members().filter(({ id }) => id !== self && hash32(`${salt} ${id}`) < place).length
+    return clock.now() - entry.dueSince >= before * TURN_PERIOD
+  }
+
+  #recordOf ({ record, move }: OpenMove): MoveRecord {
+    const now = this.#options.clock.wall()
+    return record ?? { startedAt: move.startedAt, state: 'moving', share: 0, begunAt: now, steppedAt: now, because: '' }
+  }
+
+  async #write (entry: Entry, record: MoveRecord): Promise<void> {
+    const { open } = entry
+    const outcome = await this.#store.write(open.move.service, record, open.rowVersion)
+    if (outcome.kind === 'unknown' || outcome.kind === 'unavailable') {
+      if (outcome.kind === 'unknown') entry.polledAt = undefined
+      return
+    }
+    this.#takeOver(entry, outcome.row)
+    if (outcome.kind !== 'written') return
+    this.#link.publishStep(open.move, outcome.row)
+    if (record.state !== 'moving') return
+    const { service, to } = open.move
+    this.#options.log.emit(ROLLOUT_EVENTS.moveStepped, { service, version: to, share: record.share, because: record.because })
+  }
+
+  #adopt (entry: Entry, row: RecordedMove): void {
+    if (row.version > entry.open.rowVersion) this.#takeOver(entry, row)
+  }
+
+  #takeOver (entry: Entry, { version, record }: RecordedMove): void {
+    entry.dueSince = undefined
+    entry.open.adopt(version, record)
+    const { move } = entry.open
+    if (record?.startedAt === move.startedAt && record.state === 'taken-back') this.#takeBack(entry, record.because)
+  }
+
+  #report (entry: Entry): void {
+    const { state, because, service } = this.#statusOf(entry)
+    const { log } = this.#options
+    if (state === 'late' && !entry.isLateSaid) {
+      entry.isLateSaid = true
+      log.emit(ROLLOUT_EVENTS.moveLate, { service, because })
+    }
+    const isWaiting = state === 'waiting-for-traffic' || state === 'waiting-for-capacity'
+    if (isWaiting && entry.waitSaid !== state) log.emit(ROLLOUT_EVENTS.moveWaiting, { service, state, because })
+    entry.waitSaid = state
+  }
+
+  #statusOf ({ open, decision }: Entry): MoveStatus {
+    const { service, from, to, by } = open.move
+    const base = { service, from, to, by: epochMillis(by), share: open.share }
+    if (open.takeBack !== undefined) {
+      return { ...base, state: 'taken-back', because: open.takeBack.because, isRecorded: open.isTakeBackRecorded }
+    }
+    const isRecorded = open.record !== undefined
+    const { because } = decision
+    const late = this.#options.clock.wall() - by
+    if (late > 0) return { ...base, state: 'late', because: `${Math.ceil(late / MILLIS_PER_SECOND)} s late: ${because}`, isRecorded }
+    return { ...base, state: decision.kind === 'hold' ? decision.state : 'moving', because, isRecorded }
+  }
 }
--- /dev/null
+++ b/packages/rollout/src/OpenMove.ts
@@ -0,0 +1,146 @@
+import { MILLIS_PER_SECOND } from '@papayahill/common'
+import type { Millis, Random, StageRecord } from '@papayahill/common'
+import type { MoveSettings } from '@papayahill/settings'
+import { FAILURE_RATIOS, HOLD_NATS, JUDGE_PERIOD, MOVE_ERROR_RATE, PROBE_SHARE_MAX, SLOW_RATIOS } from './constants.js'
+import { EvidenceCounts, routeKey } from './EvidenceCounts.js'
+import { MergedEvidence } from './MergedEvidence.js'
+import type { MoveRecord } from './moveRow.js'
+import type { RouteProgress } from './planStep.js'
+import { RouteJudge } from './RouteJudge.js'
+import { ShareSplitter } from './ShareSplitter.js'
+import type { Route } from './types.js'
+
+/** Why a version was taken back; never unset once set. */
+export interface TakeBack {
+  readonly because: string
+}
+
+const TEST_COUNT = FAILURE_RATIOS.length + SLOW_RATIOS.length
+
+/**
+ * One move as this instance sees it: its share, its evidence and whether the version was taken back.
+ *
+ * @example
+ * const open = new OpenMove(move, random)
+ * open.adopt({ version: 3, record })
+ * open.isNewPreferred(route)
+ */
+export class OpenMove {
+  readonly move: MoveSettings
+  readonly own = new EvidenceCounts()
+  readonly merged = new MergedEvidence()
+  readonly #random: Random
+  readonly #judges = new Map<string, RouteJudge>()
+  readonly #splitters = new Map<string, ShareSplitter>()
+  readonly #callsBeforeShare = new Map<string, number>()
+  #rowVersion = 0
+  #record: MoveRecord | undefined
+  #takeBack: TakeBack | undefined
+
+  constructor (move: MoveSettings, random: Random) {
+    this.move = move
+    this.#random = random
+  }
+
+  get rowVersion (): number {
+    return this.#rowVersion
+  }
+
+  /** The record of this very move; undefined until it is confirmed. */
+  get record (): MoveRecord | undefined {
+    return this.#record
+  }
+
+  get takeBack (): TakeBack | undefined {
+    return this.#takeBack
+  }
+
+  get isTakeBackRecorded (): boolean {
+    return this.#record?.state === 'taken-back'
+  }
+
+  /** Share of new calls for the new version. */
+  get share (): number {
+    return this.#takeBack === undefined ? this.#record?.share ?? 0 : 0
+  }
+
+  /** Whether the new version has shown its first good calls, so that it may help out the old one. */
+  get isProven (): boolean {
+    return this.share > PROBE_SHARE_MAX
+  }
+
+  isNewPreferred (route: Route): boolean {
+    const key = routeKey(route)
+    const splitter = this.#splitters.get(key) ?? new ShareSplitter(this.#random.fork())
+    this.#splitters.set(key, splitter)
+    return splitter.pick(this.share)
+  }
+
+  count (record: StageRecord): void {
+    if (record.version === this.move.to) this.own.count(record, 'new')
+    if (record.version === this.move.from) this.own.count(record, 'old')
+  }
+
+  /** Takes over the row as the store or a peer that wrote it showed it. */
+  adopt (version: number, record: MoveRecord | undefined): void {
+    this.#rowVersion = version
+    if (record?.startedAt !== this.move.startedAt) return
+    const isNewShare = record.share !== this.#record?.share
+    this.#record = record
+    if (isNewShare) this.#shareSet(record.share)
+  }
+
+  /** Takes the new version back for good. True the first time. */
+  latch (because: string): boolean {
+    if (this.#takeBack !== undefined) return false
+    this.#takeBack = { because }
+    return true
+  }
+
+  /** Judges what came since the last time; the evidence in words where it suffices to take back. */
+  judge (now: Millis): string | undefined {
+    for (const counts of this.merged.drain().routes) this.#judgeOf(routeKey(counts.route)).update(counts, now)
+    const limit = this.#limit()
+    return this.#worst(limit)
+  }
+
+  /** Evidence that holds back steps without sufficing to take back. */
+  doubt (): string | undefined {
+    return this.#worst(HOLD_NATS)
+  }
+
+  progress (elapsed: number): readonly RouteProgress[] {
+    return [...this.merged.total.routes].map((counts) => {
+      const key = routeKey(counts.route)
+      const before = this.#callsBeforeShare.get(key) ?? 0
+      const rate = (counts.new.calls + counts.old.calls) / Math.max(MILLIS_PER_SECOND, elapsed) * MILLIS_PER_SECOND
+      return { name: key, rate, newCalls: counts.new.calls, newCallsAtShare: counts.new.calls - before }
+    })
+  }
+
+  /** Nats at which the chance to take back a good version, over all routes and updates, meets the stated rate. */
+  #limit (): number {
+    const { by } = this.move
+    const begunAt = this.#record?.begunAt ?? by
+    const updates = Math.max(1, (by - begunAt) / JUDGE_PERIOD)
+    return Math.log(Math.max(1, this.#judges.size) * TEST_COUNT * updates / MOVE_ERROR_RATE)
+  }
+
+  #worst (limit: number): string | undefined {
+    for (const [key, judge] of this.#judges) {
+      if (judge.nats >= limit) return `on ${key} ${judge.describe()} (${judge.nats.toFixed(1)} nats)`
+    }
+    return undefined
+  }
+
+  #judgeOf (key: string): RouteJudge {
+    const judge = this.#judges.get(key) ?? new RouteJudge(this.share)
+    this.#judges.set(key, judge)
+    return judge
+  }
+
+  #shareSet (share: number): void {
+    for (const judge of this.#judges.values()) judge.shareSet(share)
+    for (const counts of this.merged.total.routes) this.#callsBeforeShare.set(routeKey(counts.route), counts.new.calls)
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/RouteJudge.ts
@@ -0,0 +1,142 @@
+import type { Millis } from '@papayahill/common'
+import { AdverseTest } from './AdverseTest.js'
+import type { AdverseCalls } from './AdverseTest.js'
+import {
+  FAILURE_RATIOS, LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_RATIOS
+} from './constants.js'
+import type { RouteCounts } from './EvidenceCounts.js'
+import { BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
+import type { SideCounts } from './SideCounts.js'
+
+type Stratum = 'plain' | 'cached'
+
+const STRATA: readonly Stratum[] = ['plain', 'cached']
+
+const countFrom = (counts: Float64Array, first: number): number => {
+  let sum = 0
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket++) sum += counts[bucket]!
+  return sum
+}
+
+/** Calls of both versions that the evidence in hand rests on. */
+interface Tally {
+  newCalls: number
+  oldCalls: number
+  newFailed: number
+  oldFailed: number
+  newSlow: number
+  oldSlow: number
+}
+
+const emptyTally = (): Tally => ({ newCalls: 0, oldCalls: 0, newFailed: 0, oldFailed: 0, newSlow: 0, oldSlow: 0 })
+
+/**
+ * Judges the new version on one route against the old one at the same time.
+ *
+ * @example
+ * const judge = new RouteJudge(0.02)
+ * judge.update(delta, now)
+ * judge.nats
+ */
+export class RouteJudge {
+  readonly #failures = new AdverseTest(FAILURE_RATIOS)
+  readonly #slow = new AdverseTest(SLOW_RATIOS)
+  readonly #oldTimes: Readonly<Record<Stratum, Float64Array>> = {
+    plain: new Float64Array(BUCKET_COUNT), cached: new Float64Array(BUCKET_COUNT)
+  }
+
+  #recentNew = 0
+  #recentOld = 0
+  #judgedAt: Millis | undefined
+  #lossUntil = -Infinity
+  #slowFrom: number | undefined
+  #tally = emptyTally()
+
+  constructor (share: number) {
+    this.shareSet(share)
+  }
+
+  /** Evidence against the new version, in nats. */
+  get nats (): number {
+    return Math.max(this.#failures.nats, this.#slow.nats)
+  }
+
+  /** The share that instances aim at was changed. */
+  shareSet (share: number): void {
+    this.#recentNew = share * SHARE_PRIOR_CALLS
+    this.#recentOld = (1 - share) * SHARE_PRIOR_CALLS
+  }
+
+  /** Takes in the calls that ended since the last update. */
+  update (delta: RouteCounts, now: Millis): void {
+    if (delta.new.calls + delta.old.calls === 0) return
+    this.#forget(now)
+    const share = this.#shareOf(delta)
+    const failed = { new: delta.new.failed + this.#losses(delta.new, now), old: delta.old.failed + delta.old.lost }
+    const slow = this.#slowCalls(delta)
+    this.#failures.update(failed, share)
+    this.#slow.update(slow, share)
+    this.#remember(delta)
+    this.#count(delta, failed, slow)
+  }
+
+  /** The evidence in words and numbers. */
+  describe (): string {
+    const { newCalls, oldCalls, newFailed, oldFailed, newSlow, oldSlow } = this.#tally
+    if (this.#failures.nats >= this.#slow.nats) return `${newFailed} of ${newCalls} calls failed against ${oldFailed} of ${oldCalls}`
+    const limit = this.#slowFrom === undefined ? '' : ` than ${Math.round(bucketStart(this.#slowFrom))} ms`
+    return `${newSlow} of ${newCalls} calls were slower${limit} against ${oldSlow} of ${oldCalls}`
+  }
+
+  #forget (now: Millis): void {
+    const passed = now - (this.#judgedAt ?? now)
+    this.#judgedAt = now
+    const kept = Math.exp(-passed / RECENT_SPAN)
+    this.#recentNew *= kept
+    this.#recentOld *= kept
+    for (const stratum of STRATA) this.#oldTimes[stratum].forEach((count, bucket, all) => { all[bucket] = count * kept })
+  }
+
+  /** The larger of the recent share and that of these calls: too large a share understates the evidence. */
+  #shareOf (delta: RouteCounts): number {
+    const total = delta.new.calls + delta.old.calls
+    this.#recentNew += delta.new.calls
+    this.#recentOld += delta.old.calls
+    const recent = this.#recentNew / (this.#recentNew + this.#recentOld)
+    return total < SHARE_PRIOR_CALLS ? recent : Math.max(recent, delta.new.calls / total)
+  }
+
+  #losses (fresh: SideCounts, now: Millis): number {
+    if (fresh.lost === 0 || now < this.#lossUntil) return 0
+    this.#lossUntil = now + LOSS_SPAN
+    return 1
+  }
+
+  /** The new version's calls count as slow one bucket later, which tolerates a quarter more time. */
+  #slowCalls (delta: RouteCounts): AdverseCalls {
+    let fresh = 0
+    let old = 0
+    for (const stratum of STRATA) {
+      const first = slowBucket(this.#oldTimes[stratum], SLOW_QUANTILE, SLOW_MIN_CALLS)
+      if (first === undefined) continue
+      this.#slowFrom = first
+      fresh += countFrom(delta.new[stratum], first + 1)
+      old += countFrom(delta.old[stratum], first)
+    }
+    return { new: fresh, old }
+  }
+
+  #remember (delta: RouteCounts): void {
+    for (const stratum of STRATA) delta.old[stratum].forEach((count, bucket) => { this.#oldTimes[stratum][bucket]! += count })
+  }
+
+  #count (delta: RouteCounts, failed: AdverseCalls, slow: AdverseCalls): void {
+    if (this.nats === 0) this.#tally = emptyTally()
+    this.#tally.newCalls += delta.new.calls
+    this.#tally.oldCalls += delta.old.calls
+    this.#tally.newFailed += failed.new
+    this.#tally.oldFailed += failed.old
+    this.#tally.newSlow += slow.new
+    this.#tally.oldSlow += slow.old
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/SideCounts.ts
@@ -0,0 +1,95 @@
+import type { Json, StageRecord } from '@papayahill/common'
+import { z } from 'zod'
+import { BUCKET_COUNT, bucketOf } from './latencyBuckets.js'
+
+const sparse = z.array(z.number().int().nonnegative())
+const sideSchema = z.tuple([z.number(), z.number(), z.number(), sparse, sparse])
+
+/** How a call's end counts: a lost connection apart from a failure, since one restart cuts many calls. */
+type Verdict = 'good' | 'failed' | 'lost' | 'ignored'
+
+const VERDICTS: Readonly<Record<StageRecord['outcome'], Verdict>> = {
+  done: 'good',
+  failed: 'failed',
+  'timed-out': 'failed',
+  crossed: 'failed',
+  cut: 'lost',
+  'not-sent': 'lost',
+  refused: 'ignored',
+  cancelled: 'ignored'
+}
+
+const packCounts = (counts: Float64Array): number[] => {
+  const pairs: number[] = []
+  counts.forEach((count, bucket) => { if (count > 0) pairs.push(bucket, count) })
+  return pairs
+}
+
+const unpackCounts = (pairs: readonly number[], into: Float64Array): void => {
+  for (let at = 0; at + 1 < pairs.length; at += 2) {
+    const bucket = pairs[at]!
+    if (bucket < BUCKET_COUNT) into[bucket] = pairs[at + 1]!
+  }
+}
+
+const addInto = (into: Float64Array, counts: Float64Array, factor: number): void => {
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) into[bucket]! += factor * counts[bucket]!
+}
+
+/**
+ * Grow-only counts of one version's calls on one route. Times of calls with a cached prefix are kept
+ * apart, so that a new endpoint's empty cache does not make its version look slow.
+ *
+ * @example
+ * const counts = new SideCounts()
+ * counts.count(record)
+ */
+export class SideCounts {
+  calls = 0
+  failed = 0
+  lost = 0
+  readonly plain = new Float64Array(BUCKET_COUNT)
+  readonly cached = new Float64Array(BUCKET_COUNT)
+
+  count (record: StageRecord): void {
+    const verdict = VERDICTS[record.outcome]
+    if (verdict === 'ignored') return
+    this.calls++
+    if (verdict === 'failed') this.failed++
+    if (verdict === 'lost') this.lost++
+    if (verdict !== 'good') return
+    const times = record.usage.tokensCached > 0 ? this.cached : this.plain
+    times[bucketOf(record.took)]!++
+  }
+
+  add (other: SideCounts, factor = 1): void {
+    this.calls += factor * other.calls
+    this.failed += factor * other.failed
+    this.lost += factor * other.lost
+    addInto(this.plain, other.plain, factor)
+    addInto(this.cached, other.cached, factor)
+  }
+
+  /** What was counted since `earlier`, an older state of the same counts. */
+  since (earlier: SideCounts | undefined): SideCounts {
+    const delta = new SideCounts()
+    delta.add(this)
+    if (earlier !== undefined) delta.add(earlier, -1)
+    return delta
+  }
+
+  toJson (): Json {
+    return [this.calls, this.failed, this.lost, packCounts(this.plain), packCounts(this.cached)]
+  }
+
+  static fromJson (value: Json): SideCounts {
+    const [calls, failed, lost, plain, cached] = sideSchema.parse(value)
+    const counts = new SideCounts()
+    counts.calls = calls
+    counts.failed = failed
+    counts.lost = lost
+    unpackCounts(plain, counts.plain)
+    unpackCounts(cached, counts.cached)
+    return counts
+  }
+}
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -4,5 +4,51 @@
 export const JUDGE_PERIOD = millis(250)
 /** Shortest time between two publications of an instance's evidence. */
 export const PUBLISH_PERIOD = millis(500)
-/** How often the recorded state of moves is read while one is open. */
+/** Bytes a second that an instance sends to all its peers together by publishing evidence. */
+export const EVIDENCE_BYTES_PER_SECOND = 1500
+/** How often the recorded state of open moves is read. */
 export const POLL_PERIOD = seconds(5)
+/** How long an instance waits for each one that comes before it to record a step. */
+export const TURN_PERIOD = millis(750)
+
+/** Chance that a version which is no worse than the old one is taken back in a whole move. */
+export const MOVE_ERROR_RATE = 0.002
+/** The new version may fail this many times as often as the old one before that counts against it. */
+export const TOLERATED_RATIO = 1.5
+/** Ratios of failure that the test bets on. */
+export const FAILURE_RATIOS = [4, 16, 64] as const
+/** Ratios of slow calls that the test bets on; at most 1 over the share that {@link SLOW_QUANTILE} leaves. */
+export const SLOW_RATIOS = [3, 12] as const
+/** A call is slow above this quantile of the old version's recent calls. */
+export const SLOW_QUANTILE = 0.95
+/** Old calls needed before calls can be called slow. */
+export const SLOW_MIN_CALLS = 20
+/** How fast recent calls are forgotten in the share of the new version and the old one's times. */
+export const RECENT_SPAN = seconds(20)
+/** Weight, in calls, of the share that is set before any call has shown the real one. */
+export const SHARE_PRIOR_CALLS = 20
+/** Lost connections of the new version within this span count as one failure: an endpoint's restart cuts many calls at once. */
+export const LOSS_SPAN = seconds(5)
+/** Evidence against the new version, in nats, above which its share is not raised. */
+export const HOLD_NATS = 4
+
+/** Share before anything is known. */
+export const FIRST_SHARE = 0.01
+/** Highest share until each route has shown {@link FIRST_CALLS} good calls. */
+export const PROBE_SHARE_MAX = 0.03
+/** Highest share while the move is open; the rest stays as the control group. */
+export const TOP_SHARE = 0.9
+/** Calls to the new version that each route needs before the share passes {@link PROBE_SHARE_MAX}. */
+export const FIRST_CALLS = 30
+/** Calls to the new version that each route needs at each later share. */
+export const STEP_CALLS = 20
+/** Shortest time at one share. */
+export const MIN_DWELL = seconds(5)
+/** Part of the whole time by which the move aims to be done; the rest is reserve. */
+export const AIM_PART = 0.75
+/** Factors by which the share may grow in one step, the most careful first. */
+export const STEP_FACTORS = [2, 3, 5, 10, 30] as const
+/** Part of the new version's slots that a step may fill. */
+export const CAPACITY_PART = 0.8
+/** Time that traffic is watched before it is called too little. */
+export const TRAFFIC_WATCH = seconds(10)
--- /dev/null
+++ b/packages/rollout/src/moveRow.ts
@@ -0,0 +1,39 @@
+import { brand } from '@papayahill/common'
+import type { Json, ServiceId } from '@papayahill/common'
+import type { RowKey } from '@papayahill/platform'
+import { z } from 'zod'
+
+const moveRecordSchema = z.object({
+  startedAt: z.number(),
+  state: z.enum(['moving', 'done', 'taken-back']),
+  share: z.number().min(0).max(1),
+  /** Calendar time at which the move began, and at which its share was last set. */
+  begunAt: z.number(),
+  steppedAt: z.number(),
+  because: z.string()
+})
+
+/** What the table service holds of a service's newest move. */
+export type MoveRecord = z.infer<typeof moveRecordSchema>
+
+/** A record with the version of its row. */
+export interface RecordedMove {
+  readonly version: number
+  readonly record: MoveRecord | undefined
+}
+
+export const moveRowKey = (service: ServiceId): RowKey => brand<RowKey>(`move/${service}`)
+
+/** Reads a record; undefined from anything else, such as an absent row. */
+export const parseMoveRecord = (value: Json): MoveRecord | undefined => {
+  const parsed = moveRecordSchema.safeParse(value)
+  return parsed.success ? parsed.data : undefined
+}
+
+const recordedSchema = z.object({ version: z.number(), record: moveRecordSchema })
+
+/** Reads a record that a peer passed on. */
+export const parseRecordedMove = (value: Json): RecordedMove | undefined => {
+  const parsed = recordedSchema.safeParse(value)
+  return parsed.success ? parsed.data : undefined
+}
