Faces to callers and operators, and the instance's process

Cause: nothing could be asked of an instance from outside. Change: routes over polka with problem details, limits, tokens and event streams; papayahilld wires HTTP, peers and listeners and stops by signals.

--- /dev/null
+++ b/apps/papayahilld/src/HttpOrderChannel.ts
@@ -0,0 +1,63 @@
+import { originOf } from '@papayahill/backends'
+import type { Clock, Millis } from '@papayahill/common'
+import { seconds } from '@papayahill/common'
+import type { Order, OrderChannel, OrderRefusal } from '@papayahill/orders'
+import { Result } from 'true-myth'
+import { Agent } from 'undici'
+
+const ORDER_TIMEOUT: Millis = seconds(10)
+
+type Endpoint = Parameters<OrderChannel['deliver']>[0]
+
+const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+const refusalOf = (err: unknown): OrderRefusal => {
+  const detail = err instanceof Error ? err.message : String(err)
+  const code = err instanceof Error && 'code' in err ? String(err.code) : ''
+  return { kind: NOT_SENT_CODES.has(code) ? 'unreachable' : 'unknown', detail }
+}
+
+const refusalByStatus = (status: number): OrderRefusal => {
+  if (status === 409) return { kind: 'old-fence', detail: 'the endpoint has seen a higher fencing number' }
+  return { kind: status < 500 ? 'failed' : 'unknown', detail: `the endpoint answered ${status}` }
+}
+
+/**
+ * Gives orders to endpoints over HTTP: `POST /v1/orders` with the action and its fencing number.
+ *
+ * @example
+ * const channel = new HttpOrderChannel(clock)
+ */
+export class HttpOrderChannel implements OrderChannel {
+  readonly #clock: Clock
+  readonly #agent = new Agent()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  async deliver (endpoint: Endpoint, order: Order): Promise<Result<void, OrderRefusal>> {
+    const abort = new AbortController()
+    const timer = this.#clock.after(ORDER_TIMEOUT, () => abort.abort())
+    try {
+      const { statusCode, body } = await this.#agent.request({
+        origin: originOf(endpoint.address),
+        path: '/v1/orders',
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ action: order.action, fence: order.fence }),
+        signal: abort.signal
+      })
+      await body.dump()
+      return statusCode === 200 ? Result.ok(undefined) : Result.err(refusalByStatus(statusCode))
+    } catch (err) {
+      return Result.err(refusalOf(err))
+    } finally {
+      timer.cancel()
+    }
+  }
+
+  close (): Promise<void> {
+    return this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/apps/papayahilld/src/createLog.ts
@@ -0,0 +1,27 @@
+import type { EventFields, EventKind, EventLevel, EventLog } from '@papayahill/common'
+import winston from 'winston'
+
+const LEVELS: Readonly<Record<EventLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 }
+
+const { combine, json, timestamp } = winston.format
+
+/**
+ * Events as JSON lines on standard output, each with its number.
+ *
+ * @example
+ * const log = createLog('info', { instance: 'ph-1' })
+ */
+export const createLog = (level: EventLevel, common: EventFields): EventLog => {
+  const logger = winston.createLogger({
+    levels: LEVELS,
+    level,
+    defaultMeta: common,
+    format: combine(timestamp(), json()),
+    transports: [new winston.transports.Console({ stderrLevels: [] })]
+  })
+  return {
+    emit: (kind: EventKind, fields: EventFields = {}): void => {
+      logger.log(kind.level, kind.text, { event: kind.number, name: kind.name, ...fields })
+    }
+  }
+}
--- /dev/null
+++ b/apps/papayahilld/src/exitCodes.ts
@@ -0,0 +1,13 @@
+/** How `papayahilld` ends. */
+export const EXIT_CODES = {
+  /** A planned stop: every request was finished. */
+  stopped: 0,
+  /** A fault at the start or while it ran. */
+  failed: 1,
+  /** The command line or the settings are malformed. */
+  malformed: 2,
+  /** Stopped at once by signals; running requests were cut. */
+  cut: 3
+} as const
+
+export type ExitCode = typeof EXIT_CODES[keyof typeof EXIT_CODES]
--- a/apps/papayahilld/src/index.ts
+++ b/apps/papayahilld/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export { PAPAYAHILLD_EVENTS } from './events.js'
--- /dev/null
+++ b/apps/papayahilld/src/main.ts
@@ -0,0 +1,66 @@
+import { SystemClock } from '@papayahill/common'
+import type { EventLevel } from '@papayahill/common'
+import type { InstanceSettings } from '@papayahill/settings'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { createLog } from './createLog.js'
+import { Daemon } from './Daemon.js'
+import { PAPAYAHILLD_EVENTS } from './events.js'
+import { EXIT_CODES } from './exitCodes.js'
+import type { ExitCode } from './exitCodes.js'
+import { loadSettings } from './loadSettings.js'
+import { StopSignals } from './StopSignals.js'
+
+const LEVELS = ['error', 'warn', 'info', 'debug'] as const satisfies readonly EventLevel[]
+
+const end = (code: ExitCode): void => { process.exit(code) }
+
+const fail = (lines: string, code: ExitCode): void => {
+  process.stderr.write(`papayahilld: ${lines}\n`)
+  end(code)
+}
+
+const serve = async (cfg: InstanceSettings, level: EventLevel): Promise<void> => {
+  const clock = new SystemClock()
+  const log = createLog(level, { instance: cfg.id })
+  log.emit(PAPAYAHILLD_EVENTS.starting, { domain: cfg.domain, callers: `${cfg.callers.ip}:${cfg.callers.port}` })
+  const daemon = new Daemon(cfg, clock, log)
+  const drain = async (): Promise<void> => {
+    await daemon.drain()
+    log.emit(PAPAYAHILLD_EVENTS.stopped, {})
+    end(EXIT_CODES.stopped)
+  }
+  const signals = new StopSignals({ clock, log, running: () => daemon.running, drain, cut: () => end(EXIT_CODES.cut) })
+  process.on('SIGTERM', () => signals.stop())
+  process.on('SIGINT', () => signals.stop())
+  process.on('SIGQUIT', () => signals.quit())
+  try {
+    await daemon.start()
+  } catch (err) {
+    log.emit(PAPAYAHILLD_EVENTS.startFailed, { detail: String(err) })
+    fail(`could not start: ${String(err)}`, EXIT_CODES.failed)
+  }
+}
+
+const run = async (file: string, level: EventLevel, isCheck: boolean): Promise<void> => {
+  const settings = loadSettings(file, process.env)
+  if (settings.isErr) return fail(settings.error, EXIT_CODES.malformed)
+  if (isCheck) process.stdout.write(`${file}: fits\n`)
+  else await serve(settings.value, level)
+}
+
+await yargs(hideBin(process.argv))
+  .scriptName('papayahilld')
+  .usage('$0 --settings FILE\n\nRuns one entry instance until SIGTERM, which finishes every request first.')
+  .option('settings', { type: 'string', demandOption: true, describe: 'The instance\'s settings file (TOML)' })
+  .option('check', { type: 'boolean', default: false, describe: 'Check the settings and secrets, then exit' })
+  .option('log-level', { choices: LEVELS, default: 'info' as const, describe: 'Least level of events to log' })
+  .example('$0 --settings ph-1.toml', 'Serve')
+  .example('$0 --settings ph-1.toml --check', 'See whether the settings fit')
+  .epilogue('Exit codes: 0 stopped as planned, 1 a fault, 2 malformed settings or command line, 3 cut by signals.')
+  .completion('completion', 'Print a completion script for the shell')
+  .version()
+  .strict()
+  .fail((message, err) => fail(`${err?.message ?? message}; see papayahilld --help`, EXIT_CODES.malformed))
+  .parseAsync()
+  .then((args) => run(args.settings, args.logLevel, args.check))
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+export { callersRoutes, createCallersApp } from './callers/createCallersApp.js'
+export type { CallersAppOptions } from './callers/createCallersApp.js'
+export type { App, Route } from './createApp.js'
+export { EDGE_EVENTS } from './events.js'
+export { EdgeListener, listenOn } from './listenOn.js'
+export type { ListenOptions } from './listenOn.js'
+export { createOperatorsApp, operatorsRoutes } from './operators/createOperatorsApp.js'
+export type { OperatorsAppOptions } from './operators/createOperatorsApp.js'
+export type { AttainmentLine, InstanceStatus } from './operators/statusOf.js'
+export { RequestIds } from './RequestIds.js'
--- /dev/null
+++ b/packages/edge/src/readBody.ts
@@ -0,0 +1,47 @@
+import type { IncomingMessage } from 'node:http'
+import type { ErrorKind, Json } from '@papayahill/common'
+import { Result } from 'true-myth'
+
+/** A refusal of a body before its run is judged. */
+export interface BodyFault {
+  readonly kind: ErrorKind
+  readonly detail: string
+}
+
+export interface Body {
+  readonly bytes: Buffer
+  readonly json: Json
+}
+
+const JSON_TYPE = /^application\/(json|[a-z0-9.+-]+\+json)\s*(;|$)/i
+
+const tooLarge = (limit: number): BodyFault => ({ kind: 'body-too-large', detail: `send at most ${limit} bytes` })
+
+const collect = (req: IncomingMessage, limit: number): Promise<Result<Buffer, BodyFault>> => new Promise((resolve) => {
+  const parts: Buffer[] = []
+  let size = 0
+  req.on('data', (part: Buffer) => {
+    size += part.length
+    if (size <= limit) parts.push(part)
+    else resolve(Result.err(tooLarge(limit)))
+  })
+  req.on('end', () => resolve(Result.ok(Buffer.concat(parts))))
+  req.on('error', () => resolve(Result.err({ kind: 'caller-gone', detail: 'the connection broke while the body came' })))
+})
+
+const parse = (bytes: Buffer): Result<Body, BodyFault> => {
+  try {
+    return Result.ok({ bytes, json: JSON.parse(bytes.toString('utf8')) as Json })
+  } catch {
+    return Result.err({ kind: 'bad-request', detail: 'the body is not valid JSON' })
+  }
+}
+
+/** Reads a JSON body of at most `limit` bytes; what comes above it is not kept. */
+export const readBody = async (req: IncomingMessage, limit: number): Promise<Result<Body, BodyFault>> => {
+  if (!JSON_TYPE.test(req.headers['content-type'] ?? '')) {
+    return Result.err({ kind: 'unsupported-media', detail: 'send content-type: application/json' })
+  }
+  if (Number(req.headers['content-length'] ?? 0) > limit) return Result.err(tooLarge(limit))
+  return (await collect(req, limit)).andThen(parse)
+}
