--- /dev/null
+++ b/packages/claims/src/LocalAttempt.ts
@@ -0,0 +1,90 @@
+import { millis } from '@papayahill/common'
+import type { Clock, Millis } from '@papayahill/common'
+import type { AttemptId, ClaimRecord } from './claimRecord.js'
+import { DISPATCH_LEASE, MAX_WAITERS } from './constants.js'
+import type { ClaimOutcome } from './types.js'
+
+/** How a try ended: with an outcome, unsent, or sent without an outcome. */
+export type AttemptEnd =
+  | { readonly kind: 'outcome', readonly outcome: ClaimOutcome }
+  | { readonly kind: 'not-sent' }
+  | { readonly kind: 'lost' }
+
+type AttemptState = 'claiming' | 'held' | 'sent' | AttemptEnd['kind']
+
+/**
+ * One try of this instance, from before its claim is written until its end is in the store. Others may
+ * run the request only once this says that it was not sent, and from then on it can no more be sent.
+ */
+export class LocalAttempt {
+  readonly id: AttemptId
+  readonly record: ClaimRecord
+  /** Version of the claim's row, once it is written. */
+  version = 0
+  readonly #clock: Clock
+  readonly #startedAt: Millis
+  readonly #waiters = new Set<(end: AttemptEnd) => void>()
+  #state: AttemptState = 'claiming'
+  #end: AttemptEnd | undefined
+
+  constructor (clock: Clock, record: ClaimRecord) {
+    this.#clock = clock
+    this.#startedAt = clock.now()
+    this.id = record.attempt
+    this.record = record
+  }
+
+  get end (): AttemptEnd | undefined {
+    return this.#end
+  }
+
+  /** The claim is written; the request may be sent until the lease lapses. */
+  hold (version: number): void {
+    this.version = version
+    if (this.#state === 'claiming') this.#state = 'held'
+  }
+
+  /** Whether too much time has passed since the claim's write began. */
+  get isLapsed (): boolean {
+    return this.#clock.now() - this.#startedAt > DISPATCH_LEASE
+  }
+
+  /** Claimed, never sent, and too old to be sent any more. */
+  get isAbandoned (): boolean {
+    return this.#state === 'held' && this.isLapsed
+  }
+
+  /** True where the request may be handed over in this tick. */
+  dispatch (): boolean {
+    if (this.#state !== 'held' || this.isLapsed) return false
+    this.#state = 'sent'
+    return true
+  }
+
+  /** Ends the try; only the first end counts, but for an outcome that comes after all. */
+  finish (end: AttemptEnd): boolean {
+    if (this.#end !== undefined && !(this.#end.kind === 'lost' && end.kind === 'outcome')) return false
+    this.#end = end
+    this.#state = end.kind
+    for (const wake of this.#waiters) wake(end)
+    this.#waiters.clear()
+    return true
+  }
+
+  /** The end, or undefined where it does not come in time or too many wait already. */
+  async whenEnded (limit: Millis): Promise<AttemptEnd | undefined> {
+    if (this.#end !== undefined) return this.#end
+    if (limit <= 0 || this.#waiters.size >= MAX_WAITERS) return undefined
+    return await new Promise((resolve) => {
+      const wake = (end: AttemptEnd): void => {
+        timer.cancel()
+        resolve(end)
+      }
+      const timer = this.#clock.after(millis(limit), () => {
+        this.#waiters.delete(wake)
+        resolve(undefined)
+      })
+      this.#waiters.add(wake)
+    })
+  }
+}
--- /dev/null
+++ b/packages/claims/src/constants.ts
@@ -0,0 +1,44 @@
+import { MILLIS_PER_DAY, MILLIS_PER_MINUTE, millis, seconds } from '@papayahill/common'
+
+/** Time from the start of the claim's write within which the request may be handed over. */
+export const DISPATCH_LEASE = seconds(5)
+/** Age of a claim from which "not run", by look-up or by an operator, is taken as final. */
+export const NOT_RUN_FINAL_AFTER = millis(2 * MILLIS_PER_MINUTE)
+/** How long outcomes are kept; a key that is used again later may run again. */
+export const CLAIM_RETENTION = millis(MILLIS_PER_DAY)
+/** Tries to settle one claim before the caller is told to come back. */
+export const MAX_CLAIM_TRIES = 6
+/** How long writes are gathered into one transaction, and how many at most. */
+export const GATHER_WINDOW = millis(2)
+export const MAX_BATCH = 48
+/** Transactions under way at once. */
+export const MAX_COMMITS = 2
+/** Longest wait at an owner for its outcome, for a caller at another instance. */
+export const MAX_JOIN_WAIT = seconds(30)
+/** Added to the wait for the way to the owner and back. */
+export const JOIN_MARGIN = millis(250)
+export const ASK_TIMEOUT = millis(300)
+/** Callers that wait for one key at once. */
+export const MAX_WAITERS = 64
+/** Wait for the store before peers are asked to hold an outcome as well. */
+export const HOLD_AFTER = millis(150)
+/** Peers that hold an outcome until it is written. */
+export const HOLDERS = 2
+/** Peers asked at most whether they hold an outcome. */
+export const MAX_ASKED_PEERS = 16
+/** Longest time that an answer waits for its outcome to be kept. */
+export const FINISH_WAIT = seconds(1)
+/** Outcomes that one instance holds for others at most. */
+export const MAX_HELD = 4096
+/** Bounds of the wait between two tries to write what is pending. */
+export const MIN_RETRY = millis(100)
+export const MAX_RETRY = seconds(2)
+/** When a caller is told to come back. */
+export const RETRY_SOON = millis(500)
+export const RETRY_LATER = seconds(2)
+/** How often old claims are looked for, and how much one pass reads at most. */
+export const PRUNE_PERIOD = millis(MILLIS_PER_MINUTE)
+export const PRUNE_PAGE = 16
+export const PRUNE_PAGES = 8
+/** Unknown claims that operators are shown at once. */
+export const MAX_LISTED = 500
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -1,5 +1,5 @@
 import type {
-  BodyDigest, ClassId, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, RequestId, ServiceId, WorkspaceId
+  BodyDigest, ClassId, ErrorKind, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, RequestId, ServiceId, WorkspaceId
 } from '@papayahill/common'
 
 /** A request that may run at most once, before it is sent. */
@@ -52,8 +52,39 @@
 
 export type Resolution = 'ran' | 'not-run'
 
+/** What a service answers about an idempotency key. */
+export type KeyStatus =
+  | { readonly kind: 'ran', readonly body: Json }
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'running' }
+
+/** Asks a service what became of a key; undefined where it offers no look-up or gave no answer. */
+export type KeyLookUp = (service: ServiceId, key: IdempotencyKey) => Promise<KeyStatus | undefined>
+
+interface RosterLife {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+}
+
+/** What claims need to know of the roster: which lives are in it and which have left. */
+export interface ClaimRoster {
+  view (): { readonly members: readonly RosterLife[], readonly departed: readonly RosterLife[] }
+}
+
+/** Why a request is refused before it was claimed. */
+export interface ClaimRefusal {
+  readonly kind: ErrorKind
+  readonly detail: string
+  readonly retryAfter?: Millis
+}
+
 export interface Claims {
   begin (request: ClaimRequest): Promise<ClaimDecision>
+  /**
+   * The refusal of a request that will not be sent, with the truth about its key: `not-run` only once
+   * the store shows that nothing under the key ran, and keeps any attempt under way from running.
+   */
+  refuse (request: ClaimRequest, refusal: ClaimRefusal): Promise<Failure>
   /** Claims whose outcome is not known, for operators. */
   unknown (): Promise<readonly ClaimStatus[]>
   /** An operator's word on an unknown claim. */
--- /dev/null
+++ b/packages/control/src/ConfigAcceptor.ts
@@ -0,0 +1,121 @@
+import { failure, refusal } from '@papayahill/common'
+import type { EventLog, Failure, OperatorName } from '@papayahill/common'
+import type { StoreError } from '@papayahill/platform'
+import { Result } from 'true-myth'
+import { applyChanges } from './actions/applyChanges.js'
+import type { ChangeLog } from './ChangeLog.js'
+import type { ConfigStore, ReadHead } from './ConfigStore.js'
+import type { ConfigSync } from './ConfigSync.js'
+import { MAX_UPDATE_TRIES } from './constants.js'
+import { CONTROL_EVENTS } from './events.js'
+import type { LatchBook } from './LatchBook.js'
+import type { Latch, LoggedChange, WriteId } from './logRecords.js'
+import type { Accepted, ConfigChange } from './types.js'
+
+export interface ConfigAcceptorOptions {
+  readonly log: ChangeLog
+  readonly store: ConfigStore
+  readonly sync: ConfigSync
+  readonly latches: LatchBook
+  readonly events: EventLog
+  readonly newWriteId: () => WriteId
+  readonly onAccepted: () => void
+}
+
+interface Proposal {
+  readonly changes: readonly ConfigChange[]
+  readonly author: OperatorName
+  readonly writeId: WriteId
+  readonly latches: readonly WriteId[]
+  readonly base: number | undefined
+}
+
+/** Has changes accepted: committed to the log in the store, after everything that was accepted before. */
+export class ConfigAcceptor {
+  readonly #options: ConfigAcceptorOptions
+
+  constructor (options: ConfigAcceptorOptions) {
+    this.#options = options
+  }
+
+  async accept (changes: readonly ConfigChange[], author: OperatorName, base?: number): Promise<Result<Accepted, Failure>> {
+    return await this.#run({ changes, author, writeId: this.#options.newWriteId(), latches: [], base })
+  }
+
+  /** Has a latched domain-out recorded; true once the log shows it. */
+  async record (latch: Latch): Promise<boolean> {
+    if (this.#options.latches.isRecorded(latch.id)) return true
+    const change: ConfigChange = { kind: 'domain-out', domain: latch.domain }
+    const proposal = { changes: [change], author: latch.author, writeId: latch.id, latches: [latch.id], base: undefined }
+    const accepted = await this.#run(proposal)
+    return accepted.isOk
+  }
+
+  conflict (): Failure {
+    const { version, author } = this.#options.log.state
+    this.#options.events.emit(CONTROL_EVENTS.configConflict, { version, author })
+    return refusal('conflict', `version ${version} by ${author ?? 'nobody'} came first; look at it and propose again on top of it`)
+  }
+
+  /** Tries until the change is in the log, is refused, or the store stays away. */
+  async #run (proposal: Proposal): Promise<Result<Accepted, Failure>> {
+    let mayBeWritten = false
+    for (let tries = 0; tries < MAX_UPDATE_TRIES; tries++) {
+      const head = await this.#agree()
+      if (head.isErr) return Result.err(this.#unreachable(head.error, mayBeWritten))
+      if (this.#isInLog(proposal)) return this.#accepted(proposal)
+      const logged = this.#check(proposal)
+      if (logged.isErr) return Result.err(logged.error)
+      const written = await this.#options.store.append(head.value, [logged.value])
+      if (written.isOk) {
+        this.#options.log.append(logged.value)
+        return this.#accepted(proposal)
+      }
+      if (written.error.kind === 'unavailable') return Result.err(this.#unreachable(written.error, mayBeWritten))
+      mayBeWritten ||= written.error.kind === 'unknown'
+    }
+    const detail = 'other changes kept coming first; try again'
+    return Result.err(mayBeWritten ? failure('outcome-unknown', detail, 'unknown') : refusal('conflict', detail))
+  }
+
+  /** The head, once neither the store nor any reachable peer knows more than this instance. */
+  async #agree (): Promise<Result<ReadHead, StoreError>> {
+    const { sync, log } = this.#options
+    await sync.askPeers()
+    const { version } = log.state
+    const head = await sync.reconcile()
+    return head.isOk && head.value.version < version ? await sync.reconcile() : head
+  }
+
+  /** A write whose answer was lost shows in the log under its id. */
+  #isInLog (proposal: Proposal): boolean {
+    const { log, latches } = this.#options
+    return log.has(proposal.writeId) || proposal.latches.some((id) => latches.isRecorded(id))
+  }
+
+  #check (proposal: Proposal): Result<LoggedChange, Failure> {
+    const { state } = this.#options.log
+    if (proposal.base !== undefined && proposal.base !== state.version) return Result.err(this.conflict())
+    const version = state.version + 1
+    const { changes, author, writeId, latches } = proposal
+    return applyChanges(state.config, changes, version)
+      .map((): LoggedChange => ({ version, author, writeId, previous: state.writeId, changes, latches }))
+      .mapErr((detail) => refusal('invalid-change', detail))
+  }
+
+  #accepted (proposal: Proposal): Result<Accepted, Failure> {
+    const { log, store, events, onAccepted } = this.#options
+    const version = log.newest.find((change) => change.writeId === proposal.writeId)?.version ?? log.state.version
+    events.emit(CONTROL_EVENTS.configAccepted, { version, author: proposal.author })
+    onAccepted()
+    void store.snapshot(log.state)
+    return Result.ok({ version, isRecorded: true })
+  }
+
+  #unreachable (error: StoreError, mayBeWritten: boolean): Failure {
+    if (mayBeWritten) {
+      return failure('outcome-unknown', 'the store stopped answering during the write; look at the configuration before you try again', 'unknown')
+    }
+    return refusal('store-unavailable', `the change was not accepted: ${error.kind === 'conflict' ? 'conflict' : error.detail}`)
+  }
+}
--- /dev/null
+++ b/packages/control/src/RosterKeeper.ts
@@ -0,0 +1,273 @@
+import { isJsonObject, millis, pickOne, SILENT_LOG } from '@papayahill/common'
+import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import type { Row, TableService } from '@papayahill/platform'
+import {
+  ASK_TIMEOUT, MAX_UPDATE_TRIES, RELAY_MIN_MEMBERS, REMOVE_AFTER, ROSTER_PERIOD, ROSTER_RELAY_MAX_AGE
+} from './constants.js'
+import { CONTROL_EVENTS } from './events.js'
+import { decodeRoster, EMPTY_ROSTER, encodeRoster, hasMember, ROSTER_KEY, withMember, withoutMembers, withoutSuspicion, withSuspicion } from './rosterRecord.js'
+import type { RosterRecord } from './rosterRecord.js'
+import { SilenceWatch } from './SilenceWatch.js'
+import type { Roster, RosterView } from './types.js'
+
+export interface RosterKeeperOptions {
+  readonly self: InstanceId
+  readonly incarnation: Incarnation
+  readonly clock: Clock
+  readonly random: Random
+  readonly table: TableService
+  readonly peers: Peers
+  readonly log?: EventLog
+}
+
+type Change = (record: RosterRecord) => RosterRecord
+
+/** Share of the period by which each wait varies, so that instances do not read in step. */
+const JITTER = 0.2
+
+/**
+ * Keeps this instance in the roster record and a fresh copy of the record here. All changes are
+ * conditional updates of one row. A silent member is first marked and removed only where it does
+ * not clear the mark, so that a broken link between two living instances removes nobody.
+ *
+ * @example
+ * const roster = new RosterKeeper({ self, incarnation, clock, random, table, peers, log })
+ * await roster.start()
+ * roster.age() // milliseconds since the read that confirmed the copy began
+ */
+export class RosterKeeper implements Roster {
+  readonly #options: RosterKeeperOptions
+  readonly #log: EventLog
+  readonly #listeners: Array<(view: RosterView) => void> = []
+  readonly #silences: SilenceWatch
+  readonly #suspectedAt = new Map<Incarnation, Millis>()
+  #record: RosterRecord = EMPTY_ROSTER
+  #confirmedAt: Millis | undefined
+  #timer: Timer | undefined
+  #isRunning = false
+  #wantsMembership = false
+  #hasJoined = false
+  #isUnreadable = false
+
+  constructor (options: RosterKeeperOptions) {
+    this.#options = options
+    this.#log = options.log ?? SILENT_LOG
+    this.#silences = new SilenceWatch(options.clock)
+    options.peers.handle('roster', (_from, message) => this.#relay(message))
+  }
+
+  /** Joins the roster, or goes on trying in the background where the store is unreachable. */
+  async start (): Promise<void> {
+    this.#isRunning = true
+    this.#wantsMembership = true
+    await this.#refresh()
+    this.#schedule()
+  }
+
+  /** Stops the timers and leaves the record as it is, as a death does. */
+  stop (): void {
+    this.#isRunning = false
+    this.#timer?.cancel()
+  }
+
+  /** Leaves the roster; true once that is recorded. */
+  async leave (): Promise<boolean> {
+    this.#wantsMembership = false
+    const { incarnation, clock } = this.#options
+    const hasLeft = await this.#update((record) => withoutMembers(record, (member) => member.incarnation === incarnation, clock.wall()))
+    if (hasLeft) this.#log.emit(CONTROL_EVENTS.left, { version: this.#record.version })
+    this.stop()
+    return hasLeft
+  }
+
+  view (): RosterView {
+    const { version, members, departed } = this.#record
+    return { version, members, departed, confirmedAt: this.#confirmedAt }
+  }
+
+  age (): Millis {
+    return millis(this.#confirmedAt === undefined ? Infinity : this.#options.clock.now() - this.#confirmedAt)
+  }
+
+  isMember (): boolean {
+    return hasMember(this.#record, this.#options.incarnation)
+  }
+
+  onChange (listener: (view: RosterView) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  #schedule (): void {
+    if (!this.#isRunning) return
+    const spread = 1 + JITTER * (this.#options.random.next() * 2 - 1)
+    this.#timer = this.#options.clock.after(millis(ROSTER_PERIOD * spread), () => { void this.#tick() })
+  }
+
+  async #tick (): Promise<void> {
+    await this.#confirm()
+    await this.#watchOthers()
+    this.#schedule()
+  }
+
+  /** Confirms the copy through a peer where there are many instances, else by a read. */
+  async #confirm (): Promise<void> {
+    if (this.#record.members.length >= RELAY_MIN_MEMBERS && await this.#askPeer()) return
+    await this.#refresh()
+  }
+
+  async #refresh (): Promise<void> {
+    const began = this.#options.clock.now()
+    const read = await this.#options.table.read([ROSTER_KEY])
+    if (read.isErr) return this.#noteUnreadable()
+    this.#isUnreadable = false
+    await this.#accept(read.value[0], began)
+  }
+
+  #noteUnreadable (): void {
+    if (!this.#isUnreadable) this.#log.emit(CONTROL_EVENTS.rosterUnreadable, { age: this.age() })
+    this.#isUnreadable = true
+  }
+
+  /** Takes over what a read shows, then mends what it shows wrong: an older state, or our own absence. */
+  async #accept (row: Row | undefined, began: Millis): Promise<void> {
+    const record = decodeRoster(row?.value ?? null)
+    if (record.version < this.#record.version) return await this.#repair()
+    this.#adopt(record, began)
+    if (!this.#isRunning || !this.#wantsMembership) return
+    if (!this.isMember()) await this.#join()
+    else if (record.suspected.includes(this.#options.incarnation)) await this.#clearSuspicion()
+  }
+
+  #adopt (record: RosterRecord, began: Millis): void {
+    if (record.version < this.#record.version) return
+    const isNew = record.version !== this.#record.version
+    const wasMember = this.isMember()
+    this.#record = record
+    this.#confirmedAt = millis(Math.max(began, this.#confirmedAt ?? began))
+    if (wasMember && !this.isMember() && this.#wantsMembership) this.#log.emit(CONTROL_EVENTS.removed, { version: record.version })
+    if (isNew) for (const listener of this.#listeners) listener(this.view())
+  }
+
+  async #join (): Promise<void> {
+    const { self, incarnation, clock } = this.#options
+    const isJoined = await this.#update((record) => withMember(record, self, incarnation, clock.wall()))
+    if (isJoined) this.#log.emit(CONTROL_EVENTS.joined, { version: this.#record.version, again: this.#hasJoined })
+    this.#hasJoined ||= isJoined
+  }
+
+  async #clearSuspicion (): Promise<void> {
+    const isCleared = await this.#update((record) => withoutSuspicion(record, this.#options.incarnation))
+    if (isCleared) this.#log.emit(CONTROL_EVENTS.suspicionCleared)
+  }
+
+  /** Puts back what a restore of the store took away, under a version that nobody has seen. */
+  async #repair (): Promise<void> {
+    const known = this.#record
+    const isRepaired = await this.#update((record) =>
+      record.version < known.version ? { ...known, version: known.version + 1 } : record)
+    if (isRepaired) this.#log.emit(CONTROL_EVENTS.rosterRepaired, { version: this.#record.version })
+  }
+
+  /** Applies a change by conditional update; true once the record shows it. */
+  async #update (change: Change): Promise<boolean> {
+    for (let tries = 0; tries < MAX_UPDATE_TRIES; tries++) {
+      const began = this.#options.clock.now()
+      const read = await this.#options.table.read([ROSTER_KEY])
+      if (read.isErr) return false
+      const row = read.value[0]!
+      const current = decodeRoster(row.value)
+      const next = change(current)
+      if (next === current) {
+        this.#adopt(current, began)
+        return true
+      }
+      const written = await this.#options.table.commit({
+        conditions: [{ key: ROSTER_KEY, version: row.version }],
+        writes: [{ key: ROSTER_KEY, value: encodeRoster(next) }]
+      })
+      if (written.isOk) {
+        this.#adopt(next, began)
+        return true
+      }
+      if (written.error.kind === 'unavailable') return false
+    }
+    return false
+  }
+
+  async #askPeer (): Promise<boolean> {
+    const { peers, random, clock } = this.#options
+    const peer = pickOne(random, peers.members().filter((member) => peers.isConnected(member.id)))
+    if (peer === undefined) return false
+    const began = clock.now()
+    const answer = await peers.ask(peer.id, 'roster', { version: this.#record.version }, ASK_TIMEOUT)
+    if (answer.isErr || !isJsonObject(answer.value)) return false
+    return this.#takeRelayed(answer.value, began)
+  }
+
+  /** The peer's age is counted back from before the question, so that no delay makes a copy look younger. */
+  #takeRelayed (answer: { readonly [key: string]: Json }, began: Millis): boolean {
+    const { age, record } = answer
+    if (typeof age !== 'number' || age > ROSTER_RELAY_MAX_AGE) return false
+    if (record === undefined || record === null) {
+      if (answer['version'] !== this.#record.version) return false
+      this.#adopt(this.#record, millis(began - age))
+    } else {
+      this.#adopt(decodeRoster(record), millis(began - age))
+    }
+    const isOwnMatter = !this.isMember() || this.#record.suspected.includes(this.#options.incarnation)
+    return !isOwnMatter && this.age() <= ROSTER_RELAY_MAX_AGE
+  }
+
+  #relay (message: Json): Json {
+    if (this.#confirmedAt === undefined || !isJsonObject(message)) return { age: null }
+    const { version } = this.#record
+    const isBehind = typeof message['version'] === 'number' && message['version'] < version
+    const answer = { version, age: this.age() }
+    return isBehind ? { ...answer, record: encodeRoster(this.#record) } : answer
+  }
+
+  /** Marks silent members and removes those that did not clear their mark in time. */
+  async #watchOthers (): Promise<void> {
+    const { self, peers, clock } = this.#options
+    if (!this.#isRunning || !this.isMember()) return
+    const others = this.#record.members.filter((member) => member.id !== self)
+    const silent = this.#silences.silentLives(others, peers.members())
+    for (const life of this.#suspectedAt.keys()) {
+      if (!this.#record.suspected.includes(life)) this.#suspectedAt.delete(life)
+    }
+    const due = silent.filter((life) => this.#isRemovalDue(life))
+    const unmarked = silent.filter((life) => !this.#record.suspected.includes(life) && this.#silences.maySuspect(life))
+    if (due.length > 0) await this.#remove(due)
+    else if (unmarked.length > 0) await this.#suspect(unmarked)
+    for (const life of silent) {
+      if (this.#record.suspected.includes(life) && !this.#suspectedAt.has(life)) this.#suspectedAt.set(life, clock.now())
+    }
+  }
+
+  #isRemovalDue (life: Incarnation): boolean {
+    const since = this.#suspectedAt.get(life)
+    return since !== undefined && this.#options.clock.now() - since >= REMOVE_AFTER
+  }
+
+  async #suspect (lives: readonly Incarnation[]): Promise<void> {
+    const isMarked = await this.#update((record) => lives.reduce(withSuspicion, record))
+    if (!isMarked) return
+    for (const life of lives) {
+      this.#silences.noteSuspected(life)
+      this.#log.emit(CONTROL_EVENTS.memberSuspected, { incarnation: life })
+    }
+  }
+
+  /** Removes only lives whose mark still stands in the record that the update is based on. */
+  async #remove (lives: readonly Incarnation[]): Promise<void> {
+    const wall = this.#options.clock.wall()
+    const isRemoved = await this.#update((record) => withoutMembers(record, ({ incarnation }) =>
+      lives.includes(incarnation) && record.suspected.includes(incarnation), wall))
+    if (!isRemoved) return
+    for (const life of lives) {
+      this.#suspectedAt.delete(life)
+      if (!hasMember(this.#record, life)) this.#log.emit(CONTROL_EVENTS.memberRemoved, { incarnation: life })
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/actions/putWorkspace.ts
@@ -0,0 +1,8 @@
+import { Result } from 'true-myth'
+import type { ChangeAction } from './types.js'
+
+/** Adds a workspace or replaces the one of that name. */
+export const putWorkspace: ChangeAction<'put-workspace'> = (config, change) => Result.ok({
+  ...config,
+  workspaces: new Map(config.workspaces).set(change.workspace.id, change.workspace)
+})
--- /dev/null
+++ b/packages/control/src/actions/stopMove.ts
@@ -0,0 +1,10 @@
+import { Result } from 'true-myth'
+import type { ChangeAction } from './types.js'
+
+/** Ends a move; the old version goes on serving. */
+export const stopMove: ChangeAction<'move-stop'> = (config, change) => {
+  if (!config.moves.has(change.service)) return Result.err(`no move of ${change.service} is under way`)
+  const moves = new Map(config.moves)
+  moves.delete(change.service)
+  return Result.ok({ ...config, moves })
+}
--- /dev/null
+++ b/packages/control/src/logRecords.ts
@@ -0,0 +1,142 @@
+import { brand, isJsonObject } from '@papayahill/common'
+import type { DomainId, Json, OperatorName } from '@papayahill/common'
+import type { OperatorConfig } from '@papayahill/settings'
+import { z } from 'zod'
+import { decodeOperatorConfig, encodeOperatorConfig } from './configCodec.js'
+import type { ConfigChange } from './types.js'
+
+/** Names one accepted write, so that a lost answer is told apart from a lost race. */
+export type WriteId = string
+
+/** `config/head`: the newest accepted version. */
+export interface ConfigHead {
+  readonly version: number
+  readonly author: OperatorName | undefined
+  readonly writeId: WriteId
+  /** Version of the newest snapshot in the object store; 0 for none. */
+  readonly snapshot: number
+  /** Change rows up to this version have been deleted. */
+  readonly pruned: number
+}
+
+/** One version of the log. */
+export interface LoggedChange {
+  readonly version: number
+  readonly author: OperatorName
+  readonly writeId: WriteId
+  /** Write id of the version that this one was made on. */
+  readonly previous: WriteId
+  readonly changes: readonly ConfigChange[]
+  /** Latches that this version records. */
+  readonly latches: readonly WriteId[]
+  /** Set where this version joins two histories: the writes that came from the other one. */
+  readonly merged?: readonly WriteId[]
+  /** The whole state at this version, set with `merged`. */
+  readonly state?: ConfigState
+}
+
+/** The whole configuration at one version. */
+export interface ConfigState {
+  readonly version: number
+  readonly author: OperatorName | undefined
+  readonly writeId: WriteId
+  readonly config: OperatorConfig
+  /** Newest latches that the log has recorded. */
+  readonly recorded: readonly WriteId[]
+}
+
+/** A domain taken out at once, before the store has recorded it. */
+export interface Latch {
+  readonly id: WriteId
+  readonly domain: DomainId
+  readonly author: OperatorName
+}
+
+const operatorName = z.string().transform((name) => brand<OperatorName>(name))
+
+const headSchema = z.object({
+  version: z.number(),
+  author: operatorName.optional(),
+  writeId: z.string(),
+  snapshot: z.number(),
+  pruned: z.number()
+})
+
+const latchSchema = z.object({
+  id: z.string(),
+  domain: z.string().transform((domain) => brand<DomainId>(domain)),
+  author: operatorName
+})
+
+const stateSchema = z.object({
+  version: z.number(),
+  author: operatorName.optional(),
+  writeId: z.string(),
+  config: z.custom<Json>(isJsonObject),
+  recorded: z.array(z.string())
+})
+
+const changeSchema = z.object({
+  version: z.number(),
+  author: operatorName,
+  writeId: z.string(),
+  previous: z.string(),
+  changes: z.array(z.looseObject({ kind: z.string() })),
+  latches: z.array(z.string()),
+  merged: z.array(z.string()).optional(),
+  state: z.custom<Json>(isJsonObject).optional()
+})
+
+export const FIRST_HEAD: ConfigHead = { version: 0, author: undefined, writeId: '', snapshot: 0, pruned: 0 }
+
+const plain = (value: unknown): Json => JSON.parse(JSON.stringify(value)) as Json
+
+export const decodeHead = (value: Json): ConfigHead => {
+  const parsed = headSchema.safeParse(value)
+  return parsed.success ? { ...parsed.data, author: parsed.data.author } : FIRST_HEAD
+}
+
+export const encodeHead = (head: ConfigHead): Json => plain(head)
+
+const encodeChange = (change: ConfigChange): Json =>
+  change.kind === 'replace' ? { kind: 'replace', config: encodeOperatorConfig(change.config) } : plain(change)
+
+const decodeChange = (json: { readonly kind: string, readonly config?: unknown }): ConfigChange =>
+  json.kind === 'replace'
+    ? { kind: 'replace', config: decodeOperatorConfig(json.config as Json) }
+    : json as unknown as ConfigChange
+
+export const encodeState = (state: ConfigState): Json =>
+  ({ ...plain({ ...state, config: null }) as object, config: encodeOperatorConfig(state.config) })
+
+export const decodeState = (value: Json | undefined): ConfigState | undefined => {
+  const parsed = stateSchema.safeParse(value)
+  if (!parsed.success) return undefined
+  return { ...parsed.data, author: parsed.data.author, config: decodeOperatorConfig(parsed.data.config) }
+}
+
+export const encodeLogged = (logged: LoggedChange): Json => ({
+  version: logged.version,
+  author: logged.author,
+  writeId: logged.writeId,
+  previous: logged.previous,
+  changes: logged.changes.map(encodeChange),
+  latches: logged.latches,
+  ...logged.merged === undefined ? {} : { merged: logged.merged },
+  ...logged.state === undefined ? {} : { state: encodeState(logged.state) }
+})
+
+/** Undefined where the value is no logged change. */
+export const decodeLogged = (value: Json | undefined): LoggedChange | undefined => {
+  const parsed = changeSchema.safeParse(value)
+  if (!parsed.success) return undefined
+  const { changes, state, ...rest } = parsed.data
+  return { ...rest, changes: changes.map(decodeChange), state: decodeState(state) }
+}
+
+export const encodeLatch = (latch: Latch): Json => ({ ...latch })
+
+export const decodeLatch = (value: Json | undefined): Latch | undefined => {
+  const parsed = latchSchema.safeParse(value)
+  return parsed.success ? parsed.data : undefined
+}
--- /dev/null
+++ b/packages/peers/src/MemberBook.ts
@@ -0,0 +1,112 @@
+import { brand, isJsonObject } from '@papayahill/common'
+import type { DomainId, Incarnation, InstanceId, Json } from '@papayahill/common'
+import type { GossipStore } from './GossipStore.js'
+import type { PeerAddress, PeerIdentity } from './transport.js'
+import type { GossipEntry } from './types.js'
+
+const MEMBER_KEY = 'member'
+const DOWN_PREFIX = 'down/'
+
+/** What an instance publishes of itself. */
+interface MemberRecord extends PeerIdentity {
+  /** Rises each time the instance contradicts those who lost it. */
+  readonly proof: number
+  readonly isLeaving: boolean
+}
+
+const readMember = (entry: GossipEntry): MemberRecord | undefined => {
+  const { value } = entry
+  if (entry.key !== MEMBER_KEY || !isJsonObject(value)) return undefined
+  const { domain, ip, port, proof, isLeaving } = value
+  if (typeof domain !== 'string' || typeof ip !== 'string' || typeof port !== 'number') return undefined
+  return {
+    id: entry.owner,
+    incarnation: entry.incarnation,
+    domain: brand<DomainId>(domain),
+    address: { ip, port },
+    proof: typeof proof === 'number' ? proof : 0,
+    isLeaving: isLeaving === true
+  }
+}
+
+export interface MemberBookOptions {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+  readonly domain: DomainId
+  readonly store: GossipStore
+  readonly publish: (key: string, value: Json) => void
+}
+
+/**
+ * Who lives, by gossip: each instance publishes itself once, those that lose their link to it publish
+ * that, and it contradicts them where it still lives, as in SWIM.
+ */
+export class MemberBook {
+  readonly #options: MemberBookOptions
+  #address: PeerAddress | undefined
+  #proof = 0
+
+  constructor (options: MemberBookOptions) {
+    this.#options = options
+  }
+
+  announce (address: PeerAddress): void {
+    this.#address = address
+    this.#publishSelf(false)
+  }
+
+  leave (): void {
+    this.#publishSelf(true)
+  }
+
+  /** Says that the link to this life was lost. */
+  reportLost (peer: PeerIdentity): void {
+    const member = this.all().find((one) => one.incarnation === peer.incarnation)
+    if (member === undefined || member.isLeaving || this.#isDown(member)) return
+    this.#options.publish(`${DOWN_PREFIX}${peer.id}`, { life: peer.incarnation, proof: member.proof })
+  }
+
+  /** Contradicts a peer that has lost this instance. */
+  hear (entry: GossipEntry): void {
+    const { id, incarnation } = this.#options
+    if (entry.key !== `${DOWN_PREFIX}${id}` || !isJsonObject(entry.value)) return
+    const { life, proof } = entry.value
+    if (life !== incarnation || typeof proof !== 'number' || proof < this.#proof) return
+    this.#proof = proof + 1
+    this.#publishSelf(false)
+  }
+
+  all (): readonly MemberRecord[] {
+    return this.#options.store.entries('heartbeat').map(readMember).filter((member) => member !== undefined)
+  }
+
+  /** Others that live as far as gossip tells. */
+  alive (): readonly PeerIdentity[] {
+    const lost = this.#lost()
+    return this.all().filter((member) =>
+      member.id !== this.#options.id && !member.isLeaving && (lost.get(member.incarnation) ?? -1) < member.proof)
+  }
+
+  #isDown (member: MemberRecord): boolean {
+    return (this.#lost().get(member.incarnation) ?? -1) >= member.proof
+  }
+
+  /** For each life that somebody lost, the newest proof of life that it does not count. */
+  #lost (): ReadonlyMap<Incarnation, number> {
+    const lost = new Map<Incarnation, number>()
+    for (const { key, value } of this.#options.store.entries('heartbeat')) {
+      if (!key.startsWith(DOWN_PREFIX) || !isJsonObject(value)) continue
+      const { life, proof } = value
+      if (typeof life !== 'string' || typeof proof !== 'number') continue
+      const incarnation = brand<Incarnation>(life)
+      lost.set(incarnation, Math.max(proof, lost.get(incarnation) ?? -1))
+    }
+    return lost
+  }
+
+  #publishSelf (isLeaving: boolean): void {
+    if (this.#address === undefined) return
+    const { ip, port } = this.#address
+    this.#options.publish(MEMBER_KEY, { domain: this.#options.domain, ip, port, proof: this.#proof, isLeaving })
+  }
+}
--- /dev/null
+++ b/packages/peers/src/MemoryNetwork.ts
@@ -0,0 +1,141 @@
+import { millis } from '@papayahill/common'
+import type { Clock } from '@papayahill/common'
+import { decodeFrame, encodeFrame } from './frameCodec.js'
+import type { Frame } from './frames.js'
+import type { Link, PeerAddress, PeerIdentity, Transport } from './transport.js'
+
+/** Bytes that a WebSocket frame and its TCP segment add to a payload. */
+const FRAME_OVERHEAD = 6
+
+interface Listener {
+  readonly identity: PeerIdentity
+  readonly onLink: (link: Link) => void
+}
+
+const addressKey = (address: PeerAddress): string => `${address.ip}:${address.port}`
+
+/** Links in memory, with delay and cuts, for tests and benches in virtual time; frames are really encoded. */
+export class MemoryNetwork {
+  delay = millis(1)
+  readonly clock: Clock
+  readonly #listeners = new Map<string, Listener>()
+  readonly #links = new Set<MemoryLink>()
+  readonly #cuts = new Set<string>()
+
+  constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  transport (identity: PeerIdentity): Transport {
+    const key = addressKey(identity.address)
+    return {
+      listen: (onLink) => {
+        this.#listeners.set(key, { identity, onLink })
+        return Promise.resolve(identity.address)
+      },
+      dial: (address) => this.#dial(identity, address),
+      close: () => {
+        this.#listeners.delete(key)
+        for (const link of this.#linksOf(identity)) link.close()
+        return Promise.resolve()
+      }
+    }
+  }
+
+  /** The process dies: its links break. */
+  kill (identity: PeerIdentity): void {
+    this.#listeners.delete(addressKey(identity.address))
+    for (const link of this.#linksOf(identity)) link.close()
+  }
+
+  /** Nothing passes between the two any more, and nothing says so. */
+  cut (left: PeerIdentity, right: PeerIdentity): void {
+    this.#cuts.add(`${left.id} ${right.id}`).add(`${right.id} ${left.id}`)
+  }
+
+  heal (left: PeerIdentity, right: PeerIdentity): void {
+    this.#cuts.delete(`${left.id} ${right.id}`)
+    this.#cuts.delete(`${right.id} ${left.id}`)
+  }
+
+  isCut (left: PeerIdentity, right: PeerIdentity): boolean {
+    return this.#cuts.has(`${left.id} ${right.id}`)
+  }
+
+  forget (link: MemoryLink): void {
+    this.#links.delete(link)
+  }
+
+  async #dial (self: PeerIdentity, address: PeerAddress): Promise<Link | undefined> {
+    await this.clock.sleep(millis(this.delay * 2))
+    const listener = this.#listeners.get(addressKey(address))
+    if (listener === undefined || this.isCut(self, listener.identity)) return undefined
+    const near = new MemoryLink(this, self, listener.identity, true)
+    const far = new MemoryLink(this, listener.identity, self, false)
+    near.join(far)
+    far.join(near)
+    this.#links.add(near).add(far)
+    listener.onLink(far)
+    return near
+  }
+
+  #linksOf (identity: PeerIdentity): readonly MemoryLink[] {
+    return [...this.#links].filter((link) => link.owner.incarnation === identity.incarnation)
+  }
+}
+
+class MemoryLink implements Link {
+  readonly peer: PeerIdentity
+  readonly owner: PeerIdentity
+  readonly isDialled: boolean
+  readonly #network: MemoryNetwork
+  readonly #closeListeners: Array<() => void> = []
+  #frameListener: ((frame: Frame, size: number) => void) | undefined
+  #other: MemoryLink | undefined
+  #isOpen = true
+
+  constructor (network: MemoryNetwork, owner: PeerIdentity, peer: PeerIdentity, isDialled: boolean) {
+    this.#network = network
+    this.owner = owner
+    this.peer = peer
+    this.isDialled = isDialled
+  }
+
+  join (other: MemoryLink): void {
+    this.#other = other
+  }
+
+  send (frame: Frame): number {
+    if (!this.#isOpen) return 0
+    const data = encodeFrame(frame)
+    const size = data.length + FRAME_OVERHEAD
+    if (!this.#network.isCut(this.owner, this.peer)) {
+      this.#network.clock.after(this.#network.delay, () => this.#other?.receive(decodeFrame(data)!, size))
+    }
+    return size
+  }
+
+  receive (frame: Frame, size: number): void {
+    if (this.#isOpen) this.#frameListener?.(frame, size)
+  }
+
+  onFrame (listener: (frame: Frame, size: number) => void): void {
+    this.#frameListener = listener
+  }
+
+  onClose (listener: () => void): void {
+    this.#closeListeners.push(listener)
+  }
+
+  cut (): void {
+    this.close()
+  }
+
+  close (): void {
+    if (!this.#isOpen) return
+    this.#isOpen = false
+    this.#network.forget(this)
+    for (const listener of this.#closeListeners) listener()
+    this.#network.clock.after(this.#network.delay, () => this.#other?.close())
+  }
+}
--- /dev/null
+++ b/packages/peers/src/OpenLink.ts
@@ -0,0 +1,70 @@
+import { millis } from '@papayahill/common'
+import type { Clock, Millis } from '@papayahill/common'
+import { topicOf } from './frames.js'
+import type { Frame } from './frames.js'
+import type { TrafficMeter } from './TrafficMeter.js'
+import type { Link, PeerIdentity } from './transport.js'
+
+export interface OpenLinkOptions {
+  readonly clock: Clock
+  readonly meter: TrafficMeter
+  readonly link: Link
+  /** Opened for a question only: it carries no gossip and is closed when idle. */
+  readonly isTemporary: boolean
+}
+
+/** An open link with its traffic metered and its silence measured. */
+export class OpenLink {
+  readonly peer: PeerIdentity
+  readonly isDialled: boolean
+  isTemporary: boolean
+  readonly #options: OpenLinkOptions
+  #heardAt: Millis
+  #usedAt: Millis
+
+  constructor (options: OpenLinkOptions) {
+    this.#options = options
+    this.peer = options.link.peer
+    this.isDialled = options.link.isDialled
+    this.isTemporary = options.isTemporary
+    this.#heardAt = options.clock.now()
+    this.#usedAt = options.clock.now()
+  }
+
+  get silence (): Millis {
+    return millis(this.#options.clock.now() - this.#heardAt)
+  }
+
+  /** Time since the last message that was no heartbeat. */
+  get idle (): Millis {
+    return millis(this.#options.clock.now() - this.#usedAt)
+  }
+
+  send (frame: Frame): number {
+    const size = this.#options.link.send(frame)
+    if (size > 0) this.#options.meter.sent(topicOf(frame), size)
+    if (frame.kind === 'message') this.#usedAt = this.#options.clock.now()
+    return size
+  }
+
+  onFrame (listener: (frame: Frame) => void): void {
+    this.#options.link.onFrame((frame, size) => {
+      this.#heardAt = this.#options.clock.now()
+      if (frame.kind === 'message') this.#usedAt = this.#heardAt
+      this.#options.meter.received(topicOf(frame), size)
+      listener(frame)
+    })
+  }
+
+  onClose (listener: () => void): void {
+    this.#options.link.onClose(listener)
+  }
+
+  close (): void {
+    this.#options.link.close()
+  }
+
+  cut (): void {
+    this.#options.link.cut()
+  }
+}
--- /dev/null
+++ b/packages/peers/src/PeerCore.ts
@@ -0,0 +1,251 @@
+import { millis, SILENT_LOG } from '@papayahill/common'
+import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
+import { Result } from 'true-myth'
+import {
+  COMPARE_PERIOD, GOSSIP_PERIOD, HEARTBEAT_PERIOD, HEARTBEAT_TIMEOUT, LINK_PERIOD, LIST_PERIOD, SPARSE_HEARTBEAT_PERIOD,
+  SPARSE_HEARTBEAT_TIMEOUT
+} from './constants.js'
+import { PEERS_EVENTS } from './events.js'
+import type { Frame } from './frames.js'
+import { GossipSpreader } from './GossipSpreader.js'
+import { GossipStore } from './GossipStore.js'
+import { LinkTable } from './LinkTable.js'
+import { MemberBook } from './MemberBook.js'
+import type { OpenLink } from './OpenLink.js'
+import { Questions } from './Questions.js'
+import { TrafficMeter } from './TrafficMeter.js'
+import type { PeerIdentity, PeerList, Transport } from './transport.js'
+import type { GossipEntry, PeerError, PeerHandler, PeerMember, Peers, Topic, TopicTraffic } from './types.js'
+
+export interface PeerCoreOptions {
+  readonly self: InstanceId
+  readonly incarnation: Incarnation
+  readonly domain: DomainId
+  readonly clock: Clock
+  readonly random: Random
+  readonly transport: Transport
+  readonly list: PeerList
+  readonly log?: EventLog
+}
+
+const NO_ANSWER = Symbol('no answer')
+
+/**
+ * Membership, messages and gossip over whatever transport it is given, so that all of it runs in
+ * virtual time. The platform's list only seeds it: known peers stay known while the list is stale,
+ * wrong or empty.
+ */
+export class PeerCore implements Peers {
+  readonly self: InstanceId
+  readonly incarnation: Incarnation
+  readonly #options: PeerCoreOptions
+  readonly #log: EventLog
+  readonly #meter = new TrafficMeter()
+  readonly #store: GossipStore
+  readonly #spreader: GossipSpreader
+  readonly #links: LinkTable
+  readonly #book: MemberBook
+  readonly #questions: Questions
+  readonly #handlers = new Map<Topic, PeerHandler>()
+  readonly #listeners = new Map<Topic, Array<(entry: GossipEntry) => void>>()
+  readonly #timers: Timer[] = []
+  #isListBad = false
+
+  constructor (options: PeerCoreOptions) {
+    const { self, incarnation, domain, clock, random, transport } = options
+    this.self = self
+    this.incarnation = incarnation
+    this.#options = options
+    this.#log = options.log ?? SILENT_LOG
+    this.#store = new GossipStore({ self, incarnation, clock })
+    this.#links = new LinkTable({
+      self,
+      clock,
+      random,
+      transport,
+      meter: this.#meter,
+      onOpen: (link) => this.#opened(link),
+      onClose: (link, isAnnounced) => this.#closed(link, isAnnounced),
+      onFrame: (link, frame) => this.#take(link, frame)
+    })
+    this.#spreader = new GossipSpreader({
+      store: this.#store,
+      clock,
+      random,
+      links: () => this.#links.active(),
+      isMesh: () => this.#links.isMesh,
+      onEntry: (entry) => this.#notify(entry)
+    })
+    this.#book = new MemberBook({
+      id: self, incarnation, domain, store: this.#store, publish: (key, value) => this.publish('heartbeat', key, value)
+    })
+    this.#questions = new Questions(clock)
+    this.onEntry('heartbeat', (entry) => this.#hearMember(entry))
+  }
+
+  /** Opens the listener, reads the list once and starts to link. */
+  async start (): Promise<void> {
+    const { clock, random, transport } = this.#options
+    const address = await transport.listen((link) => this.#links.add(link, false))
+    this.#log.emit(PEERS_EVENTS.listening, { ip: address.ip, port: address.port })
+    this.#book.announce(address)
+    await this.#readList()
+    this.#links.look()
+    this.#repeat(LIST_PERIOD, () => { void this.#readList() })
+    this.#repeat(LINK_PERIOD, () => this.#lookAfterLinks())
+    this.#repeat(GOSSIP_PERIOD, () => this.#spreader.flush())
+    this.#repeat(COMPARE_PERIOD, () => this.#compare())
+    this.#timers.push(clock.after(millis(HEARTBEAT_PERIOD * random.next()), () => this.#beat()))
+  }
+
+  stop (): Promise<void> {
+    return this.close()
+  }
+
+  members (): readonly PeerMember[] {
+    const { isMesh } = this.#links
+    const limit = isMesh ? HEARTBEAT_TIMEOUT : SPARSE_HEARTBEAT_TIMEOUT
+    const linked = this.#links.all().filter((link) => link.silence < limit).map((link): PeerMember => ({
+      id: link.peer.id, incarnation: link.peer.incarnation, domain: link.peer.domain, silence: link.silence
+    }))
+    if (isMesh) return linked
+    const direct = new Set(linked.map((member) => member.id))
+    const others = this.#book.alive().filter((member) => !direct.has(member.id)).map((member): PeerMember => ({
+      id: member.id, incarnation: member.incarnation, domain: member.domain, silence: millis(0)
+    }))
+    return [...linked, ...others]
+  }
+
+  isConnected (id: InstanceId): boolean {
+    return this.#links.get(id) !== undefined
+  }
+
+  send (to: InstanceId, topic: Topic, message: Json): void {
+    const link = this.#links.get(to)
+    if (link !== undefined) link.send({ kind: 'message', topic, body: message })
+    else void this.#links.open(to, true).then((opened) => opened?.send({ kind: 'message', topic, body: message }))
+  }
+
+  broadcast (topic: Topic, message: Json): void {
+    for (const link of this.#links.all()) link.send({ kind: 'message', topic, body: message })
+  }
+
+  async ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>> {
+    const link = this.#links.get(to) ?? await this.#links.open(to, true)
+    if (link === undefined) return Result.err({ kind: 'unreachable', detail: `no link to ${to}` })
+    return await this.#questions.ask(to, timeout, (ask) => link.send({ kind: 'message', topic, body: message, ask }))
+  }
+
+  handle (topic: Topic, handler: PeerHandler): void {
+    this.#handlers.set(topic, handler)
+  }
+
+  publish (topic: Topic, key: string, value: Json): void {
+    const entry = this.#store.publish(topic, key, value)
+    this.#notify(entry)
+    this.#spreader.spread(entry)
+  }
+
+  entries (topic: Topic): readonly GossipEntry[] {
+    return this.#store.entries(topic)
+  }
+
+  onEntry (topic: Topic, listener: (entry: GossipEntry) => void): void {
+    const listeners = this.#listeners.get(topic) ?? []
+    listeners.push(listener)
+    this.#listeners.set(topic, listeners)
+  }
+
+  /** Bytes and messages of each topic since the start. */
+  traffic (): readonly TopicTraffic[] {
+    return this.#meter.traffic()
+  }
+
+  async close (): Promise<void> {
+    this.#book.leave()
+    this.#spreader.flush()
+    for (const timer of this.#timers) timer.cancel()
+    this.#links.close()
+    await this.#options.transport.close()
+  }
+
+  #repeat (period: Millis, act: () => void): void {
+    this.#timers.push(this.#options.clock.every(period, act))
+  }
+
+  /** Heartbeats go out at times of each instance's own. */
+  #beat (): void {
+    const { clock } = this.#options
+    for (const link of this.#links.all()) link.send({ kind: 'heartbeat' })
+    this.#timers[this.#timers.length - 1] = clock.after(this.#links.isMesh ? HEARTBEAT_PERIOD : SPARSE_HEARTBEAT_PERIOD, () => this.#beat())
+  }
+
+  #lookAfterLinks (): void {
+    const limit = this.#links.isMesh ? HEARTBEAT_TIMEOUT : SPARSE_HEARTBEAT_TIMEOUT
+    for (const link of this.#links.all()) {
+      if (link.silence < limit) continue
+      this.#log.emit(PEERS_EVENTS.peerSilent, { peer: link.peer.id, silence: link.silence })
+      this.#links.lose(link)
+    }
+    this.#links.look()
+  }
+
+  #compare (): void {
+    const alive = new Set(this.members().map((member) => member.id))
+    this.#store.expire((owner) => alive.has(owner))
+    this.#spreader.compare()
+  }
+
+  async #readList (): Promise<void> {
+    const listed = await this.#options.list.list()
+    const isEmpty = listed.isOk && listed.value.instances.length === 0
+    if (listed.isErr || isEmpty) {
+      if (!this.#isListBad) this.#log.emit(isEmpty ? PEERS_EVENTS.listEmpty : PEERS_EVENTS.listUnreadable)
+      this.#isListBad = true
+      return
+    }
+    this.#isListBad = false
+    for (const { id, address } of listed.value.instances) this.#links.learn(id, address)
+  }
+
+  #opened (link: OpenLink): void {
+    this.#log.emit(PEERS_EVENTS.linkOpened, { peer: link.peer.id, incarnation: link.peer.incarnation })
+    link.send({ kind: 'heartbeat' })
+    this.#spreader.compare(link)
+  }
+
+  #closed (link: OpenLink, isAnnounced: boolean): void {
+    this.#log.emit(PEERS_EVENTS.linkClosed, { peer: link.peer.id, announced: isAnnounced })
+    this.#questions.drop(link.peer.id)
+    if (!isAnnounced && !link.isTemporary && !this.#links.isMesh) this.#book.reportLost(link.peer)
+  }
+
+  #hearMember (entry: GossipEntry): void {
+    this.#book.hear(entry)
+    if (entry.owner === this.self || entry.key !== 'member') return
+    const member = this.#book.all().find((one) => one.id === entry.owner)
+    if (member === undefined) return
+    if (member.isLeaving) this.#links.forget(member.id)
+    else this.#links.learn(member.id, member.address)
+  }
+
+  #take (link: OpenLink, frame: Frame): void {
+    if (frame.kind === 'message') void this.#answer(link, frame)
+    else if (frame.kind === 'answer') this.#questions.answer(link.peer.id, frame.ask, frame.body)
+    else this.#spreader.take(frame, link)
+  }
+
+  async #answer (link: OpenLink, frame: Extract<Frame, { readonly kind: 'message' }>): Promise<void> {
+    const { topic, ask } = frame
+    const answer = await this.#handlers.get(topic)?.(link.peer.id, frame.body) ?? NO_ANSWER
+    if (ask !== undefined && answer !== NO_ANSWER) link.send({ kind: 'answer', topic, ask, body: answer })
+  }
+
+  #notify (entry: GossipEntry): void {
+    for (const listener of this.#listeners.get(entry.topic) ?? []) listener(entry)
+  }
+}
+
+/** Who this instance is to its peers. */
+export const identityOf = (core: Pick<PeerCoreOptions, 'self' | 'incarnation' | 'domain'>, address: PeerIdentity['address']): PeerIdentity =>
+  ({ id: core.self, incarnation: core.incarnation, domain: core.domain, address })
--- /dev/null
+++ b/packages/peers/src/PeerLinks.ts
@@ -0,0 +1,29 @@
+import { SILENT_LOG } from '@papayahill/common'
+import { PeerCore } from './PeerCore.js'
+import type { PeerCoreOptions } from './PeerCore.js'
+import type { PeerAddress } from './transport.js'
+import { WsTransport } from './WsTransport.js'
+
+export interface PeerLinksOptions extends Omit<PeerCoreOptions, 'transport'> {
+  /** Known to all instances and to nobody else. */
+  readonly secret: string
+  /** Port 0 takes a free one, for tests. */
+  readonly listen: PeerAddress
+}
+
+/**
+ * The links of one instance to its peers over WebSockets.
+ *
+ * @example
+ * const peers = new PeerLinks({ self, incarnation, domain, clock, random, secret, listen, list, log })
+ * await peers.start()
+ * peers.publish('load', 'own', { busy: 3 })
+ */
+export class PeerLinks extends PeerCore {
+  constructor (options: PeerLinksOptions) {
+    const { self: id, incarnation, domain, secret, listen, clock } = options
+    const log = options.log ?? SILENT_LOG
+    const identity = (address: PeerAddress) => ({ id, incarnation, domain, address })
+    super({ ...options, transport: new WsTransport({ identity, secret, listen, clock, log }) })
+  }
+}
--- /dev/null
+++ b/packages/peers/src/WsTransport.ts
@@ -0,0 +1,176 @@
+import type { Clock, EventLog } from '@papayahill/common'
+import { WebSocket, WebSocketServer } from 'ws'
+import type { RawData } from 'ws'
+import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_WAITING_BYTES } from './constants.js'
+import { PEERS_EVENTS } from './events.js'
+import { decodeFrame, encodeFrame } from './frameCodec.js'
+import type { Frame } from './frames.js'
+import { decodeHello, decodeIdentity, encodeHello, encodeIdentity, isProved, newNonce, proofOf } from './handshake.js'
+import type { HandshakeRole, Hello } from './handshake.js'
+import type { Link, PeerAddress, PeerIdentity, Transport } from './transport.js'
+
+/** Bytes of a WebSocket header on a frame of usual size. */
+const HEADER_BYTES = 6
+
+export interface WsTransportOptions {
+  readonly identity: (address: PeerAddress) => PeerIdentity
+  readonly secret: string
+  readonly listen: PeerAddress
+  readonly clock: Clock
+  readonly log: EventLog
+}
+
+const OTHER_ROLE: Readonly<Record<HandshakeRole, HandshakeRole>> = { dials: 'accepts', accepts: 'dials' }
+
+const bufferOf = (data: RawData): Buffer => {
+  if (Buffer.isBuffer(data)) return data
+  return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data)
+}
+
+/** Links over WebSockets; each side proves by an HMAC of the other's nonce that it knows the secret. */
+export class WsTransport implements Transport {
+  readonly #options: WsTransportOptions
+  readonly #sockets = new Set<WebSocket>()
+  #server: WebSocketServer | undefined
+  #address: PeerAddress
+
+  constructor (options: WsTransportOptions) {
+    this.#options = options
+    this.#address = options.listen
+  }
+
+  async listen (onLink: (link: Link) => void): Promise<PeerAddress> {
+    const { ip, port } = this.#options.listen
+    const server = new WebSocketServer({ host: ip, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    this.#server = server
+    server.on('connection', (socket) => {
+      void this.#greet(socket, 'accepts').then((link) => { if (link !== undefined) onLink(link) })
+    })
+    await new Promise<void>((resolve, reject) => {
+      server.once('listening', resolve)
+      server.once('error', reject)
+    })
+    const bound = server.address()
+    this.#address = { ip, port: typeof bound === 'object' && bound !== null ? bound.port : port }
+    return this.#address
+  }
+
+  async dial (address: PeerAddress): Promise<Link | undefined> {
+    const socket = new WebSocket(`ws://${address.ip}:${address.port}`, {
+      maxPayload: MAX_FRAME_BYTES, handshakeTimeout: HANDSHAKE_TIMEOUT, perMessageDeflate: false
+    })
+    return await this.#greet(socket, 'dials')
+  }
+
+  async close (): Promise<void> {
+    for (const socket of this.#sockets) socket.close()
+    await new Promise<void>((resolve) => {
+      if (this.#server === undefined) resolve()
+      else this.#server.close(() => resolve())
+    })
+  }
+
+  /** Exchanges hellos; a link, or undefined where the other side is none or cannot prove itself. */
+  #greet (socket: WebSocket, role: HandshakeRole): Promise<Link | undefined> {
+    this.#sockets.add(socket)
+    return new Promise((resolve) => {
+      const own: Hello = { identity: encodeIdentity(this.#options.identity(this.#address)), nonce: newNonce() }
+      const end = (link: Link | undefined): void => {
+        timer.cancel()
+        socket.off('message', onMessage)
+        if (link === undefined) socket.terminate()
+        resolve(link)
+      }
+      const timer = this.#options.clock.after(HANDSHAKE_TIMEOUT, () => end(undefined))
+      let other: Hello | undefined
+      const onMessage = (data: RawData): void => {
+        const hello = decodeHello(bufferOf(data).toString())
+        if (hello === undefined) return end(undefined)
+        if (other === undefined) {
+          other = hello
+          const proof = proofOf(this.#options.secret, role, own, hello.nonce)
+          return socket.send(encodeHello({ ...own, proof }))
+        }
+        // The second hello must be the first one with its proof.
+        const isSame = hello.identity === other.identity && hello.nonce === other.nonce
+        end(isSame ? this.#proved(socket, role, hello, own.nonce) : undefined)
+      }
+      socket.on('message', onMessage)
+      socket.on('error', () => end(undefined))
+      socket.once('close', () => {
+        this.#sockets.delete(socket)
+        end(undefined)
+      })
+      if (role === 'accepts') socket.send(encodeHello(own))
+      else socket.once('open', () => socket.send(encodeHello(own)))
+    })
+  }
+
+  #proved (socket: WebSocket, role: HandshakeRole, other: Hello, ownNonce: string): Link | undefined {
+    if (!isProved(this.#options.secret, OTHER_ROLE[role], other, ownNonce)) {
+      this.#options.log.emit(PEERS_EVENTS.secretWrong, { identity: other.identity })
+      return undefined
+    }
+    const peer = decodeIdentity(other.identity)
+    return peer === undefined ? undefined : new WsLink(socket, peer, role === 'dials', this.#options.log)
+  }
+}
+
+class WsLink implements Link {
+  readonly peer: PeerIdentity
+  readonly isDialled: boolean
+  readonly #socket: WebSocket
+  readonly #log: EventLog
+  #early: Array<{ readonly frame: Frame, readonly size: number }> = []
+  #listener: ((frame: Frame, size: number) => void) | undefined
+
+  constructor (socket: WebSocket, peer: PeerIdentity, isDialled: boolean, log: EventLog) {
+    this.#socket = socket
+    this.peer = peer
+    this.isDialled = isDialled
+    this.#log = log
+    socket.on('message', (data) => this.#receive(bufferOf(data)))
+  }
+
+  send (frame: Frame): number {
+    if (this.#socket.readyState !== WebSocket.OPEN || this.#socket.bufferedAmount > MAX_WAITING_BYTES) return 0
+    const data = encodeFrame(frame)
+    if (data.length > MAX_FRAME_BYTES) {
+      this.#log.emit(PEERS_EVENTS.frameTooLarge, { peer: this.peer.id, kind: frame.kind, bytes: data.length })
+      return 0
+    }
+    this.#socket.send(data)
+    return data.length + HEADER_BYTES
+  }
+
+  onFrame (listener: (frame: Frame, size: number) => void): void {
+    this.#listener = listener
+    const early = this.#early
+    this.#early = []
+    for (const { frame, size } of early) listener(frame, size)
+  }
+
+  onClose (listener: () => void): void {
+    if (this.#socket.readyState === WebSocket.CLOSED) listener()
+    else this.#socket.once('close', listener)
+  }
+
+  close (): void {
+    this.#socket.close()
+  }
+
+  cut (): void {
+    this.#socket.terminate()
+  }
+
+  #receive (data: Buffer): void {
+    const frame = decodeFrame(data)
+    if (frame === undefined) {
+      this.#log.emit(PEERS_EVENTS.frameBroken, { peer: this.peer.id })
+      return this.#socket.terminate()
+    }
+    const size = data.length + HEADER_BYTES
+    if (this.#listener === undefined) this.#early.push({ frame, size })
+    else this.#listener(frame, size)
+  }
+}
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -1,4 +1,4 @@
-import type { DomainId, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
+import type { Bytes, DomainId, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Result } from 'true-myth'
 
 /** What a message is about; one closed list, so that bytes are metered per topic. */
@@ -30,6 +30,15 @@
   readonly value: Json
 }
 
+/** What links carried on one topic since the start. */
+export interface TopicTraffic {
+  readonly topic: Topic
+  readonly sentBytes: Bytes
+  readonly sentMessages: number
+  readonly receivedBytes: Bytes
+  readonly receivedMessages: number
+}
+
 /**
  * Messages between instances. Delivery is best effort; `ask` tells whether an answer came.
  * Published entries reach every instance in a few gossip periods, directly or through others,
