--- /dev/null
+++ b/apps/papayahill/src/commands/standins.ts
@@ -0,0 +1,61 @@
+import { isIP } from 'node:net'
+import { brand, SeededRandom } from '@papayahill/common'
+import { Trace } from '@papayahill/invariants'
+import type { ListedInstance } from '@papayahill/platform'
+import { formatFault, parseOperatorConfig } from '@papayahill/settings'
+import { serveDeployment } from '@papayahill/standins'
+import { CliFailure } from '../CliFailure.js'
+import { PAPAYAHILL_EVENTS } from '../events.js'
+import { EXIT_CODES } from '../exitCodes.js'
+import { readTextFile } from '../readTextFile.js'
+import { defineCommand } from '../types.js'
+
+const FIRST_PORT = 9000
+
+const readInstance = (text: string): ListedInstance => {
+  const [id = '', domain = '', address = ''] = text.split('@')
+  const cut = address.lastIndexOf(':')
+  const ip = address.slice(0, cut)
+  const port = Number(address.slice(cut + 1))
+  if (id === '' || domain === '' || isIP(ip) === 0 || !Number.isInteger(port)) {
+    throw new CliFailure(`${text} is no instance; write such as ph-1@scl-a@127.0.0.1:8082`, EXIT_CODES.malformed)
+  }
+  return { id: brand(id), domain: brand(domain), address: { ip, port }, state: 'live' }
+}
+
+const untilStopped = (): Promise<void> => new Promise((resolve) => {
+  process.once('SIGINT', () => resolve())
+  process.once('SIGTERM', () => resolve())
+})
+
+/** Runs stand-ins of the platform and of all services' endpoints, for trying things by hand. */
+export const standins = defineCommand({
+  command: 'standins',
+  describe: 'Run stand-ins of platform and endpoints on loopback, for trying things by hand',
+  examples: [['$0 standins --settings examples/consorcio.toml --instance ph-1@scl-a@127.0.0.1:8082', 'One instance\'s surroundings']],
+  builder: (argv) => argv
+    .option('settings', { type: 'string', demandOption: true, describe: 'An operators\' file; its services are played' })
+    .option('instance', { type: 'string', array: true, default: [] as string[], describe: 'An entry instance: id@domain@ip:port of its peers\' listener' })
+    .option('first-port', { type: 'number', default: FIRST_PORT, describe: 'Table, objects and list; endpoints come 100 above' })
+    .option('seed', { type: 'number', default: 1, describe: 'Seed of their randomness' }),
+  run: async (args, cli) => {
+    const parsed = parseOperatorConfig(readTextFile(args.settings), args.settings)
+    if (parsed.isErr) throw new CliFailure(parsed.error.map(formatFault).join('\n'), EXIT_CODES.malformed)
+    const deployment = await serveDeployment({
+      config: parsed.value,
+      clock: cli.clock,
+      random: new SeededRandom(args.seed),
+      trace: new Trace(),
+      instances: args.instance.map(readInstance),
+      firstPort: args.firstPort
+    })
+    cli.print(PAPAYAHILL_EVENTS.standInsRun.text)
+    for (const [name, origin] of Object.entries(deployment.origins)) cli.print(`${name.padEnd(16)} ${origin}`)
+    for (const { listed } of deployment.endpoints) {
+      cli.print(`${listed.id.padEnd(16)} http://${listed.address.ip}:${listed.address.port} ${listed.domain}`)
+    }
+    await untilStopped()
+    await deployment.close()
+    return EXIT_CODES.done
+  }
+})
--- a/apps/papayahill/src/index.ts
+++ b/apps/papayahill/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export { PAPAYAHILL_EVENTS } from './events.js'
--- /dev/null
+++ b/apps/papayahill/src/parseTime.ts
@@ -0,0 +1,14 @@
+import { parseDuration } from '@papayahill/settings'
+
+/**
+ * Reads a span from now or a calendar time; undefined where the text is neither.
+ *
+ * @example
+ * parseTime('30min', Date.UTC(2027, 0, 4))
+ */
+export const parseTime = (text: string, now: number): number | undefined => {
+  const span = parseDuration(text)
+  if (span !== undefined) return Math.round(now + span)
+  const time = Date.parse(text)
+  return Number.isNaN(time) ? undefined : time
+}
--- /dev/null
+++ b/apps/papayahill/src/waitInForce.ts
@@ -0,0 +1,62 @@
+import { isJsonObject, MILLIS_PER_SECOND } from '@papayahill/common'
+import type { Json } from '@papayahill/common'
+import { WAIT_POLL } from './constants.js'
+import { EXIT_CODES } from './exitCodes.js'
+import type { ExitCode } from './exitCodes.js'
+import type { OperatorClient } from './OperatorClient.js'
+import type { Cli } from './types.js'
+
+export interface WaitArguments {
+  readonly wait: boolean
+  readonly waitLimit: number
+}
+
+interface StatusPart {
+  readonly inForce: ReadonlyArray<{ readonly instance: string, readonly version: number }>
+}
+
+const behind = (status: StatusPart, version: number): readonly string[] =>
+  status.inForce.filter((each) => each.version < version).map((each) => each.instance)
+
+const versionOf = (accepted: Json): number | undefined =>
+  isJsonObject(accepted) && accepted.isRecorded === true && typeof accepted.version === 'number' ? accepted.version : undefined
+
+/** Waits until each instance of the roster reports an accepted version. */
+const waitFor = async (client: OperatorClient, cli: Cli, version: number, limitSeconds: number): Promise<readonly string[]> => {
+  const until = cli.clock.now() + limitSeconds * MILLIS_PER_SECOND
+  for (;;) {
+    const status = await client.ask('GET', '/v1/status') as unknown as StatusPart
+    const late = behind(status, version)
+    const isDone = status.inForce.length > 0 && late.length === 0
+    if (isDone || cli.clock.now() >= until) return late
+    await cli.clock.sleep(WAIT_POLL)
+  }
+}
+
+/**
+ * Tells that a change was accepted and, with `--wait`, that it is in force everywhere.
+ *
+ * @example
+ * return await reportAccepted(await client.ask('POST', path), args, client, cli)
+ */
+export const reportAccepted = async (
+  accepted: Json, args: WaitArguments, client: OperatorClient, cli: Cli
+): Promise<ExitCode> => {
+  const version = versionOf(accepted)
+  if (version === undefined) {
+    cli.result(accepted, () => ['in force, not yet recorded: the store is unreachable; it is recorded when the store answers'])
+    return EXIT_CODES.done
+  }
+  if (!args.wait) {
+    cli.result(accepted, () => [`accepted as version ${version}`])
+    return EXIT_CODES.done
+  }
+  const late = await waitFor(client, cli, version, args.waitLimit)
+  if (late.length === 0) {
+    cli.result({ version, isRecorded: true, isInForce: true }, () => [`version ${version} is in force on all instances`])
+    return EXIT_CODES.done
+  }
+  cli.result({ version, isRecorded: true, isInForce: false, behind: late }, () =>
+    [`accepted as version ${version}; not yet in force on ${late.join(', ')}`])
+  return EXIT_CODES.notInForce
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -18,3 +18,5 @@
 export { serveInstanceList } from './http/serveInstanceList.js'
 export { serveObjects } from './http/serveObjects.js'
 export { serveTable } from './http/serveTable.js'
+export { serveDeployment } from './http/serveDeployment.js'
+export type { ServedDeployment, ServedEndpoint, ServeDeploymentOptions } from './http/serveDeployment.js'
