--- a/packages/edge/src/createApp.ts
+++ b/packages/edge/src/createApp.ts
@@ -59,7 +59,7 @@
 }
 
 const noRoute = (app: App, req: polka.Request): Failure => {
-  const isKnown = METHODS.some((method) => app.find(method, req.path).handlers.length > 0)
+  const isKnown = METHODS.some((method) => Boolean(app.find(method, req.path)))
   const isKeyed = req.headers['idempotency-key'] !== undefined
   return isKnown
     ? refuseAtEdge('method-not-allowed', `${req.method} is not offered at this path`, isKeyed)
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -78,12 +78,23 @@
   ].join('\r\n'))
 }
 
+/** A fault in finding the route must not end the process. */
+const handleSafely = ({ app, log, ids }: ListenOptions, req: polka.Request, res: ServerResponse): void => {
+  try {
+    app.handler(req, res)
+  } catch (err) {
+    log.emit(EDGE_EVENTS.handlerFailed, { path: req.url, detail: String(err) })
+    sendProblem(res, failure('internal', 'a fault of the instance', 'unknown'), ids.next())
+  }
+}
+
 /** Opens a listener; connections above the limit get an answer that says so, far above it none. */
 export const listenOn = async (options: ListenOptions): Promise<EdgeListener> => {
-  const { app, address, connections, log } = options
+  const { address, connections, log } = options
   let open = 0
+  const aboveLimit = new WeakSet<Socket>()
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
-    if (open <= connections) return app.handler(req as polka.Request, res)
+    if (!aboveLimit.has(req.socket)) return handleSafely(options, req as polka.Request, res)
     res.setHeader('connection', 'close')
     const isKeyed = req.headers['idempotency-key'] !== undefined
     sendProblem(res, refuseAtEdge('too-many-connections', 'this instance holds as many connections as it may', isKeyed), options.ids.next())
@@ -97,6 +108,7 @@
   server.maxConnections = connections + CONNECTION_MARGIN
   server.on('connection', (socket) => {
     open++
+    if (open > connections) aboveLimit.add(socket)
     if (open === connections + 1) log.emit(EDGE_EVENTS.connectionsUsedUp, { limit: connections })
     socket.on('close', () => { open-- })
   })
--- a/packages/edge/src/operators/createOperatorsApp.ts
+++ b/packages/edge/src/operators/createOperatorsApp.ts
@@ -117,8 +117,14 @@
   { method: 'POST', path: '/v1/orders', answer: giveOrder }
 ]
 
-const decodeParams = (params: Readonly<Record<string, string>>): Readonly<Record<string, string>> =>
-  Object.fromEntries(Object.entries(params).map(([name, value]) => [name, decodeURIComponent(value)]))
+/** Undefined where the path is not valid percent-encoding. */
+const decodeParams = (params: Readonly<Record<string, string>>): Readonly<Record<string, string>> | undefined => {
+  try {
+    return Object.fromEntries(Object.entries(params).map(([name, value]) => [name, decodeURIComponent(value)]))
+  } catch {
+    return undefined
+  }
+}
 
 const readInput = async (
   options: OperatorsAppOptions, { req }: Exchange, operator: string
@@ -128,11 +134,13 @@
   if (read?.isErr) return Result.err(refusal(read.error.kind, read.error.detail))
   const json = read?.isOk ? read.value.json : {}
   if (!isJsonObject(json)) return Result.err(refusal('bad-request', 'the body is a JSON object'))
+  const params = decodeParams(req.params)
+  if (params === undefined) return Result.err(refusal('bad-request', 'the path is not valid percent-encoding'))
   return Result.ok({
     instance: options.instance,
     clock: options.clock,
     operator: brand<OperatorName>(operator),
-    params: decodeParams(req.params),
+    params,
     query: new URLSearchParams(req.search ?? ''),
     body: json
   })
