--- a/packages/bench/src/moves/MoveRig.ts
+++ b/packages/bench/src/moves/MoveRig.ts
@@ -1,6 +1,7 @@
 import { brand, EventRecorder, exponential, millis, seconds, SeededRandom, tokens, VirtualClock } from '@papayahill/common'
 import type {
-  CallOutcome, DomainId, EndpointId, EpochMillis, EventRecord, InstanceId, Millis, Random, RequestId, ServiceId, StageRecord, VersionId, WorkspaceId
+  CallOutcome, DomainId, EndpointId, EpochMillis, EventRecord, InstanceId, Millis, Random, RequestId, ServiceId, StageRecord,
+  VersionId, WorkspaceId
 } from '@papayahill/common'
 import { MoveKeeper } from '@papayahill/rollout'
 import type { Moves, VersionCapacity } from '@papayahill/rollout'
--- a/packages/testbed/src/Testbed.ts
+++ b/packages/testbed/src/Testbed.ts
@@ -14,6 +14,7 @@
 import type { Result } from 'true-myth'
 import { CollectingSink } from './CollectingSink.js'
 import { FakeOrderChannel } from './FakeOrderChannel.js'
+import { TaggedLog } from './TaggedLog.js'
 import type { CallerAnswer, CallerPlan, DeploymentPlan, EndpointPlan } from './types.js'
 
 const OPERATOR = brand<OperatorName>('operator')
@@ -283,7 +284,7 @@
       region: this.#plan.config.domains.get(domain)?.region ?? brand<RegionId>('r1'),
       clock,
       random: this.#random.fork(),
-      log: this.events,
+      log: new TaggedLog(this.events, id),
       table: new GatedTable(this.table, gate),
       objects: new GatedObjectStore(this.objects, gate),
       instanceList: new GatedInstanceList(this.list, gate),
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -1,4 +1,6 @@
 export { CollectingSink } from './CollectingSink.js'
+export { deployment, readExample, spreadOver } from './deployments.js'
+export type { Deployment, DeploymentName, SampleClass } from './deployments.js'
 export { FakeOrderChannel } from './FakeOrderChannel.js'
 export { Testbed } from './Testbed.js'
 export type * from './types.js'
