--- /dev/null
+++ b/packages/bench/src/load/SimplePool.ts
@@ -0,0 +1,124 @@
+import { millis } from '@papayahill/common'
+import type { CallOutcome, Clock, EndpointId, Millis, Timer } from '@papayahill/common'
+import type {
+  EndpointAccess, EndpointConnection, EndpointLease, LeaseWant, LoadReport
+} from '@papayahill/endpoints'
+import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
+
+const LIST_PERIOD = millis(500)
+const REPORT_PERIOD = millis(200)
+
+/** What a simple policy sees of one endpoint. */
+export interface SimpleEndpoint {
+  listed: ListedEndpoint
+  connection: EndpointConnection | undefined
+  report: LoadReport | undefined
+  inFlight: number
+}
+
+/** Picks one of the connected endpoints; undefined where none may get the call. */
+export type SimplePolicy = (endpoints: readonly SimpleEndpoint[], turn: number) => SimpleEndpoint | undefined
+
+export interface SimplePoolOptions {
+  readonly clock: Clock
+  readonly access: EndpointAccess
+  readonly list: InstanceList
+  readonly policy: SimplePolicy
+}
+
+/** The part of an endpoint pool that a closed loop of calls needs. */
+export interface Leases {
+  start (): void
+  stop (): void
+  tryLease (want: LeaseWant): EndpointLease | undefined
+}
+
+const byTurn: SimplePolicy = (endpoints, turn) => endpoints[turn % Math.max(1, endpoints.length)]
+
+const leastInFlight: SimplePolicy = (endpoints) =>
+  [...endpoints].sort((left, right) => left.inFlight - right.inFlight)[0]
+
+const bearsOf = ({ connection, report }: SimpleEndpoint): number =>
+  report?.incarnation === connection?.incarnation ? report?.bears ?? 0 : 0
+
+/** What one dispatcher, which sends all work there is, does with the reports: never above what they say. */
+const byReport: SimplePolicy = (endpoints) =>
+  [...endpoints]
+    .filter((endpoint) => endpoint.inFlight < bearsOf(endpoint))
+    .sort((left, right) => bearsOf(left) - bearsOf(right))[0]
+
+/** Simple policies by name: two baselines, and the ideal single dispatcher. */
+export const SIMPLE_POLICIES = { roundRobin: byTurn, leastInFlight, ideal: byReport } as const
+
+/**
+ * A pool with a one-line policy, to compare with.
+ *
+ * @example
+ * const pool = new SimplePool({ clock, access, list, policy: SIMPLE_POLICIES.roundRobin })
+ * pool.start()
+ */
+export class SimplePool implements Leases {
+  readonly #options: SimplePoolOptions
+  readonly #endpoints = new Map<EndpointId, SimpleEndpoint>()
+  readonly #timers: Timer[] = []
+  #turn = 0
+
+  constructor (options: SimplePoolOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    const { clock } = this.#options
+    void this.#readList()
+    this.#timers.push(clock.every(LIST_PERIOD, () => { void this.#readList() }))
+    this.#timers.push(clock.every(REPORT_PERIOD, () => this.#readReports()))
+  }
+
+  stop (): void {
+    for (const timer of this.#timers) timer.cancel()
+  }
+
+  tryLease (want: LeaseWant): EndpointLease | undefined {
+    const open = [...this.#endpoints.values()].filter(({ listed, connection }) => listed.service === want.service &&
+      listed.state === 'live' && connection?.isOpen === true && !want.exclude.has(listed.id))
+    const endpoint = this.#options.policy(open, this.#turn++)
+    return endpoint === undefined ? undefined : this.#lease(endpoint)
+  }
+
+  #lease (endpoint: SimpleEndpoint): EndpointLease {
+    endpoint.inFlight++
+    return {
+      endpoint: endpoint.listed.id,
+      incarnation: endpoint.connection!.incarnation,
+      version: endpoint.listed.version,
+      domain: endpoint.listed.domain,
+      connection: endpoint.connection!,
+      release: (_outcome: CallOutcome, _took: Millis) => { endpoint.inFlight-- }
+    }
+  }
+
+  async #readList (): Promise<void> {
+    const answer = await this.#options.list.list()
+    if (answer.isErr) return
+    for (const listed of answer.value.endpoints) {
+      const known = this.#endpoints.get(listed.id)
+      if (known === undefined) this.#endpoints.set(listed.id, { listed, connection: undefined, report: undefined, inFlight: 0 })
+      else known.listed = listed
+    }
+    this.#readReports()
+  }
+
+  #readReports (): void {
+    for (const endpoint of this.#endpoints.values()) void this.#refresh(endpoint)
+  }
+
+  async #refresh (endpoint: SimpleEndpoint): Promise<void> {
+    const { access } = this.#options
+    if (endpoint.connection?.isOpen !== true) {
+      const opened = await access.open(endpoint.listed, 'plain')
+      if (opened.isOk) endpoint.connection = opened.value
+    }
+    const answer = await access.report(endpoint.listed)
+    if (answer.isOk) endpoint.report = answer.value
+  }
+}
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,1 +1,2 @@
+export { shareChannel } from './shareChannel.js'
 export type * from './types.js'
--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -9,6 +9,7 @@
 import type { ListedEndpoint } from '@papayahill/platform'
 import type { ServiceKind } from '@papayahill/settings'
 import { Result } from 'true-myth'
+import { linkSignals } from './linkSignals.js'
 import { WORK_MODELS } from './workModel.js'
 import type { WorkModel } from './workModel.js'
 
@@ -186,7 +187,9 @@
     this.#traceStart(call, instance)
     const life = this.#life
     const started = this.#clock.now()
-    const result = await this.#work(call, onChunk, AbortSignal.any([signal, abort.signal]))
+    const linked = linkSignals([signal, abort.signal])
+    const result = await this.#work(call, onChunk, linked.signal)
+    linked.release()
     this.#running.delete(runKey)
     const busy = millis(this.#clock.now() - started)
     if (result.isOk && life === this.#life) this.#completed++
--- a/packages/standins/src/FakeEndpointAccess.ts
+++ b/packages/standins/src/FakeEndpointAccess.ts
@@ -6,6 +6,7 @@
 import type { ListedEndpoint } from '@papayahill/platform'
 import { Result } from 'true-myth'
 import type { FakeEndpoint } from './FakeEndpoint.js'
+import { linkSignals } from './linkSignals.js'
 
 const NOT_CONNECTED: CallError = { outcome: 'not-sent', detail: 'connection refused' }
 
@@ -145,7 +146,9 @@
     const timeout = new AbortController()
     const timer = this.#clock.after(call.timeout, () => timeout.abort())
     await this.#clock.sleep(this.#delay)
-    const result = await this.#serve(call, onChunk, AbortSignal.any([signal, timeout.signal]))
+    const linked = linkSignals([signal, timeout.signal])
+    const result = await this.#serve(call, onChunk, linked.signal)
+    linked.release()
     await this.#clock.sleep(this.#delay)
     timer.cancel()
     const isTimeout = result.isErr && result.error.outcome === 'cancelled' && !signal.aborted
