Bench cold-start: cut off instances, intermittent callers, faults near restarts

Change: instances cut off from store and peers, callers that come and go, and a slower warm-up, so that the window is there.

--- a/packages/bench/src/load/ColdRun.ts
+++ b/packages/bench/src/load/ColdRun.ts
@@ -14,6 +14,7 @@
 } from '@papayahill/standins'
 import type { WorkModel } from '@papayahill/standins'
 import type { ColdFault, ColdScenario } from './coldScenario.js'
+import { CuttableTable } from './CuttableTable.js'
 import { ROSTER_ROW, RosterReader } from './RosterReader.js'
 import { SIMPLE_POLICIES, SimplePool } from './SimplePool.js'
 import type { Leases } from './SimplePool.js'
@@ -25,6 +26,8 @@
 const DOMAIN = brand<DomainId>('d1')
 const REGION = brand<RegionId>('r1')
 const CALLS_AT_ONCE = 12
+/** Mean time for which callers come, or stay away, where they are intermittent. */
+const ASKED_SPAN = 600
 const RETRY = millis(20)
 const WATCH_PERIOD = millis(20)
 const REMOVAL_DELAY = millis(1000)
@@ -34,7 +37,7 @@
 /** How long the roster record keeps those that left. */
 const DEPARTED_KEPT = 32
 
-const MODEL: WorkModel = { ...WORK_MODELS.plain, callTime: millis(120), bearsCold: 2, bearsWarm: 8, completedPerStep: 3 }
+const MODEL: WorkModel = { ...WORK_MODELS.plain, callTime: millis(120), bearsCold: 2, bearsWarm: 8, completedPerStep: 10 }
 
 const WANT: LeaseWant = {
   service: SERVICE,
@@ -55,11 +58,14 @@
 interface Member {
   readonly life: RosterLife
   readonly gate: LifeGate
+  readonly table: CuttableTable
   readonly leases: Leases
   readonly stop: () => void
   /** Most calls of its callers at once. */
   readonly atOnce: number
   isServing: boolean
+  /** Whether callers come now. */
+  isAsked: boolean
   running: number
 }
 
@@ -139,7 +145,8 @@
       clock: this.#clock, random: this.#random.fork(), fleet: this.#fleet, instance: id, lag: this.#scenario.reportLag
     }), gate)
     const list = new GatedInstanceList(this.#list, gate)
-    const roster = new RosterReader({ self: peers.incarnation, clock, table: new GatedTable(this.#table, gate) })
+    const table = new CuttableTable(new GatedTable(this.#table, gate))
+    const roster = new RosterReader({ self: peers.incarnation, clock, table })
     const leases = this.#policy === 'papayahill' || this.#policy === 'staleRoster'
       ? this.#realTable(life, clock, access, list, roster, shareChannel(peers))
       : new SimplePool({ clock, access, list, policy: SIMPLE_POLICIES[this.#policy] })
@@ -148,12 +155,20 @@
       leases.stop()
       roster.stop()
     }
-    const member: Member = { life, gate, leases, stop, atOnce, isServing: true, running: 0 }
+    const member: Member = { life, gate, table, leases, stop, atOnce, isServing: true, isAsked: true, running: 0 }
     this.#members.push(member)
     this.#write([...this.#record.members, life], this.#record.departed)
     roster.start()
     leases.start()
     clock.every(RETRY, () => this.#serve(member))
+    if (this.#scenario.isIntermittent && this.#policy !== 'ideal') this.#comeAndGo(member)
+  }
+
+  #comeAndGo (member: Member): void {
+    this.#clock.after(millis(this.#random.below(2 * ASKED_SPAN)), () => {
+      member.isAsked = !member.isAsked
+      this.#comeAndGo(member)
+    })
   }
 
   #realTable (
@@ -179,7 +194,7 @@
 
   /** A closed loop: as many calls at once as the instance's callers and the endpoints allow. */
   #serve (member: Member): void {
-    while (member.isServing && member.running < member.atOnce) {
+    while (member.isServing && member.isAsked && member.running < member.atOnce) {
       const lease = member.leases.tryLease(WANT)
       if (lease === undefined) return
       void this.#call(member, lease)
@@ -230,7 +245,8 @@
     if (fault.kind === 'pause') return this.#pause(member, fault.span)
     if (fault.kind === 'crash') return this.#crash(member)
     if (fault.kind === 'leave') return this.#leave(member)
-    this.#pause(member, fault.span)
+    if (fault.kind === 'cut-off') this.#cutOff(member, fault.span)
+    else this.#pause(member, fault.span)
     this.#clock.after(REMOVAL_DELAY, () => this.#remove(member))
   }
 
@@ -260,6 +276,16 @@
     })
   }
 
+  #cutOff (member: Member, span: Millis): void {
+    const others = this.#members.filter((other) => other !== member).map((other) => other.life.id)
+    member.table.isCut = true
+    for (const other of others) this.#network.cut(member.life.id, other)
+    this.#clock.after(span, () => {
+      member.table.isCut = false
+      for (const other of others) this.#network.heal(member.life.id, other)
+    })
+  }
+
   #crash (member: Member): void {
     this.#kill(member)
     this.#clock.after(REMOVAL_DELAY, () => this.#remove(member))
--- a/packages/bench/src/load/coldScenario.ts
+++ b/packages/bench/src/load/coldScenario.ts
@@ -1,4 +1,4 @@
-import { millis, SeededRandom } from '@papayahill/common'
+import { millis, pickOne, SeededRandom } from '@papayahill/common'
 import type { Millis, Random } from '@papayahill/common'
 
 /** What happens in a scenario; numbers name endpoints or instances by their place. */
@@ -8,6 +8,8 @@
   | { readonly kind: 'pause', readonly instance: number, readonly span: Millis }
   /** Paused so long that the others remove it from the roster; it wakes up afterwards. */
   | { readonly kind: 'remove-paused', readonly instance: number, readonly span: Millis }
+  /** Cut off from the store and the other instances, which remove it; it still reaches endpoints and callers. */
+  | { readonly kind: 'cut-off', readonly instance: number, readonly span: Millis }
   | { readonly kind: 'crash', readonly instance: number }
   | { readonly kind: 'leave', readonly instance: number }
   | { readonly kind: 'join' }
@@ -25,6 +27,8 @@
   readonly reportLag: Millis
   readonly listLag: Millis
   readonly span: Millis
+  /** Whether the callers of each instance come and go, so that its slots lie idle at times. */
+  readonly isIntermittent: boolean
   readonly faults: readonly TimedFault[]
 }
 
@@ -35,11 +39,16 @@
 const INSTANCES_RANGE = 7
 const ENDPOINTS = 2
 const SILENT_SHARE = 0.3
+const INTERMITTENT_SHARE = 0.33
+/** Faults around a restart come from this long before it on, within this span. */
+const NEAR_FROM = -4000
+const NEAR_SPAN = 6000
 
 /** Faults beside restarts, each with its rate per scenario. */
 const RATES: ReadonlyArray<{ readonly mean: number, readonly make: (random: Random, instances: number) => ColdFault }> = [
   { mean: 1, make: (random, instances) => ({ kind: 'pause', instance: random.below(instances), span: millis(200 + random.below(4000)) }) },
   { mean: 0.7, make: (random, instances) => ({ kind: 'remove-paused', instance: random.below(instances), span: millis(1500 + random.below(5000)) }) },
+  { mean: 0.7, make: (random, instances) => ({ kind: 'cut-off', instance: random.below(instances), span: millis(3000 + random.below(5000)) }) },
   { mean: 0.4, make: (random, instances) => ({ kind: 'crash', instance: random.below(instances) }) },
   { mean: 0.4, make: (random, instances) => ({ kind: 'leave', instance: random.below(instances) }) },
   { mean: 0.8, make: () => ({ kind: 'join' }) },
@@ -55,10 +64,14 @@
   return faults
 }
 
-/** Times of a fault with a mean count over the scenario; near restarts as often as anywhere. */
-const timesOf = (random: Random, mean: number): readonly Millis[] => {
+/** Times of a fault with a mean count over the scenario: half of them around a restart, where they do most harm. */
+const timesOf = (random: Random, mean: number, restarts: readonly TimedFault[]): readonly Millis[] => {
   const count = Math.floor(mean) + (random.next() < mean % 1 ? 1 : 0)
-  return Array.from({ length: count }, () => millis(random.below(SPAN)))
+  return Array.from({ length: count }, () => {
+    const restart = random.next() < 0.5 ? pickOne(random, restarts) : undefined
+    if (restart === undefined) return millis(random.below(SPAN))
+    return millis(Math.max(0, restart.at + NEAR_FROM + random.below(NEAR_SPAN)))
+  })
 }
 
 /**
@@ -73,7 +86,7 @@
   const instances = INSTANCES_MIN + random.below(INSTANCES_RANGE)
   const restarts = Array.from({ length: ENDPOINTS }, (_, endpoint) => restartsOf(random, endpoint)).flat()
   const others = RATES.flatMap(({ mean, make }) =>
-    timesOf(random, mean).map((at) => ({ at, fault: make(random, instances) })))
+    timesOf(random, mean, restarts).map((at) => ({ at, fault: make(random, instances) })))
   return {
     seed,
     instances,
@@ -81,6 +94,7 @@
     reportLag: millis(50 + random.below(750)),
     listLag: millis(100 + random.below(1400)),
     span: SPAN,
+    isIntermittent: random.next() < INTERMITTENT_SHARE,
     faults: [...restarts, ...others].sort((left, right) => left.at - right.at)
   }
 }
