--- /dev/null
+++ b/packages/bench/src/rig/CallerSink.ts
@@ -0,0 +1,29 @@
+import { millis } from '@papayahill/common'
+import type { Clock } from '@papayahill/common'
+import type { AnswerChunk, AnswerSink } from '@papayahill/pipeline'
+import type { CallerRecord } from './types.js'
+
+/** A caller that reads at once and writes down when each chunk came. */
+export class CallerSink implements AnswerSink {
+  readonly #clock: Clock
+  readonly #record: CallerRecord
+
+  constructor (clock: Clock, record: CallerRecord) {
+    this.#clock = clock
+    this.#record = record
+  }
+
+  chunk (chunk: AnswerChunk): boolean {
+    const now = this.#clock.now()
+    const record = this.#record
+    if (record.lastChunkAt !== undefined) record.worstGap = millis(Math.max(record.worstGap, now - record.lastChunkAt))
+    record.firstChunkAt ??= now
+    record.lastChunkAt = now
+    record.chunks.push(chunk.index)
+    return true
+  }
+
+  drained (): Promise<void> {
+    return Promise.resolve()
+  }
+}
--- /dev/null
+++ b/packages/bench/src/rig/baselines.ts
@@ -0,0 +1,119 @@
+import { failure, isSameCall, millis, tokens } from '@papayahill/common'
+import type { EndpointId, Failure, Json, Millis, ServiceId } from '@papayahill/common'
+import type { EndpointConnection, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
+import type { Answer, AnswerSink, CallerRequest } from '@papayahill/pipeline'
+import type { FakeEndpoint } from '@papayahill/standins'
+import { Result } from 'true-myth'
+import type { Runner, RunnerFactory, RunnerOptions } from './World.js'
+
+const NO_USAGE = { tokensIn: tokens(0), tokensCached: tokens(0), tokensOut: tokens(0), busy: millis(0) }
+
+/** Picks an endpoint among those that the platform lists as live. */
+type Pick = (endpoints: readonly FakeEndpoint[], inFlight: ReadonlyMap<EndpointId, number>) => FakeEndpoint | undefined
+
+/** A plain balancer: picks an endpoint and sends, with no queue, no admission and one retry. */
+class PlainBalancer implements Runner {
+  readonly #options: RunnerOptions
+  readonly #pick: Pick
+  readonly #inFlight = new Map<EndpointId, number>()
+  readonly #connections = new Map<EndpointId, EndpointConnection>()
+
+  constructor (options: RunnerOptions, pick: Pick) {
+    this.#options = options
+    this.#pick = pick
+  }
+
+  async run (request: CallerRequest, sink: AnswerSink): Promise<Result<Answer, Failure>> {
+    const { config, clock } = this.#options.world
+    const settings = config.classes.get(request.class)!
+    const { stages } = config.pipelines.get(settings.pipeline)!
+    const deadline = request.startedAt + settings.target.deadline
+    let previous: Json = null
+    let chunks = 0
+    const onChunk = (chunk: StageChunk): void => {
+      if (chunk.index === chunks) sink.chunk({ index: chunks++, text: chunk.text })
+    }
+    for (const [index, stage] of stages.entries()) {
+      const isStreamed = request.isStreamed && index === stages.length - 1
+      const attempts = settings.repeatable ? 2 : 1
+      const left = (): Millis => millis(deadline - clock.now())
+      const answer = await this.#call(request, stage.service, stage.id, left, { previous, isStreamed, attempts, onChunk })
+      if (answer === undefined) return Result.err(failure('stage-failed', `stage ${stage.id} failed`, 'unknown'))
+      previous = answer.body
+    }
+    return Result.ok({ request: request.id, body: previous, chunks, isReplayed: false, usage: NO_USAGE })
+  }
+
+  async #call (
+    request: CallerRequest, service: ServiceId, stage: StageCall['id']['stage'], left: () => Millis,
+    how: {
+      readonly previous: Json, readonly isStreamed: boolean, readonly attempts: number, readonly onChunk: (chunk: StageChunk) => void
+    }
+  ): Promise<StageAnswer | undefined> {
+    const { kind } = this.#options.world.config.services.get(service)!
+    for (let attempt = 1; attempt <= how.attempts; attempt++) {
+      if (left() <= 0) return undefined
+      const endpoint = this.#pick(this.#listed(service), this.#inFlight)
+      const connection = endpoint && await this.#connect(endpoint)
+      if (endpoint === undefined || connection === undefined) continue
+      const call: StageCall = {
+        id: { request: request.id, stage, attempt },
+        service,
+        kind,
+        class: request.class,
+        workspace: request.workspace,
+        body: how.previous,
+        key: kind === 'plain' ? request.key : undefined,
+        priority: 0,
+        timeout: left(),
+        isStreamed: how.isStreamed
+      }
+      const answer = await this.#send(endpoint, connection, call, how.onChunk)
+      if (answer !== undefined) return answer
+    }
+    return undefined
+  }
+
+  async #send (
+    endpoint: FakeEndpoint, connection: EndpointConnection, call: StageCall, onChunk: (chunk: StageChunk) => void
+  ): Promise<StageAnswer | undefined> {
+    this.#count(endpoint.listed.id, 1)
+    const result = await connection.call(call, onChunk, new AbortController().signal)
+    this.#count(endpoint.listed.id, -1)
+    return result.isOk && isSameCall(result.value.call, call.id) ? result.value : undefined
+  }
+
+  #listed (service: ServiceId): readonly FakeEndpoint[] {
+    const { world, self } = this.#options
+    const out = world.domainsOut(self)
+    return world.endpointsOf(service).filter(({ listed }) => !out.has(listed.domain))
+  }
+
+  async #connect (endpoint: FakeEndpoint): Promise<EndpointConnection | undefined> {
+    const known = this.#connections.get(endpoint.listed.id)
+    if (known?.isOpen === true) return known
+    const opened = await this.#options.access.open(endpoint.listed)
+    if (opened.isErr) return undefined
+    this.#connections.set(endpoint.listed.id, opened.value)
+    return opened.value
+  }
+
+  #count (endpoint: EndpointId, change: number): void {
+    this.#inFlight.set(endpoint, (this.#inFlight.get(endpoint) ?? 0) + change)
+  }
+}
+
+/** Takes turns, first come first served, without admission. */
+export const roundRobin: RunnerFactory = (options) => {
+  let turn = options.random.below(1000)
+  return new PlainBalancer(options, (endpoints) => endpoints[turn++ % endpoints.length])
+}
+
+/** Sends to the endpoint with the fewest of this instance's own calls. */
+export const leastInFlight: RunnerFactory = (options) =>
+  new PlainBalancer(options, (endpoints, inFlight) => {
+    const counts = endpoints.map((endpoint) => inFlight.get(endpoint.listed.id) ?? 0)
+    const least = Math.min(...counts)
+    const best = endpoints.filter((_, index) => counts[index] === least)
+    return best[options.random.below(best.length)]
+  })
--- /dev/null
+++ b/packages/bench/src/rig/capacityOf.ts
@@ -0,0 +1,31 @@
+import { MILLIS_PER_SECOND } from '@papayahill/common'
+import type { ServiceId } from '@papayahill/common'
+import type { WorkModel } from '@papayahill/standins'
+import type { Deployment, ServicePlan } from './types.js'
+
+/** Time that one call holds a slot, by the stand-in's work model, without cached prefixes. */
+export const holdTime = (model: WorkModel): number => model.callTime + Math.max(0, model.chunks - 1) * model.chunkGap
+
+const perSecond = (plan: ServicePlan): number =>
+  plan.replicas * plan.model.bearsWarm * MILLIS_PER_SECOND / holdTime(plan.model)
+
+/** Calls of a service that one request of the mix needs, on average. */
+const callsPerRequest = (deployment: Deployment, service: ServiceId): number => {
+  const total = [...deployment.mix.values()].reduce((sum, share) => sum + share, 0)
+  let calls = 0
+  for (const [classId, share] of deployment.mix) {
+    const settings = deployment.config.classes.get(classId)!
+    const { stages } = deployment.config.pipelines.get(settings.pipeline)!
+    calls += share / total * stages.filter((stage) => stage.service === service).length
+  }
+  return calls
+}
+
+/** Requests of the mix that a deployment can finish per second: what its tightest service bears. */
+export const capacityOf = (deployment: Deployment): number => {
+  const limits = deployment.services.map((plan) => {
+    const calls = callsPerRequest(deployment, plan.service)
+    return calls === 0 ? Infinity : perSecond(plan) / calls
+  })
+  return Math.min(...limits)
+}
--- /dev/null
+++ b/packages/bench/src/rig/deployments.ts
@@ -0,0 +1,167 @@
+import { brand, millis, seconds } from '@papayahill/common'
+import type {
+  ClassId, DomainId, Millis, PipelineId, RegionId, ServiceId, StageId, VersionId, WorkspaceId
+} from '@papayahill/common'
+import { EMPTY_CONFIG } from '@papayahill/settings'
+import type { ClassSettings, OperatorConfig, PipelineSettings, ServiceKind, ServiceSettings } from '@papayahill/settings'
+import { STANDIN_PRICES, WORK_MODELS } from '@papayahill/standins'
+import type { WorkModel } from '@papayahill/standins'
+import type { Deployment } from './types.js'
+
+interface ServiceSketch {
+  readonly kind: ServiceKind
+  readonly replicas: number
+  readonly model?: Partial<WorkModel>
+}
+
+interface ClassSketch {
+  /** Services in the order of the stages. */
+  readonly stages: readonly string[]
+  readonly deadline: Millis
+  readonly firstChunk?: Millis
+  readonly betweenChunks?: Millis
+  readonly attainment: number
+  readonly share: number
+  readonly isOnce?: boolean
+}
+
+interface Sketch {
+  readonly name: string
+  readonly domains: readonly string[]
+  readonly services: Readonly<Record<string, ServiceSketch>>
+  readonly classes: Readonly<Record<string, ClassSketch>>
+  readonly workspaces: Readonly<Record<string, number>>
+}
+
+export const VERSION = brand<VersionId>('v1')
+const INSTANCES = 7
+const CALL_TIMEOUT = seconds(10)
+const REGION = brand<RegionId>('home')
+
+/** Callers read these all day, so that few calls at once make a busy service. */
+const COUNTER: Partial<WorkModel> = { bearsWarm: 3 }
+
+const STAGE_POOLS: Readonly<Record<string, ServiceSketch>> = {
+  encoders: { kind: 'encoder', replicas: 2 },
+  retrievers: { kind: 'retriever', replicas: 2 },
+  rerankers: { kind: 'reranker', replicas: 2 }
+}
+
+const CONSORCIO: Sketch = {
+  name: 'consorcio',
+  domains: ['santiago-a', 'santiago-b', 'santiago-c', 'santiago-d'],
+  services: {
+    ...STAGE_POOLS,
+    assistant: { kind: 'engine', replicas: 6 },
+    orders: { kind: 'plain', replicas: 4 },
+    storefronts: { kind: 'plain', replicas: 4, model: COUNTER },
+    dispatch: { kind: 'plain', replicas: 4 },
+    accounts: { kind: 'plain', replicas: 4 }
+  },
+  classes: {
+    'stock-lookup': { stages: ['accounts', 'storefronts'], deadline: millis(300), attainment: 0.98, share: 180 },
+    'build-guide': {
+      stages: ['encoders', 'retrievers', 'rerankers', 'assistant'],
+      deadline: seconds(8),
+      firstChunk: millis(1200),
+      betweenChunks: millis(49),
+      attainment: 0.95,
+      share: 53
+    },
+    'loop-question': { stages: ['encoders', 'retrievers', 'assistant'], deadline: seconds(4), attainment: 0.95, share: 39 },
+    'catalogue-check': {
+      stages: ['encoders', 'retrievers', 'rerankers', 'assistant'], deadline: seconds(8), attainment: 0.9, share: 39
+    },
+    'stock-report': { stages: ['storefronts'], deadline: seconds(5), attainment: 0.9, share: 220 },
+    reservation: { stages: ['storefronts', 'dispatch'], deadline: seconds(2), attainment: 0.95, share: 35, isOnce: true },
+    order: { stages: ['accounts', 'orders'], deadline: seconds(3), attainment: 0.95, share: 40, isOnce: true }
+  },
+  workspaces: { altura: 5, brisa: 3, canela: 1, duna: 0.5, espuma: 0.5 }
+}
+
+const TRADE_OFFICE: Sketch = {
+  name: 'trade-office',
+  domains: ['ub-north', 'ub-south', 'ub-east', 'ub-west'],
+  services: {
+    ...STAGE_POOLS,
+    language: { kind: 'engine', replicas: 8 },
+    booking: { kind: 'plain', replicas: 4 },
+    fees: { kind: 'plain', replicas: 4 },
+    'vendor-roll': { kind: 'plain', replicas: 4, model: COUNTER },
+    inspection: { kind: 'plain', replicas: 4 }
+  },
+  classes: {
+    'rota-read': { stages: ['vendor-roll'], deadline: millis(250), attainment: 0.99, share: 180 },
+    'notice-reply': { stages: ['encoders', 'retrievers', 'language'], deadline: millis(1800), attainment: 0.95, share: 60 },
+    'permit-summary': {
+      stages: ['encoders', 'retrievers', 'rerankers', 'language'],
+      deadline: seconds(8),
+      firstChunk: seconds(3),
+      betweenChunks: millis(49),
+      attainment: 0.95,
+      share: 57
+    },
+    'dispute-letter': {
+      stages: ['encoders', 'retrievers', 'rerankers', 'language'], deadline: seconds(8), attainment: 0.9, share: 57
+    },
+    'roll-export': { stages: ['vendor-roll', 'inspection'], deadline: seconds(5), attainment: 0.9, share: 250 },
+    'pitch-booking': { stages: ['booking', 'fees'], deadline: seconds(3), attainment: 0.95, share: 50, isOnce: true }
+  },
+  workspaces: { bayanzurkh: 5, chingeltei: 2, sukhbaatar: 2, nalaikh: 0.5, baganuur: 0.5 }
+}
+
+const serviceOf = (id: string, sketch: ServiceSketch): ServiceSettings => ({
+  id: brand<ServiceId>(id),
+  kind: sketch.kind,
+  prices: STANDIN_PRICES[sketch.kind],
+  checksFencing: true,
+  statusLookup: false,
+  callTimeout: CALL_TIMEOUT,
+  version: VERSION
+})
+
+const classOf = (id: string, sketch: ClassSketch): ClassSettings => ({
+  id: brand<ClassId>(id),
+  pipeline: brand<PipelineId>(id),
+  target: {
+    deadline: sketch.deadline,
+    firstChunk: sketch.firstChunk,
+    betweenChunks: sketch.betweenChunks,
+    attainment: sketch.attainment
+  },
+  repeatable: sketch.isOnce !== true,
+  keyRequired: sketch.isOnce === true,
+  streamed: sketch.firstChunk !== undefined
+})
+
+const pipelineOf = (id: string, sketch: ClassSketch): PipelineSettings => ({
+  id: brand<PipelineId>(id),
+  stages: sketch.stages.map((service) => ({ id: brand<StageId>(service), service: brand<ServiceId>(service) }))
+})
+
+const byId = <Settings extends { readonly id: unknown }>(all: readonly Settings[]): Map<Settings['id'], Settings> =>
+  new Map(all.map((settings) => [settings.id, settings]))
+
+const configOf = (sketch: Sketch): OperatorConfig => ({
+  ...EMPTY_CONFIG,
+  services: byId(Object.entries(sketch.services).map(([id, service]) => serviceOf(id, service))),
+  classes: byId(Object.entries(sketch.classes).map(([id, each]) => classOf(id, each))),
+  pipelines: byId(Object.entries(sketch.classes).map(([id, each]) => pipelineOf(id, each))),
+  workspaces: byId(Object.keys(sketch.workspaces).map((id) => ({ id: brand<WorkspaceId>(id) }))),
+  domains: byId(sketch.domains.map((id) => ({ id: brand<DomainId>(id), region: REGION })))
+})
+
+const deploymentOf = (sketch: Sketch): Deployment => ({
+  name: sketch.name,
+  domains: sketch.domains.map((id) => brand<DomainId>(id)),
+  instances: INSTANCES,
+  config: configOf(sketch),
+  services: Object.entries(sketch.services).map(([id, { kind, replicas, model }]) => ({
+    service: brand<ServiceId>(id), replicas, model: { ...WORK_MODELS[kind], ...model }
+  })),
+  mix: new Map(Object.entries(sketch.classes).map(([id, each]) => [brand<ClassId>(id), each.share])),
+  workspaces: new Map(Object.entries(sketch.workspaces).map(([id, weight]) => [brand<WorkspaceId>(id), weight]))
+})
+
+/** The two deployments at today's sizes, with classes made from what their users do. */
+export const DEPLOYMENTS: readonly Deployment[] = [CONSORCIO, TRADE_OFFICE].map(deploymentOf)
--- /dev/null
+++ b/packages/bench/src/rig/types.ts
@@ -0,0 +1,48 @@
+import type {
+  ClassId, DomainId, EndpointId, ErrorKind, IdempotencyKey, Millis, RequestId, Run, ServiceId, WorkspaceId
+} from '@papayahill/common'
+import type { OperatorConfig } from '@papayahill/settings'
+import type { WorkModel } from '@papayahill/standins'
+
+export interface ServicePlan {
+  readonly service: ServiceId
+  readonly replicas: number
+  readonly model: WorkModel
+}
+
+/** A deployment's size and traffic. */
+export interface Deployment {
+  readonly name: string
+  readonly domains: readonly DomainId[]
+  readonly instances: number
+  readonly config: OperatorConfig
+  readonly services: readonly ServicePlan[]
+  /** Relative shares of requests. */
+  readonly mix: ReadonlyMap<ClassId, number>
+  readonly workspaces: ReadonlyMap<WorkspaceId, number>
+}
+
+/** One request as its caller saw it. */
+export interface CallerRecord {
+  readonly request: RequestId
+  readonly class: ClassId
+  readonly workspace: WorkspaceId
+  readonly key: IdempotencyKey | undefined
+  readonly sentAt: Millis
+  endedAt?: Millis
+  firstChunkAt?: Millis
+  lastChunkAt?: Millis
+  worstGap: Millis
+  chunks: number[]
+  outcome?: 'answered' | 'refused' | 'failed'
+  error?: ErrorKind
+  run?: Run
+  retryAfter?: Millis
+  isWhole: boolean
+}
+
+export interface FleetEndpoint {
+  readonly id: EndpointId
+  readonly domain: DomainId
+  readonly service: ServiceId
+}
