--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -4,6 +4,6 @@
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
   'moves-good': () => import('./benches/moves-good.js'),
   drain: () => import('./benches/drain.js'),
-  attainment: () => import('./benches/attainment.js')
+  attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
 }
