The demo: three instances on loopback before stand-ins in one process

Cause: a newcomer had nothing to run. Change: papayahill demo sends all classes over HTTP, takes a failure domain out and back, starts a move, and judges by the callers' and the stand-ins' own records.

--- a/apps/papayahill/src/commands/demo.ts
+++ b/apps/papayahill/src/commands/demo.ts
@@ -1,4 +1,4 @@
-import { CliFailure } from '../CliFailure.js'
+import { runDemo } from '../demo/runDemo.js'
 import { EXIT_CODES } from '../exitCodes.js'
 import { defineCommand } from '../types.js'
 
@@ -7,5 +7,8 @@
   command: 'demo',
   describe: 'Run three instances before stand-ins in this process and show what they do',
   builder: (argv) => argv.option('seed', { type: 'number', default: 1, describe: 'Seed of the run' }),
-  run: () => { throw new CliFailure('the demo is not there yet; see docs/RUNNING.md for real processes', EXIT_CODES.refused) }
+  run: async (args, cli) => {
+    const isKept = await runDemo(cli, args.seed)
+    return isKept ? EXIT_CODES.done : EXIT_CODES.refused
+  }
 })
--- /dev/null
+++ b/apps/papayahill/src/demo/showDemo.ts
@@ -0,0 +1,82 @@
+import type { JsonObject } from '@papayahill/common'
+import { checkPromises } from '@papayahill/invariants'
+import type { Trace } from '@papayahill/invariants'
+import type { OperatorConfig } from '@papayahill/settings'
+import { formatTable } from '../table.js'
+import type { CallerBook } from './CallerBook.js'
+
+const PERCENT = 100
+const MICRO_UNITS = 1_000_000
+const DECIMALS = 4
+
+/** What the demo counted, by the callers' and the stand-ins' own records. */
+export interface DemoVerdict {
+  readonly lost: number
+  readonly doubled: number
+  readonly crossed: number
+  readonly broken: readonly string[]
+}
+
+export interface CostLine {
+  readonly class: string
+  readonly stage: string
+  readonly use: string
+  readonly calls: number
+  readonly cost: number
+}
+
+const countMatching = (details: readonly string[], pattern: RegExp): number =>
+  details.filter((detail) => pattern.test(detail)).length
+
+/** Judges the trace that callers and stand-ins wrote. */
+export const judgeDemo = (trace: Trace): DemoVerdict => {
+  const breaches = checkPromises(trace)
+  const details = (promise: string): readonly string[] =>
+    breaches.filter((breach) => breach.promise === promise).map(({ detail }) => detail)
+  const results = details('results-intact')
+  return {
+    lost: countMatching(results, /lost/) + details('answers-whole').length,
+    doubled: countMatching(results, /times$/) + details('at-most-once').length,
+    crossed: countMatching(results, /made for/),
+    broken: breaches.map(({ promise, detail }) => `${promise}: ${detail}`)
+  }
+}
+
+/** Attainment of each class as its callers saw it. */
+export const attainmentTable = (book: CallerBook, config: OperatorConfig): readonly string[] => formatTable(
+  ['class', 'sent', 'met %', 'target %', 'refused', 'failed', 'p95 ms'],
+  book.lines(config).map((line) => [
+    line.class,
+    line.sent,
+    line.sent === 0 ? '-' : Math.round(line.met / line.sent * PERCENT * 10) / 10,
+    line.target * PERCENT,
+    line.refused,
+    line.failed,
+    line.p95
+  ])
+)
+
+/** Cost by stage, with waste on its own lines. */
+export const costTable = (lines: readonly CostLine[]): readonly string[] => {
+  const sums = new Map<string, { stage: string, use: string, calls: number, cost: number }>()
+  for (const { stage, use, calls, cost } of lines) {
+    const sum = sums.get(`${stage} ${use}`) ?? { stage, use, calls: 0, cost: 0 }
+    sum.calls += calls
+    sum.cost += cost
+    sums.set(`${stage} ${use}`, sum)
+  }
+  const rows = [...sums.values()].sort((left, right) => right.cost - left.cost)
+  return formatTable(['stage', 'use', 'calls', 'cost'], rows.map(({ stage, use, calls, cost }) =>
+    [stage, use, calls, (cost / MICRO_UNITS).toFixed(DECIMALS)]))
+}
+
+/** Refusals and failures by kind. */
+export const errorLines = (book: CallerBook): readonly string[] => {
+  const errors = [...book.errors()]
+  if (errors.length === 0) return ['none']
+  return errors.map(([kind, count]) => `${String(count).padStart(5)}  ${kind}`)
+}
+
+/** One move as its status says. */
+export const moveLine = (move: JsonObject): string =>
+  `${String(move.service)} ${String(move.from)} to ${String(move.to)}: ${String(move.state)} (${String(move.because)})`
--- a/apps/papayahilld/src/index.ts
+++ b/apps/papayahilld/src/index.ts
@@ -1,1 +1,2 @@
+export { Daemon } from './Daemon.js'
 export { PAPAYAHILLD_EVENTS } from './events.js'
