Roster and configuration tested with several instances

Cause: joining two histories looped, since the joiner looked at its own row before the joined one. Change: changes that follow are taken first; a later life of an instance is never pushed out by an earlier one; settings' codec and checks in use.

--- /dev/null
+++ b/packages/bench/src/state/StateRig.ts
@@ -0,0 +1,132 @@
+import { ClaimKeeper } from '@papayahill/claims'
+import type { KeyLookUp } from '@papayahill/claims'
+import { brand, EventRecorder, SeededRandom, VirtualClock } from '@papayahill/common'
+import type { DomainId, InstanceId, Millis } from '@papayahill/common'
+import { ConfigKeeper, RosterKeeper } from '@papayahill/control'
+import type { TableService } from '@papayahill/platform'
+import { FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock, GatedObjectStore, GatedTable, LifeGate } from '@papayahill/standins'
+import { GatedPeers } from './GatedPeers.js'
+
+export interface StateRigOptions {
+  readonly seed: number
+  readonly instances: number
+  readonly lookUp?: KeyLookUp
+  /** Wraps each instance's way to the table. */
+  readonly tableOf?: (table: TableService) => TableService
+}
+
+/** One life of an instance with everything that keeps state in it. */
+export class StateInstance {
+  readonly id: InstanceId
+  readonly life: number
+  readonly gate = new LifeGate()
+  readonly clock: GatedClock
+  readonly events: EventRecorder
+  readonly peers: GatedPeers
+  readonly roster: RosterKeeper
+  readonly config: ConfigKeeper
+  readonly claims: ClaimKeeper
+
+  constructor (rig: StateRig, id: InstanceId, life: number, options: StateRigOptions) {
+    this.id = id
+    this.life = life
+    this.clock = new GatedClock(rig.clock, this.gate)
+    this.events = new EventRecorder(this.clock)
+    this.peers = new GatedPeers(rig.network.join(id, brand<DomainId>('d1')), this.gate)
+    const gated = new GatedTable(rig.table, this.gate)
+    const base = {
+      self: id,
+      incarnation: this.peers.incarnation,
+      clock: this.clock,
+      random: rig.random.fork(),
+      table: options.tableOf?.(gated) ?? gated,
+      peers: this.peers,
+      log: this.events
+    }
+    this.roster = new RosterKeeper(base)
+    this.config = new ConfigKeeper({ ...base, objects: new GatedObjectStore(rig.objects, this.gate), roster: this.roster })
+    this.claims = new ClaimKeeper({ ...base, roster: this.roster, lookUp: options.lookUp })
+  }
+
+  get isAlive (): boolean {
+    return !this.gate.isDead
+  }
+
+  async start (): Promise<void> {
+    await Promise.all([this.roster.start(), this.config.start()])
+    this.claims.start()
+  }
+}
+
+/** Several instances around one store and one set of links, in virtual time. */
+export class StateRig {
+  readonly clock = new VirtualClock()
+  readonly random: SeededRandom
+  readonly table: FakeTable
+  readonly objects: FakeObjectStore
+  readonly network: FakePeerNetwork
+  readonly ids: readonly InstanceId[]
+  readonly #options: StateRigOptions
+  readonly #instances = new Map<InstanceId, StateInstance>()
+  #lives = 0
+
+  constructor (options: StateRigOptions) {
+    this.#options = options
+    this.random = new SeededRandom(options.seed)
+    this.table = new FakeTable(this.clock, this.random.fork())
+    this.objects = new FakeObjectStore(this.clock)
+    this.network = new FakePeerNetwork(this.clock)
+    this.ids = Array.from({ length: options.instances }, (_, index) => brand<InstanceId>(`i${index + 1}`))
+  }
+
+  /** Living instances, paused ones among them. */
+  all (): readonly StateInstance[] {
+    return [...this.#instances.values()]
+  }
+
+  get (id: InstanceId): StateInstance {
+    const instance = this.#instances.get(id)
+    if (instance === undefined) throw new Error(`${id} does not live`)
+    return instance
+  }
+
+  at (index: number): StateInstance {
+    return this.get(this.ids[index]!)
+  }
+
+  /** Creates a new life of an instance without starting it. */
+  create (id: InstanceId): StateInstance {
+    this.#instances.get(id)?.gate.kill()
+    const instance = new StateInstance(this, id, ++this.#lives, this.#options)
+    this.#instances.set(id, instance)
+    return instance
+  }
+
+  start (id: InstanceId): StateInstance {
+    const instance = this.create(id)
+    void instance.start()
+    return instance
+  }
+
+  /** Starts every instance and lets them settle. */
+  async startAll (settle: Millis): Promise<void> {
+    for (const id of this.ids) this.start(id)
+    await this.clock.advance(settle)
+  }
+
+  kill (id: InstanceId): void {
+    this.#instances.get(id)?.gate.kill()
+    this.#instances.delete(id)
+    this.network.kill(id)
+  }
+
+  pause (id: InstanceId): void {
+    this.#instances.get(id)?.gate.pause()
+    this.network.pause(id)
+  }
+
+  resume (id: InstanceId): void {
+    this.network.resume(id)
+    this.#instances.get(id)?.gate.resume()
+  }
+}
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -1,4 +1,4 @@
-import { failure, isJsonObject, millis, refusal, SILENT_LOG } from '@papayahill/common'
+import { failure, isJsonObject, millis, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, Random, WorkspaceId } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { RowKey, TableService } from '@papayahill/platform'
@@ -14,7 +14,7 @@
 import { listingWrites, OutcomeWriter } from './OutcomeWriter.js'
 import { OwnAttempt } from './OwnAttempt.js'
 import { isKeyless, keyReused, raced, runUnknown, stillRunning, storeUnreachable } from './refusals.js'
-import type { ClaimDecision, ClaimRefusal, ClaimRequest, ClaimRoster, Claims, ClaimStatus, KeyLookUp, Resolution } from './types.js'
+import type { ClaimDecision, ClaimRequest, ClaimRoster, Claims, ClaimStatus, KeyLookUp, Resolution } from './types.js'
 
 export interface ClaimKeeperOptions {
   readonly self: InstanceId
@@ -94,17 +94,6 @@
     return refuse(raced())
   }
 
-  async refuse (request: ClaimRequest, cause: ClaimRefusal): Promise<Failure> {
-    const { kind, detail, retryAfter } = cause
-    if (isKeyless(request)) return refusal(kind, detail, { retryAfter })
-    const key = claimKey(request.workspace, request.key)
-    const read = this.#attempts.has(key) ? undefined : await this.#commits.read(key)
-    const row = read?.isOk ? readClaimRow(read.value) : undefined
-    if (row?.record !== undefined && isSettled(row.record)) return failure(kind, detail, 'ran', { retryAfter })
-    const isFenced = row !== undefined && isFree(row) && await this.#fence(row, request)
-    return isFenced ? refusal(kind, detail, { retryAfter }) : failure(kind, detail, 'unknown', { retryAfter })
-  }
-
   async unknown (): Promise<readonly ClaimStatus[]> {
     const records = await this.#listing.unknown()
     return records.map(statusOf)
@@ -213,14 +202,6 @@
     return held.digest === request.digest ? { kind: 'replay', outcome: held.outcome } : refuse(keyReused(held))
   }
 
-  /** Makes every attempt that read the row before lose its claim. */
-  async #fence (row: ClaimRow, request: ClaimRequest): Promise<boolean> {
-    const { self, incarnation, clock } = this.#options
-    const claim = newClaim(request, { owner: self, ownerIncarnation: incarnation }, `${incarnation}/${++this.#count}`, clock.wall())
-    const written = await this.#commits.write({ key: row.key, version: row.version, value: encodeClaim({ ...claim, state: 'released' }) })
-    return written.isOk
-  }
-
   #forget (key: RowKey, local: LocalAttempt): void {
     if (this.#attempts.get(key) === local) this.#attempts.delete(key)
   }
--- a/packages/claims/src/ClaimListing.ts
+++ b/packages/claims/src/ClaimListing.ts
@@ -36,7 +36,7 @@
   }
 }
 
-const isNewClaim = (write: GroupedWrite): boolean => write.version === 0 || decodeClaim(write.value)?.state === 'claimed'
+const isNewClaim = (write: GroupedWrite): boolean => decodeClaim(write.value)?.state === 'claimed'
 
 /** `claim-log/<life>` of a row's key, from which a scan goes on with the next life. */
 const endOfLife = (key: RowKey): RowKey => brand<RowKey>(key.slice(0, key.lastIndexOf('/') + 1) + LAST)
@@ -66,7 +66,7 @@
     this.#timer?.cancel()
   }
 
-  /** The log's row for the claims that a transaction makes, those that only refuse among them. */
+  /** The log's row for the claims that a transaction makes. */
   logOf (writes: readonly GroupedWrite[]): readonly RowWrite[] {
     const keys = writes.filter(isNewClaim).map((write) => write.key)
     if (keys.length === 0) return []
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -1,5 +1,5 @@
 import type {
-  BodyDigest, ClassId, ErrorKind, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, RequestId, ServiceId, WorkspaceId
+  BodyDigest, ClassId, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, RequestId, ServiceId, WorkspaceId
 } from '@papayahill/common'
 
 /** A request that may run at most once, before it is sent. */
@@ -71,20 +71,8 @@
   view (): { readonly members: readonly RosterLife[], readonly departed: readonly RosterLife[] }
 }
 
-/** Why a request is refused before it was claimed. */
-export interface ClaimRefusal {
-  readonly kind: ErrorKind
-  readonly detail: string
-  readonly retryAfter?: Millis
-}
-
 export interface Claims {
   begin (request: ClaimRequest): Promise<ClaimDecision>
-  /**
-   * The refusal of a request that will not be sent, with the truth about its key: `not-run` only once
-   * the store shows that nothing under the key ran, and keeps any attempt under way from running.
-   */
-  refuse (request: ClaimRequest, refusal: ClaimRefusal): Promise<Failure>
   /** Claims whose outcome is not known, for operators. */
   unknown (): Promise<readonly ClaimStatus[]>
   /** An operator's word on an unknown claim. */
--- a/packages/control/src/ConfigAcceptor.ts
+++ b/packages/control/src/ConfigAcceptor.ts
@@ -1,6 +1,8 @@
 import { failure, refusal } from '@papayahill/common'
 import type { EventLog, Failure, OperatorName } from '@papayahill/common'
 import type { StoreError } from '@papayahill/platform'
+import { checkConfig, formatFault } from '@papayahill/settings'
+import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { applyChanges } from './actions/applyChanges.js'
 import type { ChangeLog } from './ChangeLog.js'
@@ -30,6 +32,12 @@
   readonly base: number | undefined
 }
 
+/** The parts of a configuration must fit each other; the error names each place where they do not. */
+const fitsTogether = (config: OperatorConfig): Result<OperatorConfig, string> => {
+  const faults = checkConfig(config)
+  return faults.length === 0 ? Result.ok(config) : Result.err(faults.map(formatFault).join('; '))
+}
+
 /** Has changes accepted: committed to the log in the store, after everything that was accepted before. */
 export class ConfigAcceptor {
   readonly #options: ConfigAcceptorOptions
@@ -99,6 +107,7 @@
     const version = state.version + 1
     const { changes, author, writeId, latches } = proposal
     return applyChanges(state.config, changes, version)
+      .andThen(fitsTogether)
       .map((): LoggedChange => ({ version, author, writeId, previous: state.writeId, changes, latches }))
       .mapErr((detail) => refusal('invalid-change', detail))
   }
--- a/packages/control/src/ConfigSync.ts
+++ b/packages/control/src/ConfigSync.ts
@@ -134,10 +134,10 @@
     const { version, writeId } = log.state
     const rows = await store.readChanges(Math.max(1, version), head.version)
     if (rows.isErr) return Result.err(rows.error)
-    const own = rows.value.find((change) => change.version === version)
-    if (own !== undefined && own.writeId !== writeId) return Result.ok(false)
     this.take(rows.value)
     if (log.state.version > version) return Result.ok(true)
+    const own = rows.value.find((change) => change.version === version)
+    if (own !== undefined && own.writeId !== writeId) return Result.ok(false)
     const snapshot = await store.readSnapshot(head.snapshot)
     if (snapshot === undefined || snapshot.version <= version) return Result.ok(false)
     log.reset(snapshot)
--- a/packages/control/src/RosterKeeper.ts
+++ b/packages/control/src/RosterKeeper.ts
@@ -151,7 +151,8 @@
 
   async #join (): Promise<void> {
     const { self, incarnation, clock } = this.#options
-    const isJoined = await this.#update((record) => withMember(record, self, incarnation, clock.wall()))
+    await this.#update((record) => withMember(record, self, incarnation, clock.wall()))
+    const isJoined = this.isMember()
     if (isJoined) this.#log.emit(CONTROL_EVENTS.joined, { version: this.#record.version, again: this.#hasJoined })
     this.#hasJoined ||= isJoined
   }
--- a/packages/control/src/logRecords.ts
+++ b/packages/control/src/logRecords.ts
@@ -1,8 +1,8 @@
 import { brand, isJsonObject } from '@papayahill/common'
 import type { DomainId, Json, OperatorName } from '@papayahill/common'
+import { decodeConfig, encodeConfig } from '@papayahill/settings'
 import type { OperatorConfig } from '@papayahill/settings'
 import { z } from 'zod'
-import { decodeOperatorConfig, encodeOperatorConfig } from './configCodec.js'
 import type { ConfigChange } from './types.js'
 
 /** Names one accepted write, so that a lost answer is told apart from a lost race. */
@@ -99,20 +99,23 @@
 export const encodeHead = (head: ConfigHead): Json => plain(head)
 
 const encodeChange = (change: ConfigChange): Json =>
-  change.kind === 'replace' ? { kind: 'replace', config: encodeOperatorConfig(change.config) } : plain(change)
+  change.kind === 'replace' ? { kind: 'replace', config: encodeConfig(change.config) } : plain(change)
 
-const decodeChange = (json: { readonly kind: string, readonly config?: unknown }): ConfigChange =>
-  json.kind === 'replace'
-    ? { kind: 'replace', config: decodeOperatorConfig(json.config as Json) }
-    : json as unknown as ConfigChange
+/** Undefined where a whole configuration cannot be read; the other kinds were written as they are. */
+const decodeChange = (json: { readonly kind: string, readonly config?: unknown }): ConfigChange | undefined => {
+  if (json.kind !== 'replace') return json as unknown as ConfigChange
+  const config = decodeConfig(json.config as Json)
+  return config.isOk ? { kind: 'replace', config: config.value } : undefined
+}
 
 export const encodeState = (state: ConfigState): Json =>
-  ({ ...plain({ ...state, config: null }) as object, config: encodeOperatorConfig(state.config) })
+  ({ ...plain({ ...state, config: null }) as object, config: encodeConfig(state.config) })
 
 export const decodeState = (value: Json | undefined): ConfigState | undefined => {
   const parsed = stateSchema.safeParse(value)
-  if (!parsed.success) return undefined
-  return { ...parsed.data, author: parsed.data.author, config: decodeOperatorConfig(parsed.data.config) }
+  const config = parsed.success ? decodeConfig(parsed.data.config) : undefined
+  if (!parsed.success || !config?.isOk) return undefined
+  return { ...parsed.data, author: parsed.data.author, config: config.value }
 }
 
 export const encodeLogged = (logged: LoggedChange): Json => ({
@@ -130,8 +133,10 @@
 export const decodeLogged = (value: Json | undefined): LoggedChange | undefined => {
   const parsed = changeSchema.safeParse(value)
   if (!parsed.success) return undefined
-  const { changes, state, ...rest } = parsed.data
-  return { ...rest, changes: changes.map(decodeChange), state: decodeState(state) }
+  const { state, ...rest } = parsed.data
+  const changes = parsed.data.changes.map(decodeChange).filter((change) => change !== undefined)
+  if (changes.length < parsed.data.changes.length) return undefined
+  return { ...rest, changes, state: decodeState(state) }
 }
 
 export const encodeLatch = (latch: Latch): Json => ({ ...latch })
--- a/packages/control/src/rosterRecord.ts
+++ b/packages/control/src/rosterRecord.ts
@@ -72,11 +72,12 @@
   }
 }
 
-/** The record with one more life; earlier lives of the same instance depart. */
+/** The record with one more life; earlier lives of the same instance depart, and do not come back after a later one. */
 export const withMember = (
   record: RosterRecord, id: InstanceId, incarnation: Incarnation, now: EpochMillis
 ): RosterRecord => {
   if (hasMember(record, incarnation)) return record
+  if (record.members.some((member) => member.id === id && member.incarnation > incarnation)) return record
   const rest = withoutMembers(record, (member) => member.id === id, now)
   const version = record.version + 1
   return { ...rest, version, members: [...rest.members, { id, incarnation, joinedAt: version }] }
