--- /dev/null
+++ b/packages/bench/src/benches/at-most-once.ts
@@ -0,0 +1,49 @@
+import type { ClaimKeeperOptions, Claims } from '@papayahill/claims'
+import { MemoryClaims, ReadThenWriteClaims } from '../state/baselineClaims.js'
+import { noOrders, OrderWorld } from '../state/OrderWorld.js'
+import type { OrderCounts } from '../state/OrderWorld.js'
+import type { Bench, BenchOptions, Figures } from '../types.js'
+
+type ClaimsOf = (options: ClaimKeeperOptions) => Claims
+
+const BASELINES: Readonly<Record<string, ClaimsOf>> = {
+  memory: () => new MemoryClaims(),
+  readThenWrite: (options) => new ReadThenWriteClaims(options)
+}
+
+/** Baselines show their faults in a few seeds. */
+const BASELINE_SEEDS = 12
+
+const play = async ({ seed, seeds }: BenchOptions, claimsOf?: ClaimsOf): Promise<OrderCounts> => {
+  const total = noOrders()
+  for (let at = seed; at < seed + seeds; at++) {
+    const counts = await new OrderWorld({ seed: at, claimsOf }).run()
+    for (const name of Object.keys(total) as Array<keyof OrderCounts>) total[name] += counts[name]
+  }
+  return total
+}
+
+const figuresOf = (counts: OrderCounts): Figures => ({ ...counts, answeredShare: counts.answered / counts.orders })
+
+export const bench: Bench = {
+  name: 'at-most-once',
+  about: 'Orders through instances that die, pause and lose their store; none runs twice',
+  seeds: 300,
+  ciSeeds: 60,
+  bounds: {
+    doubled: { max: 0 },
+    falseNotRun: { max: 0 },
+    lostOutcomes: { max: 0 },
+    crossed: { max: 0 }
+  },
+  baselinesMustMiss: { memory: ['doubled'], readThenWrite: ['doubled', 'falseNotRun'] },
+  run: async (options) => {
+    const figures = figuresOf(await play(options))
+    const baselines: Record<string, Figures> = {}
+    for (const [name, claimsOf] of Object.entries(BASELINES)) {
+      const seeds = Math.min(options.seeds, BASELINE_SEEDS)
+      baselines[name] = figuresOf(await play({ seed: options.seed, seeds }, claimsOf))
+    }
+    return { figures, baselines }
+  }
+}
--- a/packages/bench/src/state/StateRig.ts
+++ b/packages/bench/src/state/StateRig.ts
@@ -1,5 +1,5 @@
 import { ClaimKeeper } from '@papayahill/claims'
-import type { KeyLookUp } from '@papayahill/claims'
+import type { ClaimKeeperOptions, Claims, KeyLookUp } from '@papayahill/claims'
 import { brand, EventRecorder, SeededRandom, VirtualClock } from '@papayahill/common'
 import type { DomainId, InstanceId, Millis } from '@papayahill/common'
 import { ConfigKeeper, RosterKeeper } from '@papayahill/control'
@@ -13,6 +13,10 @@
   readonly lookUp?: KeyLookUp
   /** Wraps each instance's way to the table. */
   readonly tableOf?: (table: TableService) => TableService
+  /** What keeps requests from running twice, where not {@link ClaimKeeper}. */
+  readonly claimsOf?: (options: ClaimKeeperOptions) => Claims
+  /** Whether instances keep a configuration; on where absent. */
+  readonly hasConfig?: boolean
 }
 
 /** One life of an instance with everything that keeps state in it. */
@@ -25,7 +29,8 @@
   readonly peers: GatedPeers
   readonly roster: RosterKeeper
   readonly config: ConfigKeeper
-  readonly claims: ClaimKeeper
+  readonly claims: Claims
+  readonly #hasConfig: boolean
 
   constructor (rig: StateRig, id: InstanceId, life: number, options: StateRigOptions) {
     this.id = id
@@ -45,7 +50,9 @@
     }
     this.roster = new RosterKeeper(base)
     this.config = new ConfigKeeper({ ...base, objects: new GatedObjectStore(rig.objects, this.gate), roster: this.roster })
-    this.claims = new ClaimKeeper({ ...base, roster: this.roster, lookUp: options.lookUp })
+    const claimOptions = { ...base, roster: this.roster, lookUp: options.lookUp }
+    this.claims = options.claimsOf?.(claimOptions) ?? new ClaimKeeper(claimOptions)
+    this.#hasConfig = options.hasConfig ?? true
   }
 
   get isAlive (): boolean {
@@ -53,8 +60,8 @@
   }
 
   async start (): Promise<void> {
-    await Promise.all([this.roster.start(), this.config.start()])
-    this.claims.start()
+    if (this.claims instanceof ClaimKeeper) this.claims.start()
+    await Promise.all([this.roster.start(), this.#hasConfig ? this.config.start() : undefined])
   }
 }
 
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -13,7 +13,8 @@
 import { askedKey, OutcomeHolder } from './OutcomeHolder.js'
 import { listingWrites, OutcomeWriter } from './OutcomeWriter.js'
 import { OwnAttempt } from './OwnAttempt.js'
-import { isKeyless, keyReused, raced, runUnknown, stillRunning, storeUnreachable } from './refusals.js'
+import { isKeyless, justPaused, keyReused, raced, runUnknown, stillRunning, storeUnreachable } from './refusals.js'
+import { PauseGuard } from './PauseGuard.js'
 import type { ClaimDecision, ClaimRequest, ClaimRoster, Claims, ClaimStatus, KeyLookUp, Resolution } from './types.js'
 
 export interface ClaimKeeperOptions {
@@ -52,6 +53,7 @@
   readonly #holder: OutcomeHolder
   readonly #listing: ClaimListing
   readonly #settler: ClaimSettler
+  readonly #pauses: PauseGuard
   readonly #attempts = new Map<RowKey, LocalAttempt>()
   #count = 0
 
@@ -60,6 +62,7 @@
     const log = options.log ?? SILENT_LOG
     this.#options = options
     this.#log = log
+    this.#pauses = new PauseGuard(clock, log)
     this.#listing = new ClaimListing({ incarnation, clock, random, table, log })
     this.#commits = new GroupCommit({ clock, table, beside: (writes) => this.#listing.logOf(writes) })
     this.#writer = new OutcomeWriter({ clock, random, commits: this.#commits, log })
@@ -71,11 +74,13 @@
   start (): void {
     this.#holder.start()
     this.#listing.start()
+    this.#pauses.start()
   }
 
   stop (): void {
     this.#holder.stop()
     this.#listing.stop()
+    this.#pauses.stop()
   }
 
   async begin (request: ClaimRequest): Promise<ClaimDecision> {
@@ -84,6 +89,7 @@
     const until = millis(clock.now() + request.patience)
     for (let tries = 0; tries < MAX_CLAIM_TRIES; tries++) {
       const local = this.#current(key)
+      if (local === undefined && this.#pauses.isQuiet) return refuse(justPaused())
       if (local === undefined) return await this.#claim(key, request, until)
       if (local.record.digest !== request.digest) return refuse(keyReused(local.record))
       const end = await local.whenEnded(millis(until - clock.now()))
--- a/packages/claims/src/OwnAttempt.ts
+++ b/packages/claims/src/OwnAttempt.ts
@@ -1,8 +1,8 @@
-import type { Clock, EventLog } from '@papayahill/common'
+import type { Clock, EventLog, Millis } from '@papayahill/common'
 import type { RowKey } from '@papayahill/platform'
 import { withOutcome } from './claimRecord.js'
 import type { ClaimRecord } from './claimRecord.js'
-import { FINISH_WAIT, HOLD_AFTER, HOLDERS } from './constants.js'
+import { FINISH_WAIT, HOLD_AFTER, HOLD_AGAIN, HOLDERS } from './constants.js'
 import { CLAIMS_EVENTS } from './events.js'
 import type { LocalAttempt } from './LocalAttempt.js'
 import type { OutcomeHolder } from './OutcomeHolder.js'
@@ -59,17 +59,18 @@
     await Promise.race([this.#write({ ...local.record, state: 'unknown' }), clock.sleep(FINISH_WAIT)])
   }
 
-  /** Into the store or, where that takes long, into the hands of peers as well. */
+  /** Into the store or, where that takes long, into the hands of peers; goes on until one of the two has it. */
   async #keep (record: ClaimRecord): Promise<void> {
     const { clock, holder, log } = this.#options
     const written = this.#write(record)
-    const isQuick = await Promise.race([written.then(() => true), clock.sleep(HOLD_AFTER).then(() => false)])
-    if (isQuick) return
-    const holders = await holder.give(record)
-    void written.then(() => holder.release(record))
-    if (holders >= HOLDERS) return log.emit(CLAIMS_EVENTS.outcomeHeld, { holders })
-    log.emit(CLAIMS_EVENTS.outcomeUnheld, { holders })
-    await Promise.race([written, clock.sleep(FINISH_WAIT)])
+    const isWrittenWithin = (limit: Millis): Promise<boolean> =>
+      Promise.race([written.then(() => true), clock.sleep(limit).then(() => false)])
+    for (let isFirst = true; !await isWrittenWithin(isFirst ? HOLD_AFTER : HOLD_AGAIN); isFirst = false) {
+      const holders = await holder.give(record)
+      if (isFirst) void written.then(() => holder.release(record))
+      if (holders >= HOLDERS) return log.emit(CLAIMS_EVENTS.outcomeHeld, { holders })
+      if (isFirst) log.emit(CLAIMS_EVENTS.outcomeUnheld, { holders })
+    }
   }
 
   async #write (record: ClaimRecord): Promise<boolean> {
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -2,6 +2,11 @@
 
 /** Time from the start of the claim's write within which the request may be handed over. */
 export const DISPATCH_LEASE = seconds(5)
+/** Longest time between two looks at the clock that does not count as a pause of the process. */
+export const PAUSE_LIMIT = millis(250)
+export const PAUSE_TICK = millis(100)
+/** How long after a pause no request is claimed. */
+export const PAUSE_QUIET = millis(500)
 /** Age of a claim from which "not run", by look-up or by an operator, is taken as final. */
 export const NOT_RUN_FINAL_AFTER = millis(2 * MILLIS_PER_MINUTE)
 /** How long outcomes are kept; a key that is used again later may run again. */
@@ -22,11 +27,13 @@
 export const MAX_WAITERS = 64
 /** Wait for the store before peers are asked to hold an outcome as well. */
 export const HOLD_AFTER = millis(150)
+/** Pause before peers are asked again, where too few could hold it. */
+export const HOLD_AGAIN = millis(500)
 /** Peers that hold an outcome until it is written. */
 export const HOLDERS = 2
 /** Peers asked at most whether they hold an outcome. */
 export const MAX_ASKED_PEERS = 16
-/** Longest time that an answer waits for its outcome to be kept. */
+/** Longest wait for the word that a claim was released or marked. */
 export const FINISH_WAIT = seconds(1)
 /** Outcomes that one instance holds for others at most. */
 export const MAX_HELD = 4096
--- a/packages/claims/src/events.ts
+++ b/packages/claims/src/events.ts
@@ -11,5 +11,6 @@
   outcomeContradicts: { number: 4007, level: 'error', text: 'A request ran after it had been resolved as not run; compare with the service\'s records at once.' },
   claimsPruned: { number: 4008, level: 'debug', text: 'Claims past their retention were deleted.' },
   storeUnreachable: { number: 4009, level: 'warn', text: 'Requests that may not be repeated are refused because the store does not answer.' },
-  holderFull: { number: 4010, level: 'error', text: 'This instance holds as many outcomes for others as it can; the oldest was dropped.' }
+  holderFull: { number: 4010, level: 'error', text: 'This instance holds as many outcomes for others as it can; the oldest was dropped.' },
+  processPaused: { number: 4011, level: 'warn', text: 'This process stood still; for a moment it claims no request, since callers may have given theirs up.' }
 })
--- a/packages/claims/src/refusals.ts
+++ b/packages/claims/src/refusals.ts
@@ -19,6 +19,9 @@
 export const raced = (): Failure =>
   failure('outcome-unknown', `another attempt under this key came in between; ${NOT_SENT}`, 'unknown', { retryAfter: RETRY_SOON })
 
+export const justPaused = (): Failure =>
+  failure('not-ready', `this instance stood still for a while; ${NOT_SENT}`, 'unknown', { retryAfter: RETRY_SOON })
+
 export const stillRunning = (): Failure =>
   failure('outcome-unknown', `an earlier attempt under this key still runs; ${NOT_SENT}`, 'unknown', { retryAfter: RETRY_SOON })
 
--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -246,8 +246,9 @@
   #answer (call: StageCall, usage: StageUsage, text: string): StageAnswer {
     const echo = this.#random.next() < this.faults.crossShare ? this.#crossed(call.id) : call.id
     this.#lastCall = call.id
-    const body: Json = { madeFor: echo.request, stage: echo.stage, text }
-    if (call.key !== undefined) this.#outcomes.set(call.key, body)
+    const body = { madeFor: echo.request, stage: echo.stage, text }
+    // The service's own record is right even where the answer crosses another on its way.
+    if (call.key !== undefined) this.#outcomes.set(call.key, { ...body, madeFor: call.id.request })
     return { call: echo, body, usage }
   }
 
