--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -6,4 +6,5 @@
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
+  'at-most-once': () => import('./benches/at-most-once.js'),
 }
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -1,4 +1,4 @@
-import { failure, isJsonObject, millis, refusal, SILENT_LOG } from '@papayahill/common'
+import { failure, isJsonObject, millis, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, Random, WorkspaceId } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { RowKey, TableService } from '@papayahill/platform'
@@ -13,8 +13,9 @@
 import { askedKey, OutcomeHolder } from './OutcomeHolder.js'
 import { listingWrites, OutcomeWriter } from './OutcomeWriter.js'
 import { OwnAttempt } from './OwnAttempt.js'
-import { isKeyless, keyReused, raced, runUnknown, stillRunning, storeUnreachable } from './refusals.js'
-import type { ClaimDecision, ClaimRefusal, ClaimRequest, ClaimRoster, Claims, ClaimStatus, KeyLookUp, Resolution } from './types.js'
+import { isKeyless, justPaused, keyReused, raced, runUnknown, stillRunning, storeUnreachable } from './refusals.js'
+import { PauseGuard } from './PauseGuard.js'
+import type { ClaimDecision, ClaimRequest, ClaimRoster, Claims, ClaimStatus, KeyLookUp, Resolution } from './types.js'
 
 export interface ClaimKeeperOptions {
   readonly self: InstanceId
@@ -52,6 +53,7 @@
   readonly #holder: OutcomeHolder
   readonly #listing: ClaimListing
   readonly #settler: ClaimSettler
+  readonly #pauses: PauseGuard
   readonly #attempts = new Map<RowKey, LocalAttempt>()
   #count = 0
 
@@ -60,6 +62,7 @@
     const log = options.log ?? SILENT_LOG
     this.#options = options
     this.#log = log
+    this.#pauses = new PauseGuard(clock, log)
     this.#listing = new ClaimListing({ incarnation, clock, random, table, log })
     this.#commits = new GroupCommit({ clock, table, beside: (writes) => this.#listing.logOf(writes) })
     this.#writer = new OutcomeWriter({ clock, random, commits: this.#commits, log })
@@ -71,11 +74,13 @@
   start (): void {
     this.#holder.start()
     this.#listing.start()
+    this.#pauses.start()
   }
 
   stop (): void {
     this.#holder.stop()
     this.#listing.stop()
+    this.#pauses.stop()
   }
 
   async begin (request: ClaimRequest): Promise<ClaimDecision> {
@@ -84,6 +89,7 @@
     const until = millis(clock.now() + request.patience)
     for (let tries = 0; tries < MAX_CLAIM_TRIES; tries++) {
       const local = this.#current(key)
+      if (local === undefined && this.#pauses.isQuiet) return refuse(justPaused())
       if (local === undefined) return await this.#claim(key, request, until)
       if (local.record.digest !== request.digest) return refuse(keyReused(local.record))
       const end = await local.whenEnded(millis(until - clock.now()))
@@ -94,17 +100,6 @@
     return refuse(raced())
   }
 
-  async refuse (request: ClaimRequest, cause: ClaimRefusal): Promise<Failure> {
-    const { kind, detail, retryAfter } = cause
-    if (isKeyless(request)) return refusal(kind, detail, { retryAfter })
-    const key = claimKey(request.workspace, request.key)
-    const read = this.#attempts.has(key) ? undefined : await this.#commits.read(key)
-    const row = read?.isOk ? readClaimRow(read.value) : undefined
-    if (row?.record !== undefined && isSettled(row.record)) return failure(kind, detail, 'ran', { retryAfter })
-    const isFenced = row !== undefined && isFree(row) && await this.#fence(row, request)
-    return isFenced ? refusal(kind, detail, { retryAfter }) : failure(kind, detail, 'unknown', { retryAfter })
-  }
-
   async unknown (): Promise<readonly ClaimStatus[]> {
     const records = await this.#listing.unknown()
     return records.map(statusOf)
@@ -213,14 +208,6 @@
     return held.digest === request.digest ? { kind: 'replay', outcome: held.outcome } : refuse(keyReused(held))
   }
 
-  /** Makes every attempt that read the row before lose its claim. */
-  async #fence (row: ClaimRow, request: ClaimRequest): Promise<boolean> {
-    const { self, incarnation, clock } = this.#options
-    const claim = newClaim(request, { owner: self, ownerIncarnation: incarnation }, `${incarnation}/${++this.#count}`, clock.wall())
-    const written = await this.#commits.write({ key: row.key, version: row.version, value: encodeClaim({ ...claim, state: 'released' }) })
-    return written.isOk
-  }
-
   #forget (key: RowKey, local: LocalAttempt): void {
     if (this.#attempts.get(key) === local) this.#attempts.delete(key)
   }
