--- /dev/null
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -0,0 +1,275 @@
+import { brand, millis, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import type {
+  ClassId, Clock, DomainId, EndpointId, InstanceId, Millis, Random, RegionId, RequestId, ServiceId, StageId, VersionId, WorkspaceId
+} from '@papayahill/common'
+import { EndpointTable } from '@papayahill/endpoints'
+import type {
+  DepartedLife, EndpointAccess, EndpointLease, LeaseWant, RosterCopy, RosterLife, RosterRecord, ShareChannel, StageCall
+} from '@papayahill/endpoints'
+import { shareChannel } from '@papayahill/instance'
+import { Trace } from '@papayahill/invariants'
+import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
+import type { ServiceKind } from '@papayahill/settings'
+import {
+  FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakePeerNetwork, FakeTable, GatedClock, GatedEndpointAccess,
+  GatedInstanceList, GatedTable, LifeGate
+} from '@papayahill/standins'
+import type { WorkModel } from '@papayahill/standins'
+import { CuttableTable } from './CuttableTable.js'
+import { ROSTER_ROW, RosterReader } from './RosterReader.js'
+import type { Leases } from './SimplePool.js'
+
+export const SERVICE = brand<ServiceId>('lookup')
+export const VERSION = brand<VersionId>('v1')
+const REGION = brand<RegionId>('r1')
+const RETRY = millis(20)
+const STORE_RETRY = millis(100)
+const CALL_TIMEOUT = millis(5000)
+/** How many that left the roster record keeps. */
+const DEPARTED_KEPT = 32
+
+export const WANT: LeaseWant = {
+  service: SERVICE,
+  versions: [VERSION],
+  class: brand<ClassId>('stock'),
+  workspace: brand<WorkspaceId>('norte'),
+  exclude: new Set()
+}
+
+/** What a pool of one instance is made of. */
+export interface PoolParts {
+  readonly self: RosterLife
+  readonly domain: DomainId
+  readonly clock: Clock
+  readonly random: Random
+  readonly access: EndpointAccess
+  readonly list: InstanceList
+  readonly roster: RosterCopy
+  readonly shares: ShareChannel
+}
+
+/** One entry instance of the rig. */
+export interface RigMember {
+  readonly life: RosterLife
+  readonly gate: LifeGate
+  readonly table: CuttableTable
+  readonly leases: Leases
+  readonly stop: () => void
+  /** Most calls of its callers at once. */
+  readonly atOnce: number
+  isServing: boolean
+  /** Whether callers come now. */
+  isAsked: boolean
+  running: number
+}
+
+export interface EndpointRigOptions {
+  readonly seed: number
+  readonly reportLag: Millis
+  readonly listLag: Millis
+  readonly kind: ServiceKind
+  readonly model: WorkModel
+  readonly makePool: (parts: PoolParts) => Leases
+  /** Prefix of the next call's prompt. */
+  readonly nextPrefix?: () => string
+  readonly lostCacheEventShare?: number
+  readonly spareTime?: Millis
+}
+
+/** The pool under measurement, with the options that differ between runs. */
+export const realPool = (
+  parts: PoolParts, kind: ServiceKind, extra: Partial<ConstructorParameters<typeof EndpointTable>[0]> = {}
+): EndpointTable => new EndpointTable({
+  ...parts,
+  regionOf: () => REGION,
+  domainsOut: () => new Set<DomainId>(),
+  serviceKind: () => kind,
+  log: SILENT_LOG,
+  ...extra
+})
+
+/**
+ * Several instances' pools around shared stand-ins, each with a closed loop of calls.
+ *
+ * @example
+ * const rig = new EndpointRig({ seed, reportLag, listLag, kind: 'plain', model, makePool })
+ * rig.addEndpoint(0, domain).warmUp()
+ * rig.addMember(domain, 12)
+ */
+export class EndpointRig {
+  readonly clock = new VirtualClock()
+  readonly trace = new Trace()
+  readonly random: Random
+  readonly table: FakeTable
+  readonly list: FakeInstanceList
+  readonly network: FakePeerNetwork
+  readonly members: RigMember[] = []
+  calls = 0
+  failures = 0
+  readonly #options: EndpointRigOptions
+  readonly #fleet = new FakeFleet()
+  #record: RosterRecord = { version: 0, members: [], departed: [] }
+
+  constructor (options: EndpointRigOptions) {
+    this.#options = options
+    this.random = new SeededRandom(options.seed)
+    this.table = new FakeTable(this.clock, this.random.fork())
+    this.list = new FakeInstanceList(this.clock)
+    this.list.lag = options.listLag
+    this.network = new FakePeerNetwork(this.clock)
+  }
+
+  get endpoints (): readonly FakeEndpoint[] {
+    return this.#fleet.all()
+  }
+
+  addEndpoint (index: number, domain: DomainId): FakeEndpoint {
+    const { kind, model } = this.#options
+    const listed: ListedEndpoint = {
+      id: brand<EndpointId>(`e${index}`),
+      service: SERVICE,
+      version: VERSION,
+      domain,
+      address: { ip: '127.0.0.1', port: 7000 + index },
+      state: 'live'
+    }
+    const endpoint = new FakeEndpoint({ clock: this.clock, random: this.random.fork(), trace: this.trace, listed, kind, model })
+    this.#fleet.add(endpoint)
+    this.list.setEndpoint(listed)
+    return endpoint
+  }
+
+  addMember (domain: DomainId, atOnce: number): RigMember {
+    const id = brand<InstanceId>(`i${this.members.length}`)
+    const gate = new LifeGate()
+    const clock = new GatedClock(this.clock, gate)
+    const peers = this.network.join(id, domain)
+    const life: RosterLife = { id, incarnation: peers.incarnation, joinedAt: this.#record.version + 1 }
+    const table = new CuttableTable(new GatedTable(this.table, gate))
+    const roster = new RosterReader({ self: life.incarnation, clock, table })
+    const leases = this.#options.makePool({
+      self: life,
+      domain,
+      clock,
+      random: this.random.fork(),
+      access: this.#accessOf(id, gate),
+      list: new GatedInstanceList(this.list, gate),
+      roster,
+      shares: shareChannel(peers)
+    })
+    const stop = (): void => {
+      leases.stop()
+      roster.stop()
+    }
+    const member: RigMember = { life, gate, table, leases, stop, atOnce, isServing: true, isAsked: true, running: 0 }
+    this.members.push(member)
+    this.#write([...this.#record.members, life], this.#record.departed)
+    roster.start()
+    leases.start()
+    clock.every(this.#options.spareTime ?? RETRY, () => this.#serve(member))
+    return member
+  }
+
+  pause (member: RigMember, span: Millis): void {
+    member.gate.pause()
+    this.network.pause(member.life.id)
+    this.clock.after(span, () => {
+      if (member.gate.isDead) return
+      this.network.resume(member.life.id)
+      member.gate.resume()
+    })
+  }
+
+  /** Cuts a member off from the store and the other instances. */
+  cutOff (member: RigMember, span: Millis): void {
+    const others = this.members.filter((other) => other !== member).map((other) => other.life.id)
+    member.table.isCut = true
+    for (const other of others) this.network.cut(member.life.id, other)
+    this.clock.after(span, () => {
+      member.table.isCut = false
+      for (const other of others) this.network.heal(member.life.id, other)
+    })
+  }
+
+  kill (member: RigMember): void {
+    member.isServing = false
+    member.gate.kill()
+    this.network.kill(member.life.id)
+  }
+
+  /** Removes a member from the roster record, as soon as the store is up. */
+  remove (member: RigMember): void {
+    this.whenStoreUp(() => {
+      const departed: DepartedLife = { ...member.life, departedAt: this.#record.version + 1 }
+      const members = this.#record.members.filter((life) => life.incarnation !== member.life.incarnation)
+      this.#write(members, [...this.#record.departed, departed].slice(-DEPARTED_KEPT))
+    })
+  }
+
+  whenStoreUp (change: () => void): void {
+    if (!this.table.faults.isDown) return change()
+    this.clock.after(STORE_RETRY, () => this.whenStoreUp(change))
+  }
+
+  async run (span: Millis): Promise<void> {
+    await this.clock.advance(span)
+    for (const member of this.members) {
+      member.isServing = false
+      member.stop()
+    }
+  }
+
+  #accessOf (instance: InstanceId, gate: LifeGate): EndpointAccess {
+    const { reportLag, lostCacheEventShare } = this.#options
+    return new GatedEndpointAccess(new FakeEndpointAccess({
+      clock: this.clock,
+      random: this.random.fork(),
+      fleet: this.#fleet,
+      instance,
+      lag: reportLag,
+      ...(lostCacheEventShare === undefined ? {} : { lostCacheEventShare })
+    }), gate)
+  }
+
+  /** A closed loop: as many calls at once as the instance's callers and the endpoints allow. */
+  #serve (member: RigMember): void {
+    while (member.isServing && member.isAsked && member.running < member.atOnce) {
+      const prefix = this.#options.nextPrefix?.()
+      const lease = member.leases.tryLease(prefix === undefined ? WANT : { ...WANT, prefix })
+      if (lease === undefined) return
+      void this.#call(member, lease, prefix)
+    }
+  }
+
+  async #call (member: RigMember, lease: EndpointLease, prefix: string | undefined): Promise<void> {
+    this.calls++
+    member.running++
+    const started = this.clock.now()
+    const answer = await lease.connection.call(this.#stageCall(prefix), () => {}, new AbortController().signal)
+    member.running--
+    if (answer.isErr) this.failures++
+    lease.release(answer.isOk ? 'done' : answer.error.outcome, millis(this.clock.now() - started))
+    this.#serve(member)
+  }
+
+  #stageCall (prefix: string | undefined): StageCall {
+    return {
+      id: { request: brand<RequestId>(`r${this.calls}`), stage: brand<StageId>('lookup'), attempt: 1 },
+      service: SERVICE,
+      kind: this.#options.kind,
+      class: WANT.class,
+      workspace: WANT.workspace,
+      body: null,
+      priority: 0,
+      timeout: CALL_TIMEOUT,
+      isStreamed: false,
+      ...(prefix === undefined ? {} : { prefix })
+    }
+  }
+
+  #write (members: readonly RosterLife[], departed: readonly DepartedLife[]): void {
+    this.#record = { version: this.#record.version + 1, members, departed }
+    const value = JSON.parse(JSON.stringify(this.#record))
+    void this.table.commit({ conditions: [], writes: [{ key: ROSTER_ROW, value }] })
+  }
+}
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -3,4 +3,5 @@
 /** All benches by name, loaded when asked for. */
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
   'cold-start': () => import('./benches/cold-start.js'),
+  leaving: () => import('./benches/leaving.js'),
 }
--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -1,8 +1,10 @@
 import { hash32, millis } from '@papayahill/common'
-import type { EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
+import type { CallOutcome, EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
 import type { ListedEndpoint } from '@papayahill/platform'
 import { CallStats } from './CallStats.js'
-import { BORROW_MAX_AGE, BORROW_SHARE, HANDOVER_MARGIN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS } from './constants.js'
+import {
+  BORROW_MAX_AGE, BORROW_SHARE, DOUBT_SPAN, HANDOVER_MARGIN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS
+} from './constants.js'
 import { SlotLedger } from './SlotLedger.js'
 import { WarmLimit } from './WarmLimit.js'
 import type { SlotHoldings } from './SlotWords.js'
@@ -13,6 +15,9 @@
 /** Share of its warm limit from which on an endpoint counts as busy. */
 const BUSY_SHARE = 0.7
 
+/** Outcomes after which the endpoint may still be at work on the call. */
+const LEAVES_DOUBT: ReadonlySet<CallOutcome> = new Set(['cut', 'timed-out', 'cancelled'])
+
 /** One call that this instance has under way at an endpoint. */
 export interface RunningCall {
   readonly incarnation: EndpointIncarnation
@@ -124,7 +129,6 @@
     this.#connection = undefined
     this.#incarnation = undefined
     this.#report = undefined
-    this.#ledger = undefined
   }
 
   /** The present life leaves: no new work for it from now on. */
@@ -170,10 +174,14 @@
     return call
   }
 
-  ended (call: RunningCall): void {
+  /** A call ended; after an outcome that leaves the endpoint perhaps still at work, its slot is kept for a while. */
+  ended (call: RunningCall, outcome: CallOutcome, now: Millis): void {
     if (!this.#calls.delete(call)) return
     if (call.startedAt >= this.#reportAskedAt) this.#startedSinceReport = Math.max(0, this.#startedSinceReport - 1)
-    call.slot?.ledger.free(call.slot.index)
+    if (call.slot === undefined) return
+    const { ledger, index } = call.slot
+    if (LEAVES_DOUBT.has(outcome)) ledger.freeAt(index, millis(now + DOUBT_SPAN))
+    else ledger.free(index)
   }
 
   /** Whether a call has run so long that the endpoint may have turned cold; a later report clears it. */
@@ -208,12 +216,11 @@
   }
 
   holdings (endpoint: SlottedEndpoint, version: number): SlotHoldings {
-    const calls = [...this.#calls]
-    const onSlots = calls.filter((call) => call.incarnation === endpoint.incarnation && call.slot !== undefined)
+    const isSame = this.#ledger?.endpoint.incarnation === endpoint.incarnation
     return {
       version,
-      busy: onSlots.map((call) => call.slot!.index),
-      older: calls.filter((call) => call.incarnation !== endpoint.incarnation).length,
+      busy: isSame ? this.#ledger!.busy : [],
+      older: [...this.#calls].filter((call) => call.incarnation !== endpoint.incarnation).length,
       believed: this.#incarnation
     }
   }
@@ -234,7 +241,13 @@
     this.areReportsMissing = false
     this.stats.clear()
     this.warmLimit.clear()
-    this.#ledger = new SlotLedger({ self: this.#self, endpoint: { id: this.listed.id, incarnation }, inheritedFrom })
+    this.#ledger = this.#ledgerOf(incarnation, inheritedFrom)
+  }
+
+  /** A connection that broke within one life changes nothing about the slots and the calls on them. */
+  #ledgerOf (incarnation: EndpointIncarnation, inheritedFrom: readonly RosterLife[]): SlotLedger {
+    if (this.#ledger?.endpoint.incarnation === incarnation) return this.#ledger
+    return new SlotLedger({ self: this.#self, endpoint: { id: this.listed.id, incarnation }, inheritedFrom })
   }
 
   #take (report: LoadReport, askedAt: Millis | undefined): void {
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -16,6 +16,7 @@
 import { ENDPOINTS_EVENTS } from './events.js'
 import { ListReader } from './ListReader.js'
 import { OutlierJudge } from './OutlierJudge.js'
+import { PauseGuard } from './PauseGuard.js'
 import { PrefixIndex } from './PrefixIndex.js'
 import { ServicePool } from './ServicePool.js'
 import type { Nearness } from './ServicePool.js'
@@ -90,6 +91,7 @@
   readonly #words: SlotWords
   readonly #judge: OutlierJudge
   readonly #prefixes: PrefixIndex
+  readonly #pauses: PauseGuard
   readonly #asking = new Set<string>()
   readonly #states = new Map<EndpointId, LifeState>()
   #rosterSeen: { readonly version: number, readonly at: Millis } = { version: -1, at: millis(0) }
@@ -103,6 +105,7 @@
     this.#reader = new ListReader({ clock, random, list, log, onRead: (shown, gone) => this.#listRead(shown, gone) })
     this.#judge = new OutlierJudge({ clock, log })
     this.#prefixes = new PrefixIndex()
+    this.#pauses = new PauseGuard({ clock, refresh: () => this.#reader.readNow() })
     this.#words = new SlotWords({
       self: self.incarnation,
       shares,
@@ -132,6 +135,7 @@
     const pool = this.#pools.get(want.service)
     if (pool === undefined) return undefined
     const now = this.#options.clock.now()
+    if (this.#pauses.isResuming(now)) return undefined
     const out = this.#options.domainsOut()
     const isUsable = (entry: EndpointEntry): boolean =>
       !want.exclude.has(entry.listed.id) && !out.has(entry.listed.domain) && this.#mayTake(entry, now)
@@ -196,7 +200,7 @@
       release: (outcome: CallOutcome, took: Millis) => {
         if (!isHeld) return
         isHeld = false
-        entry.ended(call)
+        entry.ended(call, outcome, this.#options.clock.now())
         this.#judge.ended(pool, entry, outcome, took)
         this.#changed(entry)
       }
@@ -335,6 +339,7 @@
   }
 
   #lookOver (): void {
+    this.#pauses.tick()
     const now = this.#options.clock.now()
     for (const [id, watch] of this.#watches) {
       const entry = this.#entries.get(id)
--- a/packages/endpoints/src/ListReader.ts
+++ b/packages/endpoints/src/ListReader.ts
@@ -47,14 +47,8 @@
     this.#timer?.cancel()
   }
 
-  #step (): void {
-    if (this.#isStopped) return
-    void this.#read()
-    const period = LIST_PERIOD * (1 + PERIOD_JITTER * (this.#options.random.next() - 0.5))
-    this.#timer = this.#options.clock.after(millis(period), () => this.#step())
-  }
-
-  async #read (): Promise<void> {
+  /** Reads at once, beside the periodic reads. */
+  async readNow (): Promise<void> {
     const { list, log, onRead } = this.#options
     const answer = await list.list()
     if (this.#isStopped) return
@@ -66,6 +60,13 @@
     onRead(endpoints, gone)
   }
 
+  #step (): void {
+    if (this.#isStopped) return
+    void this.readNow()
+    const period = LIST_PERIOD * (1 + PERIOD_JITTER * (this.#options.random.next() - 0.5))
+    this.#timer = this.#options.clock.after(millis(period), () => this.#step())
+  }
+
   #believedGone (endpoints: readonly ListedEndpoint[]): readonly EndpointId[] {
     const shown = new Set(endpoints.map((endpoint) => endpoint.id))
     const gone = this.#known.filter((id) => !shown.has(id))
--- a/packages/endpoints/src/SlotLedger.ts
+++ b/packages/endpoints/src/SlotLedger.ts
@@ -54,6 +54,8 @@
   readonly #owned = new Map<number, OwnedSlot>()
   /** Own calls by slot, those on slots lost since among them. */
   readonly #calls = new Set<number>()
+  /** When slots come free whose calls may still be at work. */
+  readonly #doubts = new Map<number, Millis>()
   #version = 0
   #total = 0
 
@@ -120,9 +122,10 @@
 
   /**
    * Lets go of owners whose calls are over by time: long departed, or departed before the endpoint's
-   * present life began, which was after `olderLifeSeenAt`.
+   * present life began, which was after `olderLifeSeenAt`. Ends doubts about own calls, too.
    */
   expire (now: Millis, olderLifeSeenAt: Millis): void {
+    for (const [slot, at] of this.#doubts) if (now >= at) this.#endDoubt(slot)
     for (const slot of this.#owned.values()) {
       for (const [incarnation, owner] of slot.pending) {
         const lastUse = owner.lostAt + LAST_USE
@@ -160,6 +163,11 @@
     this.#calls.delete(slot)
   }
 
+  /** Frees a slot later, by {@link SlotLedger.expire}. */
+  freeAt (slot: number, at: Millis): void {
+    this.#doubts.set(slot, at)
+  }
+
   /** Whether {@link SlotLedger.take} would find a slot. */
   hasRoom (): boolean {
     for (const [index, slot] of this.#owned) if (slot.pending.size === 0 && !this.#calls.has(index)) return true
@@ -183,6 +191,11 @@
     slot.pending.set(life.incarnation, { life, lostAt, isDeparted })
   }
 
+  #endDoubt (slot: number): void {
+    this.#doubts.delete(slot)
+    this.#calls.delete(slot)
+  }
+
   #settle (slot: OwnedSlot): void {
     if (slot.pending.size === 0) slot.clearAt = this.#version
   }
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -44,3 +44,5 @@
 export const BORROW_SHARE = 1.5
 /** Longest age of a report on which slots are borrowed. */
 export const BORROW_MAX_AGE = seconds(2)
+/** After this time an endpoint no longer works on a call that was cancelled or whose connection was closed. */
+export const DOUBT_SPAN = seconds(2)
