--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -7,4 +7,5 @@
   attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
+  leaving: () => import('./benches/leaving.js'),
 }
