--- a/packages/rollout/src/EvidenceCounts.ts
+++ b/packages/rollout/src/EvidenceCounts.ts
@@ -1,7 +1,7 @@
 import { brand } from '@papayahill/common'
 import type { ClassId, Json, StageId, StageRecord } from '@papayahill/common'
 import { z } from 'zod'
-import { SideCounts } from './SideCounts.js'
+import { SideCounts, sideSchema } from './SideCounts.js'
 import type { Route } from './types.js'
 
 /** Which of a move's two versions a call went to. */
@@ -14,7 +14,7 @@
   readonly old: SideCounts
 }
 
-const routesSchema = z.array(z.tuple([z.string(), z.string(), z.json(), z.json()]))
+const routesSchema = z.array(z.tuple([z.string(), z.string(), sideSchema, sideSchema]))
 
 export const routeKey = (route: Route): string => `${route.class}/${route.stage}`
 
@@ -56,25 +56,36 @@
     }
   }
 
+  clear (): void {
+    for (const counts of this.#routes.values()) {
+      counts.new.clear()
+      counts.old.clear()
+    }
+  }
+
   /** What was counted since `earlier`, an older state of the same evidence. */
   since (earlier: EvidenceCounts | undefined): EvidenceCounts {
     const delta = new EvidenceCounts()
     for (const [key, { route, new: fresh, old }] of this.#routes) {
       const before = earlier?.get(key)
+      if (before?.new.calls === fresh.calls && before.old.calls === old.calls) continue
       delta.#routes.set(key, { route, new: fresh.since(before?.new), old: old.since(before?.old) })
     }
     return delta
   }
 
   toJson (): Json {
-    return [...this.#routes.values()].map(({ route, new: fresh, old }) => [route.class, route.stage, fresh.toJson(), old.toJson()])
+    return [...this.#routes.values()].map(({ route, new: fresh, old }) => [route.class, route.stage, fresh.pack(), old.pack()])
   }
 
-  static fromJson (value: Json): EvidenceCounts {
+  /** Undefined from anything that is not evidence. */
+  static fromJson (value: unknown): EvidenceCounts | undefined {
+    const parsed = routesSchema.safeParse(value)
+    if (!parsed.success) return undefined
     const counts = new EvidenceCounts()
-    for (const [classId, stage, fresh, old] of routesSchema.parse(value)) {
+    for (const [classId, stage, fresh, old] of parsed.data) {
       const route: Route = { class: brand<ClassId>(classId), stage: brand<StageId>(stage) }
-      counts.#routes.set(routeKey(route), { route, new: SideCounts.fromJson(fresh), old: SideCounts.fromJson(old) })
+      counts.#routes.set(routeKey(route), { route, new: SideCounts.unpack(fresh), old: SideCounts.unpack(old) })
     }
     return counts
   }
--- a/packages/rollout/src/EvidenceLink.ts
+++ b/packages/rollout/src/EvidenceLink.ts
@@ -19,7 +19,7 @@
   kind: z.enum(['counts', 'step', 'taken-back']),
   service: z.string(),
   startedAt: z.number(),
-  data: z.json()
+  data: z.unknown()
 })
 
 export interface EvidenceLinkOptions {
@@ -119,14 +119,15 @@
   readonly entry: GossipEntry
   readonly service: ServiceId
   readonly startedAt: number
-  readonly data: Json
+  readonly data: unknown
   readonly isOwn: boolean
 }
 
 const READERS: Readonly<Record<MoveNews['kind'], (reading: Reading) => MoveNews | undefined>> = {
-  counts: ({ entry, service, startedAt, data, isOwn }) => isOwn
-    ? undefined
-    : { kind: 'counts', service, startedAt, life: `${entry.owner} ${entry.incarnation}`, counts: EvidenceCounts.fromJson(data) },
+  counts: ({ entry, service, startedAt, data, isOwn }) => {
+    const counts = isOwn ? undefined : EvidenceCounts.fromJson(data)
+    return counts === undefined ? undefined : { kind: 'counts', service, startedAt, life: `${entry.owner} ${entry.incarnation}`, counts }
+  },
   step: ({ service, data }) => {
     const row = parseRecordedMove(data)
     return row === undefined ? undefined : { kind: 'step', service, row }
--- a/packages/rollout/src/MergedEvidence.ts
+++ b/packages/rollout/src/MergedEvidence.ts
@@ -13,13 +13,18 @@
   readonly total = new EvidenceCounts()
   readonly #seen = new Map<string, EvidenceCounts>()
   #fresh = new EvidenceCounts()
+  #drained = new EvidenceCounts()
+
+  /** Takes calls that nobody has counted here yet, such as this instance's own. */
+  takeNew (delta: EvidenceCounts): void {
+    this.total.add(delta)
+    this.#fresh.add(delta)
+  }
 
   /** Takes the newest counts of one life of an instance. */
   take (life: string, counts: EvidenceCounts): void {
-    const delta = counts.since(this.#seen.get(life))
+    this.takeNew(counts.since(this.#seen.get(life)))
     this.#seen.set(life, counts)
-    this.total.add(delta)
-    this.#fresh.add(delta)
   }
 
   /** Takes counts that others have judged before this instance began to listen. */
@@ -28,9 +33,12 @@
     this.#seen.set(life, counts)
   }
 
+  /** What came since the last drain; good until the next one. */
   drain (): EvidenceCounts {
     const fresh = this.#fresh
-    this.#fresh = new EvidenceCounts()
+    this.#fresh = this.#drained
+    this.#fresh.clear()
+    this.#drained = fresh
     return fresh
   }
 }
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -184,9 +184,7 @@
 
   #judge (entry: Entry): void {
     const { open } = entry
-    const { self, incarnation, clock } = this.#options
-    open.merged.take(`${self} ${incarnation}`, open.own.since(undefined))
-    const verdict = open.judge(clock.now())
+    const verdict = open.judge(this.#options.clock.now())
     if (verdict !== undefined) this.#takeBack(entry, verdict)
     entry.decision = this.#decide(entry)
     this.#report(entry)
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -27,9 +27,11 @@
  */
 export class OpenMove {
   readonly move: MoveSettings
+  /** This instance's own calls since the move began. */
   readonly own = new EvidenceCounts()
   readonly merged = new MergedEvidence()
   readonly #random: Random
+  readonly #unjudged = new EvidenceCounts()
   readonly #judges = new Map<string, RouteJudge>()
   readonly #splitters = new Map<string, ShareSplitter>()
   readonly #callsBeforeShare = new Map<string, number>()
@@ -77,8 +79,11 @@
   }
 
   count (record: StageRecord): void {
-    if (record.version === this.move.to) this.own.count(record, 'new')
-    if (record.version === this.move.from) this.own.count(record, 'old')
+    const { from, to } = this.move
+    if (record.version !== from && record.version !== to) return
+    const side = record.version === to ? 'new' : 'old'
+    this.own.count(record, side)
+    this.#unjudged.count(record, side)
   }
 
   /** Takes over the row as the store or a peer that wrote it showed it. */
@@ -99,6 +104,8 @@
 
   /** Judges what came since the last time; the evidence in words where it suffices to take back. */
   judge (now: Millis): string | undefined {
+    this.merged.takeNew(this.#unjudged)
+    this.#unjudged.clear()
     for (const counts of this.merged.drain().routes) this.#judgeOf(routeKey(counts.route)).update(counts, now)
     const limit = this.#limit()
     return this.#worst(limit)
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -5,7 +5,7 @@
   FAILURE_RATIOS, LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_RATIOS
 } from './constants.js'
 import type { RouteCounts } from './EvidenceCounts.js'
-import { BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
+import { addCounts, BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
 import type { SideCounts } from './SideCounts.js'
 
 type Stratum = 'plain' | 'cached'
@@ -18,6 +18,10 @@
   return sum
 }
 
+const scale = (counts: Float64Array, factor: number): void => {
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) counts[bucket]! *= factor
+}
+
 /** Calls of both versions that the evidence in hand rests on. */
 interface Tally {
   newCalls: number
@@ -94,7 +98,7 @@
     const kept = Math.exp(-passed / RECENT_SPAN)
     this.#recentNew *= kept
     this.#recentOld *= kept
-    for (const stratum of STRATA) this.#oldTimes[stratum].forEach((count, bucket, all) => { all[bucket] = count * kept })
+    for (const stratum of STRATA) scale(this.#oldTimes[stratum], kept)
   }
 
   /** The larger of the recent share and that of these calls: too large a share understates the evidence. */
@@ -127,7 +131,8 @@
   }
 
   #remember (delta: RouteCounts): void {
-    for (const stratum of STRATA) delta.old[stratum].forEach((count, bucket) => { this.#oldTimes[stratum][bucket]! += count })
+    if (delta.old.calls === 0) return
+    for (const stratum of STRATA) addCounts(this.#oldTimes[stratum], delta.old[stratum])
   }
 
   #count (delta: RouteCounts, failed: AdverseCalls, slow: AdverseCalls): void {
--- a/packages/rollout/src/SideCounts.ts
+++ b/packages/rollout/src/SideCounts.ts
@@ -1,9 +1,12 @@
-import type { Json, StageRecord } from '@papayahill/common'
+import type { StageRecord } from '@papayahill/common'
 import { z } from 'zod'
-import { BUCKET_COUNT, bucketOf } from './latencyBuckets.js'
+import { addCounts, BUCKET_COUNT, bucketOf } from './latencyBuckets.js'
 
-const sparse = z.array(z.number().int().nonnegative())
-const sideSchema = z.tuple([z.number(), z.number(), z.number(), sparse, sparse])
+const sparse = z.array(z.number())
+
+/** The wire form of {@link SideCounts}: calls, failed, lost, and pairs of bucket and count for both kinds of call. */
+export const sideSchema = z.tuple([z.number(), z.number(), z.number(), sparse, sparse])
+export type PackedSide = z.infer<typeof sideSchema>
 
 /** How a call's end counts: a lost connection apart from a failure, since one restart cuts many calls. */
 type Verdict = 'good' | 'failed' | 'lost' | 'ignored'
@@ -32,10 +35,6 @@
   }
 }
 
-const addInto = (into: Float64Array, counts: Float64Array, factor: number): void => {
-  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) into[bucket]! += factor * counts[bucket]!
-}
-
 /**
  * Grow-only counts of one version's calls on one route. Times of calls with a cached prefix are kept
  * apart, so that a new endpoint's empty cache does not make its version look slow.
@@ -63,11 +62,12 @@
   }
 
   add (other: SideCounts, factor = 1): void {
+    if (other.calls === 0) return
     this.calls += factor * other.calls
     this.failed += factor * other.failed
     this.lost += factor * other.lost
-    addInto(this.plain, other.plain, factor)
-    addInto(this.cached, other.cached, factor)
+    addCounts(this.plain, other.plain, factor)
+    addCounts(this.cached, other.cached, factor)
   }
 
   /** What was counted since `earlier`, an older state of the same counts. */
@@ -78,12 +78,20 @@
     return delta
   }
 
-  toJson (): Json {
+  clear (): void {
+    if (this.calls === 0) return
+    this.calls = 0
+    this.failed = 0
+    this.lost = 0
+    this.plain.fill(0)
+    this.cached.fill(0)
+  }
+
+  pack (): PackedSide {
     return [this.calls, this.failed, this.lost, packCounts(this.plain), packCounts(this.cached)]
   }
 
-  static fromJson (value: Json): SideCounts {
-    const [calls, failed, lost, plain, cached] = sideSchema.parse(value)
+  static unpack ([calls, failed, lost, plain, cached]: PackedSide): SideCounts {
     const counts = new SideCounts()
     counts.calls = calls
     counts.failed = failed
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -16,9 +16,9 @@
 /** The new version may fail this many times as often as the old one before that counts against it. */
 export const TOLERATED_RATIO = 1.5
 /** Ratios of failure that the test bets on. */
-export const FAILURE_RATIOS = [4, 16, 64] as const
+export const FAILURE_RATIOS = [4, 16, 64, 256] as const
 /** Ratios of slow calls that the test bets on; at most 1 over the share that {@link SLOW_QUANTILE} leaves. */
-export const SLOW_RATIOS = [3, 12] as const
+export const SLOW_RATIOS = [3, 12, 40] as const
 /** A call is slow above this quantile of the old version's recent calls. */
 export const SLOW_QUANTILE = 0.95
 /** Old calls needed before calls can be called slow. */
--- a/packages/rollout/src/latencyBuckets.ts
+++ b/packages/rollout/src/latencyBuckets.ts
@@ -19,7 +19,8 @@
 
 /** The first bucket that lies wholly above a quantile of the counts; undefined where they hold too few. */
 export const slowBucket = (counts: Float64Array, quantile: number, minTotal: number): number | undefined => {
-  const total = counts.reduce((sum, count) => sum + count, 0)
+  let total = 0
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) total += counts[bucket]!
   if (total < minTotal) return undefined
   let seen = 0
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
@@ -28,3 +29,8 @@
   }
   return BUCKET_COUNT
 }
+
+/** Adds counts to others, bucket by bucket. */
+export const addCounts = (into: Float64Array, counts: Float64Array, factor = 1): void => {
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) into[bucket]! += factor * counts[bucket]!
+}
--- a/packages/rollout/src/moveRow.ts
+++ b/packages/rollout/src/moveRow.ts
@@ -33,7 +33,7 @@
 const recordedSchema = z.object({ version: z.number(), record: moveRecordSchema })
 
 /** Reads a record that a peer passed on. */
-export const parseRecordedMove = (value: Json): RecordedMove | undefined => {
+export const parseRecordedMove = (value: unknown): RecordedMove | undefined => {
   const parsed = recordedSchema.safeParse(value)
   return parsed.success ? parsed.data : undefined
 }
