--- a/packages/cost/src/CostKeeper.ts
+++ b/packages/cost/src/CostKeeper.ts
@@ -1,14 +1,27 @@
 import { microUnits } from '@papayahill/common'
 import type {
-  ClassId, Clock, EventLog, Failure, Incarnation, InstanceId, RequestRecord, StageRecord, WorkspaceId
+  ClassId, Clock, EventLog, Failure, Incarnation, InstanceId, MicroUnits, RequestRecord, ServiceId, StageRecord, Timer, WorkspaceId
 } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/platform'
 import type { OperatorConfig } from '@papayahill/settings'
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
+import { BudgetKeeper } from './BudgetKeeper.js'
 import { callCost } from './callCost.js'
-import { dayOf } from './dayOf.js'
+import { BUDGET_PERIOD, FLUSH_PERIOD, PUBLISH_PERIOD, RECOVER_PERIOD } from './constants.js'
+import { dayOf, daysBetween, hourOf } from './dayOf.js'
+import { COST_EVENTS } from './events.js'
+import { Ledger } from './Ledger.js'
+import type { Chunk, Metered } from './Ledger.js'
+import { rowOfLine } from './LedgerLine.js'
+import type { LineUse } from './LedgerLine.js'
+import { ledgerRowKey, LedgerStore } from './LedgerStore.js'
+import type { DayLines } from './LedgerStore.js'
+import { LineSet } from './LineSet.js'
+import { PeerLedgers } from './PeerLedgers.js'
+import { rowKeyOf, sumRows } from './sumRows.js'
 import type { BudgetForecast, Cost, CostRow } from './types.js'
+import { wasteOfRequest, wasteOfStage } from './wasteCauseOf.js'
 
 export interface CostKeeperOptions {
   readonly self: InstanceId
@@ -25,57 +38,155 @@
  * Meters every stage call, keeps budgets and forecasts what they will come to.
  *
  * @example
- * const cost = new CostKeeper({ self, incarnation, clock, table, peers, config: () => log.view().config, log: events })
+ * const cost = new CostKeeper({ self, incarnation, clock, table, peers, config: () => config.view().config, log })
  * cost.start()
  */
 export class CostKeeper implements Cost {
   readonly #options: CostKeeperOptions
-  readonly #rows: CostRow[] = []
+  readonly #ledger = new Ledger()
+  readonly #store: LedgerStore
+  readonly #shown: PeerLedgers
+  readonly #budgets: BudgetKeeper
+  readonly #unpriced = new Set<ServiceId>()
+  #timers: readonly Timer[] = []
+  #flushing: Promise<void> | undefined
+  #isFlushFailing = false
 
   constructor (options: CostKeeperOptions) {
     this.#options = options
+    this.#store = new LedgerStore(options.table)
+    this.#shown = new PeerLedgers(options)
+    this.#budgets = new BudgetKeeper({ ...options, readDay: (day) => this.#readDay(day) })
   }
 
-  start (): void {}
+  start (): void {
+    const { clock } = this.#options
+    if (this.#timers.length > 0) return
+    this.#timers = [
+      clock.every(PUBLISH_PERIOD, () => this.#show()),
+      clock.every(FLUSH_PERIOD, () => { void this.flush() }),
+      clock.every(RECOVER_PERIOD, () => { void this.#recover() }),
+      clock.every(BUDGET_PERIOD, () => { void this.#budgets.refresh() })
+    ]
+    void this.#budgets.refresh()
+  }
 
-  stop (): void {}
+  stop (): void {
+    for (const timer of this.#timers) timer.cancel()
+    this.#timers = []
+  }
 
   check (workspace: WorkspaceId, classId: ClassId): Result<void, Failure> {
-    void workspace
-    void classId
-    return Result.ok(undefined)
+    return this.#budgets.check(workspace, classId)
   }
 
-  rows (fromDay: string, toDay: string): Promise<readonly CostRow[]> {
-    return Promise.resolve(this.#rows.filter(({ day }) => fromDay <= day && day <= toDay))
+  async rows (fromDay: string, toDay: string): Promise<readonly CostRow[]> {
+    const rows: CostRow[] = []
+    for (const day of daysBetween(fromDay, toDay)) {
+      const lines: DayLines = await this.#store.readDay(day) ?? new Map()
+      this.#raiseUnrecorded(day, lines)
+      for (const set of lines.values()) {
+        for (const line of set.lines) rows.push(rowOfLine(day, line))
+      }
+    }
+    return sumRows(rows, rowKeyOf).filter(({ calls, cost }) => calls !== 0 || cost !== 0)
   }
 
   forecasts (): readonly BudgetForecast[] {
-    return []
+    return this.#budgets.forecasts()
   }
 
-  flush (): Promise<void> {
-    return Promise.resolve()
+  /** One flush at a time; a second call waits for the first and then flushes what came since. */
+  async flush (): Promise<void> {
+    await this.#flushing
+    this.#flushing ??= this.#flush().finally(() => { this.#flushing = undefined })
+    await this.#flushing
   }
 
   stageEnded (record: StageRecord): void {
-    const prices = this.#options.config().services.get(record.service)?.prices
-    const { workspace, class: classId, service, usage } = record
-    this.#rows.push({
-      day: dayOf(this.#options.clock.wall()),
-      workspace,
-      class: classId,
-      stage: record.call.stage,
-      service,
-      use: record.waste ?? 'needed',
-      calls: 1,
-      usage,
-      cost: prices === undefined ? microUnits(0) : callCost(prices, usage)
-    })
+    const cost = this.#priceOf(record)
+    this.#count(record, wasteOfStage(record) ?? 'needed', cost)
+    this.#budgets.spent(record, cost)
   }
 
+  /** Work that was counted as needed moves to waste where its request got no answer. */
   requestEnded (record: RequestRecord, stages: readonly StageRecord[]): void {
-    void record
-    void stages
+    const cause = wasteOfRequest(record)
+    if (cause === undefined) return
+    for (const stage of stages) {
+      if (wasteOfStage(stage) !== undefined) continue
+      const cost = this.#priceOf(stage)
+      this.#count(stage, 'not-needed', cost)
+      this.#count(stage, cause, cost)
+    }
+  }
+
+  #count (record: StageRecord, use: LineUse, cost: MicroUnits): void {
+    const now = this.#options.clock.wall()
+    const { workspace, class: classId, call, service, usage } = record
+    const id = { workspace, class: classId, stage: call.stage, service, use }
+    const metered: Metered = { day: dayOf(now), hour: hourOf(now), id, usage, cost }
+    this.#ledger.count(metered)
+  }
+
+  #priceOf ({ service, usage }: StageRecord): MicroUnits {
+    const prices = this.#options.config().services.get(service)?.prices
+    if (prices !== undefined) return callCost(prices, usage)
+    if (!this.#unpriced.has(service)) this.#options.log.emit(COST_EVENTS.unpricedService, { service })
+    this.#unpriced.add(service)
+    return microUnits(0)
+  }
+
+  #show (): void {
+    for (const chunk of this.#ledger.chunks) if (!chunk.isShown) this.#shown.show(chunk)
+    this.#ledger.trim(dayOf(this.#options.clock.wall()))
+  }
+
+  async #flush (): Promise<void> {
+    for (const chunk of [...this.#ledger.chunks]) {
+      if (!chunk.isRecorded) await this.#flushChunk(chunk)
+    }
   }
+
+  async #flushChunk (chunk: Chunk): Promise<void> {
+    const { incarnation, log } = this.#options
+    const changes = chunk.takeChanges()
+    const version = await this.#store.raise(ledgerRowKey(chunk.day, incarnation, chunk.index), chunk.lines, chunk.rowVersion)
+    if (version === undefined) {
+      chunk.giveBack(changes)
+      if (!this.#isFlushFailing) log.emit(COST_EVENTS.flushFailed, { lines: changes.size })
+      this.#isFlushFailing = true
+      return
+    }
+    this.#isFlushFailing = false
+    chunk.rowVersion = version
+    chunk.recorded()
+  }
+
+  async #recover (): Promise<void> {
+    const lines = await this.#shown.recover(this.#store)
+    if (lines > 0) this.#options.log.emit(COST_EVENTS.deadMeterRecorded, { lines })
+  }
+
+  async #readDay (day: string): Promise<DayLines | undefined> {
+    const found = await this.#store.readDay(day)
+    if (found !== undefined) this.#raiseUnrecorded(day, found)
+    return found
+  }
+
+  /** Raises a day's recorded lines by what this instance and its peers hold unrecorded. */
+  #raiseUnrecorded (day: string, rows: DayLines): void {
+    for (const { day: shownDay, row, lines } of this.#shown.shown()) {
+      if (shownDay === day) setOf(rows, row).raise(lines)
+    }
+    for (const chunk of this.#ledger.chunks) {
+      if (chunk.day === day) setOf(rows, ledgerRowKey(day, this.#options.incarnation, chunk.index)).raise(chunk.lines)
+    }
+  }
+}
+
+const setOf = (rows: DayLines, key: RowKey): LineSet => {
+  const set = rows.get(key) ?? new LineSet()
+  rows.set(key, set)
+  return set
 }
--- /dev/null
+++ b/packages/cost/src/LedgerStore.ts
@@ -0,0 +1,61 @@
+import { brand } from '@papayahill/common'
+import type { Json } from '@papayahill/common'
+import type { RowKey, TableService } from '@papayahill/platform'
+import { SCAN_LIMIT } from './constants.js'
+import { LineSet } from './LineSet.js'
+
+const PREFIX = 'cost/ledger/'
+const MAX_TRIES = 4
+
+/** Name of a chunk's row: its day, the life that metered it and its index. */
+export const ledgerRowKey = (day: string, life: string, chunk: number): RowKey =>
+  brand<RowKey>(`${PREFIX}${day}/${life}/${chunk}`)
+
+const dayPrefix = (day: string): string => `${PREFIX}${day}/`
+
+/** One day's rows by key. */
+export type DayLines = Map<RowKey, LineSet>
+
+/**
+ * The recorded ledger in the table service. A write raises a row to at least the given lines, so that it
+ * may be repeated after a lost answer and made by several instances, and counts everything once.
+ *
+ * @example
+ * const store = new LedgerStore(table)
+ * await store.raise(ledgerRowKey(day, life, 0), lines, 0)
+ */
+export class LedgerStore {
+  readonly #table: TableService
+
+  constructor (table: TableService) {
+    this.#table = table
+  }
+
+  /** Raises a row; its new version, or undefined where the store gave no answer of use. */
+  async raise (key: RowKey, lines: LineSet, version: number): Promise<number | undefined> {
+    let base = version
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const value = lines.pack() as Json
+      const result = await this.#table.commit({ conditions: [{ key, version: base }], writes: [{ key, value }] })
+      if (result.isOk) return result.value.rows[0]?.version ?? base + 1
+      if (result.error.kind !== 'conflict') return undefined
+      const row = result.error.rows[0]
+      lines.raise(LineSet.parse(row?.value))
+      base = row?.version ?? 0
+    }
+    return undefined
+  }
+
+  /** All rows of a day; undefined where the store gave no answer. */
+  async readDay (day: string): Promise<DayLines | undefined> {
+    const found: DayLines = new Map()
+    let after: RowKey | undefined
+    for (;;) {
+      const result = await this.#table.scan(dayPrefix(day), after, SCAN_LIMIT)
+      if (result.isErr) return undefined
+      for (const row of result.value) found.set(row.key, LineSet.parse(row.value))
+      if (result.value.length < SCAN_LIMIT) return found
+      after = result.value[result.value.length - 1]!.key
+    }
+  }
+}
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -2,7 +2,8 @@
 import { AdverseTest } from './AdverseTest.js'
 import type { AdverseCalls } from './AdverseTest.js'
 import {
-  FAILURE_RATIOS, LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_RATIOS
+  FAILURE_RATIOS, LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_RATIOS,
+  SLOW_TOLERANCE_BUCKETS
 } from './constants.js'
 import type { RouteCounts } from './EvidenceCounts.js'
 import { addCounts, BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
@@ -116,7 +117,7 @@
     return 1
   }
 
-  /** The new version's calls count as slow one bucket later, which tolerates a quarter more time. */
+  /** The new version's calls count as slow some buckets later. */
   #slowCalls (delta: RouteCounts): AdverseCalls {
     let fresh = 0
     let old = 0
@@ -124,7 +125,7 @@
       const first = slowBucket(this.#oldTimes[stratum], SLOW_QUANTILE, SLOW_MIN_CALLS)
       if (first === undefined) continue
       this.#slowFrom = first
-      fresh += countFrom(delta.new[stratum], first + 1)
+      fresh += countFrom(delta.new[stratum], first + SLOW_TOLERANCE_BUCKETS)
       old += countFrom(delta.old[stratum], first)
     }
     return { new: fresh, old }
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -21,6 +21,8 @@
 export const SLOW_RATIOS = [3, 12, 40] as const
 /** A call is slow above this quantile of the old version's recent calls. */
 export const SLOW_QUANTILE = 0.95
+/** Buckets by which a call of the new version may be slower before it counts as slow: a quarter more time. */
+export const SLOW_TOLERANCE_BUCKETS = 2
 /** Old calls needed before calls can be called slow. */
 export const SLOW_MIN_CALLS = 20
 /** How fast recent calls are forgotten in the share of the new version and the old one's times. */
--- a/packages/rollout/src/latencyBuckets.ts
+++ b/packages/rollout/src/latencyBuckets.ts
@@ -1,13 +1,13 @@
 /** Number of latency buckets; together they reach from 1 ms past half an hour. */
-export const BUCKET_COUNT = 64
-const BUCKETS_PER_OCTAVE = 3
+export const BUCKET_COUNT = 128
+const BUCKETS_PER_OCTAVE = 6
 
 /**
- * The bucket of a time in milliseconds; each is wider than the one before by the cube root of two.
+ * The bucket of a time in milliseconds; each is wider than the one before by the sixth root of two.
  *
  * @example
  * bucketOf(1) // 0
- * bucketOf(1000) // 29
+ * bucketOf(1000) // 59
  */
 export const bucketOf = (time: number): number => {
   const bucket = Math.floor(BUCKETS_PER_OCTAVE * Math.log2(Math.max(1, time)))
