--- a/packages/bench/src/moves/MoveRig.ts
+++ b/packages/bench/src/moves/MoveRig.ts
@@ -208,8 +208,9 @@
     if (version === undefined) return
     const isNew = version === NEW
     const startedAt = this.#clock.now()
+    const sinceBegin = startedAt - this.#begunAt
     const seen: SeenCall = {
-      instance: member.id, route, isNew, startedAt: startedAt - this.#begunAt, endedAt: Infinity, outcome: undefined, took: 0, isFaulty: false
+      instance: member.id, route, isNew, startedAt: sinceBegin, endedAt: Infinity, outcome: undefined, took: 0, isFaulty: false
     }
     this.#calls.push(seen)
     if (isNew) member.newRunning++
--- a/packages/cost/src/BudgetAccount.ts
+++ b/packages/cost/src/BudgetAccount.ts
@@ -134,7 +134,7 @@
     const usual = this.forecaster.profile.usual(this.#today)
     const expected = usual[hour]! + (hour > 0 ? usual[hour - 1]! : 0)
     const excess = (part: Part): number => recent(part) - (past === 0 ? 0 : expected * part.past / past)
-    return parts.reduce<Part | undefined>((most, part) => most === undefined || excess(part) > excess(most) ? part : most, undefined)?.driver
+    return parts.sort((left, right) => excess(right) - excess(left))[0]?.driver
   }
 
   #beginDay (day: string): void {
--- a/packages/cost/src/CostKeeper.ts
+++ b/packages/cost/src/CostKeeper.ts
@@ -21,7 +21,7 @@
 import { PeerLedgers } from './PeerLedgers.js'
 import { rowKeyOf, sumRows } from './sumRows.js'
 import type { BudgetForecast, Cost, CostRow } from './types.js'
-import { wasteOfRequest, wasteOfStage } from './wasteCauseOf.js'
+import { isBilled, wasteOfRequest, wasteOfStage } from './wasteCauseOf.js'
 
 export interface CostKeeperOptions {
   readonly self: InstanceId
@@ -104,6 +104,7 @@
   }
 
   stageEnded (record: StageRecord): void {
+    if (!isBilled(record)) return
     const cost = this.#priceOf(record)
     this.#count(record, wasteOfStage(record) ?? 'needed', cost)
     this.#budgets.spent(record, cost)
