--- a/packages/rollout/src/latencyBuckets.ts
+++ b/packages/rollout/src/latencyBuckets.ts
@@ -1,13 +1,13 @@
 /** Number of latency buckets; together they reach from 1 ms past half an hour. */
-export const BUCKET_COUNT = 64
-const BUCKETS_PER_OCTAVE = 3
+export const BUCKET_COUNT = 128
+const BUCKETS_PER_OCTAVE = 6
 
 /**
- * The bucket of a time in milliseconds; each is wider than the one before by the cube root of two.
+ * The bucket of a time in milliseconds; each is wider than the one before by the sixth root of two.
  *
  * @example
  * bucketOf(1) // 0
- * bucketOf(1000) // 29
+ * bucketOf(1000) // 59
  */
 export const bucketOf = (time: number): number => {
   const bucket = Math.floor(BUCKETS_PER_OCTAVE * Math.log2(Math.max(1, time)))
@@ -19,7 +19,8 @@
 
 /** The first bucket that lies wholly above a quantile of the counts; undefined where they hold too few. */
 export const slowBucket = (counts: Float64Array, quantile: number, minTotal: number): number | undefined => {
-  const total = counts.reduce((sum, count) => sum + count, 0)
+  let total = 0
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) total += counts[bucket]!
   if (total < minTotal) return undefined
   let seen = 0
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
@@ -28,3 +29,8 @@
   }
   return BUCKET_COUNT
 }
+
+/** Adds counts to others, bucket by bucket. */
+export const addCounts = (into: Float64Array, counts: Float64Array, factor = 1): void => {
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) into[bucket]! += factor * counts[bucket]!
+}
