--- /dev/null
+++ b/packages/bench/src/docs/events.test.ts
@@ -0,0 +1,28 @@
+import { readFileSync } from 'node:fs'
+import { beforeAll, describe, expect, it } from 'vitest'
+import { loadCatalogues } from './loadCatalogues.js'
+import { renderEvents } from './renderEvents.js'
+import type { Catalogue } from './renderEvents.js'
+
+const PAGE = readFileSync(new URL('../../../../docs/EVENTS.md', import.meta.url), 'utf8')
+
+describe('the catalogue of events', () => {
+  let catalogues: readonly Catalogue[]
+
+  beforeAll(async () => { catalogues = await loadCatalogues('src/events.ts') })
+
+  it('is what docs/EVENTS.md shows; else run npm run docs:events', () => {
+    expect(PAGE).toBe(renderEvents(catalogues))
+  })
+
+  it('gives each event a number of its own, with four digits', () => {
+    const numbers = catalogues.flatMap((catalogue) => catalogue.events.map((event) => event.number))
+    expect(new Set(numbers).size).toBe(numbers.length)
+    expect(numbers.every((number) => number >= 1000 && number <= 9999)).toBe(true)
+  })
+
+  it('says of each event in a sentence what happened', () => {
+    const texts = catalogues.flatMap((catalogue) => catalogue.events.map((event) => event.text))
+    expect(texts.filter((text) => !/^[A-Z].*\.$/.test(text))).toEqual([])
+  })
+})
