--- a/packages/backends/src/ConfirmedSocket.ts
+++ b/packages/backends/src/ConfirmedSocket.ts
@@ -27,6 +27,21 @@
   onData (data: Buffer): void
 }
 
+/** Ends an exchange from outside; a plain object, since it is made for each call. */
+export interface Stopper {
+  isStopped: boolean
+  /** Set while the exchange runs. */
+  stop: (() => void) | undefined
+}
+
+/** Stops an exchange, also one that has not begun. */
+export const stopExchange = (stopper: Stopper): void => {
+  stopper.isStopped = true
+  stopper.stop?.()
+}
+
+export const newStopper = (): Stopper => ({ isStopped: false, stop: undefined })
+
 type Headers = Readonly<Record<string, string | string[] | undefined>>
 
 const headerOf = (headers: Headers, name: string): string | undefined => {
@@ -80,9 +95,9 @@
   }
 
   /** Sends one request; the answer's parts go to the listener as they come. */
-  exchange (req: SocketRequest, listener: AnswerListener, signal: AbortSignal): Promise<Result<void, SocketLoss>> {
+  exchange (req: SocketRequest, listener: AnswerListener, stopper: Stopper): Promise<Result<void, SocketLoss>> {
     return new Promise((resolve) => {
-      const handler = new ExchangeHandler(listener, signal, resolve)
+      const handler = new ExchangeHandler(listener, stopper, resolve)
       this.#client.dispatch({ method: req.method, path: req.path, headers: req.headers, body: req.body ?? null }, handler)
     })
   }
@@ -104,22 +119,20 @@
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener
-  readonly #signal: AbortSignal
+  readonly #stopper: Stopper
   readonly #resolve: (result: Result<void, SocketLoss>) => void
-  #controller: Dispatcher.DispatchController | undefined
   #isSent = false
 
-  constructor (listener: AnswerListener, signal: AbortSignal, resolve: (result: Result<void, SocketLoss>) => void) {
+  constructor (listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketLoss>) => void) {
     this.#listener = listener
-    this.#signal = signal
+    this.#stopper = stopper
     this.#resolve = resolve
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
-    this.#controller = controller
-    if (this.#signal.aborted) return controller.abort(new Error('aborted before it was sent'))
+    if (this.#stopper.isStopped) return controller.abort(new Error('stopped before it was sent'))
     this.#isSent = true
-    this.#signal.addEventListener('abort', this.#abort, { once: true })
+    this.#stopper.stop = () => controller.abort(new Error('stopped'))
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Headers): void {
@@ -140,10 +153,8 @@
     this.#settle(Result.err({ isSent: this.#isSent, detail: err.message }))
   }
 
-  readonly #abort = (): void => { this.#controller?.abort(new Error('aborted')) }
-
   #settle (result: Result<void, SocketLoss>): void {
-    this.#signal.removeEventListener('abort', this.#abort)
+    this.#stopper.stop = undefined
     this.#resolve(result)
   }
 }
--- a/packages/backends/src/HttpConnection.ts
+++ b/packages/backends/src/HttpConnection.ts
@@ -8,7 +8,8 @@
 import { ADAPTERS } from './adapters.js'
 import type { Adapter } from './adapters.js'
 import { CompletionStream } from './CompletionStream.js'
-import type { SocketAnswer, SocketLoss, SocketRequest } from './ConfirmedSocket.js'
+import { newStopper, stopExchange } from './ConfirmedSocket.js'
+import type { SocketAnswer, SocketLoss, SocketRequest, Stopper } from './ConfirmedSocket.js'
 import { BACKENDS_EVENTS } from './events.js'
 import { parseJson } from './parseJson.js'
 import { SocketPool } from './SocketPool.js'
@@ -67,7 +68,7 @@
     const exchange = new CallExchange(this.#options, call, onChunk, signal)
     const socket = this.#sockets.takeIdle() ?? await this.#sockets.open()
     if (socket === undefined) return exchange.notSent('no connection to the endpoint')
-    const result = await exchange.run((req, listener, abort) => socket.exchange(req, listener, abort))
+    const result = await exchange.run((req, listener, stopper) => socket.exchange(req, listener, stopper))
     this.#sockets.giveBack(socket)
     this.#judgeLife(exchange.incarnation)
     return result
@@ -99,7 +100,7 @@
 }
 
 type Send = (
-  req: SocketRequest, listener: { onStart (answer: SocketAnswer): void, onData (data: Buffer): void }, signal: AbortSignal
+  req: SocketRequest, listener: { onStart (answer: SocketAnswer): void, onData (data: Buffer): void }, stopper: Stopper
 ) => Promise<Result<void, SocketLoss>>
 
 /** One call from its first byte to its answer. */
@@ -133,15 +134,16 @@
   }
 
   async run (send: Send): Promise<Result<StageAnswer, CallError>> {
-    const abort = new AbortController()
-    const forward = (): void => abort.abort()
+    const stopper = newStopper()
+    const stop = (): void => stopExchange(stopper)
     const timer = this.#options.clock.after(this.#call.timeout, () => {
       this.#isTimedOut = true
-      abort.abort()
+      stop()
     })
-    this.#signal.addEventListener('abort', forward, { once: true })
-    const result = await send(this.#request(), this, abort.signal)
-    this.#signal.removeEventListener('abort', forward)
+    this.#signal.addEventListener('abort', stop, { once: true })
+    if (this.#signal.aborted) stop()
+    const result = await send(this.#request(), this, stopper)
+    this.#signal.removeEventListener('abort', stop)
     timer.cancel()
     return result.isErr ? Result.err(this.#errorOf(result.error)) : this.#read()
   }
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -1,7 +1,7 @@
 import { brand, isJsonObject } from '@papayahill/common'
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
 import { Result } from 'true-myth'
-import { ConfirmedSocket } from './ConfirmedSocket.js'
+import { ConfirmedSocket, newStopper, stopExchange } from './ConfirmedSocket.js'
 import { OPEN_TIMEOUT } from './constants.js'
 import { parseJson } from './parseJson.js'
 
@@ -19,11 +19,11 @@
 /** Opens one connection and asks on it which life of the endpoint answers. */
 export const openSocket = async (origin: string, clock: Clock): Promise<Result<OpenedSocket, string>> => {
   const socket = new ConfirmedSocket(origin)
-  const abort = new AbortController()
-  const timer = clock.after(OPEN_TIMEOUT, () => abort.abort())
+  const stopper = newStopper()
+  const timer = clock.after(OPEN_TIMEOUT, () => stopExchange(stopper))
   let text = ''
   const listener = { onStart: () => {}, onData: (data: Buffer) => { text += data.toString() } }
-  const result = await socket.exchange({ method: 'GET', path: '/v1/identity', headers: {} }, listener, abort.signal)
+  const result = await socket.exchange({ method: 'GET', path: '/v1/identity', headers: {} }, listener, stopper)
   timer.cancel()
   const incarnation = incarnationIn(text)
   if (result.isOk && incarnation !== undefined) return Result.ok({ socket, incarnation })
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -2,6 +2,7 @@
 
 /** All benches by name, loaded when asked for. */
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
+  relay: () => import('./benches/relay.js'),
   'moves-good': () => import('./benches/moves-good.js'),
   'moves-bad': () => import('./benches/moves-bad.js'),
   ledger: () => import('./benches/ledger.js'),
--- a/packages/edge/src/createApp.ts
+++ b/packages/edge/src/createApp.ts
@@ -36,8 +36,11 @@
 export const sendJson = (
   { id, res }: Exchange, body: unknown, headers: Readonly<Record<string, string>> = {}
 ): void => {
-  res.writeHead(200, { 'content-type': 'application/json', 'x-request-id': id, ...headers })
-  res.end(JSON.stringify(body))
+  const text = JSON.stringify(body)
+  res.writeHead(200, {
+    'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'x-request-id': id, ...headers
+  })
+  res.end(text)
 }
 
 export const sendText = ({ id, res }: Exchange, status: number, text: string): void => {
--- a/packages/edge/src/problem.ts
+++ b/packages/edge/src/problem.ts
@@ -34,13 +34,15 @@
 /** Answers with problem details; nothing may have been written before. */
 export const sendProblem = (res: ServerResponse, cause: Failure, request: string): void => {
   const after = retryAfterSeconds(cause)
+  const text = JSON.stringify(encodeProblem(cause, request))
   res.writeHead(ERROR_ANSWERS[cause.kind].status, {
     'content-type': PROBLEM_TYPE,
+    'content-length': Buffer.byteLength(text),
     'x-request-id': request,
     ...(after === undefined ? {} : { 'retry-after': String(after) }),
     ...(cause.kind === 'unauthorized' ? { 'www-authenticate': 'Bearer' } : {})
   })
-  res.end(JSON.stringify(encodeProblem(cause, request)))
+  res.end(text)
 }
 
 /**
