--- a/apps/papayahill/src/demo/runDemo.ts
+++ b/apps/papayahill/src/demo/runDemo.ts
@@ -3,15 +3,14 @@
 import type { Clock, DomainId, Json, JsonObject, Random, ServiceId } from '@papayahill/common'
 import { encodeConfig, formatFault, parseOperatorConfig } from '@papayahill/settings'
 import type { OperatorConfig } from '@papayahill/settings'
+import { CallerBook, HttpCallers } from '@papayahill/testbed'
 import { CliFailure } from '../CliFailure.js'
 import { EXIT_CODES } from '../exitCodes.js'
 import { OperatorClient } from '../OperatorClient.js'
 import type { Cli } from '../types.js'
-import { CallerBook } from './CallerBook.js'
 import {
-  DEMO_IN_AT, DEMO_MOVE_SPAN, DEMO_OUT_AT, DEMO_SETTLE, DEMO_SPAN, DEMO_START_LIMIT
+  DEMO_IN_AT, DEMO_MOVE_SPAN, DEMO_OUT_AT, DEMO_REQUEST_GAP, DEMO_SETTLE, DEMO_SPAN, DEMO_START_LIMIT, DEMO_WEIGHTS
 } from './constants.js'
-import { DemoCallers } from './DemoCallers.js'
 import { DemoDeployment } from './DemoDeployment.js'
 import { attainmentTable, costTable, errorLines, judgeDemo, moveLine } from './showDemo.js'
 import type { CostLine, DemoVerdict } from './showDemo.js'
@@ -107,7 +106,8 @@
 
 const sendTraffic = async (run: DemoRun, random: Random, book: CallerBook): Promise<void> => {
   const targets = run.deployment.instances.map(({ id, callers }) => ({ instance: id, origin: callers }))
-  const callers = new DemoCallers({ targets, config: run.config, clock: run.clock, random, book })
+  const { config, clock } = run
+  const callers = new HttpCallers({ targets, config, clock, random, book, gap: DEMO_REQUEST_GAP, weights: DEMO_WEIGHTS })
   await callers.run(DEMO_SPAN)
   await callers.close()
 }
--- a/apps/papayahill/src/demo/showDemo.ts
+++ b/apps/papayahill/src/demo/showDemo.ts
@@ -2,8 +2,8 @@
 import { checkPromises } from '@papayahill/invariants'
 import type { Trace } from '@papayahill/invariants'
 import type { OperatorConfig } from '@papayahill/settings'
+import type { CallerBook } from '@papayahill/testbed'
 import { formatTable } from '../table.js'
-import type { CallerBook } from './CallerBook.js'
 
 const PERCENT = 100
 const MICRO_UNITS = 1_000_000
--- a/apps/papayahill/src/demo/DemoCallers.ts
+++ b/packages/testbed/src/http/HttpCallers.ts
@@ -6,33 +6,37 @@
 import { createParser } from 'eventsource-parser'
 import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
-import { DEMO_REQUEST_GAP } from './constants.js'
 import type { CallerBook, CallerEntry } from './CallerBook.js'
 
-export interface DemoTarget {
+export interface CallerTarget {
   readonly instance: InstanceId
   readonly origin: string
 }
 
-export interface DemoCallersOptions {
-  readonly targets: readonly DemoTarget[]
+export interface HttpCallersOptions {
+  readonly targets: readonly CallerTarget[]
   readonly config: OperatorConfig
   readonly clock: Clock
   readonly random: Random
   readonly book: CallerBook
+  /** Mean time between two requests of all callers together. */
+  readonly gap: Millis
+  /** Relative frequency of a class; 1 where absent. */
+  readonly weights?: Readonly<Record<string, number>>
+  /** Whether a cut or unknown answer under a key is asked for again elsewhere, with the same key. */
+  readonly isRetrying?: boolean
 }
 
 interface Call {
   readonly workspace: WorkspaceId
   readonly class: ClassSettings
-  readonly target: DemoTarget
+  readonly target: CallerTarget
   readonly startedAt: Millis
   readonly key?: IdempotencyKey
 }
 
-/** Relative frequency of classes: plain look-ups come often, generation less so. */
-const STREAMED_WEIGHT = 1
-const PLAIN_WEIGHT = 4
+const MAX_TRIES = 60
+const RETRY_PAUSE = millis(500)
 
 type Answered = CallerEntry['answered']
 
@@ -47,32 +51,34 @@
 const CUT: Answered = { outcome: 'cut', isWhole: false }
 
 /**
- * Callers of a demo: an open stream of requests of all classes over HTTP, in turn to each instance.
+ * Callers over HTTP: an open stream of requests of all classes, in turn to each instance.
  *
  * @example
- * await new DemoCallers({ targets, config, clock, random, book }).run(seconds(10))
+ * await new HttpCallers({ targets, config, clock, random, book, gap: millis(20) }).run(seconds(10))
  */
-export class DemoCallers {
-  readonly #options: DemoCallersOptions
+export class HttpCallers {
+  readonly #options: HttpCallersOptions
   readonly #agent = new Agent({ connections: 128 })
   readonly #running = new Set<Promise<void>>()
   readonly #classes: readonly ClassSettings[]
   #sent = 0
+  #turn = 0
+  #cuts = 0
 
-  constructor (options: DemoCallersOptions) {
+  constructor (options: HttpCallersOptions) {
     this.#options = options
     this.#classes = [...options.config.classes.values()].flatMap((settings) =>
-      new Array<ClassSettings>(settings.streamed ? STREAMED_WEIGHT : PLAIN_WEIGHT).fill(settings))
+      new Array<ClassSettings>(options.weights?.[settings.id] ?? 1).fill(settings))
   }
 
   /** Sends for `span`, then waits for the last answer. */
   async run (span: Millis): Promise<void> {
-    const { clock, random } = this.#options
+    const { clock, random, gap } = this.#options
     const until = clock.now() + span
     let due = clock.now()
     while (due < until) {
       this.#start()
-      due = millis(due + exponential(random, DEMO_REQUEST_GAP))
+      due = millis(due + exponential(random, gap))
       const wait = due - clock.now()
       if (wait > 0) await clock.sleep(millis(wait))
     }
@@ -86,12 +92,12 @@
   #start (): void {
     const settings = this.#classes[this.#options.random.below(this.#classes.length)]
     if (settings === undefined) return
-    const done = this.#call(this.#plan(settings)).finally(() => { this.#running.delete(done) })
+    const done = this.#ask(this.#plan(settings)).finally(() => { this.#running.delete(done) })
     this.#running.add(done)
   }
 
   #plan (settings: ClassSettings): Call {
-    const { targets, clock, random } = this.#options
+    const { clock, random } = this.#options
     const workspaces = [...this.#options.config.workspaces.values()]
       .filter(({ classes }) => classes === undefined || classes.includes(settings.id))
     const workspace = workspaces[random.below(workspaces.length)]?.id ?? brand<WorkspaceId>('none')
@@ -99,18 +105,39 @@
     return {
       workspace,
       class: settings,
-      target: targets[this.#sent % targets.length]!,
+      target: this.#nextTarget(),
       startedAt: clock.now(),
-      key: settings.repeatable ? undefined : brand<IdempotencyKey>(`demo-${this.#sent}`)
+      key: settings.repeatable ? undefined : brand<IdempotencyKey>(`k-${this.#sent}`)
+    }
+  }
+
+  /** One request and, where asked for, its retries under the same key at the next instance. */
+  async #ask (call: Call): Promise<void> {
+    let current = call
+    for (let tries = 1; ; tries++) {
+      const entry = await this.#call(current)
+      this.#options.book.add(entry)
+      if (!this.#isWorthRetry(entry) || tries === MAX_TRIES) return
+      await this.#options.clock.sleep(RETRY_PAUSE)
+      current = { ...call, target: this.#nextTarget(), startedAt: this.#options.clock.now() }
     }
   }
 
-  async #call (call: Call): Promise<void> {
+  #isWorthRetry ({ sent, answered }: CallerEntry): boolean {
+    return this.#options.isRetrying === true && sent.key !== undefined && answered.outcome !== 'answered'
+  }
+
+  #nextTarget (): CallerTarget {
+    const { targets } = this.#options
+    this.#turn++
+    return targets[this.#turn % targets.length]!
+  }
+
+  async #call (call: Call): Promise<CallerEntry> {
     try {
-      const answer = await this.#request(call)
-      await this.#read(call, answer)
+      return await this.#read(call, await this.#request(call))
     } catch {
-      this.#note(call, brand<RequestId>(`cut-${call.startedAt}`), CUT)
+      return this.#entry(call, brand<RequestId>(`cut-${this.#cuts++}`), CUT)
     }
   }
 
@@ -129,16 +156,16 @@
     })
   }
 
-  async #read (call: Call, answer: Dispatcher.ResponseData): Promise<void> {
+  async #read (call: Call, answer: Dispatcher.ResponseData): Promise<CallerEntry> {
     const request = brand<RequestId>(String(answer.headers['x-request-id']))
-    if (answer.statusCode !== 200) return this.#noteProblem(call, request, await answer.body.json() as Json)
+    if (answer.statusCode !== 200) return this.#problemEntry(call, request, await answer.body.json() as Json)
     if (call.class.streamed) return await this.#readStream(call, request, answer)
     const body = await answer.body.json() as Json
     const output = isJsonObject(body) ? body.body ?? body : body
-    this.#note(call, request, { outcome: 'answered', madeFor: madeForOf(output), isWhole: true })
+    return this.#entry(call, request, { outcome: 'answered', madeFor: madeForOf(output), isWhole: true })
   }
 
-  async #readStream (call: Call, request: RequestId, answer: Dispatcher.ResponseData): Promise<void> {
+  async #readStream (call: Call, request: RequestId, answer: Dispatcher.ResponseData): Promise<CallerEntry> {
     const chunks: number[] = []
     let firstChunk: Millis | undefined
     let end: Json | undefined
@@ -154,19 +181,19 @@
       }
     })
     for await (const part of answer.body) parser.feed(String(part))
-    if (problem !== undefined) return this.#noteProblem(call, request, problem)
-    if (!isJsonObject(end)) return this.#note(call, request, { ...CUT, chunks })
+    if (problem !== undefined) return this.#problemEntry(call, request, problem)
+    if (!isJsonObject(end)) return this.#entry(call, request, { ...CUT, chunks })
     const isWhole = end.chunks === chunks.length
-    this.#note(call, request, { outcome: 'answered', madeFor: madeForOf(end.body ?? null), chunks, isWhole }, { firstChunk })
+    return this.#entry(call, request, { outcome: 'answered', madeFor: madeForOf(end.body ?? null), chunks, isWhole }, { firstChunk })
   }
 
-  #noteProblem (call: Call, request: RequestId, problem: Json): void {
+  #problemEntry (call: Call, request: RequestId, problem: Json): CallerEntry {
     const run = runOf(problem)
     const kind = isJsonObject(problem) ? String(problem.type ?? problem.title) : 'unknown'
-    this.#note(call, request, { outcome: run === 'not-run' ? 'refused' : 'failed', run, isWhole: true }, { error: kind })
+    return this.#entry(call, request, { outcome: run === 'not-run' ? 'refused' : 'failed', run, isWhole: true }, { error: kind })
   }
 
-  #note (call: Call, request: RequestId, answered: Answered, more: Pick<CallerEntry, 'error' | 'firstChunk'> = {}): void {
+  #entry (call: Call, request: RequestId, answered: Answered, more: Pick<CallerEntry, 'error' | 'firstChunk'> = {}): CallerEntry {
     const sent = {
       at: call.startedAt,
       request,
@@ -177,7 +204,7 @@
       key: call.key,
       isRepeatable: call.class.repeatable
     }
-    this.#options.book.add({ sent, answered, took: this.#since(call), ...more })
+    return { sent, answered, took: this.#since(call), ...more }
   }
 
   #body (call: Call): string {
