--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -48,6 +48,8 @@
   readonly stats = new CallStats()
   readonly warmLimit = new WarmLimit()
   readonly #self: Incarnation
+  /** Fixed lot by which a fraction of a slot falls to this instance or not. */
+  readonly #lot: number
   readonly #calls = new Set<RunningCall>()
   #connection: EndpointConnection | undefined
   #incarnation: EndpointIncarnation | undefined
@@ -61,11 +63,13 @@
   #lifeSeen: { readonly incarnation: EndpointIncarnation, readonly at: Millis } | undefined
   #startedSinceReport = 0
   #checkedAt = millis(-Infinity)
+  #heldAt = millis(-Infinity)
   #ledger: SlotLedger | undefined
 
   constructor (self: Incarnation, listed: ListedEndpoint) {
     this.#self = self
     this.listed = listed
+    this.#lot = hash32(`${listed.id} ${self}`) / HASH_RANGE
   }
 
   get connection (): EndpointConnection | undefined {
@@ -159,7 +163,13 @@
     return 0
   }
 
+  /** Holds new work back until a report that was asked for later. */
+  hold (now: Millis): void {
+    this.#heldAt = now
+  }
+
   hasRoom (now: Millis): boolean {
+    if (this.#heldAt > this.#reportAskedAt) return false
     if (this.busy >= this.probation || this.isSuspect(now)) return false
     const state = this.state
     if (state === 'cold') return this.#olderCalls() === 0 && (this.#ledger?.hasRoom() ?? false)
@@ -209,6 +219,12 @@
     return this.load() >= BUSY_SHARE
   }
 
+  /** Whether a cold life has more calls than it bears, as only calls of an earlier life can make it. */
+  isOverfull (): boolean {
+    if (this.#report === undefined || this.#report.isWarm) return false
+    return this.#report.running + this.#report.queued > this.#report.bears
+  }
+
   /** Calls of others that a report shows at most: all but this instance's that surely were there. */
   othersIn (report: LoadReport, askedAt: Millis): number {
     const own = [...this.#calls].filter((call) => call.startedAt + HANDOVER_MARGIN <= askedAt).length
@@ -277,7 +293,7 @@
   /** This instance's part of the warm limit, and what a fresh report lets it borrow. */
   #warmShare (now: Millis): number {
     const total = this.warmLimit.value
-    const owned = Math.floor(total / this.sharers + hash32(`${this.listed.id} ${this.#self}`) / HASH_RANGE)
+    const owned = Math.floor(total / this.sharers + this.#lot)
     if (this.#report === undefined || now - this.#reportAskedAt > BORROW_MAX_AGE) return owned
     const room = total - this.#report.running - this.#report.queued
     const borrowed = Math.floor(Math.max(0, room) * Math.min(1, BORROW_SHARE / Math.sqrt(this.sharers)))
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -1,6 +1,6 @@
-import { brand, millis } from '@papayahill/common'
+import { brand, millis, MILLIS_PER_SECOND } from '@papayahill/common'
 import type {
-  CallOutcome, Clock, DomainId, EndpointId, EventLog, Incarnation, InstanceId, Millis, Random, RegionId,
+  CallOutcome, Clock, DomainId, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis, Random, RegionId,
   ServiceId, Timer, VersionId
 } from '@papayahill/common'
 import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
@@ -8,7 +8,8 @@
 import { chooseEndpoint } from './chooseEndpoint.js'
 import { chooseWatched, sharersOf } from './chooseWatched.js'
 import {
-  COLD_REPORT_PERIOD, MISSED_REPORTS, ROSTER_MAX_AGE, UPKEEP_PERIOD, WARM_POLLS_PER_SECOND, WARM_REPORT_PERIOD
+  COLD_REPORT_PERIOD, MISSED_REPORTS, ROSTER_MAX_AGE, SLOT_OWNERS, UPKEEP_PERIOD, WARM_POLLS_PER_SECOND, WARM_POLLS_PER_SECOND_MANY,
+  WARM_REPORT_PERIOD
 } from './constants.js'
 import { EndpointEntry } from './EndpointEntry.js'
 import type { ReportEffect, RunningCall } from './EndpointEntry.js'
@@ -27,7 +28,7 @@
 } from './types.js'
 
 const LEAVING_KEY = 'leaving/'
-const MILLIS_IN_SECOND = 1000
+const LIFE_KEY = 'life/'
 /** Report delay that counts as ordinary when missed reports are counted. */
 const REPORT_DELAY = millis(1000)
 /** Upkeep rounds from one look at outliers to the next. */
@@ -232,13 +233,27 @@
   }
 
   #heardShare (share: ShareEntry): void {
-    if (!share.key.startsWith(LEAVING_KEY)) return
-    const entry = this.#entries.get(brand<EndpointId>(share.key.slice(LEAVING_KEY.length)))
-    if (entry === undefined || entry.incarnation === undefined || share.value !== entry.incarnation) return
+    if (share.owner === this.#options.self.id) return
+    if (share.key.startsWith(LEAVING_KEY)) this.#heardLeaving(share.key.slice(LEAVING_KEY.length), share.value)
+    if (share.key.startsWith(LIFE_KEY)) this.#heardLife(share.key.slice(LIFE_KEY.length), share.value)
+  }
+
+  #heardLeaving (id: string, life: Json): void {
+    const entry = this.#entries.get(brand<EndpointId>(id))
+    if (entry === undefined || entry.incarnation === undefined || life !== entry.incarnation) return
     entry.leave()
     this.#changed(entry)
   }
 
+  /** Another instance saw a new life on connections that stayed open: nothing is sent until a report tells more. */
+  #heardLife (id: string, life: Json): void {
+    const entry = this.#entries.get(brand<EndpointId>(id))
+    if (entry === undefined || entry.incarnation === undefined || life === entry.incarnation) return
+    entry.hold(this.#options.clock.now())
+    this.#watches.get(entry.listed.id)?.pollNow()
+    this.#changed(entry)
+  }
+
   #unlisted (id: EndpointId): void {
     const entry = this.#entries.get(id)
     if (entry === undefined) return
@@ -315,12 +330,18 @@
   }
 
   #watched (entry: EndpointEntry, effect: ReportEffect | 'connected' | 'disconnected'): void {
-    if (effect === 'silent-restart') this.#options.log.emit(ENDPOINTS_EVENTS.silentRestart, { endpoint: entry.listed.id })
+    if (effect === 'silent-restart') this.#restartedSilently(entry)
+    if (effect === 'taken' && entry.isOverfull()) entry.ledger?.inherit(this.#lives(), this.#options.roster.view(), this.#rosterSeenAt())
     if (effect === 'silent-restart' || effect === 'disconnected') this.#prefixes.forget(entry.listed.id)
     if (effect === 'other-life') this.#watches.get(entry.listed.id)?.pollNow()
     this.#changed(entry)
   }
 
+  #restartedSilently (entry: EndpointEntry): void {
+    this.#options.log.emit(ENDPOINTS_EVENTS.silentRestart, { endpoint: entry.listed.id })
+    if (entry.incarnation !== undefined) this.#options.shares.publish(`${LIFE_KEY}${entry.listed.id}`, entry.incarnation)
+  }
+
   #heardReport (report: LoadReport): void {
     const entry = this.#entries.get(report.endpoint)
     if (entry === undefined || !this.#watches.has(report.endpoint)) return
@@ -388,13 +409,15 @@
     const word = await this.#words.ask(life, ledger.endpoint)
     this.#asking.delete(key)
     if (word === undefined || entry.ledger !== ledger) return
-    if (ledger.isInherited && (word.older > 0 || !word.isSameLife)) return
+    if (word.older > 0 || !word.isSameLife) return
     ledger.hear(word, askedUnder)
     this.#changed(entry)
   }
 
   #warmPeriod (): Millis {
-    return millis(Math.max(WARM_REPORT_PERIOD, this.#watches.size * MILLIS_IN_SECOND / WARM_POLLS_PER_SECOND))
+    const isSmall = this.#options.roster.view().members.length <= SLOT_OWNERS
+    const rate = isSmall ? WARM_POLLS_PER_SECOND : WARM_POLLS_PER_SECOND_MANY
+    return millis(Math.max(WARM_REPORT_PERIOD, this.#watches.size * MILLIS_PER_SECOND / rate))
   }
 
   #nearness (domain: DomainId): Nearness {
--- a/packages/endpoints/src/SlotLedger.ts
+++ b/packages/endpoints/src/SlotLedger.ts
@@ -50,7 +50,7 @@
 export class SlotLedger {
   readonly #self: Incarnation
   readonly #endpoint: SlottedEndpoint
-  readonly #inheritedFrom: readonly RosterLife[]
+  #inheritedFrom: readonly RosterLife[]
   readonly #owned = new Map<number, OwnedSlot>()
   /** Own calls by slot, those on slots lost since among them. */
   readonly #calls = new Set<number>()
@@ -65,10 +65,6 @@
     this.#inheritedFrom = options.inheritedFrom ?? []
   }
 
-  get isInherited (): boolean {
-    return this.#inheritedFrom.length > 0
-  }
-
   get endpoint (): SlottedEndpoint {
     return this.#endpoint
   }
@@ -90,11 +86,13 @@
 
   /** Deals out `total` slots under a roster that this instance first saw at `seenAt`. Lost slots go at once. */
   update (record: RosterRecord, seenAt: Millis, total: number): void {
-    if (record.version === this.#version && total === this.#total) return
+    const isSameRoster = record.version === this.#version
+    if (isSameRoster && total === this.#total) return
+    const first = isSameRoster ? Math.min(total, this.#total) : 0
     this.#version = record.version
     this.#total = total
     const candidates = slotCandidates(record.members, this.#endpoint.id)
-    for (let slot = 0; slot < Math.min(total, COLD_SLOTS_MAX); slot++) {
+    for (let slot = first; slot < Math.min(total, COLD_SLOTS_MAX); slot++) {
       const isOwn = slotOwner(candidates, this.#endpoint, slot)?.incarnation === this.#self
       if (isOwn) this.#keep(slot, record, seenAt)
       else this.#owned.delete(slot)
@@ -102,6 +100,13 @@
     for (const slot of this.#owned.keys()) if (slot >= total) this.#owned.delete(slot)
   }
 
+  /** Calls of an earlier life of the endpoint run on: no slot is clear before every one of these lives says so. */
+  inherit (lives: readonly RosterLife[], record: RosterRecord, seenAt: Millis): void {
+    if (this.#inheritedFrom.length > 0) return
+    this.#inheritedFrom = lives
+    for (const slot of this.#owned.values()) for (const life of lives) this.#await(slot, life, record, seenAt)
+  }
+
   /** Lives whose word is still missing for some slot. */
   awaited (): readonly RosterLife[] {
     const lives = new Map<Incarnation, RosterLife>()
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -32,8 +32,10 @@
 export const UPKEEP_PERIOD = millis(100)
 /** Reports that may be missed before they count as vanished. */
 export const MISSED_REPORTS = 3
-/** Report polls of one instance per second, over all warm endpoints. */
-export const WARM_POLLS_PER_SECOND = 8
+/** Report polls of one instance per second, over all warm endpoints, in a deployment of few instances. */
+export const WARM_POLLS_PER_SECOND = 32
+/** The same where there are more instances than {@link SLOT_OWNERS}. */
+export const WARM_POLLS_PER_SECOND_MANY = 8
 /** Warm endpoints of one service and version that one instance keeps connections to. */
 export const WARM_ENDPOINTS = 6
 /** A running call this many times longer than the mean of its service makes the endpoint suspect. */
--- a/packages/endpoints/src/slots.ts
+++ b/packages/endpoints/src/slots.ts
@@ -1,5 +1,6 @@
 import { hash32 } from '@papayahill/common'
 import type { EndpointId, EndpointIncarnation } from '@papayahill/common'
+import { LRUCache } from 'lru-cache'
 import { SLOT_OWNERS } from './constants.js'
 import type { RosterLife, RosterRecord } from './types.js'
 
@@ -17,8 +18,30 @@
 const comesFirst = (left: Ranked, right: Ranked): boolean =>
   left.rank > right.rank || (left.rank === right.rank && left.life.incarnation > right.life.incarnation)
 
-const rankBy = (lives: readonly RosterLife[], text: string): readonly Ranked[] =>
-  lives.map((life) => ({ life, rank: hash32(`${text} ${life.incarnation}`) }))
+const NAMES_MAX = 20_000
+const hashes = new LRUCache<string, number>({ max: NAMES_MAX })
+
+/** Hash of a name, worked out once. */
+const hashOf = (name: string): number => {
+  const known = hashes.get(name)
+  if (known !== undefined) return known
+  const hash = hash32(name)
+  hashes.set(name, hash)
+  return hash
+}
+
+/** Spreads a 32-bit number over all bits: the finalizer of MurmurHash3. */
+const mix = (value: number): number => {
+  let mixed = value
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
+
+const rankBy = (lives: readonly RosterLife[], name: string, slot = 0): readonly Ranked[] => {
+  const seed = mix(hashOf(name) + slot)
+  return lives.map((life) => ({ life, rank: mix(seed ^ hashOf(life.incarnation)) }))
+}
 
 /**
  * The lives among which an endpoint's slots are dealt out: the first in rendezvous order, so that
@@ -45,7 +68,7 @@
   candidates: readonly RosterLife[], endpoint: SlottedEndpoint, slot: number
 ): RosterLife | undefined => {
   let first: Ranked | undefined
-  for (const ranked of rankBy(candidates, `${endpoint.incarnation} ${slot}`)) {
+  for (const ranked of rankBy(candidates, endpoint.incarnation, slot)) {
     if (first === undefined || comesFirst(ranked, first)) first = ranked
   }
   return first?.life
--- a/packages/standins/src/linkSignals.ts
+++ b/packages/standins/src/linkSignals.ts
@@ -1,6 +1,8 @@
 /** A signal that follows several others until it is released. */
 export interface LinkedSignal {
   readonly signal: AbortSignal
+  /** Aborts it alone. */
+  abort (reason?: unknown): void
   /** Lets go of the others, once the work has ended. */
   release (): void
 }
@@ -20,5 +22,5 @@
     else source.addEventListener('abort', follow, { once: true })
   }
   const release = (): void => { for (const { source, follow } of links) source.removeEventListener('abort', follow) }
-  return { signal: linked.signal, release }
+  return { signal: linked.signal, abort: (reason) => linked.abort(reason), release }
 }
