--- a/packages/bench/src/load/EndpointRig.ts
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -76,7 +76,8 @@
   /** Prefix of the next call's prompt. */
   readonly nextPrefix?: () => string
   readonly lostCacheEventShare?: number
-  readonly spareTime?: Millis
+  /** How late cache events come; as late as reports where absent. */
+  readonly eventLag?: Millis
 }
 
 /** The pool under measurement, with the options that differ between runs. */
@@ -169,7 +170,7 @@
     this.#write([...this.#record.members, life], this.#record.departed)
     roster.start()
     leases.start()
-    clock.every(this.#options.spareTime ?? RETRY, () => this.#serve(member))
+    clock.every(RETRY, () => this.#serve(member))
     return member
   }
 
@@ -223,14 +224,15 @@
   }
 
   #accessOf (instance: InstanceId, gate: LifeGate): EndpointAccess {
-    const { reportLag, lostCacheEventShare } = this.#options
+    const { reportLag, lostCacheEventShare, eventLag } = this.#options
     return new GatedEndpointAccess(new FakeEndpointAccess({
       clock: this.clock,
       random: this.random.fork(),
       fleet: this.#fleet,
       instance,
       lag: reportLag,
-      ...(lostCacheEventShare === undefined ? {} : { lostCacheEventShare })
+      ...(lostCacheEventShare === undefined ? {} : { lostCacheEventShare }),
+      ...(eventLag === undefined ? {} : { eventLag })
     }), gate)
   }
 
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -173,7 +173,12 @@
     if (endpoints === undefined) return undefined
     const prefix = this.#options.hasAffinity === false ? undefined : want.prefix
     const entry = chooseEndpoint({
-      pool: endpoints, prefix, prefixes: this.#prefixes, random: this.#options.random, isUsable
+      pool: endpoints,
+      prefix,
+      prefixes: this.#prefixes,
+      random: this.#options.random,
+      meanLoad: pool.capacity().load,
+      isUsable
     })
     const call = entry?.take(now)
     if (entry === undefined || call === undefined) return undefined
--- a/packages/endpoints/src/ServicePool.ts
+++ b/packages/endpoints/src/ServicePool.ts
@@ -3,6 +3,7 @@
 import { CallStats } from './CallStats.js'
 import type { EndpointEntry } from './EndpointEntry.js'
 import { FreeList } from './FreeList.js'
+import { PrefixRing } from './PrefixRing.js'
 import type { ServiceCapacity } from './types.js'
 
 /** How far away an endpoint is: same domain, same region, elsewhere. */
@@ -16,6 +17,7 @@
   readonly warm: readonly [FreeList<EndpointEntry>, FreeList<EndpointEntry>, FreeList<EndpointEntry>] =
     [new FreeList(), new FreeList(), new FreeList()]
 
+  readonly ring = new PrefixRing()
   readonly #entries = new Map<EndpointId, EndpointEntry>()
 
   entry (id: EndpointId): EndpointEntry | undefined {
@@ -24,6 +26,7 @@
 
   place (entry: EndpointEntry, nearness: Nearness, now: Millis): void {
     this.#entries.set(entry.listed.id, entry)
+    this.ring.add(entry.listed.id)
     const hasRoom = entry.hasRoom(now)
     const state = entry.state
     this.#set(this.cold, entry, hasRoom && state === 'cold')
@@ -32,6 +35,7 @@
 
   drop (entry: EndpointEntry): void {
     this.#entries.delete(entry.listed.id)
+    this.ring.delete(entry.listed.id)
     for (const list of [this.cold, ...this.warm]) list.delete(entry)
   }
 
--- a/packages/standins/src/FakeEndpointAccess.ts
+++ b/packages/standins/src/FakeEndpointAccess.ts
@@ -37,6 +37,8 @@
   readonly delay?: Millis
   /** How late reports and cache events come. */
   readonly lag?: Millis
+  /** How late cache events come, where it differs. */
+  readonly eventLag?: Millis
   readonly lostCacheEventShare?: number
 }
 
@@ -110,7 +112,7 @@
 
   #passCacheEvent (event: CacheEvent): void {
     if (this.#options.random.next() < (this.#options.lostCacheEventShare ?? 0)) return
-    this.#options.clock.after(this.#lag, () => {
+    this.#options.clock.after(this.#options.eventLag ?? this.#lag, () => {
       for (const listener of this.#cacheListeners) listener(event)
     })
   }
