Endpoint table in smaller parts

Change: watches, notes to other instances, upkeep and the calls of one endpoint stand in modules of their own; nothing decides differently. Conclusion: one job each.

--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -1,9 +1,11 @@
 import { hash32, millis } from '@papayahill/common'
 import type { CallOutcome, EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
 import type { ListedEndpoint } from '@papayahill/platform'
+import { CallSet } from './CallSet.js'
+import type { RunningCall } from './CallSet.js'
 import { CallStats } from './CallStats.js'
 import {
-  BORROW_MAX_AGE, BORROW_SHARE, DOUBT_SPAN, HANDOVER_MARGIN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS
+  BORROW_MAX_AGE, BORROW_SHARE, DOUBT_SPAN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS
 } from './constants.js'
 import { SlotLedger } from './SlotLedger.js'
 import { WarmLimit } from './WarmLimit.js'
@@ -18,14 +20,6 @@
 /** Outcomes after which the endpoint may still be at work on the call. */
 const LEAVES_DOUBT: ReadonlySet<CallOutcome> = new Set(['cut', 'timed-out', 'cancelled'])
 
-/** One call that this instance has under way at an endpoint. */
-export interface RunningCall {
-  readonly incarnation: EndpointIncarnation
-  readonly startedAt: Millis
-  /** Set where it runs on a slot of a cold life. */
-  readonly slot?: { readonly ledger: SlotLedger, readonly index: number }
-}
-
 /** What a report changed. */
 export type ReportEffect = 'taken' | 'old' | 'other-life' | 'silent-restart'
 
@@ -50,7 +44,7 @@
   readonly #self: Incarnation
   /** Fixed lot by which a fraction of a slot falls to this instance or not. */
   readonly #lot: number
-  readonly #calls = new Set<RunningCall>()
+  readonly #calls = new CallSet()
   #connection: EndpointConnection | undefined
   #incarnation: EndpointIncarnation | undefined
   /** Latched: a life that leaves does not come back, whatever a stale list shows. */
@@ -61,7 +55,6 @@
   #olderLifeSeenAt = millis(-Infinity)
   /** The newest report that was asked for, to date a new life by. */
   #lifeSeen: { readonly incarnation: EndpointIncarnation, readonly at: Millis } | undefined
-  #startedSinceReport = 0
   #checkedAt = millis(-Infinity)
   #heldAt = millis(-Infinity)
   #ledger: SlotLedger | undefined
@@ -172,23 +165,19 @@
     if (this.#heldAt > this.#reportAskedAt) return false
     if (this.busy >= this.probation || this.isSuspect(now)) return false
     const state = this.state
-    if (state === 'cold') return this.#olderCalls() === 0 && (this.#ledger?.hasRoom() ?? false)
+    if (state === 'cold') return this.#calls.notOf(this.#incarnation) === 0 && (this.#ledger?.hasRoom() ?? false)
     return state === 'warm' && this.busy < this.#warmShare(now)
   }
 
   /** Starts a call; undefined where there is no room. Roster freshness is the caller's to check. */
   take (now: Millis): RunningCall | undefined {
     if (!this.hasRoom(now)) return undefined
-    const call = this.state === 'cold' ? this.#takeSlot(now) : this.#begin({ startedAt: now, incarnation: this.#incarnation! })
-    if (call !== undefined) this.#startedSinceReport++
-    return call
+    return this.state === 'cold' ? this.#takeSlot(now) : this.#begin({ startedAt: now, incarnation: this.#incarnation! })
   }
 
   /** A call ended; after an outcome that leaves the endpoint perhaps still at work, its slot is kept for a while. */
   ended (call: RunningCall, outcome: CallOutcome, now: Millis): void {
-    if (!this.#calls.delete(call)) return
-    if (call.startedAt >= this.#reportAskedAt) this.#startedSinceReport = Math.max(0, this.#startedSinceReport - 1)
-    if (call.slot === undefined) return
+    if (!this.#calls.delete(call) || call.slot === undefined) return
     const { ledger, index } = call.slot
     if (LEAVES_DOUBT.has(outcome)) ledger.freeAt(index, millis(now + DOUBT_SPAN))
     else ledger.free(index)
@@ -196,7 +185,7 @@
 
   /** Whether a call has run so long that the endpoint may have turned cold; a later report clears it. */
   isSuspect (now: Millis): boolean {
-    const oldest = this.#oldest()
+    const oldest = this.#calls.oldest
     if (oldest === undefined || this.typicalCall === 0) return false
     const since = Math.max(oldest.startedAt, this.#checkedAt)
     return now - since > Math.max(SUSPECT_MIN, SUSPECT_FACTOR * this.typicalCall)
@@ -204,13 +193,13 @@
 
   /** How long the oldest call has run; 0 without one. */
   oldestAge (now: Millis): Millis {
-    const oldest = this.#oldest()
+    const oldest = this.#calls.oldest
     return millis(oldest === undefined ? 0 : now - oldest.startedAt)
   }
 
   /** Share of what all instances may run here that is in use, as far as reports and own calls tell. */
   load (): number {
-    const running = (this.#report?.running ?? 0) + (this.#report?.queued ?? 0) + this.#startedSinceReport
+    const running = (this.#report?.running ?? 0) + (this.#report?.queued ?? 0) + this.#calls.sinceReport
     const bears = this.state === 'warm' ? this.warmLimit.value : this.coldTotal
     return bears === 0 ? Infinity : running / bears
   }
@@ -227,8 +216,7 @@
 
   /** Calls of others that a report shows at most: all but this instance's that surely were there. */
   othersIn (report: LoadReport, askedAt: Millis): number {
-    const own = [...this.#calls].filter((call) => call.startedAt + HANDOVER_MARGIN <= askedAt).length
-    return report.running + report.queued - own
+    return report.running + report.queued - this.#calls.surelyIn(askedAt)
   }
 
   holdings (endpoint: SlottedEndpoint, version: number): SlotHoldings {
@@ -236,7 +224,7 @@
     return {
       version,
       busy: isSame ? this.#ledger!.busy : [],
-      older: [...this.#calls].filter((call) => call.incarnation !== endpoint.incarnation).length,
+      older: this.#calls.notOf(endpoint.incarnation),
       believed: this.#incarnation
     }
   }
@@ -274,7 +262,7 @@
     this.#reportAskedAt = askedAt
     this.#checkedAt = askedAt
     this.#lifeSeen = { incarnation: report.incarnation, at: askedAt }
-    this.#startedSinceReport = [...this.#calls].filter((call) => call.startedAt >= askedAt).length
+    this.#calls.reported(askedAt)
     this.#ledger?.clearByRoom(askedAt, this.othersIn(report, askedAt))
   }
 
@@ -297,15 +285,6 @@
     if (this.#report === undefined || now - this.#reportAskedAt > BORROW_MAX_AGE) return owned
     const room = total - this.#report.running - this.#report.queued
     const borrowed = Math.floor(Math.max(0, room) * Math.min(1, BORROW_SHARE / Math.sqrt(this.sharers)))
-    return Math.max(owned, this.busy - this.#startedSinceReport + borrowed)
-  }
-
-  #olderCalls (): number {
-    return [...this.#calls].filter((call) => call.incarnation !== this.#incarnation).length
-  }
-
-  #oldest (): RunningCall | undefined {
-    const [oldest] = this.#calls
-    return oldest
+    return Math.max(owned, this.busy - this.#calls.sinceReport + borrowed)
   }
 }
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -1,19 +1,15 @@
-import { brand, millis, MILLIS_PER_SECOND } from '@papayahill/common'
+import { millis } from '@papayahill/common'
 import type {
-  CallOutcome, Clock, DomainId, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis, Random, RegionId,
-  ServiceId, Timer, VersionId
+  CallOutcome, Clock, DomainId, EndpointId, EndpointIncarnation, EventLog, Incarnation, InstanceId, Millis, Random, RegionId,
+  ServiceId, VersionId
 } from '@papayahill/common'
 import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
 import type { ServiceKind } from '@papayahill/settings'
+import type { RunningCall } from './CallSet.js'
 import { chooseEndpoint } from './chooseEndpoint.js'
-import { chooseWatched, sharersOf } from './chooseWatched.js'
-import {
-  COLD_REPORT_PERIOD, MISSED_REPORTS, ROSTER_MAX_AGE, SLOT_OWNERS, UPKEEP_PERIOD, WARM_POLLS_PER_SECOND, WARM_POLLS_PER_SECOND_MANY,
-  WARM_REPORT_PERIOD
-} from './constants.js'
+import { ROSTER_MAX_AGE } from './constants.js'
 import { EndpointEntry } from './EndpointEntry.js'
-import type { ReportEffect, RunningCall } from './EndpointEntry.js'
-import { EndpointWatch } from './EndpointWatch.js'
+import type { WatchEffect } from './EndpointWatch.js'
 import { ENDPOINTS_EVENTS } from './events.js'
 import { ListReader } from './ListReader.js'
 import { OutlierJudge } from './OutlierJudge.js'
@@ -21,18 +17,15 @@
 import { PrefixIndex } from './PrefixIndex.js'
 import { ServicePool } from './ServicePool.js'
 import type { Nearness } from './ServicePool.js'
+import { ShareNotes } from './ShareNotes.js'
+import type { NoteKind } from './ShareNotes.js'
 import { SlotWords } from './SlotWords.js'
 import type {
-  EndpointAccess, EndpointLease, EndpointPool, EndpointStatus, LeaseWant, LifeState, LoadReport, RosterCopy, RosterLife,
-  ServiceCapacity, ShareChannel, ShareEntry
+  EndpointAccess, EndpointLease, EndpointPool, EndpointStatus, LeaseWant, LoadReport, RosterCopy,
+  ServiceCapacity, ShareChannel
 } from './types.js'
-
-const LEAVING_KEY = 'leaving/'
-const LIFE_KEY = 'life/'
-/** Report delay that counts as ordinary when missed reports are counted. */
-const REPORT_DELAY = millis(1000)
-/** Upkeep rounds from one look at outliers to the next. */
-const OUTLIER_ROUNDS = 5
+import { Upkeep } from './Upkeep.js'
+import { WatchKeeper } from './WatchKeeper.js'
 
 /** The life of the entry instance that a table belongs to. */
 export interface InstanceSelf {
@@ -63,17 +56,6 @@
   readonly hasAffinity?: boolean
 }
 
-const groupByVersion = (entries: readonly EndpointEntry[]): Iterable<readonly EndpointEntry[]> => {
-  const groups = new Map<string, EndpointEntry[]>()
-  for (const entry of entries) {
-    const key = `${entry.listed.service} ${entry.listed.version}`
-    const group = groups.get(key) ?? []
-    group.push(entry)
-    groups.set(key, group)
-  }
-  return groups.values()
-}
-
 /**
  * All endpoints as one instance sees and may use them.
  *
@@ -86,18 +68,16 @@
   readonly #options: EndpointTableOptions
   readonly #rosterMaxAge: Millis
   readonly #entries = new Map<EndpointId, EndpointEntry>()
-  readonly #watches = new Map<EndpointId, EndpointWatch>()
+  readonly #watches: WatchKeeper
+  readonly #notes: ShareNotes
+  readonly #upkeep: Upkeep
   readonly #pools = new Map<ServiceId, ServicePool>()
   readonly #reader: ListReader
   readonly #words: SlotWords
   readonly #judge: OutlierJudge
   readonly #prefixes: PrefixIndex
   readonly #pauses: PauseGuard
-  readonly #asking = new Set<string>()
-  readonly #states = new Map<EndpointId, LifeState>()
   #rosterSeen: { readonly version: number, readonly at: Millis } = { version: -1, at: millis(0) }
-  #upkeep: Timer | undefined
-  #rounds = 0
 
   constructor (options: EndpointTableOptions) {
     const { clock, random, list, log, self, shares, access, roster } = options
@@ -105,6 +85,18 @@
     this.#rosterMaxAge = options.rosterMaxAge ?? ROSTER_MAX_AGE
     this.#reader = new ListReader({ clock, random, list, log, onRead: (shown, gone) => this.#listRead(shown, gone) })
     this.#judge = new OutlierJudge({ clock, log })
+    this.#watches = new WatchKeeper({
+      self: self.incarnation,
+      clock,
+      random,
+      access,
+      roster,
+      domainsOut: options.domainsOut,
+      serviceKind: options.serviceKind,
+      nearness: (domain) => this.#nearness(domain),
+      onChange: (entry, effect) => this.#watched(entry, effect),
+      onEnd: (entry) => this.#unwatched(entry)
+    })
     this.#prefixes = new PrefixIndex()
     this.#pauses = new PauseGuard({ clock, refresh: () => this.#reader.readNow() })
     this.#words = new SlotWords({
@@ -113,7 +105,17 @@
       holdings: (endpoint) => this.#entries.get(endpoint.id)?.holdings(endpoint, roster.view().version) ??
         { version: roster.view().version, busy: [], older: 0, believed: undefined }
     })
-    shares.onEntry((entry) => this.#heardShare(entry))
+    this.#notes = new ShareNotes({ self: self.id, shares, onNote: (kind, id, life) => this.#heardNote(kind, id, life) })
+    this.#upkeep = new Upkeep({
+      clock,
+      log,
+      watches: this.#watches,
+      words: this.#words,
+      judge: this.#judge,
+      pauses: this.#pauses,
+      pools: () => this.#pools.values(),
+      onChange: (entry) => this.#changed(entry)
+    })
     roster.onChange(() => this.#rosterChanged())
     access.onReport((report) => this.#heardReport(report))
     access.onCacheEvent((event) => this.#prefixes.hear(event))
@@ -121,15 +123,14 @@
 
   start (): void {
     this.#reader.start()
-    this.#upkeep = this.#options.clock.every(UPKEEP_PERIOD, () => this.#lookOver())
+    this.#upkeep.start()
   }
 
   /** Closes all connections; calls under way on them are cut, so drain first. */
   stop (): void {
     this.#reader.stop()
-    this.#upkeep?.cancel()
-    for (const watch of this.#watches.values()) watch.stop()
-    this.#watches.clear()
+    this.#upkeep.stop()
+    this.#watches.stop()
   }
 
   tryLease (want: LeaseWant): EndpointLease | undefined {
@@ -234,29 +235,22 @@
   #leave (entry: EndpointEntry): void {
     entry.leave()
     this.#changed(entry)
-    if (entry.incarnation !== undefined) this.#options.shares.publish(`${LEAVING_KEY}${entry.listed.id}`, entry.incarnation)
-  }
-
-  #heardShare (share: ShareEntry): void {
-    if (share.owner === this.#options.self.id) return
-    if (share.key.startsWith(LEAVING_KEY)) this.#heardLeaving(share.key.slice(LEAVING_KEY.length), share.value)
-    if (share.key.startsWith(LIFE_KEY)) this.#heardLife(share.key.slice(LIFE_KEY.length), share.value)
+    this.#notes.tell('leaving', entry.listed.id, entry.incarnation)
   }
 
-  #heardLeaving (id: string, life: Json): void {
-    const entry = this.#entries.get(brand<EndpointId>(id))
-    if (entry === undefined || entry.incarnation === undefined || life !== entry.incarnation) return
-    entry.leave()
+  #heardNote (kind: NoteKind, id: EndpointId, life: EndpointIncarnation): void {
+    const entry = this.#entries.get(id)
+    if (entry === undefined || entry.incarnation === undefined) return
+    const isSameLife = life === entry.incarnation
+    if (kind === 'leaving' && isSameLife) entry.leave()
+    if (kind === 'life' && !isSameLife) this.#doubt(entry)
     this.#changed(entry)
   }
 
   /** Another instance saw a new life on connections that stayed open: nothing is sent until a report tells more. */
-  #heardLife (id: string, life: Json): void {
-    const entry = this.#entries.get(brand<EndpointId>(id))
-    if (entry === undefined || entry.incarnation === undefined || life === entry.incarnation) return
+  #doubt (entry: EndpointEntry): void {
     entry.hold(this.#options.clock.now())
-    this.#watches.get(entry.listed.id)?.pollNow()
-    this.#changed(entry)
+    this.#watches.pollNow(entry)
   }
 
   #unlisted (id: EndpointId): void {
@@ -268,7 +262,7 @@
   }
 
   #rosterChanged (): void {
-    for (const [id, entry] of this.#entries) if (this.#watches.has(id)) this.#changed(entry)
+    for (const entry of this.#watches.watched) this.#changed(entry)
     this.#rewatch()
   }
 
@@ -279,78 +273,33 @@
     return this.#rosterSeen.at
   }
 
-  #lives (): readonly RosterLife[] {
-    const { members, departed } = this.#options.roster.view()
-    return [...members, ...departed]
-  }
-
-  /** Opens and closes watches, so that this instance keeps a bounded number of connections. */
   #rewatch (): void {
-    const out = this.#options.domainsOut()
-    const usable = [...this.#entries.values()].filter((entry) =>
-      !entry.isUnlisted && entry.listed.state === 'live' && !out.has(entry.listed.domain))
-    const wanted = new Set<EndpointId>()
-    for (const group of groupByVersion(usable)) for (const id of this.#choose(group)) wanted.add(id)
-    for (const id of wanted) if (!this.#watches.has(id)) this.#watch(this.#entries.get(id)!)
-    for (const id of this.#watches.keys()) if (!wanted.has(id)) this.#unwatch(id)
-    for (const [id, entry] of this.#entries) if (entry.isUnlisted && !this.#watches.has(id)) this.#entries.delete(id)
-  }
-
-  #choose (usable: readonly EndpointEntry[]): ReadonlySet<EndpointId> {
-    const { members } = this.#options.roster.view()
-    for (const entry of usable) entry.sharers = sharersOf(members.length, usable.length)
-    return chooseWatched({
-      self: this.#options.self.incarnation,
-      endpoints: usable.map((entry) => entry.listed),
-      members,
-      nearness: (endpoint) => this.#nearness(endpoint.domain)
-    })
-  }
-
-  #watch (entry: EndpointEntry): void {
-    const { clock, random, access, serviceKind } = this.#options
-    const watch = new EndpointWatch({
-      entry,
-      clock,
-      random,
-      access,
-      kind: () => serviceKind(entry.listed.service),
-      lives: () => this.#lives(),
-      warmPeriod: () => this.#warmPeriod(),
-      onChange: (effect) => this.#watched(entry, effect)
-    })
-    this.#watches.set(entry.listed.id, watch)
-    watch.start()
+    this.#watches.choose([...this.#entries.values()])
+    for (const [id, entry] of this.#entries) if (entry.isUnlisted && !this.#watches.isWatched(entry)) this.#entries.delete(id)
   }
 
-  /** A watch ends once its last call has; until then the endpoint gets no new work anyway. */
-  #unwatch (id: EndpointId): void {
-    const entry = this.#entries.get(id)
-    if (entry !== undefined && entry.busy > 0) return
-    this.#watches.get(id)?.stop()
-    this.#watches.delete(id)
-    if (entry === undefined) return
+  #unwatched (entry: EndpointEntry): void {
     this.#poolOf(entry.listed.service).drop(entry)
     this.#judge.forget(entry)
   }
 
-  #watched (entry: EndpointEntry, effect: ReportEffect | 'connected' | 'disconnected'): void {
+  #watched (entry: EndpointEntry, effect: WatchEffect): void {
     if (effect === 'silent-restart') this.#restartedSilently(entry)
-    if (effect === 'taken' && entry.isOverfull()) entry.ledger?.inherit(this.#lives(), this.#options.roster.view(), this.#rosterSeenAt())
+    if (effect === 'taken' && entry.isOverfull()) entry.ledger?.inherit(this.#watches.lives(), this.#options.roster.view(), this.#rosterSeenAt())
     if (effect === 'silent-restart' || effect === 'disconnected') this.#prefixes.forget(entry.listed.id)
-    if (effect === 'other-life') this.#watches.get(entry.listed.id)?.pollNow()
+    if (effect === 'other-life') this.#watches.pollNow(entry)
     this.#changed(entry)
   }
 
   #restartedSilently (entry: EndpointEntry): void {
     this.#options.log.emit(ENDPOINTS_EVENTS.silentRestart, { endpoint: entry.listed.id })
-    if (entry.incarnation !== undefined) this.#options.shares.publish(`${LIFE_KEY}${entry.listed.id}`, entry.incarnation)
+    this.#notes.tell('life', entry.listed.id, entry.incarnation)
   }
 
   #heardReport (report: LoadReport): void {
     const entry = this.#entries.get(report.endpoint)
-    if (entry === undefined || !this.#watches.has(report.endpoint)) return
-    this.#watched(entry, entry.hear(report, undefined, this.#lives()))
+    if (entry === undefined || !this.#watches.isWatched(entry)) return
+    this.#watched(entry, entry.hear(report, undefined, this.#watches.lives()))
   }
 
   #changed (entry: EndpointEntry): void {
@@ -364,67 +313,6 @@
     this.#poolOf(entry.listed.service).place(entry, this.#nearness(entry.listed.domain), this.#options.clock.now())
   }
 
-  #lookOver (): void {
-    this.#pauses.tick()
-    const now = this.#options.clock.now()
-    for (const [id, watch] of this.#watches) {
-      const entry = this.#entries.get(id)
-      if (entry !== undefined) this.#lookAt(entry, watch, now)
-    }
-    if (++this.#rounds % OUTLIER_ROUNDS === 0) for (const pool of this.#pools.values()) this.#judge.lookOver(pool)
-  }
-
-  #lookAt (entry: EndpointEntry, watch: EndpointWatch, now: Millis): void {
-    this.#missReports(entry, now)
-    if (entry.isSuspect(now)) watch.pollNow()
-    entry.ledger?.expire(now, entry.olderLifeSeenAt)
-    if (entry.state === 'cold') this.#askWords(entry)
-    this.#changed(entry)
-    this.#tellState(entry)
-  }
-
-  #missReports (entry: EndpointEntry, now: Millis): void {
-    if (entry.report === undefined || entry.areReportsMissing) return
-    const period = entry.state === 'warm' ? this.#warmPeriod() : COLD_REPORT_PERIOD
-    if (now - entry.reportAskedAt <= MISSED_REPORTS * period + REPORT_DELAY) return
-    entry.areReportsMissing = true
-    this.#options.log.emit(ENDPOINTS_EVENTS.reportsMissing, { endpoint: entry.listed.id })
-  }
-
-  #tellState (entry: EndpointEntry): void {
-    const { id } = entry.listed
-    const before = this.#states.get(id)
-    if (before === entry.state) return
-    this.#states.set(id, entry.state)
-    this.#options.log.emit(ENDPOINTS_EVENTS.endpointState, { endpoint: id, before, state: entry.state })
-  }
-
-  #askWords (entry: EndpointEntry): void {
-    const { ledger } = entry
-    if (ledger === undefined) return
-    for (const life of ledger.awaited()) void this.#askWord(entry, life)
-  }
-
-  async #askWord (entry: EndpointEntry, life: RosterLife): Promise<void> {
-    const { ledger } = entry
-    const key = `${entry.listed.id} ${life.incarnation}`
-    if (ledger === undefined || this.#asking.has(key)) return
-    this.#asking.add(key)
-    const askedUnder = ledger.version
-    const word = await this.#words.ask(life, ledger.endpoint)
-    this.#asking.delete(key)
-    if (word === undefined || entry.ledger !== ledger) return
-    if (word.older > 0 || !word.isSameLife) return
-    ledger.hear(word, askedUnder)
-    this.#changed(entry)
-  }
-
-  #warmPeriod (): Millis {
-    const isSmall = this.#options.roster.view().members.length <= SLOT_OWNERS
-    const rate = isSmall ? WARM_POLLS_PER_SECOND : WARM_POLLS_PER_SECOND_MANY
-    return millis(Math.max(WARM_REPORT_PERIOD, this.#watches.size * MILLIS_PER_SECOND / rate))
-  }
-
   #nearness (domain: DomainId): Nearness {
     if (domain === this.#options.domain) return 0
     const region = this.#options.regionOf(domain)
--- a/packages/endpoints/src/EndpointWatch.ts
+++ b/packages/endpoints/src/EndpointWatch.ts
@@ -8,6 +8,9 @@
 /** Report polls of one endpoint that may be under way at once. */
 const POLLS_MAX = 4
 
+/** What a watch saw happen. */
+export type WatchEffect = ReportEffect | 'connected' | 'disconnected'
+
 export interface EndpointWatchOptions {
   readonly entry: EndpointEntry
   readonly clock: Clock
@@ -18,7 +21,7 @@
   readonly lives: () => readonly RosterLife[]
   readonly warmPeriod: () => Millis
   /** Called after whatever may have changed the entry. */
-  readonly onChange: (effect: ReportEffect | 'connected' | 'disconnected') => void
+  readonly onChange: (effect: WatchEffect) => void
 }
 
 /**
--- a/packages/endpoints/src/SlotWords.ts
+++ b/packages/endpoints/src/SlotWords.ts
@@ -1,7 +1,7 @@
 import { isJsonObject } from '@papayahill/common'
 import type { EndpointId, EndpointIncarnation, Incarnation, InstanceId, Json, JsonObject } from '@papayahill/common'
 import { WORD_TIMEOUT } from './constants.js'
-import type { SlotWord } from './SlotLedger.js'
+import type { SlotLedger, SlotWord } from './SlotLedger.js'
 import type { SlottedEndpoint } from './slots.js'
 import type { RosterLife, ShareChannel } from './types.js'
 
@@ -22,8 +22,8 @@
   readonly holdings: (endpoint: SlottedEndpoint) => SlotHoldings
 }
 
-/** A life's answer, with what it still has from the endpoint's earlier lives. */
-export interface HeardWord extends SlotWord {
+/** A life's answer, with what it still has from the endpoint's other lives. */
+interface HeardWord extends SlotWord {
   readonly older: number
   readonly isSameLife: boolean
 }
@@ -47,18 +47,36 @@
  *
  * @example
  * const words = new SlotWords({ self: self.incarnation, shares, holdings })
- * const word = await words.ask(life, endpoint)
+ * words.askAll(ledger, () => place(entry))
  */
 export class SlotWords {
   readonly #options: SlotWordsOptions
+  readonly #asking = new Set<string>()
 
   constructor (options: SlotWordsOptions) {
     this.#options = options
     options.shares.handle((_from: InstanceId, message: Json) => this.#answer(message))
   }
 
+  /** Asks every life that a ledger waits for; `onHeard` is called when a word may have cleared a slot. */
+  askAll (ledger: SlotLedger, onHeard: () => void): void {
+    for (const life of ledger.awaited()) void this.#askOne(ledger, life, onHeard)
+  }
+
+  async #askOne (ledger: SlotLedger, life: RosterLife, onHeard: () => void): Promise<void> {
+    const key = `${ledger.endpoint.incarnation} ${life.incarnation}`
+    if (this.#asking.has(key)) return
+    this.#asking.add(key)
+    const askedUnder = ledger.version
+    const word = await this.#ask(life, ledger.endpoint)
+    this.#asking.delete(key)
+    if (word === undefined || word.older > 0 || !word.isSameLife) return
+    ledger.hear(word, askedUnder)
+    onHeard()
+  }
+
   /** The word of one life; undefined where it cannot be had now. */
-  async ask (life: RosterLife, endpoint: SlottedEndpoint): Promise<HeardWord | undefined> {
+  async #ask (life: RosterLife, endpoint: SlottedEndpoint): Promise<HeardWord | undefined> {
     const question: JsonObject = { endpoint: endpoint.id, incarnation: endpoint.incarnation }
     const answer = await this.#options.shares.ask(life.id, question, WORD_TIMEOUT)
     const word = parseWord(answer, endpoint)
--- /dev/null
+++ b/packages/endpoints/src/WatchKeeper.ts
@@ -0,0 +1,128 @@
+import { millis, MILLIS_PER_SECOND } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, Incarnation, Millis, Random, ServiceId } from '@papayahill/common'
+import type { ServiceKind } from '@papayahill/settings'
+import { chooseWatched, sharersOf } from './chooseWatched.js'
+import { SLOT_OWNERS, WARM_POLLS_PER_SECOND, WARM_POLLS_PER_SECOND_MANY, WARM_REPORT_PERIOD } from './constants.js'
+import type { EndpointEntry } from './EndpointEntry.js'
+import { EndpointWatch } from './EndpointWatch.js'
+import type { WatchEffect } from './EndpointWatch.js'
+import type { Nearness } from './ServicePool.js'
+import type { EndpointAccess, RosterCopy, RosterLife } from './types.js'
+
+export interface WatchKeeperOptions {
+  readonly self: Incarnation
+  readonly clock: Clock
+  readonly random: Random
+  readonly access: EndpointAccess
+  readonly roster: RosterCopy
+  readonly domainsOut: () => ReadonlySet<DomainId>
+  readonly serviceKind: (service: ServiceId) => ServiceKind | undefined
+  readonly nearness: (domain: DomainId) => Nearness
+  readonly onChange: (entry: EndpointEntry, effect: WatchEffect) => void
+  readonly onEnd: (entry: EndpointEntry) => void
+}
+
+const groupByVersion = (entries: readonly EndpointEntry[]): Iterable<readonly EndpointEntry[]> => {
+  const groups = new Map<string, EndpointEntry[]>()
+  for (const entry of entries) {
+    const key = `${entry.listed.service} ${entry.listed.version}`
+    const group = groups.get(key) ?? []
+    group.push(entry)
+    groups.set(key, group)
+  }
+  return groups.values()
+}
+
+/**
+ * Watches a bounded choice of the listed endpoints: opens their connections and polls their reports, at a
+ * rate that one instance can bear.
+ *
+ * @example
+ * const keeper = new WatchKeeper({ self, clock, random, access, roster, domainsOut, serviceKind, nearness, onChange, onEnd })
+ * keeper.choose([...entries.values()])
+ */
+export class WatchKeeper {
+  readonly #options: WatchKeeperOptions
+  readonly #watches = new Map<EndpointEntry, EndpointWatch>()
+
+  constructor (options: WatchKeeperOptions) {
+    this.#options = options
+  }
+
+  get watched (): Iterable<EndpointEntry> {
+    return this.#watches.keys()
+  }
+
+  isWatched (entry: EndpointEntry): boolean {
+    return this.#watches.has(entry)
+  }
+
+  pollNow (entry: EndpointEntry): void {
+    this.#watches.get(entry)?.pollNow()
+  }
+
+  /** Opens and closes watches, so that they fit what is listed, in and near. */
+  choose (entries: readonly EndpointEntry[]): void {
+    const out = this.#options.domainsOut()
+    const usable = entries.filter(({ isUnlisted, listed }) =>
+      !isUnlisted && listed.state === 'live' && !out.has(listed.domain))
+    const wanted = new Set<EndpointId>()
+    for (const group of groupByVersion(usable)) for (const id of this.#chooseOf(group)) wanted.add(id)
+    for (const entry of usable) if (wanted.has(entry.listed.id) && !this.isWatched(entry)) this.#watch(entry)
+    for (const entry of this.#watches.keys()) if (!wanted.has(entry.listed.id)) this.#unwatch(entry)
+  }
+
+  /** Period of report polls of a warm endpoint. */
+  warmPeriod (): Millis {
+    const isSmall = this.#options.roster.view().members.length <= SLOT_OWNERS
+    const rate = isSmall ? WARM_POLLS_PER_SECOND : WARM_POLLS_PER_SECOND_MANY
+    return millis(Math.max(WARM_REPORT_PERIOD, this.#watches.size * MILLIS_PER_SECOND / rate))
+  }
+
+  /** Lives whose calls may run on through an endpoint's restart. */
+  lives (): readonly RosterLife[] {
+    const { members, departed } = this.#options.roster.view()
+    return [...members, ...departed]
+  }
+
+  stop (): void {
+    for (const watch of this.#watches.values()) watch.stop()
+    this.#watches.clear()
+  }
+
+  #chooseOf (group: readonly EndpointEntry[]): ReadonlySet<EndpointId> {
+    const { roster, self, nearness } = this.#options
+    const { members } = roster.view()
+    for (const entry of group) entry.sharers = sharersOf(members.length, group.length)
+    return chooseWatched({
+      self,
+      endpoints: group.map((entry) => entry.listed),
+      members,
+      nearness: (endpoint) => nearness(endpoint.domain)
+    })
+  }
+
+  #watch (entry: EndpointEntry): void {
+    const { clock, random, access, serviceKind, onChange } = this.#options
+    const watch = new EndpointWatch({
+      entry,
+      clock,
+      random,
+      access,
+      kind: () => serviceKind(entry.listed.service),
+      lives: () => this.lives(),
+      warmPeriod: () => this.warmPeriod(),
+      onChange: (effect) => onChange(entry, effect)
+    })
+    this.#watches.set(entry, watch)
+    watch.start()
+  }
+
+  /** A watch ends once its last call has; until then the endpoint gets no new work anyway. */
+  #unwatch (entry: EndpointEntry): void {
+    if (entry.busy > 0) return
+    this.#watches.get(entry)?.stop()
+    this.#watches.delete(entry)
+    this.#options.onEnd(entry)
+  }
+}
