--- a/apps/papayahilld/src/index.ts
+++ b/apps/papayahilld/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { Daemon } from './Daemon.js'
+export { PAPAYAHILLD_EVENTS } from './events.js'
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -52,6 +52,25 @@
 
 export type Resolution = 'ran' | 'not-run'
 
+/** What a service answers about an idempotency key. */
+export type KeyStatus =
+  | { readonly kind: 'ran', readonly body: Json }
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'running' }
+
+/** Asks a service what became of a key; undefined where it offers no look-up or gave no answer. */
+export type KeyLookUp = (service: ServiceId, key: IdempotencyKey) => Promise<KeyStatus | undefined>
+
+interface RosterLife {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+}
+
+/** What claims need to know of the roster: which lives are in it and which have left. */
+export interface ClaimRoster {
+  view (): { readonly members: readonly RosterLife[], readonly departed: readonly RosterLife[] }
+}
+
 export interface Claims {
   begin (request: ClaimRequest): Promise<ClaimDecision>
   /** Claims whose outcome is not known, for operators. */
