--- a/packages/bench/src/rig/measure.ts
+++ b/packages/bench/src/rig/measure.ts
@@ -47,9 +47,18 @@
   return Math.min(...shares)
 }
 
-/** Requests per second that met their target. */
-export const goodput = (world: World, records: readonly CallerRecord[], span: Span): number =>
-  attained(world, records) * records.length * MILLIS_PER_SECOND / (span.to - span.from)
+export const usesService = (world: World, record: CallerRecord, service: ServiceId): boolean => {
+  const { pipeline } = world.config.classes.get(record.class)!
+  return world.config.pipelines.get(pipeline)!.stages.some((stage) => stage.service === service)
+}
+
+/** Requests per second whose answer came in the span and met the target. */
+export const goodput = (world: World, records: readonly CallerRecord[], span: Span): number => {
+  const met = records.filter((record) =>
+    record.endedAt !== undefined && record.endedAt >= span.from && record.endedAt < span.to &&
+    isMet(record, targetOf(world, record)))
+  return met.length * MILLIS_PER_SECOND / (span.to - span.from)
+}
 
 const priceOf = (prices: Prices, usage: StageUsage): number =>
   prices.perCall +
--- a/packages/scheduling/src/Admission.ts
+++ b/packages/scheduling/src/Admission.ts
@@ -8,7 +8,7 @@
 import { allowedTime, isTighter } from './ClassStanding.js'
 import type { Commitments } from './Commitments.js'
 import {
-  FIRST_GUESS, MAX_RETRY_AFTER, MIN_RETRY_AFTER, MIN_USABLE_SHARE, RESERVE_MARGIN, RETRY_AFTER_SPREAD, WAIT_SHARE,
+  BORROWED_SLOTS, FIRST_GUESS, MAX_RETRY_AFTER, MIN_RETRY_AFTER, MIN_USABLE_SHARE, RESERVE_MARGIN, RETRY_AFTER_SPREAD, WAIT_SHARE,
   WAIT_SHARE_UNDER_FAIR
 } from './constants.js'
 import type { AdmissionRequest } from './types.js'
@@ -65,12 +65,14 @@
     let wait = 0
     let work = 0
     for (const stage of request.pipeline.stages) {
-      const { slots, load } = this.#options.pool.capacity(stage.service)
-      if (slots === 0) return { wait, work, blocked: stage }
-      const usable = this.#usable(request.class, stage, slots) / Math.max(1, load)
-      const promised = this.#promised(request.class, stage)
+      const { slots, busy, load } = this.#options.pool.capacity(stage.service)
+      if (slots === 0 && load === 0) return { wait, work, blocked: stage }
+      const usable = this.#usable(request.class, stage, Math.max(slots, BORROWED_SLOTS)) / Math.max(1, load)
+      const callTime = this.callTime(request.class, stage)
+      const idle = Math.max(0, slots - busy) * callTime
+      const promised = Math.max(0, this.#promised(request.class, stage) - idle)
       wait += Math.max(0, promised / usable - work - wait)
-      work += this.callTime(request.class, stage)
+      work += callTime
     }
     return { wait, work }
   }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -12,6 +12,9 @@
 /** Share of a service that even the loosest class counts on. */
 export const MIN_USABLE_SHARE = 0.05
 
+/** Slots counted on at a service that others keep busy and where this instance owns none. */
+export const BORROWED_SLOTS = 0.5
+
 /** Share of its slack that a class may be forecast to wait, where its workspace has had its fair share. */
 export const WAIT_SHARE = 0.4
 /** The same where the workspace has had less than its fair share. */
