Queue: gains are equal for all classes, and only admitted requests count for them

Cause: gains grew with the time a target allows, and refusals counted as misses, so that under overload loose classes overtook tight ones. Change: one largest gain for all, a yield bound by the target; a grace of 50 ms in the allowed wait; no extra reserve for tighter classes.

--- a/packages/bench/src/rig/RigClaims.ts
+++ b/packages/bench/src/rig/RigClaims.ts
@@ -1,6 +1,6 @@
-import { failure, millis, refusal } from '@papayahill/common'
+import { failure, millis } from '@papayahill/common'
 import type { Clock, Failure, Json } from '@papayahill/common'
-import type { ClaimAttempt, ClaimDecision, ClaimRefusal, ClaimRequest, Claims, ClaimStatus } from '@papayahill/claims'
+import type { ClaimAttempt, ClaimDecision, ClaimRequest, Claims, ClaimStatus } from '@papayahill/claims'
 
 const STORE_TIME = millis(6)
 
@@ -25,13 +25,6 @@
     return { kind: 'run', attempt: this.#attempt(name) }
   }
 
-  async refuse (request: ClaimRequest, reason: ClaimRefusal): Promise<Failure> {
-    await this.#clock.sleep(STORE_TIME)
-    const { kind, detail, retryAfter } = reason
-    if (this.#keys.has(`${request.workspace}/${request.key}`)) return failure(kind, detail, 'unknown', { retryAfter })
-    return refusal(kind, detail, { retryAfter })
-  }
-
   unknown (): Promise<readonly ClaimStatus[]> {
     return Promise.resolve([])
   }
--- a/packages/scheduling/src/Admission.ts
+++ b/packages/scheduling/src/Admission.ts
@@ -8,8 +8,8 @@
 import { allowedTime, isTighter } from './ClassStanding.js'
 import type { Commitments } from './Commitments.js'
 import {
-  BORROWED_SLOTS, FIRST_GUESS, MAX_RETRY_AFTER, MIN_RETRY_AFTER, MIN_USABLE_SHARE, RESERVE_MARGIN, RETRY_AFTER_SPREAD, WAIT_SHARE,
-  WAIT_SHARE_UNDER_FAIR
+  BORROWED_SLOTS, FIRST_GUESS, MAX_RETRY_AFTER, MAX_WAIT_SHARE, MIN_RETRY_AFTER, MIN_USABLE_SHARE, RESERVE_MARGIN,
+  RETRY_AFTER_SPREAD, WAIT_GRACE, WAIT_SHARE, WAIT_SHARE_UNDER_FAIR
 } from './constants.js'
 import type { AdmissionRequest } from './types.js'
 
@@ -110,7 +110,8 @@
     const spent = now - request.startedAt
     const slack = Math.min(target.deadline - work, allowedTime(target)) - spent
     const isUnder = this.#options.arrivals.isUnderFairShare(request.class.id, request.workspace, now)
-    return slack * (isUnder ? WAIT_SHARE_UNDER_FAIR : WAIT_SHARE)
+    const share = isUnder ? WAIT_SHARE_UNDER_FAIR : WAIT_SHARE
+    return Math.min(slack * MAX_WAIT_SHARE, slack * share + WAIT_GRACE)
   }
 
   #noEndpoint (stage: StageSettings): Failure {
--- a/packages/scheduling/src/ClassStanding.ts
+++ b/packages/scheduling/src/ClassStanding.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { ClassId, Millis } from '@papayahill/common'
 import type { ClassSettings, Target } from '@papayahill/settings'
-import { FULL_GAP, GAIN_SHARE, STANDING_WEIGHT } from './constants.js'
+import { FULL_GAP, MAX_GAIN, STANDING_WEIGHT, YIELD_SHARE } from './constants.js'
 
 /** The time that a target allows until the caller must see something. */
 export const allowedTime = (target: Target): Millis => target.firstChunk ?? target.deadline
@@ -13,7 +13,7 @@
 }
 
 /**
- * How each class stands against its target, and what it gains or yields in the queue for it.
+ * How the admitted requests of each class stand against its target, and what it gains or yields in the queue for it.
  *
  * @example
  * standing.note(settings, false)
@@ -28,8 +28,9 @@
     const attained = before + STANDING_WEIGHT * (Number(isMet) - before)
     this.#attained.set(settings.id, attained)
     const gap = (settings.target.attainment - attained) / FULL_GAP
-    const share = Math.max(-1, Math.min(1, gap)) * GAIN_SHARE
-    this.#gains.set(settings.id, millis(share * allowedTime(settings.target)))
+    const share = Math.max(-1, Math.min(1, gap))
+    const most = share > 0 ? MAX_GAIN : Math.min(MAX_GAIN, YIELD_SHARE * allowedTime(settings.target))
+    this.#gains.set(settings.id, millis(share * most))
   }
 
   gain (classId: ClassId): Millis {
--- a/packages/scheduling/src/ServiceScheduler.ts
+++ b/packages/scheduling/src/ServiceScheduler.ts
@@ -66,7 +66,6 @@
     const decision = this.#admission.decide(request)
     this.#tell(request.class.id, decision)
     if (decision.isOk) this.#commitments.add(request.request, request.class, request.pipeline)
-    else this.#standing.note(request.class, false)
     return decision
   }
 
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -8,7 +8,7 @@
 /** Time constant of arrival rates and of the workspaces' shares of them. */
 export const RATE_WINDOW = millis(3000)
 /** Room kept for the arrivals of tighter classes, over their mean rate. */
-export const RESERVE_MARGIN = 1.25
+export const RESERVE_MARGIN = 1
 /** Share of a service that even the loosest class counts on. */
 export const MIN_USABLE_SHARE = 0.05
 
@@ -20,6 +20,11 @@
 /** The same where the workspace has had less than its fair share. */
 export const WAIT_SHARE_UNDER_FAIR = 0.7
 
+/** Share of its slack that any class may be forecast to wait at most. */
+export const MAX_WAIT_SHARE = 0.8
+/** Wait that is granted beyond that share: forecasts are no finer than a few calls. */
+export const WAIT_GRACE = millis(50)
+
 export const MIN_RETRY_AFTER = millis(500)
 export const MAX_RETRY_AFTER = millis(30_000)
 /** Retry-After varies by this share, so that callers do not come back together. */
@@ -38,8 +43,10 @@
 export const STANDING_WEIGHT = 0.02
 /** Gap to the target at which a class's gain is whole. */
 export const FULL_GAP = 0.05
-/** Largest gain or yield of a class in the queue, as a share of the time that its target allows. */
-export const GAIN_SHARE = 0.25
+/** Largest gain of a class in the queue: the same for all, so that none gains on another that is as far behind. */
+export const MAX_GAIN = millis(200)
+/** Largest yield of a class, as a share of the time that its target allows. */
+export const YIELD_SHARE = 0.25
 
 /** Entries in a row that find no slot before the queue waits for one to come free. */
 export const MAX_MISSES = 3
