Cost: unrecorded work is held by two peers

Cause: published lines wait for gossip's turn within its budget of bytes, so that a death could hide seconds of work; a holder that was new during a write lacked the lines being written. Change: lines go straight to two peers chosen by rendezvous order within 80 ms; a peer that did not answer is sent all again; collecting rows asks the peers. A record says where the endpoint told nothing of its work, and such a call is not metered.

--- a/packages/bench/src/benches/ledger.ts
+++ b/packages/bench/src/benches/ledger.ts
@@ -8,7 +8,8 @@
 import { makeNaiveMeter } from '../ledger/NaiveMeter.js'
 import type { Bench, BenchOptions, Figures } from '../types.js'
 
-const GOSSIP_PERIOD_MS = 1000
+/** The period at which peers pass on what waits. */
+const GOSSIP_PERIOD_MS = 100
 
 /** What is compared to the last unit. */
 interface Units {
--- a/packages/bench/src/ledger/LedgerRig.ts
+++ b/packages/bench/src/ledger/LedgerRig.ts
@@ -239,7 +239,8 @@
       startedAt,
       queued: millis(0),
       took: millis(this.#clock.now() - startedAt),
-      usage: usage ?? NO_USAGE
+      usage: usage ?? NO_USAGE,
+      isUsageKnown: usage !== undefined
     }
     context.records.push(record)
     life.meter.stageEnded(record)
--- a/packages/common/src/records.ts
+++ b/packages/common/src/records.ts
@@ -39,6 +39,8 @@
   readonly firstChunk?: Millis
   readonly worstGap?: Millis
   readonly usage: StageUsage
+  /** False where the endpoint said nothing of its work, so that `usage` is empty for want of a report. */
+  readonly isUsageKnown?: boolean
   /** Set where the work is already known to serve no answer. */
   readonly waste?: WasteCause
 }
--- a/packages/cost/src/CostKeeper.ts
+++ b/packages/cost/src/CostKeeper.ts
@@ -8,20 +8,21 @@
 import type { Result } from 'true-myth'
 import { BudgetKeeper } from './BudgetKeeper.js'
 import { callCost } from './callCost.js'
-import { BUDGET_PERIOD, FLUSH_PERIOD, PUBLISH_PERIOD, RECOVER_PERIOD } from './constants.js'
+import { BUDGET_PERIOD, FLUSH_PERIOD, RECOVER_PERIOD, SHOW_DELAY } from './constants.js'
 import { dayOf, daysBetween, hourOf } from './dayOf.js'
 import { COST_EVENTS } from './events.js'
 import { Ledger } from './Ledger.js'
 import type { Chunk, Metered } from './Ledger.js'
 import { rowOfLine } from './LedgerLine.js'
 import type { LineUse } from './LedgerLine.js'
-import { ledgerRowKey, LedgerStore } from './LedgerStore.js'
+import { HeldLedgers } from './HeldLedgers.js'
+import { LedgerHolders } from './LedgerHolders.js'
+import { dayOfRow, ledgerRowKey, LedgerStore } from './LedgerStore.js'
 import type { DayLines } from './LedgerStore.js'
 import { LineSet } from './LineSet.js'
-import { PeerLedgers } from './PeerLedgers.js'
 import { rowKeyOf, sumRows } from './sumRows.js'
 import type { BudgetForecast, Cost, CostRow } from './types.js'
-import { isBilled, wasteOfRequest, wasteOfStage } from './wasteCauseOf.js'
+import { isMetered, wasteOfRequest, wasteOfStage } from './wasteCauseOf.js'
 
 export interface CostKeeperOptions {
   readonly self: InstanceId
@@ -45,17 +46,20 @@
   readonly #options: CostKeeperOptions
   readonly #ledger = new Ledger()
   readonly #store: LedgerStore
-  readonly #shown: PeerLedgers
+  readonly #holders: LedgerHolders
+  readonly #held: HeldLedgers
   readonly #budgets: BudgetKeeper
   readonly #unpriced = new Set<ServiceId>()
   #timers: readonly Timer[] = []
   #flushing: Promise<void> | undefined
   #isFlushFailing = false
+  #showTimer: Timer | undefined
 
   constructor (options: CostKeeperOptions) {
     this.#options = options
     this.#store = new LedgerStore(options.table)
-    this.#shown = new PeerLedgers(options)
+    this.#holders = new LedgerHolders({ ...options, ledger: this.#ledger })
+    this.#held = new HeldLedgers({ ...options, unrecorded: () => this.#holders.unrecorded() })
     this.#budgets = new BudgetKeeper({ ...options, readDay: (day) => this.#readDay(day) })
   }
 
@@ -63,7 +67,6 @@
     const { clock } = this.#options
     if (this.#timers.length > 0) return
     this.#timers = [
-      clock.every(PUBLISH_PERIOD, () => this.#show()),
       clock.every(FLUSH_PERIOD, () => { void this.flush() }),
       clock.every(RECOVER_PERIOD, () => { void this.#recover() }),
       clock.every(BUDGET_PERIOD, () => { void this.#budgets.refresh() })
@@ -74,6 +77,7 @@
   stop (): void {
     for (const timer of this.#timers) timer.cancel()
     this.#timers = []
+    this.#showTimer?.cancel()
   }
 
   check (workspace: WorkspaceId, classId: ClassId): Result<void, Failure> {
@@ -82,9 +86,11 @@
 
   async rows (fromDay: string, toDay: string): Promise<readonly CostRow[]> {
     const rows: CostRow[] = []
+    const unrecorded = await this.#held.collect()
     for (const day of daysBetween(fromDay, toDay)) {
       const lines: DayLines = await this.#store.readDay(day) ?? new Map()
-      this.#raiseUnrecorded(day, lines)
+      this.#raiseOwn(day, lines)
+      for (const { row, lines: held } of unrecorded) if (dayOfRow(row) === day) setOf(lines, row).raise(held)
       for (const set of lines.values()) {
         for (const line of set.lines) rows.push(rowOfLine(day, line))
       }
@@ -104,7 +110,7 @@
   }
 
   stageEnded (record: StageRecord): void {
-    if (!isBilled(record)) return
+    if (!isMetered(record)) return
     const cost = this.#priceOf(record)
     this.#count(record, wasteOfStage(record) ?? 'needed', cost)
     this.#budgets.spent(record, cost)
@@ -115,7 +121,7 @@
     const cause = wasteOfRequest(record)
     if (cause === undefined) return
     for (const stage of stages) {
-      if (wasteOfStage(stage) !== undefined) continue
+      if (!isMetered(stage) || wasteOfStage(stage) !== undefined) continue
       const cost = this.#priceOf(stage)
       this.#count(stage, 'not-needed', cost)
       this.#count(stage, cause, cost)
@@ -128,6 +134,7 @@
     const id = { workspace, class: classId, stage: call.stage, service, use }
     const metered: Metered = { day: dayOf(now), hour: hourOf(now), id, usage, cost }
     this.#ledger.count(metered)
+    this.#showTimer ??= this.#options.clock.after(SHOW_DELAY, () => this.#show())
   }
 
   #priceOf ({ service, usage }: StageRecord): MicroUnits {
@@ -139,47 +146,40 @@
   }
 
   #show (): void {
-    for (const chunk of this.#ledger.chunks) if (!chunk.isShown) this.#shown.show(chunk)
-    this.#ledger.trim(dayOf(this.#options.clock.wall()))
+    this.#showTimer = undefined
+    this.#holders.show()
   }
 
   async #flush (): Promise<void> {
     for (const chunk of [...this.#ledger.chunks]) {
       if (!chunk.isRecorded) await this.#flushChunk(chunk)
     }
+    this.#ledger.trim(dayOf(this.#options.clock.wall()))
   }
 
   async #flushChunk (chunk: Chunk): Promise<void> {
     const { incarnation, log } = this.#options
-    const changes = chunk.takeChanges()
-    const version = await this.#store.raise(ledgerRowKey(chunk.day, incarnation, chunk.index), chunk.lines, chunk.rowVersion)
-    if (version === undefined) {
-      chunk.giveBack(changes)
-      if (!this.#isFlushFailing) log.emit(COST_EVENTS.flushFailed, { lines: changes.size })
-      this.#isFlushFailing = true
-      return
-    }
-    this.#isFlushFailing = false
-    chunk.rowVersion = version
-    chunk.recorded()
+    chunk.writeBegins()
+    const key = ledgerRowKey(chunk.day, incarnation, chunk.index)
+    const version = await this.#store.raise(key, chunk.lines, chunk.rowVersion)
+    chunk.writeEnded(version)
+    if (version !== undefined) this.#holders.recorded(chunk)
+    else if (!this.#isFlushFailing) log.emit(COST_EVENTS.flushFailed, { row: key })
+    this.#isFlushFailing = version === undefined
   }
 
   async #recover (): Promise<void> {
-    const lines = await this.#shown.recover(this.#store)
+    const lines = await this.#held.recover(this.#store)
     if (lines > 0) this.#options.log.emit(COST_EVENTS.deadMeterRecorded, { lines })
   }
 
   async #readDay (day: string): Promise<DayLines | undefined> {
     const found = await this.#store.readDay(day)
-    if (found !== undefined) this.#raiseUnrecorded(day, found)
+    if (found !== undefined) this.#raiseOwn(day, found)
     return found
   }
 
-  /** Raises a day's recorded lines by what this instance and its peers hold unrecorded. */
-  #raiseUnrecorded (day: string, rows: DayLines): void {
-    for (const { day: shownDay, row, lines } of this.#shown.shown()) {
-      if (shownDay === day) setOf(rows, row).raise(lines)
-    }
+  #raiseOwn (day: string, rows: DayLines): void {
     for (const chunk of this.#ledger.chunks) {
       if (chunk.day === day) setOf(rows, ledgerRowKey(day, this.#options.incarnation, chunk.index)).raise(chunk.lines)
     }
--- a/packages/cost/src/Ledger.ts
+++ b/packages/cost/src/Ledger.ts
@@ -21,8 +21,11 @@
   /** Version of the row as last known; 0 before the first write. */
   rowVersion = 0
   /** Lines that the table may not hold yet. */
-  readonly #changed = new Set<string>()
-  #isShown = true
+  readonly #unrecorded = new Set<string>()
+  /** Lines that a write under way is going to record. */
+  #writing: ReadonlySet<string> = new Set()
+  /** Lines that grew since they were last shown to peers. */
+  readonly #unshown = new Set<string>()
 
   constructor (day: string, index: number) {
     this.day = day
@@ -30,40 +33,42 @@
   }
 
   get isRecorded (): boolean {
-    return this.#changed.size === 0
-  }
-
-  /** Whether peers know all unrecorded lines. */
-  get isShown (): boolean {
-    return this.#isShown
+    return this.#unrecorded.size + this.#writing.size === 0
   }
 
   count ({ id, usage, cost, hour }: Metered): void {
+    const key = lineKey(id)
     countCall(this.lines.of(id), usage, cost, hour)
-    this.#changed.add(lineKey(id))
-    this.#isShown = false
+    this.#unrecorded.add(key)
+    this.#unshown.add(key)
+  }
+
+  unrecorded (): readonly PackedLine[] {
+    return this.#pack(new Set([...this.#unrecorded, ...this.#writing]))
   }
 
-  /** Unrecorded lines, to be shown to peers. */
-  show (): readonly PackedLine[] {
-    this.#isShown = true
-    return [...this.#changed].map((key) => packLine(this.lines.get(key)!))
+  /** Takes the lines that grew since the last time. */
+  takeUnshown (): readonly PackedLine[] {
+    const lines = this.#pack(this.#unshown)
+    this.#unshown.clear()
+    return lines
   }
 
-  /** Takes the changes that a write is going to record; give them back where it does not. */
-  takeChanges (): ReadonlySet<string> {
-    const taken = new Set(this.#changed)
-    this.#changed.clear()
-    return taken
+  /** A write of all lines begins. */
+  writeBegins (): void {
+    this.#writing = new Set(this.#unrecorded)
+    this.#unrecorded.clear()
   }
 
-  giveBack (changes: ReadonlySet<string>): void {
-    for (const key of changes) this.#changed.add(key)
+  /** The write ended; where it failed, its lines are still unrecorded. */
+  writeEnded (version: number | undefined): void {
+    if (version === undefined) for (const key of this.#writing) this.#unrecorded.add(key)
+    else this.rowVersion = version
+    this.#writing = new Set()
   }
 
-  /** The lines just recorded need no longer be held by peers. */
-  recorded (): void {
-    this.#isShown = false
+  #pack (keys: ReadonlySet<string>): readonly PackedLine[] {
+    return [...keys].map((key) => packLine(this.lines.get(key)!))
   }
 }
 
@@ -100,7 +105,7 @@
   trim (today: string): void {
     for (const chunk of [...this.#chunks]) {
       const isPast = chunk.day < today
-      if (chunk.isRecorded && chunk.isShown && (isPast || this.lineCount > MAX_LINES)) this.#drop(chunk)
+      if (chunk.isRecorded && (isPast || this.lineCount > MAX_LINES)) this.#drop(chunk)
     }
   }
 
--- a/packages/cost/src/LedgerStore.ts
+++ b/packages/cost/src/LedgerStore.ts
@@ -11,6 +11,9 @@
 export const ledgerRowKey = (day: string, life: string, chunk: number): RowKey =>
   brand<RowKey>(`${PREFIX}${day}/${life}/${chunk}`)
 
+/** The day whose lines a row holds. */
+export const dayOfRow = (key: RowKey): string => key.slice(PREFIX.length).split('/', 1)[0] ?? ''
+
 const dayPrefix = (day: string): string => `${PREFIX}${day}/`
 
 /** One day's rows by key. */
@@ -40,8 +43,10 @@
       if (result.isOk) return result.value.rows[0]?.version ?? base + 1
       if (result.error.kind !== 'conflict') return undefined
       const row = result.error.rows[0]
-      lines.raise(LineSet.parse(row?.value))
+      const recorded = LineSet.parse(row?.value)
       base = row?.version ?? 0
+      if (recorded.covers(lines)) return base
+      lines.raise(recorded)
     }
     return undefined
   }
--- a/packages/cost/src/LineSet.ts
+++ b/packages/cost/src/LineSet.ts
@@ -23,10 +23,6 @@
     return this.#lines.values()
   }
 
-  has (key: string): boolean {
-    return this.#lines.has(key)
-  }
-
   get (key: string): LedgerLine | undefined {
     return this.#lines.get(key)
   }
@@ -43,19 +39,28 @@
     for (const line of other.lines) raiseLine(this.of(line.id), line)
   }
 
+  /** Whether every line of the other set is here, as far as it has grown there. */
+  covers (other: LineSet): boolean {
+    for (const { id, counters } of other.lines) {
+      const own = this.#lines.get(lineKey(id))
+      if (own === undefined || counters.some((value, index) => value > own.counters[index]!)) return false
+    }
+    return true
+  }
+
   pack (): PackedLine[] {
     return [...this.#lines.values()].map(packLine)
   }
 
+  static unpack (packed: readonly PackedLine[]): LineSet {
+    const set = new LineSet()
+    for (const line of packed.map(unpackLine)) set.#lines.set(lineKey(line.id), line)
+    return set
+  }
+
   /** An empty set from anything that is no list of lines, such as an absent row. */
   static parse (value: unknown): LineSet {
-    const set = new LineSet()
     const parsed = linesSchema.safeParse(value)
-    if (!parsed.success) return set
-    for (const packed of parsed.data) {
-      const line = unpackLine(packed)
-      set.#lines.set(lineKey(line.id), line)
-    }
-    return set
+    return LineSet.unpack(parsed.success ? parsed.data : [])
   }
 }
--- a/packages/cost/src/constants.ts
+++ b/packages/cost/src/constants.ts
@@ -2,8 +2,15 @@
 
 /** How often metered work is recorded in the table service. */
 export const FLUSH_PERIOD = seconds(5)
-/** How often unrecorded work is shown to peers: what the death of an instance can hide. */
-export const PUBLISH_PERIOD = seconds(1)
+/**
+ * How soon metered work is shown to the peers that hold it. With the way there, it is what the death of an
+ * instance can hide.
+ */
+export const SHOW_DELAY = millis(80)
+/** Peers that hold an instance's unrecorded work. */
+export const HOLDER_COUNT = 2
+/** How long a peer may take to say that it holds work. */
+export const HOLD_TIMEOUT = seconds(1)
 /** How often the work of instances that are gone is looked for. */
 export const RECOVER_PERIOD = seconds(5)
 /** How long an instance must be missing before a peer records its work. */
--- a/packages/cost/src/wasteCauseOf.ts
+++ b/packages/cost/src/wasteCauseOf.ts
@@ -2,15 +2,9 @@
 
 const REFUSED: ReadonlySet<ErrorKind> = new Set<ErrorKind>(['over-capacity', 'over-budget', 'no-endpoint', 'not-ready', 'draining'])
 
-/**
- * Whether an endpoint bills a call: one that never reached it, or that ended without a word of any work,
- * is not billed.
- */
-export const isBilled = ({ outcome, usage }: StageRecord): boolean => {
-  if (outcome === 'done') return true
-  if (outcome === 'not-sent' || outcome === 'refused') return false
-  return usage.busy + usage.tokensIn + usage.tokensCached + usage.tokensOut > 0
-}
+/** Whether a call is metered: not one that never reached its endpoint, or of whose work nothing was said. */
+export const isMetered = ({ outcome, isUsageKnown }: StageRecord): boolean =>
+  outcome !== 'not-sent' && outcome !== 'refused' && isUsageKnown !== false
 
 /**
  * Why one stage call was waste by itself; undefined where it may serve an answer.
