--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -9,6 +9,8 @@
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
+  decide: () => import('./benches/decide.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
   leaving: () => import('./benches/leaving.js'),
+  prefix: () => import('./benches/prefix.js'),
 }
--- a/packages/standins/src/FakeEndpointAccess.ts
+++ b/packages/standins/src/FakeEndpointAccess.ts
@@ -37,6 +37,8 @@
   readonly delay?: Millis
   /** How late reports and cache events come. */
   readonly lag?: Millis
+  /** How late cache events come, where it differs. */
+  readonly eventLag?: Millis
   readonly lostCacheEventShare?: number
 }
 
@@ -110,7 +112,7 @@
 
   #passCacheEvent (event: CacheEvent): void {
     if (this.#options.random.next() < (this.#options.lostCacheEventShare ?? 0)) return
-    this.#options.clock.after(this.#lag, () => {
+    this.#options.clock.after(this.#options.eventLag ?? this.#lag, () => {
       for (const listener of this.#cacheListeners) listener(event)
     })
   }
@@ -143,10 +145,9 @@
   ): Promise<Result<StageAnswer, CallError>> {
     if (!this.#isOpen) return Result.err(NOT_CONNECTED)
     if (signal.aborted) return Result.err({ outcome: 'not-sent', detail: 'cancelled before it was sent' })
-    const timeout = new AbortController()
-    const timer = this.#clock.after(call.timeout, () => timeout.abort())
+    const linked = linkSignals([signal])
+    const timer = this.#clock.after(call.timeout, () => linked.abort())
     await this.#clock.sleep(this.#delay)
-    const linked = linkSignals([signal, timeout.signal])
     const result = await this.#serve(call, onChunk, linked.signal)
     linked.release()
     await this.#clock.sleep(this.#delay)
