--- a/apps/papayahill/src/commands/standins.ts
+++ b/apps/papayahill/src/commands/standins.ts
@@ -1,9 +1,12 @@
 import { isIP } from 'node:net'
 import { brand, SeededRandom } from '@papayahill/common'
 import { Trace } from '@papayahill/invariants'
+import type { ServiceId } from '@papayahill/common'
 import type { ListedInstance } from '@papayahill/platform'
 import { formatFault, parseOperatorConfig } from '@papayahill/settings'
+import type { OperatorConfig } from '@papayahill/settings'
 import { serveDeployment } from '@papayahill/standins'
+import type { ServedDeployment } from '@papayahill/standins'
 import { CliFailure } from '../CliFailure.js'
 import { PAPAYAHILL_EVENTS } from '../events.js'
 import { EXIT_CODES } from '../exitCodes.js'
@@ -23,6 +26,15 @@
   return { id: brand(id), domain: brand(domain), address: { ip, port }, state: 'live' }
 }
 
+const startBeside = async (deployment: ServedDeployment, config: OperatorConfig, text: string): Promise<void> => {
+  const [id = '', version = ''] = text.split('@')
+  const service = config.services.get(brand<ServiceId>(id))
+  if (service === undefined || version === '') {
+    throw new CliFailure(`${text} is no service and version; write such as assistant@v2`, EXIT_CODES.malformed)
+  }
+  for (const domain of config.domains.keys()) await deployment.addEndpoint(service, version, domain)
+}
+
 const untilStopped = (): Promise<void> => new Promise((resolve) => {
   process.once('SIGINT', () => resolve())
   process.once('SIGTERM', () => resolve())
@@ -36,6 +48,7 @@
   builder: (argv) => argv
     .option('settings', { type: 'string', demandOption: true, describe: 'An operators\' file; its services are played' })
     .option('instance', { type: 'string', array: true, default: [] as string[], describe: 'An entry instance: id@domain@ip:port of its peers\' listener' })
+    .option('beside', { type: 'string', array: true, default: [] as string[], describe: 'A new version beside the old one, in each domain: service@version' })
     .option('first-port', { type: 'number', default: FIRST_PORT, describe: 'Table, objects and list; endpoints come 100 above' })
     .option('seed', { type: 'number', default: 1, describe: 'Seed of their randomness' }),
   run: async (args, cli) => {
@@ -49,10 +62,11 @@
       instances: args.instance.map(readInstance),
       firstPort: args.firstPort
     })
+    for (const text of args.beside) await startBeside(deployment, parsed.value, text)
     cli.print(PAPAYAHILL_EVENTS.standInsRun.text)
     for (const [name, origin] of Object.entries(deployment.origins)) cli.print(`${name.padEnd(16)} ${origin}`)
     for (const { listed } of deployment.endpoints) {
-      cli.print(`${listed.id.padEnd(16)} http://${listed.address.ip}:${listed.address.port} ${listed.domain}`)
+      cli.print(`${listed.id.padEnd(16)} http://${listed.address.ip}:${listed.address.port} ${listed.domain} ${listed.version}`)
     }
     await untilStopped()
     await deployment.close()
