--- a/apps/papayahilld/src/events.ts
+++ b/apps/papayahilld/src/events.ts
@@ -18,5 +18,10 @@
     level: 'warn',
     text: 'The instance still waits for the store or a peer; it serves nothing until one of them gives a configuration.'
   },
+  taskFailed: {
+    number: 7110,
+    level: 'error',
+    text: 'A background task failed; requests go on, and the task is tried again at its next turn. Report it with the fields.'
+  },
   crashed: { number: 7108, level: 'error', text: 'A fault ended the process; report it with the fields.' }
 })
--- a/apps/papayahilld/src/main.ts
+++ b/apps/papayahilld/src/main.ts
@@ -34,6 +34,8 @@
   process.on('SIGTERM', () => signals.stop())
   process.on('SIGINT', () => signals.stop())
   process.on('SIGQUIT', () => signals.quit())
+  // A fault in control work must not cut the streams of callers who have nothing to do with it.
+  process.on('unhandledRejection', (err) => log.emit(PAPAYAHILLD_EVENTS.taskFailed, { detail: String(err) }))
   try {
     await daemon.start()
   } catch (err) {
--- a/packages/cost/src/BudgetAccount.ts
+++ b/packages/cost/src/BudgetAccount.ts
@@ -1,7 +1,7 @@
 import { microUnits } from '@papayahill/common'
 import type { ClassId, EpochMillis, MicroUnits, StageId } from '@papayahill/common'
 import type { BudgetSettings } from '@papayahill/settings'
-import { addDays, hourOf, monthOf } from './dayOf.js'
+import { addDays, dayOf, hourOf, monthOf } from './dayOf.js'
 import { costInHour, signOf } from './LedgerLine.js'
 import type { LedgerLine } from './LedgerLine.js'
 import { SpendForecaster } from './SpendForecaster.js'
@@ -111,6 +111,7 @@
   /** Works the forecast out anew; whether it is certain enough to be told. */
   evaluate (at: EpochMillis): boolean {
     const { limit, period } = this.budget
+    if (this.#today === '') this.#beginDay(dayOf(at))
     this.forecaster.observe(at, this.#spentToday + this.#spentSince)
     const spanned = { left: limit - this.#spentBefore, lastDay: lastDayOf(this.#today, period) }
     const forecast = this.forecaster.forecast(at, spanned)
