Configuration bench; three faults it found are mended

Change: each accepted write leaves a mark under its id, on which the next write is conditional; an answer that comes late is not applied again; the wait for the store is bounded where a peer answered.

--- /dev/null
+++ b/packages/bench/src/benches/config.ts
@@ -0,0 +1,42 @@
+import { ConfigWorld } from '../state/ConfigWorld.js'
+import type { ConfigCounts, ConfigWorldOptions } from '../state/ConfigWorld.js'
+import { PolledDocument } from '../state/PolledDocument.js'
+import type { Bench, BenchOptions, Figures } from '../types.js'
+
+const BASELINE_SEEDS = 12
+
+/** Figures of which the worst counts; the others are added up. */
+const WORST: ReadonlySet<string> = new Set(['inForceMaxMs', 'bytesPerInstanceSecond', 'readsPerInstanceSecond'])
+
+const play = async ({ seed, seeds }: BenchOptions, configOf?: ConfigWorldOptions['configOf']): Promise<Figures> => {
+  const total: Record<string, number> = {}
+  for (let at = seed; at < seed + seeds; at++) {
+    const counts: ConfigCounts = await new ConfigWorld({ seed: at, configOf }).run()
+    for (const [name, count] of Object.entries(counts)) {
+      const before = total[name] ?? 0
+      total[name] = WORST.has(name) ? Math.max(before, count) : before + count
+    }
+  }
+  return total
+}
+
+export const bench: Bench = {
+  name: 'config',
+  about: 'Changes of the configuration through races, outages, restores and deaths; none is lost or reverted',
+  seeds: 300,
+  ciSeeds: 60,
+  bounds: {
+    reverts: { max: 0 },
+    acceptedLost: { max: 0 },
+    secondContents: { max: 0 },
+    inForceMaxMs: { max: 2000 },
+    bytesPerInstanceSecond: { max: 3072 }
+  },
+  baselinesMustMiss: { polledDocument: ['reverts', 'acceptedLost'] },
+  run: async (options) => ({
+    figures: await play(options),
+    baselines: {
+      polledDocument: await play({ ...options, seeds: Math.min(options.seeds, BASELINE_SEEDS) }, (base) => new PolledDocument(base))
+    }
+  })
+}
--- a/packages/bench/src/state/ConfigKeeper.test.ts
+++ b/packages/bench/src/state/ConfigKeeper.test.ts
@@ -1,5 +1,6 @@
 import { brand, millis, seconds } from '@papayahill/common'
 import type { DomainId, OperatorName, RegionId, WorkspaceId } from '@papayahill/common'
+import { ConfigKeeper } from '@papayahill/control'
 import type { ConfigChange } from '@papayahill/control'
 import { describe, expect, it } from 'vitest'
 import { StateRig } from './StateRig.js'
@@ -236,7 +237,9 @@
       await rig.clock.advance(millis(1500))
       const version = (await accepted).unwrapOr(undefined)?.version ?? 0
       let isEverywhere: boolean | undefined
-      void rig.at(0).config.whenInForce(version, seconds(8)).then((answer) => { isEverywhere = answer })
+      const { config } = rig.at(0)
+      expect(config).toBeInstanceOf(ConfigKeeper)
+      void (config as ConfigKeeper).whenInForce(version, seconds(8)).then((answer) => { isEverywhere = answer })
       await rig.clock.advance(seconds(1))
       expect(isEverywhere).toBeUndefined()
       rig.resume(rig.ids[2]!)
--- a/packages/bench/src/state/GatedPeers.ts
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -3,12 +3,16 @@
 import type { LifeGate } from '@papayahill/standins'
 import type { Result } from 'true-myth'
 
+/** What a message carries beside its body: the topic, a number, the frame. */
+const FRAME_BYTES = 16
+
 /** One instance's links, with answers and deliveries held back while it is paused. */
 export class GatedPeers implements Peers {
   readonly self: InstanceId
   readonly incarnation: Incarnation
   readonly #peers: Peers
   readonly #gate: LifeGate
+  #bytes = 0
 
   constructor (peers: Peers, gate: LifeGate) {
     this.#peers = peers
@@ -17,6 +21,11 @@
     this.incarnation = peers.incarnation
   }
 
+  /** Bytes of messages and answers that this instance sent, as JSON. */
+  get bytes (): number {
+    return this.#bytes
+  }
+
   members (): readonly PeerMember[] {
     return this.#peers.members()
   }
@@ -26,22 +35,30 @@
   }
 
   send (to: InstanceId, topic: Topic, message: Json): void {
+    this.#count(message)
     this.#peers.send(to, topic, message)
   }
 
   broadcast (topic: Topic, message: Json): void {
+    this.#count(message, this.#peers.members().length)
     this.#peers.broadcast(topic, message)
   }
 
   ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>> {
+    this.#count(message)
     return this.#gate.pass(this.#peers.ask(to, topic, message, timeout))
   }
 
   handle (topic: Topic, handler: PeerHandler): void {
-    this.#peers.handle(topic, handler)
+    this.#peers.handle(topic, async (from, message) => {
+      const answer = await handler(from, message)
+      this.#count(answer)
+      return answer
+    })
   }
 
   publish (topic: Topic, key: string, value: Json): void {
+    this.#count({ topic, key, value }, this.#peers.members().length)
     this.#peers.publish(topic, key, value)
   }
 
@@ -56,4 +73,8 @@
   close (): Promise<void> {
     return this.#peers.close()
   }
+
+  #count (message: Json | undefined, receivers = 1): void {
+    this.#bytes += receivers * (JSON.stringify(message ?? null).length + FRAME_BYTES)
+  }
 }
--- a/packages/bench/src/state/OrderWorld.ts
+++ b/packages/bench/src/state/OrderWorld.ts
@@ -74,6 +74,7 @@
       seed,
       instances: 3 + seed % 7,
       hasConfig: false,
+      isMetered: true,
       claimsOf,
       lookUp: hasLookUp ? (_service, key) => this.#lookUp(key) : undefined
     })
--- /dev/null
+++ b/packages/bench/src/state/PolledDocument.ts
@@ -0,0 +1,89 @@
+import { brand, isJsonObject, seconds } from '@papayahill/common'
+import type { Failure, Json, OperatorName } from '@papayahill/common'
+import type { Accepted, ConfigChange, ConfigKeeperOptions, ConfigView, InForce } from '@papayahill/control'
+import type { RowKey } from '@papayahill/platform'
+import { EMPTY_CONFIG } from '@papayahill/settings'
+import type { DomainSettings, OperatorConfig, WorkspaceSettings } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import type { StartedConfig } from './StateRig.js'
+
+const KEY = brand<RowKey>('document')
+const PERIOD = seconds(1)
+
+/** The parts of a document that the bench's changes touch. */
+interface Document {
+  readonly version: number
+  readonly workspaces: readonly string[]
+  readonly out: readonly string[]
+}
+
+const FIRST: Document = { version: 0, workspaces: [], out: [] }
+
+const changed = (before: Document, change: ConfigChange): Document => {
+  if (change.kind === 'put-workspace') return { ...before, workspaces: [...before.workspaces, change.workspace.id] }
+  if (change.kind === 'domain-out') return { ...before, out: [...before.out, change.domain] }
+  return before
+}
+
+const configOf = (document: Document): OperatorConfig => ({
+  ...EMPTY_CONFIG,
+  domains: new Map<DomainSettings['id'], DomainSettings>(),
+  workspaces: new Map(document.workspaces.map((id): [WorkspaceSettings['id'], WorkspaceSettings] => [brand(id), { id: brand(id) }])),
+  domainsOut: new Set(document.out.map((id) => brand<DomainSettings['id']>(id)))
+})
+
+/** One whole document that the last writer wins, polled, and believed whatever it says. */
+export class PolledDocument implements StartedConfig {
+  readonly #options: ConfigKeeperOptions
+  readonly #listeners: Array<(view: ConfigView) => void> = []
+  #document = FIRST
+  #isReady = false
+
+  constructor (options: ConfigKeeperOptions) {
+    this.#options = options
+  }
+
+  get isReady (): boolean {
+    return this.#isReady
+  }
+
+  async start (): Promise<void> {
+    await this.#poll()
+    this.#options.clock.every(PERIOD, () => { void this.#poll() })
+  }
+
+  view (): ConfigView {
+    return { version: this.#document.version, config: configOf(this.#document), author: undefined, unrecordedOuts: new Set() }
+  }
+
+  async propose (changes: readonly ConfigChange[], _author: OperatorName): Promise<Result<Accepted, Failure>> {
+    await this.#poll()
+    const next = changes.reduce(changed, { ...this.#document, version: this.#document.version + 1 })
+    const written = await this.#options.table.commit({ conditions: [], writes: [{ key: KEY, value: next as unknown as Json }] })
+    if (written.isErr) return Result.err({ kind: 'store-unavailable', detail: 'the store is unreachable', run: 'unknown' })
+    this.#adopt(next)
+    return Result.ok({ version: next.version, isRecorded: true })
+  }
+
+  inForce (): readonly InForce[] {
+    return []
+  }
+
+  onChange (listener: (view: ConfigView) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  async #poll (): Promise<void> {
+    const read = await this.#options.table.read([KEY])
+    if (read.isErr) return
+    const value = read.value[0]?.value ?? null
+    this.#isReady = true
+    this.#adopt(isJsonObject(value) ? value as unknown as Document : FIRST)
+  }
+
+  #adopt (document: Document): void {
+    if (JSON.stringify(document) === JSON.stringify(this.#document)) return
+    this.#document = document
+    for (const listener of this.#listeners) listener(this.view())
+  }
+}
--- a/packages/bench/src/state/StateRig.ts
+++ b/packages/bench/src/state/StateRig.ts
@@ -2,8 +2,8 @@
 import type { ClaimKeeperOptions, Claims, KeyLookUp } from '@papayahill/claims'
 import { brand, EventRecorder, SeededRandom, VirtualClock } from '@papayahill/common'
 import type { DomainId, InstanceId, Millis } from '@papayahill/common'
-import { ConfigKeeper, RosterKeeper } from '@papayahill/control'
-import type { TableService } from '@papayahill/platform'
+import { ConfigKeeper, MeteredTable, RosterKeeper } from '@papayahill/control'
+import type { ConfigKeeperOptions, ConfigLog } from '@papayahill/control'
 import { FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock, GatedObjectStore, GatedTable, LifeGate } from '@papayahill/standins'
 import { GatedPeers } from './GatedPeers.js'
 
@@ -11,14 +11,22 @@
   readonly seed: number
   readonly instances: number
   readonly lookUp?: KeyLookUp
-  /** Wraps each instance's way to the table. */
-  readonly tableOf?: (table: TableService) => TableService
+  /** Whether instances meter and cap their way to the table. */
+  readonly isMetered?: boolean
+  /** What keeps the configuration, where not {@link ConfigKeeper}. */
+  readonly configOf?: (options: ConfigKeeperOptions) => StartedConfig
   /** What keeps requests from running twice, where not {@link ClaimKeeper}. */
   readonly claimsOf?: (options: ClaimKeeperOptions) => Claims
   /** Whether instances keep a configuration; on where absent. */
   readonly hasConfig?: boolean
 }
 
+/** A configuration log with a life of its own. */
+export interface StartedConfig extends ConfigLog {
+  readonly isReady: boolean
+  start (): Promise<void>
+}
+
 /** One life of an instance with everything that keeps state in it. */
 export class StateInstance {
   readonly id: InstanceId
@@ -28,7 +36,7 @@
   readonly events: EventRecorder
   readonly peers: GatedPeers
   readonly roster: RosterKeeper
-  readonly config: ConfigKeeper
+  readonly config: StartedConfig
   readonly claims: Claims
   readonly #hasConfig: boolean
 
@@ -39,17 +47,20 @@
     this.events = new EventRecorder(this.clock)
     this.peers = new GatedPeers(rig.network.join(id, brand<DomainId>('d1')), this.gate)
     const gated = new GatedTable(rig.table, this.gate)
+    const random = rig.random.fork()
+    const metered = new MeteredTable({ table: gated, clock: this.clock, random, members: () => options.instances, log: this.events })
     const base = {
       self: id,
       incarnation: this.peers.incarnation,
       clock: this.clock,
-      random: rig.random.fork(),
-      table: options.tableOf?.(gated) ?? gated,
+      random,
+      table: options.isMetered === true ? metered : gated,
       peers: this.peers,
       log: this.events
     }
     this.roster = new RosterKeeper(base)
-    this.config = new ConfigKeeper({ ...base, objects: new GatedObjectStore(rig.objects, this.gate), roster: this.roster })
+    const configOptions = { ...base, objects: new GatedObjectStore(rig.objects, this.gate), roster: this.roster }
+    this.config = options.configOf?.(configOptions) ?? new ConfigKeeper(configOptions)
     const claimOptions = { ...base, roster: this.roster, lookUp: options.lookUp }
     this.claims = options.claimsOf?.(claimOptions) ?? new ClaimKeeper(claimOptions)
     this.#hasConfig = options.hasConfig ?? true
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -4,4 +4,5 @@
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
   'moves-good': () => import('./benches/moves-good.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
+  config: () => import('./benches/config.js'),
 }
--- a/packages/control/src/ChangeLog.ts
+++ b/packages/control/src/ChangeLog.ts
@@ -41,7 +41,12 @@
   }
 
   has (writeId: WriteId): boolean {
-    return writeId === this.#base.writeId || this.#changes.some((change) => change.writeId === writeId)
+    return writeId === this.#base.writeId || this.versionOf(writeId) !== undefined
+  }
+
+  /** Version from which on a write is in force, as far as this log reaches. */
+  versionOf (writeId: WriteId): number | undefined {
+    return this.#changes.find((change) => change.writeId === writeId || change.merged?.includes(writeId))?.version
   }
 
   /** Whether a change stands on what is known here, so that it may be applied. */
--- a/packages/control/src/ConfigAcceptor.ts
+++ b/packages/control/src/ConfigAcceptor.ts
@@ -71,16 +71,18 @@
     for (let tries = 0; tries < MAX_UPDATE_TRIES; tries++) {
       const head = await this.#agree()
       if (head.isErr) return Result.err(this.#unreachable(head.error, mayBeWritten))
-      if (this.#isInLog(proposal)) return this.#accepted(proposal)
+      if (this.#isInLog(proposal)) return mayBeWritten ? this.#accepted(proposal) : Result.ok(this.#inLog(proposal))
       const logged = this.#check(proposal)
       if (logged.isErr) return Result.err(logged.error)
       const written = await this.#options.store.append(head.value, [logged.value])
       if (written.isOk) {
-        this.#options.log.append(logged.value)
-        return this.#accepted(proposal)
+        // Peers may have brought this version, and later ones, before the store's answer came.
+        if (this.#options.log.isNext(logged.value)) this.#options.log.append(logged.value)
+        if (this.#isInLog(proposal)) return this.#accepted(proposal)
       }
+      mayBeWritten ||= written.isOk || written.error.kind === 'unknown'
+      if (written.isOk) continue
       if (written.error.kind === 'unavailable') return Result.err(this.#unreachable(written.error, mayBeWritten))
-      mayBeWritten ||= written.error.kind === 'unknown'
     }
     const detail = 'other changes kept coming first; try again'
     return Result.err(mayBeWritten ? failure('outcome-unknown', detail, 'unknown') : refusal('conflict', detail))
@@ -114,11 +116,16 @@
 
   #accepted (proposal: Proposal): Result<Accepted, Failure> {
     const { log, store, events, onAccepted } = this.#options
-    const version = log.newest.find((change) => change.writeId === proposal.writeId)?.version ?? log.state.version
-    events.emit(CONTROL_EVENTS.configAccepted, { version, author: proposal.author })
+    const accepted = this.#inLog(proposal)
+    events.emit(CONTROL_EVENTS.configAccepted, { version: accepted.version, author: proposal.author })
     onAccepted()
     void store.snapshot(log.state)
-    return Result.ok({ version, isRecorded: true })
+    return Result.ok(accepted)
+  }
+
+  #inLog (proposal: Proposal): Accepted {
+    const { log } = this.#options
+    return { version: log.versionOf(proposal.writeId) ?? log.state.version, isRecorded: true }
   }
 
   #unreachable (error: StoreError, mayBeWritten: boolean): Failure {
--- a/packages/control/src/ConfigKeeper.ts
+++ b/packages/control/src/ConfigKeeper.ts
@@ -9,7 +9,8 @@
 import { ConfigStore } from './ConfigStore.js'
 import { ConfigSync } from './ConfigSync.js'
 import {
-  CONFIG_PERIOD, HOLD_TIMEOUT, HOLDERS, LATCH_RECORD_WAIT, POLL_MILLIS_PER_MEMBER, START_GRACE, START_RETRY, TAIL_CHANGES
+  CONFIG_PERIOD, HOLD_TIMEOUT, HOLDERS, LATCH_RECORD_WAIT, POLL_MILLIS_PER_MEMBER, START_GRACE, START_RETRY, START_STORE_WAIT,
+  TAIL_CHANGES
 } from './constants.js'
 import { CONTROL_EVENTS } from './events.js'
 import { LatchBook } from './LatchBook.js'
@@ -61,6 +62,8 @@
   #isRunning = false
   #isReady = false
   #isUnreadable = false
+  /** Newest version that listeners and peers were told of. */
+  #announced = -1
   #startedAt: Millis = millis(0)
   #writes = 0
 
@@ -156,11 +159,15 @@
   }
 
   async #tryStart (): Promise<void> {
-    const [reconciled, hasPeer] = await Promise.all([this.#sync.reconcile(), this.#sync.askPeers()])
-    const mayTrustStore = hasPeer || this.#options.clock.now() - this.#startedAt >= START_GRACE
-    if (reconciled.isOk ? !mayTrustStore : !hasPeer) return
+    const { clock } = this.#options
+    const isRead = this.#sync.reconcile().then((reconciled) => reconciled.isOk)
+    const hasPeer = await this.#sync.askPeers()
+    // With a peer's word there is no need to wait for a store that is slow to answer.
+    const fromStore = await (hasPeer ? Promise.race([isRead, clock.sleep(START_STORE_WAIT).then(() => false)]) : isRead)
+    const isAlone = !hasPeer && clock.now() - this.#startedAt >= START_GRACE
+    if (!hasPeer && !(fromStore && isAlone)) return
     this.#isReady = true
-    this.#events.emit(CONTROL_EVENTS.configReady, { version: this.#log.state.version, fromStore: reconciled.isOk })
+    this.#events.emit(CONTROL_EVENTS.configReady, { version: this.#log.state.version, fromStore })
     this.#moved()
   }
 
@@ -264,7 +271,8 @@
   #moved (): void {
     const { version } = this.#log.state
     for (const latch of this.#latches.dropRecorded()) this.#events.emit(CONTROL_EVENTS.latchRecorded, { domain: latch.domain, version })
-    if (!this.#isReady) return
+    if (!this.#isReady || this.#announced === version) return
+    this.#announced = version
     this.#events.emit(CONTROL_EVENTS.configInForce, { version })
     this.#notify()
     this.#options.peers.publish('config', IN_FORCE, { version })
--- a/packages/control/src/ConfigStore.ts
+++ b/packages/control/src/ConfigStore.ts
@@ -5,7 +5,7 @@
 import { MAX_ROWS_PER_CALL, SNAPSHOT_INTERVAL } from './constants.js'
 import { CONTROL_EVENTS } from './events.js'
 import { decodeHead, decodeLogged, decodeState, encodeHead, encodeLogged, encodeState } from './logRecords.js'
-import type { ConfigHead, ConfigState, LoggedChange } from './logRecords.js'
+import type { ConfigHead, ConfigState, LoggedChange, WriteId } from './logRecords.js'
 
 const HEAD_KEY = brand<RowKey>('config/head')
 const VERSION_DIGITS = 9
@@ -15,6 +15,8 @@
 const PRUNED_PER_CHANGE = 4
 
 const changeKey = (version: number): RowKey => brand<RowKey>(`config/change/${String(version).padStart(VERSION_DIGITS, '0')}`)
+/** Stands in the store as long as the write of this id does; a restored store lacks it, whatever its row versions say. */
+const writeKey = (writeId: WriteId): RowKey => brand<RowKey>(`config/write/${writeId}`)
 const snapshotName = (version: number): string => `config/snapshot/${version}`
 
 /** The head with the version of its row, on which the next write is conditional. */
@@ -59,7 +61,7 @@
     return got.isOk ? decodeState(got.value) : undefined
   }
 
-  /** Puts changes after the head, on condition that nobody else did. */
+  /** Puts changes after the head, on condition that nobody else did and that the head is still the write it was read as. */
   async append (head: ReadHead, added: readonly LoggedChange[]): Promise<Result<void, StoreError>> {
     const newest = added.at(-1)!
     const prunable = Math.min(head.pruned + PRUNED_PER_CHANGE, Math.max(head.pruned, head.snapshot - KEPT_BEHIND_SNAPSHOT))
@@ -73,12 +75,15 @@
     const written = await this.#table.commit({
       conditions: [
         { key: HEAD_KEY, version: head.rowVersion },
+        ...head.writeId === '' ? [] : [{ key: writeKey(head.writeId), version: 1 }],
+        ...added.map((change) => ({ key: writeKey(change.writeId), version: 0 })),
         ...added.map((change) => ({ key: changeKey(change.version), version: 0 }))
       ],
       writes: [
         { key: HEAD_KEY, value: encodeHead(next) },
         ...added.map((change): RowWrite => ({ key: changeKey(change.version), value: encodeLogged(change) })),
-        ...this.#deletions(head.pruned + 1, prunable)
+        ...added.map((change): RowWrite => ({ key: writeKey(change.writeId), value: change.version })),
+        ...await this.#deletions(head.pruned + 1, prunable)
       ]
     })
     return written.map(() => undefined)
@@ -92,7 +97,11 @@
     else this.#log.emit(CONTROL_EVENTS.snapshotFailed, { version: state.version, detail: put.error.kind })
   }
 
-  #deletions (first: number, last: number): readonly RowWrite[] {
-    return Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => ({ key: changeKey(first + index), value: null }))
+  /** Deletes old changes with their marks; none where they cannot be read now. */
+  async #deletions (first: number, last: number): Promise<readonly RowWrite[]> {
+    if (last < first) return []
+    const old = await this.readChanges(first, last)
+    return old.unwrapOr([]).flatMap((change): readonly RowWrite[] =>
+      [{ key: changeKey(change.version), value: null }, { key: writeKey(change.writeId), value: null }])
   }
 }
--- a/packages/control/src/ConfigSync.ts
+++ b/packages/control/src/ConfigSync.ts
@@ -170,7 +170,7 @@
     const joined = this.#joinedChange(head, rows.value)
     if (joined === undefined) return Result.err(UNSETTLED)
     const written = await store.append(head, [joined])
-    if (written.isOk) events.emit(CONTROL_EVENTS.configForked, { version: joined.version, own: joined.merged?.length })
+    if (written.isOk) events.emit(CONTROL_EVENTS.configForked, { version: joined.version, joined: joined.merged?.length })
     return this.#unlessConflict(written)
   }
 
@@ -181,13 +181,13 @@
     const own = common === undefined ? undefined : log.since(common)
     if (start === undefined || own === undefined || own.length === 0 || rows.at(-1)?.writeId !== head.writeId) return undefined
     const version = Math.max(head.version, log.state.version) + 1
-    const theirs = replay(start, rows.filter((row) => row.version > start.version))
+    const theirChanges = rows.filter((row) => row.version > start.version)
+    const theirs = replay(start, theirChanges)
     const changes = fitting(theirs.config, own.flatMap((change) => change.changes), version)
     const latches = own.flatMap((change) => change.latches)
     const author = log.state.author!
-    const joined: LoggedChange = {
-      version, author, writeId: newWriteId(), previous: head.writeId, changes, latches, merged: own.map((change) => change.writeId)
-    }
+    const merged = [...own, ...theirChanges].map((change) => change.writeId)
+    const joined: LoggedChange = { version, author, writeId: newWriteId(), previous: head.writeId, changes, latches, merged }
     return { ...joined, state: replay(theirs, [joined]) }
   }
 
--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -39,6 +39,8 @@
 export const MAX_RECORDED_LATCHES = 256
 /** How long a starting instance looks for peers before it trusts the store alone. */
 export const START_GRACE = millis(1500)
+/** Wait of a starting instance for the store, where a peer has answered. */
+export const START_STORE_WAIT = millis(500)
 /** Pause between two tries to start. */
 export const START_RETRY = millis(300)
 /** Peers that must hold an accepted change before the operator is told, where there are as many. */
--- a/packages/control/src/logRecords.ts
+++ b/packages/control/src/logRecords.ts
@@ -29,7 +29,7 @@
   readonly changes: readonly ConfigChange[]
   /** Latches that this version records. */
   readonly latches: readonly WriteId[]
-  /** Set where this version joins two histories: the writes that came from the other one. */
+  /** Set where this version joins two histories: the writes of both since they parted. */
   readonly merged?: readonly WriteId[]
   /** The whole state at this version, set with `merged`. */
   readonly state?: ConfigState
