Peers: tests in virtual time and over WebSockets

Cause: links, membership and gossip had no tests; a new link compared too few entries to catch up. Change: a new link compares until nothing differs; membership entries go out at once; a test network that keeps the dead dead.

--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -8,9 +8,11 @@
 import type { GossipEntry, Topic } from './types.js'
 
 /** Topics whose entries go out at once and over every link; the others wait for their turn. */
-const URGENT: ReadonlySet<Topic> = new Set<Topic>(['latch', 'config', 'order'])
+const URGENT: ReadonlySet<Topic> = new Set<Topic>(['heartbeat', 'latch', 'config', 'order'])
 /** Most entries of one frame. */
 const MAX_ENTRIES = 64
+/** Comparisons on one new link at most. */
+const MAX_CATCH_UPS = 12
 
 /** One link as gossip sees it. */
 export interface GossipLink {
@@ -39,6 +41,9 @@
 export class GossipSpreader {
   readonly #options: GossipSpreaderOptions
   readonly #waiting = new Map<string, GossipEntry>()
+  /** Comparisons that may still follow on a new link. */
+  readonly #catchingUp = new Map<GossipLink, number>()
+  readonly #differed = new Set<GossipLink>()
   #bytes = GOSSIP_BURST_BYTES
   #filledAt: Millis
 
@@ -71,9 +76,28 @@
     }
   }
 
-  /** Starts a comparison with one random peer, or with one that has just been linked. */
-  compare (link = pickLinks(this.#options.random, this.#options.links(), 1)[0]): void {
-    link?.send({ kind: 'compare', hashes: this.#options.store.hashes() })
+  /** Starts a comparison with one random peer. */
+  compare (): void {
+    const [link] = pickLinks(this.#options.random, this.#options.links(), 1)
+    if (link !== undefined) this.#ask(link)
+  }
+
+  /** Compares with a new peer until nothing differs, a bounded number of times. */
+  catchUp (link: GossipLink): void {
+    this.#catchingUp.set(link, MAX_CATCH_UPS)
+    this.#ask(link)
+  }
+
+  /** Goes on with comparisons that found differences. */
+  goOn (): void {
+    const links = this.#options.links()
+    for (const [link, left] of this.#catchingUp) {
+      if (left === 0 || !links.includes(link)) this.#catchingUp.delete(link)
+      else if (this.#differed.delete(link)) {
+        this.#catchingUp.set(link, left - 1)
+        this.#ask(link)
+      }
+    }
   }
 
   take (frame: Frame, from: GossipLink): void {
@@ -101,6 +125,7 @@
   /** Sends what the other side lacks; the first answer also says what is here, so that the other can do the same. */
   #answerDiffer (frame: Extract<Frame, { readonly kind: 'differ' }>, from: GossipLink): void {
     const { store } = this.#options
+    if (!frame.isReply && this.#catchingUp.has(from)) this.#differed.add(from)
     const missing = frame.buckets.flatMap((bucket) => store.missingIn(bucket))
     for (let start = 0; start < missing.length; start += MAX_ENTRIES) {
       from.send({ kind: 'entries', entries: missing.slice(start, start + MAX_ENTRIES) })
@@ -108,6 +133,10 @@
     if (!frame.isReply) from.send({ kind: 'differ', buckets: frame.buckets.map(({ bucket }) => store.bucket(bucket)), isReply: true })
   }
 
+  #ask (link: GossipLink): void {
+    link.send({ kind: 'compare', hashes: this.#options.store.hashes() })
+  }
+
   #sendAll (entries: readonly GossipEntry[], from?: GossipLink): void {
     for (const link of this.#options.links()) if (link !== from) link.send({ kind: 'entries', entries })
   }
--- /dev/null
+++ b/packages/peers/src/GossipStore.test.ts
@@ -0,0 +1,80 @@
+import { brand, seconds, VirtualClock } from '@papayahill/common'
+import type { Incarnation, InstanceId } from '@papayahill/common'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { decodeFrame, encodeFrame } from './frameCodec.js'
+import { GossipStore } from './GossipStore.js'
+import type { GossipEntry } from './types.js'
+
+const storeOf = (id: string, clock = new VirtualClock()): GossipStore =>
+  new GossipStore({ self: brand<InstanceId>(id), incarnation: brand<Incarnation>(`${id}#1`), clock })
+
+const entryArbitrary = fc.record({
+  topic: fc.constantFrom('load' as const, 'cost' as const),
+  key: fc.constantFrom('a', 'b'),
+  owner: fc.constantFrom('x', 'y').map((id) => brand<InstanceId>(id)),
+  incarnation: fc.constantFrom('#1', '#2').map((id) => brand<Incarnation>(id)),
+  sequence: fc.integer({ min: 1, max: 5 })
+}).map((entry): GossipEntry => ({ ...entry, value: `${entry.incarnation}/${entry.sequence}` }))
+
+const contentOf = (store: GossipStore): readonly string[] =>
+  store.all().map((entry) => `${entry.topic} ${entry.owner} ${entry.key} ${JSON.stringify(entry.value)}`).sort()
+
+describe('GossipStore', () => {
+  it('ends the same in whatever order entries come, with the same hashes', () => {
+    fc.assert(fc.property(fc.array(entryArbitrary), fc.array(fc.nat()), (entries, order) => {
+      const [left, right] = [storeOf('l'), storeOf('r')]
+      for (const entry of entries) left.accept(entry)
+      const mixed = entries.map((entry, index) => ({ entry, rank: order[index] ?? 0 })).sort((one, two) => one.rank - two.rank)
+      for (const { entry } of mixed) right.accept(entry)
+      expect(contentOf(right)).toEqual(contentOf(left))
+      expect(right.hashes()).toEqual(left.hashes())
+    }))
+  })
+
+  it('finds by digests exactly what another store lacks', () => {
+    const [left, right] = [storeOf('l'), storeOf('r')]
+    const shared = left.publish('load', 'own', 1)
+    right.accept(shared)
+    const missing = left.publish('load', 'other', 2)
+    const differing = left.hashes().map((hash, bucket) => ({ hash, bucket })).filter(({ hash, bucket }) => hash !== right.hashes()[bucket])
+    expect(differing).toHaveLength(1)
+    expect(left.missingIn(right.bucket(differing[0]!.bucket))).toContainEqual(missing)
+  })
+
+  it('takes no entry of its own life from others', () => {
+    const store = storeOf('l')
+    const own = store.publish('load', 'own', 1)
+    expect(store.accept({ ...own, sequence: 9, value: 'forged' })).toBe(false)
+  })
+
+  it('forgets owners that are silent for long, and not those that live', async () => {
+    const clock = new VirtualClock()
+    const store = storeOf('l', clock)
+    for (const owner of ['dead', 'alive']) {
+      store.accept({ topic: 'load', key: 'own', owner: brand<InstanceId>(owner), incarnation: brand<Incarnation>('1'), sequence: 1, value: 1 })
+    }
+    for (let hour = 0; hour < 2; hour++) {
+      store.expire((owner) => owner === 'alive')
+      await clock.advance(seconds(3600))
+    }
+    store.expire((owner) => owner === 'alive')
+    expect(store.all().map((entry) => entry.owner)).toEqual(['alive'])
+  })
+})
+
+describe('frames', () => {
+  it('come out of their bytes as they went in', () => {
+    fc.assert(fc.property(fc.array(entryArbitrary), (entries) => {
+      expect(decodeFrame(encodeFrame({ kind: 'entries', entries }))).toEqual({ kind: 'entries', entries })
+    }))
+    expect(decodeFrame(encodeFrame({ kind: 'message', topic: 'claim', body: { a: [1, null] }, ask: 7 })))
+      .toEqual({ kind: 'message', topic: 'claim', body: { a: [1, null] }, ask: 7 })
+  })
+
+  it('are refused where the bytes are none', () => {
+    fc.assert(fc.property(fc.uint8Array(), (data) => {
+      expect(() => decodeFrame(data)).not.toThrow()
+    }))
+  })
+})
--- a/packages/peers/src/MemoryNetwork.ts
+++ b/packages/peers/src/MemoryNetwork.ts
@@ -21,6 +21,7 @@
   readonly #listeners = new Map<string, Listener>()
   readonly #links = new Set<MemoryLink>()
   readonly #cuts = new Set<string>()
+  readonly #dead = new Set<string>()
 
   constructor (clock: Clock) {
     this.clock = clock
@@ -44,6 +45,7 @@
 
   /** The process dies: its links break. */
   kill (identity: PeerIdentity): void {
+    this.#dead.add(identity.incarnation)
     this.#listeners.delete(addressKey(identity.address))
     for (const link of this.#linksOf(identity)) link.close()
   }
@@ -69,7 +71,7 @@
   async #dial (self: PeerIdentity, address: PeerAddress): Promise<Link | undefined> {
     await this.clock.sleep(millis(this.delay * 2))
     const listener = this.#listeners.get(addressKey(address))
-    if (listener === undefined || this.isCut(self, listener.identity)) return undefined
+    if (listener === undefined || this.#dead.has(self.incarnation) || this.isCut(self, listener.identity)) return undefined
     const near = new MemoryLink(this, self, listener.identity, true)
     const far = new MemoryLink(this, listener.identity, self, false)
     near.join(far)
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -188,6 +188,7 @@
       this.#links.lose(link)
     }
     this.#links.look()
+    this.#spreader.goOn()
   }
 
   #compare (): void {
@@ -211,7 +212,7 @@
   #opened (link: OpenLink): void {
     this.#log.emit(PEERS_EVENTS.linkOpened, { peer: link.peer.id, incarnation: link.peer.incarnation })
     link.send({ kind: 'heartbeat' })
-    this.#spreader.compare(link)
+    this.#spreader.catchUp(link)
   }
 
   #closed (link: OpenLink, isAnnounced: boolean): void {
--- /dev/null
+++ b/packages/peers/src/PeerLinks.test.ts
@@ -0,0 +1,89 @@
+import { brand, EventRecorder, millis, SeededRandom, SystemClock } from '@papayahill/common'
+import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
+import { Result } from 'true-myth'
+import { afterEach, describe, expect, it, vi } from 'vitest'
+import { WebSocket } from 'ws'
+import { MAX_FRAME_BYTES } from './constants.js'
+import { PeerLinks } from './PeerLinks.js'
+import type { ListedPeer, PeerList } from './transport.js'
+
+const clock = new SystemClock()
+const opened: PeerLinks[] = []
+
+const freePort = (() => {
+  let port = 21_400 + (process.pid % 500) * 8
+  return () => port++
+})()
+
+const open = async (id: string, port: number, listed: readonly ListedPeer[], secret = 'salt') => {
+  const events = new EventRecorder(clock)
+  const list: PeerList = { list: () => Promise.resolve(Result.ok({ instances: listed }) as never) }
+  const links = new PeerLinks({
+    self: brand<InstanceId>(id),
+    incarnation: brand<Incarnation>(`${id}#1`),
+    domain: brand<DomainId>('d1'),
+    clock,
+    random: new SeededRandom(port),
+    secret,
+    listen: { ip: '127.0.0.1', port },
+    list,
+    log: events
+  })
+  opened.push(links)
+  await links.start()
+  return { links, events }
+}
+
+const pairOf = async (secret = 'salt') => {
+  const [left, right] = [freePort(), freePort()]
+  const listed = [left, right].map((port, index): ListedPeer => ({ id: brand<InstanceId>(`i${index}`), address: { ip: '127.0.0.1', port } }))
+  return { first: await open('i0', left, listed), second: await open('i1', right, listed, secret), port: left }
+}
+
+const until = (check: () => boolean): Promise<void> => vi.waitFor(() => expect(check()).toBe(true), { timeout: 10_000, interval: 20 })
+
+describe('PeerLinks', () => {
+  afterEach(async () => {
+    await Promise.all(opened.splice(0).map((links) => links.close()))
+  })
+
+  it('links two instances that know the secret, and carries questions and entries', async () => {
+    const { first, second } = await pairOf()
+    await until(() => first.links.members().length === 1 && second.links.members().length === 1)
+    second.links.handle('claim', (_from, message) => ({ heard: message }))
+    const answer = await first.links.ask(second.links.self, 'claim', { n: 1 }, millis(5000))
+    expect(answer.unwrapOr(null)).toEqual({ heard: { n: 1 } })
+    first.links.publish('latch', 'd1', 'out')
+    await until(() => second.links.entries('latch').length === 1)
+  })
+
+  it('keeps out an instance with another secret, and says so', async () => {
+    const { first, second } = await pairOf('pepper')
+    await until(() => [...first.events.records, ...second.events.records].some((record) => record.kind.name === 'secretWrong'))
+    expect(first.links.members()).toEqual([])
+    expect(second.links.members()).toEqual([])
+  })
+
+  it('survives strangers that send nonsense, or nothing', async () => {
+    const { first, second, port } = await pairOf()
+    const stranger = new WebSocket(`ws://127.0.0.1:${port}`)
+    stranger.on('error', () => {})
+    await new Promise((resolve) => stranger.once('open', resolve))
+    stranger.send('{"identity":1}')
+    const silent = new WebSocket(`ws://127.0.0.1:${port}`)
+    silent.on('error', () => {})
+    await until(() => stranger.readyState === WebSocket.CLOSED)
+    await until(() => first.links.members().length === 1 && second.links.members().length === 1)
+    silent.terminate()
+  })
+
+  it('drops a message beyond the largest frame, and keeps the link', async () => {
+    const { first, second } = await pairOf()
+    await until(() => first.links.members().length === 1)
+    first.links.send(second.links.self, 'cost', 'x'.repeat(MAX_FRAME_BYTES + 1))
+    expect(first.events.records.map((record) => record.kind.name)).toContain('frameTooLarge')
+    second.links.handle('claim', () => 'still here')
+    const answer = await first.links.ask(second.links.self, 'claim', {}, millis(5000))
+    expect(answer.unwrapOr(null)).toBe('still here')
+  })
+})
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -26,7 +26,7 @@
 /** Parts into which all entries are split for comparing. */
 export const COMPARE_BUCKETS = 64
 /** Parts that one comparison goes into. */
-export const MAX_COMPARED_BUCKETS = 4
+export const MAX_COMPARED_BUCKETS = 8
 /** How often the instance list is read and links are looked after. */
 export const LIST_PERIOD = seconds(2)
 export const LINK_PERIOD = millis(500)
