--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -5,4 +5,5 @@
   'moves-good': () => import('./benches/moves-good.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
   config: () => import('./benches/config.js'),
+  gossip: () => import('./benches/gossip.js'),
 }
--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -1,6 +1,6 @@
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Clock, Millis, Random } from '@papayahill/common'
-import { FAN_OUT, GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, MAX_COMPARED_BUCKETS } from './constants.js'
+import { FAN_OUT, GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, MAX_COMPARED_BUCKETS, SPARSE_GOSSIP_BYTES_PER_SECOND } from './constants.js'
 import type { Frame } from './frames.js'
 import type { GossipStore } from './GossipStore.js'
 import { pickLinks } from './PartialView.js'
@@ -57,9 +57,8 @@
     if (URGENT.has(entry.topic)) return this.#sendAll([entry], from)
     const isOwn = from === undefined
     if (!isOwn && this.#options.isMesh()) return
-    const name = nameOf(entry)
-    this.#waiting.delete(name)
-    this.#waiting.set(name, entry)
+    // A newer entry keeps the place of the older one in the queue, so that a busy owner does not starve.
+    this.#waiting.set(nameOf(entry), entry)
   }
 
   /** Sends what waits, as far as the budget goes. */
@@ -143,7 +142,8 @@
 
   #fill (): void {
     const now = this.#options.clock.now()
-    const earned = (now - this.#filledAt) * GOSSIP_BYTES_PER_SECOND / MILLIS_PER_SECOND
+    const perSecond = this.#options.isMesh() ? GOSSIP_BYTES_PER_SECOND : SPARSE_GOSSIP_BYTES_PER_SECOND
+    const earned = (now - this.#filledAt) * perSecond / MILLIS_PER_SECOND
     this.#bytes = Math.min(GOSSIP_BURST_BYTES, this.#bytes + earned)
     this.#filledAt = now
   }
--- a/packages/peers/src/GossipStore.ts
+++ b/packages/peers/src/GossipStore.ts
@@ -9,6 +9,9 @@
   readonly digest: EntryDigest
 }
 
+/** Topics that owners publish again and again; a lost entry is soon replaced, so stores are not compared on them. */
+const VOLATILE: ReadonlySet<Topic> = new Set<Topic>(['load'])
+
 const nameOf = (entry: GossipEntry): string => `${entry.topic} ${entry.owner} ${entry.key}`
 
 const digestOf = (entry: GossipEntry): EntryDigest =>
@@ -35,6 +38,8 @@
 export class GossipStore {
   readonly #options: GossipStoreOptions
   readonly #entries = new Map<string, Stored>()
+  readonly #byTopic = new Map<Topic, Map<string, GossipEntry>>()
+  readonly #byBucket = Array.from({ length: COMPARE_BUCKETS }, () => new Map<string, Stored>())
   readonly #hashes = new Array<number>(COMPARE_BUCKETS).fill(0)
   readonly #heardAt = new Map<InstanceId, Millis>()
   #sequence = 0
@@ -67,7 +72,7 @@
   }
 
   entries (topic: Topic): readonly GossipEntry[] {
-    return this.all().filter((entry) => entry.topic === topic)
+    return [...this.#byTopic.get(topic)?.values() ?? []]
   }
 
   all (): readonly GossipEntry[] {
@@ -105,14 +110,19 @@
   }
 
   #inBucket (bucket: number): readonly Stored[] {
-    return [...this.#entries.values()].filter((stored) => bucketOf(stored.digest) === bucket)
+    return [...this.#byBucket[bucket]?.values() ?? []]
   }
 
   #set (entry: GossipEntry): void {
     this.#delete(entry)
-    const digest = digestOf(entry)
-    this.#entries.set(nameOf(entry), { entry, digest })
-    this.#toggle(digest)
+    const name = nameOf(entry)
+    const stored = { entry, digest: digestOf(entry) }
+    this.#entries.set(name, stored)
+    const ofTopic = this.#byTopic.get(entry.topic) ?? new Map<string, GossipEntry>()
+    this.#byTopic.set(entry.topic, ofTopic.set(name, entry))
+    if (VOLATILE.has(entry.topic)) return
+    this.#byBucket[bucketOf(stored.digest)]!.set(name, stored)
+    this.#toggle(stored.digest)
   }
 
   #delete (entry: GossipEntry): void {
@@ -120,6 +130,9 @@
     const known = this.#entries.get(name)
     if (known === undefined) return
     this.#entries.delete(name)
+    this.#byTopic.get(entry.topic)?.delete(name)
+    if (VOLATILE.has(entry.topic)) return
+    this.#byBucket[bucketOf(known.digest)]!.delete(name)
     this.#toggle(known.digest)
   }
 
--- a/packages/peers/src/MemberBook.ts
+++ b/packages/peers/src/MemberBook.ts
@@ -8,13 +8,14 @@
 const DOWN_PREFIX = 'down/'
 
 /** What an instance publishes of itself. */
-interface MemberRecord extends PeerIdentity {
+export interface MemberRecord extends PeerIdentity {
   /** Rises each time the instance contradicts those who lost it. */
   readonly proof: number
   readonly isLeaving: boolean
 }
 
-const readMember = (entry: GossipEntry): MemberRecord | undefined => {
+/** What an entry says of its owner; undefined where it is about something else. */
+export const readMember = (entry: GossipEntry): MemberRecord | undefined => {
   const { value } = entry
   if (entry.key !== MEMBER_KEY || !isJsonObject(value)) return undefined
   const { domain, ip, port, proof, isLeaving } = value
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -10,7 +10,7 @@
 import { GossipSpreader } from './GossipSpreader.js'
 import { GossipStore } from './GossipStore.js'
 import { LinkTable } from './LinkTable.js'
-import { MemberBook } from './MemberBook.js'
+import { MemberBook, readMember } from './MemberBook.js'
 import type { OpenLink } from './OpenLink.js'
 import { Questions } from './Questions.js'
 import { TrafficMeter } from './TrafficMeter.js'
@@ -223,9 +223,8 @@
 
   #hearMember (entry: GossipEntry): void {
     this.#book.hear(entry)
-    if (entry.owner === this.self || entry.key !== 'member') return
-    const member = this.#book.all().find((one) => one.id === entry.owner)
-    if (member === undefined) return
+    const member = readMember(entry)
+    if (member === undefined || member.id === this.self) return
     if (member.isLeaving) this.#links.forget(member.id)
     else this.#links.learn(member.id, member.address)
   }
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -20,6 +20,7 @@
 export const GOSSIP_PERIOD = millis(100)
 /** Bytes a second for entries of topics that can wait, and the most in one burst. */
 export const GOSSIP_BYTES_PER_SECOND = 1200
+export const SPARSE_GOSSIP_BYTES_PER_SECOND = 450
 export const GOSSIP_BURST_BYTES = 16_384
 /** How often one peer's entries are compared with the own ones. */
 export const COMPARE_PERIOD = seconds(10)
