--- /dev/null
+++ b/packages/cost/src/LineSet.ts
@@ -0,0 +1,66 @@
+import { z } from 'zod'
+import { emptyLine, lineKey, packedLineSchema, packLine, raiseLine, unpackLine } from './LedgerLine.js'
+import type { LedgerLine, LineId, PackedLine } from './LedgerLine.js'
+
+const linesSchema = z.array(packedLineSchema)
+
+/**
+ * Grow-only lines by id. Merging takes the larger of each counter, so it may be done twice, late or in
+ * any order.
+ *
+ * @example
+ * const lines = new LineSet()
+ * lines.raise(LineSet.parse(row.value))
+ */
+export class LineSet {
+  readonly #lines = new Map<string, LedgerLine>()
+
+  get size (): number {
+    return this.#lines.size
+  }
+
+  get lines (): Iterable<LedgerLine> {
+    return this.#lines.values()
+  }
+
+  get (key: string): LedgerLine | undefined {
+    return this.#lines.get(key)
+  }
+
+  /** The line of an id, made where it is new. */
+  of (id: LineId): LedgerLine {
+    const key = lineKey(id)
+    const line = this.#lines.get(key) ?? emptyLine(id)
+    this.#lines.set(key, line)
+    return line
+  }
+
+  raise (other: LineSet): void {
+    for (const line of other.lines) raiseLine(this.of(line.id), line)
+  }
+
+  /** Whether every line of the other set is here, as far as it has grown there. */
+  covers (other: LineSet): boolean {
+    for (const { id, counters } of other.lines) {
+      const own = this.#lines.get(lineKey(id))
+      if (own === undefined || counters.some((value, index) => value > own.counters[index]!)) return false
+    }
+    return true
+  }
+
+  pack (): PackedLine[] {
+    return [...this.#lines.values()].map(packLine)
+  }
+
+  static unpack (packed: readonly PackedLine[]): LineSet {
+    const set = new LineSet()
+    for (const line of packed.map(unpackLine)) set.#lines.set(lineKey(line.id), line)
+    return set
+  }
+
+  /** An empty set from anything that is no list of lines, such as an absent row. */
+  static parse (value: unknown): LineSet {
+    const parsed = linesSchema.safeParse(value)
+    return LineSet.unpack(parsed.success ? parsed.data : [])
+  }
+}
