--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -11,6 +11,8 @@
   'cold-start': () => import('./benches/cold-start.js'),
   decide: () => import('./benches/decide.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
+  config: () => import('./benches/config.js'),
+  gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js'),
 }
