--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -4,12 +4,12 @@
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
   'moves-good': () => import('./benches/moves-good.js'),
   'moves-bad': () => import('./benches/moves-bad.js'),
-  ledger: () => import('./benches/ledger.js')
+  ledger: () => import('./benches/ledger.js'),
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
   decide: () => import('./benches/decide.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
   leaving: () => import('./benches/leaving.js'),
-  prefix: () => import('./benches/prefix.js'),
+  prefix: () => import('./benches/prefix.js')
 }
