--- a/packages/bench/src/load/EndpointRig.ts
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -24,8 +24,6 @@
 export const VERSION = brand<VersionId>('v1')
 const REGION = brand<RegionId>('r1')
 const RETRY = millis(40)
-const NEVER = new AbortController().signal
-setMaxListeners(0, NEVER)
 const STORE_RETRY = millis(100)
 const CALL_TIMEOUT = millis(5000)
 /** How many that left the roster record keeps. */
@@ -112,11 +110,14 @@
   failures = 0
   readonly #options: EndpointRigOptions
   readonly #fleet = new FakeFleet()
+  /** Of calls that nobody cancels. */
+  readonly #never = new AbortController().signal
   #record: RosterRecord = { version: 0, members: [], departed: [] }
 
   constructor (options: EndpointRigOptions) {
     this.#options = options
     this.random = new SeededRandom(options.seed)
+    setMaxListeners(0, this.#never)
     this.table = new FakeTable(this.clock, this.random.fork())
     this.list = new FakeInstanceList(this.clock)
     this.list.lag = options.listLag
@@ -250,7 +251,7 @@
     this.calls++
     member.running++
     const started = this.clock.now()
-    const answer = await lease.connection.call(this.#stageCall(prefix), () => {}, NEVER)
+    const answer = await lease.connection.call(this.#stageCall(prefix), () => {}, this.#never)
     member.running--
     if (answer.isErr) this.failures++
     lease.release(answer.isOk ? 'done' : answer.error.outcome, millis(this.clock.now() - started))
--- a/packages/endpoints/src/slots.ts
+++ b/packages/endpoints/src/slots.ts
@@ -43,6 +43,12 @@
   return lives.map((life) => ({ life, rank: mix(seed ^ hashOf(life.incarnation)) }))
 }
 
+/** Lives in the rendezvous order of an endpoint. */
+const inOrder = <Life extends RosterLife>(lives: readonly Life[], endpoint: EndpointId): readonly Life[] =>
+  [...rankBy(lives, endpoint)]
+    .sort((left, right) => comesFirst(left, right) ? -1 : 1)
+    .map(({ life }) => life as Life)
+
 /**
  * The lives among which an endpoint's slots are dealt out: the first in rendezvous order, so that
  * a cold endpoint concerns few instances of many.
@@ -52,10 +58,7 @@
  */
 export const slotCandidates = (lives: readonly RosterLife[], endpoint: EndpointId): readonly RosterLife[] => {
   if (lives.length <= SLOT_OWNERS) return lives
-  return [...rankBy(lives, endpoint)]
-    .sort((left, right) => comesFirst(left, right) ? -1 : 1)
-    .slice(0, SLOT_OWNERS)
-    .map(({ life }) => life)
+  return inOrder(lives, endpoint).slice(0, SLOT_OWNERS)
 }
 
 /**
@@ -74,11 +77,12 @@
   return first?.life
 }
 
+const isPresent = (life: RosterLife & { readonly departedAt?: number }, version: number): boolean =>
+  life.joinedAt <= version && version < (life.departedAt ?? Infinity)
+
 /** The lives that were in the roster at a version, as far as the record still tells. */
-export const livesAt = (record: RosterRecord, version: number): readonly RosterLife[] => [
-  ...record.members.filter((life) => life.joinedAt <= version),
-  ...record.departed.filter((life) => life.joinedAt <= version && version < life.departedAt)
-]
+export const livesAt = (record: RosterRecord, version: number): readonly RosterLife[] =>
+  [...record.members, ...record.departed].filter((life) => isPresent(life, version))
 
 /** Versions after `since`, before the newest, at which the roster was another than before. */
 const pastVersions = (record: RosterRecord, since: number): readonly number[] => {
@@ -99,8 +103,9 @@
   record: RosterRecord, endpoint: SlottedEndpoint, slot: number, since = 0
 ): readonly RosterLife[] => {
   const owners = new Map<string, RosterLife>()
+  const ordered = inOrder<RosterLife & { readonly departedAt?: number }>([...record.members, ...record.departed], endpoint.id)
   for (const version of pastVersions(record, since)) {
-    const candidates = slotCandidates(livesAt(record, version), endpoint.id)
+    const candidates = ordered.filter((life) => isPresent(life, version)).slice(0, SLOT_OWNERS)
     const owner = slotOwner(candidates, endpoint, slot)
     if (owner !== undefined) owners.set(owner.incarnation, owner)
   }
