--- a/packages/bench/src/benches/cold-start.ts
+++ b/packages/bench/src/benches/cold-start.ts
@@ -19,6 +19,7 @@
 const figuresOf = (runs: readonly ColdFigures[], ideal: readonly ColdFigures[]): Figures => ({
   overBorne: sum(runs.map((run) => run.overBorne)),
   overBorneSilent: sum(runs.map((run) => run.overBorneSilent)),
+  idealOverBorne: sum(ideal.map((run) => run.overBorne)),
   idealOverBorneSilent: sum(ideal.map((run) => run.overBorneSilent)),
   warmTimeRatio: sum(runs.flatMap((run) => run.warmTimes)) / sum(ideal.flatMap((run) => run.warmTimes)),
   restarts: runs.flatMap((run) => run.warmTimes).length,
--- a/packages/endpoints/src/WatchKeeper.ts
+++ b/packages/endpoints/src/WatchKeeper.ts
@@ -7,6 +7,7 @@
 import { EndpointWatch } from './EndpointWatch.js'
 import type { WatchEffect } from './EndpointWatch.js'
 import type { Nearness } from './ServicePool.js'
+import { isSlotCandidate } from './slots.js'
 import type { EndpointAccess, RosterCopy, RosterLife } from './types.js'
 
 export interface WatchKeeperOptions {
@@ -45,6 +46,9 @@
   readonly #options: WatchKeeperOptions
   readonly #watches = new Map<EndpointEntry, EndpointWatch>()
 
+  /** Answers of {@link isSlotCandidate} under one roster. */
+  #slotted: { readonly version: number, readonly answers: Map<EndpointId, boolean> } = { version: -1, answers: new Map() }
+
   constructor (options: WatchKeeperOptions) {
     this.#options = options
   }
@@ -97,11 +101,22 @@
     return chooseWatched({
       self,
       endpoints: group.map((entry) => entry.listed),
-      members,
+      isSlotted: (endpoint) => this.#isSlotted(endpoint),
       nearness: (endpoint) => nearness(endpoint.domain)
     })
   }
 
+  #isSlotted (endpoint: EndpointId): boolean {
+    const { version, members } = this.#options.roster.view()
+    if (this.#slotted.version !== version) this.#slotted = { version, answers: new Map() }
+    const { answers } = this.#slotted
+    const known = answers.get(endpoint)
+    if (known !== undefined) return known
+    const answer = isSlotCandidate(members, endpoint, this.#options.self)
+    answers.set(endpoint, answer)
+    return answer
+  }
+
   #watch (entry: EndpointEntry): void {
     const { clock, random, access, serviceKind, onChange } = this.#options
     const watch = new EndpointWatch({
--- a/packages/endpoints/src/chooseWatched.ts
+++ b/packages/endpoints/src/chooseWatched.ts
@@ -1,9 +1,7 @@
 import { hash32 } from '@papayahill/common'
 import type { EndpointId, Incarnation } from '@papayahill/common'
 import type { ListedEndpoint } from '@papayahill/platform'
-import { SLOT_OWNERS, WARM_ENDPOINTS } from './constants.js'
-import { slotCandidates } from './slots.js'
-import type { RosterLife } from './types.js'
+import { WARM_ENDPOINTS } from './constants.js'
 
 /** Share of the watched endpoints that are taken from the nearest, before the others by lot. */
 const NEAR_SHARE = 0.5
@@ -12,22 +10,20 @@
   readonly self: Incarnation
   /** Endpoints of one service and version that may get work. */
   readonly endpoints: readonly ListedEndpoint[]
-  readonly members: readonly RosterLife[]
+  /** Whether this instance may own slots of the endpoint while it is cold. */
+  readonly isSlotted: (endpoint: EndpointId) => boolean
   readonly nearness: (endpoint: ListedEndpoint) => number
 }
 
-const isSlotCandidate = (self: Incarnation, members: readonly RosterLife[], endpoint: EndpointId): boolean =>
-  members.length <= SLOT_OWNERS || slotCandidates(members, endpoint).some((life) => life.incarnation === self)
-
 /**
  * The endpoints that one instance keeps connections and reports of: a bounded number by its own rendezvous
  * order, half of them near, and those whose cold slots it may own.
  *
  * @example
- * chooseWatched({ self, endpoints, members: roster.view().members, nearness })
+ * chooseWatched({ self, endpoints, isSlotted, nearness })
  */
 export const chooseWatched = (choice: WatchChoice): ReadonlySet<EndpointId> => {
-  const { self, endpoints, members, nearness } = choice
+  const { self, endpoints, isSlotted, nearness } = choice
   if (endpoints.length <= WARM_ENDPOINTS) return new Set(endpoints.map((endpoint) => endpoint.id))
   const ranked = endpoints
     .map((endpoint) => ({ endpoint, near: nearness(endpoint), rank: hash32(`${self} ${endpoint.id}`) }))
@@ -35,7 +31,7 @@
   const near = [...ranked].sort((left, right) => left.near - right.near).slice(0, WARM_ENDPOINTS * NEAR_SHARE)
   const chosen = new Set([...near, ...ranked].map(({ endpoint }) => endpoint.id).slice(0, WARM_ENDPOINTS + near.length))
   const wanted = [...chosen].slice(0, WARM_ENDPOINTS)
-  const slotted = endpoints.filter((endpoint) => isSlotCandidate(self, members, endpoint.id))
+  const slotted = endpoints.filter((endpoint) => isSlotted(endpoint.id))
   return new Set([...wanted, ...slotted.map((endpoint) => endpoint.id)])
 }
 
--- a/packages/endpoints/src/slots.test.ts
+++ b/packages/endpoints/src/slots.test.ts
@@ -2,7 +2,7 @@
 import type { EndpointId, EndpointIncarnation, Incarnation, InstanceId } from '@papayahill/common'
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { earlierOwners, livesAt, slotCandidates, slotOwner } from './slots.js'
+import { earlierOwners, isSlotCandidate, livesAt, slotCandidates, slotOwner } from './slots.js'
 import type { DepartedLife, RosterLife, RosterRecord } from './types.js'
 
 const endpoint = { id: brand<EndpointId>('e1'), incarnation: brand<EndpointIncarnation>('e1@0') }
@@ -37,6 +37,12 @@
     it('bounds the instances that one cold endpoint concerns', () => {
       expect(slotCandidates(livesOf(420), endpoint.id)).toHaveLength(16)
     })
+
+    it('names the same lives as the quick check', () => {
+      const lives = livesOf(60)
+      const named = lives.filter((each) => isSlotCandidate(lives, endpoint.id, each.incarnation))
+      expect(new Set(named)).toEqual(new Set(slotCandidates(lives, endpoint.id)))
+    })
   })
 
   describe('earlierOwners', () => {
--- a/packages/endpoints/src/slots.ts
+++ b/packages/endpoints/src/slots.ts
@@ -1,5 +1,5 @@
 import { hash32 } from '@papayahill/common'
-import type { EndpointId, EndpointIncarnation } from '@papayahill/common'
+import type { EndpointId, EndpointIncarnation, Incarnation } from '@papayahill/common'
 import { LRUCache } from 'lru-cache'
 import { SLOT_OWNERS } from './constants.js'
 import type { RosterLife, RosterRecord } from './types.js'
@@ -38,9 +38,11 @@
   return (mixed ^ (mixed >>> 16)) >>> 0
 }
 
+const rankOf = (seed: number, life: RosterLife): number => mix(seed ^ hashOf(life.incarnation))
+
 const rankBy = (lives: readonly RosterLife[], name: string, slot = 0): readonly Ranked[] => {
   const seed = mix(hashOf(name) + slot)
-  return lives.map((life) => ({ life, rank: mix(seed ^ hashOf(life.incarnation)) }))
+  return lives.map((life) => ({ life, rank: rankOf(seed, life) }))
 }
 
 /** Lives in the rendezvous order of an endpoint. */
@@ -61,6 +63,25 @@
   return inOrder(lives, endpoint).slice(0, SLOT_OWNERS)
 }
 
+/**
+ * Whether a life is among an endpoint's {@link slotCandidates}, without ordering them all.
+ *
+ * @example
+ * isSlotCandidate(record.members, endpoint.id, self.incarnation)
+ */
+export const isSlotCandidate = (lives: readonly RosterLife[], endpoint: EndpointId, self: Incarnation): boolean => {
+  const own = lives.find((life) => life.incarnation === self)
+  if (own === undefined) return false
+  const [ownRank] = rankBy([own], endpoint)
+  const seed = mix(hashOf(endpoint))
+  let before = 0
+  for (const life of lives) {
+    if (comesFirst({ life, rank: rankOf(seed, life) }, ownRank!)) before++
+    if (before >= SLOT_OWNERS) return false
+  }
+  return true
+}
+
 /**
  * The one owner of a slot under a set of lives; undefined where there is none.
  *
