--- /dev/null
+++ b/packages/bench/src/benches/faults.ts
@@ -0,0 +1,156 @@
+import { formatCallId, millis, seconds } from '@papayahill/common'
+import type { Millis } from '@papayahill/common'
+import { checkPromises } from '@papayahill/invariants'
+import type { PromiseName } from '@papayahill/invariants'
+import type { EndpointFaults, FakeEndpoint } from '@papayahill/standins'
+import { attained, DEPLOYMENTS, realRunner, roundRobin, tightAttained, Traffic, World } from '../rig/index.js'
+import type { Deployment, RunnerFactory } from '../rig/index.js'
+import type { Bench, BenchOptions, BenchResult, Figures } from '../types.js'
+
+const LOAD = 0.3
+const SETTLE = seconds(2)
+const WARM_UP = seconds(1)
+/** Each service is faulty for so long, one after the other. */
+const FAULT_SPAN = seconds(1)
+const TAIL = seconds(22)
+/** A final answer may come so long after the deadline at most: it is given when the request is given up. */
+const ANSWER_GRACE: Millis = millis(50)
+
+const HEALTHY: EndpointFaults = {
+  failShare: 0, slowFactor: 1, isHanging: false, crossShare: 0, cutShare: 0, isSilent: false
+}
+
+const FAULTS: Readonly<Record<string, Partial<EndpointFaults>>> = {
+  failing: { failShare: 1 },
+  slow: { slowFactor: 10 },
+  hanging: { isHanging: true },
+  crossed: { crossShare: 1 },
+  late: { slowFactor: 100 },
+  cut: { cutShare: 1 }
+}
+
+/** Which endpoints of a service are faulty. */
+const SCOPES: Readonly<Record<string, (endpoints: readonly FakeEndpoint[]) => readonly FakeEndpoint[]>> = {
+  one: (endpoints) => endpoints.slice(0, 1),
+  all: (endpoints) => endpoints
+}
+
+interface Scenario {
+  readonly name: string
+  readonly faults: Partial<EndpointFaults>
+  /** A second fault, at the service after the next one, at the same time. */
+  readonly second?: Partial<EndpointFaults>
+  readonly pick: (endpoints: readonly FakeEndpoint[]) => readonly FakeEndpoint[]
+}
+
+const single: readonly Scenario[] = Object.entries(SCOPES).flatMap(([scope, pick]) =>
+  Object.entries(FAULTS).map(([name, faults]) => ({ name: `${name} ${scope}`, faults, pick })))
+
+const double: readonly Scenario[] = [
+  { name: 'slow and cut', faults: FAULTS.slow!, second: FAULTS.cut!, pick: SCOPES.one! },
+  { name: 'failing and crossed', faults: FAULTS.failing!, second: FAULTS.crossed!, pick: SCOPES.all! }
+]
+
+const SCENARIOS: readonly Scenario[] = [...single, ...double]
+
+const breaches = (world: World, ...names: readonly PromiseName[]): number =>
+  checkPromises(world.trace).filter((breach) => names.includes(breach.promise)).length
+
+/** Requests without a final answer, or with one that was held past the deadline. */
+const countLost = (world: World): number => world.records.filter((record) => {
+  const { deadline } = world.config.classes.get(record.class)!.target
+  return record.endedAt === undefined || record.endedAt - record.sentAt > deadline + ANSWER_GRACE
+}).length
+
+/** Calls that endpoints started over those that would have done. */
+const amplification = (world: World): number => {
+  const calls = world.trace.ofType('work-started').map(({ call }) => call)
+  const needed = new Set(calls.map((call) => formatCallId({ ...call, attempt: 1 })))
+  return calls.length / needed.size
+}
+
+const inject = (world: World, scenario: Scenario, at: number): (() => void) => {
+  const services = world.deployment.services.map((plan) => plan.service)
+  const set = (index: number, faults: Partial<EndpointFaults>): readonly FakeEndpoint[] => {
+    const endpoints = scenario.pick(world.endpointsOf(services[index % services.length]!))
+    for (const endpoint of endpoints) Object.assign(endpoint.faults, faults)
+    return endpoints
+  }
+  const faulty = [...set(at, scenario.faults), ...(scenario.second === undefined ? [] : set(at + 2, scenario.second))]
+  return () => { for (const endpoint of faulty) Object.assign(endpoint.faults, HEALTHY) }
+}
+
+const runScenario = async (
+  deployment: Deployment, scenario: Scenario, seed: number, runner: RunnerFactory
+): Promise<Figures> => {
+  const world = new World({ deployment, seed, runner })
+  await world.clock.advance(SETTLE)
+  const traffic = new Traffic({ world, seed, load: LOAD, hasBursts: false })
+  traffic.start()
+  await world.clock.advance(WARM_UP)
+  for (const index of deployment.services.keys()) {
+    const heal = inject(world, scenario, index)
+    await world.clock.advance(FAULT_SPAN)
+    heal()
+  }
+  traffic.stop()
+  await world.clock.advance(TAIL)
+  return {
+    lost: countLost(world),
+    doubled: breaches(world, 'at-most-once'),
+    crossed: breaches(world, 'results-intact', 'answers-whole'),
+    falseNotRun: breaches(world, 'not-run-true'),
+    retryAmplification: amplification(world),
+    attained: attained(world, world.records),
+    tightAttained: tightAttained(world, world.records)
+  }
+}
+
+const SUMMED = ['lost', 'doubled', 'crossed', 'falseNotRun'] as const
+
+const combine = (all: readonly Figures[]): Figures => {
+  const sums = SUMMED.map((name) => [name, all.reduce((sum, each) => sum + each[name]!, 0)])
+  return {
+    ...Object.fromEntries(sums),
+    retryAmplification: Math.max(...all.map((each) => each.retryAmplification!)),
+    attainedMin: Math.min(...all.map((each) => each.attained!))
+  }
+}
+
+const runAll = async (runner: RunnerFactory, seed: number, seeds: number): Promise<ReadonlyMap<string, Figures>> => {
+  const results = new Map<string, Figures>()
+  for (let each = seed; each < seed + seeds; each++) {
+    for (const deployment of DEPLOYMENTS) {
+      for (const scenario of SCENARIOS) {
+        results.set(`${deployment.name}, ${scenario.name}, seed ${each}`, await runScenario(deployment, scenario, each, runner))
+      }
+    }
+  }
+  return results
+}
+
+const run = async ({ seed, seeds }: BenchOptions): Promise<BenchResult> => {
+  const own = await runAll(realRunner, seed, seeds)
+  const baseline = await runAll(roundRobin, seed, 1)
+  return {
+    figures: combine([...own.values()]),
+    baselines: { roundRobin: combine([...baseline.values()]) },
+    notes: Object.fromEntries(own)
+  }
+}
+
+export const bench: Bench = {
+  name: 'faults',
+  about: 'Each service in turn failing, slow, hanging, crossed, late or cut, and two at once',
+  seeds: 1,
+  ciSeeds: 1,
+  bounds: {
+    lost: { max: 0 },
+    doubled: { max: 0 },
+    crossed: { max: 0 },
+    falseNotRun: { max: 0 },
+    retryAmplification: { max: 1.1 }
+  },
+  baselinesMustMiss: { roundRobin: ['retryAmplification'] },
+  run
+}
--- a/packages/bench/src/rig/baselines.ts
+++ b/packages/bench/src/rig/baselines.ts
@@ -8,10 +8,13 @@
 
 const NO_USAGE = { tokensIn: tokens(0), tokensCached: tokens(0), tokensOut: tokens(0), busy: millis(0) }
 
+/** Calls of one stage at most, as balancers commonly set it. */
+const PLAIN_ATTEMPTS = 3
+
 /** Picks an endpoint among those that the platform lists as live. */
 type Pick = (endpoints: readonly FakeEndpoint[], inFlight: ReadonlyMap<EndpointId, number>) => FakeEndpoint | undefined
 
-/** A plain balancer: picks an endpoint and sends, with no queue, no admission and one retry. */
+/** A plain balancer: picks an endpoint and sends, with no queue and no admission, and retries without a budget. */
 class PlainBalancer implements Runner {
   readonly #options: RunnerOptions
   readonly #pick: Pick
@@ -35,7 +38,7 @@
     }
     for (const [index, stage] of stages.entries()) {
       const isStreamed = request.isStreamed && index === stages.length - 1
-      const attempts = settings.repeatable ? 2 : 1
+      const attempts = settings.repeatable ? PLAIN_ATTEMPTS : 1
       const left = (): Millis => millis(deadline - clock.now())
       const answer = await this.#call(request, stage.service, stage.id, left, { previous, isStreamed, attempts, onChunk })
       if (answer === undefined) return Result.err(failure('stage-failed', `stage ${stage.id} failed`, 'unknown'))
--- a/packages/pipeline/src/ChunkRelay.ts
+++ b/packages/pipeline/src/ChunkRelay.ts
@@ -32,6 +32,7 @@
   #waitingBytes = 0
   #sent = 0
   #isBlocked = false
+  #isHoled = false
   #isClosed = false
   #firstAt: Millis | undefined
   #lastAt: Millis | undefined
@@ -60,8 +61,14 @@
     return this.#next === 0 ? undefined : { chunks: this.#next, text: this.#text }
   }
 
+  /** Whether a chunk that echoed another call may have stood where the next own one belonged. */
+  get isHoled (): boolean {
+    return this.#isHoled
+  }
+
   /** Makes `call` the one whose chunks count. */
   open (call: CallId): void {
+    this.#isHoled = false
     this.#call = call
   }
 
@@ -79,7 +86,7 @@
 
   accept (sentAs: CallId, chunk: StageChunk): ChunkVerdict {
     if (this.#isClosed || this.#call === undefined || !isSameCall(sentAs, this.#call)) return 'late'
-    if (!isSameCall(chunk.call, sentAs)) return 'crossed'
+    if (!isSameCall(chunk.call, sentAs)) return this.#cross()
     if (chunk.index < this.#next) return 'repeated'
     if (chunk.index > this.#next) return 'gap'
     return this.#append(chunk.text)
@@ -91,10 +98,16 @@
     return new Promise((resolve) => { this.#drained.push(resolve) })
   }
 
+  #cross (): ChunkVerdict {
+    this.#isHoled = true
+    return 'crossed'
+  }
+
   #append (text: string): ChunkVerdict {
     const size = Buffer.byteLength(text)
     if (this.#isBlocked && this.#waitingBytes + size > MAX_WAITING_BYTES) return 'overflow'
     this.#next++
+    this.#isHoled = false
     this.#text += text
     this.#time()
     if (this.#isBlocked) this.#hold(text, size)
--- a/packages/pipeline/src/StageCaller.ts
+++ b/packages/pipeline/src/StageCaller.ts
@@ -73,7 +73,7 @@
     sending.signal.removeEventListener('abort', onAbort)
     timer?.cancel()
     sending.relay?.pause()
-    const result = this.#judge(call, raw, cause)
+    const result = this.#judge(sending, raw, cause)
     const took = millis(this.#clock.now() - startedAt)
     const outcome: CallOutcome = result.isOk ? 'done' : result.error.outcome
     lease.release(outcome, took)
@@ -97,11 +97,15 @@
   }
 
   /** An answer counts only where it echoes the call; a call stopped here ends for that reason. */
-  #judge (call: StageCall, raw: Result<StageAnswer, CallError>, cause: StopCause | undefined): Result<StageAnswer, CallError> {
+  #judge (
+    { call, relay }: Sending, raw: Result<StageAnswer, CallError>, cause: StopCause | undefined
+  ): Result<StageAnswer, CallError> {
     if (raw.isErr) return cause === undefined ? raw : Result.err({ ...raw.error, ...STOPPED[cause] })
+    const { usage } = raw.value
+    if (relay?.isHoled === true) return Result.err({ ...STOPPED.gap, usage })
     if (isSameCall(raw.value.call, call.id)) return raw
     this.#tellCrossed(call)
-    return Result.err({ outcome: 'crossed', detail: 'the answer echoed another call', usage: raw.value.usage })
+    return Result.err({ outcome: 'crossed', detail: 'the answer echoed another call', usage })
   }
 
   #tellCrossed (call: StageCall, lease?: EndpointLease): void {
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -23,7 +23,7 @@
 /** Share of its slack that any class may be forecast to wait at most. */
 export const MAX_WAIT_SHARE = 0.8
 /** Wait that is granted beyond that share: forecasts are no finer than a few calls. */
-export const WAIT_GRACE = millis(50)
+export const WAIT_GRACE = millis(30)
 
 export const MIN_RETRY_AFTER = millis(500)
 export const MAX_RETRY_AFTER = millis(30_000)
@@ -53,4 +53,4 @@
 /** Queues that wait for a slot look again after this time at the latest. */
 export const WAKE_PERIOD = millis(25)
 /** Share of a call's mean time below which it cannot be hoped to end in time. */
-export const HOPE_SHARE = 0.7
+export const HOPE_SHARE = 1
