Scheduling tested: order, fairness, admission, retries, forecasts

Cause: the queue and admission had no tests, and a lone large workspace could fill what is kept for others.

--- a/packages/scheduling/src/Arrivals.ts
+++ b/packages/scheduling/src/Arrivals.ts
@@ -46,12 +46,12 @@
     this.#sweep(arrivals, now)
   }
 
-  /** Whether the workspace had no more of the class than an even split would give it. */
+  /** Whether the workspace had less of the class than an even split would give it. */
   isUnderFairShare (classId: ClassId, workspace: WorkspaceId, now: Millis): boolean {
     const arrivals = this.#classes.get(classId)
     if (arrivals === undefined) return true
     const own = arrivals.byWorkspace.get(workspace)?.value(now) ?? 0
-    return own * arrivals.byWorkspace.size <= arrivals.admitted.value(now)
+    return own * arrivals.byWorkspace.size < arrivals.admitted.value(now)
   }
 
   all (): Iterable<ClassArrivals> {
--- /dev/null
+++ b/packages/scheduling/src/ServiceScheduler.test.ts
@@ -0,0 +1,261 @@
+import { brand, EventRecorder, millis, SeededRandom, VirtualClock } from '@papayahill/common'
+import type {
+  CallOutcome, ClassId, DomainId, EndpointId, EndpointIncarnation, Failure, Millis, PipelineId, RequestId, ServiceId, StageId,
+  VersionId, WorkspaceId
+} from '@papayahill/common'
+import type { EndpointConnection, EndpointLease, EndpointPool, LeaseWant, ServiceCapacity } from '@papayahill/endpoints'
+import { EMPTY_CONFIG } from '@papayahill/settings'
+import type { ClassSettings, PipelineSettings } from '@papayahill/settings'
+import type { Result } from 'true-myth'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { SCHEDULING_EVENTS } from './events.js'
+import { ServiceScheduler } from './ServiceScheduler.js'
+import type { StageWant } from './types.js'
+
+const VERSION = brand<VersionId>('v1')
+const WORKSPACE = brand<WorkspaceId>('altura')
+const SERVICE = brand<ServiceId>('engine')
+const STAGE = brand<StageId>('generate')
+const CALL_TIME = millis(100)
+
+/** Slots of each service, without endpoints behind them. */
+class SlotPool implements EndpointPool {
+  readonly slots = new Map<ServiceId, number>()
+  readonly busy = new Map<ServiceId, number>()
+  load = 0.5
+  readonly wants: LeaseWant[] = []
+  readonly #listeners = new Map<ServiceId, Array<() => void>>()
+
+  tryLease (want: LeaseWant): EndpointLease | undefined {
+    const endpoint = brand<EndpointId>(`${want.service}-1`)
+    const { slots, busy } = this.capacity(want.service)
+    if (busy >= slots || want.exclude.has(endpoint)) return undefined
+    this.wants.push(want)
+    this.busy.set(want.service, busy + 1)
+    return {
+      endpoint,
+      incarnation: brand<EndpointIncarnation>('1'),
+      version: VERSION,
+      domain: brand<DomainId>('d'),
+      connection: {} as EndpointConnection,
+      release: (_outcome: CallOutcome, _took: Millis) => {
+        this.busy.set(want.service, this.capacity(want.service).busy - 1)
+        this.tellFree(want.service)
+      }
+    }
+  }
+
+  capacity (service: ServiceId): ServiceCapacity {
+    return { slots: this.slots.get(service) ?? 0, busy: this.busy.get(service) ?? 0, meanCall: CALL_TIME, load: this.load }
+  }
+
+  onFree (service: ServiceId, listener: () => void): void {
+    this.#listeners.set(service, [...this.#listeners.get(service) ?? [], listener])
+  }
+
+  tellFree (service: ServiceId): void {
+    for (const listener of this.#listeners.get(service) ?? []) listener()
+  }
+
+  snapshot (): readonly [] {
+    return []
+  }
+}
+
+const classOf = (id: string, deadline: number): ClassSettings => ({
+  id: brand<ClassId>(id),
+  pipeline: brand<PipelineId>('p'),
+  target: { deadline: millis(deadline), attainment: 0.95 },
+  repeatable: true,
+  keyRequired: false,
+  streamed: false
+})
+
+const ENCODE = brand<ServiceId>('encode')
+const PIPELINE: PipelineSettings = {
+  id: brand<PipelineId>('p'),
+  stages: [{ id: brand<StageId>('encode'), service: ENCODE }, { id: STAGE, service: SERVICE }]
+}
+const TIGHT = classOf('tight', 800)
+const LOOSE = classOf('loose', 4000)
+
+describe('ServiceScheduler', () => {
+  let clock: VirtualClock
+  let pool: SlotPool
+  let events: EventRecorder
+  let scheduler: ServiceScheduler
+  let requests = 0
+
+  beforeEach(() => {
+    clock = new VirtualClock()
+    pool = new SlotPool()
+    events = new EventRecorder(clock)
+    const random = new SeededRandom(1)
+    scheduler = new ServiceScheduler({ clock, random, pool, config: () => EMPTY_CONFIG, log: events })
+    scheduler.start()
+    pool.slots.set(ENCODE, 10)
+    pool.slots.set(SERVICE, 1)
+  })
+
+  const admit = (settings: ClassSettings, workspace = WORKSPACE): Result<void, Failure> => scheduler.admit({
+    request: brand<RequestId>(`r-${++requests}`), workspace, class: settings, pipeline: PIPELINE, startedAt: clock.now()
+  })
+
+  const want = (name: string, deadline: number, more: Partial<StageWant> = {}): StageWant => ({
+    request: brand<RequestId>(name),
+    workspace: WORKSPACE,
+    class: TIGHT.id,
+    stage: STAGE,
+    service: SERVICE,
+    versions: [VERSION],
+    exclude: new Set(),
+    stageDeadline: millis(deadline),
+    remaining: CALL_TIME,
+    attempt: 1,
+    signal: new AbortController().signal,
+    ...more
+  })
+
+  const hold = (span: number, onStart = (): void => {}) => async (lease: EndpointLease): Promise<string> => {
+    onStart()
+    await clock.sleep(millis(span))
+    lease.release('done', millis(span))
+    return 'used'
+  }
+
+  const fill = (settings: ClassSettings): number => {
+    let taken = 0
+    while (admit(settings).isOk && taken < 1000) taken++
+    return taken
+  }
+
+  describe('slots', () => {
+    it('gives a free slot in the same tick', () => {
+      let isStarted = false
+      void scheduler.withLease(want('a', 1000), hold(10, () => { isStarted = true }))
+      expect(isStarted).toBe(true)
+    })
+
+    it('gives the next slot to the least slack', async () => {
+      const order: string[] = []
+      for (const [name, deadline] of [['first', 5000], ['later', 4000], ['sooner', 2000]] as const) {
+        void scheduler.withLease(want(name, deadline), hold(100, () => order.push(name)))
+      }
+      await clock.advance(millis(400))
+      expect(order).toEqual(['first', 'sooner', 'later'])
+    })
+
+    it('lets a call that no endpoint may serve block no other', async () => {
+      pool.slots.set(SERVICE, 2)
+      const exclude = new Set([brand<EndpointId>('engine-1')])
+      const stuck = scheduler.withLease(want('stuck', 500, { exclude }), hold(10))
+      const other = scheduler.withLease(want('other', 5000), hold(10))
+      await clock.advance(millis(1000))
+      expect((await other).isOk).toBe(true)
+      expect((await stuck).isErr).toBe(true)
+    })
+
+    it('follows the slots of the pool', async () => {
+      let started = 0
+      for (let at = 0; at < 4; at++) void scheduler.withLease(want(`${at}`, 5000), hold(1000, () => started++))
+      expect(started).toBe(1)
+      pool.slots.set(SERVICE, 3)
+      pool.tellFree(SERVICE)
+      await clock.advance(millis(1))
+      expect(started).toBe(3)
+    })
+  })
+
+  describe('giving up', () => {
+    it('gives an entry up when its slack is gone, long before its deadline would pass it by', async () => {
+      void scheduler.withLease(want('long', 60_000), hold(50_000))
+      let failure: Failure | undefined
+      void scheduler.withLease(want('late', 1000), hold(10)).then((result) => { if (result.isErr) failure = result.error })
+      await clock.advance(millis(1000 - CALL_TIME + 1))
+      expect(failure).toMatchObject({ kind: 'over-capacity', run: 'not-run' })
+      expect(failure?.retryAfter).toBeGreaterThan(0)
+    })
+
+    it('takes an entry back when its caller goes, and the next one gets the slot', async () => {
+      const gone = new AbortController()
+      void scheduler.withLease(want('first', 5000), hold(100))
+      const left = scheduler.withLease(want('left', 1000, { signal: gone.signal }), hold(100))
+      const next = scheduler.withLease(want('next', 5000), hold(100))
+      gone.abort()
+      await clock.advance(millis(250))
+      expect((await left).isErr && (await left)).toMatchObject({ error: { kind: 'caller-gone' } })
+      expect((await next).isOk).toBe(true)
+    })
+  })
+
+  describe('admission', () => {
+    it('refuses at the entrance what a later stage cannot finish, and says when to come back', () => {
+      const taken = fill(LOOSE)
+      const refused = admit(LOOSE)
+      expect(taken).toBeGreaterThan(5)
+      expect(taken).toBeLessThan(LOOSE.target.deadline / CALL_TIME)
+      expect(refused.isErr && refused.error).toMatchObject({ kind: 'over-capacity', run: 'not-run' })
+      expect(refused.isErr && refused.error.retryAfter).toBeGreaterThan(0)
+    })
+
+    it('takes a tight class where a loose one is refused', () => {
+      fill(LOOSE)
+      expect(admit(LOOSE).isErr).toBe(true)
+      expect(admit(TIGHT).isOk).toBe(true)
+    })
+
+    it('keeps room for the arrivals of a tight class', async () => {
+      const alone = fill(LOOSE)
+      for (let at = 0; at < requests; at++) scheduler.finished(brand<RequestId>(`r-${at + 1}`))
+      for (let at = 0; at < 100; at++) {
+        if (admit(TIGHT).isOk) scheduler.finished(brand<RequestId>(`r-${requests}`))
+        await clock.advance(millis(125))
+      }
+      expect(fill(LOOSE)).toBeLessThan(alone / 2)
+    })
+
+    it('refuses a large workspace before a small one', () => {
+      fill(LOOSE)
+      expect(admit(LOOSE).isErr).toBe(true)
+      expect(admit(LOOSE, brand<WorkspaceId>('small')).isOk).toBe(true)
+    })
+
+    it('refuses at once where a service has no endpoint', () => {
+      pool.slots.set(SERVICE, 0)
+      pool.load = 0
+      const refused = admit(TIGHT)
+      expect(refused.isErr && refused.error).toMatchObject({ kind: 'no-endpoint', run: 'not-run' })
+    })
+
+    it('takes requests again once the earlier ones are finished, and tells both', () => {
+      fill(LOOSE)
+      for (let at = 0; at < requests; at++) scheduler.finished(brand<RequestId>(`r-${at + 1}`))
+      expect(admit(LOOSE).isOk).toBe(true)
+      expect(events.records.map((record) => record.kind)).toEqual([SCHEDULING_EVENTS.refusing, SCHEDULING_EVENTS.admitting])
+    })
+  })
+
+  describe('retries', () => {
+    it('allows none into an overload', () => {
+      pool.load = 1.2
+      expect(scheduler.takeRetry(TIGHT.id, SERVICE)).toBe(false)
+      pool.load = 0.5
+      expect(scheduler.takeRetry(TIGHT.id, SERVICE)).toBe(true)
+    })
+  })
+
+  describe('forecasts', () => {
+    it('learn from calls that ended well, and from timeouts only upwards', async () => {
+      const call = (outcome: CallOutcome, took: number): Promise<unknown> =>
+        scheduler.withLease(want('x', 60_000), (lease) => Promise.resolve(lease.release(outcome, millis(took))))
+      const forecast = (): Millis => scheduler.forecast(TIGHT.id, STAGE, SERVICE)
+      await call('done', 40)
+      expect(forecast()).toBe(40)
+      await call('failed', 1)
+      await call('timed-out', 10)
+      expect(forecast()).toBe(40)
+      await call('timed-out', 400)
+      expect(forecast()).toBeGreaterThan(40)
+    })
+  })
+})
