--- /dev/null
+++ b/packages/pipeline/src/ChunkRelay.test.ts
@@ -0,0 +1,113 @@
+import { brand, millis, tokens, VirtualClock } from '@papayahill/common'
+import type { CallId, RequestId, StageId } from '@papayahill/common'
+import type { StageChunk } from '@papayahill/endpoints'
+import fc from 'fast-check'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { ChunkRelay } from './ChunkRelay.js'
+import { MAX_WAITING_BYTES } from './constants.js'
+import type { AnswerChunk, AnswerSink } from './types.js'
+
+const callOf = (request: string, attempt = 1): CallId => ({
+  request: brand<RequestId>(request), stage: brand<StageId>('generate'), attempt
+})
+
+const chunk = (call: CallId, index: number, text = `${index} `): StageChunk => ({ call, index, text, tokens: tokens(1) })
+
+/** A caller that may stop reading. */
+class Reader implements AnswerSink {
+  readonly chunks: AnswerChunk[] = []
+  isReading = true
+  #resume: Array<() => void> = []
+
+  chunk (part: AnswerChunk): boolean {
+    this.chunks.push(part)
+    return this.isReading
+  }
+
+  drained (): Promise<void> {
+    return new Promise((resolve) => { this.#resume.push(resolve) })
+  }
+
+  readOn (): void {
+    this.isReading = true
+    for (const resolve of this.#resume.splice(0)) resolve()
+  }
+}
+
+describe('ChunkRelay', () => {
+  const own = callOf('r-1')
+  let clock: VirtualClock
+  let reader: Reader
+  let relay: ChunkRelay
+
+  beforeEach(() => {
+    clock = new VirtualClock()
+    reader = new Reader()
+    relay = new ChunkRelay(clock, reader)
+    relay.open(own)
+  })
+
+  describe('what comes from endpoints', () => {
+    it('passes each chunk on once and in order', () => {
+      const verdicts = [0, 0, 1, 3].map((index) => relay.accept(own, chunk(own, index)))
+      expect(verdicts).toEqual(['delivered', 'repeated', 'delivered', 'gap'])
+      expect(reader.chunks.map((part) => part.index)).toEqual([0, 1])
+    })
+
+    it('drops a chunk of another call and knows that a hole may be left', () => {
+      expect(relay.accept(own, chunk(callOf('r-2'), 0))).toBe('crossed')
+      expect(relay.isHoled).toBe(true)
+      expect(relay.accept(own, chunk(own, 0))).toBe('delivered')
+      expect(relay.isHoled).toBe(false)
+    })
+
+    it('drops what an earlier call sends late', () => {
+      relay.accept(own, chunk(own, 0))
+      relay.open(callOf('r-1', 2))
+      expect(relay.accept(own, chunk(own, 1))).toBe('late')
+      expect(relay.resumePoint).toEqual({ chunks: 1, text: '0 ' })
+    })
+
+    it('delivers a gapless prefix, whatever arrives', () => {
+      const arrivals = fc.array(fc.record({ index: fc.nat(6), isCrossed: fc.boolean() }), { maxLength: 40 })
+      fc.assert(fc.property(arrivals, (all) => {
+        const sink = new Reader()
+        const each = new ChunkRelay(clock, sink)
+        each.open(own)
+        for (const { index, isCrossed } of all) each.accept(own, chunk(isCrossed ? callOf('r-2') : own, index))
+        expect(sink.chunks.map((part) => part.index)).toEqual(sink.chunks.map((_, at) => at))
+        expect(each.resumePoint?.text ?? '').toBe(sink.chunks.map((part) => part.text).join(''))
+      }))
+    })
+  })
+
+  describe('slow callers', () => {
+    it('holds chunks back until the caller has read, then sends them in order', async () => {
+      reader.isReading = false
+      for (const index of [0, 1, 2]) relay.accept(own, chunk(own, index))
+      expect(reader.chunks).toHaveLength(1)
+      reader.readOn()
+      await relay.drain()
+      expect(reader.chunks.map((part) => part.index)).toEqual([0, 1, 2])
+    })
+
+    it('bounds what waits', () => {
+      reader.isReading = false
+      const text = 'x'.repeat(MAX_WAITING_BYTES / 2)
+      const verdicts = [0, 1, 2, 3].map((index) => relay.accept(own, chunk(own, index, text)))
+      expect(verdicts).toEqual(['delivered', 'delivered', 'delivered', 'overflow'])
+    })
+  })
+
+  describe('times', () => {
+    it('tells the first chunk and the worst gap', async () => {
+      await clock.advance(millis(30))
+      relay.accept(own, chunk(own, 0))
+      await clock.advance(millis(20))
+      relay.accept(own, chunk(own, 1))
+      await clock.advance(millis(45))
+      relay.accept(own, chunk(own, 2))
+      expect([relay.firstAt, relay.worstGap]).toEqual([30, 45])
+    })
+  })
+})
--- /dev/null
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -0,0 +1,491 @@
+import { brand, EventRecorder, millis, refusal, SeededRandom, seconds, tokens, VirtualClock } from '@papayahill/common'
+import type {
+  BodyDigest, CallOutcome, ClassId, DomainId, EndpointId, EndpointIncarnation, Failure, IdempotencyKey, Millis, PipelineId,
+  RequestId, RequestRecord, ServiceId, StageId, StageRecord, VersionId, WorkspaceId
+} from '@papayahill/common'
+import type { ClaimAttempt, ClaimDecision, Claims } from '@papayahill/claims'
+import type { CallError, EndpointConnection, EndpointLease, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
+import type { Scheduler, StageWant } from '@papayahill/scheduling'
+import { EMPTY_CONFIG } from '@papayahill/settings'
+import type { ClassSettings, OperatorConfig, ServiceSettings } from '@papayahill/settings'
+import { Result } from 'true-myth'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { PIPELINE_EVENTS } from './events.js'
+import { PipelineServer } from './PipelineServer.js'
+import type { Answer, AnswerChunk, AnswerSink, CallerRequest } from './types.js'
+
+const VERSION = brand<VersionId>('v1')
+const WORKSPACE = brand<WorkspaceId>('altura')
+const FORECAST = millis(50)
+const USAGE = { tokensIn: tokens(10), tokensCached: tokens(0), tokensOut: tokens(5), busy: millis(40) }
+
+type Serve = (
+  call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
+) => Promise<Result<StageAnswer, CallError>>
+
+const serviceOf = (id: string, kind: ServiceSettings['kind']): ServiceSettings => ({
+  id: brand<ServiceId>(id),
+  kind,
+  prices: { perCall: 0, perSecond: 0, perThousandTokensIn: 0, perThousandTokensCached: 0, perThousandTokensOut: 0 } as ServiceSettings['prices'],
+  checksFencing: true,
+  statusLookup: false,
+  callTimeout: seconds(5),
+  version: VERSION
+})
+
+const classOf = (id: string, more: Partial<ClassSettings> = {}): ClassSettings => ({
+  id: brand<ClassId>(id),
+  pipeline: brand<PipelineId>(id),
+  target: { deadline: seconds(2), attainment: 0.95 },
+  repeatable: true,
+  keyRequired: false,
+  streamed: false,
+  ...more
+})
+
+const CLASSES = [classOf('guide', { streamed: true }), classOf('order', { repeatable: false, keyRequired: true })]
+const STAGES: Readonly<Record<string, readonly string[]>> = { guide: ['encode', 'generate'], order: ['accounts', 'orders'] }
+
+const CONFIG: OperatorConfig = {
+  ...EMPTY_CONFIG,
+  services: new Map([
+    serviceOf('encode', 'encoder'), serviceOf('generate', 'engine'), serviceOf('accounts', 'plain'), serviceOf('orders', 'plain')
+  ].map((service) => [service.id, service])),
+  classes: new Map(CLASSES.map((settings) => [settings.id, settings])),
+  pipelines: new Map(Object.entries(STAGES).map(([id, stages]) => [brand<PipelineId>(id), {
+    id: brand<PipelineId>(id),
+    stages: stages.map((name) => ({ id: brand<StageId>(name), service: brand<ServiceId>(name) }))
+  }])),
+  workspaces: new Map([[WORKSPACE, { id: WORKSPACE }]])
+}
+
+/** Gives each want a slot at the first endpoint that is not excluded. */
+class OpenScheduler implements Scheduler {
+  refusal: Failure | undefined
+  retries = 10
+  readonly finishedAs: boolean[] = []
+  readonly wants: StageWant[] = []
+  readonly outcomes: CallOutcome[] = []
+  readonly #connection: (endpoint: EndpointId) => EndpointConnection
+
+  constructor (connection: (endpoint: EndpointId) => EndpointConnection) {
+    this.#connection = connection
+  }
+
+  admit (): Result<void, Failure> {
+    return this.refusal === undefined ? Result.ok(undefined) : Result.err(this.refusal)
+  }
+
+  finished (_request: RequestId, isTargetMet = true): void {
+    this.finishedAs.push(isTargetMet)
+  }
+
+  async withLease<Value> (want: StageWant, use: (lease: EndpointLease) => Promise<Value>): Promise<Result<Value, Failure>> {
+    this.wants.push(want)
+    const endpoint = ['e1', 'e2', 'e3'].map((id) => brand<EndpointId>(id)).find((id) => !want.exclude.has(id))
+    if (endpoint === undefined) return Result.err(refusal('no-endpoint', 'none is left'))
+    return Result.ok(await use({
+      endpoint,
+      incarnation: brand<EndpointIncarnation>('1'),
+      version: VERSION,
+      domain: brand<DomainId>('d'),
+      connection: this.#connection(endpoint),
+      release: (outcome: CallOutcome, _took: Millis) => { this.outcomes.push(outcome) }
+    }))
+  }
+
+  takeRetry (): boolean {
+    return this.retries-- > 0
+  }
+
+  forecast (): Millis {
+    return FORECAST
+  }
+}
+
+/** Claims of one instance, with a journal of what was asked of them. */
+class JournalClaims implements Claims {
+  readonly journal: string[] = []
+  decision: ClaimDecision | undefined
+  isDispatchAllowed = true
+  isReleased = true
+  readonly #clock: VirtualClock
+
+  constructor (clock: VirtualClock) {
+    this.#clock = clock
+  }
+
+  async begin (): Promise<ClaimDecision> {
+    this.journal.push('begin')
+    await this.#clock.sleep(millis(5))
+    return this.decision ?? { kind: 'run', attempt: this.#attempt() }
+  }
+
+  unknown (): Promise<readonly []> {
+    return Promise.resolve([])
+  }
+
+  resolve (): Promise<undefined> {
+    return Promise.resolve(undefined)
+  }
+
+  drain (): Promise<void> {
+    return Promise.resolve()
+  }
+
+  #attempt (): ClaimAttempt {
+    const note = (word: string): Promise<void> => {
+      this.journal.push(word)
+      return Promise.resolve()
+    }
+    return {
+      dispatch: () => {
+        this.journal.push('dispatch')
+        return this.isDispatchAllowed
+      },
+      notSent: async () => {
+        await note('notSent')
+        return this.isReleased
+      },
+      finish: (outcome) => note(`finish ${outcome.kind}`),
+      lost: () => note('lost')
+    }
+  }
+}
+
+class Reader implements AnswerSink {
+  readonly chunks: AnswerChunk[] = []
+  isReading = true
+
+  chunk (chunk: AnswerChunk): boolean {
+    this.chunks.push(chunk)
+    return this.isReading
+  }
+
+  drained (): Promise<void> {
+    return new Promise(() => {})
+  }
+}
+
+describe('PipelineServer', () => {
+  let clock: VirtualClock
+  let events: EventRecorder
+  let scheduler: OpenScheduler
+  let claims: JournalClaims
+  let server: PipelineServer
+  let reader: Reader
+  let calls: Array<StageCall & { readonly endpoint: EndpointId }>
+  let records: StageRecord[]
+  let ends: Array<{ readonly record: RequestRecord, readonly stages: readonly StageRecord[] }>
+  /** What endpoints do, by stage; others answer at once. */
+  let serve: Map<string, Serve>
+
+  const done = (call: StageCall, body = `${call.id.stage} of ${call.id.request}`): Result<StageAnswer, CallError> =>
+    Result.ok({ call: call.id, body, usage: USAGE })
+
+  const error = (outcome: CallError['outcome'], more: Partial<CallError> = {}): Result<StageAnswer, CallError> =>
+    Result.err({ outcome, detail: outcome, ...more })
+
+  const connection = (endpoint: EndpointId): EndpointConnection => ({
+    incarnation: brand<EndpointIncarnation>('1'),
+    isOpen: true,
+    call: async (call, onChunk, signal) => {
+      calls.push({ ...call, endpoint })
+      await clock.sleep(millis(10))
+      return await (serve.get(call.id.stage)?.(call, onChunk, signal) ?? done(call))
+    },
+    onClose: () => {},
+    close: () => {}
+  })
+
+  /** Serves the first calls as told, the rest well. */
+  const firstThen = (...first: readonly Serve[]): Serve => {
+    let at = 0
+    return async (call, onChunk, signal) => await (first[at++]?.(call, onChunk, signal) ?? done(call))
+  }
+
+  const streamFrom = (count: number, end: (call: StageCall) => Result<StageAnswer, CallError>): Serve =>
+    async (call, onChunk) => {
+      for (let index = call.resume?.chunks ?? 0; index < count; index++) {
+        onChunk({ call: call.id, index, text: `${index} `, tokens: tokens(1) })
+        await clock.sleep(millis(5))
+      }
+      return end(call)
+    }
+
+  const requestOf = (classId: string, more: Partial<CallerRequest> = {}): CallerRequest => ({
+    id: brand<RequestId>('r-1'),
+    workspace: WORKSPACE,
+    class: brand<ClassId>(classId),
+    body: { about: 'loops' },
+    digest: brand<BodyDigest>('d'),
+    key: classId === 'order' ? brand<IdempotencyKey>('k') : undefined,
+    isStreamed: false,
+    startedAt: clock.now(),
+    signal: new AbortController().signal,
+    ...more
+  })
+
+  const run = async (request: CallerRequest, span = 10_000): Promise<Result<Answer, Failure>> => {
+    const answer = server.run(request, reader)
+    await clock.advance(millis(span))
+    return await answer
+  }
+
+  const failureOf = (answer: Result<Answer, Failure>): Failure | undefined => answer.isErr ? answer.error : undefined
+
+  const stagesCalled = (): readonly string[] => calls.map((call) => `${call.id.stage}/${call.id.attempt}@${call.endpoint}`)
+
+  beforeEach(() => {
+    clock = new VirtualClock()
+    events = new EventRecorder(clock)
+    scheduler = new OpenScheduler(connection)
+    claims = new JournalClaims(clock)
+    reader = new Reader()
+    calls = []
+    records = []
+    ends = []
+    serve = new Map()
+    server = new PipelineServer({
+      clock,
+      random: new SeededRandom(3),
+      scheduler,
+      claims,
+      config: () => CONFIG,
+      versionsFor: () => [VERSION],
+      checkBudget: () => Result.ok(undefined),
+      observers: [{
+        stageEnded: (record) => records.push(record),
+        requestEnded: (record, stages) => ends.push({ record, stages })
+      }],
+      log: events
+    })
+  })
+
+  describe('stages', () => {
+    it('run in order, each with what the one before answered', async () => {
+      const answer = await run(requestOf('guide'))
+      expect(answer.isOk && answer.value).toMatchObject({ body: 'generate of r-1', isReplayed: false })
+      expect(calls.map((call) => call.body)).toEqual([
+        { input: { about: 'loops' }, previous: null }, { input: { about: 'loops' }, previous: 'encode of r-1' }
+      ])
+    })
+
+    it('leave time for the stages behind them', async () => {
+      await run(requestOf('guide'))
+      expect(scheduler.wants.map((want) => want.stageDeadline)).toEqual([2000 - FORECAST, 2000])
+    })
+
+    it('are reported with the request', async () => {
+      await run(requestOf('guide'))
+      expect(records.map((record) => [record.call.stage, record.outcome, record.waste])).toEqual([
+        ['encode', 'done', undefined], ['generate', 'done', undefined]
+      ])
+      expect(ends[0]?.record).toMatchObject({ outcome: 'answered', isTargetMet: true, took: 20 })
+      expect(server.running).toBe(0)
+    })
+  })
+
+  describe('refusals', () => {
+    it('say not-run before anything is sent', async () => {
+      scheduler.refusal = refusal('over-capacity', 'full', { retryAfter: millis(700) })
+      const answer = await run(requestOf('guide'), 1)
+      expect(failureOf(answer)).toMatchObject({ kind: 'over-capacity', run: 'not-run', retryAfter: 700 })
+      expect(calls).toHaveLength(0)
+    })
+
+    it('never say not-run once a stage was sent', async () => {
+      serve.set('encode', () => Promise.resolve(error('failed')))
+      scheduler.retries = 0
+      expect(failureOf(await run(requestOf('guide')))).toMatchObject({ kind: 'stage-failed', run: 'unknown' })
+    })
+
+    it('name what the caller got wrong', async () => {
+      expect(failureOf(await run(requestOf('nothing')))?.kind).toBe('unknown-class')
+      expect(failureOf(await run(requestOf('guide', { workspace: brand<WorkspaceId>('x') })))?.kind).toBe('unknown-workspace')
+      expect(failureOf(await run(requestOf('order', { key: undefined })))?.kind).toBe('key-required')
+    })
+  })
+
+  describe('retries', () => {
+    it('go to another endpoint and mark the first call as waste', async () => {
+      serve.set('encode', firstThen(() => Promise.resolve(error('failed'))))
+      expect((await run(requestOf('guide'))).isOk).toBe(true)
+      expect(stagesCalled()).toEqual(['encode/1@e1', 'encode/2@e2', 'generate/1@e1'])
+      expect(records[0]?.waste).toBe('retry')
+    })
+
+    it('stop where the budget is used up', async () => {
+      scheduler.retries = 1
+      serve.set('encode', () => Promise.resolve(error('failed')))
+      expect((await run(requestOf('guide'))).isErr).toBe(true)
+      expect(calls).toHaveLength(2)
+    })
+
+    it('cost no budget where no byte was sent, and not-run stays true', async () => {
+      scheduler.retries = 0
+      serve.set('encode', () => Promise.resolve(error('not-sent')))
+      expect(failureOf(await run(requestOf('guide')))).toMatchObject({ kind: 'no-endpoint', run: 'not-run' })
+      expect(calls.length).toBeGreaterThan(1)
+    })
+
+    it('replace a call that hangs', async () => {
+      const hang: Serve = (call, _onChunk, signal) => new Promise((resolve) => {
+        signal.addEventListener('abort', () => resolve(error('cancelled')))
+      })
+      serve.set('encode', firstThen(hang))
+      expect((await run(requestOf('guide'))).isOk).toBe(true)
+      expect(records[0]?.outcome).toBe('timed-out')
+    })
+  })
+
+  describe('answers of other calls', () => {
+    it('are dropped, told, and asked for again', async () => {
+      const other = { request: brand<RequestId>('r-9'), stage: brand<StageId>('encode'), attempt: 1 }
+      serve.set('encode', firstThen((call) => Promise.resolve(Result.ok({ call: other, body: 'of r-9', usage: USAGE }))))
+      const answer = await run(requestOf('guide'))
+      expect(answer.isOk && answer.value.body).toBe('generate of r-1')
+      expect(calls.at(-1)?.body).toMatchObject({ previous: 'encode of r-1' })
+      expect(events.records.map((record) => record.kind)).toContain(PIPELINE_EVENTS.crossedAnswer)
+    })
+  })
+
+  describe('the deadline', () => {
+    it('brings the final answer at once and cancels the work', async () => {
+      let isCancelled = false
+      serve.set('generate', (_call, _onChunk, signal) => new Promise((resolve) => {
+        signal.addEventListener('abort', () => {
+          isCancelled = true
+          resolve(error('cancelled', { usage: USAGE }))
+        })
+      }))
+      scheduler.retries = 0
+      const answer = await run(requestOf('guide'))
+      expect(failureOf(answer)).toMatchObject({ kind: 'deadline-passed', run: 'unknown' })
+      expect(isCancelled).toBe(true)
+      expect(ends[0]?.record.took).toBe(2000)
+      expect(ends[0]?.stages.map((stage) => stage.waste)).toEqual(['abandoned', 'cancelled'])
+    })
+  })
+
+  describe('streams', () => {
+    const streamed = (): CallerRequest => requestOf('guide', { isStreamed: true })
+
+    it('go on at another endpoint, no chunk twice and none missing', async () => {
+      let isFirst = true
+      serve.set('generate', async (call, onChunk, signal) => {
+        if (!isFirst) return await streamFrom(6, done)(call, onChunk, signal)
+        isFirst = false
+        return await streamFrom(3, () => error('cut', { cacheExport: 'kv-7' }))(call, onChunk, signal)
+      })
+      const answer = await run(streamed())
+      expect(answer.isOk && answer.value.chunks).toBe(6)
+      expect(reader.chunks.map((chunk) => chunk.index)).toEqual([0, 1, 2, 3, 4, 5])
+      expect(calls.at(-1)).toMatchObject({ resume: { chunks: 3, text: '0 1 2 ' }, cacheImport: 'kv-7' })
+    })
+
+    it('count the chunks of a cut call as served', async () => {
+      serve.set('generate', firstThen(streamFrom(3, () => error('cut')), streamFrom(6, done)))
+      await run(streamed())
+      expect(records.map((record) => record.waste)).toEqual([undefined, undefined, undefined])
+    })
+
+    it('are cancelled upstream when the caller goes', async () => {
+      const gone = new AbortController()
+      let isCancelled = false
+      serve.set('generate', (_call, _onChunk, signal) => new Promise((resolve) => {
+        signal.addEventListener('abort', () => {
+          isCancelled = true
+          resolve(error('cancelled'))
+        })
+      }))
+      const answer = server.run({ ...streamed(), signal: gone.signal }, reader)
+      await clock.advance(millis(50))
+      gone.abort()
+      await clock.advance(millis(1))
+      expect(isCancelled).toBe(true)
+      expect(failureOf(await answer)?.kind).toBe('caller-gone')
+    })
+
+    it('end where the caller reads too slowly for what may wait', async () => {
+      reader.isReading = false
+      const big = 'x'.repeat(100_000)
+      serve.set('generate', async (call, onChunk, signal) => {
+        for (let index = 0; index < 100 && !signal.aborted; index++) {
+          onChunk({ call: call.id, index, text: big, tokens: tokens(1) })
+          await clock.sleep(millis(1))
+        }
+        return signal.aborted ? error('cancelled') : done(call)
+      })
+      expect(failureOf(await run(streamed()))?.kind).toBe('slow-caller')
+      expect(reader.chunks).toHaveLength(1)
+    })
+  })
+
+  describe('what may not be repeated', () => {
+    it('is claimed with the slot in hand, dispatched once, and its outcome recorded', async () => {
+      const answer = await run(requestOf('order'))
+      expect(answer.isOk).toBe(true)
+      expect(claims.journal).toEqual(['begin', 'dispatch', 'finish answered'])
+      expect(stagesCalled()).toEqual(['accounts/1@e1', 'orders/1@e1'])
+      expect(calls.map((call) => call.key)).toEqual(['k', 'k'])
+    })
+
+    for (const outcome of ['failed', 'timed-out', 'cut', 'crossed', 'refused'] as const) {
+      it(`is never sent again after ${outcome}`, async () => {
+        serve.set('orders', () => Promise.resolve(error(outcome)))
+        expect(failureOf(await run(requestOf('order')))).toMatchObject({ run: 'unknown' })
+        expect(calls.filter((call) => call.id.stage === 'orders')).toHaveLength(1)
+        expect(claims.journal.at(-1)).toBe('lost')
+      })
+    }
+
+    it('is claimed anew where no byte of it was sent', async () => {
+      serve.set('accounts', firstThen(() => Promise.resolve(error('not-sent'))))
+      expect((await run(requestOf('order'))).isOk).toBe(true)
+      expect(claims.journal).toEqual(['begin', 'dispatch', 'notSent', 'begin', 'dispatch', 'finish answered'])
+    })
+
+    it('is not called not-run where the claim could not be released', async () => {
+      claims.isReleased = false
+      serve.set('accounts', () => Promise.resolve(error('not-sent')))
+      expect(failureOf(await run(requestOf('order')))).toMatchObject({ run: 'unknown' })
+    })
+
+    it('is not sent where the claim ran out', async () => {
+      claims.isDispatchAllowed = false
+      const answer = await run(requestOf('order'))
+      expect(failureOf(answer)).toMatchObject({ kind: 'store-unavailable', run: 'not-run' })
+      expect(calls).toHaveLength(0)
+    })
+
+    it('gives the outcome of an earlier attempt again, also where it would be refused', async () => {
+      claims.decision = { kind: 'replay', outcome: { kind: 'answered', body: 'booked' } }
+      expect(await run(requestOf('order'))).toMatchObject({ value: { body: 'booked', isReplayed: true } })
+      scheduler.refusal = refusal('over-capacity', 'full')
+      expect(await run(requestOf('order'))).toMatchObject({ value: { body: 'booked', isReplayed: true } })
+      expect(calls).toHaveLength(0)
+    })
+
+    it('is refused with what the claim knows of the key', async () => {
+      const failure: Failure = { kind: 'outcome-unknown', detail: 'sent before', run: 'unknown' }
+      claims.decision = { kind: 'refuse', failure }
+      scheduler.refusal = refusal('over-capacity', 'full')
+      expect(failureOf(await run(requestOf('order')))).toEqual(failure)
+    })
+
+    it('runs on past its deadline to learn the outcome, while the caller has its answer', async () => {
+      serve.set('orders', async (call) => {
+        await clock.sleep(seconds(3))
+        return done(call)
+      })
+      const answer = server.run(requestOf('order'), reader)
+      await clock.advance(millis(2001))
+      expect(failureOf(await answer)).toMatchObject({ kind: 'deadline-passed', run: 'unknown' })
+      expect(server.running).toBe(1)
+      await clock.advance(seconds(2))
+      expect(claims.journal.at(-1)).toBe('finish answered')
+      expect(server.running).toBe(0)
+    })
+  })
+})
