Moves: evidence of all routes together, error rate spent by runs

Cause: a fault too rare on each route was not found in time, and the limit counted looks at which nothing can be found.

--- a/packages/rollout/src/EvidenceLink.ts
+++ b/packages/rollout/src/EvidenceLink.ts
@@ -1,6 +1,6 @@
 import { brand, MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Json, Millis, ServiceId } from '@papayahill/common'
-import type { GossipEntry, Peers } from '@papayahill/peers'
+import type { GossipEntry, Peers, Topic } from '@papayahill/peers'
 import type { MoveSettings } from '@papayahill/settings'
 import { z } from 'zod'
 import { EVIDENCE_BYTES_PER_SECOND, PUBLISH_PERIOD } from './constants.js'
@@ -22,6 +22,10 @@
   data: z.unknown()
 })
 
+/** A take-back goes out at once, before anything that can wait its turn. */
+const TOPIC_OF: Readonly<Record<MoveNews['kind'], Topic>> = { counts: 'evidence', step: 'evidence', 'taken-back': 'latch' }
+const TOPICS: readonly Topic[] = ['evidence', 'latch']
+
 export interface EvidenceLinkOptions {
   readonly self: InstanceId
   readonly incarnation: Incarnation
@@ -57,15 +61,18 @@
   }
 
   onNews (listener: (news: MoveNews) => void): void {
-    this.#options.peers.onEntry('evidence', (entry) => {
-      const news = this.#read(entry)
-      if (news !== undefined) listener(news)
-    })
+    for (const topic of TOPICS) {
+      this.#options.peers.onEntry(topic, (entry) => {
+        const news = this.#read(entry)
+        if (news !== undefined) listener(news)
+      })
+    }
   }
 
   /** What peers have told so far. */
   known (): readonly MoveNews[] {
-    return this.#options.peers.entries('evidence').map((entry) => this.#read(entry)).filter((news) => news !== undefined)
+    const entries = TOPICS.flatMap((topic) => this.#options.peers.entries(topic))
+    return entries.map((entry) => this.#read(entry)).filter((news) => news !== undefined)
   }
 
   /** Publishes this instance's counts when they are due: at once where calls to the new version failed. */
@@ -93,7 +100,7 @@
   }
 
   #publish (kind: MoveNews['kind'], { service, startedAt }: MoveSettings, data: Json): void {
-    this.#options.peers.publish('evidence', `${kind}/${service}/${startedAt}`, { kind, service, startedAt, data })
+    this.#options.peers.publish(TOPIC_OF[kind], `${kind}/${service}/${startedAt}`, { kind, service, startedAt, data })
   }
 
   /** Rarer with more peers and larger evidence, so that the bytes sent stay within their limit. */
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -1,7 +1,8 @@
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Millis, Random, StageRecord } from '@papayahill/common'
 import type { MoveSettings } from '@papayahill/settings'
-import { FAILURE_RATIOS, HOLD_NATS, JUDGE_PERIOD, MOVE_ERROR_RATE, PROBE_SHARE_MAX, SLOW_RATIOS } from './constants.js'
+import { AdverseJudge, SUM_COUNT } from './AdverseJudge.js'
+import { HOLD_NATS, MOVE_ERROR_RATE, PROBE_SHARE_MAX } from './constants.js'
 import { EvidenceCounts, routeKey } from './EvidenceCounts.js'
 import { MergedEvidence } from './MergedEvidence.js'
 import type { MoveRecord } from './moveRow.js'
@@ -15,8 +16,6 @@
   readonly because: string
 }
 
-const TEST_COUNT = FAILURE_RATIOS.length + SLOW_RATIOS.length
-
 /**
  * One move as this instance sees it: its share, its evidence and whether the version was taken back.
  *
@@ -33,6 +32,8 @@
   readonly #random: Random
   readonly #unjudged = new EvidenceCounts()
   readonly #judges = new Map<string, RouteJudge>()
+  /** All routes put together: finds a fault that is too rare on each. */
+  readonly #pooled = new AdverseJudge()
   readonly #splitters = new Map<string, ShareSplitter>()
   readonly #callsBeforeShare = new Map<string, number>()
   #rowVersion = 0
@@ -106,14 +107,17 @@
   judge (now: Millis): string | undefined {
     this.merged.takeNew(this.#unjudged)
     this.#unjudged.clear()
-    for (const counts of this.merged.drain().routes) this.#judgeOf(routeKey(counts.route)).update(counts, now)
+    for (const counts of this.merged.drain().routes) {
+      const looked = this.#judgeOf(routeKey(counts.route)).update(counts, now)
+      if (looked !== undefined) this.#pooled.update(looked)
+    }
     const limit = this.#limit()
-    return this.#worst(limit)
+    return this.#find(({ netNats }) => netNats >= limit)
   }
 
   /** Evidence that holds back steps without sufficing to take back. */
   doubt (): string | undefined {
-    return this.#worst(HOLD_NATS)
+    return this.#find(({ nats }) => nats >= HOLD_NATS)
   }
 
   progress (elapsed: number): readonly RouteProgress[] {
@@ -125,19 +129,18 @@
     })
   }
 
-  /** Nats at which the chance to take back a good version, over all routes and updates, meets the stated rate. */
+  /** Nats at which the chance to take back a good version, over all sums, meets the stated rate. */
   #limit (): number {
-    const { by } = this.move
-    const begunAt = this.#record?.begunAt ?? by
-    const updates = Math.max(1, (by - begunAt) / JUDGE_PERIOD)
-    return Math.log(Math.max(1, this.#judges.size) * TEST_COUNT * updates / MOVE_ERROR_RATE)
+    return Math.log((this.#judges.size + 1) * SUM_COUNT / MOVE_ERROR_RATE)
   }
 
-  #worst (limit: number): string | undefined {
+  /** The first judge that speaks against the new version, in words. */
+  #find (isAgainst: (judge: { readonly nats: number, readonly netNats: number }) => boolean): string | undefined {
     for (const [key, judge] of this.#judges) {
-      if (judge.nats >= limit) return `on ${key} ${judge.describe()} (${judge.nats.toFixed(1)} nats)`
+      if (isAgainst(judge)) return `on ${key} ${judge.describe()} (${judge.nats.toFixed(1)} nats)`
     }
-    return undefined
+    if (!isAgainst(this.#pooled)) return undefined
+    return `on all routes together ${this.#pooled.describe()} (${this.#pooled.nats.toFixed(1)} nats)`
   }
 
   #judgeOf (key: string): RouteJudge {
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -1,9 +1,9 @@
 import type { Millis } from '@papayahill/common'
-import { AdverseTest } from './AdverseTest.js'
+import { AdverseJudge } from './AdverseJudge.js'
+import type { Looked } from './AdverseJudge.js'
 import type { AdverseCalls } from './AdverseTest.js'
 import {
-  FAILURE_RATIOS, LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_RATIOS,
-  SLOW_TOLERANCE_BUCKETS
+  LOSS_SPAN, RECENT_SPAN, SHARE_PRIOR_CALLS, SLOW_MIN_CALLS, SLOW_QUANTILE, SLOW_TOLERANCE_BUCKETS
 } from './constants.js'
 import type { RouteCounts } from './EvidenceCounts.js'
 import { addCounts, BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
@@ -23,29 +23,16 @@
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) counts[bucket]! *= factor
 }
 
-/** Calls of both versions that the evidence in hand rests on. */
-interface Tally {
-  newCalls: number
-  oldCalls: number
-  newFailed: number
-  oldFailed: number
-  newSlow: number
-  oldSlow: number
-}
-
-const emptyTally = (): Tally => ({ newCalls: 0, oldCalls: 0, newFailed: 0, oldFailed: 0, newSlow: 0, oldSlow: 0 })
-
 /**
  * Judges the new version on one route against the old one at the same time.
  *
  * @example
  * const judge = new RouteJudge(0.02)
  * judge.update(delta, now)
- * judge.nats
+ * judge.netNats
  */
 export class RouteJudge {
-  readonly #failures = new AdverseTest(FAILURE_RATIOS)
-  readonly #slow = new AdverseTest(SLOW_RATIOS)
+  readonly #judge = new AdverseJudge()
   readonly #oldTimes: Readonly<Record<Stratum, Float64Array>> = {
     plain: new Float64Array(BUCKET_COUNT), cached: new Float64Array(BUCKET_COUNT)
   }
@@ -55,15 +42,17 @@
   #judgedAt: Millis | undefined
   #lossUntil = -Infinity
   #slowFrom: number | undefined
-  #tally = emptyTally()
 
   constructor (share: number) {
     this.shareSet(share)
   }
 
-  /** Evidence against the new version, in nats. */
   get nats (): number {
-    return Math.max(this.#failures.nats, this.#slow.nats)
+    return this.#judge.nats
+  }
+
+  get netNats (): number {
+    return this.#judge.netNats
   }
 
   /** The share that instances aim at was changed. */
@@ -72,25 +61,24 @@
     this.#recentOld = (1 - share) * SHARE_PRIOR_CALLS
   }
 
-  /** Takes in the calls that ended since the last update. */
-  update (delta: RouteCounts, now: Millis): void {
-    if (delta.new.calls + delta.old.calls === 0) return
+  /** Takes in the calls that ended since the last update; what it made of them. */
+  update (delta: RouteCounts, now: Millis): Looked | undefined {
+    if (delta.new.calls + delta.old.calls === 0) return undefined
     this.#forget(now)
-    const share = this.#shareOf(delta)
-    const failed = { new: delta.new.failed + this.#losses(delta.new, now), old: delta.old.failed + delta.old.lost }
-    const slow = this.#slowCalls(delta)
-    this.#failures.update(failed, share)
-    this.#slow.update(slow, share)
+    const looked: Looked = {
+      calls: { new: delta.new.calls, old: delta.old.calls },
+      failed: { new: delta.new.failed + this.#losses(delta.new, now), old: delta.old.failed + delta.old.lost },
+      slow: this.#slowCalls(delta),
+      share: this.#shareOf(delta)
+    }
     this.#remember(delta)
-    this.#count(delta, failed, slow)
+    this.#judge.update(looked)
+    return looked
   }
 
   /** The evidence in words and numbers. */
   describe (): string {
-    const { newCalls, oldCalls, newFailed, oldFailed, newSlow, oldSlow } = this.#tally
-    if (this.#failures.nats >= this.#slow.nats) return `${newFailed} of ${newCalls} calls failed against ${oldFailed} of ${oldCalls}`
-    const limit = this.#slowFrom === undefined ? '' : ` than ${Math.round(bucketStart(this.#slowFrom))} ms`
-    return `${newSlow} of ${newCalls} calls were slower${limit} against ${oldSlow} of ${oldCalls}`
+    return this.#judge.describe(this.#slowFrom === undefined ? '' : ` than ${Math.round(bucketStart(this.#slowFrom))} ms`)
   }
 
   #forget (now: Millis): void {
@@ -135,14 +123,4 @@
     if (delta.old.calls === 0) return
     for (const stratum of STRATA) addCounts(this.#oldTimes[stratum], delta.old[stratum])
   }
-
-  #count (delta: RouteCounts, failed: AdverseCalls, slow: AdverseCalls): void {
-    if (this.nats === 0) this.#tally = emptyTally()
-    this.#tally.newCalls += delta.new.calls
-    this.#tally.oldCalls += delta.old.calls
-    this.#tally.newFailed += failed.new
-    this.#tally.oldFailed += failed.old
-    this.#tally.newSlow += slow.new
-    this.#tally.oldSlow += slow.old
-  }
 }
