Moves: steps are held while the new version's calls look bad

Change: less evidence holds a step where the share of bad calls is high; good calls thin out a chance failure.

--- a/packages/bench/src/moves/MoveRig.ts
+++ b/packages/bench/src/moves/MoveRig.ts
@@ -117,9 +117,9 @@
     const begunAt = this.#clock.wall()
     this.#config.startMove(SERVICE, NEW, begunAt + duration * MILLIS_PER_SECOND)
     this.#scriptFaults()
-    const isOver = (): boolean => this.#isTakenBack()
-    const end = millis(seconds(duration + AFTERMATH))
-    if (await this.#clock.advanceUntil(isOver, end)) await this.#clock.advance(AFTER_TAKE_BACK)
+    const end = this.#clock.now() + seconds(duration + AFTERMATH)
+    while (this.#clock.now() < end && !this.#isTakenBack()) await this.#clock.advance(seconds(1))
+    if (this.#isTakenBack()) await this.#clock.advance(AFTER_TAKE_BACK)
     for (const { policy } of this.#members) policy.stop()
     const { doneAt } = this.#config
     return {
--- a/packages/rollout/src/AdverseJudge.ts
+++ b/packages/rollout/src/AdverseJudge.ts
@@ -1,5 +1,7 @@
 import { AdverseTest } from './AdverseTest.js'
-import { FAILURE_RATIOS, SLOW_RATIOS } from './constants.js'
+import {
+  DOUBT_FAILED_SHARE, DOUBT_SLOW_SHARE, FAILURE_RATIOS, HOLD_ALWAYS_NATS, HOLD_NATS, SLOW_RATIOS
+} from './constants.js'
 import { Tally } from './Tally.js'
 import type { TallyCounts } from './Tally.js'
 
@@ -33,6 +35,13 @@
     return Math.max(this.#failures.netNats, this.#slow.netNats)
   }
 
+  /** Whether the share should not be raised now. */
+  get isDoubtful (): boolean {
+    if (this.nats >= HOLD_ALWAYS_NATS) return true
+    const isFailing = this.#failures.nats >= HOLD_NATS && this.#tally.failedShare >= DOUBT_FAILED_SHARE
+    return isFailing || (this.#slow.nats >= HOLD_NATS && this.#tally.slowShare >= DOUBT_SLOW_SHARE)
+  }
+
   update (looked: Looked): void {
     this.#failures.update(looked.failed, looked.share)
     this.#slow.update(looked.slow, looked.share)
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -2,7 +2,7 @@
 import type { Millis, Random, StageRecord } from '@papayahill/common'
 import type { MoveSettings } from '@papayahill/settings'
 import { AdverseJudge, SUM_COUNT } from './AdverseJudge.js'
-import { HOLD_NATS, MOVE_ERROR_RATE, PROBE_SHARE_MAX } from './constants.js'
+import { MOVE_ERROR_RATE, PROBE_SHARE_MAX } from './constants.js'
 import { EvidenceCounts, routeKey } from './EvidenceCounts.js'
 import { MergedEvidence } from './MergedEvidence.js'
 import type { MoveRecord } from './moveRow.js'
@@ -117,7 +117,7 @@
 
   /** Evidence that holds back steps without sufficing to take back. */
   doubt (): string | undefined {
-    return this.#find(({ nats }) => nats >= HOLD_NATS)
+    return this.#find(({ isDoubtful }) => isDoubtful)
   }
 
   progress (elapsed: number): readonly RouteProgress[] {
@@ -135,7 +135,7 @@
   }
 
   /** The first judge that speaks against the new version, in words. */
-  #find (isAgainst: (judge: { readonly nats: number, readonly netNats: number }) => boolean): string | undefined {
+  #find (isAgainst: (judge: Pick<AdverseJudge, 'netNats' | 'isDoubtful'>) => boolean): string | undefined {
     for (const [key, judge] of this.#judges) {
       if (isAgainst(judge)) return `on ${key} ${judge.describe()} (${judge.nats.toFixed(1)} nats)`
     }
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -55,6 +55,10 @@
     return this.#judge.netNats
   }
 
+  get isDoubtful (): boolean {
+    return this.#judge.isDoubtful
+  }
+
   /** The share that instances aim at was changed. */
   shareSet (share: number): void {
     this.#recentNew = share * SHARE_PRIOR_CALLS
--- a/packages/rollout/src/ShareSplitter.ts
+++ b/packages/rollout/src/ShareSplitter.ts
@@ -12,19 +12,14 @@
  */
 export class ShareSplitter {
   readonly #random: Random
-  #block = 0
   /** Where in the block the next call begins, from 0 to 1. */
   #position = 0
-  /** Where in the block its picked place lies, from 0 to 1. */
+  /** Where in the block its picked place lies, from 0 to 1. The first lies late: many splitters start at once. */
   #place: number
 
   constructor (random: Random) {
     this.#random = random
-    this.#place = random.next()
-  }
-
-  get blocks (): number {
-    return this.#block
+    this.#place = HALF + HALF * random.next()
   }
 
   pick (share: number): boolean {
@@ -43,7 +38,6 @@
 
   /** This call reaches `covered` into a new block; it may be picked there, but never twice. */
   #beginBlock (covered: number, isPicked: boolean): boolean {
-    this.#block++
     this.#position = covered
     const drawn = this.#random.next()
     this.#place = isPicked ? covered + (1 - covered) * drawn : drawn
--- a/packages/rollout/src/Tally.ts
+++ b/packages/rollout/src/Tally.ts
@@ -29,6 +29,15 @@
     this.#slow = add(this.#slow, slow)
   }
 
+  /** Share of the new version's calls that failed. */
+  get failedShare (): number {
+    return this.#failed.new / Math.max(1, this.#calls.new)
+  }
+
+  get slowShare (): number {
+    return this.#slow.new / Math.max(1, this.#calls.new)
+  }
+
   describeFailed (): string {
     return `${this.#failed.new} of ${this.#calls.new} calls failed against ${this.#failed.old} of ${this.#calls.old}`
   }
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -31,8 +31,14 @@
 export const SHARE_PRIOR_CALLS = 20
 /** Lost connections of the new version within this span count as one failure: an endpoint's restart cuts many calls at once. */
 export const LOSS_SPAN = seconds(5)
-/** Evidence against the new version, in nats, above which its share is not raised. */
-export const HOLD_NATS = 4
+/** Evidence against the new version, in nats, above which its share is not raised while its calls look bad. */
+export const HOLD_NATS = 2.5
+/** The same however its calls look. */
+export const HOLD_ALWAYS_NATS = 7
+/** Share of failed calls of the new version from which they look bad; good calls thin out a chance failure. */
+export const DOUBT_FAILED_SHARE = 0.04
+/** Share of slow calls of the new version from which they look bad. */
+export const DOUBT_SLOW_SHARE = 0.2
 
 /** Share before anything is known. */
 export const FIRST_SHARE = 0.01
