Moves: blocks of calls judged whole

Cause: evidence counted adverse calls alone and said little at a high share, where few old calls are left; steps of thirty times came of a single instance's traffic.

--- a/packages/bench/src/benches/moves-bad.ts
+++ b/packages/bench/src/benches/moves-bad.ts
@@ -55,7 +55,7 @@
   return {
     seed: scenario.seed,
     fault: scenario.fault?.name ?? 'none',
-    isShown: calls.filter(({ isFaulty }) => isFaulty).length >= MIN_SHOWN_CALLS || isTakenBack,
+    isShown: isTakenBack || calls.filter(({ isFaulty }) => isFaulty).length >= MIN_SHOWN_CALLS,
     isTakenBack,
     badShare: isAtOnce ? bad.length / Math.max(1, before.length) : undefined,
     lastBadWork: delayByGroups(trace, 'alone'),
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -93,7 +93,7 @@
     if (record?.startedAt !== this.move.startedAt) return
     const isNewShare = record.share !== this.#record?.share
     this.#record = record
-    if (isNewShare) this.#shareSet(record.share)
+    if (isNewShare) this.#shareSet()
   }
 
   /** Takes the new version back for good. True the first time. */
@@ -144,13 +144,13 @@
   }
 
   #judgeOf (key: string): RouteJudge {
-    const judge = this.#judges.get(key) ?? new RouteJudge(this.share)
+    const judge = this.#judges.get(key) ?? new RouteJudge()
     this.#judges.set(key, judge)
     return judge
   }
 
-  #shareSet (share: number): void {
-    for (const judge of this.#judges.values()) judge.shareSet(share)
+  #shareSet (): void {
+    for (const judge of this.#judges.values()) judge.shareSet()
     for (const counts of this.merged.total.routes) this.#callsBeforeShare.set(routeKey(counts.route), counts.new.calls)
   }
 }
--- a/packages/rollout/src/RouteJudge.test.ts
+++ b/packages/rollout/src/RouteJudge.test.ts
@@ -6,7 +6,6 @@
 import { RouteJudge } from './RouteJudge.js'
 import { SideCounts } from './SideCounts.js'
 
-const SHARE = 0.05
 const ROUTE = { class: brand<ClassId>('guide'), stage: brand<StageId>('generate') }
 
 interface Side {
@@ -31,7 +30,7 @@
 const at = (second: number): Millis => millis(second * 1000)
 
 const judgeOver = (rounds: number, of: (round: number) => RouteCounts): RouteJudge => {
-  const judge = new RouteJudge(SHARE)
+  const judge = new RouteJudge()
   for (let round = 0; round < rounds; round++) judge.update(of(round), at(round))
   return judge
 }
--- a/packages/rollout/src/Tally.ts
+++ b/packages/rollout/src/Tally.ts
@@ -1,48 +1,40 @@
-import type { AdverseCalls } from './AdverseTest.js'
+import type { Block } from './blockNats.js'
 
 /** Calls of both versions that evidence rests on. */
 export interface TallyCounts {
-  readonly calls: AdverseCalls
-  readonly failed: AdverseCalls
-  readonly slow: AdverseCalls
+  readonly failed: Block
+  readonly slow: Block
 }
 
-const add = (left: AdverseCalls, right: AdverseCalls): AdverseCalls => ({ new: left.new + right.new, old: left.old + right.old })
+const add = (left: Block, right: Block): Block => ({
+  new: { calls: left.new.calls + right.new.calls, adverse: left.new.adverse + right.new.adverse },
+  old: { calls: left.old.calls + right.old.calls, adverse: left.old.adverse + right.old.adverse }
+})
 
-const NONE: AdverseCalls = { new: 0, old: 0 }
+const NONE: Block = { new: { calls: 0, adverse: 0 }, old: { calls: 0, adverse: 0 } }
 
 /** Keeps count of the calls that the evidence in hand rests on, for words to operators. */
 export class Tally {
-  #calls = NONE
   #failed = NONE
   #slow = NONE
 
   clear (): void {
-    this.#calls = NONE
     this.#failed = NONE
     this.#slow = NONE
   }
 
-  add ({ calls, failed, slow }: TallyCounts): void {
-    this.#calls = add(this.#calls, calls)
+  add ({ failed, slow }: TallyCounts): void {
     this.#failed = add(this.#failed, failed)
     this.#slow = add(this.#slow, slow)
   }
 
-  /** Share of the new version's calls that failed. */
-  get failedShare (): number {
-    return this.#failed.new / Math.max(1, this.#calls.new)
-  }
-
-  get slowShare (): number {
-    return this.#slow.new / Math.max(1, this.#calls.new)
-  }
-
   describeFailed (): string {
-    return `${this.#failed.new} of ${this.#calls.new} calls failed against ${this.#failed.old} of ${this.#calls.old}`
+    const { new: fresh, old } = this.#failed
+    return `${fresh.adverse} of ${fresh.calls} calls failed against ${old.adverse} of ${old.calls}`
   }
 
   describeSlow (limit: string): string {
-    return `${this.#slow.new} of ${this.#calls.new} calls were slower${limit} against ${this.#slow.old} of ${this.#calls.old}`
+    const { new: fresh, old } = this.#slow
+    return `${fresh.adverse} of ${fresh.calls} calls were slower${limit} against ${old.adverse} of ${old.calls}`
   }
 }
--- a/packages/rollout/src/planStep.ts
+++ b/packages/rollout/src/planStep.ts
@@ -81,12 +81,19 @@
   return lacking === undefined ? undefined : `${lacking.name} has shown ${shown(lacking)} of ${needed} calls at ${percent(state.share)}`
 }
 
-const stepsLeft = (share: number, factor: number): number =>
-  share >= TOP_SHARE ? 0 : Math.ceil(Math.log(TOP_SHARE / share) / Math.log(factor))
-
-/** Time that the slowest route takes to show its calls at this share. */
-const evidenceTime = (state: StepState): number =>
-  STEP_CALLS / (slowestOf(state.routes).rate * state.share) * MILLIS_PER_SECOND
+/** Time that the slowest route takes to show its calls at a share. */
+const evidenceTime = (state: StepState, share: number): number =>
+  Math.max(MIN_DWELL, STEP_CALLS / (slowestOf(state.routes).rate * share) * MILLIS_PER_SECOND)
+
+/** The shares that come after this one when each is `factor` times the one before. */
+const sharesAfter = (share: number, factor: number): readonly number[] => {
+  const shares: number[] = []
+  for (let next = share; next < TOP_SHARE;) {
+    next = Math.min(TOP_SHARE, next * factor)
+    shares.push(next)
+  }
+  return shares
+}
 
 interface Pace {
   readonly factor: number
@@ -97,10 +104,14 @@
 /** The smallest factor whose steps fit into the time left, each with time for its evidence. */
 const paceOf = (state: StepState): Pace => {
   const time = aimOf(state) - state.steppedAt
-  const paces = STEP_FACTORS.map((factor) => ({ factor, dwell: time / (stepsLeft(state.share, factor) + 1) }))
-  const needed = Math.max(MIN_DWELL, evidenceTime(state))
+  const paces = STEP_FACTORS.map((factor) => {
+    const after = sharesAfter(state.share, factor)
+    const needed = after.reduce((sum, share) => sum + evidenceTime(state, share), 0)
+    return { factor, dwell: Math.min(time / (after.length + 1), time - needed) }
+  })
   const fastest = { factor: STEP_FACTORS[STEP_FACTORS.length - 1]!, dwell: MIN_DWELL }
-  return paces.find(({ dwell }) => dwell >= needed) ?? fastest
+  const passed = state.now - state.steppedAt
+  return paces.find(({ dwell }) => dwell >= Math.max(MIN_DWELL, passed)) ?? paces.find(({ dwell }) => dwell >= MIN_DWELL) ?? fastest
 }
 
 const raise = (state: StepState, factor: number): StepDecision => {
