--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -8,9 +8,13 @@
   ledger: () => import('./benches/ledger.js'),
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
+  domain: () => import('./benches/domain.js'),
+  faults: () => import('./benches/faults.js'),
   'cold-start': () => import('./benches/cold-start.js'),
   decide: () => import('./benches/decide.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
+  config: () => import('./benches/config.js'),
+  gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
-  prefix: () => import('./benches/prefix.js'),
+  prefix: () => import('./benches/prefix.js')
 }
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -20,13 +20,14 @@
 export const GOSSIP_PERIOD = millis(100)
 /** Bytes a second for entries of topics that can wait, and the most in one burst. */
 export const GOSSIP_BYTES_PER_SECOND = 1200
+export const SPARSE_GOSSIP_BYTES_PER_SECOND = 450
 export const GOSSIP_BURST_BYTES = 16_384
 /** How often one peer's entries are compared with the own ones. */
 export const COMPARE_PERIOD = seconds(10)
 /** Parts into which all entries are split for comparing. */
 export const COMPARE_BUCKETS = 64
 /** Parts that one comparison goes into. */
-export const MAX_COMPARED_BUCKETS = 4
+export const MAX_COMPARED_BUCKETS = 8
 /** How often the instance list is read and links are looked after. */
 export const LIST_PERIOD = seconds(2)
 export const LINK_PERIOD = millis(500)
