--- a/packages/bench/src/state/StateRig.ts
+++ b/packages/bench/src/state/StateRig.ts
@@ -17,6 +17,8 @@
   readonly configOf?: (options: ConfigKeeperOptions) => StartedConfig
   /** What keeps requests from running twice, where not {@link ClaimKeeper}. */
   readonly claimsOf?: (options: ClaimKeeperOptions) => Claims
+  /** Members from which on roster confirmations are relayed between peers. */
+  readonly relayFrom?: number
   /** Whether instances keep a configuration; on where absent. */
   readonly hasConfig?: boolean
 }
@@ -58,7 +60,7 @@
       peers: this.peers,
       log: this.events
     }
-    this.roster = new RosterKeeper(base)
+    this.roster = new RosterKeeper({ ...base, relayFrom: options.relayFrom })
     const configOptions = { ...base, objects: new GatedObjectStore(rig.objects, this.gate), roster: this.roster }
     this.config = options.configOf?.(configOptions) ?? new ConfigKeeper(configOptions)
     const claimOptions = { ...base, roster: this.roster, lookUp: options.lookUp }
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -14,4 +14,5 @@
   gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js'),
+  roster: () => import('./benches/roster.js'),
 }
--- a/packages/control/src/RosterKeeper.ts
+++ b/packages/control/src/RosterKeeper.ts
@@ -18,6 +18,8 @@
   readonly random: Random
   readonly table: TableService
   readonly peers: Peers
+  /** Members from which on confirmations are relayed between peers. */
+  readonly relayFrom?: number
   readonly log?: EventLog
 }
 
@@ -112,7 +114,8 @@
 
   /** Confirms the copy through a peer where there are many instances, else by a read. */
   async #confirm (): Promise<void> {
-    if (this.#record.members.length >= RELAY_MIN_MEMBERS && await this.#askPeer()) return
+    const relayFrom = this.#options.relayFrom ?? RELAY_MIN_MEMBERS
+    if (this.#record.members.length >= relayFrom && await this.#askPeer()) return
     await this.#refresh()
   }
 
