--- a/packages/bench/src/state/ConfigKeeper.test.ts
+++ b/packages/bench/src/state/ConfigKeeper.test.ts
@@ -230,6 +230,18 @@
   })
 
   describe('whenInForce', () => {
+    it('asks those that seem behind where there are many instances, so that these need not tell each change', async () => {
+      const rig = await started(30)
+      const { config } = rig.at(0)
+      const accepted = config.propose([workspace('w1')], ANNA)
+      await rig.clock.advance(seconds(1))
+      expect((await accepted).unwrapOr(undefined)?.version).toBe(2)
+      const waiting = (config as ConfigKeeper).whenInForce(2, seconds(8))
+      await rig.clock.advance(seconds(2))
+      expect(await waiting).toBe(true)
+      expect(rig.at(1).peers.entries('config').filter((entry) => entry.key === 'in-force')).toEqual([])
+    })
+
     it('ends once every instance of the roster reports the version', async () => {
       const rig = await started(3)
       rig.pause(rig.ids[2]!)
--- a/packages/control/src/ConfigKeeper.ts
+++ b/packages/control/src/ConfigKeeper.ts
@@ -9,10 +9,11 @@
 import { ConfigStore } from './ConfigStore.js'
 import { ConfigSync } from './ConfigSync.js'
 import {
-  CONFIG_PERIOD, HOLD_TIMEOUT, HOLDERS, LATCH_RECORD_WAIT, POLL_MILLIS_PER_MEMBER, START_GRACE, START_RETRY, START_STORE_WAIT,
-  TAIL_CHANGES
+  CONFIG_PERIOD, HOLD_TIMEOUT, HOLDERS, LATCH_RECORD_WAIT, MAX_ASKED_PEERS, POLL_MILLIS_PER_MEMBER, START_GRACE, START_RETRY,
+  START_STORE_WAIT, TAIL_CHANGES
 } from './constants.js'
 import { CONTROL_EVENTS } from './events.js'
+import { InForceBook, versionOf } from './InForceBook.js'
 import { LatchBook } from './LatchBook.js'
 import { decodeLatch, decodeLogged, encodeLatch, encodeLogged } from './logRecords.js'
 import type { Latch } from './logRecords.js'
@@ -33,10 +34,6 @@
 
 const JITTER = 0.2
 const TAIL = 'tail'
-const IN_FORCE = 'in-force'
-
-const versionOf = (value: Json): number =>
-  isJsonObject(value) && typeof value['version'] === 'number' ? value['version'] : 0
 
 /**
  * The operators' configuration at one instance: a log of small changes in the platform's store,
@@ -57,7 +54,7 @@
   readonly #sync: ConfigSync
   readonly #acceptor: ConfigAcceptor
   readonly #proposals = new PQueue({ concurrency: 1 })
-  readonly #waiters = new Set<() => void>()
+  readonly #inForce: InForceBook
   #timer: Timer | undefined
   #isRunning = false
   #isReady = false
@@ -75,6 +72,7 @@
     const base = { log: this.#log, store, peers: options.peers, events: this.#events, newWriteId }
     this.#sync = new ConfigSync({ ...base, onMoved: () => this.#moved() })
     this.#acceptor = new ConfigAcceptor({ ...base, sync: this.#sync, latches: this.#latches, onAccepted: () => this.#moved() })
+    this.#inForce = new InForceBook({ ...options, version: () => this.#isReady ? this.#log.state.version : 0 })
     options.peers.handle('config', (_from, message) => this.#answerPeer(message))
     options.peers.onEntry('config', (entry) => this.#hear(entry))
     options.peers.onEntry('latch', (entry) => this.#hearLatch(entry))
@@ -92,6 +90,7 @@
   stop (): void {
     this.#isRunning = false
     this.#timer?.cancel()
+    this.#inForce.stop()
   }
 
   /** Whether a configuration is in force here, so that requests may be served. */
@@ -112,30 +111,12 @@
   }
 
   inForce (): readonly InForce[] {
-    const { self, peers, roster } = this.#options
-    const entries = peers.entries('config').filter((entry) => entry.key === IN_FORCE)
-    const versions = new Map(entries.map((entry) => [entry.incarnation, versionOf(entry.value)]))
-    return roster.view().members.map(({ id, incarnation }) =>
-      ({ instance: id, version: id === self ? this.#log.state.version : versions.get(incarnation) ?? 0 }))
+    return this.#inForce.all()
   }
 
   /** Resolves to true once every instance of the roster reports the version, to false after `limit`. */
-  async whenInForce (version: number, limit: Millis): Promise<boolean> {
-    const isEverywhere = (): boolean => {
-      const all = this.inForce()
-      return all.length > 0 && all.every((one) => one.version >= version)
-    }
-    if (isEverywhere()) return true
-    return await new Promise((resolve) => {
-      const end = (isDone: boolean): void => {
-        timer.cancel()
-        this.#waiters.delete(check)
-        resolve(isDone)
-      }
-      const check = (): void => { if (isEverywhere()) end(true) }
-      const timer = this.#options.clock.after(limit, () => end(isEverywhere()))
-      this.#waiters.add(check)
-    })
+  whenInForce (version: number, limit: Millis): Promise<boolean> {
+    return this.#inForce.whenEverywhere(version, limit)
   }
 
   onChange (listener: (view: ConfigView) => void): void {
@@ -154,7 +135,6 @@
   async #tick (): Promise<void> {
     if (this.#isReady) await this.#poll()
     else await this.#tryStart()
-    for (const check of this.#waiters) check()
     this.#schedule()
   }
 
@@ -224,35 +204,33 @@
     const { version } = this.#log.state
     const changes = this.#log.newest.slice(-TAIL_CHANGES).map(encodeLogged)
     peers.publish('config', TAIL, { version, changes })
-    const wanted = Math.min(HOLDERS, peers.members().length)
-    if (this.#holders(version) >= wanted) return
-    await new Promise<void>((resolve) => {
-      const end = (): void => {
-        timer.cancel()
-        this.#waiters.delete(check)
-        resolve()
-      }
-      const check = (): void => { if (this.#holders(version) >= wanted) end() }
-      const timer = clock.after(HOLD_TIMEOUT, end)
-      this.#waiters.add(check)
-    })
+    await Promise.race([this.#whenHeld(version), clock.sleep(HOLD_TIMEOUT)])
   }
 
-  #holders (version: number): number {
-    const { self, peers } = this.#options
-    return peers.entries('config')
-      .filter((entry) => entry.key === IN_FORCE && entry.owner !== self && versionOf(entry.value) >= version).length
+  /** Resolves once some linked peers have said that they hold the version, or none is left to ask. */
+  async #whenHeld (version: number): Promise<void> {
+    const { peers } = this.#options
+    const linked = peers.members().map((member) => member.id).filter((id) => peers.isConnected(id)).slice(0, MAX_ASKED_PEERS)
+    let holders = 0
+    await new Promise<void>((resolve) => {
+      const asked = linked.map(async (id) => {
+        const answer = await peers.ask(id, 'config', { kind: 'version' }, HOLD_TIMEOUT)
+        if (answer.isOk && versionOf(answer.value) >= version) holders++
+        if (holders >= HOLDERS) resolve()
+      })
+      void Promise.all(asked).then(() => resolve())
+    })
   }
 
   #answerPeer (message: Json): Json {
     if (!isJsonObject(message)) return null
+    if (message['kind'] === 'version') return { version: this.#log.state.version }
     const { writeId } = message
     const answer = this.#sync.answer(versionOf(message), typeof writeId === 'string' ? writeId : '')
     return { ...answer, latches: this.#latches.all().map(encodeLatch) }
   }
 
   #hear (entry: GossipEntry): void {
-    for (const check of this.#waiters) check()
     if (entry.owner === this.#options.self || versionOf(entry.value) <= this.#log.state.version) return
     if (entry.key === TAIL && isJsonObject(entry.value) && this.#isReady) {
       const { changes } = entry.value
@@ -275,12 +253,11 @@
     this.#announced = version
     this.#events.emit(CONTROL_EVENTS.configInForce, { version })
     this.#notify()
-    this.#options.peers.publish('config', IN_FORCE, { version })
+    this.#inForce.tell()
   }
 
   #notify (): void {
     const view = this.view()
     for (const listener of this.#listeners) listener(view)
-    for (const check of this.#waiters) check()
   }
 }
--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -47,6 +47,11 @@
 export const HOLDERS = 2
 /** Longest wait for those peers. */
 export const HOLD_TIMEOUT = millis(500)
+/** Delay before many instances tell their version in force; the whole wait is up to twice as long. */
+export const IN_FORCE_DELAY = seconds(15)
+/** How often who waits for a version asks those that seem behind, and how many of them at once. */
+export const IN_FORCE_ASK_PERIOD = millis(500)
+export const IN_FORCE_ASKED = 64
 /** Peers asked at most for their newest version. */
 export const MAX_ASKED_PEERS = 16
 
