--- /dev/null
+++ b/packages/bench/src/load/ConfiguredPool.ts
@@ -0,0 +1,64 @@
+import { brand } from '@papayahill/common'
+import type { DomainId, OperatorName, RegionId } from '@papayahill/common'
+import { ConfigKeeper } from '@papayahill/control'
+import type { EndpointLease, LeaseWant, EndpointTable } from '@papayahill/endpoints'
+import { realPool } from './EndpointRig.js'
+import type { PoolParts } from './EndpointRig.js'
+import type { Leases } from './SimplePool.js'
+
+const OPERATOR = brand<OperatorName>('ana')
+const REGION = brand<RegionId>('r1')
+
+/**
+ * The pool under measurement with the instance's own copy of the configuration beside it, so that an
+ * operator's out takes its real way.
+ *
+ * @example
+ * const pool = new ConfiguredPool(parts)
+ * pool.takeOut(domain)
+ */
+export class ConfiguredPool implements Leases {
+  readonly #config: ConfigKeeper
+  readonly #table: EndpointTable
+  #out: ReadonlySet<DomainId> = new Set()
+
+  constructor (parts: PoolParts) {
+    const { self, clock, random, table, objects, peers, roster } = parts
+    this.#config = new ConfigKeeper({
+      self: self.id,
+      incarnation: self.incarnation,
+      clock,
+      random,
+      table,
+      objects,
+      peers,
+      roster: { view: () => ({ ...roster.view(), confirmedAt: undefined }) }
+    })
+    this.#config.onChange(({ config, unrecordedOuts }) => { this.#out = new Set([...config.domainsOut, ...unrecordedOuts]) })
+    this.#table = realPool(parts, 'plain', { domainsOut: () => this.#out })
+  }
+
+  start (): void {
+    void this.#config.start()
+    this.#table.start()
+  }
+
+  stop (): void {
+    this.#config.stop()
+    this.#table.stop()
+  }
+
+  tryLease (want: LeaseWant): EndpointLease | undefined {
+    return this.#table.tryLease(want)
+  }
+
+  /** An operator applies the domains here. */
+  putDomains (domains: readonly DomainId[]): void {
+    void this.#config.propose(domains.map((id) => ({ kind: 'put-domain', domain: { id, region: REGION } })), OPERATOR)
+  }
+
+  /** An operator takes a domain out here. */
+  takeOut (domain: DomainId): void {
+    void this.#config.propose([{ kind: 'domain-out', domain }], OPERATOR)
+  }
+}
--- a/packages/bench/src/load/EndpointRig.ts
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -9,13 +9,15 @@
 } from '@papayahill/endpoints'
 import { shareChannel } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
-import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
+import type { Peers } from '@papayahill/peers'
+import type { InstanceList, ListedEndpoint, ObjectStore, TableService } from '@papayahill/platform'
 import type { ServiceKind } from '@papayahill/settings'
 import {
-  FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakePeerNetwork, FakeTable, GatedClock, GatedEndpointAccess,
-  GatedInstanceList, GatedTable, LifeGate
+  FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock,
+  GatedEndpointAccess, GatedInstanceList, GatedObjectStore, GatedTable, LifeGate
 } from '@papayahill/standins'
 import type { WorkModel } from '@papayahill/standins'
+import { GatedPeers } from '../state/GatedPeers.js'
 import { CuttableTable } from './CuttableTable.js'
 import { ROSTER_ROW, RosterReader } from './RosterReader.js'
 import type { Leases } from './SimplePool.js'
@@ -47,6 +49,9 @@
   readonly list: InstanceList
   readonly roster: RosterCopy
   readonly shares: ShareChannel
+  readonly peers: Peers
+  readonly table: TableService
+  readonly objects: ObjectStore
 }
 
 /** One entry instance of the rig. */
@@ -80,7 +85,7 @@
 
 /** The pool under measurement, with the options that differ between runs. */
 export const realPool = (
-  parts: PoolParts, kind: ServiceKind, extra: Partial<ConstructorParameters<typeof EndpointTable>[0]> = {}
+  parts: Omit<PoolParts, 'peers' | 'table' | 'objects'>, kind: ServiceKind, extra: Partial<ConstructorParameters<typeof EndpointTable>[0]> = {}
 ): EndpointTable => new EndpointTable({
   ...parts,
   regionOf: () => REGION,
@@ -109,6 +114,7 @@
   calls = 0
   failures = 0
   readonly #options: EndpointRigOptions
+  readonly #objects: FakeObjectStore
   readonly #fleet = new FakeFleet()
   /** Of calls that nobody cancels. */
   readonly #never = new AbortController().signal
@@ -122,6 +128,7 @@
     this.list = new FakeInstanceList(this.clock)
     this.list.lag = options.listLag
     this.network = new FakePeerNetwork(this.clock)
+    this.#objects = new FakeObjectStore(this.clock)
   }
 
   get endpoints (): readonly FakeEndpoint[] {
@@ -148,7 +155,7 @@
     const id = brand<InstanceId>(`i${this.members.length}`)
     const gate = new LifeGate()
     const clock = new GatedClock(this.clock, gate)
-    const peers = this.network.join(id, domain)
+    const peers = new GatedPeers(this.network.join(id, domain), gate)
     const life: RosterLife = { id, incarnation: peers.incarnation, joinedAt: this.#record.version + 1 }
     const table = new CuttableTable(new GatedTable(this.table, gate))
     const roster = new RosterReader({ self: life.incarnation, clock, table })
@@ -160,7 +167,10 @@
       access: this.#accessOf(id, gate),
       list: new GatedInstanceList(this.list, gate),
       roster,
-      shares: shareChannel(peers)
+      shares: shareChannel(peers),
+      peers,
+      table,
+      objects: new GatedObjectStore(this.#objects, gate)
     })
     const stop = (): void => {
       leases.stop()
--- a/packages/bench/src/load/LeavingRun.ts
+++ b/packages/bench/src/load/LeavingRun.ts
@@ -1,8 +1,9 @@
 import { brand, millis } from '@papayahill/common'
-import type { DomainId, InstanceId, Millis } from '@papayahill/common'
+import type { DomainId, Millis } from '@papayahill/common'
 import { WORK_MODELS } from '@papayahill/standins'
 import type { FakeEndpoint, WorkModel } from '@papayahill/standins'
-import { EndpointRig, realPool } from './EndpointRig.js'
+import { ConfiguredPool } from './ConfiguredPool.js'
+import { EndpointRig } from './EndpointRig.js'
 import type { PoolParts } from './EndpointRig.js'
 import { SIMPLE_POLICIES, SimplePool } from './SimplePool.js'
 import type { Leases } from './SimplePool.js'
@@ -14,13 +15,13 @@
 const INSTANCES = 6
 const MODEL: WorkModel = { ...WORK_MODELS.plain, callTime: millis(200) }
 const CALLS_AT_ONCE = 10
-const SPAN = millis(14_000)
-const QUIET_START = 2500
+const SPAN = millis(15_000)
+const QUIET_START = 3500
 const EVENTS_SPAN = 6000
 const OUTAGE_SHARE = 0.5
 const PAUSE_SHARE = 0.5
-/** Slowest spread of an operator's out from one instance to another. */
-const SPREAD_MAX = 1000
+/** When every instance has its configuration, empty at first. */
+const SETTLED = millis(2500)
 
 /** When the platform began to show that an endpoint or a domain takes no new work. */
 interface Stop {
@@ -36,13 +37,12 @@
 /** Endpoints leave and domains go out while instances pause and the store is down; counted at the endpoints. */
 export class LeavingRun {
   readonly #rig: EndpointRig
-  readonly #outs = new Map<InstanceId, Set<DomainId>>()
   readonly #stops: Stop[] = []
   readonly #listLag: Millis
 
   constructor (seed: number, policy: LeavingPolicy) {
     const makePool = (parts: PoolParts): Leases => policy === 'papayahill'
-      ? realPool(parts, 'plain', { domainsOut: () => this.#outsOf(parts.self.id) })
+      ? new ConfiguredPool(parts)
       : new SimplePool({ ...parts, policy: SIMPLE_POLICIES.roundRobin })
     this.#listLag = millis(100 + (seed * 97) % 1400)
     this.#rig = new EndpointRig({
@@ -56,6 +56,7 @@
       for (let index = 0; index < ENDPOINTS_EACH; index++) this.#rig.addEndpoint(place * ENDPOINTS_EACH + index, domain).warmUp()
     })
     for (let index = 0; index < INSTANCES; index++) this.#rig.addMember(DOMAINS[index % DOMAINS.length]!, CALLS_AT_ONCE)
+    clock.after(SETTLED, () => this.#putDomains())
     const time = (): Millis => millis(QUIET_START + random.below(EVENTS_SPAN))
     clock.after(time(), () => this.#leave(this.#rig.endpoints[random.below(this.#rig.endpoints.length)]!))
     clock.after(time(), () => this.#takeOut(DOMAINS[random.below(DOMAINS.length)]!))
@@ -72,10 +73,9 @@
     return { lastNewWorkMs: Math.max(0, ...delays), calls: this.#rig.calls }
   }
 
-  #outsOf (instance: InstanceId): Set<DomainId> {
-    const known = this.#outs.get(instance) ?? new Set<DomainId>()
-    this.#outs.set(instance, known)
-    return known
+  #putDomains (): void {
+    const [first] = this.#rig.members
+    if (first?.leases instanceof ConfiguredPool) first.leases.putDomains(DOMAINS)
   }
 
   #leave (endpoint: FakeEndpoint): void {
@@ -84,13 +84,14 @@
     this.#stops.push({ shownAt: millis(this.#rig.clock.now() + this.#listLag), covers: (at) => at === id })
   }
 
-  /** An operator's out, in force at one instance at once and at the others when its word comes. */
+  /** An operator's out at one instance; where that is paused, once it runs again. */
   #takeOut (domain: DomainId): void {
     const { clock, random, members } = this.#rig
-    for (const member of members) {
-      clock.after(millis(random.below(SPREAD_MAX)), () => member.gate.run(() => this.#outsOf(member.life.id).add(domain)))
-    }
-    this.#stops.push({ shownAt: clock.now(), covers: (_endpoint, at) => at === domain })
+    const { gate, leases } = members[random.below(members.length)]!
+    gate.run(() => {
+      if (leases instanceof ConfiguredPool) leases.takeOut(domain)
+      this.#stops.push({ shownAt: clock.now(), covers: (_endpoint, at) => at === domain })
+    })
   }
 
   #pauseOne (): void {
--- a/packages/bench/src/load/decideRig.ts
+++ b/packages/bench/src/load/decideRig.ts
@@ -57,7 +57,7 @@
 })
 
 /** The parts of one instance before warm endpoints, once everything has settled. */
-const partsOf = (size: DecideSize, clock: VirtualClock): PoolParts => {
+const partsOf = (size: DecideSize, clock: VirtualClock): Omit<PoolParts, 'peers' | 'table' | 'objects'> => {
   const random = new SeededRandom(1)
   const fleet = new FakeFleet()
   const list = new FakeInstanceList(clock)
@@ -115,7 +115,7 @@
   return { microseconds: best * MICROS_PER_MILLI / wants.length, granted }
 }
 
-const makePool = (parts: PoolParts, isScanning: boolean): Leases => isScanning
+const makePool = (parts: ReturnType<typeof partsOf>, isScanning: boolean): Leases => isScanning
   ? new SimplePool({ ...parts, policy: SIMPLE_POLICIES.leastInFlight })
   : realPool(parts, 'engine')
 
