Compare calls within their class; capacity without unusable slots

Cause: a mix of short and long classes looked like overload or like a slow endpoint; slots of cold endpoints counted as capacity on a stale roster copy; an endpoint listed with another version stayed in the old version's lists. Change: times are taken relative to what is usual in the class; capacity counts what may be started now; a moved endpoint starts anew; listeners are told only when there is more room than before.

--- a/packages/endpoints/src/CallStats.ts
+++ b/packages/endpoints/src/CallStats.ts
@@ -1,14 +1,11 @@
-import { millis } from '@papayahill/common'
-import type { Millis } from '@papayahill/common'
-
 const RECENT_CALLS = 16
 
 /**
- * Moving figures of the last calls: mean time, share that failed, failures in a row.
+ * Moving figures of the last calls: mean time, share that failed, failures in a row. Times are in any one unit.
  *
  * @example
  * const stats = new CallStats()
- * stats.add(true, millis(25))
+ * stats.add(true, 25)
  * stats.mean // 25
  */
 export class CallStats {
@@ -18,8 +15,8 @@
   #failedInRow = 0
 
   /** Mean time of calls that ended well; 0 before the first. */
-  get mean (): Millis {
-    return millis(this.#mean)
+  get mean (): number {
+    return this.#mean
   }
 
   get failShare (): number {
@@ -34,7 +31,7 @@
     return this.#failedInRow
   }
 
-  add (isGood: boolean, took: Millis): void {
+  add (isGood: boolean, took: number): void {
     this.#count++
     const weight = 1 / Math.min(this.#count, RECENT_CALLS)
     this.#failShare += weight * ((isGood ? 0 : 1) - this.#failShare)
--- a/packages/endpoints/src/EndpointTable.test.ts
+++ b/packages/endpoints/src/EndpointTable.test.ts
@@ -199,6 +199,14 @@
       expect(setting.lease()).toBeDefined()
     })
 
+    it('counts for nothing in the capacity while the roster copy is too old', async () => {
+      const setting = await new Setting(new BackEnd('e1')).start()
+      expect(setting.table.capacity(SERVICE).slots).toBe(2)
+      setting.rosterAge = seconds(60)
+      await setting.wait(seconds(1))
+      expect(setting.table.capacity(SERVICE).slots).toBe(0)
+    })
+
     it('gets nothing from an instance that is not in the roster', async () => {
       const setting = await new Setting(new BackEnd('e1')).start()
       setting.isMember = false
@@ -314,6 +322,14 @@
       expect(setting.lease({ versions: [OLD, NEW] })?.version).toBe(OLD)
     })
 
+    it('takes an endpoint that is listed with another version for that version only', async () => {
+      const setting = await new Setting(new BackEnd('e1').warm()).start()
+      setting.listed = setting.listed.map((endpoint) => ({ ...endpoint, version: NEW }))
+      await setting.wait(seconds(2))
+      expect(setting.lease({ versions: [OLD] })).toBeUndefined()
+      expect(setting.lease({ versions: [NEW] })?.version).toBe(NEW)
+    })
+
     it('passes over endpoints that already failed the request', async () => {
       const setting = await new Setting(new BackEnd('e1').warm(), new BackEnd('e2').warm()).start()
       expect(setting.lease({ exclude: new Set([brand<EndpointId>('e1')]) })?.endpoint).toBe('e2')
@@ -351,6 +367,16 @@
     })
   })
 
+  it('tells when slots come free', async () => {
+    const setting = await new Setting(new BackEnd('e1').warm()).start()
+    let told = 0
+    setting.table.onFree(SERVICE, () => { told++ })
+    const leases = setting.leaseAll()
+    expect(told).toBe(0)
+    leases[0]!.release('done', millis(20))
+    expect(told).toBe(1)
+  })
+
   it('counts a lease once, however often it is released', async () => {
     const setting = await new Setting(new BackEnd('e1').warm()).start()
     const lease = setting.lease()!
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -56,6 +56,11 @@
   readonly hasAffinity?: boolean
 }
 
+/** Whether the list shows an endpoint as another than before. */
+const isMoved = (before: ListedEndpoint, now: ListedEndpoint): boolean =>
+  before.service !== now.service || before.version !== now.version || before.domain !== now.domain ||
+  before.address.ip !== now.address.ip || before.address.port !== now.address.port
+
 /**
  * All endpoints as one instance sees and may use them.
  *
@@ -185,18 +190,21 @@
     if (entry === undefined || call === undefined) return undefined
     if (prefix !== undefined && entry.incarnation !== undefined) this.#prefixes.sent(entry.listed.id, entry.incarnation, prefix)
     this.#place(entry)
-    return this.#lease(pool, entry, call)
+    return this.#lease(pool, entry, call, want)
   }
 
   /** A slot of a cold endpoint is used only on a roster copy that is fresh in this very tick. */
   #mayTake (entry: EndpointEntry, now: Millis): boolean {
     if (!entry.hasRoom(now)) return false
-    if (entry.state !== 'cold') return true
+    return entry.state !== 'cold' || this.#isRosterFresh()
+  }
+
+  #isRosterFresh (): boolean {
     const { roster } = this.#options
     return roster.isMember() && roster.age() <= this.#rosterMaxAge
   }
 
-  #lease (pool: ServicePool, entry: EndpointEntry, call: RunningCall): EndpointLease {
+  #lease (pool: ServicePool, entry: EndpointEntry, call: RunningCall, want: LeaseWant): EndpointLease {
     let isHeld = true
     return {
       endpoint: entry.listed.id,
@@ -208,7 +216,7 @@
         if (!isHeld) return
         isHeld = false
         entry.ended(call, outcome, this.#options.clock.now())
-        this.#judge.ended(pool, entry, outcome, took)
+        this.#judge.ended(pool, entry, { class: want.class, outcome, took })
         this.#changed(entry)
       }
     }
@@ -226,11 +234,18 @@
     if (known === undefined) this.#options.log.emit(ENDPOINTS_EVENTS.endpointListed, { endpoint: listed.id, service: listed.service })
     this.#entries.set(listed.id, entry)
     const isNews = listed.state === 'leaving' && !entry.isLeaving
+    if (isMoved(entry.listed, listed)) this.#forgetPlace(entry)
     entry.listed = listed
     entry.isUnlisted = false
     if (isNews) this.#leave(entry)
   }
 
+  /** Listed with another version or address: whatever was there is gone. */
+  #forgetPlace (entry: EndpointEntry): void {
+    this.#unwatched(entry)
+    entry.connection?.close()
+  }
+
   /** Stopping needs no agreement: what one instance sees leaving, all stop using at once. */
   #leave (entry: EndpointEntry): void {
     entry.leave()
@@ -303,14 +318,16 @@
   }
 
   #changed (entry: EndpointEntry): void {
-    this.#place(entry)
-    if (entry.hasRoom(this.#options.clock.now())) this.#poolOf(entry.listed.service).tellFree()
+    if (this.#place(entry)) this.#poolOf(entry.listed.service).tellFree()
   }
 
-  #place (entry: EndpointEntry): void {
+  /** Files an endpoint by what it is now; true where it has more room than before. */
+  #place (entry: EndpointEntry): boolean {
     entry.isOut = this.#options.domainsOut().has(entry.listed.domain)
     entry.updateLedger(this.#options.roster.view(), this.#rosterSeenAt())
-    this.#poolOf(entry.listed.service).place(entry, this.#nearness(entry.listed.domain), this.#options.clock.now())
+    return this.#poolOf(entry.listed.service).place(entry, {
+      nearness: this.#nearness(entry.listed.domain), now: this.#options.clock.now(), isRosterFresh: this.#isRosterFresh()
+    })
   }
 
   #nearness (domain: DomainId): Nearness {
--- a/packages/endpoints/src/OutlierJudge.ts
+++ b/packages/endpoints/src/OutlierJudge.ts
@@ -1,5 +1,5 @@
 import { millis, seconds } from '@papayahill/common'
-import type { CallOutcome, Clock, EventLog, Millis } from '@papayahill/common'
+import type { CallOutcome, ClassId, Clock, EventLog, Millis } from '@papayahill/common'
 import type { EndpointEntry } from './EndpointEntry.js'
 import { ENDPOINTS_EVENTS } from './events.js'
 import type { ServicePool } from './ServicePool.js'
@@ -23,6 +23,13 @@
   done: true, failed: false, 'timed-out': false, cut: false, crossed: false
 }
 
+/** How one call ended. */
+export interface EndedCall {
+  readonly class: ClassId
+  readonly outcome: CallOutcome
+  readonly took: Millis
+}
+
 interface Ejection {
   readonly until: Millis
   readonly span: Millis
@@ -38,7 +45,7 @@
  * most of them in use whatever happens, and lets them prove themselves again call by call.
  *
  * @example
- * judge.ended(pool, entry, 'failed', millis(40))
+ * judge.ended(pool, entry, { class: classId, outcome: 'failed', took: millis(40) })
  * judge.lookOver(pool)
  */
 export class OutlierJudge {
@@ -50,14 +57,12 @@
   }
 
   /** Takes the outcome of a call. */
-  ended (pool: ServicePool, entry: EndpointEntry, outcome: CallOutcome, took: Millis): void {
-    const isGood = IS_GOOD[outcome]
+  ended (pool: ServicePool, entry: EndpointEntry, call: EndedCall): void {
+    const isGood = IS_GOOD[call.outcome]
     if (isGood === undefined) return
-    entry.stats.add(isGood, took)
-    if (isGood) {
-      pool.stats.add(true, took)
-      entry.warmLimit.add(took, entry.isBusy())
-    }
+    const relative = isGood ? pool.took(call.class, call.took) : 0
+    entry.stats.add(isGood, relative)
+    if (isGood) entry.warmLimit.add(relative, entry.isBusy())
     this.#prove(entry, isGood)
     if (!isGood) this.#judge(pool, entry)
   }
--- a/packages/endpoints/src/ServicePool.ts
+++ b/packages/endpoints/src/ServicePool.ts
@@ -1,6 +1,7 @@
 import { millis } from '@papayahill/common'
-import type { EndpointId, Millis, ServiceId, VersionId } from '@papayahill/common'
+import type { ClassId, EndpointId, Millis, ServiceId, VersionId } from '@papayahill/common'
 import { CallStats } from './CallStats.js'
+import { ClassTimes } from './ClassTimes.js'
 import type { EndpointEntry } from './EndpointEntry.js'
 import { FreeList } from './FreeList.js'
 import { PrefixRing } from './PrefixRing.js'
@@ -45,14 +46,23 @@
   }
 }
 
+/** Under what an endpoint is placed. */
+export interface Placing {
+  readonly nearness: Nearness
+  readonly now: Millis
+  /** Whether the roster copy is fresh enough for slots of cold endpoints. */
+  readonly isRosterFresh: boolean
+}
+
 interface Part {
-  readonly slots: number
+  /** Calls that this instance may start there now. */
+  readonly free: number
   readonly busy: number
   readonly running: number
   readonly total: number
 }
 
-const NO_PART: Part = { slots: 0, busy: 0, running: 0, total: 0 }
+const NO_PART: Part = { free: 0, busy: 0, running: 0, total: 0 }
 
 /**
  * The watched endpoints of one service, with running sums, so that neither a decision nor
@@ -60,12 +70,13 @@
  *
  * @example
  * const pool = new ServicePool(service)
- * pool.place(entry, 0, clock.now())
+ * pool.place(entry, { nearness: 0, now: clock.now(), isRosterFresh: true })
  * pool.capacity().slots
  */
 export class ServicePool {
   readonly service: ServiceId
-  readonly stats = new CallStats()
+  readonly #stats = new CallStats()
+  readonly #times = new ClassTimes()
   readonly #versions = new Map<VersionId, VersionPool>()
   readonly #parts = new Map<EndpointEntry, Part>()
   readonly #listeners: Array<() => void> = []
@@ -88,16 +99,26 @@
     return this.#versions.get(version)
   }
 
-  /** Takes over what changed at an endpoint. */
-  place (entry: EndpointEntry, nearness: Nearness, now: Millis): void {
-    entry.typicalCall = this.stats.mean
+  /** Takes the time of a call that ended well; tells it as a multiple of what is usual in its class. */
+  took (of: ClassId, took: Millis): number {
+    this.#stats.add(true, took)
+    return this.#times.relative(of, took)
+  }
+
+  /** Takes over what changed at an endpoint; true where it has more room than before. */
+  place (entry: EndpointEntry, { nearness, now, isRosterFresh }: Placing): boolean {
+    entry.typicalCall = millis(this.#stats.mean)
     this.#versionOf(entry).place(entry, nearness, now)
+    const isUsable = isRosterFresh || entry.state !== 'cold'
+    const free = isUsable && entry.hasRoom(now) ? Math.max(0, entry.limit(now) - entry.busy) : 0
+    const freeBefore = this.#parts.get(entry)?.free ?? 0
     this.#account(entry, {
-      slots: Math.max(entry.limit(now), entry.busy),
+      free,
       busy: entry.busy,
       running: entry.report === undefined ? 0 : entry.report.running + entry.report.queued,
       total: entry.state === 'warm' ? entry.warmLimit.value : entry.coldTotal
     })
+    return free > freeBefore
   }
 
   drop (entry: EndpointEntry): void {
@@ -107,8 +128,8 @@
   }
 
   capacity (): ServiceCapacity {
-    const { slots, busy, running, total } = this.#sum
-    return { slots, busy, meanCall: millis(this.stats.mean), load: total === 0 ? 0 : running / total }
+    const { free, busy, running, total } = this.#sum
+    return { slots: free + busy, busy, meanCall: millis(this.#stats.mean), load: total === 0 ? 0 : running / total }
   }
 
   onFree (listener: () => void): void {
@@ -123,7 +144,7 @@
     const before = this.#parts.get(entry) ?? NO_PART
     this.#parts.set(entry, part)
     this.#sum = {
-      slots: this.#sum.slots + part.slots - before.slots,
+      free: this.#sum.free + part.free - before.free,
       busy: this.#sum.busy + part.busy - before.busy,
       running: this.#sum.running + part.running - before.running,
       total: this.#sum.total + part.total - before.total
--- a/packages/endpoints/src/WarmLimit.ts
+++ b/packages/endpoints/src/WarmLimit.ts
@@ -1,5 +1,3 @@
-import type { Millis } from '@papayahill/common'
-
 /** Mean time over the best one seen at which an endpoint counts as overloaded. */
 const OVERLOAD_RATIO = 2
 const CUT = 0.8
@@ -15,7 +13,7 @@
  * @example
  * const limit = new WarmLimit()
  * limit.setTop(report.bearsWarm)
- * limit.add(took, true)
+ * limit.add(1.2, true)
  */
 export class WarmLimit {
   #top = 0
@@ -36,8 +34,8 @@
     this.#top = top
   }
 
-  /** Takes the time of a call that ended well; `wasBusy` where the endpoint was near its limit. */
-  add (took: Millis, wasBusy: boolean): void {
+  /** Takes the time of a call that ended well, as a multiple of what is usual; `wasBusy` where the endpoint was near its limit. */
+  add (took: number, wasBusy: boolean): void {
     this.#sum += took
     this.#count++
     this.#value = Math.min(this.#top, this.#value + 1 / Math.max(1, this.#value))
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -41,7 +41,7 @@
 /** A running call this many times longer than the mean of its service makes the endpoint suspect. */
 export const SUSPECT_FACTOR = 3
 /** No call is overdue before this time. */
-export const SUSPECT_MIN = millis(50)
+export const SUSPECT_MIN = millis(200)
 /** Share of the room in a fresh report that one of a single pair of instances may borrow. */
 export const BORROW_SHARE = 1.5
 /** Longest age of a report on which slots are borrowed. */
