--- a/packages/pipeline/src/PipelineServer.test.ts
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -307,6 +307,14 @@
     })
   })
 
+  describe('a fault of the instance', () => {
+    it('ends the request with an answer that claims nothing', async () => {
+      claims.begin = () => Promise.reject(new Error('broken'))
+      expect(failureOf(await run(requestOf('order')))).toMatchObject({ kind: 'internal', run: 'unknown' })
+      expect(server.running).toBe(0)
+    })
+  })
+
   describe('retries', () => {
     it('go to another endpoint and mark the first call as waste', async () => {
       serve.set('encode', firstThen(() => Promise.resolve(error('failed'))))
--- a/packages/pipeline/src/PipelineServer.ts
+++ b/packages/pipeline/src/PipelineServer.ts
@@ -1,4 +1,4 @@
-import { millis, refusal } from '@papayahill/common'
+import { failure, millis, refusal } from '@papayahill/common'
 import type {
   ClassId, Clock, EventLog, Failure, Millis, Random, RequestRecord, ServiceId, ServingObserver, StageRecord, VersionId, WorkspaceId
 } from '@papayahill/common'
@@ -12,7 +12,7 @@
 import { StageCaller } from './StageCaller.js'
 import type { Route } from './StagePlan.js'
 import type { Answer, AnswerSink, CallerRequest, PipelineRunner } from './types.js'
-import { markWaste } from './wasteOf.js'
+import { markWaste } from './markWaste.js'
 
 export interface PipelineServerOptions {
   readonly clock: Clock
@@ -77,7 +77,7 @@
   async #admit (request: CallerRequest, route: ClassRoute, run: RequestRun): Promise<Result<Answer, Failure>> {
     const admitted = this.#takeIn(request, route)
     if (admitted.isErr) {
-      const refused = await run.refuse(admitted.error)
+      const refused = await run.refuse(admitted.error).catch(brokenRun)
       this.#running--
       this.#tellEnd(this.#record(request, run, refused, route.settings), run, refused)
       return refused
@@ -99,7 +99,7 @@
   }
 
   async #serve (request: CallerRequest, route: ClassRoute, run: RequestRun): Promise<Result<Answer, Failure>> {
-    const work = run.work()
+    const work = run.work().catch(brokenRun)
     const answer = await Promise.race([work, run.givenUp])
     const record = this.#record(request, run, answer, route.settings)
     this.#options.scheduler.finished(request.id, record.isTargetMet)
@@ -158,6 +158,10 @@
 
 const refuse = (kind: Failure['kind'], detail: string): Result<never, Failure> => Result.err(refusal(kind, detail))
 
+/** A fault of the instance itself: nothing can be said of what ran. */
+const brokenRun = (err: unknown): Result<Answer, Failure> =>
+  Result.err(failure('internal', err instanceof Error ? err.message : 'the request broke', 'unknown'))
+
 const outcomeOf = (answer: Result<Answer, Failure>): RequestRecord['outcome'] => {
   if (answer.isOk) return 'answered'
   return answer.error.run === 'not-run' ? 'refused' : 'failed'
--- a/packages/scheduling/src/ServiceScheduler.test.ts
+++ b/packages/scheduling/src/ServiceScheduler.test.ts
@@ -155,6 +155,12 @@
       expect((await stuck).isErr).toBe(true)
     })
 
+    it('takes a slot back from a use that breaks', async () => {
+      const broken = scheduler.withLease(want('broken', 5000), () => Promise.reject(new Error('broken')))
+      await expect(broken).rejects.toThrow('broken')
+      expect(pool.capacity(SERVICE).busy).toBe(0)
+    })
+
     it('follows the slots of the pool', async () => {
       let started = 0
       for (let at = 0; at < 4; at++) void scheduler.withLease(want(`${at}`, 5000), hold(1000, () => started++))
--- a/packages/scheduling/src/ServiceScheduler.ts
+++ b/packages/scheduling/src/ServiceScheduler.ts
@@ -93,7 +93,12 @@
       const run = async (lease: EndpointLease): Promise<void> => {
         stopWaiting()
         this.#commitments.started(want.request, want.stage)
-        await use(this.#watched(want, lease)).then((value) => resolve(Result.ok(value)), reject)
+        const watched = this.#watched(want, lease)
+        const onBroken = (err: unknown): void => {
+          watched.release('failed', millis(0))
+          reject(err)
+        }
+        await use(watched).then((value) => resolve(Result.ok(value)), onBroken)
       }
       const timer = this.#options.clock.after(this.#patience(want), () => giveUp(slackGone(want)))
       want.signal.addEventListener('abort', onAbort, { once: true })
--- a/packages/scheduling/src/SlackQueue.ts
+++ b/packages/scheduling/src/SlackQueue.ts
@@ -72,7 +72,7 @@
     items.splice(items.indexOf(item), 1)
     if (items.length > 0) return
     this.#items.delete(workspace)
-    if ((this.#turns.get(workspace) ?? 0) <= this.#virtual) this.#turns.delete(workspace)
+    if (this.isEmpty) this.#turns.clear()
   }
 }
 
