--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -5,6 +5,7 @@
   'moves-good': () => import('./benches/moves-good.js'),
   'moves-bad': () => import('./benches/moves-bad.js'),
   ledger: () => import('./benches/ledger.js'),
+  forecast: () => import('./benches/forecast.js'),
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
   'cold-start': () => import('./benches/cold-start.js'),
--- a/packages/rollout/src/AdverseJudge.ts
+++ b/packages/rollout/src/AdverseJudge.ts
@@ -1,4 +1,6 @@
-import { HOLD_NATS, SUPPOSED_FAILED_RATES, SUPPOSED_SLOW_RATES } from './constants.js'
+import {
+  DOUBT_FAILED_SHARE, DOUBT_SLOW_SHARE, HOLD_ALWAYS_NATS, HOLD_NATS, SUPPOSED_FAILED_RATES, SUPPOSED_SLOW_RATES
+} from './constants.js'
 import { EvidenceSums } from './EvidenceSums.js'
 import { Tally } from './Tally.js'
 import type { TallyCounts } from './Tally.js'
@@ -23,6 +25,9 @@
 export class AdverseJudge {
   readonly #failed = new EvidenceSums(SUPPOSED_FAILED_RATES.length)
   readonly #slow = new EvidenceSums(SUPPOSED_SLOW_RATES.length)
+  /** The same evidence, fading: what holds back a step. */
+  readonly #failedDoubt = new EvidenceSums(SUPPOSED_FAILED_RATES.length)
+  readonly #slowDoubt = new EvidenceSums(SUPPOSED_SLOW_RATES.length)
   readonly #tally = new Tally()
 
   /** Evidence against the new version, in nats. */
@@ -36,16 +41,28 @@
 
   /** Whether the share should not be raised now. */
   get isDoubtful (): boolean {
-    return this.nats >= HOLD_NATS
+    const failed = this.#failedDoubt.nats
+    const slow = this.#slowDoubt.nats
+    if (Math.max(failed, slow) >= HOLD_ALWAYS_NATS) return true
+    const isFailing = failed >= HOLD_NATS && this.#tally.failedShare >= DOUBT_FAILED_SHARE
+    return isFailing || (slow >= HOLD_NATS && this.#tally.slowShare >= DOUBT_SLOW_SHARE)
   }
 
   update (looked: Looked): void {
     this.#failed.add(looked.failedNats)
     this.#slow.add(looked.slowNats)
+    this.#failedDoubt.add(looked.failedNats)
+    this.#slowDoubt.add(looked.slowNats)
     if (this.nats === 0) this.#tally.clear()
     this.#tally.add(looked)
   }
 
+  /** Lets the evidence that holds back steps fade. */
+  fade (kept: number): void {
+    this.#failedDoubt.fade(kept)
+    this.#slowDoubt.fade(kept)
+  }
+
   /** The evidence in words and numbers; `limit` says from when on a call was slow. */
   describe (limit = ''): string {
     const isFailing = this.#failed.netNats >= this.#slow.netNats
--- a/packages/rollout/src/EvidenceSums.ts
+++ b/packages/rollout/src/EvidenceSums.ts
@@ -37,6 +37,11 @@
     return Math.max(...this.#runs.map(({ nats, count }) => nats - Math.log(RUN_POWER_SUM * Math.max(1, count) ** RUN_POWER)))
   }
 
+  /** Lets earlier evidence weigh less. */
+  fade (kept: number): void {
+    for (const run of this.#runs) run.nats *= kept
+  }
+
   add (gained: readonly number[]): void {
     this.#runs.forEach((run, index) => {
       const nats = gained[index]!
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -201,6 +201,7 @@
   #decide ({ open, rate }: Entry): StepDecision {
     const { record, move } = open
     if (record === undefined && open.rowVersion === 0 && !this.#hasPolled(move.service)) return UNCONFIRMED
+    if (record?.state === 'done') return { kind: 'done', because: record.because }
     const now = this.#options.clock.wall()
     const begunAt = record?.begunAt ?? now
     const capacity = this.#options.capacity(move.service, move.to)
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -2,7 +2,7 @@
 import type { Millis, Random, StageRecord } from '@papayahill/common'
 import type { MoveSettings } from '@papayahill/settings'
 import { AdverseJudge, SUM_COUNT } from './AdverseJudge.js'
-import { MOVE_ERROR_RATE, PROBE_SHARE_MAX } from './constants.js'
+import { DOUBT_SPAN, MOVE_ERROR_RATE, PROBE_SHARE_MAX } from './constants.js'
 import { EvidenceCounts, routeKey } from './EvidenceCounts.js'
 import { MergedEvidence } from './MergedEvidence.js'
 import type { MoveRecord } from './moveRow.js'
@@ -36,6 +36,7 @@
   readonly #pooled = new AdverseJudge()
   readonly #splitters = new Map<string, ShareSplitter>()
   readonly #callsBeforeShare = new Map<string, number>()
+  #judgedAt: Millis | undefined
   #rowVersion = 0
   #record: MoveRecord | undefined
   #takeBack: TakeBack | undefined
@@ -105,6 +106,7 @@
 
   /** Judges what came since the last time; the evidence in words where it suffices to take back. */
   judge (now: Millis): string | undefined {
+    this.#fade(now)
     this.merged.takeNew(this.#unjudged)
     this.#unjudged.clear()
     for (const counts of this.merged.drain().routes) {
@@ -129,6 +131,13 @@
     })
   }
 
+  #fade (now: Millis): void {
+    const kept = Math.exp(((this.#judgedAt ?? now) - now) / DOUBT_SPAN)
+    this.#judgedAt = now
+    for (const judge of this.#judges.values()) judge.fade(kept)
+    this.#pooled.fade(kept)
+  }
+
   /** Nats at which the chance to take back a good version, over all sums, meets the stated rate. */
   #limit (): number {
     return Math.log((this.#judges.size + 1) * SUM_COUNT / MOVE_ERROR_RATE)
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -85,6 +85,11 @@
     return looked
   }
 
+  /** Lets the evidence that holds back steps fade. */
+  fade (kept: number): void {
+    this.#judge.fade(kept)
+  }
+
   /** The evidence in words and numbers. */
   describe (): string {
     return this.#judge.describe(this.#slowFrom === undefined ? '' : ` than ${Math.round(bucketStart(this.#slowFrom))} ms`)
--- a/packages/rollout/src/Tally.ts
+++ b/packages/rollout/src/Tally.ts
@@ -28,6 +28,16 @@
     this.#slow = add(this.#slow, slow)
   }
 
+  /** Share of the new version's calls that failed. */
+  get failedShare (): number {
+    return this.#failed.new.adverse / Math.max(1, this.#failed.new.calls)
+  }
+
+  /** Share of the new version's calls that were slow. */
+  get slowShare (): number {
+    return this.#slow.new.adverse / Math.max(1, this.#slow.new.calls)
+  }
+
   describeFailed (): string {
     const { new: fresh, old } = this.#failed
     return `${fresh.adverse} of ${fresh.calls} calls failed against ${old.adverse} of ${old.calls}`
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -35,8 +35,15 @@
 export const RECENT_SPAN = seconds(20)
 /** Lost connections of the new version within this span count as one failure: an endpoint's restart cuts many calls at once. */
 export const LOSS_SPAN = seconds(5)
-/** Evidence against the new version, in nats, above which its share is not raised. */
+/** Evidence against the new version, in nats, above which its share is not raised while its calls look bad. */
 export const HOLD_NATS = 2.5
+/** How fast such evidence fades: a fault that lasts renews it, trouble that has passed does not. */
+export const DOUBT_SPAN = seconds(30)
+/** The same however its calls look. */
+export const HOLD_ALWAYS_NATS = 7
+/** Shares of failed and of slow calls of the new version from which they look bad. */
+export const DOUBT_FAILED_SHARE = 0.04
+export const DOUBT_SLOW_SHARE = 0.2
 
 /** Share before anything is known. */
 export const FIRST_SHARE = 0.01
