--- /dev/null
+++ b/packages/bench/src/benches/forecast.ts
@@ -0,0 +1,99 @@
+import { epochMillis, microUnits, millis, MILLIS_PER_DAY, MILLIS_PER_MINUTE, SeededRandom, VirtualClock } from '@papayahill/common'
+import { dayOf } from '@papayahill/cost'
+import type { BudgetSettings } from '@papayahill/settings'
+import { KeeperPolicy, FixedPartPolicy } from '../forecast/policies.js'
+import type { ForecastPolicy, Warning } from '../forecast/policies.js'
+import { PARTS, SpendModel, STEP_MINUTES, STEPS_PER_DAY, WORKSPACE } from '../forecast/SpendModel.js'
+import type { Tripling } from '../forecast/SpendModel.js'
+import type { Bench, BenchOptions, Figures } from '../types.js'
+
+const CALM_DAYS = 100
+/** A Monday. */
+const FIRST_DAY = Date.UTC(2027, 0, 4)
+const STEPS_PER_HOUR = 60 / STEP_MINUTES
+/** The budget over an ordinary working day's spend. */
+const LIMIT_FACTORS = [1.3, 1.6] as const
+/** Hours in which the spend may triple. */
+const TRIPLES_FROM = [5, 12] as const
+
+type PolicyMaker = (clock: VirtualClock, budget: BudgetSettings) => ForecastPolicy
+
+const POLICIES = {
+  keeper: (clock, budget) => new KeeperPolicy(clock, budget),
+  fixedPart: (clock, budget) => new FixedPartPolicy(clock, budget)
+} satisfies Readonly<Record<string, PolicyMaker>>
+
+interface Outcome {
+  /** Warnings on days on which the budget was not passed. */
+  readonly falseWarnings: number
+  readonly calmDays: number
+  /** Minutes from the warning to the moment at which the budget was passed; 0 where there was no warning. */
+  readonly warnedAhead: number | undefined
+  readonly isDriverNamed: boolean
+}
+
+const between = (random: SeededRandom, [low, high]: readonly [number, number]): number => low + (high - low) * random.next()
+
+const runSeed = async (seed: number, makePolicy: PolicyMaker): Promise<Outcome> => {
+  const random = new SeededRandom(seed)
+  const clock = new VirtualClock(epochMillis(FIRST_DAY))
+  const tripling: Tripling = { day: CALM_DAYS, step: Math.floor(between(random, TRIPLES_FROM) * STEPS_PER_HOUR) }
+  const model = new SpendModel(seed, tripling)
+  const limit = microUnits(Math.round(model.usualDay * between(random, LIMIT_FACTORS)))
+  const budget: BudgetSettings = { workspace: WORKSPACE, period: 'day', limit, atLimit: 'warn' }
+  const policy = makePolicy(clock, budget)
+  const passedAt = new Map<string, number>()
+  for (let day = 0; day <= CALM_DAYS; day++) {
+    let spent = 0
+    for (let step = 0; step < STEPS_PER_DAY; step++) {
+      const spend = model.step(day, step)
+      spent += spend.reduce((sum, part) => sum + part, 0)
+      await policy.step(dayOf(clock.wall()), Math.floor(step / STEPS_PER_HOUR), spend)
+      const today = dayOf(clock.wall())
+      if (spent >= limit && !passedAt.has(today)) passedAt.set(today, clock.wall())
+      await clock.advance(millis(STEP_MINUTES * MILLIS_PER_MINUTE))
+    }
+  }
+  const lastDay = dayOf(epochMillis(FIRST_DAY + CALM_DAYS * MILLIS_PER_DAY))
+  const dayOfWarning = ({ at }: Warning): string => dayOf(epochMillis(at))
+  const warning = policy.warnings.find((each) => dayOfWarning(each) === lastDay)
+  const passed = passedAt.get(lastDay)
+  const ahead = warning === undefined || passed === undefined ? 0 : (passed - warning.at) / MILLIS_PER_MINUTE
+  return {
+    falseWarnings: policy.warnings.filter((each) => !passedAt.has(dayOfWarning(each))).length,
+    calmDays: CALM_DAYS + 1 - passedAt.size,
+    warnedAhead: passed === undefined ? undefined : ahead,
+    isDriverNamed: warning?.driver !== undefined && PARTS.some(({ id }) => `${id.class}/${id.stage}` === warning.driver)
+  }
+}
+
+const sumOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0)
+
+const runPolicy = async ({ seed, seeds }: BenchOptions, makePolicy: PolicyMaker): Promise<Figures> => {
+  const outcomes: Outcome[] = []
+  for (let each = seed; each < seed + seeds; each++) outcomes.push(await runSeed(each, makePolicy))
+  const passed = outcomes.map(({ warnedAhead }) => warnedAhead).filter((minutes) => minutes !== undefined)
+  return {
+    warnedAheadMinMinutes: Math.min(...passed),
+    falseWarningsPer100Days: 100 * sumOf(outcomes.map(({ falseWarnings }) => falseWarnings)) / sumOf(outcomes.map(({ calmDays }) => calmDays)),
+    driverNamedShare: outcomes.filter(({ isDriverNamed }) => isDriverNamed).length / outcomes.length,
+    passedShare: passed.length / outcomes.length
+  }
+}
+
+/** A hundred calm days, then a day on which the workspace's spend triples. */
+export const bench: Bench = {
+  name: 'forecast',
+  about: 'a budget that will be passed is told ahead of time, and calm days are calm',
+  seeds: 10,
+  ciSeeds: 3,
+  bounds: {
+    warnedAheadMinMinutes: { min: 60 },
+    falseWarningsPer100Days: { max: 1 }
+  },
+  baselinesMustMiss: { fixedPart: ['falseWarningsPer100Days'] },
+  run: async (options) => ({
+    figures: await runPolicy(options, POLICIES.keeper),
+    baselines: { fixedPart: await runPolicy(options, POLICIES.fixedPart) }
+  })
+}
