Capacity: whole instances at size, processor time by role

Change: a fleet of whole instances over links in memory, sampled by the package that the time goes to.

--- /dev/null
+++ b/packages/bench/src/capacity/CapacityFleet.ts
@@ -0,0 +1,208 @@
+import { brand, hash64, millis, SeededRandom, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import type { DomainId, EndpointId, Incarnation, InstanceId, Millis, Random, RequestId, WorkspaceId } from '@papayahill/common'
+import { Instance } from '@papayahill/instance'
+import { Trace } from '@papayahill/invariants'
+import { MemoryNetwork, PeerCore } from '@papayahill/peers'
+import type { OperatorConfig, ServiceSettings } from '@papayahill/settings'
+import {
+  FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakeObjectStore, FakeTable, WORK_MODELS
+} from '@papayahill/standins'
+import { CollectingSink, FakeOrderChannel } from '@papayahill/testbed'
+import { capacityConfig } from './capacityConfig.js'
+import { profileByRole } from './CpuProfile.js'
+import { heapNow } from './heapNow.js'
+import type { FleetSize, InstanceUse, Role } from './types.js'
+
+const ADDRESS = '127.0.0.1'
+const FIRST_PORT = 20_000
+const OPERATOR = brand<Parameters<Instance['config']['propose']>[1]>('operator')
+/** Time until links, copies and reports have settled. */
+const SETTLE = seconds(12)
+const START_LIMIT = seconds(60)
+/** The target's 6,200 requests a second over 420 instances. */
+const REQUESTS_PER_SECOND = 15
+
+/** A trace that keeps nothing: at this size it would be what fills the memory. */
+class NoTrace extends Trace {
+  override add (): void {}
+}
+
+/**
+ * Whole instances at a given size over links in memory, to see what one of them uses for control.
+ *
+ * @example
+ * const fleet = new CapacityFleet({ instances: 9, endpoints: 28, workspaces: 5 })
+ * await fleet.start()
+ * const use = await fleet.measure(seconds(20))
+ */
+export class CapacityFleet {
+  readonly #size: FleetSize
+  readonly #clock = new VirtualClock()
+  readonly #random: Random = new SeededRandom(1)
+  readonly #network = new MemoryNetwork(this.#clock)
+  readonly #table = new FakeTable(this.#clock, this.#random.fork())
+  readonly #objects = new FakeObjectStore(this.#clock)
+  readonly #list = new FakeInstanceList(this.#clock)
+  readonly #endpoints = new FakeFleet()
+  readonly #trace = new NoTrace()
+  readonly #config: OperatorConfig
+  readonly #instances: Instance[] = []
+  readonly #peers: PeerCore[] = []
+  #heapBefore = 0
+  #requests = 0
+
+  constructor (size: FleetSize) {
+    this.#size = size
+    this.#config = capacityConfig(size.workspaces)
+  }
+
+  async start (): Promise<void> {
+    this.#addEndpoints()
+    for (let at = 0; at < this.#size.instances; at++) this.#list.setInstance(this.#listed(at))
+    this.#heapBefore = heapNow()
+    const started: Array<Promise<unknown>> = []
+    for (let at = 0; at < this.#size.instances; at++) started.push(this.#startInstance(at))
+    await this.#settled(Promise.all(started))
+    await this.#settled(this.#instances[0]!.config.propose([{ kind: 'replace', config: this.#config }], OPERATOR))
+    await this.#clock.advance(SETTLE)
+  }
+
+  /** What an average instance uses over `span`, under its share of the target's requests and one change. */
+  async measure (span: Millis): Promise<InstanceUse> {
+    const bytes = this.#bytesByTopic()
+    const { reads, writes } = this.#table
+    const stopCallers = this.#sendRequests()
+    const change = { kind: 'put-workspace', workspace: { id: brand<WorkspaceId>('workspace-1') } } as const
+    void this.#instances[0]!.config.propose([change], OPERATOR)
+    const seconds = await profileByRole(() => this.#clock.advance(span))
+    stopCallers()
+    const perNodeSecond = (value: number): number => value / this.#size.instances / (span / 1000)
+    const bytesByTopic = Object.fromEntries(Object.entries(this.#bytesByTopic())
+      .map(([topic, total]) => [topic, perNodeSecond(total - (bytes[topic] ?? 0))]))
+    const cpuByRole = Object.fromEntries([...seconds].filter(([role]) => role !== 'other')
+      .map(([role, value]) => [role, perNodeSecond(value)])) as Partial<Record<Role, number>>
+    return {
+      cpuByRole,
+      cpuShare: Object.values(cpuByRole).reduce((sum, value) => sum + value, 0),
+      heapBytes: (heapNow() - this.#heapBefore) / this.#size.instances,
+      bytesByTopic,
+      bytesPerSecond: Object.values(bytesByTopic).reduce((sum, value) => sum + value, 0),
+      storeReadsPerSecond: perNodeSecond(this.#table.reads - reads),
+      storeWritesPerSecond: perNodeSecond(this.#table.writes - writes),
+      span
+    }
+  }
+
+  async stop (): Promise<void> {
+    for (const instance of this.#instances) await instance.stop()
+  }
+
+  async #settled (work: Promise<unknown>): Promise<void> {
+    let isDone = false
+    void work.then(() => { isDone = true })
+    if (!await this.#clock.advanceUntil(() => isDone, START_LIMIT)) throw new Error(`the fleet of ${this.#size.instances} did not start`)
+  }
+
+  #bytesByTopic (): Readonly<Record<string, number>> {
+    const sums: Record<string, number> = {}
+    for (const core of this.#peers) {
+      for (const { topic, sentBytes } of core.traffic()) sums[topic] = (sums[topic] ?? 0) + sentBytes
+    }
+    return sums
+  }
+
+  /** Each instance gets its share of the target's requests, at an even pace. */
+  #sendRequests (): () => void {
+    const classes = [...this.#config.classes.values()]
+    const workspaces = [...this.#config.workspaces.keys()]
+    const timers = this.#instances.map((instance) => this.#clock.every(millis(1000 / REQUESTS_PER_SECOND), () => {
+      this.#requests++
+      const body = { input: `sample ${this.#requests}` }
+      void instance.runner.run({
+        id: brand<RequestId>(`r${this.#requests}`),
+        workspace: workspaces[this.#requests % workspaces.length]!,
+        class: classes[this.#requests % classes.length]!.id,
+        body,
+        digest: brand(hash64(JSON.stringify(body))),
+        isStreamed: true,
+        startedAt: this.#clock.now(),
+        signal: new AbortController().signal
+      }, new CollectingSink())
+    }))
+    return () => { for (const timer of timers) timer.cancel() }
+  }
+
+  #addEndpoints (): void {
+    const services = [...this.#config.services.values()]
+    const domains = [...this.#config.domains.keys()]
+    for (let at = 0; at < this.#size.endpoints; at++) {
+      this.#addEndpoint(at, services[at % services.length]!, domains[Math.floor(at / services.length) % domains.length]!)
+    }
+  }
+
+  #addEndpoint (at: number, service: ServiceSettings, domain: DomainId): void {
+    const listed = {
+      id: brand<EndpointId>(`endpoint-${at + 1}`),
+      service: service.id,
+      version: service.version,
+      domain,
+      address: { ip: ADDRESS, port: FIRST_PORT + at },
+      state: 'live' as const
+    }
+    const endpoint = new FakeEndpoint({
+      clock: this.#clock,
+      random: this.#random.fork(),
+      trace: this.#trace,
+      listed,
+      kind: service.kind,
+      model: { ...WORK_MODELS[service.kind], bearsWarm: 256 }
+    })
+    endpoint.warmUp()
+    this.#endpoints.add(endpoint)
+    this.#list.setEndpoint(listed)
+  }
+
+  #listed (at: number): Parameters<FakeInstanceList['setInstance']>[0] {
+    return { id: this.#idOf(at), domain: this.#domainOf(at), address: { ip: ADDRESS, port: 1000 + at }, state: 'live' }
+  }
+
+  #idOf (at: number): InstanceId {
+    return brand<InstanceId>(`instance-${String(at + 1).padStart(3, '0')}`)
+  }
+
+  #domainOf (at: number): DomainId {
+    const domains = [...this.#config.domains.keys()]
+    return domains[at % domains.length]!
+  }
+
+  async #startInstance (at: number): Promise<void> {
+    const self = this.#idOf(at)
+    const domain = this.#domainOf(at)
+    const incarnation = brand<Incarnation>(`${self}#1`)
+    const { address } = this.#listed(at)
+    const shared = { self, domain, clock: this.#clock, log: SILENT_LOG }
+    const peers = new PeerCore({
+      ...shared,
+      incarnation,
+      random: this.#random.fork(),
+      transport: this.#network.transport({ id: self, incarnation, domain, address }),
+      list: this.#list
+    })
+    const instance = new Instance({
+      ...shared,
+      region: this.#config.domains.get(domain)!.region,
+      random: this.#random.fork(),
+      table: this.#table,
+      objects: this.#objects,
+      instanceList: this.#list,
+      access: new FakeEndpointAccess({ clock: this.#clock, random: this.#random.fork(), fleet: this.#endpoints, instance: self }),
+      orderChannel: new FakeOrderChannel(),
+      peers
+    })
+    this.#peers.push(peers)
+    this.#instances.push(instance)
+    await peers.start()
+    const result = await instance.start()
+    if (result.isErr) throw new Error(result.error.detail)
+  }
+}
