Moves and budgets: entries of their own, calm is told

Cause: the keeper had grown past its size; two events of the catalogues were never told. Change: a move's entry and its status are a module; the store's failures and a budget that holds after all are told once.

--- a/packages/bench/src/benches/forecast.ts
+++ b/packages/bench/src/benches/forecast.ts
@@ -73,9 +73,11 @@
   const outcomes: Outcome[] = []
   for (let each = seed; each < seed + seeds; each++) outcomes.push(await runSeed(each, makePolicy))
   const passed = outcomes.map(({ warnedAhead }) => warnedAhead).filter((minutes) => minutes !== undefined)
+  const falseWarnings = sumOf(outcomes.map((outcome) => outcome.falseWarnings))
+  const calmDays = sumOf(outcomes.map((outcome) => outcome.calmDays))
   return {
     warnedAheadMinMinutes: Math.min(...passed),
-    falseWarningsPer100Days: 100 * sumOf(outcomes.map(({ falseWarnings }) => falseWarnings)) / sumOf(outcomes.map(({ calmDays }) => calmDays)),
+    falseWarningsPer100Days: 100 * falseWarnings / calmDays,
     driverNamedShare: outcomes.filter(({ isDriverNamed }) => isDriverNamed).length / outcomes.length,
     passedShare: passed.length / outcomes.length
   }
--- a/packages/cost/src/BudgetAccount.ts
+++ b/packages/cost/src/BudgetAccount.ts
@@ -20,7 +20,7 @@
 }
 
 /** What operators have been told of a budget in its period. */
-export type Told = 'nothing' | 'forecast' | 'passed'
+export type Told = 'nothing' | 'forecast' | 'calm' | 'passed'
 
 const MONTHS_LAST_DAY = 31
 
@@ -63,6 +63,11 @@
     return microUnits(this.#spentBefore + this.#spentToday + this.#spentSince)
   }
 
+  /** Whether the newest forecast stays within the budget. */
+  get isCalm (): boolean {
+    return this.#newest.passesAt === undefined
+  }
+
   get isUsedUp (): boolean {
     return this.spent >= this.budget.limit
   }
--- a/packages/cost/src/BudgetKeeper.ts
+++ b/packages/cost/src/BudgetKeeper.ts
@@ -1,9 +1,10 @@
 import { hash32, millis, refusal } from '@papayahill/common'
-import type { ClassId, Clock, EventLog, Failure, InstanceId, MicroUnits, StageRecord, WorkspaceId } from '@papayahill/common'
+import type { ClassId, Clock, EventKind, EventLog, Failure, InstanceId, MicroUnits, StageRecord, WorkspaceId } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BudgetAnswer, BudgetSettings, ClassSettings, OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { BudgetAccount, budgetKey } from './BudgetAccount.js'
+import type { Told } from './BudgetAccount.js'
 import { HISTORY_DAYS, WAITING_DEADLINE } from './constants.js'
 import { addDays, dayOf, monthOf, startOfDay } from './dayOf.js'
 import { COST_EVENTS } from './events.js'
@@ -33,6 +34,12 @@
   refuse: () => true
 }
 
+const TOLD_EVENTS: Readonly<Record<Exclude<Told, 'nothing'>, EventKind>> = {
+  forecast: COST_EVENTS.budgetForecast,
+  calm: COST_EVENTS.budgetCalm,
+  passed: COST_EVENTS.budgetPassed
+}
+
 /**
  * Compares budgets with what all instances spent, tells ahead of time which will be passed, and answers new
  * requests as operators chose once one is used up.
@@ -147,15 +154,15 @@
     const isCertain = account.evaluate(now)
     if (account.isUsedUp) return this.#tell(account, 'passed')
     if (isCertain && account.told === 'nothing') this.#tell(account, 'forecast')
+    if (account.isCalm && account.told === 'forecast') this.#tell(account, 'calm')
   }
 
-  #tell (account: BudgetAccount, told: 'forecast' | 'passed'): void {
+  #tell (account: BudgetAccount, told: Exclude<Told, 'nothing'>): void {
     if (account.told === told) return
     account.told = told
     if (!this.#isTeller(account)) return
     const { budget, spent, forecast, passesAt, driver } = account.toForecast(this.#options.clock.wall())
-    const kind = told === 'passed' ? COST_EVENTS.budgetPassed : COST_EVENTS.budgetForecast
-    this.#options.log.emit(kind, {
+    this.#options.log.emit(TOLD_EVENTS[told], {
       workspace: budget.workspace,
       class: budget.class,
       stage: budget.stage,
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -1,19 +1,19 @@
-import { brand, epochMillis, hash32, MILLIS_PER_SECOND } from '@papayahill/common'
+import { brand, hash32 } from '@papayahill/common'
 import type {
-  Clock, EventLog, Incarnation, InstanceId, Millis, OperatorName, Random, RequestRecord, ServiceId, StageRecord, Timer, VersionId
+  Clock, EventKind, EventLog, Incarnation, InstanceId, OperatorName, Random, RequestRecord, ServiceId, StageRecord, Timer, VersionId
 } from '@papayahill/common'
 import type { ConfigLog, ConfigView } from '@papayahill/control'
 import type { Peers } from '@papayahill/peers'
 import type { TableService } from '@papayahill/platform'
 import type { MoveSettings } from '@papayahill/settings'
 import { capacityShare } from './capacityShare.js'
-import { CallRate } from './CallRate.js'
 import { JUDGE_PERIOD, POLL_PERIOD, TURN_PERIOD } from './constants.js'
 import { ROLLOUT_EVENTS } from './events.js'
 import { EvidenceLink } from './EvidenceLink.js'
 import type { MoveNews } from './EvidenceLink.js'
 import type { MoveRecord, RecordedMove } from './moveRow.js'
 import { MoveStore } from './MoveStore.js'
+import { MoveEntry, UNCONFIRMED } from './MoveEntry.js'
 import { OpenMove } from './OpenMove.js'
 import { planStep } from './planStep.js'
 import type { StepDecision } from './planStep.js'
@@ -39,21 +39,13 @@
   readonly log: EventLog
 }
 
-/** A move in hand, with what the last look at it decided. */
-interface Entry {
-  readonly open: OpenMove
-  readonly rate: CallRate
-  decision: StepDecision
-  /** Since when a step or the end has been due. */
-  dueSince: Millis | undefined
-  polledAt: Millis | undefined
-  isBusy: boolean
-  isLateSaid: boolean
-  waitSaid: MoveState | undefined
-}
-
 const AUTHOR = brand<OperatorName>('papayahill')
-const UNCONFIRMED: StepDecision = { kind: 'hold', state: 'moving', because: 'the store has not confirmed the move yet' }
+/** States that operators are told of when a move enters them. */
+const TOLD_STATES: Readonly<Partial<Record<MoveState, EventKind>>> = {
+  'waiting-for-traffic': ROLLOUT_EVENTS.moveWaiting,
+  'waiting-for-capacity': ROLLOUT_EVENTS.moveWaiting,
+  late: ROLLOUT_EVENTS.moveLate
+}
 
 /**
  * Moves traffic between versions on evidence: raises the new version's share by recorded steps, takes it
@@ -68,7 +60,7 @@
   readonly #options: MoveKeeperOptions
   readonly #store: MoveStore
   readonly #link: EvidenceLink
-  readonly #entries = new Map<ServiceId, Entry>()
+  readonly #entries = new Map<ServiceId, MoveEntry>()
   readonly #closed = new Map<ServiceId, MoveStatus>()
   #timer: Timer | undefined
 
@@ -100,7 +92,7 @@
   }
 
   status (): readonly MoveStatus[] {
-    const open = [...this.#entries.values()].map((entry) => this.#statusOf(entry))
+    const open = [...this.#entries.values()].map((entry) => entry.status(this.#options.clock.wall()))
     return [...open, ...this.#closed.values()]
   }
 
@@ -136,30 +128,20 @@
 
   #open (move: MoveSettings): void {
     const { random, clock, log } = this.#options
-    const open = new OpenMove(move, random.fork())
-    this.#entries.set(move.service, {
-      open,
-      rate: new CallRate(clock),
-      decision: UNCONFIRMED,
-      dueSince: undefined,
-      polledAt: undefined,
-      isBusy: false,
-      isLateSaid: false,
-      waitSaid: undefined
-    })
+    this.#entries.set(move.service, new MoveEntry(new OpenMove(move, random.fork()), clock))
     this.#closed.delete(move.service)
     this.#link.forget(move.service)
     for (const news of this.#link.known()) this.#hear(news, true)
     log.emit(ROLLOUT_EVENTS.moveStarted, { service: move.service, from: move.from, to: move.to, by: move.by })
   }
 
-  #close (service: ServiceId, entry: Entry, view: ConfigView): void {
+  #close (service: ServiceId, entry: MoveEntry, view: ConfigView): void {
     const { move, takeBack } = entry.open
     this.#entries.delete(service)
     const isDone = view.config.services.get(service)?.version === move.to
     const state = isDone ? 'done' : takeBack === undefined ? 'stopped' : 'taken-back'
     const because = isDone ? entry.decision.because : takeBack?.because ?? 'an operator stopped the move'
-    this.#closed.set(service, { ...this.#statusOf(entry), state, share: isDone ? 1 : 0, because, isRecorded: true })
+    this.#closed.set(service, { ...entry.status(this.#options.clock.wall()), state, share: isDone ? 1 : 0, because, isRecorded: true })
     const kind = isDone ? ROLLOUT_EVENTS.moveDone : ROLLOUT_EVENTS.moveStopped
     this.#options.log.emit(kind, { service, version: move.to, because })
   }
@@ -182,7 +164,7 @@
     }
   }
 
-  #judge (entry: Entry): void {
+  #judge (entry: MoveEntry): void {
     const { open } = entry
     const verdict = open.judge(this.#options.clock.now())
     if (verdict !== undefined) this.#takeBack(entry, verdict)
@@ -190,7 +172,7 @@
     this.#report(entry)
   }
 
-  #takeBack (entry: Entry, because: string): void {
+  #takeBack (entry: MoveEntry, because: string): void {
     const { open } = entry
     if (!open.latch(because)) return
     const { service, to } = open.move
@@ -198,7 +180,7 @@
     this.#options.log.emit(ROLLOUT_EVENTS.moveTakenBack, { service, version: to, because })
   }
 
-  #decide ({ open, rate }: Entry): StepDecision {
+  #decide ({ open, rate }: MoveEntry): StepDecision {
     const { record, move } = open
     if (record === undefined && open.rowVersion === 0 && !this.#hasPolled(move.service)) return UNCONFIRMED
     if (record?.state === 'done') return { kind: 'done', because: record.because }
@@ -222,7 +204,7 @@
   }
 
   /** Does what is due and needs the store or the configuration; one thing at a time for each move. */
-  async #act (entry: Entry): Promise<void> {
+  async #act (entry: MoveEntry): Promise<void> {
     if (entry.isBusy) return
     entry.isBusy = true
     try {
@@ -235,7 +217,7 @@
     }
   }
 
-  async #poll (entry: Entry): Promise<void> {
+  async #poll (entry: MoveEntry): Promise<void> {
     const now = this.#options.clock.now()
     if (entry.polledAt !== undefined && now - entry.polledAt < POLL_PERIOD) return
     const row = await this.#store.read(entry.open.move.service)
@@ -246,7 +228,7 @@
     if (takeBack !== undefined && !isTakeBackRecorded) this.#link.publishTakeBack(move, takeBack.because)
   }
 
-  async #recordTakeBack (entry: Entry): Promise<void> {
+  async #recordTakeBack (entry: MoveEntry): Promise<void> {
     const { open } = entry
     if (open.isTakeBackRecorded || open.takeBack === undefined || entry.polledAt === undefined) return
     const { because } = open.takeBack
@@ -254,7 +236,7 @@
     if (open.isTakeBackRecorded) this.#options.log.emit(ROLLOUT_EVENTS.takeBackRecorded, { service: open.move.service, because })
   }
 
-  async #step (entry: Entry): Promise<void> {
+  async #step (entry: MoveEntry): Promise<void> {
     const { decision, open } = entry
     if (decision.kind === 'hold' || !this.#isMyTurn(entry)) return
     const isDone = decision.kind === 'done'
@@ -265,7 +247,7 @@
   }
 
   /** Closes the move in the configuration; a take-back that the store knows of comes first. */
-  async #finish (entry: Entry): Promise<void> {
+  async #finish (entry: MoveEntry): Promise<void> {
     if (!this.#isMyTurn(entry)) return
     const { open } = entry
     const { service, to } = open.move
@@ -279,7 +261,7 @@
   }
 
   /** Instances take turns in an order of their own for each step, so that they seldom race. */
-  #isMyTurn (entry: Entry): boolean {
+  #isMyTurn (entry: MoveEntry): boolean {
     const { clock, self, peers } = this.#options
     entry.dueSince ??= clock.now()
     const salt = `${entry.open.move.service} ${entry.open.rowVersion}`
@@ -293,13 +275,11 @@
     return record ?? { startedAt: move.startedAt, state: 'moving', share: 0, begunAt: now, steppedAt: now, because: '' }
   }
 
-  async #write (entry: Entry, record: MoveRecord): Promise<void> {
+  async #write (entry: MoveEntry, record: MoveRecord): Promise<void> {
     const { open } = entry
     const outcome = await this.#store.write(open.move.service, record, open.rowVersion)
-    if (outcome.kind === 'unknown' || outcome.kind === 'unavailable') {
-      if (outcome.kind === 'unknown') entry.polledAt = undefined
-      return
-    }
+    if (outcome.kind === 'unknown' || outcome.kind === 'unavailable') return this.#writeFailed(entry, outcome.kind)
+    entry.isStoreFailing = false
     this.#takeOver(entry, outcome.row)
     if (outcome.kind !== 'written') return
     this.#link.publishStep(open.move, outcome.row)
@@ -308,39 +288,28 @@
     this.#options.log.emit(ROLLOUT_EVENTS.moveStepped, { service, version: to, share: record.share, because: record.because })
   }
 
-  #adopt (entry: Entry, row: RecordedMove): void {
+  /** A lost answer is read back before anything else is tried. */
+  #writeFailed (entry: MoveEntry, kind: 'unknown' | 'unavailable'): void {
+    if (kind === 'unknown') entry.polledAt = undefined
+    if (!entry.isStoreFailing) this.#options.log.emit(ROLLOUT_EVENTS.moveStoreFailed, { service: entry.open.move.service, answer: kind })
+    entry.isStoreFailing = true
+  }
+
+  #adopt (entry: MoveEntry, row: RecordedMove): void {
     if (row.version > entry.open.rowVersion) this.#takeOver(entry, row)
   }
 
-  #takeOver (entry: Entry, { version, record }: RecordedMove): void {
+  #takeOver (entry: MoveEntry, { version, record }: RecordedMove): void {
     entry.dueSince = undefined
     entry.open.adopt(version, record)
     const { move } = entry.open
     if (record?.startedAt === move.startedAt && record.state === 'taken-back') this.#takeBack(entry, record.because)
   }
 
-  #report (entry: Entry): void {
-    const { state, because, service } = this.#statusOf(entry)
-    const { log } = this.#options
-    if (state === 'late' && !entry.isLateSaid) {
-      entry.isLateSaid = true
-      log.emit(ROLLOUT_EVENTS.moveLate, { service, because })
-    }
-    const isWaiting = state === 'waiting-for-traffic' || state === 'waiting-for-capacity'
-    if (isWaiting && entry.waitSaid !== state) log.emit(ROLLOUT_EVENTS.moveWaiting, { service, state, because })
-    entry.waitSaid = state
-  }
-
-  #statusOf ({ open, decision }: Entry): MoveStatus {
-    const { service, from, to, by } = open.move
-    const base = { service, from, to, by: epochMillis(by), share: open.share }
-    if (open.takeBack !== undefined) {
-      return { ...base, state: 'taken-back', because: open.takeBack.because, isRecorded: open.isTakeBackRecorded }
-    }
-    const isRecorded = open.record !== undefined
-    const { because } = decision
-    const late = this.#options.clock.wall() - by
-    if (late > 0) return { ...base, state: 'late', because: `${Math.ceil(late / MILLIS_PER_SECOND)} s late: ${because}`, isRecorded }
-    return { ...base, state: decision.kind === 'hold' ? decision.state : 'moving', because, isRecorded }
+  /** Tells once that a move waits or is late. */
+  #report (entry: MoveEntry): void {
+    const { state, because, service } = entry.status(this.#options.clock.wall())
+    const kind = entry.isNews(state) ? TOLD_STATES[state] : undefined
+    if (kind !== undefined) this.#options.log.emit(kind, { service, state, because })
   }
 }
