--- /dev/null
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -0,0 +1,80 @@
+import type { Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
+import type { GossipEntry, PeerError, PeerHandler, PeerMember, Peers, Topic } from '@papayahill/peers'
+import type { LifeGate } from '@papayahill/standins'
+import type { Result } from 'true-myth'
+
+/** What a message carries beside its body: the topic, a number, the frame. */
+const FRAME_BYTES = 16
+
+/** One instance's links, with answers and deliveries held back while it is paused. */
+export class GatedPeers implements Peers {
+  readonly self: InstanceId
+  readonly incarnation: Incarnation
+  readonly #peers: Peers
+  readonly #gate: LifeGate
+  #bytes = 0
+
+  constructor (peers: Peers, gate: LifeGate) {
+    this.#peers = peers
+    this.#gate = gate
+    this.self = peers.self
+    this.incarnation = peers.incarnation
+  }
+
+  /** Bytes of messages and answers that this instance sent, as JSON. */
+  get bytes (): number {
+    return this.#bytes
+  }
+
+  members (): readonly PeerMember[] {
+    return this.#peers.members()
+  }
+
+  isConnected (id: InstanceId): boolean {
+    return this.#peers.isConnected(id)
+  }
+
+  send (to: InstanceId, topic: Topic, message: Json): void {
+    this.#count(message)
+    this.#peers.send(to, topic, message)
+  }
+
+  broadcast (topic: Topic, message: Json): void {
+    this.#count(message, this.#peers.members().length)
+    this.#peers.broadcast(topic, message)
+  }
+
+  ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>> {
+    this.#count(message)
+    return this.#gate.pass(this.#peers.ask(to, topic, message, timeout))
+  }
+
+  handle (topic: Topic, handler: PeerHandler): void {
+    this.#peers.handle(topic, async (from, message) => {
+      const answer = await handler(from, message)
+      this.#count(answer)
+      return answer
+    })
+  }
+
+  publish (topic: Topic, key: string, value: Json): void {
+    this.#count({ topic, key, value }, this.#peers.members().length)
+    this.#peers.publish(topic, key, value)
+  }
+
+  entries (topic: Topic): readonly GossipEntry[] {
+    return this.#peers.entries(topic)
+  }
+
+  onEntry (topic: Topic, listener: (entry: GossipEntry) => void): void {
+    this.#peers.onEntry(topic, (entry) => this.#gate.run(() => listener(entry)))
+  }
+
+  close (): Promise<void> {
+    return this.#peers.close()
+  }
+
+  #count (message: Json | undefined, receivers = 1): void {
+    this.#bytes += receivers * (JSON.stringify(message ?? null).length + FRAME_BYTES)
+  }
+}
--- a/packages/edge/src/createApp.ts
+++ b/packages/edge/src/createApp.ts
@@ -36,8 +36,11 @@
 export const sendJson = (
   { id, res }: Exchange, body: unknown, headers: Readonly<Record<string, string>> = {}
 ): void => {
-  res.writeHead(200, { 'content-type': 'application/json', 'x-request-id': id, ...headers })
-  res.end(JSON.stringify(body))
+  const text = JSON.stringify(body)
+  res.writeHead(200, {
+    'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'x-request-id': id, ...headers
+  })
+  res.end(text)
 }
 
 export const sendText = ({ id, res }: Exchange, status: number, text: string): void => {
@@ -59,7 +62,7 @@
 }
 
 const noRoute = (app: App, req: polka.Request): Failure => {
-  const isKnown = METHODS.some((method) => app.find(method, req.path).handlers.length > 0)
+  const isKnown = METHODS.some((method) => Boolean(app.find(method, req.path)))
   const isKeyed = req.headers['idempotency-key'] !== undefined
   return isKnown
     ? refuseAtEdge('method-not-allowed', `${req.method} is not offered at this path`, isKeyed)
--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -1,8 +1,12 @@
 import { hash32, millis } from '@papayahill/common'
-import type { EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
+import type { CallOutcome, EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
 import type { ListedEndpoint } from '@papayahill/platform'
+import { CallSet } from './CallSet.js'
+import type { RunningCall } from './CallSet.js'
 import { CallStats } from './CallStats.js'
-import { BORROW_MAX_AGE, BORROW_SHARE, HANDOVER_MARGIN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS } from './constants.js'
+import {
+  BORROW_MAX_AGE, BORROW_SHARE, DOUBT_SPAN, SUSPECT_FACTOR, SUSPECT_MIN, UNKNOWN_BEARS
+} from './constants.js'
 import { SlotLedger } from './SlotLedger.js'
 import { WarmLimit } from './WarmLimit.js'
 import type { SlotHoldings } from './SlotWords.js'
@@ -13,13 +17,8 @@
 /** Share of its warm limit from which on an endpoint counts as busy. */
 const BUSY_SHARE = 0.7
 
-/** One call that this instance has under way at an endpoint. */
-export interface RunningCall {
-  readonly incarnation: EndpointIncarnation
-  readonly startedAt: Millis
-  /** Set where it runs on a slot of a cold life. */
-  readonly slot?: { readonly ledger: SlotLedger, readonly index: number }
-}
+/** Outcomes after which the endpoint may still be at work on the call. */
+const LEAVES_DOUBT: ReadonlySet<CallOutcome> = new Set(['cut', 'timed-out', 'cancelled'])
 
 /** What a report changed. */
 export type ReportEffect = 'taken' | 'old' | 'other-life' | 'silent-restart'
@@ -43,7 +42,9 @@
   readonly stats = new CallStats()
   readonly warmLimit = new WarmLimit()
   readonly #self: Incarnation
-  readonly #calls = new Set<RunningCall>()
+  /** Fixed lot by which a fraction of a slot falls to this instance or not. */
+  readonly #lot: number
+  readonly #calls = new CallSet()
   #connection: EndpointConnection | undefined
   #incarnation: EndpointIncarnation | undefined
   /** Latched: a life that leaves does not come back, whatever a stale list shows. */
@@ -54,13 +55,14 @@
   #olderLifeSeenAt = millis(-Infinity)
   /** The newest report that was asked for, to date a new life by. */
   #lifeSeen: { readonly incarnation: EndpointIncarnation, readonly at: Millis } | undefined
-  #startedSinceReport = 0
   #checkedAt = millis(-Infinity)
+  #heldAt = millis(-Infinity)
   #ledger: SlotLedger | undefined
 
   constructor (self: Incarnation, listed: ListedEndpoint) {
     this.#self = self
     this.listed = listed
+    this.#lot = hash32(`${listed.id} ${self}`) / HASH_RANGE
   }
 
   get connection (): EndpointConnection | undefined {
@@ -124,7 +126,6 @@
     this.#connection = undefined
     this.#incarnation = undefined
     this.#report = undefined
-    this.#ledger = undefined
   }
 
   /** The present life leaves: no new work for it from now on. */
@@ -155,30 +156,36 @@
     return 0
   }
 
+  /** Holds new work back until a report that was asked for later. */
+  hold (now: Millis): void {
+    this.#heldAt = now
+  }
+
   hasRoom (now: Millis): boolean {
+    if (this.#heldAt > this.#reportAskedAt) return false
     if (this.busy >= this.probation || this.isSuspect(now)) return false
     const state = this.state
-    if (state === 'cold') return this.#olderCalls() === 0 && (this.#ledger?.hasRoom() ?? false)
+    if (state === 'cold') return this.#calls.notOf(this.#incarnation) === 0 && (this.#ledger?.hasRoom() ?? false)
     return state === 'warm' && this.busy < this.#warmShare(now)
   }
 
   /** Starts a call; undefined where there is no room. Roster freshness is the caller's to check. */
   take (now: Millis): RunningCall | undefined {
     if (!this.hasRoom(now)) return undefined
-    const call = this.state === 'cold' ? this.#takeSlot(now) : this.#begin({ startedAt: now, incarnation: this.#incarnation! })
-    if (call !== undefined) this.#startedSinceReport++
-    return call
+    return this.state === 'cold' ? this.#takeSlot(now) : this.#begin({ startedAt: now, incarnation: this.#incarnation! })
   }
 
-  ended (call: RunningCall): void {
-    if (!this.#calls.delete(call)) return
-    if (call.startedAt >= this.#reportAskedAt) this.#startedSinceReport = Math.max(0, this.#startedSinceReport - 1)
-    call.slot?.ledger.free(call.slot.index)
+  /** A call ended; after an outcome that leaves the endpoint perhaps still at work, its slot is kept for a while. */
+  ended (call: RunningCall, outcome: CallOutcome, now: Millis): void {
+    if (!this.#calls.delete(call) || call.slot === undefined) return
+    const { ledger, index } = call.slot
+    if (LEAVES_DOUBT.has(outcome)) ledger.freeAt(index, millis(now + DOUBT_SPAN))
+    else ledger.free(index)
   }
 
   /** Whether a call has run so long that the endpoint may have turned cold; a later report clears it. */
   isSuspect (now: Millis): boolean {
-    const oldest = this.#oldest()
+    const oldest = this.#calls.oldest
     if (oldest === undefined || this.typicalCall === 0) return false
     const since = Math.max(oldest.startedAt, this.#checkedAt)
     return now - since > Math.max(SUSPECT_MIN, SUSPECT_FACTOR * this.typicalCall)
@@ -186,13 +193,13 @@
 
   /** How long the oldest call has run; 0 without one. */
   oldestAge (now: Millis): Millis {
-    const oldest = this.#oldest()
+    const oldest = this.#calls.oldest
     return millis(oldest === undefined ? 0 : now - oldest.startedAt)
   }
 
   /** Share of what all instances may run here that is in use, as far as reports and own calls tell. */
   load (): number {
-    const running = (this.#report?.running ?? 0) + (this.#report?.queued ?? 0) + this.#startedSinceReport
+    const running = (this.#report?.running ?? 0) + (this.#report?.queued ?? 0) + this.#calls.sinceReport
     const bears = this.state === 'warm' ? this.warmLimit.value : this.coldTotal
     return bears === 0 ? Infinity : running / bears
   }
@@ -201,19 +208,23 @@
     return this.load() >= BUSY_SHARE
   }
 
+  /** Whether a cold life has more calls than it bears, as only calls of an earlier life can make it. */
+  isOverfull (): boolean {
+    if (this.#report === undefined || this.#report.isWarm) return false
+    return this.#report.running + this.#report.queued > this.#report.bears
+  }
+
   /** Calls of others that a report shows at most: all but this instance's that surely were there. */
   othersIn (report: LoadReport, askedAt: Millis): number {
-    const own = [...this.#calls].filter((call) => call.startedAt + HANDOVER_MARGIN <= askedAt).length
-    return report.running + report.queued - own
+    return report.running + report.queued - this.#calls.surelyIn(askedAt)
   }
 
   holdings (endpoint: SlottedEndpoint, version: number): SlotHoldings {
-    const calls = [...this.#calls]
-    const onSlots = calls.filter((call) => call.incarnation === endpoint.incarnation && call.slot !== undefined)
+    const isSame = this.#ledger?.endpoint.incarnation === endpoint.incarnation
     return {
       version,
-      busy: onSlots.map((call) => call.slot!.index),
-      older: calls.filter((call) => call.incarnation !== endpoint.incarnation).length,
+      busy: isSame ? this.#ledger!.busy : [],
+      older: this.#calls.notOf(endpoint.incarnation),
       believed: this.#incarnation
     }
   }
@@ -234,7 +245,13 @@
     this.areReportsMissing = false
     this.stats.clear()
     this.warmLimit.clear()
-    this.#ledger = new SlotLedger({ self: this.#self, endpoint: { id: this.listed.id, incarnation }, inheritedFrom })
+    this.#ledger = this.#ledgerOf(incarnation, inheritedFrom)
+  }
+
+  /** A connection that broke within one life changes nothing about the slots and the calls on them. */
+  #ledgerOf (incarnation: EndpointIncarnation, inheritedFrom: readonly RosterLife[]): SlotLedger {
+    if (this.#ledger?.endpoint.incarnation === incarnation) return this.#ledger
+    return new SlotLedger({ self: this.#self, endpoint: { id: this.listed.id, incarnation }, inheritedFrom })
   }
 
   #take (report: LoadReport, askedAt: Millis | undefined): void {
@@ -245,7 +262,7 @@
     this.#reportAskedAt = askedAt
     this.#checkedAt = askedAt
     this.#lifeSeen = { incarnation: report.incarnation, at: askedAt }
-    this.#startedSinceReport = [...this.#calls].filter((call) => call.startedAt >= askedAt).length
+    this.#calls.reported(askedAt)
     this.#ledger?.clearByRoom(askedAt, this.othersIn(report, askedAt))
   }
 
@@ -264,19 +281,10 @@
   /** This instance's part of the warm limit, and what a fresh report lets it borrow. */
   #warmShare (now: Millis): number {
     const total = this.warmLimit.value
-    const owned = Math.floor(total / this.sharers + hash32(`${this.listed.id} ${this.#self}`) / HASH_RANGE)
+    const owned = Math.floor(total / this.sharers + this.#lot)
     if (this.#report === undefined || now - this.#reportAskedAt > BORROW_MAX_AGE) return owned
     const room = total - this.#report.running - this.#report.queued
     const borrowed = Math.floor(Math.max(0, room) * Math.min(1, BORROW_SHARE / Math.sqrt(this.sharers)))
-    return Math.max(owned, this.busy - this.#startedSinceReport + borrowed)
-  }
-
-  #olderCalls (): number {
-    return [...this.#calls].filter((call) => call.incarnation !== this.#incarnation).length
-  }
-
-  #oldest (): RunningCall | undefined {
-    const [oldest] = this.#calls
-    return oldest
+    return Math.max(owned, this.busy - this.#calls.sinceReport + borrowed)
   }
 }
--- a/packages/endpoints/src/SlotLedger.ts
+++ b/packages/endpoints/src/SlotLedger.ts
@@ -50,10 +50,12 @@
 export class SlotLedger {
   readonly #self: Incarnation
   readonly #endpoint: SlottedEndpoint
-  readonly #inheritedFrom: readonly RosterLife[]
+  #inheritedFrom: readonly RosterLife[]
   readonly #owned = new Map<number, OwnedSlot>()
   /** Own calls by slot, those on slots lost since among them. */
   readonly #calls = new Set<number>()
+  /** When slots come free whose calls may still be at work. */
+  readonly #doubts = new Map<number, Millis>()
   #version = 0
   #total = 0
 
@@ -63,10 +65,6 @@
     this.#inheritedFrom = options.inheritedFrom ?? []
   }
 
-  get isInherited (): boolean {
-    return this.#inheritedFrom.length > 0
-  }
-
   get endpoint (): SlottedEndpoint {
     return this.#endpoint
   }
@@ -88,11 +86,13 @@
 
   /** Deals out `total` slots under a roster that this instance first saw at `seenAt`. Lost slots go at once. */
   update (record: RosterRecord, seenAt: Millis, total: number): void {
-    if (record.version === this.#version && total === this.#total) return
+    const isSameRoster = record.version === this.#version
+    if (isSameRoster && total === this.#total) return
+    const first = isSameRoster ? Math.min(total, this.#total) : 0
     this.#version = record.version
     this.#total = total
     const candidates = slotCandidates(record.members, this.#endpoint.id)
-    for (let slot = 0; slot < Math.min(total, COLD_SLOTS_MAX); slot++) {
+    for (let slot = first; slot < Math.min(total, COLD_SLOTS_MAX); slot++) {
       const isOwn = slotOwner(candidates, this.#endpoint, slot)?.incarnation === this.#self
       if (isOwn) this.#keep(slot, record, seenAt)
       else this.#owned.delete(slot)
@@ -100,6 +100,13 @@
     for (const slot of this.#owned.keys()) if (slot >= total) this.#owned.delete(slot)
   }
 
+  /** Calls of an earlier life of the endpoint run on: no slot is clear before every one of these lives says so. */
+  inherit (lives: readonly RosterLife[], record: RosterRecord, seenAt: Millis): void {
+    if (this.#inheritedFrom.length > 0) return
+    this.#inheritedFrom = lives
+    for (const slot of this.#owned.values()) for (const life of lives) this.#await(slot, life, record, seenAt)
+  }
+
   /** Lives whose word is still missing for some slot. */
   awaited (): readonly RosterLife[] {
     const lives = new Map<Incarnation, RosterLife>()
@@ -120,9 +127,10 @@
 
   /**
    * Lets go of owners whose calls are over by time: long departed, or departed before the endpoint's
-   * present life began, which was after `olderLifeSeenAt`.
+   * present life began, which was after `olderLifeSeenAt`. Ends doubts about own calls, too.
    */
   expire (now: Millis, olderLifeSeenAt: Millis): void {
+    for (const [slot, at] of this.#doubts) if (now >= at) this.#endDoubt(slot)
     for (const slot of this.#owned.values()) {
       for (const [incarnation, owner] of slot.pending) {
         const lastUse = owner.lostAt + LAST_USE
@@ -160,6 +168,11 @@
     this.#calls.delete(slot)
   }
 
+  /** Frees a slot later, by {@link SlotLedger.expire}. */
+  freeAt (slot: number, at: Millis): void {
+    this.#doubts.set(slot, at)
+  }
+
   /** Whether {@link SlotLedger.take} would find a slot. */
   hasRoom (): boolean {
     for (const [index, slot] of this.#owned) if (slot.pending.size === 0 && !this.#calls.has(index)) return true
@@ -183,6 +196,11 @@
     slot.pending.set(life.incarnation, { life, lostAt, isDeparted })
   }
 
+  #endDoubt (slot: number): void {
+    this.#doubts.delete(slot)
+    this.#calls.delete(slot)
+  }
+
   #settle (slot: OwnedSlot): void {
     if (slot.pending.size === 0) slot.clearAt = this.#version
   }
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -32,15 +32,19 @@
 export const UPKEEP_PERIOD = millis(100)
 /** Reports that may be missed before they count as vanished. */
 export const MISSED_REPORTS = 3
-/** Report polls of one instance per second, over all warm endpoints. */
-export const WARM_POLLS_PER_SECOND = 8
+/** Report polls of one instance per second, over all warm endpoints, in a deployment of few instances. */
+export const WARM_POLLS_PER_SECOND = 32
+/** The same where there are more instances than {@link SLOT_OWNERS}. */
+export const WARM_POLLS_PER_SECOND_MANY = 8
 /** Warm endpoints of one service and version that one instance keeps connections to. */
 export const WARM_ENDPOINTS = 6
 /** A running call this many times longer than the mean of its service makes the endpoint suspect. */
 export const SUSPECT_FACTOR = 3
 /** No call is overdue before this time. */
-export const SUSPECT_MIN = millis(50)
+export const SUSPECT_MIN = millis(200)
 /** Share of the room in a fresh report that one of a single pair of instances may borrow. */
 export const BORROW_SHARE = 1.5
 /** Longest age of a report on which slots are borrowed. */
 export const BORROW_MAX_AGE = seconds(2)
+/** After this time an endpoint no longer works on a call that was cancelled or whose connection was closed. */
+export const DOUBT_SPAN = seconds(2)
--- a/packages/endpoints/src/slots.ts
+++ b/packages/endpoints/src/slots.ts
@@ -1,5 +1,6 @@
 import { hash32 } from '@papayahill/common'
-import type { EndpointId, EndpointIncarnation } from '@papayahill/common'
+import type { EndpointId, EndpointIncarnation, Incarnation } from '@papayahill/common'
+import { LRUCache } from 'lru-cache'
 import { SLOT_OWNERS } from './constants.js'
 import type { RosterLife, RosterRecord } from './types.js'
 
@@ -17,8 +18,38 @@
 const comesFirst = (left: Ranked, right: Ranked): boolean =>
   left.rank > right.rank || (left.rank === right.rank && left.life.incarnation > right.life.incarnation)
 
-const rankBy = (lives: readonly RosterLife[], text: string): readonly Ranked[] =>
-  lives.map((life) => ({ life, rank: hash32(`${text} ${life.incarnation}`) }))
+const NAMES_MAX = 20_000
+const hashes = new LRUCache<string, number>({ max: NAMES_MAX })
+
+/** Hash of a name, worked out once. */
+const hashOf = (name: string): number => {
+  const known = hashes.get(name)
+  if (known !== undefined) return known
+  const hash = hash32(name)
+  hashes.set(name, hash)
+  return hash
+}
+
+/** Spreads a 32-bit number over all bits: the finalizer of MurmurHash3. */
+const mix = (value: number): number => {
+  let mixed = value
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
+
+const rankOf = (seed: number, life: RosterLife): number => mix(seed ^ hashOf(life.incarnation))
+
+const rankBy = (lives: readonly RosterLife[], name: string, slot = 0): readonly Ranked[] => {
+  const seed = mix(hashOf(name) + slot)
+  return lives.map((life) => ({ life, rank: rankOf(seed, life) }))
+}
+
+/** Lives in the rendezvous order of an endpoint. */
+const inOrder = <Life extends RosterLife>(lives: readonly Life[], endpoint: EndpointId): readonly Life[] =>
+  [...rankBy(lives, endpoint)]
+    .sort((left, right) => comesFirst(left, right) ? -1 : 1)
+    .map(({ life }) => life as Life)
 
 /**
  * The lives among which an endpoint's slots are dealt out: the first in rendezvous order, so that
@@ -29,10 +60,26 @@
  */
 export const slotCandidates = (lives: readonly RosterLife[], endpoint: EndpointId): readonly RosterLife[] => {
   if (lives.length <= SLOT_OWNERS) return lives
-  return [...rankBy(lives, endpoint)]
-    .sort((left, right) => comesFirst(left, right) ? -1 : 1)
-    .slice(0, SLOT_OWNERS)
-    .map(({ life }) => life)
+  return inOrder(lives, endpoint).slice(0, SLOT_OWNERS)
+}
+
+/**
+ * Whether a life is among an endpoint's {@link slotCandidates}, without ordering them all.
+ *
+ * @example
+ * isSlotCandidate(record.members, endpoint.id, self.incarnation)
+ */
+export const isSlotCandidate = (lives: readonly RosterLife[], endpoint: EndpointId, self: Incarnation): boolean => {
+  const own = lives.find((life) => life.incarnation === self)
+  if (own === undefined) return false
+  const [ownRank] = rankBy([own], endpoint)
+  const seed = mix(hashOf(endpoint))
+  let before = 0
+  for (const life of lives) {
+    if (comesFirst({ life, rank: rankOf(seed, life) }, ownRank!)) before++
+    if (before >= SLOT_OWNERS) return false
+  }
+  return true
 }
 
 /**
@@ -45,17 +92,18 @@
   candidates: readonly RosterLife[], endpoint: SlottedEndpoint, slot: number
 ): RosterLife | undefined => {
   let first: Ranked | undefined
-  for (const ranked of rankBy(candidates, `${endpoint.incarnation} ${slot}`)) {
+  for (const ranked of rankBy(candidates, endpoint.incarnation, slot)) {
     if (first === undefined || comesFirst(ranked, first)) first = ranked
   }
   return first?.life
 }
 
+const isPresent = (life: RosterLife & { readonly departedAt?: number }, version: number): boolean =>
+  life.joinedAt <= version && version < (life.departedAt ?? Infinity)
+
 /** The lives that were in the roster at a version, as far as the record still tells. */
-export const livesAt = (record: RosterRecord, version: number): readonly RosterLife[] => [
-  ...record.members.filter((life) => life.joinedAt <= version),
-  ...record.departed.filter((life) => life.joinedAt <= version && version < life.departedAt)
-]
+export const livesAt = (record: RosterRecord, version: number): readonly RosterLife[] =>
+  [...record.members, ...record.departed].filter((life) => isPresent(life, version))
 
 /** Versions after `since`, before the newest, at which the roster was another than before. */
 const pastVersions = (record: RosterRecord, since: number): readonly number[] => {
@@ -76,8 +124,9 @@
   record: RosterRecord, endpoint: SlottedEndpoint, slot: number, since = 0
 ): readonly RosterLife[] => {
   const owners = new Map<string, RosterLife>()
+  const ordered = inOrder<RosterLife & { readonly departedAt?: number }>([...record.members, ...record.departed], endpoint.id)
   for (const version of pastVersions(record, since)) {
-    const candidates = slotCandidates(livesAt(record, version), endpoint.id)
+    const candidates = ordered.filter((life) => isPresent(life, version)).slice(0, SLOT_OWNERS)
     const owner = slotOwner(candidates, endpoint, slot)
     if (owner !== undefined) owners.set(owner.incarnation, owner)
   }
--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -1,6 +1,6 @@
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Clock, Millis, Random } from '@papayahill/common'
-import { FAN_OUT, GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, MAX_COMPARED_BUCKETS } from './constants.js'
+import { FAN_OUT, GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, MAX_COMPARED_BUCKETS, SPARSE_GOSSIP_BYTES_PER_SECOND } from './constants.js'
 import type { Frame } from './frames.js'
 import type { GossipStore } from './GossipStore.js'
 import { pickLinks } from './PartialView.js'
@@ -8,9 +8,11 @@
 import type { GossipEntry, Topic } from './types.js'
 
 /** Topics whose entries go out at once and over every link; the others wait for their turn. */
-const URGENT: ReadonlySet<Topic> = new Set<Topic>(['latch', 'config', 'order'])
+const URGENT: ReadonlySet<Topic> = new Set<Topic>(['heartbeat', 'latch', 'config', 'order'])
 /** Most entries of one frame. */
 const MAX_ENTRIES = 64
+/** Comparisons on one new link at most. */
+const MAX_CATCH_UPS = 12
 
 /** One link as gossip sees it. */
 export interface GossipLink {
@@ -39,6 +41,9 @@
 export class GossipSpreader {
   readonly #options: GossipSpreaderOptions
   readonly #waiting = new Map<string, GossipEntry>()
+  /** Comparisons that may still follow on a new link. */
+  readonly #catchingUp = new Map<GossipLink, number>()
+  readonly #differed = new Set<GossipLink>()
   #bytes = GOSSIP_BURST_BYTES
   #filledAt: Millis
 
@@ -52,9 +57,8 @@
     if (URGENT.has(entry.topic)) return this.#sendAll([entry], from)
     const isOwn = from === undefined
     if (!isOwn && this.#options.isMesh()) return
-    const name = nameOf(entry)
-    this.#waiting.delete(name)
-    this.#waiting.set(name, entry)
+    // A newer entry keeps the place of the older one in the queue, so that a busy owner does not starve.
+    this.#waiting.set(nameOf(entry), entry)
   }
 
   /** Sends what waits, as far as the budget goes. */
@@ -71,9 +75,28 @@
     }
   }
 
-  /** Starts a comparison with one random peer, or with one that has just been linked. */
-  compare (link = pickLinks(this.#options.random, this.#options.links(), 1)[0]): void {
-    link?.send({ kind: 'compare', hashes: this.#options.store.hashes() })
+  /** Starts a comparison with one random peer. */
+  compare (): void {
+    const [link] = pickLinks(this.#options.random, this.#options.links(), 1)
+    if (link !== undefined) this.#ask(link)
+  }
+
+  /** Compares with a new peer until nothing differs, a bounded number of times. */
+  catchUp (link: GossipLink): void {
+    this.#catchingUp.set(link, MAX_CATCH_UPS)
+    this.#ask(link)
+  }
+
+  /** Goes on with comparisons that found differences. */
+  goOn (): void {
+    const links = this.#options.links()
+    for (const [link, left] of this.#catchingUp) {
+      if (left === 0 || !links.includes(link)) this.#catchingUp.delete(link)
+      else if (this.#differed.delete(link)) {
+        this.#catchingUp.set(link, left - 1)
+        this.#ask(link)
+      }
+    }
   }
 
   take (frame: Frame, from: GossipLink): void {
@@ -101,6 +124,7 @@
   /** Sends what the other side lacks; the first answer also says what is here, so that the other can do the same. */
   #answerDiffer (frame: Extract<Frame, { readonly kind: 'differ' }>, from: GossipLink): void {
     const { store } = this.#options
+    if (!frame.isReply && this.#catchingUp.has(from)) this.#differed.add(from)
     const missing = frame.buckets.flatMap((bucket) => store.missingIn(bucket))
     for (let start = 0; start < missing.length; start += MAX_ENTRIES) {
       from.send({ kind: 'entries', entries: missing.slice(start, start + MAX_ENTRIES) })
@@ -108,13 +132,18 @@
     if (!frame.isReply) from.send({ kind: 'differ', buckets: frame.buckets.map(({ bucket }) => store.bucket(bucket)), isReply: true })
   }
 
+  #ask (link: GossipLink): void {
+    link.send({ kind: 'compare', hashes: this.#options.store.hashes() })
+  }
+
   #sendAll (entries: readonly GossipEntry[], from?: GossipLink): void {
     for (const link of this.#options.links()) if (link !== from) link.send({ kind: 'entries', entries })
   }
 
   #fill (): void {
     const now = this.#options.clock.now()
-    const earned = (now - this.#filledAt) * GOSSIP_BYTES_PER_SECOND / MILLIS_PER_SECOND
+    const perSecond = this.#options.isMesh() ? GOSSIP_BYTES_PER_SECOND : SPARSE_GOSSIP_BYTES_PER_SECOND
+    const earned = (now - this.#filledAt) * perSecond / MILLIS_PER_SECOND
     this.#bytes = Math.min(GOSSIP_BURST_BYTES, this.#bytes + earned)
     this.#filledAt = now
   }
--- a/packages/pipeline/src/StageCaller.ts
+++ b/packages/pipeline/src/StageCaller.ts
@@ -66,11 +66,14 @@
     const timer = slow && this.#clock.every(slow.after, watch)
     sending.relay?.open(call.id)
     const onChunk = (chunk: StageChunk): void => this.#onChunk(sending, chunk, stopFor)
-    const signal = AbortSignal.any([sending.signal, stop.signal])
-    const raw = await lease.connection.call(call, onChunk, signal).catch(brokenCall)
+    const onAbort = (): void => stop.abort()
+    sending.signal.addEventListener('abort', onAbort, { once: true })
+    if (sending.signal.aborted) stop.abort()
+    const raw = await lease.connection.call(call, onChunk, stop.signal).catch(brokenCall)
+    sending.signal.removeEventListener('abort', onAbort)
     timer?.cancel()
     sending.relay?.pause()
-    const result = this.#judge(call, raw, cause)
+    const result = this.#judge(sending, raw, cause)
     const took = millis(this.#clock.now() - startedAt)
     const outcome: CallOutcome = result.isOk ? 'done' : result.error.outcome
     lease.release(outcome, took)
@@ -94,11 +97,15 @@
   }
 
   /** An answer counts only where it echoes the call; a call stopped here ends for that reason. */
-  #judge (call: StageCall, raw: Result<StageAnswer, CallError>, cause: StopCause | undefined): Result<StageAnswer, CallError> {
+  #judge (
+    { call, relay }: Sending, raw: Result<StageAnswer, CallError>, cause: StopCause | undefined
+  ): Result<StageAnswer, CallError> {
     if (raw.isErr) return cause === undefined ? raw : Result.err({ ...raw.error, ...STOPPED[cause] })
+    const { usage } = raw.value
+    if (relay?.isHoled === true) return Result.err({ ...STOPPED.gap, usage })
     if (isSameCall(raw.value.call, call.id)) return raw
     this.#tellCrossed(call)
-    return Result.err({ outcome: 'crossed', detail: 'the answer echoed another call', usage: raw.value.usage })
+    return Result.err({ outcome: 'crossed', detail: 'the answer echoed another call', usage })
   }
 
   #tellCrossed (call: StageCall, lease?: EndpointLease): void {
--- /dev/null
+++ b/packages/testbed/src/http/HttpCallers.ts
@@ -0,0 +1,217 @@
+import { brand, exponential, hash64, isJsonObject, millis } from '@papayahill/common'
+import type {
+  BodyDigest, Clock, IdempotencyKey, InstanceId, Json, Millis, Random, RequestId, Run, WorkspaceId
+} from '@papayahill/common'
+import type { ClassSettings, OperatorConfig } from '@papayahill/settings'
+import { createParser } from 'eventsource-parser'
+import { Agent } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { CallerBook, CallerEntry } from './CallerBook.js'
+
+export interface CallerTarget {
+  readonly instance: InstanceId
+  readonly origin: string
+}
+
+export interface HttpCallersOptions {
+  readonly targets: readonly CallerTarget[]
+  readonly config: OperatorConfig
+  readonly clock: Clock
+  readonly random: Random
+  readonly book: CallerBook
+  /** Mean time between two requests of all callers together. */
+  readonly gap: Millis
+  /** Relative frequency of a class; 1 where absent. */
+  readonly weights?: Readonly<Record<string, number>>
+  /** Whether a cut or unknown answer under a key is asked for again elsewhere, with the same key. */
+  readonly isRetrying?: boolean
+}
+
+interface Call {
+  readonly workspace: WorkspaceId
+  readonly class: ClassSettings
+  readonly target: CallerTarget
+  readonly startedAt: Millis
+  readonly key?: IdempotencyKey
+}
+
+const MAX_TRIES = 60
+const RETRY_PAUSE = millis(500)
+
+type Answered = CallerEntry['answered']
+
+const madeForOf = (body: Json): RequestId | undefined =>
+  isJsonObject(body) && typeof body.madeFor === 'string' ? brand<RequestId>(body.madeFor) : undefined
+
+const runOf = (problem: Json): Run | undefined => {
+  const run = isJsonObject(problem) ? problem.run : undefined
+  return run === 'not-run' || run === 'unknown' || run === 'ran' ? run : undefined
+}
+
+const CUT: Answered = { outcome: 'cut', isWhole: false }
+
+/**
+ * Callers over HTTP: an open stream of requests of all classes, in turn to each instance.
+ *
+ * @example
+ * await new HttpCallers({ targets, config, clock, random, book, gap: millis(20) }).run(seconds(10))
+ */
+export class HttpCallers {
+  readonly #options: HttpCallersOptions
+  readonly #agent = new Agent({ connections: 128 })
+  readonly #running = new Set<Promise<void>>()
+  readonly #classes: readonly ClassSettings[]
+  #sent = 0
+  #turn = 0
+  #cuts = 0
+
+  constructor (options: HttpCallersOptions) {
+    this.#options = options
+    this.#classes = [...options.config.classes.values()].flatMap((settings) =>
+      new Array<ClassSettings>(options.weights?.[settings.id] ?? 1).fill(settings))
+  }
+
+  /** Sends for `span`, then waits for the last answer. */
+  async run (span: Millis): Promise<void> {
+    const { clock, random, gap } = this.#options
+    const until = clock.now() + span
+    let due = clock.now()
+    while (due < until) {
+      this.#start()
+      due = millis(due + exponential(random, gap))
+      const wait = due - clock.now()
+      if (wait > 0) await clock.sleep(millis(wait))
+    }
+    await Promise.all(this.#running)
+  }
+
+  close (): Promise<void> {
+    return this.#agent.destroy()
+  }
+
+  #start (): void {
+    const settings = this.#classes[this.#options.random.below(this.#classes.length)]
+    if (settings === undefined) return
+    const done = this.#ask(this.#plan(settings)).finally(() => { this.#running.delete(done) })
+    this.#running.add(done)
+  }
+
+  #plan (settings: ClassSettings): Call {
+    const { clock, random } = this.#options
+    const workspaces = [...this.#options.config.workspaces.values()]
+      .filter(({ classes }) => classes === undefined || classes.includes(settings.id))
+    const workspace = workspaces[random.below(workspaces.length)]?.id ?? brand<WorkspaceId>('none')
+    this.#sent++
+    return {
+      workspace,
+      class: settings,
+      target: this.#nextTarget(),
+      startedAt: clock.now(),
+      key: settings.repeatable ? undefined : brand<IdempotencyKey>(`k-${this.#sent}`)
+    }
+  }
+
+  /** One request and, where asked for, its retries under the same key at the next instance. */
+  async #ask (call: Call): Promise<void> {
+    let current = call
+    for (let tries = 1; ; tries++) {
+      const entry = await this.#call(current)
+      this.#options.book.add(entry)
+      if (!this.#isWorthRetry(entry) || tries === MAX_TRIES) return
+      await this.#options.clock.sleep(RETRY_PAUSE)
+      current = { ...call, target: this.#nextTarget(), startedAt: this.#options.clock.now() }
+    }
+  }
+
+  #isWorthRetry ({ sent, answered }: CallerEntry): boolean {
+    return this.#options.isRetrying === true && sent.key !== undefined && answered.outcome !== 'answered'
+  }
+
+  #nextTarget (): CallerTarget {
+    const { targets } = this.#options
+    this.#turn++
+    return targets[this.#turn % targets.length]!
+  }
+
+  async #call (call: Call): Promise<CallerEntry> {
+    try {
+      return await this.#read(call, await this.#request(call))
+    } catch {
+      return this.#entry(call, brand<RequestId>(`cut-${this.#cuts++}`), CUT)
+    }
+  }
+
+  #request (call: Call): Promise<Dispatcher.ResponseData> {
+    const { workspace, class: settings, target, key } = call
+    return this.#agent.request({
+      origin: target.origin,
+      path: `/v1/workspaces/${workspace}/classes/${settings.id}`,
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        accept: settings.streamed ? 'text/event-stream' : 'application/json',
+        ...(key === undefined ? {} : { 'idempotency-key': key })
+      },
+      body: this.#body(call)
+    })
+  }
+
+  async #read (call: Call, answer: Dispatcher.ResponseData): Promise<CallerEntry> {
+    const request = brand<RequestId>(String(answer.headers['x-request-id']))
+    if (answer.statusCode !== 200) return this.#problemEntry(call, request, await answer.body.json() as Json)
+    if (call.class.streamed) return await this.#readStream(call, request, answer)
+    const body = await answer.body.json() as Json
+    const output = isJsonObject(body) ? body.body ?? body : body
+    return this.#entry(call, request, { outcome: 'answered', madeFor: madeForOf(output), isWhole: true })
+  }
+
+  async #readStream (call: Call, request: RequestId, answer: Dispatcher.ResponseData): Promise<CallerEntry> {
+    const chunks: number[] = []
+    let firstChunk: Millis | undefined
+    let end: Json | undefined
+    let problem: Json | undefined
+    const parser = createParser({
+      onEvent: ({ event, id, data }) => {
+        if (event === 'chunk') {
+          firstChunk ??= this.#since(call)
+          chunks.push(Number(id))
+        }
+        if (event === 'end') end = JSON.parse(data) as Json
+        if (event === 'error') problem = JSON.parse(data) as Json
+      }
+    })
+    for await (const part of answer.body) parser.feed(String(part))
+    if (problem !== undefined) return this.#problemEntry(call, request, problem)
+    if (!isJsonObject(end)) return this.#entry(call, request, { ...CUT, chunks })
+    const isWhole = end.chunks === chunks.length
+    return this.#entry(call, request, { outcome: 'answered', madeFor: madeForOf(end.body ?? null), chunks, isWhole }, { firstChunk })
+  }
+
+  #problemEntry (call: Call, request: RequestId, problem: Json): CallerEntry {
+    const run = runOf(problem)
+    const kind = isJsonObject(problem) ? String(problem.type ?? problem.title) : 'unknown'
+    return this.#entry(call, request, { outcome: run === 'not-run' ? 'refused' : 'failed', run, isWhole: true }, { error: kind })
+  }
+
+  #entry (call: Call, request: RequestId, answered: Answered, more: Pick<CallerEntry, 'error' | 'firstChunk'> = {}): CallerEntry {
+    const sent = {
+      at: call.startedAt,
+      request,
+      instance: call.target.instance,
+      workspace: call.workspace,
+      class: call.class.id,
+      digest: brand<BodyDigest>(hash64(this.#body(call))),
+      key: call.key,
+      isRepeatable: call.class.repeatable
+    }
+    return { sent, answered, took: this.#since(call), ...more }
+  }
+
+  #body (call: Call): string {
+    return JSON.stringify({ input: `sample for ${call.class.id}` })
+  }
+
+  #since (call: Call): Millis {
+    return millis(this.#options.clock.now() - call.startedAt)
+  }
+}
