Orders: the number is taken when the load's time has come

Cause: three givers took numbers and then waited for the weight store; the second's number was old when its time came, so that its order was held back. Change: the load is reserved first, the number taken after the wait; the test of a paused giver pauses it between its number and its order.

--- a/packages/orders/src/OrderKeeper.test.ts
+++ b/packages/orders/src/OrderKeeper.test.ts
@@ -92,33 +92,35 @@
   }
 }
 
-/** A clock of one instance that can be held: timers and answers that fall due wait until it goes on. */
-class HeldClock extends VirtualClock {
-  readonly #base: VirtualClock
-  #held: Promise<void> | undefined
-  #release: () => void = () => {}
-
-  constructor (base: VirtualClock) {
-    super()
-    this.#base = base
+/** One instance's way to the table; while it is paused, answers wait. */
+class PausableTable implements Pick<TableService, 'read' | 'commit'> {
+  readonly #table: Table
+  #paused: Promise<void> | undefined
+  #wake: () => void = () => {}
+
+  constructor (table: Table) {
+    this.#table = table
   }
 
-  hold (): void {
-    this.#held = new Promise((resolve) => { this.#release = resolve })
+  pause (): void {
+    this.#paused = new Promise((resolve) => { this.#wake = resolve })
   }
 
-  release (): void {
-    this.#held = undefined
-    this.#release()
+  wake (): void {
+    this.#paused = undefined
+    this.#wake()
   }
 
-  override now (): Millis {
-    return this.#base.now()
+  async read (keys: readonly RowKey[]): ReturnType<TableService['read']> {
+    const result = await this.#table.read(keys)
+    await this.#paused
+    return result
   }
 
-  override async sleep (delay: Millis): Promise<void> {
-    await this.#base.sleep(delay)
-    await this.#held
+  async commit (transaction: Parameters<TableService['commit']>[0]): ReturnType<TableService['commit']> {
+    const result = await this.#table.commit(transaction)
+    await this.#paused
+    return result
   }
 }
 
@@ -135,11 +137,11 @@
     events = new EventRecorder(clock)
   })
 
-  const keeperOf = (name: string, own: VirtualClock = clock): OrderKeeper => new OrderKeeper({
+  const keeperOf = (name: string, own: Pick<TableService, 'read' | 'commit'> = table): OrderKeeper => new OrderKeeper({
     self: brand<InstanceId>(name),
     incarnation: brand<Incarnation>(`${name}#1`),
-    clock: own,
-    table: table as Partial<TableService> as TableService,
+    clock,
+    table: own as Partial<TableService> as TableService,
     rosterAge: () => millis(100),
     list: { list: async () => Result.ok({ endpoints: [CHECKING, IGNORING].map(endpointOf), instances: [] }) } satisfies InstanceList,
     channel: endpoints.channel(name),
@@ -185,18 +187,18 @@
     })
 
     it('carry out nothing of a giver that was paused and lost its right', async () => {
-      const held = new HeldClock(clock)
+      const own = new PausableTable(table)
       table.latency = millis(50)
-      const paused = keeperOf('i1', held)
-      const before = give(paused, service, LOAD)
+      const paused = keeperOf('i1', own)
+      const before = give(paused, service)
       await clock.advance(seconds(1))
       await before
-      const late = give(paused, service, LOAD)
-      await clock.advance(seconds(1))
-      held.hold()
+      const late = give(paused, service)
+      await clock.advance(millis(75))
+      own.pause()
       const other = give(keeperOf('i2'), service)
       await clock.advance(LONG)
-      held.release()
+      own.wake()
       await clock.advance(LONG)
       expect(await late).toMatchObject({ error: { kind: 'conflict', run: 'not-run' } })
       expect((await other).isOk).toBe(true)
--- a/packages/orders/src/OrderKeeper.ts
+++ b/packages/orders/src/OrderKeeper.ts
@@ -99,18 +99,28 @@
     return Result.ok(listed)
   }
 
+  /** The number is taken after the wait for the weight store, so that it is new when it is sent. */
   async #give (giving: Giving): Promise<Result<OrderStatus, Failure>> {
-    const { clock, log, loadInterval = LOAD_INTERVAL } = this.#options
     const { service, action, id } = giving
-    const isLoad = LOADS.has(action.kind)
-    const grant = await this.#givers.grant({ service, order: id, loadInterval: isLoad ? loadInterval : undefined })
+    if (LOADS.has(action.kind) && !await this.#waitForLoad()) {
+      return this.#refuse(giving, 'store-unavailable', 'the store reserved no load')
+    }
+    const grant = await this.#givers.grant({ service, order: id })
     if (grant === undefined) return this.#refuse(giving, 'store-unavailable', 'the store gave no fencing number')
-    log.emit(ORDERS_EVENTS.orderAccepted, { order: id, service, endpoint: giving.endpoint.id, fence: grant.fence })
+    this.#options.log.emit(ORDERS_EVENTS.orderAccepted, { order: id, service, endpoint: giving.endpoint.id, fence: grant.fence })
     await this.#waitForTurn(giving, grant)
-    await clock.sleep(millis(Math.max(0, grant.loadAt - clock.wall())))
     return await this.#send(giving, grant)
   }
 
+  /** Waits until the weight store bears a load; false where the store reserved none. */
+  async #waitForLoad (): Promise<boolean> {
+    const { clock, loadInterval = LOAD_INTERVAL } = this.#options
+    const loadAt = await this.#givers.reserveLoad(loadInterval)
+    if (loadAt === undefined) return false
+    await clock.sleep(millis(Math.max(0, loadAt - clock.wall())))
+    return true
+  }
+
   /** Endpoints that check fencing numbers need no wait: they refuse the earlier giver themselves. */
   async #waitForTurn ({ service }: Giving, { isTakeover, fence }: Grant): Promise<void> {
     const { checksFencing, clock, log } = this.#options
