Moves: cancelled calls count with the time they had run

Cause: callers of a slow version leave, and their calls said nothing. Change: their times count, not as calls shown; tests with leaving callers and with slots that a failure domain takes away.

--- a/packages/rollout/src/EvidenceCounts.ts
+++ b/packages/rollout/src/EvidenceCounts.ts
@@ -68,7 +68,7 @@
     const delta = new EvidenceCounts()
     for (const [key, { route, new: fresh, old }] of this.#routes) {
       const before = earlier?.get(key)
-      if (before?.new.calls === fresh.calls && before.old.calls === old.calls) continue
+      if (before !== undefined && fresh.isSame(before.new) && old.isSame(before.old)) continue
       delta.#routes.set(key, { route, new: fresh.since(before?.new), old: old.since(before?.old) })
     }
     return delta
--- a/packages/rollout/src/MoveKeeper.test.ts
+++ b/packages/rollout/src/MoveKeeper.test.ts
@@ -217,6 +217,18 @@
       expect(keepers[0]!.status()[0]).toMatchObject({ state: 'waiting-for-capacity' })
     })
 
+    it('waits while a failure domain takes slots away, keeps its share, and goes on when they are back', async () => {
+      startMove()
+      await serve(seconds(30))
+      slots = 0
+      await serve(seconds(30))
+      const [without] = keepers[0]!.status()
+      expect(without).toMatchObject({ state: 'waiting-for-capacity' })
+      slots = 100
+      await serve(seconds(59))
+      expect(keepers[0]!.status()[0]).toMatchObject({ state: 'done' })
+    })
+
     it('is late, not done, without traffic', async () => {
       startMove(seconds(20))
       await clock.advance(seconds(12))
--- a/packages/rollout/src/RouteJudge.test.ts
+++ b/packages/rollout/src/RouteJudge.test.ts
@@ -1,5 +1,5 @@
-import { brand, millis } from '@papayahill/common'
-import type { ClassId, Millis, StageId } from '@papayahill/common'
+import { brand, millis, tokens } from '@papayahill/common'
+import type { ClassId, Millis, StageId, StageRecord } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import type { RouteCounts } from './EvidenceCounts.js'
 import { bucketOf } from './latencyBuckets.js'
@@ -8,6 +8,8 @@
 
 const ROUTE = { class: brand<ClassId>('guide'), stage: brand<StageId>('generate') }
 
+const CANCELLED = { outcome: 'cancelled', usage: { tokensCached: tokens(0) } } as StageRecord
+
 interface Side {
   readonly calls: number
   readonly failed?: number
@@ -22,7 +24,8 @@
   counts.failed = failed
   counts.lost = lost
   const times = isCached ? counts.cached : counts.plain
-  times[bucketOf(took)] = calls - failed - lost
+  counts.timed = calls - failed - lost
+  times[bucketOf(took)] = counts.timed
   return counts
 }
 
@@ -68,6 +71,17 @@
     expect(judge.netNats).toBeLessThan(4)
   })
 
+  it('finds slowness though the callers of slow calls leave', () => {
+    const judge = judgeOver(40, () => {
+      const counts = delta({ calls: 1 }, { calls: 19 })
+      counts.new.clear()
+      counts.new.calls = 1
+      counts.new.count({ ...CANCELLED, took: millis(500) })
+      return counts
+    })
+    expect(judge.netNats).toBeGreaterThan(12)
+  })
+
   it('counts the calls that one restart of endpoints cut as one failure', () => {
     const cut = judgeOver(1, () => delta({ calls: 6, lost: 6 }, { calls: 94 }))
     const failed = judgeOver(1, () => delta({ calls: 6, failed: 6 }, { calls: 94 }))
--- a/packages/rollout/src/RouteJudge.ts
+++ b/packages/rollout/src/RouteJudge.ts
@@ -8,7 +8,7 @@
   SLOW_TOLERANCE_BUCKETS, SUPPOSED_FAILED_RATES, SUPPOSED_SLOW_RATES
 } from './constants.js'
 import type { RouteCounts } from './EvidenceCounts.js'
-import { addCounts, BUCKET_COUNT, bucketStart, slowBucket } from './latencyBuckets.js'
+import { addCounts, BUCKET_COUNT, bucketStart, slowBucket, sumCounts } from './latencyBuckets.js'
 import { RecentRate } from './RecentRate.js'
 import { SideCounts } from './SideCounts.js'
 
@@ -16,12 +16,6 @@
 
 const STRATA: readonly Stratum[] = ['plain', 'cached']
 
-const countFrom = (counts: Float64Array, first: number): number => {
-  let sum = 0
-  for (let bucket = first; bucket < BUCKET_COUNT; bucket++) sum += counts[bucket]!
-  return sum
-}
-
 const scale = (counts: Float64Array, factor: number): void => {
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) counts[bucket]! *= factor
 }
@@ -160,6 +154,6 @@
 }
 
 const addSide = (side: { -readonly [Key in keyof BlockSide]: BlockSide[Key] }, times: Float64Array, slowFrom: number): void => {
-  side.calls += countFrom(times, 0)
-  side.adverse += countFrom(times, slowFrom)
+  side.calls += sumCounts(times)
+  side.adverse += sumCounts(times, slowFrom)
 }
--- a/packages/rollout/src/SideCounts.ts
+++ b/packages/rollout/src/SideCounts.ts
@@ -1,6 +1,6 @@
 import type { StageRecord } from '@papayahill/common'
 import { z } from 'zod'
-import { addCounts, BUCKET_COUNT, bucketOf } from './latencyBuckets.js'
+import { addCounts, BUCKET_COUNT, bucketOf, sumCounts } from './latencyBuckets.js'
 
 const sparse = z.array(z.number())
 
@@ -9,7 +9,7 @@
 export type PackedSide = z.infer<typeof sideSchema>
 
 /** How a call's end counts: a lost connection apart from a failure, since one restart cuts many calls. */
-type Verdict = 'good' | 'failed' | 'lost' | 'ignored'
+type Verdict = 'good' | 'failed' | 'lost' | 'cancelled' | 'ignored'
 
 const VERDICTS: Readonly<Record<StageRecord['outcome'], Verdict>> = {
   done: 'good',
@@ -19,7 +19,7 @@
   cut: 'lost',
   'not-sent': 'lost',
   refused: 'ignored',
-  cancelled: 'ignored'
+  cancelled: 'cancelled'
 }
 
 const packCounts = (counts: Float64Array): number[] => {
@@ -37,7 +37,8 @@
 
 /**
  * Grow-only counts of one version's calls on one route. Times of calls with a cached prefix are kept
- * apart, so that a new endpoint's empty cache does not make its version look slow.
+ * apart, so that a new endpoint's empty cache does not make its version look slow. A cancelled call counts with
+ * the time that it had run: callers of a slow version leave.
  *
  * @example
  * const counts = new SideCounts()
@@ -47,25 +48,38 @@
   calls = 0
   failed = 0
   lost = 0
+  /** Calls whose time is counted: good ones, and cancelled ones with the time until then. */
+  timed = 0
   readonly plain = new Float64Array(BUCKET_COUNT)
   readonly cached = new Float64Array(BUCKET_COUNT)
 
+  get isEmpty (): boolean {
+    return this.calls + this.timed === 0
+  }
+
+  /** Whether nothing was counted since the other state of the same counts. */
+  isSame (other: SideCounts): boolean {
+    return this.calls === other.calls && this.timed === other.timed
+  }
+
   count (record: StageRecord): void {
     const verdict = VERDICTS[record.outcome]
     if (verdict === 'ignored') return
-    this.calls++
+    if (verdict !== 'cancelled') this.calls++
     if (verdict === 'failed') this.failed++
     if (verdict === 'lost') this.lost++
-    if (verdict !== 'good') return
+    if (verdict === 'failed' || verdict === 'lost') return
+    this.timed++
     const times = record.usage.tokensCached > 0 ? this.cached : this.plain
     times[bucketOf(record.took)]!++
   }
 
   add (other: SideCounts, factor = 1): void {
-    if (other.calls === 0) return
+    if (other.isEmpty) return
     this.calls += factor * other.calls
     this.failed += factor * other.failed
     this.lost += factor * other.lost
+    this.timed += factor * other.timed
     addCounts(this.plain, other.plain, factor)
     addCounts(this.cached, other.cached, factor)
   }
@@ -79,8 +93,9 @@
   }
 
   clear (): void {
-    if (this.calls === 0) return
+    if (this.isEmpty) return
     this.calls = 0
+    this.timed = 0
     this.failed = 0
     this.lost = 0
     this.plain.fill(0)
@@ -98,6 +113,7 @@
     counts.lost = lost
     unpackCounts(plain, counts.plain)
     unpackCounts(cached, counts.cached)
+    counts.timed = sumCounts(counts.plain) + sumCounts(counts.cached)
     return counts
   }
 }
--- a/packages/rollout/src/latencyBuckets.ts
+++ b/packages/rollout/src/latencyBuckets.ts
@@ -17,10 +17,16 @@
 /** Lowest time of a bucket, in milliseconds. */
 export const bucketStart = (bucket: number): number => 2 ** (bucket / BUCKETS_PER_OCTAVE)
 
+/** Sum of the counts, from the given bucket on. */
+export const sumCounts = (counts: Float64Array, first = 0): number => {
+  let sum = 0
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket++) sum += counts[bucket]!
+  return sum
+}
+
 /** The first bucket that lies wholly above a quantile of the counts; undefined where they hold too few. */
 export const slowBucket = (counts: Float64Array, quantile: number, minTotal: number): number | undefined => {
-  let total = 0
-  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) total += counts[bucket]!
+  const total = sumCounts(counts)
   if (total < minTotal) return undefined
   let seen = 0
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
