--- a/packages/cost/src/BudgetAccount.ts
+++ b/packages/cost/src/BudgetAccount.ts
@@ -1,6 +1,7 @@
 import { microUnits } from '@papayahill/common'
 import type { ClassId, EpochMillis, MicroUnits, StageId } from '@papayahill/common'
 import type { BudgetSettings } from '@papayahill/settings'
+import { FORECAST_MARGIN } from './constants.js'
 import { addDays, dayOf, hourOf, monthOf } from './dayOf.js'
 import { costInHour, signOf } from './LedgerLine.js'
 import type { LedgerLine } from './LedgerLine.js'
@@ -20,7 +21,7 @@
 }
 
 /** What operators have been told of a budget in its period. */
-export type Told = 'nothing' | 'forecast' | 'passed'
+export type Told = 'nothing' | 'forecast' | 'calm' | 'passed'
 
 const MONTHS_LAST_DAY = 31
 
@@ -63,6 +64,11 @@
     return microUnits(this.#spentBefore + this.#spentToday + this.#spentSince)
   }
 
+  /** Whether the newest forecast stays within the budget. */
+  get isCalm (): boolean {
+    return this.#newest.passesAt === undefined
+  }
+
   get isUsedUp (): boolean {
     return this.spent >= this.budget.limit
   }
@@ -117,7 +123,8 @@
     const forecast = this.forecaster.forecast(at, spanned)
     const ahead = period === 'day' ? this.forecaster.daysAhead(this.#today, limit) : undefined
     this.#newest = { total: forecast.total, passesAt: forecast.passesAt ?? ahead }
-    return this.forecaster.isCertain(at, this.#newest.passesAt)
+    const isClear = ahead !== undefined || this.#spentBefore + forecast.total > limit * (1 + FORECAST_MARGIN)
+    return this.forecaster.isCertain(at, isClear ? this.#newest.passesAt : undefined)
   }
 
   toForecast (at: EpochMillis): BudgetForecast {
