Pipeline: properties over whatever endpoints do

Cause: single cases leave combinations of outcomes out. Change: 200 random series of outcomes against one answer in time, a true not-run, and no stage of a request that may not be repeated sent twice; one abort controller less for each request.

--- a/packages/pipeline/src/PipelineServer.test.ts
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -8,6 +8,7 @@
 import type { Scheduler, StageWant } from '@papayahill/scheduling'
 import { EMPTY_CONFIG } from '@papayahill/settings'
 import type { ClassSettings, OperatorConfig, ServiceSettings } from '@papayahill/settings'
+import fc from 'fast-check'
 import { Result } from 'true-myth'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { PIPELINE_EVENTS } from './events.js'
@@ -430,6 +431,50 @@
     })
   })
 
+  describe('whatever endpoints do', () => {
+    const behaviour = fc.constantFrom<CallError['outcome'] | 'done' | 'hang' | 'late'>(
+      'done', 'failed', 'cut', 'crossed', 'refused', 'not-sent', 'timed-out', 'hang', 'late'
+    )
+
+    const behave = (call: StageCall, kind: string, signal: AbortSignal): Promise<Result<StageAnswer, CallError>> => {
+      if (kind === 'done') return Promise.resolve(done(call))
+      if (kind === 'late') return clock.sleep(millis(900)).then(() => signal.aborted ? error('cancelled') : done(call))
+      if (kind !== 'hang') return Promise.resolve(error(kind as CallError['outcome']))
+      return new Promise((resolve) => {
+        const timer = clock.after(call.timeout, () => resolve(error('timed-out')))
+        signal.addEventListener('abort', () => {
+          timer.cancel()
+          resolve(error('cancelled'))
+        })
+      })
+    }
+
+    it('each request has one answer in time, and "not run" is true', async () => {
+      const scenario = fc.record({ classId: fc.constantFrom('guide', 'order'), kinds: fc.array(behaviour, { maxLength: 8 }) })
+      await fc.assert(fc.asyncProperty(scenario, async ({ classId, kinds }) => {
+        calls = []
+        const outcomes: string[] = []
+        const next: Serve = (call, _onChunk, signal) => {
+          const kind = kinds[outcomes.length] ?? 'done'
+          outcomes.push(kind)
+          return behave(call, kind, signal)
+        }
+        for (const stage of ['encode', 'generate', 'accounts', 'orders']) serve.set(stage, next)
+        const startedAt = clock.now()
+        let endedAt = millis(Infinity)
+        const answered = server.run(requestOf(classId), reader).finally(() => { endedAt = clock.now() })
+        await clock.advance(seconds(30))
+        const answer = await answered
+        const ran = outcomes.filter((kind) => kind !== 'not-sent').length
+        expect(endedAt - startedAt).toBeLessThanOrEqual(2000)
+        expect(server.running).toBe(0)
+        if (failureOf(answer)?.run === 'not-run') expect(ran).toBe(0)
+        if (classId === 'order') expect(ran).toBeLessThanOrEqual(2)
+        if (answer.isOk) expect(answer.value.body).toMatch(/of r-1$/)
+      }), { numRuns: 200 })
+    })
+  })
+
   describe('what may not be repeated', () => {
     it('is claimed with the slot in hand, dispatched once, and its outcome recorded', async () => {
       const answer = await run(requestOf('order'))
--- a/packages/pipeline/src/RequestRun.ts
+++ b/packages/pipeline/src/RequestRun.ts
@@ -35,7 +35,8 @@
   readonly #stages: StageRecord[] = []
   /** Stops waiting for slots, and calls that may be cut off. */
   readonly #stop = new AbortController()
-  readonly #never = new AbortController()
+  /** Stops calls under way; never aborted where they may not be repeated. */
+  readonly #callSignal: AbortSignal
   #guard = new RunGuard()
   #giveUp: (result: Result<Answer, Failure>) => void = () => {}
 
@@ -53,6 +54,7 @@
     if (isStreamed) this.#relay = new ChunkRelay(clock, sink)
     const service = pipeline.stages[0]!.service
     if (!settings.repeatable) this.#claim = new OnceClaim({ clock, claims, request, service })
+    this.#callSignal = settings.repeatable ? this.#stop.signal : new AbortController().signal
     this.givenUp = new Promise((resolve) => { this.#giveUp = resolve })
   }
 
@@ -138,8 +140,8 @@
       relay: isLast ? this.#relay : undefined,
       claim: this.#claim,
       guard: this.#claim ?? this.#repeatableGuard(),
-      waitSignal: this.#claim?.isDispatched === true ? this.#never.signal : this.#stop.signal,
-      callSignal: this.#claim === undefined ? this.#stop.signal : this.#never.signal,
+      waitSignal: this.#claim?.isDispatched === true ? this.#callSignal : this.#stop.signal,
+      callSignal: this.#callSignal,
       isFirst: index === 0,
       onRecord: (record) => {
         this.#stages.push(record)
