A first stream is not called slow before anything has shown what is usual

Ruled out: the resume itself; with a retry left it went on without a doubled or missing chunk. Change: until a first chunk has been seen the class's own target says what is far too long.

--- a/packages/pipeline/src/StageRun.ts
+++ b/packages/pipeline/src/StageRun.ts
@@ -197,8 +197,7 @@
   #slowWatch (planned: PlannedStage): { after: Millis, giveUp: () => boolean } | undefined {
     const { claim, relay, context, settings } = this.#options
     if (claim !== undefined) return undefined
-    const usual = relay === undefined ? planned.forecast : context.firstChunks.mean(settings.id) || planned.forecast
-    const after = millis(Math.max(SLOW_FLOOR, SLOW_FACTOR * usual))
+    const after = relay === undefined ? slowAfter(planned.forecast) : this.#firstChunkDue(planned)
     const giveUp = (): boolean => {
       const isTaken = this.#mayRetry(planned)
       if (isTaken) context.log.emit(PIPELINE_EVENTS.slowCall, { class: settings.id, stage: planned.stage.id })
@@ -207,6 +206,14 @@
     return { after, giveUp }
   }
 
+  /** Before any first chunk has shown what is usual, the class's target says what is far too long. */
+  #firstChunkDue (planned: PlannedStage): Millis {
+    const { context, settings } = this.#options
+    const usual = context.firstChunks.mean(settings.id)
+    if (usual > 0) return slowAfter(usual)
+    return millis(Math.max(slowAfter(planned.forecast), settings.target.firstChunk ?? 0))
+  }
+
   #want (planned: PlannedStage): StageWant {
     const { context, request, settings } = this.#options
     const { stage, service } = planned
@@ -272,3 +279,5 @@
 const failed = (kind: Failure['kind'], detail: string): StageEnd => ({
   kind: 'failed', failure: failure(kind, detail, 'unknown')
 })
+
+const slowAfter = (usual: Millis): Millis => millis(Math.max(SLOW_FLOOR, SLOW_FACTOR * usual))
