Capacity bench with slopes by instances, endpoints and workspaces; results as a page

Cause: the capacity page and the results page need a command that writes them. Change: bench capacity, and bench report, which writes docs/RESULTS.md from JSON lines.

--- a/packages/bench/src/capacity/CapacityFleet.ts
+++ b/packages/bench/src/capacity/CapacityFleet.ts
@@ -18,6 +18,7 @@
 const OPERATOR = brand<Parameters<Instance['config']['propose']>[1]>('operator')
 /** Time until links, copies and reports have settled. */
 const SETTLE = seconds(12)
+const SMALL_CHANGES = 8
 const START_LIMIT = seconds(60)
 /** The target's 6,200 requests a second over 420 instances. */
 const REQUESTS_PER_SECOND = 15
@@ -64,6 +65,8 @@
     for (let at = 0; at < this.#size.instances; at++) started.push(this.#startInstance(at))
     await this.#settled(Promise.all(started))
     await this.#settled(this.#instances[0]!.config.propose([{ kind: 'replace', config: this.#config }], OPERATOR))
+    // The log's newest changes travel together; small ones follow the first, as in a deployment that has run for long.
+    for (let change = 0; change < SMALL_CHANGES; change++) await this.#settled(this.#changeWorkspace())
     await this.#clock.advance(SETTLE)
   }
 
@@ -72,8 +75,7 @@
     const bytes = this.#bytesByTopic()
     const { reads, writes } = this.#table
     const stopCallers = this.#sendRequests()
-    const change = { kind: 'put-workspace', workspace: { id: brand<WorkspaceId>('workspace-1') } } as const
-    void this.#instances[0]!.config.propose([change], OPERATOR)
+    void this.#changeWorkspace()
     const seconds = await profileByRole(() => this.#clock.advance(span))
     stopCallers()
     const perNodeSecond = (value: number): number => value / this.#size.instances / (span / 1000)
@@ -103,6 +105,11 @@
     if (!await this.#clock.advanceUntil(() => isDone, START_LIMIT)) throw new Error(`the fleet of ${this.#size.instances} did not start`)
   }
 
+  #changeWorkspace (): Promise<unknown> {
+    const workspace = { id: brand<WorkspaceId>('workspace-1') }
+    return this.#instances[0]!.config.propose([{ kind: 'put-workspace', workspace }], OPERATOR)
+  }
+
   #bytesByTopic (): Readonly<Record<string, number>> {
     const sums: Record<string, number> = {}
     for (const core of this.#peers) {
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import { missedBounds } from './judge.js'
 import { BENCHES } from './table.js'
 import type { Bench } from './types.js'
+import { writeReport } from './writeReport.js'
 
 interface RunArguments {
   readonly seed: number
@@ -63,6 +64,9 @@
 await yargs(hideBin(process.argv))
   .scriptName('bench')
   .command('list', 'Lists the benches', {}, listBenches)
+  .command('report <file>', 'Writes docs/RESULTS.md from JSON lines of runs', (command) => command
+    .positional('file', { type: 'string', demandOption: true }),
+  (args) => { writeReport(args.file) })
   .command('$0 <name>', 'Runs one bench, or all', (command) => command
     .positional('name', { type: 'string', demandOption: true })
     .option('seed', { type: 'number', default: 1, describe: 'First seed' })
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -18,5 +18,6 @@
   gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js'),
+  capacity: () => import('./benches/capacity.js'),
   roster: () => import('./benches/roster.js')
 }
--- /dev/null
+++ b/packages/bench/src/writeReport.ts
@@ -0,0 +1,88 @@
+import { readFileSync, writeFileSync } from 'node:fs'
+import { availableParallelism, totalmem } from 'node:os'
+import { fileURLToPath } from 'node:url'
+import type { Bound, Figures } from './types.js'
+
+const RESULTS = fileURLToPath(new URL('../../../docs/RESULTS.md', import.meta.url))
+const GIB = 1024 ** 3
+const BAR_WIDTH = 20
+const SIGNIFICANT = 4
+
+/** One bench's line, as the bench command prints it. */
+interface ResultLine {
+  readonly bench: string
+  readonly seed: number
+  readonly seeds: number
+  readonly figures: Figures
+  readonly baselines: Readonly<Record<string, Figures>>
+  readonly bounds: Readonly<Record<string, Bound>>
+  readonly ok: boolean
+  readonly missed: readonly string[]
+}
+
+const number = (value: number | undefined): string => {
+  if (value === undefined) return '-'
+  return Number.isInteger(value) ? String(value) : String(Number(value.toPrecision(SIGNIFICANT)))
+}
+
+const boundText = (bound: Bound | undefined): string => {
+  if (bound === undefined) return ''
+  const least = bound.min === undefined ? '' : `at least ${bound.min}`
+  const most = bound.max === undefined ? '' : `at most ${bound.max}`
+  return [least, most].filter((part) => part !== '').join(', ')
+}
+
+/** How far a figure has come towards its upper bound, or above its lower one. */
+const bar = (value: number, bound: Bound | undefined): string => {
+  const limit = bound?.max ?? bound?.min
+  if (limit === undefined || limit === 0) return ''
+  const filled = Math.max(0, Math.min(BAR_WIDTH, Math.round(value / limit * BAR_WIDTH)))
+  return `\`${'#'.repeat(filled).padEnd(BAR_WIDTH, '.')}\``
+}
+
+const rowsOf = (line: ResultLine): readonly string[] => {
+  const names = Object.keys(line.baselines)
+  const head = ['figure', 'value', 'bound', 'of the bound', ...names]
+  const row = ([figure, value]: readonly [string, number]): string => {
+    const bound = line.bounds[figure]
+    const baselines = names.map((name) => number(line.baselines[name]?.[figure]))
+    return `| ${[figure, number(value), boundText(bound), bar(value, bound), ...baselines].join(' | ')} |`
+  }
+  return [`| ${head.join(' | ')} |`, `|${' --- |'.repeat(head.length)}`, ...Object.entries(line.figures).map(row)]
+}
+
+const sectionOf = (line: ResultLine): readonly string[] => [
+  `## ${line.bench}`,
+  '',
+  `\`npm run bench -- ${line.bench} --json --seed ${line.seed} --seeds ${line.seeds}\`: ${line.ok ? 'within every bound' : `misses ${line.missed.join(', ')}`}.`,
+  '',
+  ...rowsOf(line),
+  ''
+]
+
+const headOf = (lines: readonly ResultLine[]): readonly string[] => {
+  const red = lines.filter(({ ok }) => !ok).map(({ bench }) => bench)
+  const machine = `${availableParallelism()} cores, ${Math.round(totalmem() / GIB)} GiB, Node ${process.version}`
+  return [
+    '# Results',
+    '',
+    `Written by \`npm run bench -- report FILE\` on ${new Date().toISOString().slice(0, 10)}, from runs on ${machine}.`,
+    'Columns after the bound are baselines under the same scenarios; they are there to miss.',
+    '',
+    red.length === 0 ? 'Every bench is within its bounds.' : `Outside their bounds: ${red.join(', ')}; see KNOWN-RED.txt.`,
+    ''
+  ]
+}
+
+/**
+ * Writes docs/RESULTS.md from a file of the bench command's JSON lines; the newest line of a bench counts.
+ *
+ * @example
+ * writeReport('results/benches.jsonl')
+ */
+export const writeReport = (file: string): void => {
+  const lines = readFileSync(file, 'utf8').split('\n').filter((line) => line.startsWith('{'))
+  const newest = new Map(lines.map((line) => JSON.parse(line) as ResultLine).map((line) => [line.bench, line]))
+  const results = [...newest.values()]
+  writeFileSync(RESULTS, [...headOf(results), ...results.flatMap(sectionOf)].join('\n'))
+}
