An endpoint that takes no new connection still lives while one stands

Cause: a refused new connection closed all confirmed ones, so that a leaving endpoint was lost to running work's followers and counted as cold.

--- a/apps/papayahilld/src/main.ts
+++ b/apps/papayahilld/src/main.ts
@@ -36,6 +36,12 @@
   process.on('SIGQUIT', () => signals.quit())
   // A fault in control work must not cut the streams of callers who have nothing to do with it.
   process.on('unhandledRejection', (err) => log.emit(PAPAYAHILLD_EVENTS.taskFailed, { detail: String(err) }))
+  const crash = (err: unknown): void => {
+    log.emit(PAPAYAHILLD_EVENTS.crashed, { detail: err instanceof Error ? err.stack ?? err.message : String(err) })
+    fail('a fault ended the process; its log says where', EXIT_CODES.failed)
+  }
+  process.on('uncaughtException', crash)
+  process.on('unhandledRejection', crash)
   try {
     await daemon.start()
   } catch (err) {
--- a/packages/backends/src/SocketPool.ts
+++ b/packages/backends/src/SocketPool.ts
@@ -8,7 +8,7 @@
   readonly origin: string
   readonly clock: Clock
   readonly first: OpenedSocket
-  /** A new connection met another life of the endpoint, or none. */
+  /** A new connection met another life of the endpoint, or no connection to this one is left. */
   readonly onOtherLife: () => void
 }
 
@@ -37,21 +37,24 @@
     return socket
   }
 
-  /** Opens one more; undefined where the endpoint can't be reached or lives anew. */
+  /**
+   * Opens one more; undefined where the endpoint can't be reached or lives anew. An endpoint that takes no
+   * new connection, as one that leaves, still lives while another connection to it stands.
+   */
   async open (): Promise<ConfirmedSocket | undefined> {
     this.#opening++
     const opened = await openSocket(this.#options.origin, this.#options.clock)
     this.#opening--
     const socket = opened.isOk ? this.#accept(opened.value) : undefined
-    if (socket === undefined) this.#options.onOtherLife()
-    else this.#busy++
+    if (socket !== undefined) this.#busy++
+    else if (opened.isOk || this.#isEmpty) this.#options.onOtherLife()
     return socket
   }
 
   giveBack (socket: ConfirmedSocket): void {
     this.#busy--
-    if (!socket.isUsable) return
-    this.#addIdle(socket)
+    if (socket.isUsable) this.#addIdle(socket)
+    else if (this.#isEmpty && !this.#isClosed) void this.#openSpare()
   }
 
   close (): void {
@@ -59,6 +62,10 @@
     for (const socket of this.#idle.splice(0)) socket.close()
   }
 
+  get #isEmpty (): boolean {
+    return this.#idle.length + this.#busy + this.#opening === 0
+  }
+
   #accept ({ socket, incarnation }: OpenedSocket): ConfirmedSocket | undefined {
     if (incarnation === this.#incarnation && !this.#isClosed) return this.#adopt(socket)
     socket.close()
--- a/packages/bench/src/faces/HttpEndpointAccess.test.ts
+++ b/packages/bench/src/faces/HttpEndpointAccess.test.ts
@@ -201,6 +201,16 @@
       expect(results.map((result) => result.isOk)).toEqual([true, true, true])
     })
 
+    it('goes on while a connection stands, also where no new one is taken', async () => {
+      const setup = await setUp('engine')
+      const connection = await openOf(setup)
+      const onChunk = (chunk: StageChunk): void => { if (chunk.index === 0) void servers[0]?.server.stopListening() }
+      const first = await connection.call(callOf('engine', { isStreamed: true }), onChunk, NEVER)
+      const second = await connection.call(callOf('engine'), () => {}, NEVER)
+      expect([first.isOk, second.isOk, connection.isOpen]).toEqual([true, true, true])
+      expect((await setup.access.open(setup.listed)).isErr).toBe(true)
+    })
+
     it('is not opened where nobody listens', async () => {
       const setup = await setUp('plain')
       await servers[0]?.close()
--- a/packages/standins/src/http/HttpStandIn.ts
+++ b/packages/standins/src/http/HttpStandIn.ts
@@ -88,6 +88,11 @@
     this.#server.closeAllConnections()
   }
 
+  /** Takes no new connection and closes idle ones; calls at work end in peace. */
+  stopListening (): Promise<void> {
+    return new Promise((resolve) => { this.#server.close(() => resolve()) })
+  }
+
   close (): Promise<void> {
     const closed = new Promise<void>((resolve) => { this.#server.close(() => resolve()) })
     this.#server.closeAllConnections()
