--- a/packages/bench/src/relay/constants.ts
+++ b/packages/bench/src/relay/constants.ts
@@ -11,7 +11,7 @@
 export const THROUGHPUT_SECONDS = 8
 export const REQUESTS_AT_ONCE = 32
 export const STREAM_SECONDS = 8
-export const STREAMS_AT_ONCE = 400
+export const STREAMS_AT_ONCE = 600
 
 export const PLAIN_MODEL = { ...WORK_MODELS.plain, callTime: millis(2), bearsCold: 256, bearsWarm: 256 }
 
