Failed calls are billed as the endpoint says; a start in vain ends what it began

Cause: usage in an error's body was dropped, so that bills over HTTP and metering differed; a second start of an instance ran its timers twice.

--- a/apps/papayahilld/src/Daemon.ts
+++ b/apps/papayahilld/src/Daemon.ts
@@ -52,9 +52,7 @@
   async start (): Promise<void> {
     await this.#parts.peers.start()
     await this.#listen()
-    while ((await this.#parts.instance.start()).isErr) {
-      this.#log.emit(PAPAYAHILLD_EVENTS.waiting, { instance: this.#cfg.id })
-    }
+    while ((await this.#parts.instance.start()).isErr) this.#startAnew()
     this.#log.emit(PAPAYAHILLD_EVENTS.started, { instance: this.#cfg.id })
   }
 
@@ -74,6 +72,14 @@
     await this.#parts.close()
   }
 
+  /** Ends what the start in vain left running, so that the next one does not run twice. */
+  #startAnew (): void {
+    const { config, roster } = this.#parts.instance
+    config.stop()
+    roster.stop()
+    this.#log.emit(PAPAYAHILLD_EVENTS.waiting, { instance: this.#cfg.id })
+  }
+
   async #listen (): Promise<void> {
     const { limits, secrets, callers, operators, id } = this.#cfg
     const ids = new RequestIds(id, this.#parts.random)
--- a/packages/backends/src/HttpConnection.ts
+++ b/packages/backends/src/HttpConnection.ts
@@ -207,6 +207,14 @@
 
   #refusal (answer: SocketAnswer): CallError {
     const outcome = REFUSED_STATUSES.has(answer.status) ? 'refused' : 'failed'
-    return { outcome, detail: `the endpoint answered ${answer.status}`, retryAfter: retryAfterOf(answer) }
+    const json = parseJson(this.#received.text)
+    const body = isJsonObject(json) ? json : {}
+    return {
+      outcome,
+      detail: `the endpoint answered ${answer.status}`,
+      retryAfter: retryAfterOf(answer),
+      usage: body.usage === undefined ? undefined : this.#adapter.usage(body.usage, this.#took()),
+      cacheExport: typeof body.cache_export === 'string' ? body.cache_export : undefined
+    }
   }
 }
--- a/packages/backends/src/adapters.ts
+++ b/packages/backends/src/adapters.ts
@@ -10,6 +10,8 @@
   encode (call: StageCall, version: VersionId): Json
   /** Undefined where the answer has another form. */
   decode (body: JsonObject, took: Millis): StageAnswer | undefined
+  /** What a failed call used, as the endpoint says. */
+  usage (json: Json | undefined, took: Millis): StageUsage
 }
 
 const numberOr = (value: Json | undefined, other: number): number => typeof value === 'number' ? value : other
@@ -77,12 +79,12 @@
 }
 
 const plainAdapter = (path: string): Adapter => ({
-  path, encode: (call) => ({ input: call.body }), decode: decodePlain
+  path, encode: (call) => ({ input: call.body }), decode: decodePlain, usage: plainUsage
 })
 
 /** All kinds of back ends; a new kind is one more line. */
 export const ADAPTERS: Readonly<Record<ServiceKind, Adapter>> = {
-  engine: { path: '/v1/completions', encode: encodeCompletion, decode: decodeCompletion },
+  engine: { path: '/v1/completions', encode: encodeCompletion, decode: decodeCompletion, usage: completionUsage },
   encoder: plainAdapter('/v1/encode'),
   retriever: plainAdapter('/v1/retrieve'),
   reranker: plainAdapter('/v1/rerank'),
--- a/packages/bench/src/faces/HttpEndpointAccess.test.ts
+++ b/packages/bench/src/faces/HttpEndpointAccess.test.ts
@@ -138,12 +138,13 @@
       expect(result.isErr && result.error.outcome).toBe('timed-out')
     })
 
-    it('has failed where the endpoint answers an error', async () => {
-      const setup = await setUp('plain')
+    it.each(['engine', 'encoder'] as const)('has failed where the %s answers an error, and is billed as that says', async (kind) => {
+      const setup = await setUp(kind)
       setup.endpoint.faults.failShare = 1
       const connection = await openOf(setup)
-      const result = await connection.call(callOf('plain'), () => {}, NEVER)
-      expect(result.isErr && result.error.outcome).toBe('failed')
+      const result = await connection.call(callOf(kind), () => {}, NEVER)
+      expect(result.isErr && result.error).toMatchObject({ outcome: 'failed', usage: setup.endpoint.bills[0]?.usage })
+      expect(setup.endpoint.bills[0]?.usage.tokensIn).toBeGreaterThan(0)
     })
 
     it('is not sent where the signal was aborted before', async () => {
--- a/packages/standins/src/http/completions.ts
+++ b/packages/standins/src/http/completions.ts
@@ -1,6 +1,6 @@
 import type { CallId, InstanceId, StageUsage } from '@papayahill/common'
 import { formatCallId, isJsonObject } from '@papayahill/common'
-import type { StageCall, StageChunk } from '@papayahill/endpoints'
+import type { CallError, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { FakeEndpoint } from '../FakeEndpoint.js'
 import { sendJson } from './HttpStandIn.js'
 import type { StandInResponse } from './HttpStandIn.js'
@@ -16,6 +16,10 @@
   id: formatCallId(id), object: 'text_completion', choices: [{ index: 0, text, finish_reason: finishReason }]
 })
 
+const failureOf = ({ detail, usage, cacheExport }: CallError): object => ({
+  detail, usage: usage === undefined ? undefined : usageOf(usage), cache_export: cacheExport
+})
+
 const writeEvent = (res: StandInResponse, data: string, id?: number): void => {
   const line = id === undefined ? '' : `id: ${id}\n`
   res.write(`${line}data: ${data}\n\n`)
@@ -39,7 +43,7 @@
   if (res.destroyed) return
   if (result.isErr) {
     if (res.headersSent || result.error.outcome === 'cut') res.destroy()
-    else sendJson(res, 500, { detail: result.error.detail, usage: result.error.usage })
+    else sendJson(res, 500, failureOf(result.error))
     return
   }
   const { call: echo, body, usage } = result.value
