Status over all instances that are asked

Cause: each instance sees a share of the requests, so that one's status misled. Change: papayahill status joins attainment by requests; the stage of the instance with most misses is named; the rest as the first sees it. Conclusion: who misses targets is told of the whole deployment.

--- a/apps/papayahill/src/OperatorClient.ts
+++ b/apps/papayahill/src/OperatorClient.ts
@@ -49,6 +49,13 @@
     throw new CliFailure(`no instance takes connections at ${tried}; give another with --operators`, EXIT_CODES.unreachable)
   }
 
+  /** Asks every instance that takes connections. */
+  async askAll (path: string): Promise<readonly Json[]> {
+    const answers = await Promise.all(this.#options.origins.map((origin) => this.#askOne(origin, 'GET', path, undefined)))
+    const given = answers.flatMap((answer) => answer === undefined ? [] : [answer.body])
+    return given.length > 0 ? given : [await this.ask('GET', path)]
+  }
+
   close (): Promise<void> {
     return this.#agent.destroy()
   }
--- a/apps/papayahill/src/showStatus.ts
+++ b/apps/papayahill/src/showStatus.ts
@@ -28,7 +28,7 @@
 
 /** Writes an instance's status for people: who misses targets and which stage is why comes first. */
 export const showStatus = (status: InstanceStatus): readonly string[] => [
-  `instance ${status.instance}: ${status.isReady ? 'ready' : 'not ready'}, ${status.running} running`,
+  `instances ${status.instance}: ${status.isReady ? 'ready' : 'not ready'}, ${status.running} running`,
   `configuration version ${status.config.version} by ${status.config.author ?? 'nobody'}; in force: ` +
     status.inForce.map((each) => `${each.instance} ${each.version}`).join(', '),
   `domains out: ${status.domainsOut.join(', ') || 'none'}` +
