Claims rest on what the store showed when the request came in

Cause: a request that waited in a queue was claimed after its caller had given up, heard 'not run' elsewhere and ordered anew. Change: Claims.arrive (optional) reads the key on arrival, the pipeline calls it; begin claims conditional on that version.

--- a/packages/bench/src/state/ClaimKeeper.test.ts
+++ b/packages/bench/src/state/ClaimKeeper.test.ts
@@ -125,6 +125,20 @@
       expect(failureOf(await slow)).toMatchObject({ run: 'unknown' })
     })
 
+    it('stays true where a request waits in a queue while its key is refused elsewhere', async () => {
+      const rig = await started()
+      const queued = request()
+      rig.at(1).claims.arrive?.(queued)
+      await rig.clock.advance(millis(100))
+      const released = (await claimAt(rig, 0)).notSent()
+      await rig.clock.advance(millis(100))
+      expect(await released).toBe(true)
+      const begun = rig.at(1).claims.begin(queued)
+      await rig.clock.advance(seconds(1))
+      expect(failureOf(await begun)).toMatchObject({ kind: 'outcome-unknown', run: 'unknown' })
+      expect((await beginAt(rig, 1)).kind).toBe('run')
+    })
+
     it('stays true where a request waited through a pause: for a moment nothing is claimed after it', async () => {
       const rig = await started()
       rig.pause(rig.ids[1]!)
--- a/packages/bench/src/state/OrderServer.ts
+++ b/packages/bench/src/state/OrderServer.ts
@@ -10,6 +10,9 @@
 const CALL_TIMEOUT = millis(1500)
 /** Share of requests that the instance refuses as if it were overloaded. */
 const OVERLOAD_SHARE = 0.08
+/** Share of requests that wait in a queue before they are claimed, and how long at most; callers may give up meanwhile. */
+const QUEUED_SHARE = 0.4
+const QUEUE_MAX = millis(2500)
 
 export type OrderAnswer = Result<Json, Failure>
 
@@ -32,6 +35,8 @@
 
   async serve (request: ClaimRequest): Promise<OrderAnswer> {
     const isOverloaded = this.#random.next() < OVERLOAD_SHARE
+    this.#instance.claims.arrive?.(request)
+    if (this.#random.next() < QUEUED_SHARE) await this.#instance.clock.sleep(millis(this.#random.next() * QUEUE_MAX))
     const opened = await this.#open()
     const decision = await this.#instance.claims.begin(isOverloaded ? { ...request, patience: millis(0) } : request)
     if (decision.kind === 'refuse') return Result.err(decision.failure)
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -2,6 +2,8 @@
 import type { Clock, EventLog, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, Random, WorkspaceId } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { RowKey, TableService } from '@papayahill/platform'
+import { Arrivals } from './Arrivals.js'
+import type { Arrival } from './Arrivals.js'
 import { claimKey, decodeClaim, encodeClaim, isSettled, newClaim, readClaimRow, statusOf, withOutcome } from './claimRecord.js'
 import type { AttemptId, ClaimRow } from './claimRecord.js'
 import { ClaimListing } from './ClaimListing.js'
@@ -54,6 +56,7 @@
   readonly #listing: ClaimListing
   readonly #settler: ClaimSettler
   readonly #pauses: PauseGuard
+  readonly #arrivals: Arrivals
   readonly #attempts = new Map<RowKey, LocalAttempt>()
   #count = 0
 
@@ -62,9 +65,10 @@
     const log = options.log ?? SILENT_LOG
     this.#options = options
     this.#log = log
-    this.#pauses = new PauseGuard(clock, log)
     this.#listing = new ClaimListing({ incarnation, clock, random, table, log })
     this.#commits = new GroupCommit({ clock, table, beside: (writes) => this.#listing.logOf(writes) })
+    this.#pauses = new PauseGuard(clock, log)
+    this.#arrivals = new Arrivals(this.#commits, this.#pauses)
     this.#writer = new OutcomeWriter({ clock, random, commits: this.#commits, log })
     this.#holder = new OutcomeHolder({ clock, random, peers, commits: this.#commits, log })
     this.#settler = new ClaimSettler({ ...options, commits: this.#commits, writer: this.#writer, holder: this.#holder, log })
@@ -83,14 +87,18 @@
     this.#pauses.stop()
   }
 
+  arrive (request: Pick<ClaimRequest, 'workspace' | 'key' | 'request'>): void {
+    this.#arrivals.note(request.request, claimKey(request.workspace, request.key))
+  }
+
   async begin (request: ClaimRequest): Promise<ClaimDecision> {
     const { clock } = this.#options
     const key = claimKey(request.workspace, request.key)
     const until = millis(clock.now() + request.patience)
+    const arrival = this.#arrivals.take(request.request, key)
     for (let tries = 0; tries < MAX_CLAIM_TRIES; tries++) {
       const local = this.#current(key)
-      if (local === undefined && this.#pauses.isQuiet) return refuse(justPaused())
-      if (local === undefined) return await this.#claim(key, request, until)
+      if (local === undefined) return await this.#claim(key, request, arrival, until)
       if (local.record.digest !== request.digest) return refuse(keyReused(local.record))
       const end = await local.whenEnded(millis(until - clock.now()))
       if (end === undefined) return refuse(stillRunning())
@@ -139,23 +147,26 @@
     return undefined
   }
 
-  async #claim (key: RowKey, request: ClaimRequest, until: Millis): Promise<ClaimDecision> {
+  async #claim (key: RowKey, request: ClaimRequest, arrival: Arrival, until: Millis): Promise<ClaimDecision> {
+    if (arrival === undefined) return refuse(justPaused())
     const { self, incarnation, clock } = this.#options
     const attempt: AttemptId = `${incarnation}/${++this.#count}`
     const record = newClaim(request, { owner: self, ownerIncarnation: incarnation }, attempt, clock.wall())
     const local = new LocalAttempt(clock, record)
     this.#attempts.set(key, local)
-    const decision = await this.#tryClaim(key, local, request, until)
+    const decision = await this.#tryClaim(key, local, request, arrival, until)
     if (decision.kind === 'run') return decision
     local.finish({ kind: 'not-sent' })
     this.#forget(key, local)
     return decision
   }
 
-  async #tryClaim (key: RowKey, local: LocalAttempt, request: ClaimRequest, until: Millis): Promise<ClaimDecision> {
-    const read = await this.#commits.read(key)
+  async #tryClaim (
+    key: RowKey, local: LocalAttempt, request: ClaimRequest, arrival: Exclude<Arrival, undefined>, until: Millis
+  ): Promise<ClaimDecision> {
+    const read = await arrival
     if (read.isErr) return await this.#withoutStore(key, request)
-    let row = readClaimRow(read.value)
+    let row = read.value
     for (let tries = 0; tries < MAX_CLAIM_TRIES; tries++) {
       const step = isFree(row) ? { kind: 'take', row } as const : await this.#settler.settle(row, request, until)
       if (step.kind === 'decided') return step.decision
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -7,6 +7,8 @@
 export const PAUSE_TICK = millis(100)
 /** How long after a pause no request is claimed. */
 export const PAUSE_QUIET = millis(500)
+/** Requests whose arrival is remembered until they begin, at most. */
+export const MAX_ARRIVALS = 8192
 /** Age of a claim from which "not run", by look-up or by an operator, is taken as final. */
 export const NOT_RUN_FINAL_AFTER = millis(2 * MILLIS_PER_MINUTE)
 /** How long outcomes are kept; a key that is used again later may run again. */
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -72,6 +72,11 @@
 }
 
 export interface Claims {
+  /**
+   * A request came in that may begin later, after a queue. What `begin` does then rests on what the store
+   * showed now, so that a refusal of the same key elsewhere in between is not made false.
+   */
+  arrive? (request: Pick<ClaimRequest, 'workspace' | 'key' | 'request'>): void
   begin (request: ClaimRequest): Promise<ClaimDecision>
   /** Claims whose outcome is not known, for operators. */
   unknown (): Promise<readonly ClaimStatus[]>
--- a/packages/pipeline/src/OnceClaim.ts
+++ b/packages/pipeline/src/OnceClaim.ts
@@ -35,6 +35,8 @@
 
   constructor (options: OnceClaimOptions) {
     this.#options = options
+    const { claims, request: { workspace, key, id } } = options
+    if (key !== undefined) claims.arrive?.({ workspace, key, request: id })
   }
 
   get isDispatched (): boolean {
