A released key is claimed anew only by requests that surely came after the release

The test that claimed a key right after its release now waits, and checks that an earlier request is refused.

--- a/packages/bench/src/state/ClaimKeeper.test.ts
+++ b/packages/bench/src/state/ClaimKeeper.test.ts
@@ -94,15 +94,39 @@
   })
 
   describe('not-run', () => {
-    it('frees the key once the release is recorded', async () => {
+    it('frees the key once the release is recorded, for requests that surely came in after it', async () => {
       const rig = await started()
       const attempt = await claimAt(rig, 0)
       const released = attempt.notSent()
       await rig.clock.advance(millis(100))
       expect(await released).toBe(true)
+      expect(failureOf(await beginAt(rig, 1, {}, millis(200)))).toMatchObject({ run: 'unknown' })
+      await rig.clock.advance(millis(500))
       expect((await beginAt(rig, 1)).kind).toBe('run')
     })
 
+    it('is not said where the release takes the store long', async () => {
+      const rig = await started()
+      const attempt = await claimAt(rig, 0)
+      rig.table.faults.latency = millis(400)
+      const released = attempt.notSent()
+      await rig.clock.advance(seconds(2))
+      expect(await released).toBe(false)
+    })
+
+    it('stays true where the read of an earlier request takes the store long', async () => {
+      const rig = await started()
+      rig.table.faults.latency = millis(800)
+      const early = rig.at(1).claims.begin(request())
+      await rig.clock.advance(millis(100))
+      rig.table.faults.latency = millis(3)
+      const released = (await claimAt(rig, 0)).notSent()
+      await rig.clock.advance(millis(50))
+      expect(await released).toBe(true)
+      await rig.clock.advance(seconds(2))
+      expect(failureOf(await early)).toMatchObject({ run: 'unknown' })
+    })
+
     it('is not said where the release could not be recorded', async () => {
       const rig = await started()
       const attempt = await claimAt(rig, 0)
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -4,7 +4,7 @@
 import type { RowKey, TableService } from '@papayahill/platform'
 import { Arrivals } from './Arrivals.js'
 import type { Arrival } from './Arrivals.js'
-import { claimKey, decodeClaim, encodeClaim, isSettled, newClaim, readClaimRow, statusOf, withOutcome } from './claimRecord.js'
+import { claimKey, decodeClaim, encodeClaim, isReleasedBefore, isSettled, newClaim, readClaimRow, statusOf, withOutcome } from './claimRecord.js'
 import type { AttemptId, ClaimRow } from './claimRecord.js'
 import { ClaimListing } from './ClaimListing.js'
 import { ClaimSettler, RESOLVED } from './ClaimSettler.js'
@@ -68,7 +68,7 @@
     this.#listing = new ClaimListing({ incarnation, clock, random, table, log })
     this.#commits = new GroupCommit({ clock, table, beside: (writes) => this.#listing.logOf(writes) })
     this.#pauses = new PauseGuard(clock, log)
-    this.#arrivals = new Arrivals(this.#commits, this.#pauses)
+    this.#arrivals = new Arrivals(clock, this.#commits, this.#pauses)
     this.#writer = new OutcomeWriter({ clock, random, commits: this.#commits, log })
     this.#holder = new OutcomeHolder({ clock, random, peers, commits: this.#commits, log })
     this.#settler = new ClaimSettler({ ...options, commits: this.#commits, writer: this.#writer, holder: this.#holder, log })
@@ -151,7 +151,7 @@
     return undefined
   }
 
-  async #claim (key: RowKey, request: ClaimRequest, arrival: Arrival, until: Millis): Promise<ClaimDecision> {
+  async #claim (key: RowKey, request: ClaimRequest, arrival: Arrival | undefined, until: Millis): Promise<ClaimDecision> {
     if (arrival === undefined) return refuse(justPaused())
     const { self, incarnation, clock } = this.#options
     const attempt: AttemptId = `${incarnation}/${++this.#count}`
@@ -166,12 +166,13 @@
   }
 
   async #tryClaim (
-    key: RowKey, local: LocalAttempt, request: ClaimRequest, arrival: Exclude<Arrival, undefined>, until: Millis
+    key: RowKey, local: LocalAttempt, request: ClaimRequest, arrival: Arrival, until: Millis
   ): Promise<ClaimDecision> {
-    const read = await arrival
+    const read = await arrival.read
     if (read.isErr) return await this.#withoutStore(key, request)
     let row = read.value
     for (let tries = 0; tries < MAX_CLAIM_TRIES; tries++) {
+      if (row.record?.state === 'released' && !isReleasedBefore(row.record, arrival.at, this.#options.incarnation)) return refuse(raced())
       const step = isFree(row) ? { kind: 'take', row } as const : await this.#settler.settle(row, request, until)
       if (step.kind === 'decided') return step.decision
       if (step.kind === 'look') {
--- a/packages/claims/src/OwnAttempt.ts
+++ b/packages/claims/src/OwnAttempt.ts
@@ -2,7 +2,7 @@
 import type { RowKey } from '@papayahill/platform'
 import { withOutcome } from './claimRecord.js'
 import type { ClaimRecord } from './claimRecord.js'
-import { FINISH_WAIT, HOLD_AFTER, HOLD_AGAIN, HOLDERS } from './constants.js'
+import { FINISH_WAIT, HOLD_AFTER, HOLD_AGAIN, HOLDERS, RELEASE_LIMIT } from './constants.js'
 import { CLAIMS_EVENTS } from './events.js'
 import type { LocalAttempt } from './LocalAttempt.js'
 import type { OutcomeHolder } from './OutcomeHolder.js'
@@ -41,9 +41,9 @@
     const { local, isKeyless, clock, onOver } = this.#options
     if (!local.finish({ kind: 'not-sent' })) return false
     onOver()
-    const released = this.#write({ ...local.record, state: 'released' })
+    const released = this.#write({ ...local.record, state: 'released', at: clock.wall() })
     if (isKeyless) return true
-    return await Promise.race([released, clock.sleep(FINISH_WAIT).then(() => false)])
+    return await Promise.race([released, clock.sleep(RELEASE_LIMIT).then(() => false)])
   }
 
   async finish (outcome: ClaimOutcome): Promise<void> {
--- a/packages/claims/src/claimRecord.ts
+++ b/packages/claims/src/claimRecord.ts
@@ -4,6 +4,7 @@
 } from '@papayahill/common'
 import type { Row, RowKey } from '@papayahill/platform'
 import { z } from 'zod'
+import { MAX_CALENDAR_SKEW, RELEASE_LIMIT } from './constants.js'
 import type { ClaimOutcome, ClaimRequest, ClaimStatus } from './types.js'
 
 /** One try to run a request; names the claim's owner within its life. */
@@ -24,7 +25,7 @@
   readonly owner: InstanceId
   readonly ownerIncarnation: Incarnation
   readonly attempt: AttemptId
-  /** When the claim was made, by its owner's calendar. */
+  /** When the claim was made, or released, by its owner's calendar. */
   readonly at: EpochMillis
   readonly outcome?: ClaimOutcome
 }
@@ -95,6 +96,15 @@
 export const withOutcome = (record: ClaimRecord, outcome: ClaimOutcome): ClaimRecord =>
   ({ ...record, state: outcome.kind, outcome })
 
+/**
+ * Whether a request that came in at `arrivedAt` surely came after the release was reported, so that claiming
+ * the key anew makes no "not run" false.
+ */
+export const isReleasedBefore = (record: ClaimRecord, arrivedAt: EpochMillis, incarnation: Incarnation): boolean => {
+  const skew = record.ownerIncarnation === incarnation ? 0 : MAX_CALENDAR_SKEW
+  return arrivedAt - record.at >= RELEASE_LIMIT + skew
+}
+
 /** Whether the claim's story has ended, so that its outcome is given to each later caller. */
 export const isSettled = (record: ClaimRecord): boolean => record.state === 'answered' || record.state === 'failed'
 
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -7,6 +7,10 @@
 export const PAUSE_TICK = millis(100)
 /** How long after a pause no request is claimed. */
 export const PAUSE_QUIET = millis(500)
+/** A release that takes the store longer is not reported as "not run". */
+export const RELEASE_LIMIT = millis(250)
+/** Most by which the calendars of two instances may differ for "not run" to stay true through races. */
+export const MAX_CALENDAR_SKEW = millis(500)
 /** Requests whose arrival is remembered until they begin, at most. */
 export const MAX_ARRIVALS = 8192
 /** Age of a claim from which "not run", by look-up or by an operator, is taken as final. */
@@ -35,7 +39,7 @@
 export const HOLDERS = 2
 /** Peers asked at most whether they hold an outcome. */
 export const MAX_ASKED_PEERS = 16
-/** Longest wait for the word that a claim was released or marked. */
+/** Longest wait for the word that a claim was marked as unknown, and for outcomes in a drain. */
 export const FINISH_WAIT = seconds(1)
 /** Outcomes that one instance holds for others at most. */
 export const MAX_HELD = 4096
