Peers that are long gone no longer thin out the links of the living

Cause: the size that ends the full mesh counted every peer ever known, dead ones that the list still names among them. Change: a peer that could not be linked for a minute no longer counts, and is forgotten after ten. Figures: test with 20 dead names beside 6 living instances: all living stay linked after two minutes.

--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, InstanceId, Millis, Random } from '@papayahill/common'
 import { LRUCache } from 'lru-cache'
-import { IDLE_LINK_TIMEOUT, MAX_KNOWN_PEERS, MAX_REDIAL, MIN_REDIAL } from './constants.js'
+import { FORGOTTEN_AFTER, IDLE_LINK_TIMEOUT, MAX_KNOWN_PEERS, MAX_REDIAL, MIN_REDIAL, UNCOUNTED_AFTER } from './constants.js'
 import { OpenLink } from './OpenLink.js'
 import { isFullMesh, planLinks } from './PartialView.js'
 import type { TrafficMeter } from './TrafficMeter.js'
@@ -13,6 +13,8 @@
   notBefore: Millis
   wait: Millis
   isDialling: boolean
+  /** Since when no link to it could be opened; undefined where the last try went well. */
+  failingSince: Millis | undefined
 }
 
 export interface LinkTableOptions {
@@ -33,13 +35,15 @@
   readonly #known = new LRUCache<InstanceId, Known>({ max: MAX_KNOWN_PEERS })
   readonly #announced = new Set<OpenLink>()
   #isClosed = false
+  /** Known peers that are not known to be gone. */
+  #reachable = 0
 
   constructor (options: LinkTableOptions) {
     this.#options = options
   }
 
   get isMesh (): boolean {
-    return isFullMesh(Math.max(this.#known.size, this.#links.size))
+    return isFullMesh(this.#reachable)
   }
 
   get (id: InstanceId): OpenLink | undefined {
@@ -59,18 +63,25 @@
   learn (id: InstanceId, address: PeerAddress): void {
     if (id === this.#options.self) return
     const known = this.#known.get(id)
-    if (known !== undefined) known.address = address
-    else this.#known.set(id, { address, notBefore: millis(0), wait: MIN_REDIAL, isDialling: false })
+    if (known !== undefined) {
+      known.address = address
+      return
+    }
+    this.#known.set(id, { address, notBefore: millis(0), wait: MIN_REDIAL, isDialling: false, failingSince: undefined })
+    this.#countReachable()
   }
 
   forget (id: InstanceId): void {
     if (!this.#links.has(id)) this.#known.delete(id)
+    this.#countReachable()
   }
 
   /** Dials what is missing and drops what is too much. */
   look (): void {
     const { random, clock } = this.#options
     const now = clock.now()
+    this.#forgetGone(now)
+    this.#countReachable()
     const known = [...this.#known.keys()].filter((id) => this.#links.has(id) || this.#mayDial(id, now))
     const active = this.active().map((link) => link.peer.id)
     const plan = this.isMesh
@@ -133,8 +144,22 @@
     return known !== undefined && !known.isDialling && known.notBefore <= now
   }
 
+  #forgetGone (now: Millis): void {
+    for (const [id, known] of [...this.#known.entries()]) {
+      const isGone = known.failingSince !== undefined && now - known.failingSince > FORGOTTEN_AFTER
+      if (isGone && !this.#links.has(id)) this.#known.delete(id)
+    }
+  }
+
+  #countReachable (): void {
+    const now = this.#options.clock.now()
+    this.#reachable = [...this.#known.entries()].filter(([id, { failingSince }]) =>
+      this.#links.has(id) || failingSince === undefined || now - failingSince <= UNCOUNTED_AFTER).length
+  }
+
   #noteDialled (known: Known, isRight: boolean): void {
     const { clock, random } = this.#options
+    known.failingSince = isRight ? undefined : known.failingSince ?? clock.now()
     known.wait = isRight ? MIN_REDIAL : millis(Math.min(MAX_REDIAL, known.wait * 2))
     known.notBefore = millis(clock.now() + known.wait * (1 + random.next()) / 2)
   }
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -145,6 +145,18 @@
       expect(rig.memberIds(0)).toEqual(['i1', 'i2'])
     })
 
+    it('that goes on naming many dead instances does not thin out the links of the living', async () => {
+      const rig = new Rig(6)
+      const ghosts = Array.from({ length: 20 }, (_, index): ListedPeer =>
+        ({ id: brand<InstanceId>(`ghost${index}`), address: { ip: '127.0.0.1', port: 10 + index } }))
+      rig.list.shown = [...rig.list.shown, ...ghosts]
+      await rig.start(seconds(120))
+      for (const [index, core] of rig.cores.entries()) {
+        expect(rig.memberIds(index)).toHaveLength(5)
+        expect(core.members().every((member) => core.isConnected(member.id))).toBe(true)
+      }
+    })
+
     it('that names one other instance is enough to find all', async () => {
       const rig = new Rig(5)
       rig.list.shown = [identity(0)]
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -42,5 +42,8 @@
 export const MAX_WAITING_BYTES = 4_194_304
 /** Limit for opening a link and proving the secret. */
 export const HANDSHAKE_TIMEOUT = seconds(2)
+/** Time without a single link after which a known peer no longer counts for the size of the mesh, and is forgotten. */
+export const UNCOUNTED_AFTER = seconds(60)
+export const FORGOTTEN_AFTER = seconds(600)
 /** Peers not in the list that are remembered at most. */
 export const MAX_KNOWN_PEERS = 1024
