--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -1,61 +1,28 @@
 import { millis } from '@papayahill/common'
-import type {
-  CallOutcome, Clock, DomainId, EndpointId, EndpointIncarnation, EventLog, Incarnation, InstanceId, Millis, Random, RegionId,
-  ServiceId, VersionId
-} from '@papayahill/common'
-import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
-import type { ServiceKind } from '@papayahill/settings'
+import type { CallOutcome, EndpointId, EndpointIncarnation, Millis, ServiceId, VersionId } from '@papayahill/common'
+import type { ListedEndpoint } from '@papayahill/platform'
 import type { RunningCall } from './CallSet.js'
 import { chooseEndpoint } from './chooseEndpoint.js'
 import { ROSTER_MAX_AGE } from './constants.js'
 import { EndpointEntry } from './EndpointEntry.js'
+import type { EndpointTableOptions } from './EndpointTableOptions.js'
 import type { WatchEffect } from './EndpointWatch.js'
 import { ENDPOINTS_EVENTS } from './events.js'
 import { ListReader } from './ListReader.js'
 import { OutlierJudge } from './OutlierJudge.js'
 import { PauseGuard } from './PauseGuard.js'
+import { PoolBook } from './PoolBook.js'
 import { PrefixIndex } from './PrefixIndex.js'
-import { ServicePool } from './ServicePool.js'
-import type { Nearness } from './ServicePool.js'
+import type { ServicePool } from './ServicePool.js'
 import { ShareNotes } from './ShareNotes.js'
 import type { NoteKind } from './ShareNotes.js'
+import type { SlottedEndpoint } from './slots.js'
 import { SlotWords } from './SlotWords.js'
-import type {
-  EndpointAccess, EndpointLease, EndpointPool, EndpointStatus, LeaseWant, LoadReport, RosterCopy,
-  ServiceCapacity, ShareChannel
-} from './types.js'
+import type { SlotHoldings } from './SlotWords.js'
+import type { EndpointLease, EndpointPool, EndpointStatus, LeaseWant, LoadReport, ServiceCapacity } from './types.js'
 import { Upkeep } from './Upkeep.js'
 import { WatchKeeper } from './WatchKeeper.js'
 
-/** The life of the entry instance that a table belongs to. */
-export interface InstanceSelf {
-  readonly id: InstanceId
-  readonly incarnation: Incarnation
-}
-
-export interface EndpointTableOptions {
-  readonly self: InstanceSelf
-  /** Failure domain of this instance. */
-  readonly domain: DomainId
-  /** Region of a failure domain; undefined where the configuration does not name it. */
-  readonly regionOf: (domain: DomainId) => RegionId | undefined
-  readonly clock: Clock
-  readonly random: Random
-  readonly access: EndpointAccess
-  readonly list: InstanceList
-  readonly roster: RosterCopy
-  readonly shares: ShareChannel
-  /** Failure domains that are out now: by configuration or by latch. */
-  readonly domainsOut: () => ReadonlySet<DomainId>
-  /** Kind of a service; undefined where the configuration does not name it. */
-  readonly serviceKind: (service: ServiceId) => ServiceKind | undefined
-  readonly log: EventLog
-  /** Oldest roster copy on which a slot of a cold endpoint is used; only measurements change it. */
-  readonly rosterMaxAge?: Millis
-  /** Whether prefixes are sent where they are cached; only measurements turn it off. */
-  readonly hasAffinity?: boolean
-}
-
 /** Whether the list shows an endpoint as another than before. */
 const isMoved = (before: ListedEndpoint, now: ListedEndpoint): boolean =>
   before.service !== now.service || before.version !== now.version || before.domain !== now.domain ||
@@ -71,23 +38,21 @@
  */
 export class EndpointTable implements EndpointPool {
   readonly #options: EndpointTableOptions
-  readonly #rosterMaxAge: Millis
   readonly #entries = new Map<EndpointId, EndpointEntry>()
   readonly #watches: WatchKeeper
   readonly #notes: ShareNotes
   readonly #upkeep: Upkeep
-  readonly #pools = new Map<ServiceId, ServicePool>()
+  readonly #pools: PoolBook
   readonly #reader: ListReader
   readonly #words: SlotWords
   readonly #judge: OutlierJudge
   readonly #prefixes: PrefixIndex
   readonly #pauses: PauseGuard
-  #rosterSeen: { readonly version: number, readonly at: Millis } = { version: -1, at: millis(0) }
 
   constructor (options: EndpointTableOptions) {
     const { clock, random, list, log, self, shares, access, roster } = options
     this.#options = options
-    this.#rosterMaxAge = options.rosterMaxAge ?? ROSTER_MAX_AGE
+    this.#pools = new PoolBook({ ...options, rosterMaxAge: options.rosterMaxAge ?? ROSTER_MAX_AGE })
     this.#reader = new ListReader({ clock, random, list, log, onRead: (shown, gone) => this.#listRead(shown, gone) })
     this.#judge = new OutlierJudge({ clock, log })
     this.#watches = new WatchKeeper({
@@ -98,18 +63,13 @@
       roster,
       domainsOut: options.domainsOut,
       serviceKind: options.serviceKind,
-      nearness: (domain) => this.#nearness(domain),
+      nearness: (domain) => this.#pools.nearness(domain),
       onChange: (entry, effect) => this.#watched(entry, effect),
       onEnd: (entry) => this.#unwatched(entry)
     })
     this.#prefixes = new PrefixIndex()
     this.#pauses = new PauseGuard({ clock, refresh: () => this.#reader.readNow() })
-    this.#words = new SlotWords({
-      self: self.incarnation,
-      shares,
-      holdings: (endpoint) => this.#entries.get(endpoint.id)?.holdings(endpoint, roster.view().version) ??
-        { version: roster.view().version, busy: [], older: 0, believed: undefined }
-    })
+    this.#words = new SlotWords({ self: self.incarnation, shares, holdings: (endpoint) => this.#holdings(endpoint) })
     this.#notes = new ShareNotes({ self: self.id, shares, onNote: (kind, id, life) => this.#heardNote(kind, id, life) })
     this.#upkeep = new Upkeep({
       clock,
@@ -118,7 +78,7 @@
       words: this.#words,
       judge: this.#judge,
       pauses: this.#pauses,
-      pools: () => this.#pools.values(),
+      pools: () => this.#pools.all(),
       onChange: (entry) => this.#changed(entry)
     })
     roster.onChange(() => this.#rosterChanged())
@@ -139,7 +99,7 @@
   }
 
   tryLease (want: LeaseWant): EndpointLease | undefined {
-    const pool = this.#pools.get(want.service)
+    const pool = this.#pools.find(want.service)
     if (pool === undefined) return undefined
     const now = this.#options.clock.now()
     if (this.#pauses.isResuming(now)) return undefined
@@ -154,11 +114,11 @@
   }
 
   capacity (service: ServiceId): ServiceCapacity {
-    return this.#pools.get(service)?.capacity() ?? { slots: 0, busy: 0, meanCall: millis(0), load: 0 }
+    return this.#pools.find(service)?.capacity() ?? { slots: 0, busy: 0, meanCall: millis(0), load: 0 }
   }
 
   onFree (service: ServiceId, listener: () => void): void {
-    this.#poolOf(service).onFree(listener)
+    this.#pools.of(service).onFree(listener)
   }
 
   snapshot (): readonly EndpointStatus[] {
@@ -189,19 +149,14 @@
     const call = entry?.take(now)
     if (entry === undefined || call === undefined) return undefined
     if (prefix !== undefined && entry.incarnation !== undefined) this.#prefixes.sent(entry.listed.id, entry.incarnation, prefix)
-    this.#place(entry)
+    this.#pools.place(entry)
     return this.#lease(pool, entry, call, want)
   }
 
   /** A slot of a cold endpoint is used only on a roster copy that is fresh in this very tick. */
   #mayTake (entry: EndpointEntry, now: Millis): boolean {
     if (!entry.hasRoom(now)) return false
-    return entry.state !== 'cold' || this.#isRosterFresh()
-  }
-
-  #isRosterFresh (): boolean {
-    const { roster } = this.#options
-    return roster.isMember() && roster.age() <= this.#rosterMaxAge
+    return entry.state !== 'cold' || this.#pools.isRosterFresh()
   }
 
   #lease (pool: ServicePool, entry: EndpointEntry, call: RunningCall, want: LeaseWant): EndpointLease {
@@ -222,6 +177,11 @@
     }
   }
 
+  #holdings (endpoint: SlottedEndpoint): SlotHoldings {
+    const { version } = this.#options.roster.view()
+    return this.#entries.get(endpoint.id)?.holdings(endpoint, version) ?? { version, busy: [], older: 0, believed: undefined }
+  }
+
   #listRead (shown: readonly ListedEndpoint[], gone: readonly EndpointId[]): void {
     for (const listed of shown) this.#listed(listed)
     for (const id of gone) this.#unlisted(id)
@@ -281,26 +241,19 @@
     this.#rewatch()
   }
 
-  /** First time at which this instance saw the roster that it goes by. */
-  #rosterSeenAt (): Millis {
-    const { version } = this.#options.roster.view()
-    if (version !== this.#rosterSeen.version) this.#rosterSeen = { version, at: this.#options.clock.now() }
-    return this.#rosterSeen.at
-  }
-
   #rewatch (): void {
     this.#watches.choose([...this.#entries.values()])
     for (const [id, entry] of this.#entries) if (entry.isUnlisted && !this.#watches.isWatched(entry)) this.#entries.delete(id)
   }
 
   #unwatched (entry: EndpointEntry): void {
-    this.#poolOf(entry.listed.service).drop(entry)
+    this.#pools.of(entry.listed.service).drop(entry)
     this.#judge.forget(entry)
   }
 
   #watched (entry: EndpointEntry, effect: WatchEffect): void {
     if (effect === 'silent-restart') this.#restartedSilently(entry)
-    if (effect === 'taken' && entry.isOverfull()) entry.ledger?.inherit(this.#watches.lives(), this.#options.roster.view(), this.#rosterSeenAt())
+    if (effect === 'taken' && entry.isOverfull()) entry.ledger?.inherit(this.#watches.lives(), this.#options.roster.view(), this.#pools.rosterSeenAt())
     if (effect === 'silent-restart' || effect === 'disconnected') this.#prefixes.forget(entry.listed.id)
     if (effect === 'other-life') this.#watches.pollNow(entry)
     this.#changed(entry)
@@ -318,27 +271,6 @@
   }
 
   #changed (entry: EndpointEntry): void {
-    if (this.#place(entry)) this.#poolOf(entry.listed.service).tellFree()
-  }
-
-  /** Files an endpoint by what it is now; true where it has more room than before. */
-  #place (entry: EndpointEntry): boolean {
-    entry.isOut = this.#options.domainsOut().has(entry.listed.domain)
-    entry.updateLedger(this.#options.roster.view(), this.#rosterSeenAt())
-    return this.#poolOf(entry.listed.service).place(entry, {
-      nearness: this.#nearness(entry.listed.domain), now: this.#options.clock.now(), isRosterFresh: this.#isRosterFresh()
-    })
-  }
-
-  #nearness (domain: DomainId): Nearness {
-    if (domain === this.#options.domain) return 0
-    const region = this.#options.regionOf(domain)
-    return region !== undefined && region === this.#options.regionOf(this.#options.domain) ? 1 : 2
-  }
-
-  #poolOf (service: ServiceId): ServicePool {
-    const known = this.#pools.get(service) ?? new ServicePool(service)
-    this.#pools.set(service, known)
-    return known
+    if (this.#pools.place(entry)) this.#pools.of(entry.listed.service).tellFree()
   }
 }
--- /dev/null
+++ b/packages/endpoints/src/EndpointTableOptions.ts
@@ -0,0 +1,33 @@
+import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Millis, Random, RegionId, ServiceId } from '@papayahill/common'
+import type { InstanceList } from '@papayahill/platform'
+import type { ServiceKind } from '@papayahill/settings'
+import type { EndpointAccess, RosterCopy, ShareChannel } from './types.js'
+
+/** The life of the entry instance that a table belongs to. */
+export interface InstanceSelf {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+}
+
+export interface EndpointTableOptions {
+  readonly self: InstanceSelf
+  /** Failure domain of this instance. */
+  readonly domain: DomainId
+  /** Region of a failure domain; undefined where the configuration does not name it. */
+  readonly regionOf: (domain: DomainId) => RegionId | undefined
+  readonly clock: Clock
+  readonly random: Random
+  readonly access: EndpointAccess
+  readonly list: InstanceList
+  readonly roster: RosterCopy
+  readonly shares: ShareChannel
+  /** Failure domains that are out now: by configuration or by latch. */
+  readonly domainsOut: () => ReadonlySet<DomainId>
+  /** Kind of a service; undefined where the configuration does not name it. */
+  readonly serviceKind: (service: ServiceId) => ServiceKind | undefined
+  readonly log: EventLog
+  /** Oldest roster copy on which a slot of a cold endpoint is used; only measurements change it. */
+  readonly rosterMaxAge?: Millis
+  /** Whether prefixes are sent where they are cached; only measurements turn it off. */
+  readonly hasAffinity?: boolean
+}
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -1,5 +1,5 @@
 export * from './constants.js'
 export { EndpointTable } from './EndpointTable.js'
-export type { EndpointTableOptions, InstanceSelf } from './EndpointTable.js'
+export type { EndpointTableOptions, InstanceSelf } from './EndpointTableOptions.js'
 export { ENDPOINTS_EVENTS } from './events.js'
 export type * from './types.js'
