Cold-start and leaving benches on the real roster

Cause: the roster of the benches was a plain polled copy. Change: each instance keeps the real roster, which joins, suspects, removes and rejoins by itself; removals still come early as well. An instance that wakes from a pause waits for its list at most 2 s.

--- a/packages/bench/src/load/ColdRun.ts
+++ b/packages/bench/src/load/ColdRun.ts
@@ -137,7 +137,7 @@
 
   #leave (member: RigMember): void {
     member.isServing = false
-    this.#rig.clock.after(LEAVE_DELAY, () => this.#rig.remove(member))
+    this.#rig.clock.after(LEAVE_DELAY, () => { void member.roster.leave() })
     this.#rig.clock.after(LEAVING_SPAN, () => this.#rig.kill(member))
   }
 }
--- a/packages/bench/src/load/ConfiguredPool.ts
+++ b/packages/bench/src/load/ConfiguredPool.ts
@@ -32,7 +32,7 @@
       table,
       objects,
       peers,
-      roster: { view: () => ({ ...roster.view(), confirmedAt: undefined }) }
+      roster
     })
     this.#config.onChange(({ config, unrecordedOuts }) => { this.#out = new Set([...config.domainsOut, ...unrecordedOuts]) })
     this.#table = realPool(parts, 'plain', { domainsOut: () => this.#out })
--- a/packages/bench/src/load/EndpointRig.ts
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -3,10 +3,10 @@
 import type {
   ClassId, Clock, DomainId, EndpointId, InstanceId, Millis, Random, RegionId, RequestId, ServiceId, StageId, VersionId, WorkspaceId
 } from '@papayahill/common'
+import { RosterKeeper } from '@papayahill/control'
+import type { Roster } from '@papayahill/control'
 import { EndpointTable } from '@papayahill/endpoints'
-import type {
-  DepartedLife, EndpointAccess, EndpointLease, LeaseWant, RosterCopy, RosterLife, RosterRecord, ShareChannel, StageCall
-} from '@papayahill/endpoints'
+import type { EndpointAccess, EndpointLease, InstanceSelf, LeaseWant, ShareChannel, StageCall } from '@papayahill/endpoints'
 import { shareChannel } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
 import type { Peers } from '@papayahill/peers'
@@ -19,7 +19,7 @@
 import type { WorkModel } from '@papayahill/standins'
 import { GatedPeers } from '../state/GatedPeers.js'
 import { CuttableTable } from './CuttableTable.js'
-import { ROSTER_ROW, RosterReader } from './RosterReader.js'
+import { removeFromRoster } from './removeFromRoster.js'
 import type { Leases } from './SimplePool.js'
 
 export const SERVICE = brand<ServiceId>('lookup')
@@ -28,8 +28,6 @@
 const RETRY = millis(40)
 const STORE_RETRY = millis(100)
 const CALL_TIMEOUT = millis(5000)
-/** How many that left the roster record keeps. */
-const DEPARTED_KEPT = 32
 
 export const WANT: LeaseWant = {
   service: SERVICE,
@@ -41,13 +39,13 @@
 
 /** What a pool of one instance is made of. */
 export interface PoolParts {
-  readonly self: RosterLife
+  readonly self: InstanceSelf
   readonly domain: DomainId
   readonly clock: Clock
   readonly random: Random
   readonly access: EndpointAccess
   readonly list: InstanceList
-  readonly roster: RosterCopy
+  readonly roster: Roster
   readonly shares: ShareChannel
   readonly peers: Peers
   readonly table: TableService
@@ -56,9 +54,10 @@
 
 /** One entry instance of the rig. */
 export interface RigMember {
-  readonly life: RosterLife
+  readonly self: InstanceSelf
   readonly gate: LifeGate
   readonly table: CuttableTable
+  readonly roster: RosterKeeper
   readonly leases: Leases
   readonly stop: () => void
   /** Most calls of its callers at once. */
@@ -118,7 +117,6 @@
   readonly #fleet = new FakeFleet()
   /** Of calls that nobody cancels. */
   readonly #never = new AbortController().signal
-  #record: RosterRecord = { version: 0, members: [], departed: [] }
 
   constructor (options: EndpointRigOptions) {
     this.#options = options
@@ -156,11 +154,13 @@
     const gate = new LifeGate()
     const clock = new GatedClock(this.clock, gate)
     const peers = new GatedPeers(this.network.join(id, domain), gate)
-    const life: RosterLife = { id, incarnation: peers.incarnation, joinedAt: this.#record.version + 1 }
+    const self: InstanceSelf = { id, incarnation: peers.incarnation }
     const table = new CuttableTable(new GatedTable(this.table, gate))
-    const roster = new RosterReader({ self: life.incarnation, clock, table })
+    const roster = new RosterKeeper({
+      self: id, incarnation: self.incarnation, clock, random: this.random.fork(), table, peers, log: SILENT_LOG
+    })
     const leases = this.#options.makePool({
-      self: life,
+      self,
       domain,
       clock,
       random: this.random.fork(),
@@ -176,10 +176,9 @@
       leases.stop()
       roster.stop()
     }
-    const member: RigMember = { life, gate, table, leases, stop, atOnce, isServing: true, isAsked: true, running: 0 }
+    const member: RigMember = { self, gate, table, roster, leases, stop, atOnce, isServing: true, isAsked: true, running: 0 }
     this.members.push(member)
-    this.#write([...this.#record.members, life], this.#record.departed)
-    roster.start()
+    void roster.start()
     leases.start()
     clock.every(RETRY, () => this.#serve(member))
     return member
@@ -187,38 +186,34 @@
 
   pause (member: RigMember, span: Millis): void {
     member.gate.pause()
-    this.network.pause(member.life.id)
+    this.network.pause(member.self.id)
     this.clock.after(span, () => {
       if (member.gate.isDead) return
-      this.network.resume(member.life.id)
+      this.network.resume(member.self.id)
       member.gate.resume()
     })
   }
 
   /** Cuts a member off from the store and the other instances. */
   cutOff (member: RigMember, span: Millis): void {
-    const others = this.members.filter((other) => other !== member).map((other) => other.life.id)
+    const others = this.members.filter((other) => other !== member).map((other) => other.self.id)
     member.table.isCut = true
-    for (const other of others) this.network.cut(member.life.id, other)
+    for (const other of others) this.network.cut(member.self.id, other)
     this.clock.after(span, () => {
       member.table.isCut = false
-      for (const other of others) this.network.heal(member.life.id, other)
+      for (const other of others) this.network.heal(member.self.id, other)
     })
   }
 
   kill (member: RigMember): void {
     member.isServing = false
     member.gate.kill()
-    this.network.kill(member.life.id)
+    this.network.kill(member.self.id)
   }
 
-  /** Removes a member from the roster record, as soon as the store is up. */
+  /** Has a member removed from the roster, sooner than the others would, as soon as the store is up. */
   remove (member: RigMember): void {
-    this.whenStoreUp(() => {
-      const departed: DepartedLife = { ...member.life, departedAt: this.#record.version + 1 }
-      const members = this.#record.members.filter((life) => life.incarnation !== member.life.incarnation)
-      this.#write(members, [...this.#record.departed, departed].slice(-DEPARTED_KEPT))
-    })
+    this.whenStoreUp(() => { void removeFromRoster(this.table, member.self.incarnation, this.clock.wall()) })
   }
 
   whenStoreUp (change: () => void): void {
@@ -282,10 +277,4 @@
       ...(prefix === undefined ? {} : { prefix })
     }
   }
-
-  #write (members: readonly RosterLife[], departed: readonly DepartedLife[]): void {
-    this.#record = { version: this.#record.version + 1, members, departed }
-    const value = JSON.parse(JSON.stringify(this.#record))
-    void this.table.commit({ conditions: [], writes: [{ key: ROSTER_ROW, value }] })
-  }
 }
--- a/packages/bench/src/load/decideRig.ts
+++ b/packages/bench/src/load/decideRig.ts
@@ -2,7 +2,8 @@
 import type {
   ClassId, DomainId, EndpointId, Incarnation, InstanceId, Random, ServiceId, VersionId, WorkspaceId
 } from '@papayahill/common'
-import type { LeaseWant, RosterCopy, RosterLife, ShareChannel } from '@papayahill/endpoints'
+import type { Roster, RosterView } from '@papayahill/control'
+import type { LeaseWant, RosterLife, ShareChannel } from '@papayahill/endpoints'
 import { Trace } from '@papayahill/invariants'
 import type { ListedEndpoint } from '@papayahill/platform'
 import { FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, WORK_MODELS } from '@papayahill/standins'
@@ -40,8 +41,9 @@
   id: brand<InstanceId>(`i${index}`), incarnation: brand<Incarnation>(`i${index}#1`), joinedAt: 1
 })
 
-const steadyRoster = (size: DecideSize): RosterCopy => {
-  const record = { version: 1, members: Array.from({ length: size.instances }, (_, index) => lifeOf(index)), departed: [] }
+const steadyRoster = (size: DecideSize): Roster => {
+  const members = Array.from({ length: size.instances }, (_, index) => lifeOf(index))
+  const record: RosterView = { version: 1, members, departed: [], confirmedAt: millis(0) }
   return { view: () => record, age: () => millis(0), isMember: () => true, onChange: () => {} }
 }
 
--- a/packages/endpoints/src/PauseGuard.ts
+++ b/packages/endpoints/src/PauseGuard.ts
@@ -5,6 +5,8 @@
 const PAUSE_MIN = millis(1000)
 /** Time in which messages that waited during the pause are taken in. */
 const RESUME_GRACE = millis(100)
+/** After this time work goes on without the reading: a list that hangs must not stop requests. */
+const RESUME_MAX = millis(2000)
 
 export interface PauseGuardOptions {
   readonly clock: Clock
@@ -42,8 +44,9 @@
   }
 
   async #resume (): Promise<void> {
+    const { clock, refresh } = this.#options
     this.#isResuming = true
-    await Promise.all([this.#options.refresh(), this.#options.clock.sleep(RESUME_GRACE)])
+    await Promise.all([Promise.race([refresh(), clock.sleep(RESUME_MAX)]), clock.sleep(RESUME_GRACE)])
     this.#isResuming = false
   }
 }
