--- a/packages/bench/src/state/ConfigKeeper.test.ts
+++ b/packages/bench/src/state/ConfigKeeper.test.ts
@@ -1,5 +1,6 @@
 import { brand, millis, seconds } from '@papayahill/common'
 import type { DomainId, OperatorName, RegionId, WorkspaceId } from '@papayahill/common'
+import { ConfigKeeper } from '@papayahill/control'
 import type { ConfigChange } from '@papayahill/control'
 import { describe, expect, it } from 'vitest'
 import { StateRig } from './StateRig.js'
@@ -229,6 +230,18 @@
   })
 
   describe('whenInForce', () => {
+    it('asks those that seem behind where there are many instances, so that these need not tell each change', async () => {
+      const rig = await started(30)
+      const { config } = rig.at(0)
+      const accepted = config.propose([workspace('w1')], ANNA)
+      await rig.clock.advance(seconds(1))
+      expect((await accepted).unwrapOr(undefined)?.version).toBe(2)
+      const waiting = (config as ConfigKeeper).whenInForce(2, seconds(8))
+      await rig.clock.advance(seconds(2))
+      expect(await waiting).toBe(true)
+      expect(rig.at(1).peers.entries('config').filter((entry) => entry.key === 'in-force')).toEqual([])
+    })
+
     it('ends once every instance of the roster reports the version', async () => {
       const rig = await started(3)
       rig.pause(rig.ids[2]!)
@@ -236,7 +249,9 @@
       await rig.clock.advance(millis(1500))
       const version = (await accepted).unwrapOr(undefined)?.version ?? 0
       let isEverywhere: boolean | undefined
-      void rig.at(0).config.whenInForce(version, seconds(8)).then((answer) => { isEverywhere = answer })
+      const { config } = rig.at(0)
+      expect(config).toBeInstanceOf(ConfigKeeper)
+      void (config as ConfigKeeper).whenInForce(version, seconds(8)).then((answer) => { isEverywhere = answer })
       await rig.clock.advance(seconds(1))
       expect(isEverywhere).toBeUndefined()
       rig.resume(rig.ids[2]!)
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -2,14 +2,22 @@
 
 /** All benches by name, loaded when asked for. */
 export const BENCHES: Readonly<Record<string, () => Promise<{ readonly bench: Bench }>>> = {
+  relay: () => import('./benches/relay.js'),
   'moves-good': () => import('./benches/moves-good.js'),
   'moves-bad': () => import('./benches/moves-bad.js'),
   ledger: () => import('./benches/ledger.js'),
+  forecast: () => import('./benches/forecast.js'),
   drain: () => import('./benches/drain.js'),
   attainment: () => import('./benches/attainment.js'),
+  domain: () => import('./benches/domain.js'),
+  faults: () => import('./benches/faults.js'),
   'cold-start': () => import('./benches/cold-start.js'),
   decide: () => import('./benches/decide.js'),
   'at-most-once': () => import('./benches/at-most-once.js'),
+  config: () => import('./benches/config.js'),
+  gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js')
+  prefix: () => import('./benches/prefix.js'),
+  roster: () => import('./benches/roster.js'),
 }
--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -39,12 +39,19 @@
 export const MAX_RECORDED_LATCHES = 256
 /** How long a starting instance looks for peers before it trusts the store alone. */
 export const START_GRACE = millis(1500)
+/** Wait of a starting instance for the store, where a peer has answered. */
+export const START_STORE_WAIT = millis(500)
 /** Pause between two tries to start. */
 export const START_RETRY = millis(300)
 /** Peers that must hold an accepted change before the operator is told, where there are as many. */
 export const HOLDERS = 2
 /** Longest wait for those peers. */
 export const HOLD_TIMEOUT = millis(500)
+/** Delay before many instances tell their version in force; the whole wait is up to twice as long. */
+export const IN_FORCE_DELAY = seconds(15)
+/** How often who waits for a version asks those that seem behind, and how many of them at once. */
+export const IN_FORCE_ASK_PERIOD = millis(500)
+export const IN_FORCE_ASKED = 64
 /** Peers asked at most for their newest version. */
 export const MAX_ASKED_PEERS = 16
 
