--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -17,7 +17,6 @@
   config: () => import('./benches/config.js'),
   gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
-  prefix: () => import('./benches/prefix.js')
   prefix: () => import('./benches/prefix.js'),
-  roster: () => import('./benches/roster.js'),
+  roster: () => import('./benches/roster.js')
 }
