--- /dev/null
+++ b/packages/bench/src/rig/rig.test.ts
@@ -0,0 +1,76 @@
+import { brand, millis, seconds } from '@papayahill/common'
+import type { ClassId, RequestId, WorkspaceId } from '@papayahill/common'
+import { describe, expect, it } from 'vitest'
+import { capacityOf, DEPLOYMENTS, fullServices, isMet, recordsIn, roundRobin, spendOf, tightClasses, Traffic, World } from './index.js'
+import type { CallerRecord } from './index.js'
+
+const [CONSORCIO, TRADE_OFFICE] = DEPLOYMENTS
+const ENGINE_CALL_SECONDS = 0.22 + 23 * 0.022
+
+describe('the rig', () => {
+  describe('capacity', () => {
+    it('is what the engines bear, as worked out by hand', () => {
+      const consorcio = 6 * 16 / ENGINE_CALL_SECONDS * 606 / 131
+      const tradeOffice = 8 * 16 / ENGINE_CALL_SECONDS * 654 / 174
+      expect(capacityOf(CONSORCIO!)).toBeCloseTo(consorcio)
+      expect(capacityOf(TRADE_OFFICE!)).toBeCloseTo(tradeOffice)
+    })
+
+    it('names the services that are full with it', () => {
+      expect(fullServices(CONSORCIO!)).toEqual(['assistant', 'storefronts'])
+      expect(fullServices(TRADE_OFFICE!)).toEqual(['language', 'vendor-roll'])
+    })
+  })
+
+  describe('traffic', () => {
+    it('brings the load that was asked for, bursts included', async () => {
+      const world = new World({ deployment: CONSORCIO!, seed: 4, runner: roundRobin })
+      const traffic = new Traffic({ world, seed: 4, load: 0.2, hasBursts: true })
+      traffic.start()
+      await world.clock.advance(seconds(10))
+      traffic.stop()
+      const expected = 0.2 * capacityOf(CONSORCIO!) * 10
+      expect(Math.abs(world.records.length / expected - 1)).toBeLessThan(0.1)
+    })
+  })
+
+  describe('figures', () => {
+    it('take the classes whose callers can wait least as tight', () => {
+      expect([...tightClasses(CONSORCIO!)]).toEqual(['stock-lookup', 'build-guide'])
+      expect([...tightClasses(TRADE_OFFICE!)]).toEqual(['rota-read', 'notice-reply'])
+    })
+
+    it('count only whole answers within each part of the target', () => {
+      const target = { deadline: seconds(8), firstChunk: millis(1200), betweenChunks: millis(49), attainment: 0.95 }
+      const good: CallerRecord = {
+        request: brand<RequestId>('r'),
+        class: brand<ClassId>('c'),
+        workspace: brand<WorkspaceId>('w'),
+        key: undefined,
+        sentAt: millis(0),
+        endedAt: millis(7999),
+        firstChunkAt: millis(1200),
+        worstGap: millis(49),
+        chunks: [0],
+        outcome: 'answered',
+        isWhole: true
+      }
+      const bad: readonly Partial<CallerRecord>[] = [
+        { endedAt: millis(8001) }, { firstChunkAt: millis(1201) }, { worstGap: millis(50) }, { isWhole: false }, { outcome: 'failed' }
+      ]
+      expect(isMet(good, target)).toBe(true)
+      expect(bad.map((change) => isMet({ ...good, ...change }, target))).toEqual([false, false, false, false, false])
+    })
+
+    it('count work that served no answer as waste', async () => {
+      const world = new World({ deployment: TRADE_OFFICE!, seed: 1, runner: roundRobin })
+      await world.clock.advance(seconds(1))
+      for (const endpoint of world.endpointsOf('fees')) endpoint.faults.failShare = 1
+      world.send(brand<ClassId>('pitch-booking'), brand<WorkspaceId>('nalaikh'))
+      world.send(brand<ClassId>('rota-read'), brand<WorkspaceId>('nalaikh'))
+      await world.clock.advance(seconds(5))
+      const spend = spendOf(world, recordsIn(world, { from: millis(0), to: world.clock.now() }))
+      expect(spend).toMatchObject({ total: 300, waste: 200, byStage: { booking: 100, fees: 100, 'vendor-roll': 100 } })
+    })
+  })
+})
