Lint refuses circular imports

Cause: layers were held between packages, circles within one were not. Change: import-x/no-cycle with its own resolver. Figures: no circle in the tree; a circle made on purpose in common was reported.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs'
+import { createNodeResolver } from 'eslint-plugin-import-x'
 import neostandard from 'neostandard'
 
 /** Allowed imports between the workspace's own packages: layers.json lists, for each, what lies below it. */
@@ -25,7 +26,13 @@
 export default [
   ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] }),
   {
+    settings: {
+      'import-x/resolver-next': [createNodeResolver({ extensionAlias: { '.js': ['.ts', '.js'] } })],
+      'import-x/parsers': { '@typescript-eslint/parser': ['.ts'] },
+      'import-x/extensions': ['.ts', '.js']
+    },
     rules: {
+      'import-x/no-cycle': 'error',
       'no-void': ['error', { allowAsStatement: true }],
       'max-len': ['error', { code: 140, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignorePattern: '^\\s*\\| \\{ readonly' }]
     }
