Faces and adapters in smaller modules

Cause: files held two classes each. Change: CallExchange, OrderDesk, EventFeed and ClassHandler stand alone; nothing else.

--- /dev/null
+++ b/packages/backends/src/CallExchange.ts
@@ -0,0 +1,158 @@
+import { formatCallId, isJsonObject, millis, seconds } from '@papayahill/common'
+import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
+import type { CallError, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
+import type { ListedEndpoint } from '@papayahill/platform'
+import { Result } from 'true-myth'
+import { ADAPTERS } from './adapters.js'
+import type { Adapter } from './adapters.js'
+import { CompletionStream } from './CompletionStream.js'
+import { newStopper, stopExchange } from './ConfirmedSocket.js'
+import type { SocketAnswer, SocketLoss, SocketRequest, Stopper } from './ConfirmedSocket.js'
+import { BACKENDS_EVENTS } from './events.js'
+import { parseJson } from './parseJson.js'
+
+export interface CallExchangeOptions {
+  readonly self: InstanceId
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly endpoint: ListedEndpoint
+}
+
+interface Received {
+  answer?: SocketAnswer
+  text: string
+}
+
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([429, 503])
+
+const retryAfterOf = (answer: SocketAnswer): Millis | undefined => {
+  const after = Number(answer.retryAfter)
+  return answer.retryAfter === undefined || Number.isNaN(after) ? undefined : seconds(after)
+}
+
+/** Sends one request over a connection. */
+export type Send = (
+  req: SocketRequest, listener: { onStart (answer: SocketAnswer): void, onData (data: Buffer): void }, stopper: Stopper
+) => Promise<Result<void, SocketLoss>>
+
+/**
+ * One call from its first byte to its answer.
+ *
+ * @example
+ * const exchange = new CallExchange(options, call, onChunk, signal)
+ * await exchange.run((req, listener, stopper) => socket.exchange(req, listener, stopper))
+ */
+export class CallExchange {
+  readonly #options: CallExchangeOptions
+  readonly #call: StageCall
+  readonly #adapter: Adapter
+  readonly #stream: CompletionStream | undefined
+  readonly #signal: AbortSignal
+  readonly #received: Received = { text: '' }
+  readonly #startedAt: Millis
+  #isTimedOut = false
+
+  constructor (
+    options: CallExchangeOptions, call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
+  ) {
+    this.#options = options
+    this.#call = call
+    this.#adapter = ADAPTERS[call.kind]
+    this.#signal = signal
+    this.#startedAt = options.clock.now()
+    this.#stream = call.kind === 'engine' && call.isStreamed ? new CompletionStream(call, onChunk) : undefined
+  }
+
+  get incarnation (): string | undefined {
+    return this.#received.answer?.incarnation
+  }
+
+  notSent (detail: string): Result<StageAnswer, CallError> {
+    return Result.err({ outcome: 'not-sent', detail })
+  }
+
+  async run (send: Send): Promise<Result<StageAnswer, CallError>> {
+    const stopper = newStopper()
+    const stop = (): void => stopExchange(stopper)
+    const timer = this.#options.clock.after(this.#call.timeout, () => {
+      this.#isTimedOut = true
+      stop()
+    })
+    this.#signal.addEventListener('abort', stop, { once: true })
+    if (this.#signal.aborted) stop()
+    const result = await send(this.#request(), this, stopper)
+    this.#signal.removeEventListener('abort', stop)
+    timer.cancel()
+    return result.isErr ? Result.err(this.#errorOf(result.error)) : this.#read()
+  }
+
+  onStart (answer: SocketAnswer): void {
+    this.#received.answer = answer
+  }
+
+  onData (data: Buffer): void {
+    const isStreaming = this.#stream !== undefined && this.#received.answer?.status === 200
+    if (isStreaming) this.#stream?.feed(data)
+    else this.#received.text += data.toString()
+  }
+
+  #request (): SocketRequest {
+    const { id, key, workspace } = this.#call
+    return {
+      method: 'POST',
+      path: this.#adapter.path,
+      headers: {
+        'content-type': 'application/json',
+        'x-call-id': formatCallId(id),
+        'x-workspace': workspace,
+        'x-class': this.#call.class,
+        'x-instance': this.#options.self,
+        ...(key === undefined ? {} : { 'idempotency-key': encodeURIComponent(key) })
+      },
+      body: JSON.stringify(this.#adapter.encode(this.#call, this.#options.endpoint.version))
+    }
+  }
+
+  #took (): Millis {
+    return millis(this.#options.clock.now() - this.#startedAt)
+  }
+
+  #errorOf (loss: SocketLoss): CallError {
+    if (!loss.isSent) return { outcome: 'not-sent', detail: loss.detail }
+    const usage = this.#stream?.partUsage(this.#took())
+    if (this.#isTimedOut) return { outcome: 'timed-out', detail: `no answer in ${this.#call.timeout} ms`, usage }
+    if (this.#signal.aborted) return { outcome: 'cancelled', detail: 'cancelled', usage }
+    return { outcome: 'cut', detail: loss.detail, usage }
+  }
+
+  #read (): Result<StageAnswer, CallError> {
+    const { answer } = this.#received
+    if (answer === undefined) return Result.err({ outcome: 'cut', detail: 'the answer did not begin' })
+    if (answer.status !== 200) return Result.err(this.#refusal(answer))
+    const whole = this.#stream === undefined ? this.#readWhole() : this.#stream.answer(this.#took())
+    if (whole !== undefined) return Result.ok(whole)
+    if (this.#stream !== undefined) {
+      return Result.err({ outcome: 'cut', detail: 'the stream ended without its end mark', usage: this.#stream.partUsage(this.#took()) })
+    }
+    this.#options.log.emit(BACKENDS_EVENTS.answerMalformed, { endpoint: this.#options.endpoint.id, kind: this.#call.kind })
+    return Result.err({ outcome: 'failed', detail: 'the endpoint answered in an unknown form' })
+  }
+
+  #readWhole (): StageAnswer | undefined {
+    const body = parseJson(this.#received.text)
+    return isJsonObject(body) ? this.#adapter.decode(body, this.#took()) : undefined
+  }
+
+  #refusal (answer: SocketAnswer): CallError {
+    const outcome = REFUSED_STATUSES.has(answer.status) ? 'refused' : 'failed'
+    const json = parseJson(this.#received.text)
+    const body = isJsonObject(json) ? json : {}
+    return {
+      outcome,
+      detail: `the endpoint answered ${answer.status}`,
+      retryAfter: retryAfterOf(answer),
+      usage: body.usage === undefined ? undefined : this.#adapter.usage(body.usage, this.#took()),
+      cacheExport: typeof body.cache_export === 'string' ? body.cache_export : undefined
+    }
+  }
+}
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -1,5 +1,5 @@
 export { callersRoutes, createCallersApp } from './callers/createCallersApp.js'
-export type { CallersAppOptions } from './callers/createCallersApp.js'
+export type { CallersAppOptions } from './callers/ClassHandler.js'
 export type { App, Route } from './createApp.js'
 export { EDGE_EVENTS } from './events.js'
 export { EdgeListener, listenOn } from './listenOn.js'
--- a/packages/standins/src/http/serveEndpoint.ts
+++ b/packages/standins/src/http/serveEndpoint.ts
@@ -1,14 +1,14 @@
-import type { Clock, InstanceId, Json, Timer } from '@papayahill/common'
-import { brand, isJsonObject, millis } from '@papayahill/common'
+import type { Clock, InstanceId, Json } from '@papayahill/common'
+import { brand, isJsonObject } from '@papayahill/common'
 import type { CallError, StageCall } from '@papayahill/endpoints'
 import type { FakeEndpoint } from '../FakeEndpoint.js'
 import { answerCompletion } from './completions.js'
+import { EventFeed } from './EventFeed.js'
 import { faultRoutes, HttpStandIn, readJson, sendJson } from './HttpStandIn.js'
-import type { StandInHandler, StandInRequest, StandInResponse, StandInRoute } from './HttpStandIn.js'
+import type { StandInRequest, StandInResponse, StandInRoute } from './HttpStandIn.js'
+import { OrderDesk } from './OrderDesk.js'
 import { readCall } from './readCall.js'
 
-const PUSH_PERIOD = millis(500)
-
 export interface ServeEndpointOptions {
   readonly endpoint: FakeEndpoint
   readonly clock: Clock
@@ -49,60 +49,6 @@
   else sendJson(res, STATUS_OF[result.error.outcome] ?? 500, { detail: result.error.detail, usage: result.error.usage })
 }
 
-class OrderDesk {
-  readonly orders: Json[] = []
-  readonly #checksFencing: boolean
-  #highest = 0
-
-  constructor (checksFencing: boolean) {
-    this.#checksFencing = checksFencing
-  }
-
-  readonly handle: StandInHandler = async (req, res) => {
-    const order = await readJson(req)
-    const fence = isJsonObject(order) && typeof order.fence === 'number' ? order.fence : 0
-    if (this.#checksFencing && fence < this.#highest) {
-      return sendJson(res, 409, { detail: `fence ${fence} is below ${this.#highest}` })
-    }
-    this.#highest = Math.max(this.#highest, fence)
-    this.orders.push(order)
-    sendJson(res, 200, {})
-  }
-}
-
-/** Pushes reports and cache events to whoever listens. */
-class EventFeed {
-  readonly #endpoint: FakeEndpoint
-  readonly #listeners = new Set<StandInResponse>()
-  readonly #timer: Timer
-
-  constructor (endpoint: FakeEndpoint, clock: Clock) {
-    this.#endpoint = endpoint
-    this.#timer = clock.every(PUSH_PERIOD, () => this.#pushReport())
-    endpoint.onCacheEvent((event) => this.#push('cache', event))
-  }
-
-  readonly handle: StandInHandler = (_req, res) => {
-    res.writeHead(200, { 'content-type': 'text/event-stream' })
-    res.flushHeaders()
-    this.#listeners.add(res)
-    res.on('close', () => this.#listeners.delete(res))
-  }
-
-  close (): void {
-    this.#timer.cancel()
-  }
-
-  #pushReport (): void {
-    if (this.#listeners.size === 0 || this.#endpoint.faults.isSilent || !this.#endpoint.isAlive) return
-    this.#push('report', this.#endpoint.report())
-  }
-
-  #push (event: string, data: unknown): void {
-    for (const res of this.#listeners) res.write(`event: ${event}\ndata: ${JSON.stringify(data)}\n\n`)
-  }
-}
-
 const callRoutes = (endpoint: FakeEndpoint): readonly StandInRoute[] => [
   {
     method: 'POST',
