--- /dev/null
+++ b/apps/papayahilld/src/HttpOrderChannel.test.ts
@@ -0,0 +1,55 @@
+import { brand, SeededRandom, SystemClock } from '@papayahill/common'
+import { Trace } from '@papayahill/invariants'
+import type { Order } from '@papayahill/orders'
+import { FakeEndpoint, serveEndpoint } from '@papayahill/standins'
+import type { EndpointServer } from '@papayahill/standins'
+import { afterEach, describe, expect, it } from 'vitest'
+import { HttpOrderChannel } from './HttpOrderChannel.js'
+
+const clock = new SystemClock()
+
+type Listed = ConstructorParameters<typeof FakeEndpoint>[0]['listed']
+
+describe('HttpOrderChannel', () => {
+  const channel = new HttpOrderChannel(clock)
+  let server: EndpointServer
+
+  const start = async (checksFencing: boolean): Promise<Listed> => {
+    const listed: Listed = {
+      id: brand('assistant-1'), service: brand('assistant'), version: brand('v1'), domain: brand('scl-a'), address: { ip: '127.0.0.1', port: 0 }, state: 'live'
+    }
+    const endpoint = new FakeEndpoint({ clock, random: new SeededRandom(1), trace: new Trace(), listed, kind: 'engine' })
+    server = await serveEndpoint({ endpoint, clock, checksFencing })
+    return { ...listed, address: { ip: '127.0.0.1', port: server.server.port } }
+  }
+
+  const order = (fence: number): Order => ({
+    endpoint: brand('assistant-1'), action: { kind: 'load-version', version: brand('v2') }, fence
+  })
+
+  afterEach(async () => { await server.close() })
+
+  it('delivers an action with its fencing number', async () => {
+    const listed = await start(true)
+    expect((await channel.deliver(listed, order(4))).isOk).toBe(true)
+    expect(server.orders).toEqual([{ action: { kind: 'load-version', version: 'v2' }, fence: 4 }])
+  })
+
+  it('tells of a refused old fencing number, and delivers it where the endpoint does not check', async () => {
+    const checking = await start(true)
+    await channel.deliver(checking, order(4))
+    const late = await channel.deliver(checking, order(3))
+    expect(late.isErr && late.error.kind).toBe('old-fence')
+    await server.close()
+    const ignoring = await start(false)
+    await channel.deliver(ignoring, order(4))
+    expect((await channel.deliver(ignoring, order(3))).isOk).toBe(true)
+  })
+
+  it('tells an endpoint that nobody reached from one whose answer was lost', async () => {
+    const listed = await start(true)
+    await server.close()
+    const unreached = await channel.deliver(listed, order(5))
+    expect(unreached.isErr && unreached.error.kind).toBe('unreachable')
+  })
+})
