Ejection: general faults, failures on probation, and no ejection that outlives its cause

Cause: an ejected endpoint that was unwatched, as in a domain that is out, stayed ejected for good; a fault of all endpoints took a third of them away; one that was re-admitted had to fail five times again. Change: an ejection ends with the watch or the life; where the like fail as well nothing is ejected, and what was comes back; a failure on probation ejects at once.

--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -243,6 +243,7 @@
     this.#report = undefined
     this.#reportAskedAt = millis(-Infinity)
     this.areReportsMissing = false
+    this.isEjected = false
     this.stats.clear()
     this.warmLimit.clear()
     this.#ledger = this.#ledgerOf(incarnation, inheritedFrom)
--- a/packages/endpoints/src/EndpointTable.test.ts
+++ b/packages/endpoints/src/EndpointTable.test.ts
@@ -360,10 +360,45 @@
       expect(setting.leaseAll().filter((lease) => lease.endpoint === 'e1')).toHaveLength(1)
     })
 
-    it('keeps most of them when all fail', async () => {
+    it('ejects it for longer when it fails again', async () => {
+      const setting = await new Setting(...four()).start()
+      setting.runCalls(200, (endpoint) => endpoint === 'e1' ? 'failed' : 'done')
+      await setting.wait(seconds(6))
+      setting.runCalls(200, (endpoint) => endpoint === 'e1' ? 'failed' : 'done')
+      await setting.wait(seconds(6))
+      expect(setting.runCalls(200, () => 'done')).not.toContain('e1')
+      await setting.wait(seconds(6))
+      expect(setting.runCalls(200, () => 'done')).toContain('e1')
+    })
+
+    it('keeps most of them when all fail, and takes all back once that shows', async () => {
       const setting = await new Setting(...four()).start()
       setting.runCalls(400, () => 'failed')
-      expect(new Set(setting.leaseAll().map((lease) => lease.endpoint)).size).toBeGreaterThanOrEqual(3)
+      const leases = setting.leaseAll()
+      expect(new Set(leases.map((lease) => lease.endpoint)).size).toBeGreaterThanOrEqual(3)
+      for (const lease of leases) lease.release('cancelled', millis(20))
+      await setting.wait(seconds(1))
+      expect(new Set(setting.leaseAll().map((lease) => lease.endpoint)).size).toBe(4)
+    })
+
+    it('forgets an ejection with the life that earned it', async () => {
+      const [first, ...others] = four()
+      const setting = await new Setting(first!, ...others).start()
+      setting.runCalls(200, (endpoint) => endpoint === 'e1' ? 'failed' : 'done')
+      first!.restart(false)
+      await setting.wait(seconds(1))
+      expect(setting.leaseAll().map((lease) => lease.endpoint)).toContain('e1')
+    })
+
+    it('forgets an ejection while the domain is out', async () => {
+      const backEnds = four()
+      const setting = await new Setting(...backEnds, new BackEnd('e5', { domain: FAR }).warm()).start()
+      setting.runCalls(200, (endpoint) => endpoint === 'e1' ? 'failed' : 'done')
+      setting.out.add(NEAR)
+      await setting.wait(seconds(1))
+      setting.out.delete(NEAR)
+      await setting.wait(seconds(1))
+      expect(setting.leaseAll().map((lease) => lease.endpoint)).toContain('e1')
     })
   })
 
--- a/packages/endpoints/src/OutlierJudge.ts
+++ b/packages/endpoints/src/OutlierJudge.ts
@@ -6,6 +6,8 @@
 
 const FAILURES_IN_ROW = 5
 const FAIL_SHARE = 0.5
+/** From this share of failures at the typical other endpoint on, the fault is a general one. */
+const GENERAL_FAIL_SHARE = 0.25
 const CALLS_MIN = 8
 /** A mean time this many times that of the typical endpoint of the service is a fault. */
 const SLOW_FACTOR = 3
@@ -40,6 +42,27 @@
   readonly log: EventLog
 }
 
+/** The other connected endpoints of the same version. */
+const likes = (pool: ServicePool, entry: EndpointEntry): readonly EndpointEntry[] =>
+  [...pool.entries].filter((other) => other !== entry && other.listed.version === entry.listed.version &&
+    (other.isEjected || other.state === 'warm' || other.state === 'cold'))
+
+const medianOf = (values: readonly number[]): number | undefined =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)]
+
+/** Whether the like fail as well: then the fault is not the endpoint's, and ejection would only take capacity. */
+const isFaultGeneral = (pool: ServicePool, entry: EndpointEntry): boolean =>
+  (medianOf(likes(pool, entry).map((other) => other.stats.failShare)) ?? 0) >= GENERAL_FAIL_SHARE
+
+const isStuck = (entry: EndpointEntry, now: Millis): boolean =>
+  entry.typicalCall > 0 && entry.oldestAge(now) > Math.max(STUCK_MIN, STUCK_FACTOR * entry.typicalCall)
+
+const mayEject = (pool: ServicePool, entry: EndpointEntry): boolean => {
+  const others = likes(pool, entry)
+  const ejected = others.filter((other) => other.isEjected).length
+  return ejected + 1 <= (others.length + 1) * EJECTED_SHARE
+}
+
 /**
  * Takes endpoints out of use that fail, hang or answer far slower than the others of their service, keeps
  * most of them in use whatever happens, and lets them prove themselves again call by call.
@@ -63,27 +86,33 @@
     const relative = isGood ? pool.took(call.class, call.took) : 0
     entry.stats.add(isGood, relative)
     if (isGood) entry.warmLimit.add(relative, entry.isBusy())
-    this.#prove(entry, isGood)
+    this.#prove(pool, entry, isGood)
     if (!isGood) this.#judge(pool, entry)
   }
 
-  /** Judges all endpoints of a service, and re-admits those whose time is over. */
+  /** Judges all endpoints of a service, and re-admits those whose time is over or whose fault is everyone's. */
   lookOver (pool: ServicePool): void {
     const now = this.#options.clock.now()
     for (const entry of pool.entries) {
       const ejection = this.#ejections.get(entry)
-      if (entry.isEjected && ejection !== undefined && now >= ejection.until) this.#admit(entry)
-      else this.#judge(pool, entry)
+      if (!entry.isEjected) this.#judge(pool, entry)
+      else if (ejection === undefined || now >= ejection.until) this.#admit(entry, 1)
+      else if (isFaultGeneral(pool, entry)) this.#admit(entry, Infinity)
     }
   }
 
   forget (entry: EndpointEntry): void {
     this.#ejections.delete(entry)
+    entry.isEjected = false
   }
 
   #judge (pool: ServicePool, entry: EndpointEntry): void {
     const cause = entry.isEjected ? undefined : this.#fault(pool, entry)
-    if (cause === undefined || !this.#mayEject(pool, entry)) return
+    if (cause !== undefined) this.#eject(pool, entry, cause)
+  }
+
+  #eject (pool: ServicePool, entry: EndpointEntry, cause: string): void {
+    if (!mayEject(pool, entry)) return
     const before = this.#ejections.get(entry)?.span
     const span = millis(before === undefined ? FIRST_EJECTION : Math.min(LAST_EJECTION, before * 2))
     this.#ejections.set(entry, { until: millis(this.#options.clock.now() + span), span })
@@ -93,42 +122,25 @@
 
   #fault (pool: ServicePool, entry: EndpointEntry): string | undefined {
     const { stats } = entry
-    if (stats.failedInRow >= FAILURES_IN_ROW) return 'failures in a row'
-    if (stats.count >= CALLS_MIN && stats.failShare > FAIL_SHARE) return 'share of failures'
-    if (this.#isStuck(entry)) return 'stuck calls'
-    return stats.count >= CALLS_MIN && stats.mean > SLOW_FACTOR * this.#typicalMean(pool, entry) ? 'slow' : undefined
-  }
-
-  #isStuck (entry: EndpointEntry): boolean {
-    if (entry.typicalCall === 0) return false
-    return entry.oldestAge(this.#options.clock.now()) > Math.max(STUCK_MIN, STUCK_FACTOR * entry.typicalCall)
-  }
-
-  /** Median of the means of the other endpoints of that version; Infinity where there is none to compare with. */
-  #typicalMean (pool: ServicePool, entry: EndpointEntry): number {
-    const means = [...pool.entries]
-      .filter((other) => other !== entry && other.listed.version === entry.listed.version && other.stats.mean > 0)
-      .map((other) => other.stats.mean)
-      .sort((left, right) => left - right)
-    return means[Math.floor(means.length / 2)] ?? Infinity
-  }
-
-  #mayEject (pool: ServicePool, entry: EndpointEntry): boolean {
-    const same = [...pool.entries].filter((other) => other.listed.version === entry.listed.version &&
-      (other.isEjected || other.state === 'warm' || other.state === 'cold'))
-    const ejected = same.filter((other) => other.isEjected).length
-    return ejected + 1 <= same.length * EJECTED_SHARE
+    const isFailing = stats.failedInRow >= FAILURES_IN_ROW || (stats.count >= CALLS_MIN && stats.failShare > FAIL_SHARE)
+    if (isFailing && !isFaultGeneral(pool, entry)) return 'failures'
+    const now = this.#options.clock.now()
+    if (isStuck(entry, now) && !likes(pool, entry).every((other) => isStuck(other, now))) return 'stuck calls'
+    const typical = medianOf(likes(pool, entry).map((other) => other.stats.mean).filter((mean) => mean > 0))
+    return stats.count >= CALLS_MIN && typical !== undefined && stats.mean > SLOW_FACTOR * typical ? 'slow' : undefined
   }
 
-  #admit (entry: EndpointEntry): void {
+  #admit (entry: EndpointEntry, probation: number): void {
     entry.isEjected = false
-    entry.probation = 1
+    entry.probation = probation
     entry.stats.clear()
     this.#options.log.emit(ENDPOINTS_EVENTS.endpointReadmitted, { endpoint: entry.listed.id })
   }
 
-  #prove (entry: EndpointEntry, isGood: boolean): void {
-    if (entry.probation === Infinity) return
+  /** A re-admitted endpoint gets one call more with each good one, and is ejected for longer by a failure. */
+  #prove (pool: ServicePool, entry: EndpointEntry, isGood: boolean): void {
+    if (entry.probation === Infinity || entry.isEjected) return
+    if (!isGood && !isFaultGeneral(pool, entry)) return this.#eject(pool, entry, 'failed again')
     entry.probation = isGood ? entry.probation + 1 : 1
     if (entry.probation < PROVEN_PROBATION) return
     entry.probation = Infinity
