--- a/packages/bench/src/state/ClaimKeeper.test.ts
+++ b/packages/bench/src/state/ClaimKeeper.test.ts
@@ -94,15 +94,39 @@
   })
 
   describe('not-run', () => {
-    it('frees the key once the release is recorded', async () => {
+    it('frees the key once the release is recorded, for requests that surely came in after it', async () => {
       const rig = await started()
       const attempt = await claimAt(rig, 0)
       const released = attempt.notSent()
       await rig.clock.advance(millis(100))
       expect(await released).toBe(true)
+      expect(failureOf(await beginAt(rig, 1, {}, millis(200)))).toMatchObject({ run: 'unknown' })
+      await rig.clock.advance(millis(500))
       expect((await beginAt(rig, 1)).kind).toBe('run')
     })
 
+    it('is not said where the release takes the store long', async () => {
+      const rig = await started()
+      const attempt = await claimAt(rig, 0)
+      rig.table.faults.latency = millis(400)
+      const released = attempt.notSent()
+      await rig.clock.advance(seconds(2))
+      expect(await released).toBe(false)
+    })
+
+    it('stays true where the read of an earlier request takes the store long', async () => {
+      const rig = await started()
+      rig.table.faults.latency = millis(800)
+      const early = rig.at(1).claims.begin(request())
+      await rig.clock.advance(millis(100))
+      rig.table.faults.latency = millis(3)
+      const released = (await claimAt(rig, 0)).notSent()
+      await rig.clock.advance(millis(50))
+      expect(await released).toBe(true)
+      await rig.clock.advance(seconds(2))
+      expect(failureOf(await early)).toMatchObject({ run: 'unknown' })
+    })
+
     it('is not said where the release could not be recorded', async () => {
       const rig = await started()
       const attempt = await claimAt(rig, 0)
@@ -125,6 +149,20 @@
       expect(failureOf(await slow)).toMatchObject({ run: 'unknown' })
     })
 
+    it('stays true where a request waits in a queue while its key is refused elsewhere', async () => {
+      const rig = await started()
+      const queued = request()
+      rig.at(1).claims.arrive?.(queued)
+      await rig.clock.advance(millis(100))
+      const released = (await claimAt(rig, 0)).notSent()
+      await rig.clock.advance(millis(100))
+      expect(await released).toBe(true)
+      const begun = rig.at(1).claims.begin(queued)
+      await rig.clock.advance(seconds(1))
+      expect(failureOf(await begun)).toMatchObject({ kind: 'outcome-unknown', run: 'unknown' })
+      expect((await beginAt(rig, 1)).kind).toBe('run')
+    })
+
     it('stays true where a request waited through a pause: for a moment nothing is claimed after it', async () => {
       const rig = await started()
       rig.pause(rig.ids[1]!)
@@ -165,6 +203,16 @@
       expect((await listing).map((claim) => claim.key)).toEqual([K])
     })
 
+    it('has its key listed also where nobody asked for it since', async () => {
+      const rig = await started()
+      await sentAt(rig, 0)
+      rig.kill(rig.ids[0]!)
+      await rig.clock.advance(seconds(15))
+      const listing = rig.at(2).claims.unknown()
+      await rig.clock.advance(millis(100))
+      expect((await listing).map(({ key, state }) => ({ key, state }))).toEqual([{ key: K, state: 'claimed' }])
+    })
+
     it('before it sent leaves its key unknown as well, since nobody else can tell', async () => {
       const rig = await started()
       await claimAt(rig, 0)
@@ -294,6 +342,20 @@
   })
 
   describe('group commit', () => {
+    it('puts more into one transaction while the store is slow', async () => {
+      const rig = await started(1)
+      rig.table.faults.latency = millis(200)
+      const before = rig.table.writes
+      const begun: Array<Promise<ClaimDecision>> = []
+      for (let index = 0; index < 90; index++) {
+        begun.push(rig.at(0).claims.begin(request({ key: brand<IdempotencyKey>(`k${index}`) })))
+        await rig.clock.advance(millis(10))
+      }
+      await rig.clock.advance(seconds(2))
+      expect((await Promise.all(begun)).every((decision) => decision.kind === 'run')).toBe(true)
+      expect(rig.table.writes - before).toBeLessThan(20)
+    })
+
     it('makes many claims in few transactions, each with its own fate', async () => {
       const rig = await started(1)
       const before = rig.table.writes
