--- a/packages/bench/src/faces/HttpEndpointAccess.test.ts
+++ b/packages/bench/src/faces/HttpEndpointAccess.test.ts
@@ -138,12 +138,13 @@
       expect(result.isErr && result.error.outcome).toBe('timed-out')
     })
 
-    it('has failed where the endpoint answers an error', async () => {
-      const setup = await setUp('plain')
+    it.each(['engine', 'encoder'] as const)('has failed where the %s answers an error, and is billed as that says', async (kind) => {
+      const setup = await setUp(kind)
       setup.endpoint.faults.failShare = 1
       const connection = await openOf(setup)
-      const result = await connection.call(callOf('plain'), () => {}, NEVER)
-      expect(result.isErr && result.error.outcome).toBe('failed')
+      const result = await connection.call(callOf(kind), () => {}, NEVER)
+      expect(result.isErr && result.error).toMatchObject({ outcome: 'failed', usage: setup.endpoint.bills[0]?.usage })
+      expect(setup.endpoint.bills[0]?.usage.tokensIn).toBeGreaterThan(0)
     })
 
     it('is not sent where the signal was aborted before', async () => {
@@ -201,6 +202,16 @@
       expect(results.map((result) => result.isOk)).toEqual([true, true, true])
     })
 
+    it('goes on while a connection stands, also where no new one is taken', async () => {
+      const setup = await setUp('engine')
+      const connection = await openOf(setup)
+      const onChunk = (chunk: StageChunk): void => { if (chunk.index === 0) void servers[0]?.server.stopListening() }
+      const first = await connection.call(callOf('engine', { isStreamed: true }), onChunk, NEVER)
+      const second = await connection.call(callOf('engine'), () => {}, NEVER)
+      expect([first.isOk, second.isOk, connection.isOpen]).toEqual([true, true, true])
+      expect((await setup.access.open(setup.listed)).isErr).toBe(true)
+    })
+
     it('is not opened where nobody listens', async () => {
       const setup = await setUp('plain')
       await servers[0]?.close()
