Moves: recording apart from judging, later moves left alone

Cause: an instance whose configuration lagged could have written an earlier move over a later one's row; failing stores were asked four times a second; the keeper had grown. Change: a row that tells of a later move stops all writes and the share; a second's pause after a failure; MoveRecorder.

--- a/packages/rollout/src/MoveEntry.ts
+++ b/packages/rollout/src/MoveEntry.ts
@@ -1,4 +1,4 @@
-import { epochMillis, MILLIS_PER_SECOND } from '@papayahill/common'
+import { epochMillis, millis, MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Clock, EpochMillis, Millis } from '@papayahill/common'
 import { CallRate } from './CallRate.js'
 import type { OpenMove } from './OpenMove.js'
@@ -21,6 +21,8 @@
   /** Since when a step or the end has been due. */
   dueSince: Millis | undefined
   polledAt: Millis | undefined
+  /** Until then the store is left alone, after it failed. */
+  retryAt = millis(0)
   isBusy = false
   isStoreFailing = false
   #toldState: MoveState | undefined
--- a/packages/rollout/src/MoveKeeper.test.ts
+++ b/packages/rollout/src/MoveKeeper.test.ts
@@ -291,6 +291,17 @@
     })
   })
 
+  it('leaves the row alone, and the new version, where the row tells of a later move', async () => {
+    startMove(seconds(120), 9)
+    await serve(seconds(20))
+    const before = [...table.rows.values()]
+    const late = join('late')
+    config.set({ service: SERVICE, from: OLD, to: NEW, by: clock.wall() + seconds(100), startedAt: 2 })
+    await clock.advance(seconds(10))
+    expect([...table.rows.values()]).toEqual(before)
+    expect(late.versionsFor(SERVICE, ROUTE)).toEqual([OLD])
+  })
+
   describe('an operator', () => {
     it('stops a move, and the old version serves', async () => {
       startMove()
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -1,19 +1,17 @@
-import { brand, hash32 } from '@papayahill/common'
 import type {
-  Clock, EventKind, EventLog, Incarnation, InstanceId, OperatorName, Random, RequestRecord, ServiceId, StageRecord, Timer, VersionId
+  Clock, EventKind, EventLog, Incarnation, InstanceId, Random, RequestRecord, ServiceId, StageRecord, Timer, VersionId
 } from '@papayahill/common'
 import type { ConfigLog, ConfigView } from '@papayahill/control'
 import type { Peers } from '@papayahill/peers'
 import type { TableService } from '@papayahill/platform'
 import type { MoveSettings } from '@papayahill/settings'
 import { capacityShare } from './capacityShare.js'
-import { JUDGE_PERIOD, POLL_PERIOD, TURN_PERIOD } from './constants.js'
+import { JUDGE_PERIOD } from './constants.js'
 import { ROLLOUT_EVENTS } from './events.js'
 import { EvidenceLink } from './EvidenceLink.js'
 import type { MoveNews } from './EvidenceLink.js'
-import type { MoveRecord, RecordedMove } from './moveRow.js'
-import { MoveStore } from './MoveStore.js'
 import { MoveEntry, UNCONFIRMED } from './MoveEntry.js'
+import { MoveRecorder } from './MoveRecorder.js'
 import { OpenMove } from './OpenMove.js'
 import { planStep } from './planStep.js'
 import type { StepDecision } from './planStep.js'
@@ -39,7 +37,6 @@
   readonly log: EventLog
 }
 
-const AUTHOR = brand<OperatorName>('papayahill')
 /** States that operators are told of when a move enters them. */
 const TOLD_STATES: Readonly<Partial<Record<MoveState, EventKind>>> = {
   'waiting-for-traffic': ROLLOUT_EVENTS.moveWaiting,
@@ -58,7 +55,7 @@
  */
 export class MoveKeeper implements Moves {
   readonly #options: MoveKeeperOptions
-  readonly #store: MoveStore
+  readonly #recorder: MoveRecorder
   readonly #link: EvidenceLink
   readonly #entries = new Map<ServiceId, MoveEntry>()
   readonly #closed = new Map<ServiceId, MoveStatus>()
@@ -66,8 +63,10 @@
 
   constructor (options: MoveKeeperOptions) {
     this.#options = options
-    this.#store = new MoveStore(options.table)
     this.#link = new EvidenceLink(options)
+    this.#recorder = new MoveRecorder({
+      ...options, link: this.#link, takeBack: (entry, because) => this.#takeBack(entry, because)
+    })
     this.#link.onNews((news) => this.#hear(news, false))
     options.config.onChange((view) => this.#sync(view))
   }
@@ -149,7 +148,7 @@
   #hear (news: MoveNews, isJudged: boolean): void {
     const entry = this.#entries.get(news.service)
     if (entry === undefined) return
-    if (news.kind === 'step') return this.#adopt(entry, news.row)
+    if (news.kind === 'step') return this.#recorder.adopt(entry, news.row)
     if (news.startedAt !== entry.open.move.startedAt) return
     if (news.kind === 'taken-back') return this.#takeBack(entry, news.because)
     if (isJudged) entry.open.merged.takeJudged(news.life, news.counts)
@@ -160,7 +159,7 @@
     for (const entry of this.#entries.values()) {
       this.#judge(entry)
       this.#link.publishCounts(entry.open)
-      void this.#act(entry)
+      void this.#recorder.act(entry)
     }
   }
 
@@ -203,109 +202,6 @@
     return this.#entries.get(service)?.polledAt !== undefined
   }
 
-  /** Does what is due and needs the store or the configuration; one thing at a time for each move. */
-  async #act (entry: MoveEntry): Promise<void> {
-    if (entry.isBusy) return
-    entry.isBusy = true
-    try {
-      await this.#poll(entry)
-      if (entry.open.takeBack !== undefined) await this.#recordTakeBack(entry)
-      else if (entry.open.record?.state === 'done') await this.#finish(entry)
-      else await this.#step(entry)
-    } finally {
-      entry.isBusy = false
-    }
-  }
-
-  async #poll (entry: MoveEntry): Promise<void> {
-    const now = this.#options.clock.now()
-    if (entry.polledAt !== undefined && now - entry.polledAt < POLL_PERIOD) return
-    const row = await this.#store.read(entry.open.move.service)
-    if (row === undefined) return
-    entry.polledAt = now
-    this.#adopt(entry, row)
-    const { takeBack, move, isTakeBackRecorded } = entry.open
-    if (takeBack !== undefined && !isTakeBackRecorded) this.#link.publishTakeBack(move, takeBack.because)
-  }
-
-  async #recordTakeBack (entry: MoveEntry): Promise<void> {
-    const { open } = entry
-    if (open.isTakeBackRecorded || open.takeBack === undefined || entry.polledAt === undefined) return
-    const { because } = open.takeBack
-    await this.#write(entry, { ...this.#recordOf(open), state: 'taken-back', share: 0, because })
-    if (open.isTakeBackRecorded) this.#options.log.emit(ROLLOUT_EVENTS.takeBackRecorded, { service: open.move.service, because })
-  }
-
-  async #step (entry: MoveEntry): Promise<void> {
-    const { decision, open } = entry
-    if (decision.kind === 'hold' || !this.#isMyTurn(entry)) return
-    const isDone = decision.kind === 'done'
-    const share = isDone ? 1 : decision.share
-    const record = this.#recordOf(open)
-    const steppedAt = this.#options.clock.wall()
-    await this.#write(entry, { ...record, state: isDone ? 'done' : 'moving', share, steppedAt, because: decision.because })
-  }
-
-  /** Closes the move in the configuration; a take-back that the store knows of comes first. */
-  async #finish (entry: MoveEntry): Promise<void> {
-    if (!this.#isMyTurn(entry)) return
-    const { open } = entry
-    const { service, to } = open.move
-    const { config } = this.#options
-    const { version } = config.view()
-    const row = await this.#store.read(service)
-    if (row === undefined) return
-    this.#adopt(entry, row)
-    if (open.takeBack !== undefined) return
-    await config.propose([{ kind: 'move-done', service, version: to }], AUTHOR, version)
-  }
-
-  /** Instances take turns in an order of their own for each step, so that they seldom race. */
-  #isMyTurn (entry: MoveEntry): boolean {
-    const { clock, self, peers } = this.#options
-    entry.dueSince ??= clock.now()
-    const salt = `${entry.open.move.service} ${entry.open.rowVersion}`
-    const place = hash32(`${salt} ${self}`)
-    const before = peers.members().filter(({ id }) => id !== self && hash32(`${salt} ${id}`) < place).length
-    return clock.now() - entry.dueSince >= before * TURN_PERIOD
-  }
-
-  #recordOf ({ record, move }: OpenMove): MoveRecord {
-    const now = this.#options.clock.wall()
-    return record ?? { startedAt: move.startedAt, state: 'moving', share: 0, begunAt: now, steppedAt: now, because: '' }
-  }
-
-  async #write (entry: MoveEntry, record: MoveRecord): Promise<void> {
-    const { open } = entry
-    const outcome = await this.#store.write(open.move.service, record, open.rowVersion)
-    if (outcome.kind === 'unknown' || outcome.kind === 'unavailable') return this.#writeFailed(entry, outcome.kind)
-    entry.isStoreFailing = false
-    this.#takeOver(entry, outcome.row)
-    if (outcome.kind !== 'written') return
-    this.#link.publishStep(open.move, outcome.row)
-    if (record.state !== 'moving') return
-    const { service, to } = open.move
-    this.#options.log.emit(ROLLOUT_EVENTS.moveStepped, { service, version: to, share: record.share, because: record.because })
-  }
-
-  /** A lost answer is read back before anything else is tried. */
-  #writeFailed (entry: MoveEntry, kind: 'unknown' | 'unavailable'): void {
-    if (kind === 'unknown') entry.polledAt = undefined
-    if (!entry.isStoreFailing) this.#options.log.emit(ROLLOUT_EVENTS.moveStoreFailed, { service: entry.open.move.service, answer: kind })
-    entry.isStoreFailing = true
-  }
-
-  #adopt (entry: MoveEntry, row: RecordedMove): void {
-    if (row.version > entry.open.rowVersion) this.#takeOver(entry, row)
-  }
-
-  #takeOver (entry: MoveEntry, { version, record }: RecordedMove): void {
-    entry.dueSince = undefined
-    entry.open.adopt(version, record)
-    const { move } = entry.open
-    if (record?.startedAt === move.startedAt && record.state === 'taken-back') this.#takeBack(entry, record.because)
-  }
-
   /** Tells once that a move waits or is late. */
   #report (entry: MoveEntry): void {
     const { state, because, service } = entry.status(this.#options.clock.wall())
--- a/packages/rollout/src/OpenMove.ts
+++ b/packages/rollout/src/OpenMove.ts
@@ -38,6 +38,7 @@
   readonly #callsBeforeShare = new Map<string, number>()
   #judgedAt: Millis | undefined
   #rowVersion = 0
+  #isSuperseded = false
   #record: MoveRecord | undefined
   #takeBack: TakeBack | undefined
 
@@ -55,6 +56,11 @@
     return this.#record
   }
 
+  /** Whether the row already tells of a later move: this instance's configuration lags, and it starts nothing. */
+  get isSuperseded (): boolean {
+    return this.#isSuperseded
+  }
+
   get takeBack (): TakeBack | undefined {
     return this.#takeBack
   }
@@ -65,7 +71,7 @@
 
   /** Share of new calls for the new version. */
   get share (): number {
-    return this.#takeBack === undefined ? this.#record?.share ?? 0 : 0
+    return this.#takeBack === undefined && !this.#isSuperseded ? this.#record?.share ?? 0 : 0
   }
 
   /** Whether the new version has shown its first good calls, so that it may help out the old one. */
@@ -91,6 +97,7 @@
   /** Takes over the row as the store or a peer that wrote it showed it. */
   adopt (version: number, record: MoveRecord | undefined): void {
     this.#rowVersion = version
+    if (record !== undefined && record.startedAt > this.move.startedAt) this.#isSuperseded = true
     if (record?.startedAt !== this.move.startedAt) return
     const isNewShare = record.share !== this.#record?.share
     this.#record = record
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -8,6 +8,8 @@
 export const EVIDENCE_BYTES_PER_SECOND = 1500
 /** How often the recorded state of open moves is read. */
 export const POLL_PERIOD = seconds(5)
+/** How long an instance leaves the store alone after it failed. */
+export const RETRY_PERIOD = seconds(1)
 /** How long an instance waits for each one that comes before it to record a step. */
 export const TURN_PERIOD = millis(750)
 
--- a/packages/rollout/src/moveRow.ts
+++ b/packages/rollout/src/moveRow.ts
@@ -16,6 +16,10 @@
 /** What the table service holds of a service's newest move. */
 export type MoveRecord = z.infer<typeof moveRecordSchema>
 
+/** The record of a move of which nothing has been written yet. */
+export const firstRecord = (startedAt: number, now: number): MoveRecord =>
+  ({ startedAt, state: 'moving', share: 0, begunAt: now, steppedAt: now, because: '' })
+
 /** A record with the version of its row. */
 export interface RecordedMove {
   readonly version: number
