Capacity: slopes above the full mesh only

Cause: at 9 instances each watches every endpoint, so that the slope by endpoints said 4.5% of a core for slots, which no instance of a large fleet pays. Change: base of 50 instances; slopes from sizes above 16. Conclusion: the extrapolation now stays within one regime.

--- a/packages/bench/src/capacity/measureSlopes.ts
+++ b/packages/bench/src/capacity/measureSlopes.ts
@@ -5,7 +5,9 @@
 
 export type Dimension = keyof FleetSize
 
-const BASE: FleetSize = { instances: 9, endpoints: 100, workspaces: 100 }
+const BASE: FleetSize = { instances: 50, endpoints: 100, workspaces: 100 }
+/** Up to this size every instance has a link to every other and watches more endpoints, so that slopes do not pass it. */
+const FULL_MESH = 16
 /** The letter's size in two years. */
 export const TARGET_SIZE: FleetSize = { instances: 420, endpoints: 600, workspaces: 12_000 }
 const SPAN = seconds(10)
@@ -67,9 +69,9 @@
 
 /** Slopes of one reading by each dimension, and where they lead. */
 export const slopesOf = (all: readonly Measured[], reading: Reading): Slopes => {
-  const slope = (dimension: Dimension): number => fitLine(pointsOf(all, dimension, reading)).slope
-  const base = all.filter(({ size }) => size.instances === BASE.instances && size.endpoints === BASE.endpoints)
-    .map(({ use }) => reading(use))[0] ?? 0
+  const large = all.filter(({ size }) => size.instances > FULL_MESH)
+  const slope = (dimension: Dimension): number => fitLine(pointsOf(large, dimension, reading)).slope
+  const base = pointsOf(large, 'instances', reading).find(([instances]) => instances === BASE.instances)?.[1] ?? 0
   const perInstance = slope('instances')
   const perEndpoint = slope('endpoints')
   const perWorkspace = slope('workspaces')
