A kept connection does not hold up a planned stop

Cause: after the listener closed, a connection whose answer ended later stayed open for the keep-alive timeout of 75 s, and the process with it. Change: idle connections are closed as each answer ends; answers of a draining instance ask for a new connection. Conclusion: a stop takes as long as its longest request.

--- a/packages/edge/src/callers/ClassHandler.ts
+++ b/packages/edge/src/callers/ClassHandler.ts
@@ -51,12 +51,16 @@
     this.#context = { ...options, tokens: new TokenTable(options.secrets.workspaces) }
   }
 
-  /** While it drains, the instance serves what still comes: only the health check sends callers elsewhere. */
+  /**
+   * While it drains, the instance serves what still comes: only the health check sends callers elsewhere.
+   * Its answers then ask for a new connection, so that none is idle when the listener closes.
+   */
   readonly handle = async (exchange: Exchange): Promise<void> => {
     this.#wasReady ||= this.#options.instance.isReady
     if (!this.#wasReady) {
       return sendProblem(exchange.res, refuseAtEdge('not-ready', 'the instance is starting', hasKey(exchange)), exchange.id)
     }
+    if (!this.#options.instance.isReady) exchange.res.setHeader('connection', 'close')
     const abort = new AbortController()
     exchange.res.on('close', () => { if (!exchange.res.writableFinished) abort.abort() })
     const request = await readCallerRequest(this.#context, exchange, abort.signal)
--- a/packages/edge/src/callers/callers.test.ts
+++ b/packages/edge/src/callers/callers.test.ts
@@ -258,7 +258,8 @@
       faces.instance.isReady = false
       expect((await send({ path: '/readyz', method: 'GET' })).status).toBe(503)
       expect((await send({ path: '/healthz', method: 'GET' })).status).toBe(200)
-      expect((await send(post(GUIDE, JSON_TYPE))).status).toBe(200)
+      const late = await send(post(GUIDE, JSON_TYPE))
+      expect([late.status, late.headers.get('connection')]).toEqual([200, 'close'])
     })
 
     it('refuses requests until the instance was ready once', async () => {
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -40,9 +40,14 @@
  */
 export class EdgeListener {
   readonly #server: Server
+  #isClosing = false
 
   constructor (server: Server) {
     this.#server = server
+    server.prependListener('request', (_req, res: ServerResponse) => {
+      if (this.#isClosing) res.setHeader('connection', 'close')
+      res.on('close', () => this.#closeIdle())
+    })
   }
 
   get port (): number {
@@ -51,11 +56,17 @@
 
   /** Takes no more connections, lets answers end and closes idle connections. */
   close (): Promise<void> {
+    this.#isClosing = true
     const closed = new Promise<void>((resolve) => { this.#server.close(() => resolve()) })
-    this.#server.closeIdleConnections()
+    this.#closeIdle()
     return closed
   }
 
+  /** A kept connection whose answer has ended must not hold up a planned stop. */
+  #closeIdle (): void {
+    if (this.#isClosing) setImmediate(() => this.#server.closeIdleConnections())
+  }
+
   /** Breaks what is left. */
   cut (): void {
     this.#server.closeAllConnections()
