--- a/packages/bench/src/benches/moves-good.ts
+++ b/packages/bench/src/benches/moves-good.ts
@@ -1,6 +1,7 @@
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import { ROLLOUT_EVENTS } from '@papayahill/rollout'
 import { makeFixedSchedule } from '../moves/fixedSchedule.js'
+import { makeLimitPolicy } from '../moves/limitPolicy.js'
 import { makeMoveKeeper, MoveRig } from '../moves/MoveRig.js'
 import type { MoveTrace, PolicyMaker } from '../moves/MoveRig.js'
 import { goodScenario, thinScenario } from '../moves/scenario.js'
@@ -55,10 +56,11 @@
     wronglyTakenBackShare: { max: 0.01 },
     thinTrafficSaidEarlyShare: { min: 1 }
   },
-  baselinesMustMiss: { fixedSchedule: ['thinTrafficSaidEarlyShare'] },
+  baselinesMustMiss: { fixedSchedule: ['thinTrafficSaidEarlyShare'], fixedLimits: ['wronglyTakenBackShare'] },
   run: async (options) => {
     const { figures, notes } = await runPolicy(options, makeMoveKeeper)
-    const baseline = await runPolicy(options, makeFixedSchedule)
-    return { figures, baselines: { fixedSchedule: baseline.figures }, notes: { seeds: notes } }
+    const schedule = await runPolicy(options, makeFixedSchedule)
+    const limits = await runPolicy(options, makeLimitPolicy)
+    return { figures, baselines: { fixedSchedule: schedule.figures, fixedLimits: limits.figures }, notes: { seeds: notes } }
   }
 }
