Decide: sizes measured in turn, the fastest round counts

Cause: on a busy machine bench decide missed growthRatio (2.31) though nothing had changed: each size was timed once. Change: five rounds in turn, the fastest of each size; bounds as they were.

--- a/packages/bench/src/benches/decide.ts
+++ b/packages/bench/src/benches/decide.ts
@@ -1,5 +1,5 @@
 import { measureDecision } from '../load/decideRig.js'
-import type { DecideSize } from '../load/decideRig.js'
+import type { DecideFigures, DecideSize } from '../load/decideRig.js'
 import type { Bench, Figures } from '../types.js'
 
 const TODAY: DecideSize = { endpoints: 28, services: 5, domains: 4, instances: 9, workspaces: 5 }
@@ -7,11 +7,26 @@
 /** All 600 endpoints at one instance, as few instances before many endpoints would have. */
 const ALL_AT_ONE: DecideSize = { ...TWO_YEARS, instances: 9 }
 
+/** Sizes are measured in turn, several times, and the fastest round counts: other work on the machine only adds time. */
+const ROUNDS = 5
+
+const fastest = (rounds: readonly DecideFigures[]): DecideFigures => ({
+  microseconds: Math.min(...rounds.map(({ microseconds }) => microseconds)),
+  heapBytes: Math.min(...rounds.map(({ heapBytes }) => heapBytes)),
+  grantedShare: Math.min(...rounds.map(({ grantedShare }) => grantedShare))
+})
+
+const measureInTurn = async (sizes: readonly DecideSize[], isScanning: boolean): Promise<readonly DecideFigures[]> => {
+  const costs: DecideFigures[][] = sizes.map(() => [])
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const [at, size] of sizes.entries()) costs[at]!.push(await measureDecision(size, isScanning))
+  }
+  return costs.map(fastest)
+}
+
 const figuresOf = async (isScanning: boolean): Promise<Figures> => {
-  await measureDecision(TODAY, isScanning)
-  const today = await measureDecision(TODAY, isScanning)
-  const later = await measureDecision(TWO_YEARS, isScanning)
-  const allAtOne = await measureDecision(ALL_AT_ONE, isScanning)
+  const costs = await measureInTurn([TODAY, TWO_YEARS, ALL_AT_ONE], isScanning)
+  const [today, later, allAtOne] = costs as [DecideFigures, DecideFigures, DecideFigures]
   return {
     microsecondsPerDecision28: today.microseconds,
     microsecondsPerDecision600: later.microseconds,
