--- a/apps/papayahilld/src/Daemon.test.ts
+++ b/apps/papayahilld/src/Daemon.test.ts
@@ -130,6 +130,16 @@
     expect(late).toHaveLength(0)
   })
 
+  it('show status, cost and figures to operators', async () => {
+    await call(0, 'dealers/classes/stock-lookup', JSON_TYPE)
+    const status = await (await operate('/v1/status')).json()
+    expect(status).toMatchObject({ instance: 'ph-1', isReady: true, attainment: expect.arrayContaining([expect.objectContaining({ class: 'stock-lookup' })]) })
+    expect((status as { readonly endpoints: readonly unknown[] }).endpoints).toHaveLength(deployment.endpoints.length)
+    const cost = await (await operate('/v1/cost')).json() as { readonly rows: ReadonlyArray<{ readonly class: string, readonly cost: number }> }
+    expect(cost.rows.find((row) => row.class === 'stock-lookup')?.cost).toBeGreaterThan(0)
+    expect(await (await operate('/metrics')).text()).toContain('stock-lookup')
+  })
+
   it('finish every stream before a planned stop', async () => {
     const answers = await Promise.all(Array.from({ length: 6 }, () => call(2, 'schools/classes/build-guide', STREAM)))
     const port = daemons[2]!.callersPort
