--- a/packages/claims/src/GroupCommit.ts
+++ b/packages/claims/src/GroupCommit.ts
@@ -3,7 +3,7 @@
 import type { Row, RowCondition, RowKey, RowWrite, StoreError, TableService } from '@papayahill/platform'
 import PQueue from 'p-queue'
 import { Result } from 'true-myth'
-import { GATHER_WINDOW, MAX_BATCH, MAX_COMMITS } from './constants.js'
+import { GATHER_WINDOW, MAX_BATCH, MAX_COMMITS, MAX_READ } from './constants.js'
 
 /** One conditional write, and rows that are written in the same transaction. */
 export interface GroupedWrite {
@@ -65,6 +65,13 @@
     const waiting = this.#reads
     this.#reads = []
     const keys = [...new Set(waiting.map((read) => read.key))]
+    for (let start = 0; start < keys.length; start += MAX_READ) {
+      const page = keys.slice(start, start + MAX_READ)
+      await this.#readPage(page, waiting.filter((read) => page.includes(read.key)))
+    }
+  }
+
+  async #readPage (keys: readonly RowKey[], waiting: readonly WaitingRead[]): Promise<void> {
     const answer = await this.#options.table.read(keys)
     for (const { key, resolve } of waiting) {
       resolve(answer.andThen((rows): Result<Row, StoreError> => {
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -22,6 +22,8 @@
 /** How long writes are gathered into one transaction, and how many at most. */
 export const GATHER_WINDOW = millis(2)
 export const MAX_BATCH = 48
+/** Rows in one read at most. */
+export const MAX_READ = 128
 /** Transactions under way at once. */
 export const MAX_COMMITS = 2
 /** Longest wait at an owner for its outcome, for a caller at another instance. */
