Queue: calls for a version that is full hold up no others

Cause: after three misses in a row the queue stopped until a slot came free and then began with the same three, so that calls which only a full version may serve held up all others while they were more urgent. Change: calls that find no slot are set aside by the versions and endpoints that may serve them; a few of each kind are offered again when a slot comes free.

--- a/packages/scheduling/src/ServiceQueue.ts
+++ b/packages/scheduling/src/ServiceQueue.ts
@@ -1,7 +1,7 @@
-import type { EndpointLease, EndpointPool, LeaseWant } from '@papayahill/endpoints'
 import type { ServiceId } from '@papayahill/common'
+import type { EndpointLease, EndpointPool, LeaseWant } from '@papayahill/endpoints'
 import PQueue from 'p-queue'
-import { MAX_MISSES } from './constants.js'
+import { PROBES } from './constants.js'
 import { queueClassOf, SlackQueue } from './SlackQueue.js'
 import type { ClassGain, QueueEntry, SlackOptions } from './SlackQueue.js'
 
@@ -14,8 +14,12 @@
   readonly run: (lease: EndpointLease) => Promise<void>
 }
 
+/** Which endpoints may serve a call: calls of one kind find a slot or none together. */
+type Choice = string
+
 /**
  * The calls of one service that wait for a slot, on one p-queue whose concurrency follows the pool's slots.
+ * Calls whose versions or exclusions leave no slot now are set aside, so that they hold up no others.
  *
  * @example
  * queue.add({ id, entry, want, run: async (lease) => { await call(lease) } })
@@ -23,15 +27,18 @@
 export class ServiceQueue {
   readonly #pool: EndpointPool
   readonly #service: ServiceId
+  readonly #gain: ClassGain
   readonly #order: SlackQueue
   readonly #queue: PQueue<SlackQueue, SlackOptions>
   /** Calls for which no slot was free when it was their turn. */
-  readonly #parked = new Map<string, WaitingCall>()
-  #misses = 0
+  readonly #aside = new Map<Choice, SlackQueue>()
+  /** Choices that found no slot since the queue was last woken. */
+  readonly #full = new Set<Choice>()
 
   constructor (pool: EndpointPool, service: ServiceId, gain: ClassGain) {
     this.#pool = pool
     this.#service = service
+    this.#gain = gain
     this.#order = new SlackQueue(gain)
     this.#queue = new PQueue<SlackQueue, SlackOptions>({ queueClass: queueClassOf(this.#order) })
     this.#follow()
@@ -40,7 +47,9 @@
 
   /** Calls that wait for a slot. */
   get waiting (): number {
-    return this.#order.size + this.#parked.size
+    let waiting = this.#order.size
+    for (const calls of this.#aside.values()) waiting += calls.size
+    return waiting
   }
 
   add (call: WaitingCall): void {
@@ -50,18 +59,18 @@
 
   /** Takes back a call that was given up while it waited. */
   remove (id: string): void {
-    this.#parked.delete(id)
     this.#order.remove(id)
+    for (const calls of this.#aside.values()) calls.remove(id)
   }
 
   /** Offers the slots that may have come free. */
   wake (): void {
-    this.#misses = 0
+    this.#full.clear()
     this.#follow()
-    const parked = [...this.#parked.values()]
-    this.#parked.clear()
-    for (const call of parked) this.#enqueue(call)
-    this.#queue.start()
+    for (const [choice, calls] of this.#aside) {
+      if (calls.size === 0) this.#aside.delete(choice)
+      else this.#takeBack(choice, PROBES)
+    }
   }
 
   #follow (): void {
@@ -74,18 +83,28 @@
   }
 
   async #offer (call: WaitingCall): Promise<void> {
-    const lease = this.#pool.tryLease(call.want)
+    const choice = choiceOf(call.want)
+    const lease = this.#full.has(choice) ? undefined : this.#pool.tryLease(call.want)
     if (lease === undefined) {
-      this.#park(call)
+      this.#setAside(choice, call)
       return
     }
-    this.#misses = 0
+    this.#takeBack(choice, 1)
     await call.run(lease)
   }
 
-  #park (call: WaitingCall): void {
-    this.#parked.set(call.id, call)
-    this.#misses++
-    if (this.#misses >= MAX_MISSES) this.#queue.pause()
+  #setAside (choice: Choice, call: WaitingCall): void {
+    this.#full.add(choice)
+    const calls = this.#aside.get(choice) ?? new SlackQueue(this.#gain)
+    this.#aside.set(choice, calls)
+    calls.enqueue(async () => this.#enqueue(call), { id: call.id, entry: call.entry })
+  }
+
+  /** Lets the first calls of a choice wait in line again. */
+  #takeBack (choice: Choice, count: number): void {
+    const calls = this.#aside.get(choice)
+    for (let taken = 0; taken < count; taken++) void calls?.dequeue()?.()
   }
 }
+
+const choiceOf = (want: LeaseWant): Choice => `${want.versions.join(' ')}/${[...want.exclude].join(' ')}`
--- a/packages/scheduling/src/ServiceScheduler.test.ts
+++ b/packages/scheduling/src/ServiceScheduler.test.ts
@@ -24,12 +24,14 @@
   readonly busy = new Map<ServiceId, number>()
   load = 0.5
   readonly wants: LeaseWant[] = []
+  readonly full = new Set<VersionId>()
   readonly #listeners = new Map<ServiceId, Array<() => void>>()
 
   tryLease (want: LeaseWant): EndpointLease | undefined {
     const endpoint = brand<EndpointId>(`${want.service}-1`)
     const { slots, busy } = this.capacity(want.service)
-    if (busy >= slots || want.exclude.has(endpoint)) return undefined
+    const isFull = want.versions.every((version) => this.full.has(version))
+    if (busy >= slots || isFull || want.exclude.has(endpoint)) return undefined
     this.wants.push(want)
     this.busy.set(want.service, busy + 1)
     return {
@@ -155,6 +157,22 @@
       expect((await stuck).isErr).toBe(true)
     })
 
+    it('lets calls for a version that is full hold up no others, however urgent they are', async () => {
+      const full = brand<VersionId>('v2')
+      pool.full.add(full)
+      const order: string[] = []
+      for (let at = 0; at < 20; at++) void scheduler.withLease(want(`new${at}`, 2000 + at, { versions: [full] }), hold(10))
+      for (let at = 0; at < 20; at++) void scheduler.withLease(want(`${at}`, 5000), hold(10, () => order.push(`${at}`)))
+      await clock.advance(millis(250))
+      expect(order).toHaveLength(20)
+      pool.full.delete(full)
+      pool.slots.set(SERVICE, 2)
+      pool.wants.length = 0
+      pool.tellFree(SERVICE)
+      await clock.advance(millis(150))
+      expect(pool.wants).toHaveLength(20)
+    })
+
     it('takes a slot back from a use that breaks', async () => {
       const broken = scheduler.withLease(want('broken', 5000), () => Promise.reject(new Error('broken')))
       await expect(broken).rejects.toThrow('broken')
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -48,8 +48,8 @@
 /** Largest yield of a class, as a share of the time that its target allows. */
 export const YIELD_SHARE = 0.25
 
-/** Entries in a row that find no slot before the queue waits for one to come free. */
-export const MAX_MISSES = 3
+/** Calls of those that found no slot that are offered again when one may have come free. */
+export const PROBES = 3
 /** Queues that wait for a slot look again after this time at the latest. */
 export const WAKE_PERIOD = millis(25)
 /** Share of a call's mean time below which it cannot be hoped to end in time. */
