Testbed's callers and the fake endpoint's caches and effects in files of their own

Change: TracedCall, PrefixCache, EffectBook and waitUnlessAborted; behaviour as it was. Conclusion: smaller files.

--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -1,6 +1,6 @@
 import { brand, millis, tokens } from '@papayahill/common'
 import type {
-  CallId, Clock, EndpointIncarnation, IdempotencyKey, InstanceId, Json, Millis, Random, RequestId, StageUsage
+  CallId, Clock, EndpointIncarnation, IdempotencyKey, InstanceId, Millis, Random, RequestId, StageUsage
 } from '@papayahill/common'
 import type {
   CacheEvent, CallError, KeyStatus, LoadReport, StageAnswer, StageCall, StageChunk
@@ -11,6 +11,9 @@
 import { Result } from 'true-myth'
 import { linkSignals } from './linkSignals.js'
 import type { LinkedSignal } from './linkSignals.js'
+import { EffectBook } from './EffectBook.js'
+import { PrefixCache } from './PrefixCache.js'
+import { waitUnlessAborted } from './waitUnlessAborted.js'
 import { WORK_MODELS } from './workModel.js'
 import type { WorkModel } from './workModel.js'
 
@@ -75,10 +78,10 @@
   readonly #random: Random
   readonly #trace: Trace
   readonly #running = new Map<string, LinkedSignal>()
-  readonly #outcomes = new Map<IdempotencyKey, Json | 'running'>()
+  readonly #effects = new EffectBook()
   readonly #restartListeners = new Set<(isSilent: boolean) => void>()
   readonly #cacheListeners = new Set<(event: CacheEvent) => void>()
-  readonly #prefixes = new Set<string>()
+  readonly #prefixes: PrefixCache
   #life = 0
   #completed = 0
   #reports = 0
@@ -92,6 +95,7 @@
     this.listed = options.listed
     this.kind = options.kind
     this.model = options.model ?? WORK_MODELS[options.kind]
+    this.#prefixes = new PrefixCache(this.model.cachedPrefixes, (change) => this.#emitCache(change))
     this.#clock = options.clock
     this.#random = options.random
     this.#trace = options.trace
@@ -171,10 +175,7 @@
   }
 
   keyStatus (key: IdempotencyKey): KeyStatus {
-    const outcome = this.#outcomes.get(key)
-    if (outcome === undefined) return { kind: 'not-run' }
-    if (outcome === 'running') return { kind: 'running' }
-    return { kind: 'ran', body: outcome }
+    return this.#effects.status(key)
   }
 
   /** Runs one call. `instance` is who sent it, for the trace. */
@@ -210,7 +211,7 @@
   async #work (
     call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
   ): Promise<Result<StageAnswer, CallError>> {
-    const isCached = this.#touchPrefix(call.prefix)
+    const isCached = this.#prefixes.touch(call.prefix)
     const read: StageUsage = {
       ...NO_USAGE,
       tokensIn: tokens(isCached ? this.model.tokensIn * (1 - this.model.prefixSaving) : this.model.tokensIn),
@@ -250,14 +251,14 @@
     this.#lastCall = call.id
     const body = { madeFor: echo.request, stage: echo.stage, text }
     // The service's own record is right even where the answer crosses another on its way.
-    if (call.key !== undefined) this.#outcomes.set(call.key, { ...body, madeFor: call.id.request })
+    if (call.key !== undefined) this.#effects.end(call.key, { ...body, madeFor: call.id.request })
     return { call: echo, body, usage }
   }
 
   /** An action with an effect in the world, such as an order: each run of it counts. */
   #perform (call: StageCall): void {
     if (call.key === undefined) return
-    this.#outcomes.set(call.key, 'running')
+    this.#effects.begin(call.key)
     this.#trace.add({
       type: 'effect', at: this.#clock.now(), service: call.service, workspace: call.workspace, key: call.key, request: call.id.request
     })
@@ -275,18 +276,7 @@
   async #spend (span: number, signal: AbortSignal): Promise<boolean> {
     const overload = Math.max(1, this.running / this.bears)
     const wait = this.faults.isHanging ? MAX_HANG : millis(span * overload * this.faults.slowFactor)
-    if (signal.aborted) return false
-    return await new Promise((resolve) => {
-      const stop = (): void => {
-        timer.cancel()
-        resolve(false)
-      }
-      const timer = this.#clock.after(wait, () => {
-        signal.removeEventListener('abort', stop)
-        resolve(true)
-      })
-      signal.addEventListener('abort', stop, { once: true })
-    })
+    return await waitUnlessAborted(this.#clock, wait, signal)
   }
 
   #vary (): number {
@@ -302,26 +292,10 @@
     for (const abort of this.#running.values()) abort.abort(CUT)
   }
 
-  #touchPrefix (prefix: string | undefined): boolean {
-    if (prefix === undefined || this.model.cachedPrefixes === 0) return false
-    const isCached = this.#prefixes.delete(prefix)
-    this.#prefixes.add(prefix)
-    if (!isCached) this.#emitCache('stored', prefix)
-    if (this.#prefixes.size > this.model.cachedPrefixes) this.#evictOldest()
-    return isCached
-  }
-
-  #evictOldest (): void {
-    const [oldest] = this.#prefixes
-    if (oldest === undefined) return
-    this.#prefixes.delete(oldest)
-    this.#emitCache('evicted', oldest)
-  }
-
-  #emitCache (kind: CacheEvent['kind'], prefix: string): void {
+  #emitCache (change: Pick<CacheEvent, 'kind' | 'prefix'>): void {
     this.#cacheEvents++
     const event: CacheEvent = {
-      endpoint: this.listed.id, incarnation: this.incarnation, sequence: this.#cacheEvents, kind, prefix
+      endpoint: this.listed.id, incarnation: this.incarnation, sequence: this.#cacheEvents, ...change
     }
     for (const listener of this.#cacheListeners) listener(event)
   }
--- a/packages/testbed/src/Testbed.ts
+++ b/packages/testbed/src/Testbed.ts
@@ -1,20 +1,19 @@
-import { brand, EventRecorder, hash64, millis, seconds, VirtualClock, SeededRandom } from '@papayahill/common'
+import { brand, EventRecorder, seconds, VirtualClock, SeededRandom } from '@papayahill/common'
 import type {
-  BodyDigest, DomainId, EndpointId, Failure, InstanceId, OperatorName, Random, RegionId, RequestId
+  DomainId, EndpointId, Failure, InstanceId, OperatorName, Random, RegionId, RequestId
 } from '@papayahill/common'
 import type { ConfigChange } from '@papayahill/control'
 import { Instance } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
-import type { Answer, CallerRequest } from '@papayahill/pipeline'
 import type { ListedEndpoint } from '@papayahill/platform'
 import {
   FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock,
   GatedEndpointAccess, GatedInstanceList, GatedObjectStore, GatedTable, LifeGate
 } from '@papayahill/standins'
 import type { Result } from 'true-myth'
-import { CollectingSink } from './CollectingSink.js'
 import { FakeOrderChannel } from './FakeOrderChannel.js'
 import { TaggedLog } from './TaggedLog.js'
+import { TracedCall } from './TracedCall.js'
 import type { CallerAnswer, CallerPlan, DeploymentPlan, EndpointPlan } from './types.js'
 
 const OPERATOR = brand<OperatorName>('operator')
@@ -155,90 +154,25 @@
 
   /** Sends one request, as a caller would, and keeps the caller's own record of it. */
   send (plan: CallerPlan): Promise<CallerAnswer> {
-    const target = plan.to ?? this.#balance()
-    const seat = this.#seats.get(target)
+    const instance = plan.to ?? this.#balance()
     this.#requests++
-    const id = brand<RequestId>(`r${this.#requests}`)
-    const startedAt = this.clock.now()
-    this.#traceSent(plan, id, target)
-    if (seat === undefined) return Promise.resolve(this.#answerCut(id, target, new CollectingSink(), startedAt))
-    return this.#run(plan, id, seat, startedAt)
-  }
-
-  async #run (plan: CallerPlan, id: RequestId, seat: Seat, startedAt: CallerAnswer['took']): Promise<CallerAnswer> {
-    const sink = new CollectingSink()
-    const request: CallerRequest = {
-      id,
-      workspace: plan.workspace,
-      class: plan.class,
-      body: plan.body,
-      digest: this.#digest(plan),
-      key: plan.key,
-      isStreamed: plan.isStreamed ?? false,
-      startedAt,
-      signal: plan.signal ?? new AbortController().signal
-    }
-    const cut = new Promise<undefined>((resolve) => { seat.cuts.add(() => resolve(undefined)) })
-    const result = await Promise.race([seat.instance.runner.run(request, sink), cut])
-    if (result === undefined) return this.#answerCut(id, seat.instance.self, sink, startedAt)
-    return this.#answer(id, seat.instance.self, sink, result, startedAt)
-  }
-
-  #answer (
-    id: RequestId, instance: InstanceId, sink: CollectingSink, result: Result<Answer, Failure>, startedAt: CallerAnswer['took']
-  ): CallerAnswer {
-    const shared = { request: id, instance, chunks: [...sink.indexes], text: sink.text, took: millis(this.clock.now() - startedAt) }
-    const answer: CallerAnswer = result.isOk
-      ? { ...shared, outcome: 'answered', body: result.value.body, isReplayed: result.value.isReplayed }
-      : {
-          ...shared,
-          outcome: result.error.run === 'not-run' ? 'refused' : 'failed',
-          error: result.error.kind,
-          detail: result.error.detail,
-          run: result.error.run,
-          retryAfter: result.error.retryAfter
-        }
-    this.#traceAnswer(answer, result.isOk ? result.value.chunks === sink.indexes.length : true)
-    return answer
-  }
-
-  #answerCut (id: RequestId, instance: InstanceId, sink: CollectingSink, startedAt: CallerAnswer['took']): CallerAnswer {
-    const answer: CallerAnswer = {
-      request: id, instance, outcome: 'cut', chunks: [...sink.indexes], text: sink.text, took: millis(this.clock.now() - startedAt)
-    }
-    this.#traceAnswer(answer, false)
-    return answer
-  }
-
-  #traceSent (plan: CallerPlan, request: RequestId, instance: InstanceId): void {
-    this.trace.add({
-      type: 'request-sent',
-      at: this.clock.now(),
-      request,
+    const call = new TracedCall({
+      clock: this.clock,
+      trace: this.trace,
+      plan,
+      request: brand<RequestId>(`r${this.#requests}`),
       instance,
-      workspace: plan.workspace,
-      class: plan.class,
-      digest: this.#digest(plan),
-      key: plan.key,
       isRepeatable: this.#plan.config.classes.get(plan.class)?.repeatable ?? true
     })
+    const seat = this.#seats.get(instance)
+    return seat === undefined ? Promise.resolve(call.cut()) : this.#run(call, seat)
   }
 
-  #traceAnswer (answer: CallerAnswer, isWhole: boolean): void {
-    this.trace.add({
-      type: 'request-answered',
-      at: this.clock.now(),
-      request: answer.request,
-      outcome: answer.outcome,
-      run: answer.run,
-      madeFor: madeForOf(answer.body),
-      chunks: answer.chunks,
-      isWhole
-    })
-  }
-
-  #digest (plan: CallerPlan): BodyDigest {
-    return brand<BodyDigest>(hash64(JSON.stringify(plan.body)))
+  async #run (call: TracedCall, seat: Seat): Promise<CallerAnswer> {
+    const answered = seat.instance.runner.run(call.toRequest(), call.sink)
+    const cut = new Promise<undefined>((resolve) => { seat.cuts.add(() => resolve(undefined)) })
+    const result = await Promise.race([answered, cut])
+    return result === undefined ? call.cut() : call.end(result)
   }
 
   #balance (): InstanceId {
@@ -298,8 +232,3 @@
     if (started.isErr) throw new Error(`${id} did not start: ${started.error.detail}`)
   }
 }
-
-const madeForOf = (body: CallerAnswer['body']): RequestId | undefined => {
-  if (typeof body !== 'object' || body === null || !('madeFor' in body)) return undefined
-  return typeof body.madeFor === 'string' ? brand<RequestId>(body.madeFor) : undefined
-}
