--- a/packages/bench/src/benches/relay.ts
+++ b/packages/bench/src/benches/relay.ts
@@ -1,12 +1,13 @@
 import { once } from 'node:events'
 import { Worker } from 'node:worker_threads'
 import {
-  LATENCY_SECONDS, REQUESTS_AT_ONCE, STREAM_SECONDS, STREAMS_AT_ONCE, TARGET_ADDED_P50_MS, TARGET_REQUESTS_PER_SECOND,
+  BARE_SECONDS, LATENCY_SECONDS, REQUESTS_AT_ONCE, STREAM_SECONDS, STREAMS_AT_ONCE, TARGET_ADDED_P50_MS, TARGET_REQUESTS_PER_SECOND,
   TARGET_TOKENS_PER_SECOND, THROUGHPUT_SECONDS, TOKENS_PER_EVENT
 } from '../relay/constants.js'
+import { BareRelay } from '../relay/BareRelay.js'
 import type { CallerTask, LatencyResult, StandInsReady, StreamResult, ThroughputResult } from '../relay/messages.js'
 import { RelayInstance } from '../relay/RelayInstance.js'
-import type { Bench, BenchOptions, BenchResult } from '../types.js'
+import type { Bench, BenchOptions, BenchResult, Figures } from '../types.js'
 
 const MEDIAN = 0.5
 const TAIL = 0.99
@@ -25,6 +26,8 @@
 }
 
 interface Measured {
+  /** The least that a relay with the same libraries adds, on the same thread. */
+  readonly bare: { readonly throughput: ThroughputResult, readonly latency: LatencyResult }
   readonly latency: LatencyResult
   readonly throughput: ThroughputResult
   readonly streams: StreamResult
@@ -38,10 +41,25 @@
   return [value, performance.eventLoopUtilization(before).utilization]
 }
 
+const measureBare = async (callers: Worker, endpoint: string): Promise<Measured['bare']> => {
+  const relay = new BareRelay(endpoint)
+  const relayed = await relay.start()
+  const throughput = await ask<ThroughputResult>(callers, {
+    kind: 'throughput', relayed, atOnce: REQUESTS_AT_ONCE, seconds: BARE_SECONDS
+  })
+  const latency = await ask<LatencyResult>(callers, {
+    kind: 'latency', relayed, direct: `${endpoint}/v1/call`, perSecond: 2 * TARGET_REQUESTS_PER_SECOND, seconds: BARE_SECONDS
+  })
+  await relay.stop()
+  return { throughput, latency }
+}
+
 const measure = async (callers: Worker, origin: string, standIns: StandInsReady): Promise<Measured> => {
   const plain = standIns.endpoints.find((endpoint) => endpoint.service === 'lookups')
   if (plain === undefined) throw new Error('there is no stand-in of the plain service')
-  const direct = `http://${plain.address.ip}:${plain.address.port}/v1/call`
+  const endpoint = `http://${plain.address.ip}:${plain.address.port}`
+  const direct = `${endpoint}/v1/call`
+  const bare = await measureBare(callers, endpoint)
   const classes = `${origin}/v1/workspaces/w-1/classes`
   const rate = { perSecond: 2 * TARGET_REQUESTS_PER_SECOND, seconds: LATENCY_SECONDS }
   const throughput = await ask<ThroughputResult>(callers, {
@@ -51,10 +69,16 @@
     ask<LatencyResult>(callers, { kind: 'latency', relayed: `${classes}/lookup`, direct, ...rate }))
   const [streams, streamsBusy] = await busyShare(() =>
     ask<StreamResult>(callers, { kind: 'streams', relayed: `${classes}/stream`, atOnce: STREAMS_AT_ONCE, seconds: STREAM_SECONDS }))
-  return { latency, throughput, streams, busyShares: { latency: latencyBusy, streams: streamsBusy } }
+  return { bare, latency, throughput, streams, busyShares: { latency: latencyBusy, streams: streamsBusy } }
 }
 
-const resultOf = ({ latency, throughput, streams, busyShares }: Measured): BenchResult => {
+const bareFigures = ({ throughput, latency }: Measured['bare']): Figures => ({
+  addedP50Ms: quantile(latency.relayed, MEDIAN) - quantile(latency.direct, MEDIAN),
+  addedP99Ms: quantile(latency.relayed, TAIL) - quantile(latency.direct, TAIL),
+  requestsPerSecond: throughput.perSecond
+})
+
+const resultOf = ({ bare, latency, throughput, streams, busyShares }: Measured): BenchResult => {
   const relayed = { p50Ms: quantile(latency.relayed, MEDIAN), p99Ms: quantile(latency.relayed, TAIL) }
   const direct = { p50Ms: quantile(latency.direct, MEDIAN), p99Ms: quantile(latency.direct, TAIL) }
   return {
@@ -66,7 +90,7 @@
       brokenStreams: streams.broken,
       failedRequests: latency.failed + throughput.failed
     },
-    baselines: { direct },
+    baselines: { direct, bare: bareFigures(bare) },
     notes: {
       relayed,
       wholeStreams: streams.whole,
--- a/packages/bench/src/relay/constants.ts
+++ b/packages/bench/src/relay/constants.ts
@@ -7,6 +7,7 @@
 /** Largest time that relaying may add for half of the requests. */
 export const TARGET_ADDED_P50_MS = 1
 
+export const BARE_SECONDS = 6
 export const LATENCY_SECONDS = 8
 export const THROUGHPUT_SECONDS = 8
 export const REQUESTS_AT_ONCE = 32
--- a/packages/edge/src/callers/acceptedFormat.ts
+++ b/packages/edge/src/callers/acceptedFormat.ts
@@ -26,6 +26,8 @@
  * acceptedFormat('text/event-stream, application/json;q=0.5') // 'event-stream'
  */
 export const acceptedFormat = (accept: string | undefined): AnswerFormat | undefined => {
+  const only = FORMATS[accept ?? '*/*']
+  if (only !== undefined) return only
   const offers = (accept ?? '*/*').split(',').map(parseOffer).filter((offer) => offer.quality > 0)
   offers.sort((left, right) => right.quality - left.quality)
   return offers.map((offer) => FORMATS[offer.type]).find((format) => format !== undefined)
--- a/packages/edge/src/callers/readCallerRequest.ts
+++ b/packages/edge/src/callers/readCallerRequest.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto'
+import { hash } from 'node:crypto'
 import { brand } from '@papayahill/common'
 import type { BodyDigest, ClassId, Clock, Failure, IdempotencyKey, WorkspaceId } from '@papayahill/common'
 import type { EntryInstance } from '@papayahill/instance'
@@ -22,7 +22,7 @@
   readonly tokens: TokenTable<WorkspaceId>
 }
 
-const digestOf = (bytes: Buffer): BodyDigest => brand<BodyDigest>(createHash('sha256').update(bytes).digest('base64url'))
+const digestOf = (bytes: Buffer): BodyDigest => brand<BodyDigest>(hash('sha256', bytes, 'base64url'))
 
 /** Names in a path; undefined where it is not valid percent-encoding. */
 const decodeName = (text: string | undefined): string | undefined => {
