--- a/packages/bench/src/benches/moves-bad.ts
+++ b/packages/bench/src/benches/moves-bad.ts
@@ -11,7 +11,7 @@
 const QUIET_SPAN = 4 * MILLIS_PER_SECOND
 
 /** A fault that fewer calls met cannot be told from chance. */
-const MIN_SHOWN_CALLS = 100
+const MIN_SHOWN_CALLS = 20
 
 /** One bad version's run, judged by what the fakes saw. */
 interface Judged {
--- a/packages/instance/src/Instance.ts
+++ b/packages/instance/src/Instance.ts
@@ -9,7 +9,7 @@
 import { MoveKeeper } from '@papayahill/rollout'
 import { ServiceScheduler } from '@papayahill/scheduling'
 import { refusal } from '@papayahill/common'
-import type { DomainId, Failure, InstanceId } from '@papayahill/common'
+import type { ClassId, DomainId, Failure, InstanceId } from '@papayahill/common'
 import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { BALANCER_NOTICE, DRAIN_POLL, START_LIMIT, START_POLL } from './constants.js'
@@ -70,7 +70,8 @@
       ...shared, random: random.fork(), config: this.config, capacity: versionCapacity(this.pool)
     })
     this.cost = new CostKeeper({ ...shared, config })
-    this.metrics = new ServingMetrics({ clock })
+    const attainmentOf = (classId: ClassId): number | undefined => config().classes.get(classId)?.target.attainment
+    this.metrics = new ServingMetrics({ clock, watch: { log, attainmentOf } })
     this.orders = new OrderKeeper({
       self,
       incarnation,
@@ -111,6 +112,8 @@
     this.claims.start()
     this.moves.start()
     this.cost.start()
+    this.metrics.start()
+    this.orders.start()
     this.scheduler.start()
     this.#phase = 'serving'
     this.#options.log.emit(INSTANCE_EVENTS.instanceReady, { instance: this.self, version: this.config.view().version })
@@ -132,6 +135,8 @@
   async stop (): Promise<void> {
     this.#phase = 'stopped'
     this.scheduler.stop()
+    this.orders.stop()
+    this.metrics.stop()
     this.cost.stop()
     this.moves.stop()
     this.claims.stop()
--- a/packages/pipeline/src/StageCaller.ts
+++ b/packages/pipeline/src/StageCaller.ts
@@ -79,7 +79,7 @@
     lease.release(outcome, took)
     const isServing = chunksOf(sending) > chunksBefore
     const waste = isServing ? undefined : WASTE[outcome]
-    const record = { ...this.#record(sending, startedAt, took), outcome, waste, usage: usageOf(result) }
+    const record = { ...this.#record(sending, startedAt, took), outcome, waste, usage: usageOf(result), isUsageKnown: isUsageKnown(result) }
     return { result, record, isRetryTaken: cause === 'slow', isOverflow: cause === 'overflow' }
   }
 
@@ -157,3 +157,6 @@
 
 const brokenCall = (err: unknown): Result<StageAnswer, CallError> =>
   Result.err({ outcome: 'failed', detail: err instanceof Error ? err.message : 'the call broke' })
+
+/** A cut or timed-out call may have cost something, but nobody has said what. */
+const isUsageKnown = (result: Result<StageAnswer, CallError>): boolean => result.isOk || result.error.usage !== undefined
