A held lease is checked again in the tick in which its call is sent

Cause: a slot that waits for a claim to be read was not checked again: its roster copy could be too old, its failure domain out or its endpoint gone by the time of the call, against the rule of strict slots. Change: EndpointLease.isUsable, asked in the tick of the dispatch. Conclusion: the freshness rule holds for requests that may not be repeated, too.

--- a/packages/bench/src/load/SimplePool.ts
+++ b/packages/bench/src/load/SimplePool.ts
@@ -93,6 +93,7 @@
       version: endpoint.listed.version,
       domain: endpoint.listed.domain,
       connection: endpoint.connection!,
+      isUsable: () => endpoint.connection?.isOpen === true,
       release: (_outcome: CallOutcome, _took: Millis) => { endpoint.inFlight-- }
     }
   }
--- a/packages/endpoints/src/EndpointTable.test.ts
+++ b/packages/endpoints/src/EndpointTable.test.ts
@@ -222,6 +222,51 @@
     })
   })
 
+  describe('a lease that is held before it is used', () => {
+    const held = async (backEnd: BackEnd): Promise<{ setting: Setting, lease: EndpointLease }> => {
+      const setting = await new Setting(backEnd).start()
+      return { setting, lease: setting.lease()! }
+    }
+
+    it('may be used while nothing changed', async () => {
+      const { lease } = await held(new BackEnd('e1'))
+      expect(lease.isUsable()).toBe(true)
+    })
+
+    it('may not be used at a cold endpoint once the roster copy is too old', async () => {
+      const { setting, lease } = await held(new BackEnd('e1'))
+      setting.rosterAge = millis(ROSTER_MAX_AGE + 1)
+      expect(lease.isUsable()).toBe(false)
+    })
+
+    it('may not be used once its failure domain is out', async () => {
+      const { setting, lease } = await held(new BackEnd('e1').warm())
+      setting.out.add(setting.listed[0]!.domain)
+      expect(lease.isUsable()).toBe(false)
+    })
+
+    it('may not be used once the endpoint leaves', async () => {
+      const { setting, lease } = await held(new BackEnd('e1').warm())
+      setting.show(0, 'leaving')
+      await setting.wait(seconds(1))
+      expect(lease.isUsable()).toBe(false)
+    })
+
+    it('may not be used once the endpoint restarted', async () => {
+      const backEnd = new BackEnd('e1').warm()
+      const { setting, lease } = await held(backEnd)
+      backEnd.restart(false)
+      await setting.wait(seconds(1))
+      expect(lease.isUsable()).toBe(false)
+    })
+
+    it('may not be used once it was given back', async () => {
+      const { lease } = await held(new BackEnd('e1'))
+      lease.release('not-sent', millis(0))
+      expect(lease.isUsable()).toBe(false)
+    })
+  })
+
   describe('belief in a life', () => {
     it('needs no fresh roster while the endpoint is warm', async () => {
       const setting = await new Setting(new BackEnd('e1').warm()).start()
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -159,6 +159,14 @@
     return entry.state !== 'cold' || this.#pools.isRosterFresh()
   }
 
+  /** What {@link EndpointTable.tryLease} looked at may have changed while the lease was held. */
+  #maySend (entry: EndpointEntry, call: RunningCall): boolean {
+    const { clock, domainsOut } = this.#options
+    if (this.#pauses.isResuming(clock.now()) || domainsOut().has(entry.listed.domain) || entry.isLeaving) return false
+    if (entry.connection === undefined || entry.incarnation !== call.incarnation) return false
+    return call.slot === undefined || (this.#pools.isRosterFresh() && call.slot.ledger.isClear(call.slot.index))
+  }
+
   #lease (pool: ServicePool, entry: EndpointEntry, call: RunningCall, want: LeaseWant): EndpointLease {
     let isHeld = true
     return {
@@ -167,6 +175,7 @@
       version: entry.listed.version,
       domain: entry.listed.domain,
       connection: entry.connection!,
+      isUsable: () => isHeld && this.#maySend(entry, call),
       release: (outcome: CallOutcome, took: Millis) => {
         if (!isHeld) return
         isHeld = false
--- a/packages/endpoints/src/SlotLedger.ts
+++ b/packages/endpoints/src/SlotLedger.ts
@@ -164,6 +164,11 @@
     return undefined
   }
 
+  /** Whether the slot is owned and no earlier owner may still use it. */
+  isClear (slot: number): boolean {
+    return this.#owned.get(slot)?.pending.size === 0
+  }
+
   free (slot: number): void {
     this.#calls.delete(slot)
   }
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -141,6 +141,8 @@
   readonly version: VersionId
   readonly domain: DomainId
   readonly connection: EndpointConnection
+  /** Whether the right still holds in this tick, for a call that is sent later than its lease was given. */
+  isUsable (): boolean
   /** Gives the slot back, with what the call showed. Only the first call counts. */
   release (outcome: CallOutcome, took: Millis): void
 }
--- a/packages/pipeline/src/PipelineServer.test.ts
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -67,6 +67,7 @@
   readonly finishedAs: boolean[] = []
   readonly wants: StageWant[] = []
   readonly outcomes: CallOutcome[] = []
+  isLeaseUsable = true
   readonly #connection: (endpoint: EndpointId) => EndpointConnection
 
   constructor (connection: (endpoint: EndpointId) => EndpointConnection) {
@@ -91,6 +92,7 @@
       version: VERSION,
       domain: brand<DomainId>('d'),
       connection: this.#connection(endpoint),
+      isUsable: () => this.isLeaseUsable,
       release: (outcome: CallOutcome, _took: Millis) => { this.outcomes.push(outcome) }
     }))
   }
@@ -505,6 +507,13 @@
       expect(failureOf(await run(requestOf('order')))).toMatchObject({ run: 'unknown' })
     })
 
+    it('is not sent on a slot that was lost while the claim was read', async () => {
+      scheduler.isLeaseUsable = false
+      const answer = await run(requestOf('order'))
+      expect(failureOf(answer)).toMatchObject({ run: 'not-run' })
+      expect(calls).toHaveLength(0)
+    })
+
     it('is not sent where the claim ran out', async () => {
       claims.isDispatchAllowed = false
       const answer = await run(requestOf('order'))
--- a/packages/pipeline/src/StageRun.ts
+++ b/packages/pipeline/src/StageRun.ts
@@ -96,7 +96,7 @@
         return { kind: 'final', permit }
       }
       if (this.#options.waitSignal.aborted) return await this.#unsent(lease, 'caller-gone', 'given up before it was sent')
-      if (!lease.connection.isOpen) return await this.#unsent(lease, 'no-endpoint', 'the endpoint went away')
+      if (!lease.isUsable()) return await this.#unsent(lease, 'no-endpoint', 'the endpoint may not be used any more')
     }
     if (!guard.dispatch()) return await this.#unsent(lease, 'store-unavailable', 'the claim ran out before it was sent')
     this.#sent++
--- a/packages/scheduling/src/ServiceScheduler.test.ts
+++ b/packages/scheduling/src/ServiceScheduler.test.ts
@@ -40,6 +40,7 @@
       version: VERSION,
       domain: brand<DomainId>('d'),
       connection: {} as EndpointConnection,
+      isUsable: () => true,
       release: (_outcome: CallOutcome, _took: Millis) => {
         this.busy.set(want.service, this.capacity(want.service).busy - 1)
         this.tellFree(want.service)
--- a/packages/scheduling/src/ServiceScheduler.ts
+++ b/packages/scheduling/src/ServiceScheduler.ts
@@ -140,7 +140,7 @@
       lease.release(outcome, took)
     }
     const { endpoint, incarnation, version, domain, connection } = lease
-    return { endpoint, incarnation, version, domain, connection, release }
+    return { endpoint, incarnation, version, domain, connection, isUsable: () => lease.isUsable(), release }
   }
 
   #note (want: StageWant, outcome: CallOutcome, took: Millis): void {
