--- a/packages/pipeline/src/PipelineServer.ts
+++ b/packages/pipeline/src/PipelineServer.ts
@@ -12,6 +12,7 @@
 import { StageCaller } from './StageCaller.js'
 import type { Route } from './StagePlan.js'
 import type { Answer, AnswerSink, CallerRequest, PipelineRunner } from './types.js'
+import { LateObservers } from './LateObservers.js'
 import { markWaste } from './markWaste.js'
 
 export interface PipelineServerOptions {
@@ -43,15 +44,15 @@
 export class PipelineServer implements PipelineRunner {
   readonly #options: PipelineServerOptions
   readonly #context: RunContext
+  readonly #observers: LateObservers
   #running = 0
 
   constructor (options: PipelineServerOptions) {
     this.#options = options
     const { clock, random, scheduler, claims, versionsFor, log } = options
     const caller = new StageCaller(clock, log)
-    const stageEnded = (record: StageRecord): void => {
-      for (const observer of options.observers) observer.stageEnded(record)
-    }
+    this.#observers = new LateObservers(clock, options.observers)
+    const stageEnded = (record: StageRecord): void => this.#observers.stageEnded(record)
     this.#context = {
       clock, random, scheduler, claims, versionsFor, log, caller, stageEnded, firstChunks: new FirstChunkTimes()
     }
@@ -126,12 +127,12 @@
 
   #reportUnchecked (request: CallerRequest, cause: Failure): void {
     const record = this.#record(request, undefined, Result.err(cause), undefined)
-    for (const observer of this.#options.observers) observer.requestEnded(record, [])
+    this.#observers.requestEnded(record, [])
   }
 
   #tellEnd (record: RequestRecord, run: RequestRun, answer: Result<Answer, Failure>): void {
     const stages = answer.isOk ? run.stages : markWaste(run.stages, answer.error)
-    for (const observer of this.#options.observers) observer.requestEnded(record, stages)
+    this.#observers.requestEnded(record, stages)
   }
 
   #record (
