--- a/packages/bench/src/state/OrderServer.ts
+++ b/packages/bench/src/state/OrderServer.ts
@@ -1,5 +1,5 @@
 import type { ClaimAttempt, ClaimRequest } from '@papayahill/claims'
-import { brand, failure, isJsonObject, isSameCall, millis, RunGuard } from '@papayahill/common'
+import { brand, failure, isJsonObject, isSameCall, millis, RunGuard, serviceKey } from '@papayahill/common'
 import type { CallId, Failure, Json, Random, StageId } from '@papayahill/common'
 import type { CallError, EndpointConnection, StageAnswer } from '@papayahill/endpoints'
 import { FakeEndpointAccess, GatedEndpointAccess } from '@papayahill/standins'
@@ -64,7 +64,18 @@
   async #send (connection: EndpointConnection, request: ClaimRequest, attempt: ClaimAttempt): Promise<OrderAnswer> {
     const id: CallId = { request: request.request, stage: brand<StageId>('order'), attempt: 1 }
     const { service, workspace, key } = request
-    const call = { id, service, kind: 'plain', class: request.class, workspace, body: null, key, priority: 0, timeout: CALL_TIMEOUT, isStreamed: false } as const
+    const call = {
+      id,
+      service,
+      kind: 'plain',
+      class: request.class,
+      workspace,
+      body: null,
+      key: serviceKey(workspace, key),
+      priority: 0,
+      timeout: CALL_TIMEOUT,
+      isStreamed: false
+    } as const
     const result = await connection.call(call, () => {}, new AbortController().signal)
     if (result.isErr) return await this.#fail(result.error, attempt)
     return await this.#answer(id, result.value, request, attempt)
--- a/packages/bench/src/state/OrderWorld.ts
+++ b/packages/bench/src/state/OrderWorld.ts
@@ -76,7 +76,7 @@
       hasConfig: false,
       isMetered: true,
       claimsOf,
-      lookUp: hasLookUp ? (_service, key) => this.#lookUp(key) : undefined
+      lookUp: hasLookUp ? ({ key }) => this.#lookUp(key) : undefined
     })
     this.#random = this.rig.random.fork()
     for (let index = 0; index < ENDPOINTS; index++) this.#addEndpoint(index)
--- a/packages/claims/src/ClaimSettler.ts
+++ b/packages/claims/src/ClaimSettler.ts
@@ -1,4 +1,4 @@
-import { failure, isJsonObject, millis, RunGuard } from '@papayahill/common'
+import { failure, isJsonObject, millis, RunGuard, serviceKey } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { decodeClaim, encodeClaim, isSettled, readClaimRow, withOutcome } from './claimRecord.js'
@@ -120,7 +120,8 @@
 
   async #lookUp (row: ClaimRow): Promise<Step> {
     const record = row.record!
-    const status = await this.#options.lookUp?.(record.service, record.key)
+    const { service, workspace, key } = record
+    const status = await this.#options.lookUp?.({ service, class: record.class, key: serviceKey(workspace, key) })
     if (status?.kind === 'ran') return await this.#settleAs(row, { kind: 'answered', body: status.body })
     if (status?.kind === 'not-run' && this.isNotRunFinal(record)) return await this.#settleNotRun(row)
     return refuse(runUnknown(record))
--- a/packages/claims/src/types.ts
+++ b/packages/claims/src/types.ts
@@ -58,8 +58,15 @@
   | { readonly kind: 'not-run' }
   | { readonly kind: 'running' }
 
-/** Asks a service what became of a key; undefined where it offers no look-up or gave no answer. */
-export type KeyLookUp = (service: ServiceId, key: IdempotencyKey) => Promise<KeyStatus | undefined>
+/** A key whose fate is asked for, as the service of the class's last stage sees it. */
+export interface KeyQuestion {
+  readonly service: ServiceId
+  readonly class: ClassId
+  readonly key: IdempotencyKey
+}
+
+/** Asks what became of a key; undefined where the service offers no look-up, gave no answer, or speaks of a part alone. */
+export type KeyLookUp = (question: KeyQuestion) => Promise<KeyStatus | undefined>
 
 interface RosterLife {
   readonly id: InstanceId
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -1,3 +1,4 @@
+import { brand } from './Brand.js'
 import type { Brand } from './Brand.js'
 
 /** An entry instance, by the name its settings give it. */
@@ -23,6 +24,19 @@
 /** An operator or program, as named in the operators' token file. */
 export type OperatorName = Brand<string, 'OperatorName'>
 
+/**
+ * An idempotency key as services see it, so that the keys of two workspaces never meet.
+ *
+ * @example
+ * serviceKey(brand<WorkspaceId>('norte'), brand<IdempotencyKey>('order-7')) // 'norte/order-7'
+ */
+export const serviceKey = (workspace: WorkspaceId, key: IdempotencyKey): IdempotencyKey =>
+  brand<IdempotencyKey>(`${workspace}/${key}`)
+
+/** The caller's own key again. */
+export const callersKey = (workspace: WorkspaceId, key: IdempotencyKey): IdempotencyKey =>
+  key.startsWith(`${workspace}/`) ? brand<IdempotencyKey>(key.slice(workspace.length + 1)) : key
+
 /** Names one stage call; endpoints echo it, and an answer that echoes another is dropped. */
 export interface CallId {
   readonly request: RequestId
--- a/packages/pipeline/src/RequestRun.ts
+++ b/packages/pipeline/src/RequestRun.ts
@@ -52,7 +52,7 @@
       clock, scheduler, firstChunks, settings, pipeline, services, isStreamed, startedAt: request.startedAt
     })
     if (isStreamed) this.#relay = new ChunkRelay(clock, sink)
-    const service = pipeline.stages[0]!.service
+    const service = pipeline.stages.at(-1)!.service
     if (!settings.repeatable) this.#claim = new OnceClaim({ clock, claims, request, service })
     this.#callSignal = settings.repeatable ? this.#stop.signal : new AbortController().signal
     this.givenUp = new Promise((resolve) => { this.#giveUp = resolve })
--- a/packages/pipeline/src/StageRun.ts
+++ b/packages/pipeline/src/StageRun.ts
@@ -1,4 +1,4 @@
-import { failure, isJsonObject, millis } from '@papayahill/common'
+import { failure, isJsonObject, millis, serviceKey } from '@papayahill/common'
 import type { EndpointId, Failure, Json, Millis, StageRecord } from '@papayahill/common'
 import type { CallError, EndpointLease, StageCall } from '@papayahill/endpoints'
 import type { StageWant } from '@papayahill/scheduling'
@@ -252,7 +252,7 @@
       class: settings.id,
       workspace: request.workspace,
       body,
-      key: service.kind === 'plain' ? claim?.key : undefined,
+      key: service.kind === 'plain' && claim !== undefined ? serviceKey(request.workspace, claim.key) : undefined,
       priority: this.#priority(planned),
       timeout: millis(timeout),
       prefix: this.#prefix(planned),
--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -1,4 +1,4 @@
-import { brand, millis, tokens } from '@papayahill/common'
+import { brand, callersKey, millis, tokens } from '@papayahill/common'
 import type {
   CallId, Clock, EndpointIncarnation, IdempotencyKey, InstanceId, Millis, Random, RequestId, StageUsage
 } from '@papayahill/common'
@@ -260,7 +260,12 @@
     if (call.key === undefined) return
     this.#effects.begin(call.key)
     this.#trace.add({
-      type: 'effect', at: this.#clock.now(), service: call.service, workspace: call.workspace, key: call.key, request: call.id.request
+      type: 'effect',
+      at: this.#clock.now(),
+      service: call.service,
+      workspace: call.workspace,
+      key: callersKey(call.workspace, call.key),
+      request: call.id.request
     })
   }
 
@@ -311,7 +316,7 @@
       version: this.listed.version,
       call: call.id,
       instance,
-      key: call.key,
+      key: call.key === undefined ? undefined : callersKey(call.workspace, call.key),
       running: this.running,
       bears: this.bears,
       isWarm: this.isWarm,
