Holders of unrecorded work are sent names once and indexes after

Cause: each 80 ms two holders got every grown line with its row, workspace, class, stage, service and use as strings; topic cost took four times what all control may take. Change: a session with each holder keeps a table of names on both sides. A name counts as sent once the holder has answered. A holder that does not know the session or an index reads nothing and is sent all again at once under a new session. Answers are a number.

--- a/packages/cost/src/CostKeeper.test.ts
+++ b/packages/cost/src/CostKeeper.test.ts
@@ -53,6 +53,7 @@
 /** Instances that ask each other at once; a cut one neither sends nor hears. */
 class Links {
   readonly cut = new Set<InstanceId>()
+  losesFrames = false
   readonly #handlers = new Map<InstanceId, PeerHandler>()
   readonly #lives = new Map<InstanceId, Incarnation>()
 
@@ -60,7 +61,7 @@
     this.#lives.set(self, incarnation)
     const others = () => [...this.#lives].filter(([id]) => id !== self && !this.cut.has(id) && !this.cut.has(self))
     const deliver = async (to: InstanceId, message: Json): Promise<Json | undefined> =>
-      this.cut.has(to) || this.cut.has(self) ? undefined : await this.#handlers.get(to)?.(self, message)
+      this.losesFrames || this.cut.has(to) || this.cut.has(self) ? undefined : await this.#handlers.get(to)?.(self, message)
     return {
       self,
       incarnation,
@@ -227,6 +228,36 @@
       expect(events.records.some(({ kind }) => kind === COST_EVENTS.deadMeterRecorded)).toBe(true)
     })
 
+    it('has a holder that restarted unnoticed hold everything again', async () => {
+      table.isDown = true
+      const [dead, holder] = [join('i1'), join('i2')]
+      meter(dead!, 4)
+      await clock.advance(seconds(1))
+      holder!.stop()
+      const restarted = join('i2')
+      meter(dead!, 2, { class: ORDER })
+      await clock.advance(seconds(1))
+      dead!.stop()
+      links.cut.add(brand<InstanceId>('i1'))
+      expect(costOf(await rowsOf(restarted))).toBe(6 * CALL_PRICE)
+    })
+
+    it('shows again what a lost frame held', async () => {
+      table.isDown = true
+      const [dead, holder] = [join('i1'), join('i2')]
+      meter(dead!, 1)
+      await clock.advance(seconds(1))
+      links.losesFrames = true
+      meter(dead!, 2, { workspace: brand<WorkspaceId>('sul') })
+      await clock.advance(seconds(2))
+      links.losesFrames = false
+      meter(dead!, 1, { class: ORDER })
+      await clock.advance(seconds(1))
+      dead!.stop()
+      links.cut.add(brand<InstanceId>('i1'))
+      expect(costOf(await rowsOf(holder!))).toBe(4 * CALL_PRICE)
+    })
+
     it('counts once where an instance that was taken for dead comes back and goes on', async () => {
       const [paused, other] = [join('i1'), join('i2')]
       table.isDown = true
--- a/packages/cost/src/HeldLedgers.ts
+++ b/packages/cost/src/HeldLedgers.ts
@@ -3,7 +3,9 @@
 import type { Peers } from '@papayahill/peers'
 import type { RowKey } from '@papayahill/platform'
 import { z } from 'zod'
-import { HOLD_TIMEOUT, RECOVER_AFTER, RECOVER_TURN } from './constants.js'
+import { HELD, HOLD_TIMEOUT, RECOVER_AFTER, RECOVER_TURN, UNKNOWN } from './constants.js'
+import { holdFrameSchema } from './holdFrame.js'
+import { HoldReader } from './HoldReader.js'
 import type { HeldRow, HoldMessage } from './LedgerHolders.js'
 import { packedLineSchema } from './LedgerLine.js'
 import type { LedgerStore } from './LedgerStore.js'
@@ -11,7 +13,6 @@
 
 const rowsSchema = z.array(z.object({ row: z.string(), lines: z.array(packedLineSchema) }))
 const messageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('hold'), life: z.string(), rows: rowsSchema }),
   z.object({ kind: z.literal('recorded'), life: z.string(), rows: rowsSchema }),
   z.object({ kind: z.literal('collect') })
 ])
@@ -33,8 +34,6 @@
 
 type Held = Map<RowKey, LineSet>
 
-const HELD = 'held'
-
 const toLines = (rows: z.infer<typeof rowsSchema>): readonly UnrecordedRow[] =>
   rows.map(({ row, lines }) => ({ row: brand<RowKey>(row), lines: LineSet.unpack(lines) }))
 
@@ -49,11 +48,12 @@
 export class HeldLedgers {
   readonly #options: HeldLedgersOptions
   readonly #lives = new Map<Incarnation, Held>()
+  readonly #readers = new Map<InstanceId, HoldReader>()
   readonly #missingSince = new Map<Incarnation, Millis>()
 
   constructor (options: HeldLedgersOptions) {
     this.#options = options
-    options.peers.handle('cost', (from, message) => this.#answer(message))
+    options.peers.handle('cost', (from, message) => this.#answer(from, message))
   }
 
   /** Unrecorded lines of all lives, as far as the peers within reach know of them. */
@@ -84,18 +84,32 @@
     return count
   }
 
-  #answer (message: Json): Json {
+  #answer (from: InstanceId, message: Json): Json {
+    if (Array.isArray(message)) return this.#hold(from, message)
     const parsed = messageSchema.safeParse(message)
     if (!parsed.success) return null
     if (parsed.data.kind === 'collect') return this.#known() as unknown as Json
-    const life = brand<Incarnation>(parsed.data.life)
+    const held = this.#heldOf(brand<Incarnation>(parsed.data.life))
+    for (const { row, lines } of toLines(parsed.data.rows)) replaceHeld(held, row, lines)
+    return HELD
+  }
+
+  #hold (from: InstanceId, message: Json): Json {
+    const parsed = holdFrameSchema.safeParse(message)
+    if (!parsed.success) return null
+    const reader = this.#readers.get(from) ?? new HoldReader()
+    this.#readers.set(from, reader)
+    const read = reader.read(parsed.data)
+    if (read === undefined) return UNKNOWN
+    const held = this.#heldOf(read.life)
+    for (const { row, lines } of read.rows) raiseHeld(held, row, LineSet.unpack(lines))
+    return HELD
+  }
+
+  #heldOf (life: Incarnation): Held {
     const held = this.#lives.get(life) ?? new Map<RowKey, LineSet>()
     this.#lives.set(life, held)
-    for (const { row, lines } of toLines(parsed.data.rows)) {
-      if (parsed.data.kind === 'hold') raiseHeld(held, row, lines)
-      else replaceHeld(held, row, lines)
-    }
-    return HELD
+    return held
   }
 
   #known (): readonly HeldRow[] {
@@ -114,6 +128,8 @@
       if (present.has(life)) this.#missingSince.delete(life)
       else if (!this.#missingSince.has(life)) this.#missingSince.set(life, clock.now())
     }
+    const ids = new Set(peers.members().map(({ id }) => id))
+    for (const id of this.#readers.keys()) if (!ids.has(id)) this.#readers.delete(id)
     for (const life of this.#missingSince.keys()) if (!this.#lives.has(life)) this.#missingSince.delete(life)
   }
 
--- a/packages/cost/src/LedgerHolders.ts
+++ b/packages/cost/src/LedgerHolders.ts
@@ -2,7 +2,9 @@
 import type { Incarnation, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { RowKey } from '@papayahill/platform'
-import { HOLD_TIMEOUT, HOLDER_COUNT } from './constants.js'
+import { HELD, HOLD_TIMEOUT, HOLDER_COUNT, UNKNOWN } from './constants.js'
+import type { HoldFrame } from './holdFrame.js'
+import { HoldWriter } from './HoldWriter.js'
 import type { Chunk, Ledger } from './Ledger.js'
 import type { PackedLine } from './LedgerLine.js'
 import { ledgerRowKey } from './LedgerStore.js'
@@ -15,12 +17,12 @@
 
 /**
  * What instances say to each other about unrecorded work.
- * - `hold`: keep these lines of my life, beside those you hold.
+ * - a {@link HoldFrame}: keep these lines of my life, beside those you hold; answered with whether all was known.
  * - `recorded`: of this row, only these lines are still unrecorded.
  * - `collect`: what unrecorded lines do you know of?
  */
 export type HoldMessage =
-  | { readonly kind: 'hold', readonly life: Incarnation, readonly rows: readonly HeldRow[] }
+  | HoldFrame
   | { readonly kind: 'recorded', readonly life: Incarnation, readonly rows: readonly HeldRow[] }
   | { readonly kind: 'collect' }
 
@@ -42,7 +44,8 @@
 export class LedgerHolders {
   readonly #options: LedgerHoldersOptions
   /** Lives of peers that hold all unrecorded lines shown so far. */
-  readonly #inStep = new Set<Incarnation>()
+  readonly #inStep = new Map<Incarnation, HoldWriter>()
+  #sessions = 0
 
   constructor (options: LedgerHoldersOptions) {
     this.#options = options
@@ -52,8 +55,9 @@
   show (): void {
     const rows = this.#rows((chunk) => chunk.takeUnshown())
     const holders = this.#chosen()
-    for (const life of this.#inStep) if (!holders.some(({ incarnation }) => incarnation === life)) this.#inStep.delete(life)
+    for (const life of this.#inStep.keys()) if (!holders.some(({ incarnation }) => incarnation === life)) this.#inStep.delete(life)
     for (const { id, incarnation } of holders) {
+      if (this.#inStep.get(incarnation)?.isFull === true) this.#inStep.delete(incarnation)
       const isInStep = this.#inStep.has(incarnation)
       void this.#hold(id, incarnation, isInStep ? rows : this.unrecorded())
     }
@@ -74,10 +78,18 @@
   async #hold (to: InstanceId, holder: Incarnation, rows: readonly HeldRow[]): Promise<void> {
     if (rows.length === 0) return
     const { peers, incarnation: life } = this.#options
-    this.#inStep.add(holder)
-    const message: HoldMessage = { kind: 'hold', life, rows }
-    const answer = await peers.ask(to, 'cost', message as unknown as Json, HOLD_TIMEOUT)
-    if (answer.isErr) this.#inStep.delete(holder)
+    const writer = this.#inStep.get(holder) ?? new HoldWriter(life, this.#sessions++)
+    this.#inStep.set(holder, writer)
+    const wasOpening = writer.isOpening
+    const { frame, size } = writer.write(rows)
+    const answer = await peers.ask(to, 'cost', frame as unknown as Json, HOLD_TIMEOUT)
+    if (answer.isOk && answer.value === HELD) return writer.confirm(size)
+    if (this.#inStep.get(holder) !== writer) return
+    this.#inStep.delete(holder)
+    // Where even a frame with all names was not read, sending it again at once would not help.
+    if (wasOpening) return
+    // A holder that lacks names is there and is sent all at once; one that did not answer, with the next lines.
+    if (answer.isOk && answer.value === UNKNOWN) await this.#hold(to, holder, this.unrecorded())
   }
 
   /** The first peers in an order of this life's own. */
--- a/packages/cost/src/constants.ts
+++ b/packages/cost/src/constants.ts
@@ -11,6 +11,12 @@
 export const HOLDER_COUNT = 2
 /** How long a peer may take to say that it holds work. */
 export const HOLD_TIMEOUT = seconds(1)
+/** Names in a session with a holder above which a new one begins. */
+export const MAX_HOLD_NAMES = 4096
+/** A holder's answer: it holds all lines of the frame. */
+export const HELD = 1
+/** A holder's answer: it lacks names that the frame refers to. */
+export const UNKNOWN = 0
 /** How often the work of instances that are gone is looked for. */
 export const RECOVER_PERIOD = seconds(5)
 /** How long an instance must be missing before a peer records its work. */
