Lines for holders leave out what is 0 and what follows from the rest

Cause: with names as indexes, counters made most of the bytes of topic cost. Change: flags say which counters follow; those that are 0 stay out. The newest hour of a frame stands once, and its cost is what the line's other hours leave; a line where that does not hold names all its hours.

--- a/packages/cost/src/HoldWriter.ts
+++ b/packages/cost/src/HoldWriter.ts
@@ -1,8 +1,8 @@
 import { hash32 } from '@papayahill/common'
 import type { Incarnation } from '@papayahill/common'
-import { writeLine } from './holdFrame.js'
+import { newestHour, writeLine } from './holdFrame.js'
 import { MAX_HOLD_NAMES } from './constants.js'
-import type { HoldEntry, HoldFrame } from './holdFrame.js'
+import type { HoldEntry, HoldFrame, HoldRow } from './holdFrame.js'
 import type { HeldRow } from './LedgerHolders.js'
 
 /** Sessions are told apart by a number that takes two bytes. */
@@ -39,11 +39,12 @@
   }
 
   write (rows: readonly HeldRow[]): { readonly frame: HoldFrame, readonly size: number } {
-    const written = rows.map(({ row, lines }): HoldFrame[3][number] => [this.#indexOf(row), lines.map((line) => {
+    const hour = newestHour(rows.flatMap(({ lines }) => lines))
+    const written = rows.map(({ row, lines }): HoldRow => [this.#indexOf(row), lines.map((line) => {
       const [workspace, classId, stage, service, use] = line
-      return writeLine(line, this.#indexOf(workspace), this.#indexOf([classId, stage, service, use]))
+      return writeLine(line, this.#indexOf(workspace), this.#indexOf([classId, stage, service, use]), hour)
     })])
-    const frame: HoldFrame = [this.#session, this.#confirmed, this.#entries.slice(this.#confirmed), written]
+    const frame: HoldFrame = [this.#session, this.#confirmed, this.#entries.slice(this.#confirmed), hour, written]
     return { frame, size: this.#entries.length }
   }
 
