--- a/apps/papayahill/src/commands/cost.ts
+++ b/apps/papayahill/src/commands/cost.ts
@@ -1,17 +1,11 @@
+import { writeFileSync } from 'node:fs'
+import { COST_DIMENSIONS, costSvg, formatCostBars, formatCostCsv, formatCostTable } from '@papayahill/cost'
+import type { CostBreakdown, CostDimension, CostRow } from '@papayahill/cost'
+import { CliFailure } from '../CliFailure.js'
 import { EXIT_CODES } from '../exitCodes.js'
 import { formatTable } from '../table.js'
 import { defineCommand } from '../types.js'
 
-interface CostLine {
-  readonly day: string
-  readonly workspace: string
-  readonly class: string
-  readonly stage: string
-  readonly use: string
-  readonly calls: number
-  readonly cost: number
-}
-
 interface BudgetLine {
   readonly workspace: string
   readonly class?: string
@@ -29,7 +23,7 @@
 }
 
 interface CostAnswer {
-  readonly rows: readonly CostLine[]
+  readonly rows: readonly CostRow[]
   readonly forecasts: readonly ForecastLine[]
 }
 
@@ -45,23 +39,62 @@
   return `${name}: ${money(spent)} of ${money(budget.limit)} a ${budget.period} spent, forecast ${money(forecast)}, ${when}${why}`
 }
 
+const isDimension = (name: string | undefined): name is CostDimension =>
+  (COST_DIMENSIONS as readonly string[]).includes(name ?? '')
+
+const readBreakdown = (text: string): CostBreakdown => {
+  const [first, second, ...rest] = text.split(',')
+  if (isDimension(first) && isDimension(second) && first !== second && rest.length === 0) return [first, second]
+  throw new CliFailure(`--by ${text} is not understood; name two of ${COST_DIMENSIONS.join(', ')}, such as workspace,stage`, EXIT_CODES.malformed)
+}
+
+/** Every row as the ledger has it. */
+const wholeTable = (rows: readonly CostRow[]): readonly string[] => formatTable(
+  ['day', 'workspace', 'class', 'stage', 'use', 'calls', 'cost'],
+  rows.map((row) => [row.day, row.workspace, row.class, row.stage, row.use, row.calls, money(row.cost)])
+)
+
+type CostFormat = 'table' | 'csv' | 'bars'
+
+const FORMATS: Readonly<Record<CostFormat, (rows: readonly CostRow[], by: CostBreakdown) => string>> = {
+  table: formatCostTable,
+  csv: formatCostCsv,
+  bars: formatCostBars
+}
+
+const DEFAULT_BREAKDOWN: CostBreakdown = ['workspace', 'stage']
+
+const formatOf = ({ csv, bars }: { readonly csv: boolean, readonly bars: boolean }): CostFormat =>
+  csv ? 'csv' : bars ? 'bars' : 'table'
+
 /** Cost by workspace, class and stage, with waste on its own lines, and what budgets will be passed. */
 export const cost = defineCommand({
   command: 'cost',
   describe: 'Cost by workspace, class and stage, and budgets ahead',
-  examples: [['$0 cost --from 2027-01-01 --to 2027-01-31', 'A month\'s cost']],
+  examples: [
+    ['$0 cost --from 2027-01-01 --to 2027-01-31', 'A month\'s cost, line by line'],
+    ['$0 cost --by workspace,stage', 'Today by workspace and stage, waste apart'],
+    ['$0 cost --by day,class --csv', 'For a spreadsheet'],
+    ['$0 cost --by class,stage --svg cost.svg', 'A plot']
+  ],
   builder: (argv) => argv
     .option('from', { type: 'string', describe: 'First day, such as 2027-01-04; today where left out' })
-    .option('to', { type: 'string', describe: 'Last day' }),
-  run: async ({ from, to }, cli) => {
+    .option('to', { type: 'string', describe: 'Last day' })
+    .option('by', { type: 'string', describe: `Break down by two of ${COST_DIMENSIONS.join(', ')}` })
+    .option('csv', { type: 'boolean', default: false, describe: 'Print CSV, in whole millionths' })
+    .option('bars', { type: 'boolean', default: false, describe: 'Print bars' })
+    .option('svg', { type: 'string', describe: 'Write a plot to this file' }),
+  run: async ({ from, to, by, csv, bars, svg }, cli) => {
+    const isBroken = by !== undefined || csv || bars || svg !== undefined
+    const breakdown = by === undefined ? DEFAULT_BREAKDOWN : readBreakdown(by)
     const query = new URLSearchParams({ ...(from === undefined ? {} : { from }), ...(to === undefined ? {} : { to }) })
     const answer = await cli.client().ask('GET', `/v1/cost?${query}`)
     const { rows, forecasts } = answer as unknown as CostAnswer
-    cli.result(answer, () => [
-      ...formatTable(['day', 'workspace', 'class', 'stage', 'use', 'calls', 'cost'],
-        rows.map((row) => [row.day, row.workspace, row.class, row.stage, row.use, row.calls, money(row.cost)])),
-      ...forecasts.map(forecastLine)
-    ])
+    if (svg !== undefined) writeFileSync(svg, costSvg(rows, breakdown))
+    const budgets = csv ? [] : forecasts.map(forecastLine)
+    cli.result(answer, () => isBroken
+      ? [...FORMATS[formatOf({ csv, bars })](rows, breakdown).trimEnd().split('\n'), ...budgets]
+      : [...wholeTable(rows), ...budgets])
     return EXIT_CODES.done
   }
 })
--- a/apps/papayahill/src/runCli.test.ts
+++ b/apps/papayahill/src/runCli.test.ts
@@ -191,6 +191,35 @@
       expect(out).toContain('schools: 1.2500 of 2.0000 a day spent, forecast 2.5000, passes it at 2027-01-04T18:00:00.000Z, driven by build-guide/generate')
     })
 
+    describe('broken down', () => {
+      const usage = { tokensIn: 0, tokensCached: 0, tokensOut: 0, busy: 0 }
+      const row = { day: '2027-01-04', workspace: 'schools', class: 'build-guide', stage: 'generate', service: 'assistant', usage }
+      const rows = [{ ...row, use: 'needed', calls: 3, cost: 1_250_000 }, { ...row, use: 'retry', calls: 1, cost: 250_000 }]
+
+      beforeEach(() => { answers['GET /v1/cost?'] = { body: { rows, forecasts: [] } } })
+
+      it('shows waste apart', async () => {
+        const { out } = await run(['cost', '--by', 'workspace,stage'])
+        expect(out).toMatch(/schools +generate +4 +1\.25 +0\.25 +16\.7/)
+      })
+
+      it('prints CSV', async () => {
+        const { out } = await run(['cost', '--by', 'class,day', '--csv'])
+        expect(out).toContain('class,day,calls,needed_micro,waste_micro\nbuild-guide,2027-01-04,4,1250000,250000')
+      })
+
+      it('prints bars', async () => {
+        const { out } = await run(['cost', '--by', 'workspace,stage', '--bars'])
+        expect(out).toContain('█')
+      })
+
+      it('names what may be broken down by', async () => {
+        const { code, err } = await run(['cost', '--by', 'workspace,colour'])
+        expect(code).toBe(EXIT_CODES.malformed)
+        expect(err.join('\n')).toContain('name two of workspace, class, stage, day')
+      })
+    })
+
     it('watch as often as asked', async () => {
       answers['GET /v1/status'] = { body: STATUS }
       const { out } = await run(['watch', '--every', '0.01', '--count', '2', '--json'])
