Money with four decimals

Cause: the newcomer's path showed 0.00 for every stage: a call costs less than a hundredth of a unit. Conclusion: small spend is seen.

--- a/apps/papayahill/src/runCli.test.ts
+++ b/apps/papayahill/src/runCli.test.ts
@@ -200,7 +200,7 @@
 
       it('shows waste apart', async () => {
         const { out } = await run(['cost', '--by', 'workspace,stage'])
-        expect(out).toMatch(/schools +generate +4 +1\.25 +0\.25 +16\.7/)
+        expect(out).toMatch(/schools +generate +4 +1\.2500 +0\.2500 +16\.7/)
       })
 
       it('prints CSV', async () => {
--- a/packages/cost/src/formatCost.test.ts
+++ b/packages/cost/src/formatCost.test.ts
@@ -22,10 +22,10 @@
 describe('cost by workspace and stage', () => {
   it('is a table with waste in its own columns and a total', () => {
     expect(formatCostTable(ROWS, ['workspace', 'stage'])).toMatchInlineSnapshot(`
-      "workspace  stage     calls  needed  waste  waste %  waste by cause
-      norte      generate      4    3.00   1.00    25.0%  retry 1.00
-      sur, "b"   rerank        2    0.50   0.00     0.0%
-      total                    6    3.50   1.00    22.2%"
+      "workspace  stage     calls  needed   waste  waste %  waste by cause
+      norte      generate      4  3.0000  1.0000    25.0%  retry 1.0000
+      sur, "b"   rerank        2  0.5000  0.0000     0.0%
+      total                    6  3.5000  1.0000    22.2%"
     `)
   })
 
--- a/packages/cost/src/formatCost.ts
+++ b/packages/cost/src/formatCost.ts
@@ -4,16 +4,16 @@
 import type { CostRow } from './types.js'
 
 const MICRO_PER_UNIT = 1_000_000
-const DECIMALS = 2
+const DECIMALS = 4
 const WIDE_BAR = 40
 const FULL = '█'
 const LIGHT = '░'
 
 /**
- * Money in whole units of the deployment's currency with two decimals.
+ * Money in whole units of the deployment's currency with four decimals: single calls cost less than a hundredth.
  *
  * @example
- * formatMoney(microUnits(1_250_000)) // '1.25'
+ * formatMoney(microUnits(1_250_000)) // '1.2500'
  */
 export const formatMoney = (cost: MicroUnits): string => (cost / MICRO_PER_UNIT).toFixed(DECIMALS)
 
