--- a/packages/bench/src/capacity/CapacityFleet.ts
+++ b/packages/bench/src/capacity/CapacityFleet.ts
@@ -1,4 +1,4 @@
-import { brand, hash64, millis, SeededRandom, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import { brand, hash64, millis, MILLIS_PER_SECOND, SeededRandom, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, EndpointId, Incarnation, InstanceId, Millis, Random, RequestId, WorkspaceId } from '@papayahill/common'
 import { Instance } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
@@ -23,6 +23,16 @@
 /** The target's 6,200 requests a second over 420 instances. */
 const REQUESTS_PER_SECOND = 15
 
+/** The target's 1,200 changes of configuration a day. */
+const CHANGES_PER_SECOND = 1200 / 86_400
+/** Time in which all of one change's bytes are sent. */
+const CHANGE_SPAN = seconds(4)
+
+/** Bytes, or bytes a second, by topic. */
+type ByteRates = Readonly<Record<string, number>>
+
+const sum = (values: ByteRates): number => Object.values(values).reduce((total, value) => total + value, 0)
+
 /** A trace that keeps nothing: at this size it would be what fills the memory. */
 class NoTrace extends Trace {
   override add (): void {}
@@ -70,27 +80,25 @@
     await this.#clock.advance(SETTLE)
   }
 
-  /** What an average instance uses over `span`, under its share of the target's requests and one change. */
+  /** What an average instance uses over `span` under its share of the target's requests and changes. */
   async measure (span: Millis): Promise<InstanceUse> {
-    const bytes = this.#bytesByTopic()
     const { reads, writes } = this.#table
     const stopCallers = this.#sendRequests()
-    void this.#changeWorkspace()
-    const seconds = await profileByRole(() => this.#clock.advance(span))
+    const before = this.#bytesByTopic()
+    const cpuSeconds = await profileByRole(() => this.#clock.advance(span))
+    const steady = this.#ratesSince(before, span)
+    const bytesByTopic = await this.#withChanges(steady)
     stopCallers()
-    const perNodeSecond = (value: number): number => value / this.#size.instances / (span / 1000)
-    const bytesByTopic = Object.fromEntries(Object.entries(this.#bytesByTopic())
-      .map(([topic, total]) => [topic, perNodeSecond(total - (bytes[topic] ?? 0))]))
-    const cpuByRole = Object.fromEntries([...seconds].filter(([role]) => role !== 'other')
-      .map(([role, value]) => [role, perNodeSecond(value)])) as Partial<Record<Role, number>>
+    const cpuByRole = Object.fromEntries([...cpuSeconds].filter(([role]) => role !== 'other')
+      .map(([role, value]) => [role, this.#perInstanceSecond(value, span)])) as Partial<Record<Role, number>>
     return {
       cpuByRole,
-      cpuShare: Object.values(cpuByRole).reduce((sum, value) => sum + value, 0),
+      cpuShare: sum(cpuByRole),
       heapBytes: (heapNow() - this.#heapBefore) / this.#size.instances,
       bytesByTopic,
-      bytesPerSecond: Object.values(bytesByTopic).reduce((sum, value) => sum + value, 0),
-      storeReadsPerSecond: perNodeSecond(this.#table.reads - reads),
-      storeWritesPerSecond: perNodeSecond(this.#table.writes - writes),
+      bytesPerSecond: sum(bytesByTopic),
+      storeReadsPerSecond: this.#perInstanceSecond(this.#table.reads - reads, millis(span + CHANGE_SPAN)),
+      storeWritesPerSecond: this.#perInstanceSecond(this.#table.writes - writes, millis(span + CHANGE_SPAN)),
       span
     }
   }
@@ -105,12 +113,34 @@
     if (!await this.#clock.advanceUntil(() => isDone, START_LIMIT)) throw new Error(`the fleet of ${this.#size.instances} did not start`)
   }
 
+  /** Adds to steady rates what one change of the configuration takes, as often as the target has them. */
+  async #withChanges (steady: ByteRates): Promise<ByteRates> {
+    const before = this.#bytesByTopic()
+    void this.#changeWorkspace()
+    await this.#clock.advance(CHANGE_SPAN)
+    const changing = this.#ratesSince(before, CHANGE_SPAN)
+    const changeShare = CHANGES_PER_SECOND * CHANGE_SPAN / MILLIS_PER_SECOND
+    return Object.fromEntries(Object.entries(changing).map(([topic, rate]) => {
+      const usual = steady[topic] ?? 0
+      return [topic, usual + Math.max(0, rate - usual) * changeShare]
+    }))
+  }
+
+  #ratesSince (before: ByteRates, span: Millis): ByteRates {
+    return Object.fromEntries(Object.entries(this.#bytesByTopic())
+      .map(([topic, total]) => [topic, this.#perInstanceSecond(total - (before[topic] ?? 0), span)]))
+  }
+
+  #perInstanceSecond (value: number, span: Millis): number {
+    return value / this.#size.instances / (span / MILLIS_PER_SECOND)
+  }
+
   #changeWorkspace (): Promise<unknown> {
     const workspace = { id: brand<WorkspaceId>('workspace-1') }
     return this.#instances[0]!.config.propose([{ kind: 'put-workspace', workspace }], OPERATOR)
   }
 
-  #bytesByTopic (): Readonly<Record<string, number>> {
+  #bytesByTopic (): ByteRates {
     const sums: Record<string, number> = {}
     for (const core of this.#peers) {
       for (const { topic, sentBytes } of core.traffic()) sums[topic] = (sums[topic] ?? 0) + sentBytes
