--- a/apps/papayahill/src/demo/DemoDeployment.ts
+++ b/apps/papayahill/src/demo/DemoDeployment.ts
@@ -1,5 +1,3 @@
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { randomBytes } from 'node:crypto'
 import { brand, millis, seconds, SILENT_LOG } from '@papayahill/common'
 import type { Clock, DomainId, InstanceId, Random, RegionId } from '@papayahill/common'
@@ -8,6 +6,7 @@
 import type { InstanceLimits, InstanceSettings, OperatorConfig } from '@papayahill/settings'
 import { serveDeployment } from '@papayahill/standins'
 import type { ServedDeployment } from '@papayahill/standins'
+import { freePort } from '@papayahill/testbed'
 
 const LOOPBACK = '127.0.0.1'
 const OPERATOR = 'demo'
@@ -20,15 +19,6 @@
 
 const newSecret = (): string => randomBytes(SECRET_BYTES).toString('hex')
 
-const freePort = (): Promise<number> => new Promise((resolve, reject) => {
-  const server = createServer()
-  server.on('error', reject)
-  server.listen(0, LOOPBACK, () => {
-    const { port } = server.address() as AddressInfo
-    server.close(() => resolve(port))
-  })
-})
-
 /** Three instances on loopback before stand-ins, all in this process. */
 export class DemoDeployment {
   readonly trace = new Trace()
--- a/packages/bench/src/processes/ProcessFleet.ts
+++ b/packages/bench/src/processes/ProcessFleet.ts
@@ -12,9 +12,9 @@
 import { encodeConfig } from '@papayahill/settings'
 import { serveDeployment } from '@papayahill/standins'
 import type { ServedDeployment } from '@papayahill/standins'
+import { freePort } from '@papayahill/testbed'
 import type { CallerTarget } from '@papayahill/testbed'
 import { request } from 'undici'
-import { freePort } from './freePort.js'
 
 const BINARY = fileURLToPath(new URL('../../../../apps/papayahilld/bin/papayahilld.js', import.meta.url))
 const LOOPBACK = '127.0.0.1'
