Unrecorded work is shown each 94 ms; the heap is read after late frees

Cause: at 12,000 workspaces all control took 3,194 B/s by extrapolation, of 3,072; half of the cost topic is the overhead of a frame and its answer each 80 ms. Some heap readings were below zero: what an earlier fleet held was freed late. Change: SHOW_DELAY 94 ms; five collections with a turn between them before each reading.

--- a/packages/bench/src/capacity/CapacityFleet.ts
+++ b/packages/bench/src/capacity/CapacityFleet.ts
@@ -70,7 +70,7 @@
   async start (): Promise<void> {
     this.#addEndpoints()
     for (let at = 0; at < this.#size.instances; at++) this.#list.setInstance(this.#listed(at))
-    this.#heapBefore = heapNow()
+    this.#heapBefore = await heapNow()
     const started: Array<Promise<unknown>> = []
     for (let at = 0; at < this.#size.instances; at++) started.push(this.#startInstance(at))
     await this.#settled(Promise.all(started))
@@ -94,7 +94,7 @@
     return {
       cpuByRole,
       cpuShare: sum(cpuByRole),
-      heapBytes: (heapNow() - this.#heapBefore) / this.#size.instances,
+      heapBytes: (await heapNow() - this.#heapBefore) / this.#size.instances,
       bytesByTopic,
       bytesPerSecond: sum(bytesByTopic),
       storeReadsPerSecond: this.#perInstanceSecond(this.#table.reads - reads, millis(span + CHANGE_SPAN)),
--- a/packages/cost/src/constants.ts
+++ b/packages/cost/src/constants.ts
@@ -6,7 +6,7 @@
  * How soon metered work is shown to the peers that hold it. With the way there, it is what the death of an
  * instance can hide.
  */
-export const SHOW_DELAY = millis(80)
+export const SHOW_DELAY = millis(94)
 /** Peers that hold an instance's unrecorded work. */
 export const HOLDER_COUNT = 2
 /** How long a peer may take to say that it holds work. */
