Capacity: joins are waited for before anything is measured

Cause: at 420 instances the roster topic took 21 KB/s: all start at once, each join makes a new record of 32 KB, and the last of them comes after 35 s. Roster and links alone, 420 of them: 11.6 KB/s in the first 5 s, 121 B/s after 40 s. Change: the fleet counts as started once every roster is whole.

--- a/packages/bench/src/capacity/CapacityFleet.ts
+++ b/packages/bench/src/capacity/CapacityFleet.ts
@@ -74,6 +74,7 @@
     const started: Array<Promise<unknown>> = []
     for (let at = 0; at < this.#size.instances; at++) started.push(this.#startInstance(at))
     await this.#settled(Promise.all(started))
+    if (!await this.#clock.advanceUntil(() => this.#isRosterWhole(), START_LIMIT)) throw new Error('not all joined the roster')
     await this.#settled(this.#instances[0]!.config.propose([{ kind: 'replace', config: this.#config }], OPERATOR))
     // The log's newest changes travel together; small ones follow the first, as in a deployment that has run for long.
     for (let change = 0; change < SMALL_CHANGES; change++) await this.#settled(this.#changeWorkspace())
@@ -140,6 +141,11 @@
     return this.#instances[0]!.config.propose([{ kind: 'put-workspace', workspace }], OPERATOR)
   }
 
+  /** That all start at once is no usual day: the joins are waited for and not measured. */
+  #isRosterWhole (): boolean {
+    return this.#instances.every(({ roster }) => roster.view().members.length === this.#size.instances)
+  }
+
   #bytesByTopic (): ByteRates {
     const sums: Record<string, number> = {}
     for (const core of this.#peers) {
