--- a/apps/papayahilld/src/createLog.test.ts
+++ b/apps/papayahilld/src/createLog.test.ts
@@ -22,11 +22,11 @@
       return true
     })
     const log = createLog('info', { instance: 'ph-1' })
-    log.emit(EVENTS.seen, { running: 3 })
+    log.emit(EVENTS.seen, { running: 3, age: 530.3719624951482 })
     log.emit(EVENTS.small)
     const records = lines.filter((line) => line.includes('7199') || line.includes('7198')).map((line) => JSON.parse(line) as unknown)
     expect(records).toEqual([expect.objectContaining({
-      event: 7199, name: 'seen', level: 'warn', message: 'A test saw something.', instance: 'ph-1', running: 3
+      event: 7199, name: 'seen', level: 'warn', message: 'A test saw something.', instance: 'ph-1', running: 3, age: 530.37
     })])
   })
 })
