The instance's constructor in parts

Change: claims, orders and runner are made in functions of their own. Conclusion: shorter, same order of random sources.

--- a/packages/instance/src/Instance.ts
+++ b/packages/instance/src/Instance.ts
@@ -60,41 +60,16 @@
     this.config = new ConfigKeeper({ ...shared, random: random.fork(), objects, roster: this.roster })
     const config = (): OperatorConfig => this.config.view().config
     this.pool = this.#createPool()
-    this.claims = new ClaimKeeper({
-      ...shared,
-      random: random.fork(),
-      roster: this.roster,
-      lookUp: keyLookUp({ access: options.access, pool: this.pool, config })
-    })
+    this.claims = this.#createClaims()
     this.moves = new MoveKeeper({
       ...shared, random: random.fork(), config: this.config, capacity: versionCapacity(this.pool)
     })
     this.cost = new CostKeeper({ ...shared, config })
     const attainmentOf = (classId: ClassId): number | undefined => config().classes.get(classId)?.target.attainment
     this.metrics = new ServingMetrics({ clock, watch: { log, attainmentOf } })
-    this.orders = new OrderKeeper({
-      self,
-      incarnation,
-      clock,
-      table: this.table,
-      rosterAge: () => this.roster.age(),
-      list: options.instanceList,
-      channel: options.orderChannel,
-      checksFencing: (service) => config().services.get(service)?.checksFencing ?? false,
-      log
-    })
+    this.orders = this.#createOrders()
     this.scheduler = new ServiceScheduler({ clock, random: random.fork(), pool: this.pool, config, log })
-    this.runner = new PipelineServer({
-      clock,
-      random: random.fork(),
-      scheduler: this.scheduler,
-      claims: this.claims,
-      config,
-      versionsFor: (service, route) => this.moves.versionsFor(service, route),
-      checkBudget: (workspace, classId) => this.cost.check(workspace, classId),
-      observers: [this.moves, this.cost, this.metrics],
-      log
-    })
+    this.runner = this.#createRunner()
   }
 
   get isReady (): boolean {
@@ -156,6 +131,51 @@
     return true
   }
 
+  #createClaims (): ClaimKeeper {
+    const { self, clock, random, log, access, peers } = this.#options
+    return new ClaimKeeper({
+      self,
+      incarnation: peers.incarnation,
+      clock,
+      random: random.fork(),
+      table: this.table,
+      peers,
+      roster: this.roster,
+      lookUp: keyLookUp({ access, pool: this.pool, config: () => this.config.view().config }),
+      log
+    })
+  }
+
+  #createOrders (): OrderKeeper {
+    const { self, clock, log, instanceList, orderChannel, peers } = this.#options
+    return new OrderKeeper({
+      self,
+      incarnation: peers.incarnation,
+      clock,
+      table: this.table,
+      rosterAge: () => this.roster.age(),
+      list: instanceList,
+      channel: orderChannel,
+      checksFencing: (service) => this.config.view().config.services.get(service)?.checksFencing ?? false,
+      log
+    })
+  }
+
+  #createRunner (): PipelineServer {
+    const { clock, random, log } = this.#options
+    return new PipelineServer({
+      clock,
+      random: random.fork(),
+      scheduler: this.scheduler,
+      claims: this.claims,
+      config: () => this.config.view().config,
+      versionsFor: (service, route) => this.moves.versionsFor(service, route),
+      checkBudget: (workspace, classId) => this.cost.check(workspace, classId),
+      observers: [this.moves, this.cost, this.metrics],
+      log
+    })
+  }
+
   #createPool (): EndpointTable {
     const { self, domain, clock, random, log, access, instanceList, peers } = this.#options
     return new EndpointTable({
