Money and lists of JSON objects are read by one function each

Cause: the read-through found the cost command and the demo with their own copy of formatMoney, and the demo and the process tests with the same reader of a list of objects. Change: both call formatMoney; jsonObjectsOf stands in common. Behaviour as it was. Conclusion: one place each.

--- a/apps/papayahill/src/commands/cost.ts
+++ b/apps/papayahill/src/commands/cost.ts
@@ -1,5 +1,6 @@
 import { writeFileSync } from 'node:fs'
-import { COST_DIMENSIONS, costSvg, formatCostBars, formatCostCsv, formatCostTable } from '@papayahill/cost'
+import type { MicroUnits } from '@papayahill/common'
+import { COST_DIMENSIONS, costSvg, formatCostBars, formatCostCsv, formatCostTable, formatMoney } from '@papayahill/cost'
 import type { CostBreakdown, CostDimension, CostRow } from '@papayahill/cost'
 import { CliFailure } from '../CliFailure.js'
 import { EXIT_CODES } from '../exitCodes.js'
@@ -11,13 +12,13 @@
   readonly class?: string
   readonly stage?: string
   readonly period: string
-  readonly limit: number
+  readonly limit: MicroUnits
 }
 
 interface ForecastLine {
   readonly budget: BudgetLine
-  readonly spent: number
-  readonly forecast: number
+  readonly spent: MicroUnits
+  readonly forecast: MicroUnits
   readonly passesAt?: number
   readonly driver?: { readonly class: string, readonly stage: string }
 }
@@ -27,16 +28,11 @@
   readonly forecasts: readonly ForecastLine[]
 }
 
-const MICRO_UNITS = 1_000_000
-const DECIMALS = 4
-
-const money = (microUnits: number): string => (microUnits / MICRO_UNITS).toFixed(DECIMALS)
-
 const forecastLine = ({ budget, spent, forecast, passesAt, driver }: ForecastLine): string => {
   const name = [budget.workspace, budget.class, budget.stage].filter((part) => part !== undefined).join('/')
   const when = passesAt === undefined ? 'stays within it' : `passes it at ${new Date(passesAt).toISOString()}`
   const why = driver === undefined ? '' : `, driven by ${driver.class}/${driver.stage}`
-  return `${name}: ${money(spent)} of ${money(budget.limit)} a ${budget.period} spent, forecast ${money(forecast)}, ${when}${why}`
+  return `${name}: ${formatMoney(spent)} of ${formatMoney(budget.limit)} a ${budget.period} spent, forecast ${formatMoney(forecast)}, ${when}${why}`
 }
 
 const isDimension = (name: string | undefined): name is CostDimension =>
@@ -51,7 +47,7 @@
 /** Every row as the ledger has it. */
 const wholeTable = (rows: readonly CostRow[]): readonly string[] => formatTable(
   ['day', 'workspace', 'class', 'stage', 'use', 'calls', 'cost'],
-  rows.map((row) => [row.day, row.workspace, row.class, row.stage, row.use, row.calls, money(row.cost)])
+  rows.map((row) => [row.day, row.workspace, row.class, row.stage, row.use, row.calls, formatMoney(row.cost)])
 )
 
 type CostFormat = 'table' | 'csv' | 'bars'
--- a/apps/papayahill/src/demo/runDemo.ts
+++ b/apps/papayahill/src/demo/runDemo.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs'
-import { brand, isJsonObject, millis, SeededRandom } from '@papayahill/common'
+import { brand, isJsonObject, jsonObjectsOf, millis, SeededRandom } from '@papayahill/common'
 import type { Clock, DomainId, Json, JsonObject, Random, ServiceId } from '@papayahill/common'
 import { encodeConfig, formatFault, parseOperatorConfig } from '@papayahill/settings'
 import type { OperatorConfig } from '@papayahill/settings'
@@ -28,9 +28,6 @@
   return parsed.value
 }
 
-const objectsOf = (value: Json | undefined): readonly JsonObject[] =>
-  Array.isArray(value) ? (value as readonly Json[]).filter(isJsonObject) : []
-
 /** A demo under way: what its steps share. */
 interface DemoRun {
   readonly cli: Cli
@@ -46,7 +43,7 @@
 }
 
 const isInForce = async (run: DemoRun, version: number): Promise<boolean> => {
-  const inForce = objectsOf((await status(run)).inForce)
+  const inForce = jsonObjectsOf((await status(run)).inForce)
   return inForce.length > 0 && inForce.every((each) => Number(each.version) >= version)
 }
 
@@ -68,7 +65,7 @@
   for (const { operators } of run.deployment.instances) {
     const client = new OperatorClient({ origins: [operators], token: run.deployment.operatorToken, clock: run.clock })
     const own = { ...run, client }
-    while (objectsOf((await status(own)).endpoints).filter(isConnected).length < listed) {
+    while (jsonObjectsOf((await status(own)).endpoints).filter(isConnected).length < listed) {
       if (run.clock.now() > until) throw new CliFailure('the endpoints did not become usable', EXIT_CODES.refused)
       await run.clock.sleep(POLL)
     }
@@ -115,7 +112,7 @@
 const showResults = async (run: DemoRun, book: CallerBook): Promise<DemoVerdict> => {
   const { cli, client } = run
   const cost = await client.ask('GET', '/v1/cost')
-  const moves = objectsOf((await status(run)).moves)
+  const moves = jsonObjectsOf((await status(run)).moves)
   const verdict = judgeDemo(run.deployment.trace)
   const section = (title: string, lines: readonly string[]): void => {
     cli.print('')
@@ -123,7 +120,7 @@
     for (const line of lines) cli.print(`  ${line}`)
   }
   section('Attainment by class, by the callers\' own clocks', attainmentTable(book, run.config))
-  section('Cost by stage, as metered', costTable(objectsOf(isJsonObject(cost) ? cost.rows : []) as unknown as readonly CostLine[]))
+  section('Cost by stage, as metered', costTable(jsonObjectsOf(isJsonObject(cost) ? cost.rows : []) as unknown as readonly CostLine[]))
   section('Refused or failed', errorLines(book))
   section('Moves', moves.map(moveLine))
   section('By the stand-ins\' and callers\' own records', [
--- a/apps/papayahill/src/demo/showDemo.ts
+++ b/apps/papayahill/src/demo/showDemo.ts
@@ -1,4 +1,6 @@
+import { microUnits } from '@papayahill/common'
 import type { JsonObject } from '@papayahill/common'
+import { formatMoney } from '@papayahill/cost'
 import { checkPromises } from '@papayahill/invariants'
 import type { Trace } from '@papayahill/invariants'
 import type { OperatorConfig } from '@papayahill/settings'
@@ -6,8 +8,6 @@
 import { formatTable } from '../table.js'
 
 const PERCENT = 100
-const MICRO_UNITS = 1_000_000
-const DECIMALS = 4
 
 /** What the demo counted, by the callers' and the stand-ins' own records. */
 export interface DemoVerdict {
@@ -67,7 +67,7 @@
   }
   const rows = [...sums.values()].sort((left, right) => right.cost - left.cost)
   return formatTable(['stage', 'use', 'calls', 'cost'], rows.map(({ stage, use, calls, cost }) =>
-    [stage, use, calls, (cost / MICRO_UNITS).toFixed(DECIMALS)]))
+    [stage, use, calls, formatMoney(microUnits(cost))]))
 }
 
 /** Refusals and failures by kind. */
--- a/packages/bench/src/processes/ProcessFleet.ts
+++ b/packages/bench/src/processes/ProcessFleet.ts
@@ -5,9 +5,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { brand, isJsonObject, millis, SeededRandom, seconds, SystemClock } from '@papayahill/common'
+import { brand, isJsonObject, jsonObjectsOf, millis, SeededRandom, seconds, SystemClock } from '@papayahill/common'
 import type { DomainSettings, OperatorConfig } from '@papayahill/settings'
-import type { InstanceId, Json, JsonObject } from '@papayahill/common'
+import type { InstanceId, Json } from '@papayahill/common'
 import { Trace } from '@papayahill/invariants'
 import { encodeConfig } from '@papayahill/settings'
 import { serveDeployment } from '@papayahill/standins'
@@ -43,9 +43,6 @@
   return { callers, operators, peers }
 }
 
-const objectsIn = (value: Json | undefined): readonly JsonObject[] =>
-  Array.isArray(value) ? (value as readonly Json[]).filter(isJsonObject) : []
-
 /**
  * Instances as processes of their own before stand-ins that run in this one, so that the
  * stand-ins' records are at hand.
@@ -139,7 +136,7 @@
   /** Whether the instance has a usable connection to every endpoint. */
   async isConnected (id: InstanceId): Promise<boolean> {
     const status = await this.operate('GET', '/v1/status', undefined, id)
-    const usable = objectsIn(isJsonObject(status) ? status['endpoints'] : [])
+    const usable = jsonObjectsOf(isJsonObject(status) ? status['endpoints'] : [])
       .filter(({ state }) => state === 'warm' || state === 'cold')
     return usable.length >= this.standIns.endpoints.length
   }
--- a/packages/common/src/json.ts
+++ b/packages/common/src/json.ts
@@ -5,3 +5,7 @@
 
 export const isJsonObject = (value: unknown): value is JsonObject =>
   typeof value === 'object' && value !== null && !Array.isArray(value)
+
+/** The objects of a list that came as JSON; none where it is no list. */
+export const jsonObjectsOf = (value: Json | undefined): readonly JsonObject[] =>
+  Array.isArray(value) ? (value as readonly Json[]).filter(isJsonObject) : []
