--- a/apps/papayahilld/src/buildParts.ts
+++ b/apps/papayahilld/src/buildParts.ts
@@ -4,7 +4,7 @@
 import type { Clock, EventLog, Incarnation, Random } from '@papayahill/common'
 import { Instance } from '@papayahill/instance'
 import { PeerLinks } from '@papayahill/peers'
-import { HttpInstanceList, HttpObjectStore, HttpTableService } from '@papayahill/platform'
+import { HttpInstanceList, HttpObjectStore, HttpTableService } from '@papayahill/stores'
 import type { InstanceSettings } from '@papayahill/settings'
 import { HttpOrderChannel } from './HttpOrderChannel.js'
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,7 +24,7 @@
 })
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'target/**', 'journal/**'] }),
   {
     settings: {
       'import-x/resolver-next': [createNodeResolver({ extensionAlias: { '.js': ['.ts', '.js'] } })],
--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -1,13 +1,13 @@
 import { formatCallId, isJsonObject, millis, seconds } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
+import { headerOf, newStopper, stopExchange } from '@papayahill/connections'
+import type { SocketAnswer, SocketLoss, SocketRequest, Stopper } from '@papayahill/connections'
 import type { CallError, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { ADAPTERS } from './adapters.js'
 import type { Adapter } from './adapters.js'
 import { CompletionStream } from './CompletionStream.js'
-import { newStopper, stopExchange } from './ConfirmedSocket.js'
-import type { SocketAnswer, SocketLoss, SocketRequest, Stopper } from './ConfirmedSocket.js'
 import { BACKENDS_EVENTS } from './events.js'
 import { parseJson } from './parseJson.js'
 
@@ -26,8 +26,9 @@
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([429, 503])
 
 const retryAfterOf = (answer: SocketAnswer): Millis | undefined => {
-  const after = Number(answer.retryAfter)
-  return answer.retryAfter === undefined || Number.isNaN(after) ? undefined : seconds(after)
+  const text = headerOf(answer.headers, 'retry-after')
+  const after = Number(text)
+  return text === undefined || Number.isNaN(after) ? undefined : seconds(after)
 }
 
 /** Sends one request over a connection. */
@@ -64,7 +65,8 @@
   }
 
   get incarnation (): string | undefined {
-    return this.#received.answer?.incarnation
+    const { answer } = this.#received
+    return answer === undefined ? undefined : headerOf(answer.headers, 'x-incarnation')
   }
 
   notSent (detail: string): Result<StageAnswer, CallError> {
--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -2,7 +2,7 @@
 import type {
   CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport
 } from '@papayahill/endpoints'
-import type { Address, ListedEndpoint } from '@papayahill/platform'
+import type { Address, ListedEndpoint } from '@papayahill/stores'
 import { isIPv6 } from 'node:net'
 import { Result } from 'true-myth'
 import { Agent } from 'undici'
--- a/packages/backends/src/SocketPool.ts
+++ b/packages/backends/src/SocketPool.ts
@@ -1,5 +1,5 @@
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
-import type { ConfirmedSocket } from './ConfirmedSocket.js'
+import type { EndpointSocket } from '@papayahill/connections'
 import { BUSY_PER_SPARE, MAX_IDLE_SOCKETS, SPARE_SOCKETS } from './constants.js'
 import { openSocket } from './openSocket.js'
 import type { OpenedSocket } from './openSocket.js'
@@ -16,7 +16,7 @@
 export class SocketPool {
   readonly #options: SocketPoolOptions
   readonly #incarnation: EndpointIncarnation
-  readonly #idle: ConfirmedSocket[] = []
+  readonly #idle: EndpointSocket[] = []
   #busy = 0
   #opening = 0
   #isClosed = false
@@ -29,7 +29,7 @@
   }
 
   /** Takes a ready connection in this tick. */
-  takeIdle (): ConfirmedSocket | undefined {
+  takeIdle (): EndpointSocket | undefined {
     const socket = this.#idle.pop()
     if (socket === undefined) return undefined
     this.#busy++
@@ -41,7 +41,7 @@
    * Opens one more; undefined where the endpoint can't be reached or lives anew. An endpoint that takes no
    * new connection, as one that leaves, still lives while another connection to it stands.
    */
-  async open (): Promise<ConfirmedSocket | undefined> {
+  async open (): Promise<EndpointSocket | undefined> {
     this.#opening++
     const opened = await openSocket(this.#options.origin, this.#options.clock)
     this.#opening--
@@ -51,7 +51,7 @@
     return socket
   }
 
-  giveBack (socket: ConfirmedSocket): void {
+  giveBack (socket: EndpointSocket): void {
     this.#busy--
     if (socket.isUsable) this.#addIdle(socket)
     else if (this.#isEmpty && !this.#isClosed) void this.#openSpare()
@@ -66,25 +66,25 @@
     return this.#idle.length + this.#busy + this.#opening === 0
   }
 
-  #accept ({ socket, incarnation }: OpenedSocket): ConfirmedSocket | undefined {
+  #accept ({ socket, incarnation }: OpenedSocket): EndpointSocket | undefined {
     if (incarnation === this.#incarnation && !this.#isClosed) return this.#adopt(socket)
     socket.close()
     return undefined
   }
 
-  #adopt (socket: ConfirmedSocket): ConfirmedSocket {
+  #adopt (socket: EndpointSocket): EndpointSocket {
     socket.onLost(() => this.#drop(socket))
     return socket
   }
 
   /** A lost connection may be the endpoint's end: asks at once which life answers now. */
-  #drop (socket: ConfirmedSocket): void {
+  #drop (socket: EndpointSocket): void {
     const at = this.#idle.indexOf(socket)
     if (at >= 0) this.#idle.splice(at, 1)
     if (!this.#isClosed && this.#opening === 0) void this.#openSpare()
   }
 
-  #addIdle (socket: ConfirmedSocket): void {
+  #addIdle (socket: EndpointSocket): void {
     if (this.#isClosed || this.#idle.length >= MAX_IDLE_SOCKETS) socket.close()
     else this.#idle.push(socket)
   }
--- a/packages/backends/src/constants.ts
+++ b/packages/backends/src/constants.ts
@@ -1,11 +1,7 @@
-import { millis, seconds } from '@papayahill/common'
+import { seconds } from '@papayahill/common'
 
-/** Longest wait for a connection to an endpoint and the word of which life it is. */
-export const OPEN_TIMEOUT = millis(500)
 /** Longest wait for a load report or the look-up of a key. */
 export const QUERY_TIMEOUT = seconds(2)
-/** How long an idle connection is kept; endpoints may hint at less. */
-export const IDLE_TIMEOUT = seconds(600)
 /** Connections that stand ready beside those at work, so that a call is handed over in the tick of its lease. */
 export const SPARE_SOCKETS = 2
 /** One more stands ready for each so many at work. */
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -1,13 +1,12 @@
 import { brand, isJsonObject } from '@papayahill/common'
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
 import { Result } from 'true-myth'
-import { ConfirmedSocket, newStopper, stopExchange } from './ConfirmedSocket.js'
-import { OPEN_TIMEOUT } from './constants.js'
+import { EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
 import { parseJson } from './parseJson.js'
 
 /** A connection with the life that the endpoint named on it. */
 export interface OpenedSocket {
-  readonly socket: ConfirmedSocket
+  readonly socket: EndpointSocket
   readonly incarnation: EndpointIncarnation
 }
 
@@ -18,7 +17,7 @@
 
 /** Opens one connection and asks on it which life of the endpoint answers. */
 export const openSocket = async (origin: string, clock: Clock): Promise<Result<OpenedSocket, string>> => {
-  const socket = new ConfirmedSocket(origin)
+  const socket = new EndpointSocket(origin)
   const stopper = newStopper()
   const timer = clock.after(OPEN_TIMEOUT, () => stopExchange(stopper))
   let text = ''
--- /dev/null
+++ b/packages/batching/src/BatchQueue.ts
@@ -0,0 +1,96 @@
+import type { Millis } from '@papayahill/common'
+import type { Piece, PieceOutcome } from './types.js'
+
+/** A piece that waits for its batch. */
+export interface WaitingPiece {
+  readonly piece: Piece
+  readonly settle: (outcome: PieceOutcome) => void
+}
+
+/** Pieces that can still meet their target come first, the earliest due before; then the others by urgency. */
+const compare = (now: Millis, least: Millis) => (left: WaitingPiece, right: WaitingPiece): number => {
+  const isLeftHopeful = left.piece.due >= now + least
+  const isRightHopeful = right.piece.due >= now + least
+  if (isLeftHopeful !== isRightHopeful) return isLeftHopeful ? -1 : 1
+  if (isLeftHopeful) return left.piece.due - right.piece.due
+  return left.piece.priority - right.piece.priority || left.piece.deadline - right.piece.deadline
+}
+
+/** Pieces of one stage of one request, in the order of the first of each. */
+const groupsOf = (waiting: readonly WaitingPiece[]): readonly WaitingPiece[][] => {
+  const groups = new Map<string, WaitingPiece[]>()
+  for (const one of waiting) {
+    const name = `${one.piece.stage} ${one.piece.request}`
+    const group = groups.get(name)
+    if (group === undefined) groups.set(name, [one])
+    else group.push(one)
+  }
+  return [...groups.values()]
+}
+
+export interface BatchLimits {
+  readonly size: number
+  /** Bytes of results that the endpoint has room for. */
+  readonly room: number
+  /** Least time that a call takes. */
+  readonly callTime: Millis
+}
+
+/**
+ * Pieces that wait for one endpoint, of all requests.
+ *
+ * @example
+ * queue.add({ piece, settle })
+ * const batch = queue.take(now, { size: 7, room, callTime })
+ */
+export class BatchQueue {
+  #waiting: WaitingPiece[] = []
+
+  get size (): number {
+    return this.#waiting.length
+  }
+
+  add (waiting: WaitingPiece): void {
+    this.#waiting.push(waiting)
+  }
+
+  /** Takes out pieces that no call can make in time. */
+  expire (now: Millis, callTime: Millis): readonly WaitingPiece[] {
+    return this.#extract(({ piece }) => piece.deadline < now + callTime)
+  }
+
+  /** Takes out the pieces of a request that was given up. */
+  cancel (request: string): readonly WaitingPiece[] {
+    return this.#extract(({ piece }) => piece.request === request)
+  }
+
+  takeAll (): readonly WaitingPiece[] {
+    return this.#extract(() => true)
+  }
+
+  /** The next batch, as large as endpoint and room allow. A request's pieces go together where one batch holds them. */
+  take (now: Millis, limits: BatchLimits): readonly WaitingPiece[] {
+    this.#waiting.sort(compare(now, limits.callTime))
+    const batch: WaitingPiece[] = []
+    let { room } = limits
+    for (const group of groupsOf(this.#waiting)) {
+      const free = limits.size - batch.length
+      if (free === 0) break
+      const fitting = Math.min(free, Math.floor(room / Math.max(1, group[0]!.piece.resultBytes)))
+      const isWhole = fitting >= group.length
+      if (!isWhole && batch.length > 0) continue
+      const taken = group.slice(0, fitting)
+      room -= taken.reduce((sum, { piece }) => sum + piece.resultBytes, 0)
+      batch.push(...taken)
+    }
+    const taken = new Set(batch)
+    this.#waiting = this.#waiting.filter((waiting) => !taken.has(waiting))
+    return batch
+  }
+
+  #extract (isWanted: (waiting: WaitingPiece) => boolean): readonly WaitingPiece[] {
+    const wanted = this.#waiting.filter(isWanted)
+    if (wanted.length > 0) this.#waiting = this.#waiting.filter((waiting) => !isWanted(waiting))
+    return wanted
+  }
+}
--- /dev/null
+++ b/packages/batching/src/EndpointBatcher.ts
@@ -0,0 +1,179 @@
+import { millis } from '@papayahill/common'
+import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
+import type { BatchProfile, Endpoint } from '@papayahill/directory'
+import { BatchQueue } from './BatchQueue.js'
+import type { WaitingPiece } from './BatchQueue.js'
+import { FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
+import { BATCHING_EVENTS } from './events.js'
+import { ResultLedger } from './ResultLedger.js'
+import type { BatchAnswer, BatchCaller, PieceOutcome } from './types.js'
+
+export interface EndpointBatcherOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly caller: BatchCaller
+  readonly endpoint: Endpoint
+  readonly profile: () => BatchProfile | undefined
+  /** Whether the endpoint may take new work. */
+  readonly isUsable: () => boolean
+}
+
+interface OpenCall {
+  readonly startedAt: Millis
+  readonly forecast: Millis
+}
+
+/**
+ * Forms the batches of one stage endpoint: whatever has gathered goes out as soon as the call before it has ended,
+ * so that batches grow with the load and nothing waits while the endpoint is idle.
+ *
+ * @example
+ * const batcher = new EndpointBatcher({ clock, log, caller, endpoint, profile, isUsable })
+ * batcher.add({ piece, settle })
+ */
+export class EndpointBatcher {
+  readonly #options: EndpointBatcherOptions
+  readonly #queue = new BatchQueue()
+  readonly #ledger = new ResultLedger()
+  readonly #calls = new Set<OpenCall>()
+  #unfreed: string[] = []
+  #freeTimer: Timer | undefined
+  #pauseTimer: Timer | undefined
+  /** Time that calls take over what the profile forecasts. */
+  #pace = 1
+
+  constructor (options: EndpointBatcherOptions) {
+    this.#options = options
+  }
+
+  get isIdle (): boolean {
+    return this.#queue.size === 0 && this.#calls.size === 0 && this.#unfreed.length === 0
+  }
+
+  add (waiting: WaitingPiece): void {
+    this.#queue.add(waiting)
+  }
+
+  /** Time until a piece that came now would be made. */
+  backlog (): Millis {
+    const profile = this.#options.profile()
+    if (profile === undefined) return millis(0)
+    const now = this.#options.clock.now()
+    const open = [...this.#calls].map((call) => Math.max(0, call.startedAt + call.forecast - now))
+    const calls = Math.ceil(this.#queue.size / profile.size)
+    const waiting = (calls * profile.callTime + this.#queue.size * profile.pieceTime) * this.#pace
+    return millis(waiting + Math.max(0, ...open))
+  }
+
+  cancel (request: string): void {
+    settleAll(this.#queue.cancel(request), { fault: 'late' })
+  }
+
+  free (handles: readonly string[]): void {
+    for (const handle of handles) this.#ledger.free(handle)
+    this.#unfreed.push(...handles)
+    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => this.#flushFrees())
+    this.pump()
+  }
+
+  /** Sends what has gathered, where the endpoint can take it. */
+  pump (): void {
+    const { endpoint, isUsable } = this.#options
+    const profile = this.#options.profile()
+    if (profile === undefined || !isUsable()) return settleAll(this.#queue.takeAll(), { fault: 'unplaced' })
+    this.#expire(profile)
+    if (this.#pauseTimer !== undefined || this.#calls.size >= profile.slots || this.#queue.size === 0) return
+    const { clock } = this.#options
+    const now = clock.now()
+    const room = profile.room - this.#ledger.used(now)
+    const callTime = millis(profile.callTime * this.#pace)
+    const batch = this.#queue.take(now, { size: profile.size, room, callTime })
+    if (batch.length === 0) return this.#pause(ROOM_PAUSE)
+    this.#flushFrees()
+    void this.#send(endpoint, profile, batch)
+  }
+
+  #expire (profile: BatchProfile): void {
+    const dropped = this.#queue.expire(this.#options.clock.now(), millis(profile.callTime * Math.min(1, this.#pace)))
+    if (dropped.length === 0) return
+    const { log, endpoint } = this.#options
+    log.emit(BATCHING_EVENTS.piecesDropped, { endpoint: endpoint.id, pieces: dropped.length, request: dropped[0]!.piece.request })
+    settleAll(dropped, { fault: 'late' })
+  }
+
+  #pause (span: Millis): void {
+    this.#pauseTimer ??= this.#options.clock.after(span, () => {
+      this.#pauseTimer = undefined
+      this.pump()
+    })
+  }
+
+  async #send (endpoint: Endpoint, profile: BatchProfile, batch: readonly WaitingPiece[]): Promise<void> {
+    const { clock, log, caller } = this.#options
+    const planned = profile.callTime + batch.length * profile.pieceTime
+    const call: OpenCall = { startedAt: clock.now(), forecast: millis(planned * this.#pace) }
+    this.#calls.add(call)
+    const requests = new Set(batch.map(({ piece }) => piece.request)).size
+    log.emit(BATCHING_EVENTS.batchSent, {
+      endpoint: endpoint.id,
+      pieces: batch.length,
+      requests,
+      waiting: this.#queue.size,
+      forecastMs: call.forecast,
+      heldBytes: this.#ledger.used(call.startedAt),
+      request: batch[0]!.piece.request
+    })
+    const timeout = millis(call.forecast * LOST_FACTOR + LOST_MARGIN)
+    const answer = await caller.call(endpoint, batch.map(({ piece }) => piece), timeout)
+    this.#calls.delete(call)
+    const took = millis(clock.now() - call.startedAt)
+    log.emit(BATCHING_EVENTS.batchEnded, { endpoint: endpoint.id, pieces: batch.length, outcome: answer.kind, tookMs: took })
+    if (answer.kind === 'answered') this.#pace += PACE_WEIGHT * (Math.min(MAX_PACE, took / planned) - this.#pace)
+    if (answer.kind === 'lost') this.#pace = Math.min(MAX_PACE, this.#pace * 2)
+    this.#logFaults(endpoint, answer)
+    this.#settle(batch, answer, profile)
+    this.pump()
+  }
+
+  #logFaults (endpoint: Endpoint, answer: BatchAnswer): void {
+    if (answer.kind !== 'answered') return
+    const faults = answer.outcomes.flatMap((outcome) => 'fault' in outcome ? [outcome.fault] : [])
+    if (faults.length === 0) return
+    this.#options.log.emit(BATCHING_EVENTS.piecesFaulty, { endpoint: endpoint.id, pieces: faults.length, fault: faults[0] })
+  }
+
+  #settle (batch: readonly WaitingPiece[], answer: BatchAnswer, profile: BatchProfile): void {
+    if (answer.kind === 'refused') {
+      for (const waiting of batch) this.#queue.add(waiting)
+      this.#pause(REFUSED_PAUSE)
+      return
+    }
+    if (answer.kind === 'lost') return settleAll(batch, { fault: 'failed' })
+    const now = this.#options.clock.now()
+    batch.forEach((waiting, at) => {
+      const outcome = answer.outcomes[at] ?? { fault: 'failed' }
+      if ('handle' in outcome) this.#ledger.add(outcome.handle, waiting.piece.resultBytes, now, profile.resultLife)
+      if ('fault' in outcome && outcome.fault === 'room') this.#waitForRoom(waiting)
+      else waiting.settle(outcome)
+    })
+  }
+
+  /** The endpoint holds more than is known here, such as results whose makers' answers were lost. */
+  #waitForRoom (waiting: WaitingPiece): void {
+    this.#queue.add(waiting)
+    this.#pause(ROOM_PAUSE)
+  }
+
+  #flushFrees (): void {
+    this.#freeTimer?.cancel()
+    this.#freeTimer = undefined
+    const handles = this.#unfreed
+    if (handles.length === 0) return
+    this.#unfreed = []
+    if (!this.#options.endpoint.isGone) this.#options.caller.free(this.#options.endpoint, handles)
+  }
+}
+
+const settleAll = (pieces: readonly WaitingPiece[], outcome: PieceOutcome): void => {
+  for (const waiting of pieces) waiting.settle(outcome)
+}
--- /dev/null
+++ b/packages/batching/src/GathererRoster.ts
@@ -0,0 +1,61 @@
+import { hash32, millis } from '@papayahill/common'
+import type { Clock, EndpointId, InstanceId, Millis } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { DOUBT_SPAN, GATHERER_SILENCE } from './constants.js'
+
+/**
+ * Tells which instance gathers for an endpoint: rendezvous order over those that are heard. Two that think
+ * so at once cost fuller batches and break nothing.
+ *
+ * @example
+ * roster.gathererOf(endpoint) === self
+ */
+export class GathererRoster {
+  readonly #clock: Clock
+  readonly #peers: Pick<Peers, 'self' | 'members'>
+  readonly #doubtedUntil = new Map<InstanceId, Millis>()
+  #isLeaving = false
+
+  constructor (clock: Clock, peers: Pick<Peers, 'self' | 'members'>) {
+    this.#clock = clock
+    this.#peers = peers
+  }
+
+  /** This instance stops and gathers no more while another is there. */
+  leave (): void {
+    this.#isLeaving = true
+  }
+
+  /** The instance did not take an order in time. */
+  doubt (id: InstanceId, span: Millis = DOUBT_SPAN): void {
+    this.#doubtedUntil.set(id, millis(this.#clock.now() + span))
+  }
+
+  /** Number of instances that are heard, this one among them. */
+  get size (): number {
+    return 1 + this.#others().length
+  }
+
+  /** Whether an instance was heard of late. */
+  isHeard (id: InstanceId): boolean {
+    return this.#peers.members().some((member) => member.id === id && member.silence < GATHERER_SILENCE)
+  }
+
+  gathererOf (endpoint: EndpointId): InstanceId {
+    const others = this.#others()
+    const candidates = this.#isLeaving && others.length > 0 ? others : [...others, this.#peers.self]
+    let best = this.#peers.self
+    let bestRank = -1
+    for (const id of candidates) {
+      const rank = hash32(`${endpoint} ${id}`)
+      if (rank > bestRank) [best, bestRank] = [id, rank]
+    }
+    return best
+  }
+
+  #others (): readonly InstanceId[] {
+    const now = this.#clock.now()
+    const heard = this.#peers.members().filter(({ silence }) => silence < GATHERER_SILENCE)
+    return heard.map(({ id }) => id).filter((id) => (this.#doubtedUntil.get(id) ?? 0) <= now)
+  }
+}
--- /dev/null
+++ b/packages/batching/src/StageGraphRun.ts
@@ -0,0 +1,245 @@
+import { millis } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
+import type { EndpointDirectory, StageNode } from '@papayahill/directory'
+import { Result } from 'true-myth'
+import { choosePlace } from './BacklogBoard.js'
+import type { BacklogBoard } from './BacklogBoard.js'
+import { MAX_REMAKES } from './constants.js'
+import { BATCHING_EVENTS } from './events.js'
+import type { StageLinks } from './StageLinks.js'
+import type { Piece, PieceFault, PieceOutcome, ProfileOf, StageResult } from './types.js'
+
+/** What stage graphs are run with. */
+export interface StageContext {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly directory: EndpointDirectory
+  readonly board: BacklogBoard
+  readonly links: StageLinks
+  readonly profileOf: ProfileOf
+  /** Takes one repetition from a service's retry budget. */
+  readonly takeRetry: (service: StageNode['service'], count: number) => boolean
+}
+
+export interface StageWork {
+  readonly request: string
+  readonly stages: readonly StageNode[]
+  /** Number of pieces of each stage; 0 leaves the stage out. */
+  readonly counts: readonly number[]
+  readonly key: string | undefined
+  readonly priority: number
+  /** Monotonic time by which the last result should be made. */
+  readonly due: Millis
+  readonly deadline: Millis
+  /** Domain whose engine will read the last results. */
+  readonly domain: DomainId | undefined
+}
+
+/** Why the stages did not end: nothing was done for the request yet where `isBegun` is false. */
+export interface StageFailure {
+  readonly fault: PieceFault
+  readonly stage: number
+  readonly isBegun: boolean
+}
+
+/**
+ * One request's stages, from the first pieces to the results that its last call reads.
+ *
+ * @example
+ * const results = await new StageGraphRun(context, work).run()
+ */
+export class StageGraphRun {
+  readonly #context: StageContext
+  readonly #work: StageWork
+  readonly #results = new Map<number, Promise<Result<readonly StageResult[], StageFailure>>>()
+  readonly #made = new Set<StageResult>()
+  readonly #byStage = new Map<number, StageResult[]>()
+  readonly #ended = new Set<number>()
+  readonly #asked = new Set<EndpointId>()
+  #isCancelled = false
+  #isBegun = false
+
+  constructor (context: StageContext, work: StageWork) {
+    this.#context = context
+    this.#work = work
+  }
+
+  /** Results of the stages that no other stage follows. */
+  async run (): Promise<Result<readonly StageResult[], StageFailure>> {
+    const { stages } = this.#work
+    const followed = new Set(stages.flatMap((stage) => stage.after))
+    const last = stages.filter((stage) => !followed.has(stage.index))
+    const ended = await Promise.all(last.map((stage) => this.#stage(stage)))
+    const failed = ended.find((results) => results.isErr)
+    if (failed !== undefined) {
+      this.cancel()
+      return failed
+    }
+    const results = ended.flatMap((result) => result.isOk ? result.value : [])
+    this.#freeAllBut(results)
+    return Result.ok(results)
+  }
+
+  /** The request was given up or has failed: waiting pieces and results make room. */
+  cancel (): void {
+    if (this.#isCancelled) return
+    this.#isCancelled = true
+    for (const endpoint of this.#asked) this.#context.links.cancel(endpoint, this.#work.request)
+    this.#freeAllBut([])
+  }
+
+  /** Gives up the last results once the engine has read them. */
+  release (): void {
+    this.#freeAllBut([])
+  }
+
+  #freeAllBut (kept: readonly StageResult[]): void {
+    this.#free([...this.#made].filter((result) => !kept.includes(result)))
+  }
+
+  #free (results: readonly StageResult[]): void {
+    const byEndpoint = new Map<EndpointId, string[]>()
+    for (const result of results) {
+      if (!this.#made.delete(result)) continue
+      byEndpoint.set(result.endpoint, [...byEndpoint.get(result.endpoint) ?? [], result.handle])
+    }
+    for (const [endpoint, handles] of byEndpoint) this.#context.links.free(endpoint, handles)
+  }
+
+  #stage (stage: StageNode): Promise<Result<readonly StageResult[], StageFailure>> {
+    const known = this.#results.get(stage.index)
+    if (known !== undefined) return known
+    const results = this.#runStage(stage)
+    this.#results.set(stage.index, results)
+    return results
+  }
+
+  async #runStage (stage: StageNode): Promise<Result<readonly StageResult[], StageFailure>> {
+    const count = this.#work.counts[stage.index] ?? 0
+    if (count === 0) return Result.ok([])
+    const before = await Promise.all(stage.after.map((index) => this.#stage(this.#work.stages[index]!)))
+    const failed = before.find((results) => results.isErr)
+    if (failed !== undefined) return failed
+    const inputs = before.flatMap((results) => results.isOk ? results.value : [])
+    const made = await this.#make(stage, count, inputs)
+    this.#ended.add(stage.index)
+    this.#freeRead(stage)
+    return made
+  }
+
+  /** Gives up the inputs of a stage that no other stage still has to read. */
+  #freeRead (ended: StageNode): void {
+    const { stages } = this.#work
+    for (const index of ended.after) {
+      const readers = stages.filter((stage) => stage.after.includes(index))
+      const results = this.#byStage.get(index) ?? []
+      if (readers.every((reader) => this.#ended.has(reader.index))) this.#free(results)
+    }
+  }
+
+  async #make (
+    stage: StageNode, count: number, inputs: readonly StageResult[]
+  ): Promise<Result<readonly StageResult[], StageFailure>> {
+    const results: Array<StageResult | undefined> = Array.from({ length: count })
+    const exclude = new Set<EndpointId>()
+    for (let round = 0; round <= MAX_REMAKES; round++) {
+      const missing = [...results.keys()].filter((index) => results[index] === undefined)
+      const fault = await this.#makeMissing(stage, missing, inputs, results, exclude)
+      if (fault === undefined) return Result.ok(results.filter((result) => result !== undefined))
+      if (!this.#mayGoOn(stage, fault, missing.length)) return Result.err(this.#failure(stage, fault))
+      const fields = { request: this.#work.request, stage: stage.index, pieces: missing.length, fault }
+      this.#context.log.emit(BATCHING_EVENTS.piecesAgain, fields)
+    }
+    return Result.err(this.#failure(stage, 'failed'))
+  }
+
+  #mayGoOn (stage: StageNode, fault: PieceFault, pieces: number): boolean {
+    if (this.#isCancelled || fault === 'late' || fault === 'gone') return false
+    return fault !== 'failed' || this.#context.takeRetry(stage.service, pieces)
+  }
+
+  #failure (stage: StageNode, fault: PieceFault): StageFailure {
+    return { fault, stage: stage.index, isBegun: this.#isBegun }
+  }
+
+  /** Orders the missing pieces; the worst fault among them, or undefined where all were made. */
+  async #makeMissing (
+    stage: StageNode, missing: readonly number[], inputs: readonly StageResult[],
+    results: Array<StageResult | undefined>, exclude: Set<EndpointId>
+  ): Promise<PieceFault | undefined> {
+    const { directory, board, links, profileOf } = this.#context
+    const profile = profileOf(stage.service)
+    if (profile === undefined || this.#isCancelled) return 'unplaced'
+    const endpoint = choosePlace(board, profile, {
+      endpoints: directory.healthy(stage.service),
+      pieces: missing.length,
+      resultBytes: stage.resultBytes,
+      domain: this.#work.domain,
+      exclude
+    })
+    if (endpoint === undefined) return 'unplaced'
+    this.#asked.add(endpoint.id)
+    this.#isBegun = true
+    const pieces = missing.map((index) => this.#piece(stage, index, inputs))
+    const outcomes = await links.run({ service: stage.service, endpoint: endpoint.id, pieces })
+    return this.#takeOutcomes(stage, missing, outcomes, results, endpoint.id, exclude)
+  }
+
+  #takeOutcomes (
+    stage: StageNode, missing: readonly number[], outcomes: readonly PieceOutcome[],
+    results: Array<StageResult | undefined>, endpoint: EndpointId, exclude: Set<EndpointId>
+  ): PieceFault | undefined {
+    let fault: PieceFault | undefined
+    missing.forEach((index, at) => {
+      const outcome = outcomes[at] ?? { fault: 'failed' }
+      if ('fault' in outcome) {
+        fault = outcome.fault
+        return
+      }
+      const result: StageResult = { handle: outcome.handle, endpoint, resultBytes: stage.resultBytes }
+      results[index] = result
+      this.#made.add(result)
+      this.#byStage.set(stage.index, [...this.#byStage.get(stage.index) ?? [], result])
+    })
+    if (fault !== undefined) exclude.add(endpoint)
+    if (this.#isCancelled) this.#freeAllBut([])
+    return fault
+  }
+
+  #piece (stage: StageNode, index: number, inputs: readonly StageResult[]): Piece {
+    const { request, key, priority, deadline } = this.#work
+    return {
+      request,
+      stage: stage.index,
+      index,
+      key: stage.after.length === 0 ? key : undefined,
+      inputs: inputs.map((input) => input.handle),
+      resultBytes: stage.resultBytes,
+      due: this.#dueOf(stage),
+      deadline: millis(deadline),
+      priority
+    }
+  }
+
+  /** The due time of a stage leaves time for those that follow it. */
+  #dueOf (stage: StageNode): Millis {
+    return millis(this.#work.due - timeAfter(this.#work.stages, stage, this.#context.profileOf))
+  }
+}
+
+/** Least time of all calls that follow a stage, one after the other. */
+const timeAfter = (stages: readonly StageNode[], stage: StageNode, profileOf: ProfileOf): number => {
+  const followers = stages.filter((other) => other.after.includes(stage.index))
+  return Math.max(0, ...followers.map((next) => (profileOf(next.service)?.callTime ?? 0) + timeAfter(stages, next, profileOf)))
+}
+
+/** Least time that a request's stages take when nothing waits. */
+export const leastStageTime = (stages: readonly StageNode[], counts: readonly number[], profileOf: ProfileOf): Millis => {
+  const timeOf = (stage: StageNode): number => {
+    const count = counts[stage.index] ?? 0
+    const profile = profileOf(stage.service)
+    const before = Math.max(0, ...stage.after.map((index) => timeOf(stages[index]!)))
+    return before + (count === 0 || profile === undefined ? 0 : profile.callTime + Math.min(count, profile.size) * profile.pieceTime)
+  }
+  return millis(Math.max(0, ...stages.map(timeOf)))
+}
--- /dev/null
+++ b/packages/batching/src/StageLinks.ts
@@ -0,0 +1,148 @@
+import { millis, seconds } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, InstanceId, Json, Millis } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { HEARD_PERIOD, TAKE_TIMEOUT } from './constants.js'
+import { BATCHING_EVENTS } from './events.js'
+import type { Gatherer } from './Gatherer.js'
+import type { GathererRoster } from './GathererRoster.js'
+import { packMessage, unpackMessage } from './orderMessages.js'
+import type { StageMessage } from './orderMessages.js'
+import type { PieceOutcome, StageOrder } from './types.js'
+
+/** An instance that said that it stops is not asked again for this long; its next life has another name or has joined anew. */
+const LEAVING_SPAN = seconds(10)
+
+export interface StageLinksOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly peers: Peers
+  readonly gatherer: Gatherer
+  readonly roster: GathererRoster
+  /** Told how long a piece that came now would wait at an endpoint. */
+  readonly onBacklog: (endpoint: EndpointId, backlog: Millis) => void
+}
+
+interface OpenOrder {
+  readonly to: InstanceId
+  readonly endpoint: EndpointId
+  readonly end: (outcomes: readonly PieceOutcome[]) => void
+}
+
+/** Hands orders to the instances that gather for their endpoints, and brings the results back. */
+export class StageLinks {
+  readonly #options: StageLinksOptions
+  readonly #open = new Map<number, OpenOrder>()
+  #count = 0
+
+  constructor (options: StageLinksOptions) {
+    this.#options = options
+    options.peers.handle('stage', (from, body) => this.#receive(from, body))
+  }
+
+  /** Has an order's pieces made; all of them fail with `failed` where nothing is heard of it any more. */
+  run (order: StageOrder): Promise<readonly PieceOutcome[]> {
+    const { roster, peers, log } = this.#options
+    const to = roster.gathererOf(order.endpoint)
+    const first = order.pieces[0]!
+    log.emit(BATCHING_EVENTS.piecesOrdered, {
+      request: first.request, stage: first.stage, pieces: order.pieces.length, endpoint: order.endpoint, gatherer: to
+    })
+    return to === peers.self ? this.#runHere(order) : this.#runAt(to, order)
+  }
+
+  /** The request was given up: its waiting pieces make room. */
+  cancel (endpoint: EndpointId, request: string): void {
+    const to = this.#options.roster.gathererOf(endpoint)
+    if (to === this.#options.peers.self) this.#options.gatherer.cancel(endpoint, request)
+    else this.#send(to, { kind: 'cancel', endpoint, request })
+  }
+
+  /** Gives up results, so that their makers have room. */
+  free (endpoint: EndpointId, handles: readonly string[]): void {
+    const to = this.#options.roster.gathererOf(endpoint)
+    if (to === this.#options.peers.self) this.#options.gatherer.free(endpoint, handles)
+    else this.#send(to, { kind: 'free', endpoint, handles })
+  }
+
+  /** Tells the others that this instance gathers no more. */
+  leave (): void {
+    this.#options.roster.leave()
+    this.#options.peers.broadcast('stage', packMessage({ kind: 'leaving' }, this.#options.clock.now()))
+  }
+
+  #runHere (order: StageOrder): Promise<readonly PieceOutcome[]> {
+    return new Promise((resolve) => {
+      const backlog = this.#options.gatherer.take(order, resolve)
+      if (backlog === undefined) resolve(allUnplaced(order))
+      else this.#options.onBacklog(order.endpoint, backlog)
+    })
+  }
+
+  async #runAt (to: InstanceId, order: StageOrder): Promise<readonly PieceOutcome[]> {
+    const { clock, peers, roster, log } = this.#options
+    const id = ++this.#count
+    const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
+      this.#open.set(id, { to, endpoint: order.endpoint, end: resolve })
+    })
+    const taken = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), TAKE_TIMEOUT)
+    if (taken.isErr) {
+      this.#open.delete(id)
+      roster.doubt(to)
+      log.emit(BATCHING_EVENTS.gathererDoubted, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
+      return await this.run(order)
+    }
+    if (typeof taken.value !== 'number') {
+      this.#open.delete(id)
+      return allUnplaced(order)
+    }
+    this.#options.onBacklog(order.endpoint, millis(taken.value))
+    return await this.#endOf(id, to, ended, order)
+  }
+
+  /** The outcome, or a failure where the instance that took the order is not heard any more. */
+  async #endOf (
+    id: number, to: InstanceId, ended: Promise<readonly PieceOutcome[]>, order: StageOrder
+  ): Promise<readonly PieceOutcome[]> {
+    const { clock, roster } = this.#options
+    const { deadline } = order.pieces[0]!
+    const timer = clock.every(HEARD_PERIOD, () => {
+      if (!roster.isHeard(to) || clock.now() > deadline) this.#open.get(id)?.end(order.pieces.map(() => ({ fault: 'failed' })))
+    })
+    const outcomes = await ended
+    timer.cancel()
+    this.#open.delete(id)
+    return outcomes
+  }
+
+  #receive (from: InstanceId, body: Json): Json {
+    const { clock, gatherer, roster } = this.#options
+    const message = unpackMessage(body, clock.now())
+    if (message?.kind === 'order') return this.#take(from, message.id, message.order)
+    if (message?.kind === 'done') this.#done(from, message)
+    if (message?.kind === 'cancel') gatherer.cancel(message.endpoint, message.request)
+    if (message?.kind === 'free') gatherer.free(message.endpoint, message.handles)
+    if (message?.kind === 'leaving') roster.doubt(from, LEAVING_SPAN)
+    return null
+  }
+
+  #take (from: InstanceId, id: number, order: StageOrder): Json {
+    const { gatherer } = this.#options
+    const backlog = gatherer.take(order, (outcomes) => {
+      this.#send(from, { kind: 'done', id, endpoint: order.endpoint, outcomes })
+    })
+    return backlog ?? null
+  }
+
+  #done (from: InstanceId, message: Extract<StageMessage, { kind: 'done' }>): void {
+    const open = this.#open.get(message.id)
+    if (open?.to === from) return open.end(message.outcomes)
+    const handles = message.outcomes.flatMap((outcome) => 'handle' in outcome ? [outcome.handle] : [])
+    if (handles.length > 0) this.#send(from, { kind: 'free', endpoint: message.endpoint, handles })
+  }
+
+  #send (to: InstanceId, message: StageMessage): void {
+    this.#options.peers.send(to, 'stage', packMessage(message, this.#options.clock.now()))
+  }
+}
+
+const allUnplaced = (order: StageOrder): readonly PieceOutcome[] => order.pieces.map(() => ({ fault: 'unplaced' }))
--- /dev/null
+++ b/packages/batching/src/constants.ts
@@ -0,0 +1,29 @@
+import { millis } from '@papayahill/common'
+
+/** Longest wait for another instance to take an order; a living one takes it at once. */
+export const TAKE_TIMEOUT = millis(250)
+/** Time for which an instance that did not take an order gathers for nobody here. */
+export const DOUBT_SPAN = millis(1500)
+/** Silence of a link from which on its instance gathers for nobody. */
+export const GATHERER_SILENCE = millis(1300)
+/** A call that takes this many times its forecast, and the time below more, counts as lost. */
+export const LOST_FACTOR = 3
+export const LOST_MARGIN = millis(400)
+/** Wait before a refused batch is offered again. */
+export const REFUSED_PAUSE = millis(60)
+/** Wait before pieces are offered again to an endpoint without room. */
+export const ROOM_PAUSE = millis(80)
+/** Results that are given up are told to their makers together, this often. */
+export const FREE_PERIOD = millis(50)
+/** Weight of the newest call in an endpoint's pace. */
+export const PACE_WEIGHT = 0.3
+/** Times that a stage's pieces may be asked for again before their request fails. */
+export const MAX_REMAKES = 4
+/** A word of an endpoint's backlog counts for this long. */
+export const BACKLOG_LIFE = millis(1000)
+/** Delay that a byte of result carried between domains is weighed like. */
+export const CROSS_DOMAIN_MILLIS_PER_BYTE = 80 / 1_000_000
+/** An endpoint that runs at this many times the forecast or slower counts no slower. */
+export const MAX_PACE = 12
+/** How often an instance that took an order is looked for. */
+export const HEARD_PERIOD = millis(200)
--- /dev/null
+++ b/packages/batching/src/index.ts
@@ -0,0 +1,8 @@
+export { BacklogBoard, choosePlace } from './BacklogBoard.js'
+export { BATCHING_EVENTS } from './events.js'
+export { Gatherer } from './Gatherer.js'
+export { GathererRoster } from './GathererRoster.js'
+export { leastStageTime, StageGraphRun } from './StageGraphRun.js'
+export type { StageContext, StageFailure, StageWork } from './StageGraphRun.js'
+export { StageLinks } from './StageLinks.js'
+export type * from './types.js'
--- /dev/null
+++ b/packages/batching/src/types.ts
@@ -0,0 +1,68 @@
+import type { Bytes, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import type { BatchProfile, Endpoint } from '@papayahill/directory'
+
+/** One piece of a stage's work, as a stage endpoint is asked for it. */
+export interface Piece {
+  /** The caller's attempt that it belongs to. */
+  readonly request: string
+  readonly stage: number
+  /** Number of the piece within its stage, from 0. */
+  readonly index: number
+  /** What first stages work on; later ones take inputs instead. */
+  readonly key: string | undefined
+  /** Handles of all pieces of the stages before. */
+  readonly inputs: readonly string[]
+  readonly resultBytes: Bytes
+  /** Monotonic time by which it should be made for its request to meet its target. */
+  readonly due: Millis
+  /** Monotonic time from which on it is of no use. */
+  readonly deadline: Millis
+  /** Urgency of its request; 0 is the most urgent. */
+  readonly priority: number
+}
+
+/** Why a piece was not made. */
+export type PieceFault =
+  /** Its time was over at its turn. */
+  | 'late'
+  /** One of its inputs is gone. */
+  | 'gone'
+  /** The endpoint has no room for its result. */
+  | 'room'
+  /** The endpoint failed or its answer was lost. */
+  | 'failed'
+  /** The endpoint takes no work, or the instance that gathers for it does not. */
+  | 'unplaced'
+
+export type PieceOutcome = { readonly handle: string } | { readonly fault: PieceFault }
+
+/** How a call with a batch ended. */
+export type BatchAnswer =
+  | { readonly kind: 'answered', readonly outcomes: readonly PieceOutcome[] }
+  /** The endpoint said that it did not run the call. */
+  | { readonly kind: 'refused', readonly detail: string }
+  | { readonly kind: 'lost', readonly detail: string }
+
+/** Calls stage endpoints; the platform's words are its matter. */
+export interface BatchCaller {
+  call (endpoint: Endpoint, pieces: readonly Piece[], timeout: Millis): Promise<BatchAnswer>
+  /** Gives up results at their maker. */
+  free (endpoint: Endpoint, handles: readonly string[]): void
+}
+
+/** The pieces of one request's stage for one endpoint. */
+export interface StageOrder {
+  readonly service: ServiceId
+  readonly endpoint: EndpointId
+  readonly pieces: readonly Piece[]
+}
+
+/** A result with the endpoint that holds it. */
+export interface StageResult {
+  readonly handle: string
+  readonly endpoint: EndpointId
+  readonly resultBytes: Bytes
+}
+
+/** Looks up how a service's endpoints batch. */
+export type ProfileOf = (service: ServiceId) => BatchProfile | undefined
--- a/packages/bench/src/faces/HttpEndpointAccess.test.ts
+++ b/packages/bench/src/faces/HttpEndpointAccess.test.ts
@@ -3,7 +3,7 @@
 import type { IdempotencyKey, RequestId, StageId } from '@papayahill/common'
 import type { EndpointConnection, LoadReport, StageCall, StageChunk } from '@papayahill/endpoints'
 import { Trace } from '@papayahill/invariants'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import { FakeEndpoint, serveEndpoint, WORK_MODELS } from '@papayahill/standins'
 import type { EndpointServer } from '@papayahill/standins'
--- a/packages/bench/src/ledger/NaiveMeter.ts
+++ b/packages/bench/src/ledger/NaiveMeter.ts
@@ -2,7 +2,7 @@
 import type { MicroUnits, RequestRecord, StageRecord, Timer } from '@papayahill/common'
 import { callCost } from '@papayahill/cost'
 import type { CostRow } from '@papayahill/cost'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { CONFIG } from './deployment.js'
 import type { Meter, MeterMaker, MeterParts } from './LedgerRig.js'
 
--- a/packages/bench/src/load/CuttableTable.ts
+++ b/packages/bench/src/load/CuttableTable.ts
@@ -1,4 +1,4 @@
-import type { Commit, Row, RowKey, StoreError, TableService, Transaction } from '@papayahill/platform'
+import type { Commit, Row, RowKey, StoreError, TableService, Transaction } from '@papayahill/stores'
 import { Result } from 'true-myth'
 
 const CUT: StoreError = { kind: 'unavailable', detail: 'this instance does not reach the store' }
--- a/packages/bench/src/load/EndpointRig.ts
+++ b/packages/bench/src/load/EndpointRig.ts
@@ -10,7 +10,7 @@
 import { shareChannel } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
 import type { Peers } from '@papayahill/peers'
-import type { InstanceList, ListedEndpoint, ObjectStore, TableService } from '@papayahill/platform'
+import type { InstanceList, ListedEndpoint, ObjectStore, TableService } from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import {
   FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock,
--- a/packages/bench/src/load/SimplePool.ts
+++ b/packages/bench/src/load/SimplePool.ts
@@ -3,7 +3,7 @@
 import type {
   EndpointAccess, EndpointConnection, EndpointLease, LeaseWant, LoadReport
 } from '@papayahill/endpoints'
-import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
+import type { InstanceList, ListedEndpoint } from '@papayahill/stores'
 
 const LIST_PERIOD = millis(500)
 const REPORT_PERIOD = millis(200)
--- a/packages/bench/src/load/decideRig.ts
+++ b/packages/bench/src/load/decideRig.ts
@@ -5,7 +5,7 @@
 import type { Roster, RosterView } from '@papayahill/control'
 import type { LeaseWant, RosterLife, ShareChannel } from '@papayahill/endpoints'
 import { Trace } from '@papayahill/invariants'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, WORK_MODELS } from '@papayahill/standins'
 import { realPool } from './EndpointRig.js'
 import type { PoolParts } from './EndpointRig.js'
--- a/packages/bench/src/load/removeFromRoster.ts
+++ b/packages/bench/src/load/removeFromRoster.ts
@@ -1,6 +1,6 @@
 import { isJsonObject } from '@papayahill/common'
 import type { EpochMillis, Incarnation, Json, JsonObject } from '@papayahill/common'
-import type { RowKey, TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/stores'
 
 const ROSTER_ROW = 'roster' as RowKey
 
--- a/packages/bench/src/relay/messages.ts
+++ b/packages/bench/src/relay/messages.ts
@@ -1,4 +1,4 @@
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 
 /** Addresses of the stand-ins once they listen. */
 export interface StandInsReady {
--- a/packages/bench/src/state/MeteredTable.test.ts
+++ b/packages/bench/src/state/MeteredTable.test.ts
@@ -1,6 +1,6 @@
 import { brand, millis, MILLIS_PER_SECOND, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
 import { MeteredTable } from '@papayahill/control'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { FakeTable } from '@papayahill/standins'
 import { describe, expect, it } from 'vitest'
 
--- a/packages/bench/src/state/PolledDocument.ts
+++ b/packages/bench/src/state/PolledDocument.ts
@@ -1,7 +1,7 @@
 import { brand, isJsonObject, seconds } from '@papayahill/common'
 import type { Failure, Json, OperatorName } from '@papayahill/common'
 import type { Accepted, ConfigChange, ConfigKeeperOptions, ConfigView, InForce } from '@papayahill/control'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { EMPTY_CONFIG } from '@papayahill/settings'
 import type { DomainSettings, OperatorConfig, WorkspaceSettings } from '@papayahill/settings'
 import { Result } from 'true-myth'
--- a/packages/bench/src/state/baselineClaims.ts
+++ b/packages/bench/src/state/baselineClaims.ts
@@ -1,7 +1,7 @@
 import { brand, failure, isJsonObject } from '@papayahill/common'
 import type { Json } from '@papayahill/common'
 import type { ClaimAttempt, ClaimDecision, ClaimKeeperOptions, ClaimOutcome, ClaimRequest, Claims } from '@papayahill/claims'
-import type { RowKey, TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/stores'
 
 const claimKey = (request: ClaimRequest): RowKey => brand<RowKey>(`simple/${request.workspace}/${request.key}`)
 
--- a/packages/claims/src/Arrivals.ts
+++ b/packages/claims/src/Arrivals.ts
@@ -1,5 +1,5 @@
 import type { Clock, EpochMillis, RequestId } from '@papayahill/common'
-import type { RowKey, StoreError } from '@papayahill/platform'
+import type { RowKey, StoreError } from '@papayahill/stores'
 import { LRUCache } from 'lru-cache'
 import type { Result } from 'true-myth'
 import { readClaimRow } from './claimRecord.js'
--- a/packages/claims/src/ClaimKeeper.ts
+++ b/packages/claims/src/ClaimKeeper.ts
@@ -1,7 +1,7 @@
 import { failure, isJsonObject, millis, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Failure, IdempotencyKey, Incarnation, InstanceId, Json, Millis, Random, WorkspaceId } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { RowKey, TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/stores'
 import { Arrivals } from './Arrivals.js'
 import type { Arrival } from './Arrivals.js'
 import { claimKey, decodeClaim, encodeClaim, isReleasedBefore, isSettled, newClaim, readClaimRow, statusOf, withOutcome } from './claimRecord.js'
--- a/packages/claims/src/ClaimListing.ts
+++ b/packages/claims/src/ClaimListing.ts
@@ -1,6 +1,6 @@
 import { brand, isJsonObject, millis } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, Random, Timer } from '@papayahill/common'
-import type { Row, RowKey, RowWrite, TableService } from '@papayahill/platform'
+import type { Row, RowKey, RowWrite, TableService } from '@papayahill/stores'
 import { decodeClaim, readClaimRow } from './claimRecord.js'
 import type { ClaimRecord } from './claimRecord.js'
 import { CLAIM_RETENTION, MAX_LISTED, PRUNE_PAGE, PRUNE_PAGES, PRUNE_PERIOD } from './constants.js'
--- a/packages/claims/src/GroupCommit.ts
+++ b/packages/claims/src/GroupCommit.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Json } from '@papayahill/common'
-import type { Row, RowCondition, RowKey, RowWrite, StoreError, TableService } from '@papayahill/platform'
+import type { Row, RowCondition, RowKey, RowWrite, StoreError, TableService } from '@papayahill/stores'
 import PQueue from 'p-queue'
 import { Result } from 'true-myth'
 import { GATHER_WINDOW, MAX_BATCH, MAX_COMMITS, MAX_READ } from './constants.js'
--- a/packages/claims/src/OutcomeHolder.ts
+++ b/packages/claims/src/OutcomeHolder.ts
@@ -1,7 +1,7 @@
 import { hash32, isJsonObject, millis, brand } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Json, Random, Timer } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { LRUCache } from 'lru-cache'
 import { claimKey, decodeClaim, encodeClaim, isSettled, readClaimRow } from './claimRecord.js'
 import type { ClaimRecord } from './claimRecord.js'
--- a/packages/claims/src/OutcomeWriter.ts
+++ b/packages/claims/src/OutcomeWriter.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Random } from '@papayahill/common'
-import type { RowKey, RowWrite } from '@papayahill/platform'
+import type { RowKey, RowWrite } from '@papayahill/stores'
 import { encodeClaim, isSettled, readClaimRow, unknownKey } from './claimRecord.js'
 import type { ClaimRecord, ClaimRow } from './claimRecord.js'
 import { MAX_RETRY, MIN_RETRY } from './constants.js'
--- a/packages/claims/src/OwnAttempt.ts
+++ b/packages/claims/src/OwnAttempt.ts
@@ -1,5 +1,5 @@
 import type { Clock, EventLog, Millis } from '@papayahill/common'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { withOutcome } from './claimRecord.js'
 import type { ClaimRecord } from './claimRecord.js'
 import { FINISH_WAIT, HOLD_AFTER, HOLD_AGAIN, HOLDERS, RELEASE_LIMIT } from './constants.js'
--- a/packages/claims/src/claimRecord.ts
+++ b/packages/claims/src/claimRecord.ts
@@ -2,7 +2,7 @@
 import type {
   BodyDigest, ClassId, EpochMillis, Failure, IdempotencyKey, Incarnation, InstanceId, Json, RequestId, ServiceId, WorkspaceId
 } from '@papayahill/common'
-import type { Row, RowKey } from '@papayahill/platform'
+import type { Row, RowKey } from '@papayahill/stores'
 import { z } from 'zod'
 import { MAX_CALENDAR_SKEW, RELEASE_LIMIT } from './constants.js'
 import type { ClaimOutcome, ClaimRequest, ClaimStatus } from './types.js'
--- a/packages/backends/src/ConfirmedSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -2,18 +2,20 @@
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { IDLE_TIMEOUT, OPEN_TIMEOUT } from './constants.js'
+import type { AnswerHeaders, HeaderList } from './headers.js'
 
 export interface SocketRequest {
-  readonly method: 'GET' | 'POST'
+  readonly method: string
   readonly path: string
-  readonly headers: Readonly<Record<string, string>>
-  readonly body?: string
+  readonly headers: Readonly<Record<string, string>> | HeaderList
+  readonly body?: string | Buffer
 }
 
 export interface SocketAnswer {
   readonly status: number
-  readonly incarnation: string | undefined
-  readonly retryAfter: string | undefined
+  readonly headers: AnswerHeaders
+  /** The headers as they came, in their order. */
+  readonly rawHeaders: HeaderList
 }
 
 /** Why no whole answer came; `isSent` tells whether a byte of the request may have left. */
@@ -42,13 +44,6 @@
 
 export const newStopper = (): Stopper => ({ isStopped: false, stop: undefined })
 
-type Headers = Readonly<Record<string, string | string[] | undefined>>
-
-const headerOf = (headers: Headers, name: string): string | undefined => {
-  const value = headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
 /** Connects once: a lost connection is never replaced behind the back of who confirmed it. */
 const connectOnce = (): buildConnector.connector => {
   const connect = buildConnector({ timeout: OPEN_TIMEOUT })
@@ -64,13 +59,14 @@
  * Exactly one TCP connection to an endpoint, for one exchange at a time.
  *
  * @example
- * const socket = new ConfirmedSocket('http://127.0.0.1:9101')
+ * const socket = new EndpointSocket('http://127.0.0.1:9101')
  */
-export class ConfirmedSocket {
+export class EndpointSocket {
   readonly #client: Client
   #isLost = false
   #isClosed = false
   #onLost: () => void = () => {}
+  #onClosed: () => void = () => {}
 
   constructor (origin: string) {
     this.#client = new Client(origin, {
@@ -89,22 +85,29 @@
     return !this.#isLost && !this.#isClosed
   }
 
-  /** Calls back once where the connection ends and not by {@link ConfirmedSocket.close}. */
+  /** Calls back once where the connection ends and not by {@link EndpointSocket.close}. */
   onLost (listener: () => void): void {
     this.#onLost = listener
   }
 
+  /** Calls back once where the connection ends, whoever ended it. */
+  onClosed (listener: () => void): void {
+    this.#onClosed = listener
+  }
+
   /** Sends one request; the answer's parts go to the listener as they come. */
   exchange (req: SocketRequest, listener: AnswerListener, stopper: Stopper): Promise<Result<void, SocketLoss>> {
     return new Promise((resolve) => {
       const handler = new ExchangeHandler(listener, stopper, resolve)
-      this.#client.dispatch({ method: req.method, path: req.path, headers: req.headers, body: req.body ?? null }, handler)
+      const { method, path, headers, body = null } = req
+      this.#client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers: headers as string[], body }, handler)
     })
   }
 
   close (): void {
     if (this.#isClosed) return
     this.#isClosed = true
+    this.#onClosed()
     void this.#client.destroy().catch(() => {})
   }
 
@@ -117,6 +120,12 @@
   }
 }
 
+/** Headers that are not plain ASCII are kept byte for byte. */
+const rawHeadersOf = (raw: Dispatcher.DispatchController['rawHeaders']): HeaderList => {
+  if (!Array.isArray(raw)) return []
+  return raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
+}
+
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener
   readonly #stopper: Stopper
@@ -135,10 +144,8 @@
     this.#stopper.stop = () => controller.abort(new Error('stopped'))
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Headers): void {
-    this.#listener.onStart({
-      status, incarnation: headerOf(headers, 'x-incarnation'), retryAfter: headerOf(headers, 'retry-after')
-    })
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
+    this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/control/src/ConfigAcceptor.ts
+++ b/packages/control/src/ConfigAcceptor.ts
@@ -1,6 +1,6 @@
 import { failure, refusal } from '@papayahill/common'
 import type { EventLog, Failure, OperatorName } from '@papayahill/common'
-import type { StoreError } from '@papayahill/platform'
+import type { StoreError } from '@papayahill/stores'
 import { checkConfig, formatFault } from '@papayahill/settings'
 import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
--- a/packages/control/src/ConfigKeeper.ts
+++ b/packages/control/src/ConfigKeeper.ts
@@ -1,7 +1,7 @@
 import { failure, isJsonObject, millis, refusal, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Failure, Incarnation, InstanceId, Json, Millis, OperatorName, Random, Timer } from '@papayahill/common'
 import type { GossipEntry, Peers } from '@papayahill/peers'
-import type { ObjectStore, TableService } from '@papayahill/platform'
+import type { ObjectStore, TableService } from '@papayahill/stores'
 import PQueue from 'p-queue'
 import { Result } from 'true-myth'
 import { ChangeLog } from './ChangeLog.js'
--- a/packages/control/src/ConfigStore.ts
+++ b/packages/control/src/ConfigStore.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { EventLog } from '@papayahill/common'
-import type { ObjectStore, Row, RowKey, RowWrite, StoreError, TableService } from '@papayahill/platform'
+import type { ObjectStore, Row, RowKey, RowWrite, StoreError, TableService } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { MAX_ROWS_PER_CALL, SNAPSHOT_INTERVAL } from './constants.js'
 import { CONTROL_EVENTS } from './events.js'
--- a/packages/control/src/ConfigSync.ts
+++ b/packages/control/src/ConfigSync.ts
@@ -1,7 +1,7 @@
 import { isJsonObject } from '@papayahill/common'
 import type { EventLog, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { StoreError } from '@papayahill/platform'
+import type { StoreError } from '@papayahill/stores'
 import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { applyChanges } from './actions/applyChanges.js'
--- a/packages/control/src/MeteredTable.ts
+++ b/packages/control/src/MeteredTable.ts
@@ -1,6 +1,6 @@
 import { millis, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Millis, Random } from '@papayahill/common'
-import type { Commit, Row, RowKey, StoreError, TableService, Transaction } from '@papayahill/platform'
+import type { Commit, Row, RowKey, StoreError, TableService, Transaction } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import {
   MAX_BACKOFF, MAX_BUDGET_WAIT, MIN_BACKOFF, MIN_READS_PER_SECOND, MIN_WRITES_PER_SECOND, OUTAGE_AFTER, READ_BURST, READS_PER_SECOND,
--- a/packages/control/src/RosterKeeper.ts
+++ b/packages/control/src/RosterKeeper.ts
@@ -1,7 +1,7 @@
 import { isJsonObject, millis, pickOne, SILENT_LOG } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { Row, TableService } from '@papayahill/platform'
+import type { Row, TableService } from '@papayahill/stores'
 import {
   ASK_TIMEOUT, MAX_UPDATE_TRIES, RELAY_MIN_MEMBERS, REMOVE_AFTER, ROSTER_PERIOD, ROSTER_RELAY_MAX_AGE
 } from './constants.js'
--- a/packages/control/src/rosterRecord.ts
+++ b/packages/control/src/rosterRecord.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { EpochMillis, Incarnation, InstanceId, Json } from '@papayahill/common'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { z } from 'zod'
 import { DEPARTED_RETENTION } from './constants.js'
 import type { DepartedMember, RosterMember } from './types.js'
--- a/packages/cost/src/CostKeeper.test.ts
+++ b/packages/cost/src/CostKeeper.test.ts
@@ -5,7 +5,7 @@
 } from '@papayahill/common'
 
 import type { PeerHandler, Peers } from '@papayahill/peers'
-import type { Row, RowKey, TableService } from '@papayahill/platform'
+import type { Row, RowKey, TableService } from '@papayahill/stores'
 import { EMPTY_CONFIG } from '@papayahill/settings'
 import type { BudgetAnswer, BudgetSettings, ClassSettings, OperatorConfig, ServiceSettings } from '@papayahill/settings'
 import { Result } from 'true-myth'
--- a/packages/cost/src/CostKeeper.ts
+++ b/packages/cost/src/CostKeeper.ts
@@ -3,7 +3,7 @@
   ClassId, Clock, EventLog, Failure, Incarnation, InstanceId, MicroUnits, RequestRecord, ServiceId, StageRecord, Timer, WorkspaceId
 } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { RowKey, TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/stores'
 import type { OperatorConfig } from '@papayahill/settings'
 import type { Result } from 'true-myth'
 import { BudgetKeeper } from './BudgetKeeper.js'
--- a/packages/cost/src/HeldLedgers.ts
+++ b/packages/cost/src/HeldLedgers.ts
@@ -1,7 +1,7 @@
 import { brand, hash32 } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { z } from 'zod'
 import { HELD, HOLD_TIMEOUT, RECOVER_AFTER, RECOVER_TURN, UNKNOWN } from './constants.js'
 import { holdFrameSchema } from './holdFrame.js'
--- a/packages/cost/src/HoldReader.ts
+++ b/packages/cost/src/HoldReader.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { Incarnation } from '@papayahill/common'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { readLine } from './holdFrame.js'
 import type { HoldEntry, HoldFrame, HoldRow } from './holdFrame.js'
 import type { PackedLine } from './LedgerLine.js'
--- a/packages/cost/src/HoldWriter.test.ts
+++ b/packages/cost/src/HoldWriter.test.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { Incarnation } from '@papayahill/common'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { describe, expect, it } from 'vitest'
 import { HoldReader } from './HoldReader.js'
 import { HoldWriter } from './HoldWriter.js'
--- a/packages/cost/src/LedgerHolders.ts
+++ b/packages/cost/src/LedgerHolders.ts
@@ -1,7 +1,7 @@
 import { hash32 } from '@papayahill/common'
 import type { Incarnation, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { HELD, HOLD_TIMEOUT, HOLDER_COUNT, UNKNOWN } from './constants.js'
 import type { HoldFrame } from './holdFrame.js'
 import { HoldWriter } from './HoldWriter.js'
--- a/packages/cost/src/LedgerStore.ts
+++ b/packages/cost/src/LedgerStore.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { Json } from '@papayahill/common'
-import type { RowKey, TableService } from '@papayahill/platform'
+import type { RowKey, TableService } from '@papayahill/stores'
 import { SCAN_LIMIT } from './constants.js'
 import { LineSet } from './LineSet.js'
 
--- /dev/null
+++ b/packages/directory/src/Endpoint.ts
@@ -0,0 +1,81 @@
+import { millis } from '@papayahill/common'
+import type { DomainId, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import { FAILURE_WEIGHT, MAX_SUSPICION, MIN_SUSPICION } from './constants.js'
+import type { EndpointAddress, EndpointRecord } from './types.js'
+
+/** Work at an endpoint, as one of its answers told. */
+export interface LoadWord {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  readonly at: Millis
+}
+
+/** One life of an endpoint, with what this instance has seen of it. */
+export class Endpoint {
+  record: EndpointRecord
+  /** Left the list or lives anew. */
+  isGone = false
+  /** Monotonic time until which it is cold. */
+  coldUntil: Millis = millis(0)
+  load: LoadWord | undefined
+  /** Calls of this instance that have not ended. */
+  running = 0
+  #suspectUntil: Millis = millis(0)
+  #suspicion: Millis = MIN_SUSPICION
+  #failShare = 0
+
+  constructor (record: EndpointRecord) {
+    this.record = record
+  }
+
+  get id (): EndpointId {
+    return this.record.id
+  }
+
+  get service (): ServiceId {
+    return this.record.service
+  }
+
+  get domain (): DomainId {
+    return this.record.domain
+  }
+
+  get address (): EndpointAddress {
+    return this.record.address
+  }
+
+  /** May take new work, as far as the list tells. */
+  get isListed (): boolean {
+    return !this.isGone && !this.record.isDraining
+  }
+
+  /** Share of failures among its newest answers. */
+  get failShare (): number {
+    return this.#failShare
+  }
+
+  isSuspect (now: Millis): boolean {
+    return now < this.#suspectUntil
+  }
+
+  isCold (now: Millis): boolean {
+    return now < this.coldUntil
+  }
+
+  /** A whole answer came; `isGood` is false where it told of a failure. */
+  noteAnswer (isGood: boolean): void {
+    this.#failShare += FAILURE_WEIGHT * ((isGood ? 0 : 1) - this.#failShare)
+    if (!isGood) return
+    this.#suspectUntil = millis(0)
+    this.#suspicion = MIN_SUSPICION
+  }
+
+  /** A connection was refused, broken or silent: avoided, each time for longer. */
+  noteBroken (now: Millis): void {
+    this.#failShare += FAILURE_WEIGHT * (1 - this.#failShare)
+    if (this.isSuspect(now)) return
+    this.#suspectUntil = millis(now + this.#suspicion)
+    this.#suspicion = millis(Math.min(MAX_SUSPICION, this.#suspicion * 2))
+  }
+}
--- /dev/null
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -0,0 +1,164 @@
+import { millis } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, EventLog, Millis, ServiceId } from '@papayahill/common'
+import { FAILURE_MARGIN, LAPSE_GRACE, LAPSE_OUTAGE } from './constants.js'
+import { Endpoint } from './Endpoint.js'
+import { DIRECTORY_EVENTS } from './events.js'
+import type { TableListener } from './TableWatch.js'
+import type { EndpointRecord, TableRow } from './types.js'
+
+export interface EndpointDirectoryOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly isDomainOut: (domain: DomainId) => boolean
+}
+
+const medianOf = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0
+
+/** Whether a record tells of an earlier state than the one known. */
+const isOlder = (record: EndpointRecord, known: EndpointRecord): boolean => {
+  const born = record.bornAt ?? 0
+  const knownBorn = known.bornAt ?? 0
+  return born < knownBorn || (born === knownBorn && record.sequence < known.sequence)
+}
+
+/** An entry as it was read: a record, or undefined where it names no endpoint. */
+export type EndpointEntry = { readonly record: EndpointRecord } | { readonly malformed: string }
+
+/**
+ * The endpoints of all services, as the platform's list and this instance's own connections tell.
+ *
+ * @example
+ * const directory = new EndpointDirectory({ clock, log, isDomainOut })
+ * directory.usable(service)
+ */
+export class EndpointDirectory implements TableListener<EndpointEntry> {
+  readonly #options: EndpointDirectoryOptions
+  readonly #endpoints = new Map<EndpointId, Endpoint>()
+  readonly #byService = new Map<ServiceId, Set<Endpoint>>()
+  readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
+  /** Endpoints whose entries are missing after an outage. */
+  readonly #missing = new Set<Endpoint>()
+  #isRead = false
+  #heldUntil: Millis = millis(0)
+
+  constructor (options: EndpointDirectoryOptions) {
+    this.#options = options
+  }
+
+  /** Whether the list was read since the start. */
+  get isRead (): boolean {
+    return this.#isRead
+  }
+
+  onGone (listener: (endpoint: Endpoint) => void): void {
+    this.#goneListeners.push(listener)
+  }
+
+  get (id: EndpointId): Endpoint | undefined {
+    return this.#endpoints.get(id)
+  }
+
+  /** Endpoints of a service that may take new work. */
+  usable (service: ServiceId): readonly Endpoint[] {
+    const all = [...this.#byService.get(service) ?? []]
+    return all.filter((endpoint) => endpoint.isListed && !this.#options.isDomainOut(endpoint.domain))
+  }
+
+  /** Usable endpoints, without those that are suspected or fail far more often than their fellows while others are left. */
+  healthy (service: ServiceId): readonly Endpoint[] {
+    const now = this.#options.clock.now()
+    const usable = this.usable(service)
+    const steady = usable.filter((endpoint) => !endpoint.isSuspect(now))
+    const limit = medianOf(steady.map((endpoint) => endpoint.failShare)) + FAILURE_MARGIN
+    const good = steady.filter((endpoint) => endpoint.failShare <= limit)
+    if (good.length > 0) return good
+    return steady.length > 0 ? steady : usable
+  }
+
+  replaced (rows: ReadonlyArray<TableRow<EndpointEntry>>, outage: Millis): void {
+    this.#isRead = true
+    const listed = new Set(rows.map((row) => row.key))
+    const missing = [...this.#endpoints.keys()].filter((id) => !listed.has(id))
+    this.changed([...rows, ...missing.map((key) => ({ key, value: undefined, revision: 0 }))], outage)
+  }
+
+  changed (rows: ReadonlyArray<TableRow<EndpointEntry>>, outage: Millis): void {
+    if (outage >= LAPSE_OUTAGE) this.#hold()
+    for (const { key, value } of rows) this.#take(key as EndpointId, value)
+  }
+
+  #hold (): void {
+    const { clock } = this.#options
+    this.#heldUntil = millis(clock.now() + LAPSE_GRACE)
+    clock.after(LAPSE_GRACE, () => this.#dropMissing())
+  }
+
+  #dropMissing (): void {
+    if (this.#options.clock.now() < this.#heldUntil) return
+    for (const endpoint of [...this.#missing]) this.#drop(endpoint, 'not entered again after an outage')
+  }
+
+  #take (id: EndpointId, entry: EndpointEntry | undefined): void {
+    const known = this.#endpoints.get(id)
+    if (entry === undefined) return known === undefined ? undefined : this.#lost(known)
+    if ('malformed' in entry) {
+      this.#options.log.emit(DIRECTORY_EVENTS.endpointMalformed, { endpoint: id, detail: entry.malformed })
+      return known === undefined ? undefined : this.#drop(known, 'its entry cannot be read')
+    }
+    this.#update(entry.record, known)
+  }
+
+  #lost (endpoint: Endpoint): void {
+    const { clock, log } = this.#options
+    if (clock.now() >= this.#heldUntil) return this.#drop(endpoint, 'no longer listed')
+    this.#missing.add(endpoint)
+    log.emit(DIRECTORY_EVENTS.endpointsHeld, { endpoint: endpoint.id })
+  }
+
+  #update (record: EndpointRecord, known: Endpoint | undefined): void {
+    if (known === undefined) return this.#add(record)
+    if (isOlder(record, known.record)) return
+    const isSameLife = record.bornAt === known.record.bornAt && record.service === known.service &&
+      record.address.ip === known.address.ip && record.address.port === known.address.port
+    if (!isSameLife) {
+      this.#drop(known, 'it lives anew')
+      return this.#add(record)
+    }
+    this.#missing.delete(known)
+    if (record.isDraining && !known.record.isDraining) this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: record.id })
+    known.record = record
+    this.#noteCold(known)
+  }
+
+  #add (record: EndpointRecord): void {
+    const { id, service, domain, version, isDraining, coldFor } = record
+    const endpoint = new Endpoint(record)
+    this.#endpoints.set(id, endpoint)
+    const fellows = this.#byService.get(service) ?? new Set()
+    this.#byService.set(service, fellows.add(endpoint))
+    this.#options.log.emit(DIRECTORY_EVENTS.endpointSeen, { endpoint: id, service, domain, version, isDraining, coldFor })
+    this.#noteCold(endpoint)
+  }
+
+  #noteCold (endpoint: Endpoint): void {
+    const { coldFor } = endpoint.record
+    if (coldFor > 0) this.cold(endpoint, coldFor)
+  }
+
+  /** The endpoint said that it stays cold for a time from now. */
+  cold (endpoint: Endpoint, coldFor: Millis): void {
+    const now = this.#options.clock.now()
+    if (!endpoint.isCold(now)) this.#options.log.emit(DIRECTORY_EVENTS.endpointCold, { endpoint: endpoint.id, coldFor })
+    endpoint.coldUntil = millis(now + coldFor)
+  }
+
+  #drop (endpoint: Endpoint, detail: string): void {
+    endpoint.isGone = true
+    this.#missing.delete(endpoint)
+    this.#endpoints.delete(endpoint.id)
+    this.#byService.get(endpoint.service)?.delete(endpoint)
+    this.#options.log.emit(DIRECTORY_EVENTS.endpointGone, { endpoint: endpoint.id, detail })
+    for (const listener of this.#goneListeners) listener(endpoint)
+  }
+}
--- /dev/null
+++ b/packages/directory/src/events.ts
@@ -0,0 +1,20 @@
+import { defineEvents } from '@papayahill/common'
+
+/** Numbered events of what an instance knows of its deployment. */
+export const DIRECTORY_EVENTS = defineEvents({
+  configInForce: { number: 1601, level: 'info', text: 'A configuration version came into force on this instance.' },
+  configStale: { number: 1602, level: 'warn', text: 'A configuration older than the one in force was read and left aside.' },
+  configMalformed: { number: 1603, level: 'error', text: 'A configuration row could not be read; the version in force stays.' },
+  endpointSeen: { number: 1604, level: 'info', text: 'An endpoint entered itself in the list.' },
+  endpointLeaving: { number: 1605, level: 'info', text: 'An endpoint is leaving; it gets no new work.' },
+  endpointGone: { number: 1606, level: 'info', text: 'An endpoint left the list or lives anew; it gets no new work.' },
+  endpointMalformed: { number: 1607, level: 'warn', text: 'An entry of the list could not be read; it names no endpoint.' },
+  endpointSuspected: { number: 1608, level: 'info', text: 'An endpoint broke or refused connections and is avoided for a while.' },
+  endpointTrusted: { number: 1609, level: 'info', text: 'A suspected endpoint answered again.' },
+  endpointCold: { number: 1610, level: 'info', text: 'An endpoint is cold and gets a bounded rate of requests.' },
+  domainOut: { number: 1611, level: 'info', text: 'A failure domain was taken out; its endpoints get no new work.' },
+  domainBack: { number: 1612, level: 'info', text: 'A failure domain was taken back.' },
+  tableLost: { number: 1613, level: 'warn', text: 'A watched table of the platform cannot be read; what is known stays in force.' },
+  tableRegained: { number: 1614, level: 'info', text: 'A watched table of the platform can be read again.' },
+  endpointsHeld: { number: 1615, level: 'info', text: 'Entries missing after an outage are kept until their endpoints had time to return.' }
+})
--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -1,6 +1,6 @@
 import { hash32, millis } from '@papayahill/common'
 import type { CallOutcome, EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { CallSet } from './CallSet.js'
 import type { RunningCall } from './CallSet.js'
 import { CallStats } from './CallStats.js'
--- a/packages/endpoints/src/EndpointTable.test.ts
+++ b/packages/endpoints/src/EndpointTable.test.ts
@@ -3,7 +3,7 @@
   CallOutcome, ClassId, DomainId, EndpointId, EndpointIncarnation, Incarnation, InstanceId, Json, Millis, RegionId, ServiceId,
   VersionId, WorkspaceId
 } from '@papayahill/common'
-import type { InstanceListing, ListedEndpoint } from '@papayahill/platform'
+import type { InstanceListing, ListedEndpoint } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
 import { ROSTER_MAX_AGE } from './constants.js'
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { CallOutcome, EndpointId, EndpointIncarnation, Millis, ServiceId, VersionId } from '@papayahill/common'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import type { RunningCall } from './CallSet.js'
 import { chooseEndpoint } from './chooseEndpoint.js'
 import { ROSTER_MAX_AGE } from './constants.js'
--- a/packages/endpoints/src/EndpointTableOptions.ts
+++ b/packages/endpoints/src/EndpointTableOptions.ts
@@ -1,5 +1,5 @@
 import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Millis, Random, RegionId, ServiceId } from '@papayahill/common'
-import type { InstanceList } from '@papayahill/platform'
+import type { InstanceList } from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import type { EndpointAccess, RosterCopy, ShareChannel } from './types.js'
 
--- a/packages/endpoints/src/ListReader.test.ts
+++ b/packages/endpoints/src/ListReader.test.ts
@@ -1,6 +1,6 @@
 import { brand, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, EndpointId, ServiceId, VersionId } from '@papayahill/common'
-import type { InstanceListing, ListedEndpoint, StoreError } from '@papayahill/platform'
+import type { InstanceListing, ListedEndpoint, StoreError } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
 import { ListReader } from './ListReader.js'
--- a/packages/endpoints/src/ListReader.ts
+++ b/packages/endpoints/src/ListReader.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Random, Timer } from '@papayahill/common'
-import type { InstanceList, ListedEndpoint } from '@papayahill/platform'
+import type { InstanceList, ListedEndpoint } from '@papayahill/stores'
 import { LIST_PERIOD, PERIOD_JITTER } from './constants.js'
 import { ENDPOINTS_EVENTS } from './events.js'
 
--- a/packages/endpoints/src/chooseWatched.test.ts
+++ b/packages/endpoints/src/chooseWatched.test.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { DomainId, EndpointId, Incarnation, InstanceId, ServiceId, VersionId } from '@papayahill/common'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { describe, expect, it } from 'vitest'
 import { chooseWatched, sharersOf } from './chooseWatched.js'
 import { WARM_ENDPOINTS } from './constants.js'
--- a/packages/endpoints/src/chooseWatched.ts
+++ b/packages/endpoints/src/chooseWatched.ts
@@ -1,6 +1,6 @@
 import { hash32 } from '@papayahill/common'
 import type { EndpointId, Incarnation } from '@papayahill/common'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { WARM_ENDPOINTS } from './constants.js'
 
 /** Share of the watched endpoints that are taken from the nearest, before the others by lot. */
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -3,7 +3,7 @@
   StageUsage, Tokens, VersionId, WorkspaceId
 } from '@papayahill/common'
 import type { ServiceKind } from '@papayahill/settings'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import type { Result } from 'true-myth'
 
 /**
--- /dev/null
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -0,0 +1,85 @@
+import type { EndpointId } from '@papayahill/common'
+import { EndpointSocket } from '@papayahill/connections'
+import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
+import { isIPv6 } from 'node:net'
+import { CONNECTION_SHARE, MAX_IDLE_CONNECTIONS } from './constants.js'
+import type { ProfileLookup } from './types.js'
+
+export interface ConnectionPoolOptions {
+  readonly directory: Pick<EndpointDirectory, 'onGone'>
+  readonly profileOf: ProfileLookup
+  /** Instances that share an endpoint's connections. */
+  readonly instances: () => number
+}
+
+interface EndpointConnections {
+  readonly idle: EndpointSocket[]
+  open: number
+}
+
+const originOf = ({ address: { ip, port } }: Endpoint): string => `http://${isIPv6(ip) ? `[${ip}]` : ip}:${port}`
+
+/**
+ * Connections to endpoints: idle ones are used again, and each instance keeps to its share of what an
+ * endpoint takes from all.
+ *
+ * @example
+ * const socket = pool.take(endpoint)
+ * pool.giveBack(endpoint, socket)
+ */
+export class ConnectionPool {
+  readonly #options: ConnectionPoolOptions
+  readonly #connections = new Map<EndpointId, EndpointConnections>()
+
+  constructor (options: ConnectionPoolOptions) {
+    this.#options = options
+    options.directory.onGone((endpoint) => this.#closeIdle(endpoint))
+  }
+
+  /** An idle connection, or one that opens with its first exchange; undefined where the share is used up. */
+  take (endpoint: Endpoint): EndpointSocket | undefined {
+    const connections = this.#of(endpoint)
+    for (let socket = connections.idle.pop(); socket !== undefined; socket = connections.idle.pop()) {
+      if (socket.isUsable) return socket
+    }
+    if (connections.open >= this.#limitOf(endpoint)) return undefined
+    connections.open++
+    const socket = new EndpointSocket(originOf(endpoint))
+    socket.onClosed(() => { connections.open-- })
+    return socket
+  }
+
+  giveBack (endpoint: Endpoint, socket: EndpointSocket): void {
+    const { idle } = this.#of(endpoint)
+    if (!socket.isUsable) return
+    if (endpoint.isGone || idle.length >= MAX_IDLE_CONNECTIONS) socket.close()
+    else idle.push(socket)
+  }
+
+  /** A connection fell silent: the idle ones beside it may have, too. */
+  closeIdle (endpoint: Endpoint): void {
+    this.#closeIdle(endpoint)
+  }
+
+  close (): void {
+    for (const { idle } of this.#connections.values()) for (const socket of idle.splice(0)) socket.close()
+  }
+
+  #closeIdle (endpoint: Endpoint): void {
+    for (const socket of this.#of(endpoint).idle.splice(0)) socket.close()
+    if (endpoint.isGone) this.#connections.delete(endpoint.id)
+  }
+
+  #of (endpoint: Endpoint): EndpointConnections {
+    const known = this.#connections.get(endpoint.id)
+    if (known !== undefined) return known
+    const connections: EndpointConnections = { idle: [], open: 0 }
+    this.#connections.set(endpoint.id, connections)
+    return connections
+  }
+
+  #limitOf (endpoint: Endpoint): number {
+    const most = this.#options.profileOf(endpoint.service)?.maxConnections ?? MAX_IDLE_CONNECTIONS
+    return Math.max(2, Math.floor(most * CONNECTION_SHARE / this.#options.instances()))
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -0,0 +1,29 @@
+import type { StageContext } from '@papayahill/batching'
+import type { Clock, DomainId, EventLog, Random } from '@papayahill/common'
+import type { EndpointDirectory } from '@papayahill/directory'
+import type { ColdGate } from './ColdGate.js'
+import type { ConnectionPool } from './ConnectionPool.js'
+import type { EngineBoard } from './EngineBoard.js'
+import type { FirstEventTimes } from './FirstEventTimes.js'
+import type { SharedAllowance } from './SharedAllowance.js'
+import type { CallWire, ProfileLookup } from './types.js'
+import type { VersionGate } from './VersionGate.js'
+
+/** What all requests of an instance share. */
+export interface ForwardContext {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: EventLog
+  readonly wire: CallWire
+  readonly directory: EndpointDirectory
+  readonly connections: ConnectionPool
+  readonly engines: EngineBoard
+  readonly cold: ColdGate
+  readonly retries: SharedAllowance
+  readonly firstEvents: FirstEventTimes
+  readonly stages: StageContext
+  readonly versions: VersionGate
+  readonly profileOf: ProfileLookup
+  /** Failure domain of this instance. */
+  readonly domain: DomainId
+}
--- /dev/null
+++ b/packages/forwarding/src/Forwarder.ts
@@ -0,0 +1,105 @@
+import { leastStageTime } from '@papayahill/batching'
+import { millis, refusal } from '@papayahill/common'
+import type { Failure, Millis, ServiceId } from '@papayahill/common'
+import { admit } from './admission.js'
+import { FORWARDING_EVENTS } from './events.js'
+import type { ForwardContext } from './ForwardContext.js'
+import { ForwardRun } from './ForwardRun.js'
+import type { RunEnd } from './ForwardRun.js'
+import { pickService } from './pickService.js'
+import { ServiceGate } from './ServiceGate.js'
+import type { CallerSink, ForwardRequest } from './types.js'
+
+/** Hears of each request's end, for metrics. */
+export interface ForwardObserver {
+  ended (request: ForwardRequest, end: RunEnd, took: Millis): void
+}
+
+/**
+ * Serves requests with opaque bodies: admits them, runs their stages and calls an endpoint of their service.
+ *
+ * @example
+ * await forwarder.serve(request, sink)
+ */
+export class Forwarder {
+  readonly #context: ForwardContext
+  readonly #observer: ForwardObserver
+  readonly #gate = new ServiceGate()
+  #running = 0
+
+  constructor (context: ForwardContext, observer: ForwardObserver) {
+    this.#context = context
+    this.#observer = observer
+  }
+
+  /** Requests without a final answer. */
+  get running (): number {
+    return this.#running
+  }
+
+  async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
+    this.#running++
+    try {
+      const end = await this.#serve(request, sink)
+      this.#finish(request, sink, end)
+    } finally {
+      this.#running--
+    }
+  }
+
+  async #serve (request: ForwardRequest, sink: CallerSink): Promise<RunEnd> {
+    const { random, retries, directory } = this.#context
+    const service = pickService(random, request.route)
+    if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'its route names no service') }
+    const refused = this.#admit(request, service)
+    if (refused !== undefined) return { kind: 'failed', failure: refused }
+    retries.request(service)
+    for (const stage of request.route.stages) retries.request(stage.service)
+    const slots = directory.usable(service).reduce((sum, endpoint) => sum + endpoint.record.slots, 0)
+    return await this.#gate.run(service, slots, request.priority, () => new ForwardRun(this.#context, request, service, sink).run())
+  }
+
+  #admit (request: ForwardRequest, service: ServiceId): Failure | undefined {
+    const { clock, log, firstEvents, stages } = this.#context
+    const { route, attempt, priority, configVersion, pieceCounts } = request
+    const admission = admit({
+      timeLeft: millis(request.deadline - clock.now()),
+      stageWaits: this.#stageWaits(request),
+      stageTime: leastStageTime(route.stages, pieceCounts, stages.profileOf),
+      answerTime: route.kind === 'streaming' ? firstEvents.mean(route.name) : millis(0)
+    })
+    const fields = { request: attempt, route: route.name, service, priority, config: configVersion, forecastMs: admission.forecast }
+    if (admission.kind === 'admitted') {
+      log.emit(FORWARDING_EVENTS.requestTaken, fields)
+      return undefined
+    }
+    return refusal('over-capacity', `its forecast of ${Math.round(admission.forecast)} ms passes its deadline`, {
+      retryAfter: admission.retryAfter
+    })
+  }
+
+  /** Waits at the least busy endpoints of the stages, summed along the longest chain. */
+  #stageWaits ({ route, pieceCounts }: ForwardRequest): Millis {
+    const { stages: { board }, directory } = this.#context
+    const waits = route.stages.map((stage) => {
+      const endpoints = directory.healthy(stage.service)
+      return (pieceCounts[stage.index] ?? 0) === 0 || endpoints.length === 0 ? 0 : board.leastBacklog(endpoints)
+    })
+    const chain = (index: number): number => waits[index]! + Math.max(0, ...route.stages[index]!.after.map(chain))
+    return millis(Math.max(0, ...route.stages.map((stage) => chain(stage.index))))
+  }
+
+  #finish (request: ForwardRequest, sink: CallerSink, end: RunEnd): void {
+    const { clock, log } = this.#context
+    const took = millis(clock.now() - request.arrivedAt)
+    const fields = { request: request.attempt, route: request.route.name, workspace: request.workspace, tookMs: took }
+    this.#observer.ended(request, end, took)
+    if (end.kind === 'answered') return log.emit(FORWARDING_EVENTS.requestAnswered, { ...fields, status: end.status })
+    if (request.signal.aborted) return log.emit(FORWARDING_EVENTS.callerGone, fields)
+    if (end.kind === 'cut') return log.emit(FORWARDING_EVENTS.requestCut, { ...fields, detail: end.detail })
+    const { failure } = end
+    const event = failure.run === 'not-run' ? FORWARDING_EVENTS.requestRefused : FORWARDING_EVENTS.requestFailed
+    log.emit(event, { ...fields, kind: failure.kind, run: failure.run, detail: failure.detail, retryAfterMs: failure.retryAfter })
+    sink.fail(failure)
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -0,0 +1,159 @@
+import { millis } from '@papayahill/common'
+import type { Clock, Millis, Timer } from '@papayahill/common'
+import { newStopper, stopExchange } from '@papayahill/connections'
+import type { EndpointSocket, SocketAnswer, SocketLoss } from '@papayahill/connections'
+import type { EndpointDirectory } from '@papayahill/directory'
+import type { Result } from 'true-myth'
+import { MAX_HELD_ANSWER, STREAM_SILENCE } from './constants.js'
+import { EventScanner } from './EventScanner.js'
+import type { StreamRelay } from './StreamRelay.js'
+import type { AnswerMarks, CallEnd, CallWire, OutboundCall } from './types.js'
+
+export interface OpaqueExchangeOptions {
+  readonly clock: Clock
+  readonly wire: CallWire
+  readonly directory: Pick<EndpointDirectory, 'cold'>
+  readonly call: OutboundCall
+  /** Where a streamed answer goes. */
+  readonly relay: StreamRelay | undefined
+  /** Longest wait for the answer's first part. */
+  readonly firstWait: Millis
+  /** Whether a silent stream may be left for another endpoint. */
+  readonly mayLeave: boolean
+}
+
+const STATUS_CONFLICT = 409
+
+/** A status by which an endpoint would promise that nothing ran. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/**
+ * One call to an endpoint from its first byte to its last, whatever its body holds.
+ *
+ * @example
+ * const end = await new OpaqueExchange(options).run(socket)
+ */
+export class OpaqueExchange {
+  readonly #options: OpaqueExchangeOptions
+  readonly #stopper = newStopper()
+  readonly #parts: Buffer[] = []
+  #held = 0
+  #status = 0
+  #marks: AnswerMarks | undefined
+  #scanner: EventScanner | undefined
+  #timer: Timer | undefined
+  #stopCause: string | undefined
+  /** Monotonic time of the first byte of the body. */
+  firstAt: Millis | undefined
+
+  constructor (options: OpaqueExchangeOptions) {
+    this.#options = options
+  }
+
+  async run (socket: EndpointSocket): Promise<CallEnd> {
+    const { call, wire, firstWait } = this.#options
+    const { method, path, body, signal } = call.request
+    const onAbort = (): void => this.#stop('the request was given up')
+    signal.addEventListener('abort', onAbort, { once: true })
+    if (signal.aborted) onAbort()
+    this.#watch(firstWait)
+    const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
+    this.#timer?.cancel()
+    signal.removeEventListener('abort', onAbort)
+    const end = this.#end(result)
+    this.#note(end)
+    if (!this.#isClean(end)) socket.close()
+    return end
+  }
+
+  onStart (answer: SocketAnswer): void {
+    const { wire, call, relay, clock, directory } = this.#options
+    const { endpoint, request } = call
+    const marks = wire.readAnswer(answer)
+    this.#status = answer.status
+    this.#marks = marks
+    if (marks.attempt !== undefined && marks.attempt !== request.attempt) return this.#stop('it answered another request')
+    if (marks.load !== undefined) endpoint.load = { ...marks.load, at: clock.now() }
+    if (marks.coldFor !== undefined) directory.cold(endpoint, marks.coldFor)
+    const isStream = relay !== undefined && answer.status === 200 && marks.isEventStream && marks.isSealed
+    if (isStream) this.#scanner = new EventScanner()
+    if (isStream) relay.start(answer.status, marks.headers)
+  }
+
+  onData (data: Buffer): void {
+    this.firstAt ??= this.#options.clock.now()
+    if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
+    this.#parts.push(data)
+    this.#held += data.length
+    if (this.#held > MAX_HELD_ANSWER) this.#stop('its answer is too large')
+  }
+
+  /** A call that cannot be written is an answer of its own: nothing was sent. */
+  async #exchange (
+    socket: EndpointSocket, req: Parameters<EndpointSocket['exchange']>[0]
+  ): Promise<Result<void, SocketLoss>> {
+    return await socket.exchange(req, this, this.#stopper)
+  }
+
+  #relay (scanner: EventScanner, data: Buffer): void {
+    if (this.#options.mayLeave) this.#watch(STREAM_SILENCE)
+    else this.#timer?.cancel()
+    for (const event of scanner.feed(data)) this.#options.relay?.event(event)
+    if (scanner.isOverfull) this.#stop('an event is too large')
+  }
+
+  #watch (span: Millis): void {
+    this.#timer?.cancel()
+    this.#timer = this.#options.clock.after(span, () => this.#stop(`nothing came for ${Math.round(span)} ms`))
+  }
+
+  #stop (cause: string): void {
+    this.#stopCause ??= cause
+    stopExchange(this.#stopper)
+  }
+
+  #end (result: Result<void, SocketLoss>): CallEnd {
+    if (result.isErr) return this.#lossOf(result.error)
+    const marks = this.#marks
+    if (marks === undefined || this.#stopCause !== undefined) return { kind: 'lost', detail: this.#stopCause ?? 'the answer did not begin' }
+    if (marks.isElsewhere) return { kind: 'not-run', detail: 'another endpoint has its address', isArrived: true }
+    if (marks.isNotRun && this.#status === STATUS_CONFLICT) return { kind: 'inputs-gone', detail: 'inputs are gone' }
+    if (marks.isNotRun) return { kind: 'not-run', detail: `it answered ${this.#status}`, isArrived: true }
+    if (this.#scanner !== undefined) {
+      return this.#scanner.isTorn ? { kind: 'lost', detail: 'the stream ended within an event' } : { kind: 'streamed' }
+    }
+    return this.#whole(marks)
+  }
+
+  #whole (marks: AnswerMarks): CallEnd {
+    const status = this.#status
+    if (!marks.isSealed) return { kind: 'lost', detail: `its answer ${status} lacks its seal` }
+    if (PROMISES.has(status)) return { kind: 'lost', detail: `it answered ${status} and does not say that nothing ran` }
+    return { kind: 'answered', status, headers: marks.headers, body: Buffer.concat(this.#parts) }
+  }
+
+  #lossOf (loss: SocketLoss): CallEnd {
+    const detail = this.#stopCause ?? loss.detail
+    return loss.isSent ? { kind: 'lost', detail } : { kind: 'not-run', detail, isArrived: false }
+  }
+
+  #isClean (end: CallEnd): boolean {
+    if (end.kind === 'not-run') return end.isArrived
+    return end.kind !== 'lost' || this.#stopCause === undefined
+  }
+
+  /** What the end says about the endpoint. */
+  #note (end: CallEnd): void {
+    const { call, clock } = this.#options
+    const { endpoint, request } = call
+    if (request.signal.aborted) return
+    const isBroken = end.kind === 'lost' || (end.kind === 'not-run' && (!end.isArrived || this.#marks?.isElsewhere === true))
+    if (isBroken) endpoint.noteBroken(clock.now())
+    else if (end.kind === 'answered') endpoint.noteAnswer(end.status < 500)
+    else if (end.kind === 'streamed') endpoint.noteAnswer(true)
+  }
+}
+
+/** Time that a repeatable call may take before it is sent elsewhere. */
+export const firstWaitOf = (timeLeft: Millis, wanted: Millis, mayRepeat: boolean): Millis =>
+  mayRepeat ? millis(Math.min(timeLeft, wanted)) : timeLeft
--- /dev/null
+++ b/packages/forwarding/src/constants.ts
@@ -0,0 +1,47 @@
+import { bytes, millis, seconds } from '@papayahill/common'
+
+/** Answers up to this size are held until they are whole, so that a broken one can be asked for again. */
+export const MAX_HELD_ANSWER = bytes(2_097_152)
+/** Largest part of one stream's event that is held back. */
+export const MAX_EVENT = bytes(1_048_576)
+/** Idle connections that are kept to one endpoint. */
+export const MAX_IDLE_CONNECTIONS = 16
+/** Part of an endpoint's connections that all instances together may use. */
+export const CONNECTION_SHARE = 0.8
+/** Least time left for which a call is still sent. */
+export const MIN_CALL_TIME = millis(15)
+/** Endpoints that may turn one attempt of a caller down before it is refused. */
+export const MAX_TURN_DOWNS = 4
+/** A repeatable request that waits longer than this many targets for its answer is sent elsewhere. */
+export const HANG_TARGETS = 2.5
+/** Least time before a repeatable request without an answer is sent elsewhere. */
+export const MIN_HANG = millis(250)
+/** Pause in a resumable stream from which on it goes on elsewhere. */
+export const STREAM_SILENCE = millis(1500)
+/** How often a request without a usable endpoint looks again. */
+export const PLACE_RETRY = millis(40)
+/** Longest wait for a usable endpoint, where earlier work would be lost by a refusal. */
+export const PLACE_PATIENCE = seconds(2)
+/** Longest wait for a usable endpoint before anything was done for a request. */
+export const FIRST_PLACE_PATIENCE = millis(300)
+/** Part of the shared retry budget that this system uses, so that late counts don't pass it. */
+export const RETRY_SHARE = 0.7
+/** Part of what a cold endpoint bears that all instances together send. */
+export const COLD_SHARE = 0.8
+/** Shortest and longest times to come back that callers are told. */
+export const MIN_RETRY_AFTER = millis(100)
+export const MAX_RETRY_AFTER = seconds(2)
+/** Prompt tokens that an engine reads in a millisecond, before any was measured. */
+export const PREFILL_TOKENS_PER_MILLI = 60
+/** Delay that each of an instance's running requests at an engine is weighed like. */
+export const RUNNING_WEIGHT = millis(4)
+/** Delay that an engine is preferred by whose cache the rendezvous order names. */
+export const AFFINITY_SHARE = 0.6
+/** Parts that are remembered for each engine. */
+export const MAX_REMEMBERED_PARTS = 2048
+/** Delay that crossing a domain is weighed like at plain services. */
+export const DOMAIN_WEIGHT = 0.4
+/** Weight of the newest time in a class's time to its first event. */
+export const FIRST_EVENT_WEIGHT = 0.15
+/** Time to a first event before any was measured. */
+export const FIRST_EVENT_GUESS = millis(250)
--- a/packages/instance/src/types.ts
+++ b/packages/instance/src/types.ts
@@ -7,7 +7,7 @@
 import type { OrderChannel, Orders } from '@papayahill/orders'
 import type { Peers } from '@papayahill/peers'
 import type { PipelineRunner } from '@papayahill/pipeline'
-import type { InstanceList, ObjectStore, TableService } from '@papayahill/platform'
+import type { InstanceList, ObjectStore, TableService } from '@papayahill/stores'
 import type { Moves } from '@papayahill/rollout'
 import type { Result } from 'true-myth'
 
--- /dev/null
+++ b/packages/logging/src/createLineLog.ts
@@ -0,0 +1,63 @@
+import type { EventFields, EventKind, EventLevel, EventLog } from '@papayahill/common'
+import { Writable } from 'node:stream'
+import winston from 'winston'
+import { LOGGING_EVENTS } from './events.js'
+import { LineRate } from './LineRate.js'
+import type { LineWriter } from './LineWriter.js'
+
+const LEVELS: Readonly<Record<EventLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 }
+
+const { combine, json, timestamp } = winston.format
+
+/** Hundredths are as fine as an operator can use a measured value. */
+const HUNDRED = 100
+
+const shorten = (value: EventFields[string]): EventFields[string] =>
+  typeof value === 'number' ? Math.round(value * HUNDRED) / HUNDRED : value
+
+const shortenAll = (fields: EventFields): EventFields =>
+  Object.fromEntries(Object.entries(fields).map(([name, value]) => [name, shorten(value)]))
+
+export interface LineLogOptions {
+  readonly level: EventLevel
+  /** Fields of every line. */
+  readonly common: EventFields
+  readonly writer: LineWriter
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+}
+
+/**
+ * Events as JSON lines, bounded in rate and never waited for.
+ *
+ * @example
+ * const log = createLineLog({ level: 'info', common: { instance: 'ph-1' }, writer, now })
+ */
+export const createLineLog = ({ level, common, writer, now }: LineLogOptions): EventLog => {
+  const rate = new LineRate()
+  const stream = new Writable({
+    decodeStrings: false,
+    write (line: string, _encoding, done) {
+      if (!writer.add(line.trimEnd())) rate.dropped()
+      done()
+    }
+  })
+  const logger = winston.createLogger({
+    levels: LEVELS,
+    level,
+    defaultMeta: common,
+    format: combine(timestamp(), json()),
+    transports: [new winston.transports.Stream({ stream })]
+  })
+  const write = (kind: EventKind, fields: EventFields): void => {
+    logger.log(kind.level, kind.text, { event: kind.number, name: kind.name, ...shortenAll(fields) })
+  }
+  return {
+    emit: (kind: EventKind, fields: EventFields = {}): void => {
+      if (LEVELS[kind.level] > LEVELS[level]) return
+      const leftOut = rate.takeLeftOut(now())
+      if (leftOut > 0) write(LOGGING_EVENTS.linesLeftOut, { lines: leftOut })
+      if (rate.take(kind.level, now())) write(kind, fields)
+    }
+  }
+}
--- a/packages/orders/src/GiverTable.ts
+++ b/packages/orders/src/GiverTable.ts
@@ -1,6 +1,6 @@
 import { epochMillis } from '@papayahill/common'
 import type { Clock, EpochMillis, Incarnation, Millis, ServiceId } from '@papayahill/common'
-import type { Row, RowKey, TableService } from '@papayahill/platform'
+import type { Row, RowKey, TableService } from '@papayahill/stores'
 import { MAX_TRIES, RETRY_PERIOD } from './constants.js'
 import { giverRowKey, PACE_ROW, parseGiver, parsePace } from './giverRow.js'
 import type { GiverRecord } from './giverRow.js'
--- a/packages/orders/src/OrderKeeper.test.ts
+++ b/packages/orders/src/OrderKeeper.test.ts
@@ -1,6 +1,6 @@
 import { brand, EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
 import type { DomainId, EndpointId, Incarnation, InstanceId, Millis, ServiceId, VersionId } from '@papayahill/common'
-import type { InstanceList, ListedEndpoint, Row, RowKey, TableService } from '@papayahill/platform'
+import type { InstanceList, ListedEndpoint, Row, RowKey, TableService } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { GIVER_MAX_AGE } from './constants.js'
--- a/packages/orders/src/OrderKeeper.ts
+++ b/packages/orders/src/OrderKeeper.ts
@@ -1,6 +1,6 @@
 import { failure, millis, refusal } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Failure, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
-import type { InstanceList, ListedEndpoint, TableService } from '@papayahill/platform'
+import type { InstanceList, ListedEndpoint, TableService } from '@papayahill/stores'
 import PQueue from 'p-queue'
 import { Result } from 'true-myth'
 import { DELIVERY_TIMEOUT, GIVER_DRIFT, GIVER_MAX_AGE, LOAD_INTERVAL, MAX_STATUSES } from './constants.js'
--- a/packages/orders/src/giverRow.ts
+++ b/packages/orders/src/giverRow.ts
@@ -1,6 +1,6 @@
 import { brand } from '@papayahill/common'
 import type { Json, ServiceId } from '@papayahill/common'
-import type { RowKey } from '@papayahill/platform'
+import type { RowKey } from '@papayahill/stores'
 import { z } from 'zod'
 
 const giverSchema = z.object({
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -1,5 +1,5 @@
 import type { EndpointId, Failure, ServiceId, VersionId } from '@papayahill/common'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import type { Result } from 'true-myth'
 
 /** What operators may order an endpoint to do. */
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -7,7 +7,9 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true })
 
 /** Order on the wire; new topics go to the end. */
-const TOPICS: readonly Topic[] = ['heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order']
+const TOPICS: readonly Topic[] = [
+  'heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order', 'stage', 'version'
+]
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye']
 
 type PackedEntry = readonly [topic: number, key: string, owner: string, incarnation: string, sequence: number, value: Json]
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -3,7 +3,7 @@
 
 /** What a message is about; one closed list, so that bytes are metered per topic. */
 export type Topic =
-  | 'heartbeat' | 'gossip' | 'roster' | 'config' | 'latch' | 'load' | 'claim' | 'evidence' | 'cost' | 'order'
+  | 'heartbeat' | 'gossip' | 'roster' | 'config' | 'latch' | 'load' | 'claim' | 'evidence' | 'cost' | 'order' | 'stage' | 'version'
 
 /** A peer, as heartbeats show it. */
 export interface PeerMember {
--- a/packages/rollout/src/MoveKeeper.test.ts
+++ b/packages/rollout/src/MoveKeeper.test.ts
@@ -4,7 +4,7 @@
 } from '@papayahill/common'
 import type { ConfigChange, ConfigLog, ConfigView } from '@papayahill/control'
 import type { GossipEntry, Peers } from '@papayahill/peers'
-import type { Row, RowKey, TableService } from '@papayahill/platform'
+import type { Row, RowKey, TableService } from '@papayahill/stores'
 import { EMPTY_CONFIG } from '@papayahill/settings'
 import type { MoveSettings, ServiceSettings } from '@papayahill/settings'
 import { Result } from 'true-myth'
--- a/packages/rollout/src/MoveKeeper.ts
+++ b/packages/rollout/src/MoveKeeper.ts
@@ -3,7 +3,7 @@
 } from '@papayahill/common'
 import type { ConfigLog, ConfigView } from '@papayahill/control'
 import type { Peers } from '@papayahill/peers'
-import type { TableService } from '@papayahill/platform'
+import type { TableService } from '@papayahill/stores'
 import type { MoveSettings } from '@papayahill/settings'
 import { capacityShare } from './capacityShare.js'
 import { JUDGE_PERIOD } from './constants.js'
--- a/packages/rollout/src/MoveStore.ts
+++ b/packages/rollout/src/MoveStore.ts
@@ -1,5 +1,5 @@
 import type { ServiceId } from '@papayahill/common'
-import type { TableService } from '@papayahill/platform'
+import type { TableService } from '@papayahill/stores'
 import { moveRowKey, parseMoveRecord } from './moveRow.js'
 import type { MoveRecord, RecordedMove } from './moveRow.js'
 
--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -6,7 +6,7 @@
   CacheEvent, CallError, KeyStatus, LoadReport, StageAnswer, StageCall, StageChunk
 } from '@papayahill/endpoints'
 import type { Trace } from '@papayahill/invariants'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { linkSignals } from './linkSignals.js'
--- a/packages/standins/src/FakeEndpointAccess.ts
+++ b/packages/standins/src/FakeEndpointAccess.ts
@@ -3,7 +3,7 @@
 import type {
   CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport, StageAnswer, StageCall, StageChunk
 } from '@papayahill/endpoints'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import type { FakeEndpoint } from './FakeEndpoint.js'
 import { linkSignals } from './linkSignals.js'
--- a/packages/standins/src/FakeInstanceList.ts
+++ b/packages/standins/src/FakeInstanceList.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EndpointId, InstanceId, Millis } from '@papayahill/common'
-import type { InstanceList, InstanceListing, ListedEndpoint, ListedInstance, StoreError } from '@papayahill/platform'
+import type { InstanceList, InstanceListing, ListedEndpoint, ListedInstance, StoreError } from '@papayahill/stores'
 import { Result } from 'true-myth'
 
 interface Snapshot {
--- a/packages/standins/src/FakeObjectStore.ts
+++ b/packages/standins/src/FakeObjectStore.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Json } from '@papayahill/common'
-import type { ObjectStore, StoreError } from '@papayahill/platform'
+import type { ObjectStore, StoreError } from '@papayahill/stores'
 import { Result } from 'true-myth'
 import { healthyStore } from './FakeTable.js'
 import type { StoreFaults } from './FakeTable.js'
--- a/packages/standins/src/FakeTable.ts
+++ b/packages/standins/src/FakeTable.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Json, Millis, Random } from '@papayahill/common'
-import type { Commit, Row, RowCondition, RowKey, StoreError, TableService, Transaction } from '@papayahill/platform'
+import type { Commit, Row, RowCondition, RowKey, StoreError, TableService, Transaction } from '@papayahill/stores'
 import { Result } from 'true-myth'
 
 /** Faults of a store, changed while it runs. */
--- a/packages/standins/src/gated.ts
+++ b/packages/standins/src/gated.ts
@@ -4,7 +4,7 @@
 } from '@papayahill/endpoints'
 import type {
   Commit, InstanceList, InstanceListing, ListedEndpoint, ObjectStore, Row, RowKey, StoreError, TableService, Transaction
-} from '@papayahill/platform'
+} from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import type { LifeGate } from './LifeGate.js'
--- a/packages/standins/src/http/platform.test.ts
+++ b/packages/standins/src/http/platform.test.ts
@@ -1,6 +1,6 @@
 import { EventRecorder, millis, SeededRandom, SystemClock } from '@papayahill/common'
-import { HttpInstanceList, HttpObjectStore, HttpTableService } from '@papayahill/platform'
-import type { ListedInstance, RowKey } from '@papayahill/platform'
+import { HttpInstanceList, HttpObjectStore, HttpTableService } from '@papayahill/stores'
+import type { ListedInstance, RowKey } from '@papayahill/stores'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { FakeInstanceList } from '../FakeInstanceList.js'
 import { FakeObjectStore } from '../FakeObjectStore.js'
--- a/packages/standins/src/http/serveDeployment.ts
+++ b/packages/standins/src/http/serveDeployment.ts
@@ -1,7 +1,7 @@
 import { brand, millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, Random } from '@papayahill/common'
 import type { Trace } from '@papayahill/invariants'
-import type { ListedEndpoint, ListedInstance } from '@papayahill/platform'
+import type { ListedEndpoint, ListedInstance } from '@papayahill/stores'
 import type { OperatorConfig, ServiceKind, ServiceSettings } from '@papayahill/settings'
 import { FakeEndpoint } from '../FakeEndpoint.js'
 import { FakeInstanceList } from '../FakeInstanceList.js'
--- a/packages/standins/src/http/serveInstanceList.ts
+++ b/packages/standins/src/http/serveInstanceList.ts
@@ -1,6 +1,6 @@
 import { hash64 } from '@papayahill/common'
 import type { EndpointId, InstanceId } from '@papayahill/common'
-import type { ListedEndpoint, ListedInstance } from '@papayahill/platform'
+import type { ListedEndpoint, ListedInstance } from '@papayahill/stores'
 import type { FakeInstanceList } from '../FakeInstanceList.js'
 import { faultRoutes, HttpStandIn, readJson, sendJson } from './HttpStandIn.js'
 
--- a/packages/standins/src/http/serveTable.ts
+++ b/packages/standins/src/http/serveTable.ts
@@ -1,5 +1,5 @@
 import { hash64 } from '@papayahill/common'
-import type { Row, RowKey, StoreError, Transaction } from '@papayahill/platform'
+import type { Row, RowKey, StoreError, Transaction } from '@papayahill/stores'
 import type { FakeTable } from '../FakeTable.js'
 import { faultRoutes, HttpStandIn, readJson, sendJson } from './HttpStandIn.js'
 import type { StandInRequest, StandInResponse } from './HttpStandIn.js'
--- a/packages/testbed/src/FakeOrderChannel.ts
+++ b/packages/testbed/src/FakeOrderChannel.ts
@@ -1,6 +1,6 @@
 import type { EndpointId } from '@papayahill/common'
 import type { Order, OrderChannel, OrderRefusal } from '@papayahill/orders'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import { Result } from 'true-myth'
 
 /** Endpoints that take orders and refuse a fencing number below the highest seen. */
--- a/packages/testbed/src/Testbed.ts
+++ b/packages/testbed/src/Testbed.ts
@@ -5,7 +5,7 @@
 import type { ConfigChange } from '@papayahill/control'
 import { Instance } from '@papayahill/instance'
 import { Trace } from '@papayahill/invariants'
-import type { ListedEndpoint } from '@papayahill/platform'
+import type { ListedEndpoint } from '@papayahill/stores'
 import {
   FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList, FakeObjectStore, FakePeerNetwork, FakeTable, GatedClock,
   GatedEndpointAccess, GatedInstanceList, GatedObjectStore, GatedTable, LifeGate
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,30 @@
+/** Bundles the program of the users' platform into one file under target/. */
+import { build } from 'esbuild'
+import { fileURLToPath } from 'node:url'
+
+const REQUIRE = "import { createRequire as createRequire__ } from 'node:module'; const require = createRequire__(import.meta.url);"
+
+const pathOf = (path) => fileURLToPath(new URL(`../${path}`, import.meta.url))
+
+/** Packages are bundled from their sources, so that nothing has to be compiled before. */
+const fromSources = {
+  name: 'from-sources',
+  setup: (bundler) => {
+    bundler.onResolve({ filter: /^@papayahill\// }, ({ path }) => ({
+      path: pathOf(`packages/${path.slice('@papayahill/'.length)}/src/index.ts`), sideEffects: false
+    }))
+  }
+}
+
+await build({
+  entryPoints: [pathOf('platform/src/main.ts')],
+  outfile: pathOf('target/papayahill.mjs'),
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  banner: { js: REQUIRE },
+  plugins: [fromSources]
+})
