One gatherer at a time, early drops by what waits ahead, engines beside their inputs

Cause: after a roll of restarts up to four instances gathered for one stage endpoint, each with a queue of its own: leaving was remembered by name for 10 s, so that views of the roster differed. Results of other instances were unknown, and calls went out that the endpoint had no room for.

--- a/packages/batching/src/BatchQueue.ts
+++ b/packages/batching/src/BatchQueue.ts
@@ -7,12 +7,15 @@
   readonly settle: (outcome: PieceOutcome) => void
 }
 
-/** Pieces that can still meet their target come first, the earliest due before; then the others by urgency. */
+/** Whether a piece gives way to others: its request cannot meet its target any more. */
+const givesWay = ({ piece }: WaitingPiece, now: Millis, least: Millis): boolean => piece.due < now + least
+
+/** The earliest due first; behind them those that give way, by urgency. */
 const compare = (now: Millis, least: Millis) => (left: WaitingPiece, right: WaitingPiece): number => {
-  const isLeftHopeful = left.piece.due >= now + least
-  const isRightHopeful = right.piece.due >= now + least
-  if (isLeftHopeful !== isRightHopeful) return isLeftHopeful ? -1 : 1
-  if (isLeftHopeful) return left.piece.due - right.piece.due
+  const isLeftBehind = givesWay(left, now, least)
+  const isRightBehind = givesWay(right, now, least)
+  if (isLeftBehind !== isRightBehind) return isLeftBehind ? 1 : -1
+  if (!isLeftBehind) return left.piece.due - right.piece.due
   return left.piece.priority - right.piece.priority || left.piece.deadline - right.piece.deadline
 }
 
@@ -28,6 +31,21 @@
   return [...groups.values()]
 }
 
+/** How fast an endpoint works through its queue. */
+export interface QueuePace {
+  /** Monotonic time at which the next batch can begin. */
+  readonly freeAt: Millis
+  readonly size: number
+  readonly callTime: Millis
+  readonly pieceTime: Millis
+}
+
+/** When the piece behind so many others is made, in batches as full as can be. */
+const endOf = (ahead: number, { freeAt, size, callTime, pieceTime }: QueuePace): number => {
+  const calls = Math.floor(ahead / size) + 1
+  return freeAt + calls * callTime + (ahead + 1) * pieceTime
+}
+
 export interface BatchLimits {
   readonly size: number
   /** Bytes of results that the endpoint has room for. */
@@ -54,9 +72,16 @@
     this.#waiting.push(waiting)
   }
 
-  /** Takes out pieces that no call can make in time. */
-  expire (now: Millis, callTime: Millis): readonly WaitingPiece[] {
-    return this.#extract(({ piece }) => piece.deadline < now + callTime)
+  /** Takes out pieces that would be made too late, were all that wait before them made first. */
+  expire (now: Millis, pace: QueuePace): readonly WaitingPiece[] {
+    this.#waiting.sort(compare(now, pace.callTime))
+    const late = new Set<WaitingPiece>()
+    let ahead = 0
+    for (const waiting of this.#waiting) {
+      if (waiting.piece.deadline < endOf(ahead, pace)) late.add(waiting)
+      else ahead++
+    }
+    return late.size === 0 ? [] : this.#extract((waiting) => late.has(waiting))
   }
 
   /** Takes out the pieces of a request that was given up. */
--- a/packages/batching/src/EndpointBatcher.ts
+++ b/packages/batching/src/EndpointBatcher.ts
@@ -1,10 +1,11 @@
-import { millis } from '@papayahill/common'
+import { bytes, millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import { BatchQueue } from './BatchQueue.js'
 import type { WaitingPiece } from './BatchQueue.js'
 import { FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
+import { ForeignResults } from './ForeignResults.js'
 import { ResultLedger } from './ResultLedger.js'
 import type { BatchAnswer, BatchCaller, PieceOutcome } from './types.js'
 
@@ -35,6 +36,7 @@
   readonly #options: EndpointBatcherOptions
   readonly #queue = new BatchQueue()
   readonly #ledger = new ResultLedger()
+  readonly #foreign = new ForeignResults()
   readonly #calls = new Set<OpenCall>()
   #unfreed: string[] = []
   #freeTimer: Timer | undefined
@@ -58,19 +60,24 @@
   backlog (): Millis {
     const profile = this.#options.profile()
     if (profile === undefined) return millis(0)
-    const now = this.#options.clock.now()
-    const open = [...this.#calls].map((call) => Math.max(0, call.startedAt + call.forecast - now))
     const calls = Math.ceil(this.#queue.size / profile.size)
     const waiting = (calls * profile.callTime + this.#queue.size * profile.pieceTime) * this.#pace
-    return millis(waiting + Math.max(0, ...open))
+    return millis(waiting + this.#untilFree(this.#options.clock.now()))
   }
 
   cancel (request: string): void {
     settleAll(this.#queue.cancel(request), { fault: 'late' })
   }
 
+  /** Another instance gathers from now on: what waits goes back to its owners. */
+  handBack (): void {
+    settleAll(this.#queue.takeAll(), { fault: 'moved' })
+  }
+
   free (handles: readonly string[]): void {
     for (const handle of handles) this.#ledger.free(handle)
+    this.#pauseTimer?.cancel()
+    this.#pauseTimer = undefined
     this.#unfreed.push(...handles)
     this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => this.#flushFrees())
     this.pump()
@@ -85,7 +92,7 @@
     if (this.#pauseTimer !== undefined || this.#calls.size >= profile.slots || this.#queue.size === 0) return
     const { clock } = this.#options
     const now = clock.now()
-    const room = profile.room - this.#ledger.used(now)
+    const room = profile.room - this.#ledger.used(now) - this.#foreign.at(now)
     const callTime = millis(profile.callTime * this.#pace)
     const batch = this.#queue.take(now, { size: profile.size, room, callTime })
     if (batch.length === 0) return this.#pause(ROOM_PAUSE)
@@ -93,8 +100,20 @@
     void this.#send(endpoint, profile, batch)
   }
 
+  /** Time until the call under way should end. */
+  #untilFree (now: Millis): Millis {
+    return millis(Math.max(0, ...[...this.#calls].map((call) => call.startedAt + call.forecast - now)))
+  }
+
   #expire (profile: BatchProfile): void {
-    const dropped = this.#queue.expire(this.#options.clock.now(), millis(profile.callTime * Math.min(1, this.#pace)))
+    const { clock } = this.#options
+    const now = clock.now()
+    const dropped = this.#queue.expire(now, {
+      freeAt: millis(now + this.#untilFree(now)),
+      size: profile.size,
+      callTime: millis(profile.callTime * this.#pace),
+      pieceTime: millis(profile.pieceTime * this.#pace)
+    })
     if (dropped.length === 0) return
     const { log, endpoint } = this.#options
     log.emit(BATCHING_EVENTS.piecesDropped, { endpoint: endpoint.id, pieces: dropped.length, request: dropped[0]!.piece.request })
@@ -150,16 +169,20 @@
     }
     if (answer.kind === 'lost') return settleAll(batch, { fault: 'failed' })
     const now = this.#options.clock.now()
-    batch.forEach((waiting, at) => {
-      const outcome = answer.outcomes[at] ?? { fault: 'failed' }
-      if ('handle' in outcome) this.#ledger.add(outcome.handle, waiting.piece.resultBytes, now, profile.resultLife)
-      if ('fault' in outcome && outcome.fault === 'room') this.#waitForRoom(waiting)
-      else waiting.settle(outcome)
+    const outcomes = batch.map((_waiting, at): PieceOutcome => answer.outcomes[at] ?? { fault: 'failed' })
+    outcomes.forEach((outcome, at) => {
+      if ('handle' in outcome) this.#ledger.add(outcome.handle, batch[at]!.piece.resultBytes, now, profile.resultLife)
+    })
+    outcomes.forEach((outcome, at) => {
+      if ('fault' in outcome && outcome.fault === 'room') this.#waitForRoom(batch[at]!, profile)
+      else batch[at]!.settle(outcome)
     })
   }
 
-  /** The endpoint holds more than is known here, such as results whose makers' answers were lost. */
-  #waitForRoom (waiting: WaitingPiece): void {
+  /** The endpoint holds more than is known here, such as results that another instance had made. */
+  #waitForRoom (waiting: WaitingPiece, profile: BatchProfile): void {
+    const now = this.#options.clock.now()
+    this.#foreign.note(bytes(Math.max(0, profile.room - this.#ledger.used(now))), now)
     this.#queue.add(waiting)
     this.#pause(ROOM_PAUSE)
   }
--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -9,6 +9,8 @@
   readonly caller: BatchCaller
   readonly directory: EndpointDirectory
   readonly profileOf: ProfileOf
+  /** Whether the endpoint falls to this instance. */
+  readonly isOwn: (endpoint: EndpointId) => boolean
 }
 
 /**
@@ -20,6 +22,7 @@
 export class Gatherer {
   readonly #options: GathererOptions
   readonly #batchers = new Map<EndpointId, EndpointBatcher>()
+  readonly #own = new Set<EndpointId>()
 
   constructor (options: GathererOptions) {
     this.#options = options
@@ -52,9 +55,21 @@
     this.#batcherOf(endpoint)?.free(handles)
   }
 
-  /** Looks at all endpoints again: some may not be used any more, some may have room. */
+  /** Looks at all endpoints again: some may not be used any more, some may have room, some may fall to others now. */
   pumpAll (): void {
-    for (const batcher of this.#batchers.values()) batcher.pump()
+    for (const [id, batcher] of this.#batchers) {
+      if (this.#lost(id)) batcher.handBack()
+      batcher.pump()
+    }
+  }
+
+  /** Whether an endpoint fell to another instance since the last look. */
+  #lost (id: EndpointId): boolean {
+    const isOwn = this.#options.isOwn(id)
+    const wasOwn = this.#own.has(id)
+    if (isOwn) this.#own.add(id)
+    else this.#own.delete(id)
+    return wasOwn && !isOwn
   }
 
   #batcherOf (id: EndpointId): EndpointBatcher | undefined {
--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -1,5 +1,5 @@
 import { hash32, millis } from '@papayahill/common'
-import type { Clock, EndpointId, InstanceId, Millis } from '@papayahill/common'
+import type { Clock, EndpointId, Incarnation, InstanceId, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { DOUBT_SPAN, GATHERER_SILENCE } from './constants.js'
 
@@ -14,6 +14,8 @@
   readonly #clock: Clock
   readonly #peers: Pick<Peers, 'self' | 'members'>
   readonly #doubtedUntil = new Map<InstanceId, Millis>()
+  /** Lives of instances that said that they stop. */
+  readonly #leaving = new Set<Incarnation>()
   #isLeaving = false
 
   constructor (clock: Clock, peers: Pick<Peers, 'self' | 'members'>) {
@@ -27,8 +29,14 @@
   }
 
   /** The instance did not take an order in time. */
-  doubt (id: InstanceId, span: Millis = DOUBT_SPAN): void {
-    this.#doubtedUntil.set(id, millis(this.#clock.now() + span))
+  doubt (id: InstanceId): void {
+    this.#doubtedUntil.set(id, millis(this.#clock.now() + DOUBT_SPAN))
+  }
+
+  /** The instance said that it stops; its next life gathers again. */
+  leaves (id: InstanceId): void {
+    const member = this.#peers.members().find((known) => known.id === id)
+    if (member !== undefined) this.#leaving.add(member.incarnation)
   }
 
   /** Number of instances that are heard, this one among them. */
@@ -55,7 +63,8 @@
 
   #others (): readonly InstanceId[] {
     const now = this.#clock.now()
-    const heard = this.#peers.members().filter(({ silence }) => silence < GATHERER_SILENCE)
+    const heard = this.#peers.members().filter(({ silence, incarnation }) =>
+      silence < GATHERER_SILENCE && !this.#leaving.has(incarnation))
     return heard.map(({ id }) => id).filter((id) => (this.#doubtedUntil.get(id) ?? 0) <= now)
   }
 }
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
-import type { EndpointDirectory, StageNode } from '@papayahill/directory'
+import type { BatchProfile, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
 import { choosePlace } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
@@ -207,7 +207,8 @@
   }
 
   #piece (stage: StageNode, index: number, inputs: readonly StageResult[]): Piece {
-    const { request, key, priority, deadline } = this.#work
+    const { request, key, priority, due, deadline, stages } = this.#work
+    const { profileOf } = this.#context
     return {
       request,
       stage: stage.index,
@@ -215,22 +216,28 @@
       key: stage.after.length === 0 ? key : undefined,
       inputs: inputs.map((input) => input.handle),
       resultBytes: stage.resultBytes,
-      due: this.#dueOf(stage),
-      deadline: millis(deadline),
+      due: millis(due - timeAfter(stages, stage, profileOf, fullCall)),
+      deadline: millis(deadline - timeAfter(stages, stage, profileOf, shortCall)),
       priority
     }
   }
-
-  /** The due time of a stage leaves time for those that follow it. */
-  #dueOf (stage: StageNode): Millis {
-    return millis(this.#work.due - timeAfter(this.#work.stages, stage, this.#context.profileOf))
-  }
 }
 
-/** Least time of all calls that follow a stage, one after the other. */
-const timeAfter = (stages: readonly StageNode[], stage: StageNode, profileOf: ProfileOf): number => {
+/** Time of a call with as many pieces as it takes; what a busy endpoint's calls last. */
+const fullCall = ({ callTime, size, pieceTime }: BatchProfile): number => callTime + size * pieceTime
+
+/** Time of a call with hardly a piece. */
+const shortCall = ({ callTime, pieceTime }: BatchProfile): number => callTime + pieceTime
+
+/** Time of all calls that follow a stage, one after the other. */
+const timeAfter = (
+  stages: readonly StageNode[], stage: StageNode, profileOf: ProfileOf, timeOf: (profile: BatchProfile) => number
+): number => {
   const followers = stages.filter((other) => other.after.includes(stage.index))
-  return Math.max(0, ...followers.map((next) => (profileOf(next.service)?.callTime ?? 0) + timeAfter(stages, next, profileOf)))
+  return Math.max(0, ...followers.map((next) => {
+    const profile = profileOf(next.service)
+    return (profile === undefined ? 0 : timeOf(profile)) + timeAfter(stages, next, profileOf, timeOf)
+  }))
 }
 
 /** Least time that a request's stages take when nothing waits. */
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -1,4 +1,4 @@
-import { millis, seconds } from '@papayahill/common'
+import { millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { HEARD_PERIOD, TAKE_TIMEOUT } from './constants.js'
@@ -9,9 +9,6 @@
 import type { StageMessage } from './orderMessages.js'
 import type { PieceOutcome, StageOrder } from './types.js'
 
-/** An instance that said that it stops is not asked again for this long; its next life has another name or has joined anew. */
-const LEAVING_SPAN = seconds(10)
-
 export interface StageLinksOptions {
   readonly clock: Clock
   readonly log: EventLog
@@ -40,7 +37,15 @@
   }
 
   /** Has an order's pieces made; all of them fail with `failed` where nothing is heard of it any more. */
-  run (order: StageOrder): Promise<readonly PieceOutcome[]> {
+  async run (order: StageOrder): Promise<readonly PieceOutcome[]> {
+    const outcomes = await this.#runOnce(order)
+    const moved = order.pieces.filter((_piece, at) => isMoved(outcomes[at]))
+    if (moved.length === 0) return outcomes
+    const again = [...await this.run({ ...order, pieces: moved })]
+    return outcomes.map((outcome) => isMoved(outcome) ? again.shift() ?? outcome : outcome)
+  }
+
+  #runOnce (order: StageOrder): Promise<readonly PieceOutcome[]> {
     const { roster, peers, log } = this.#options
     const to = roster.gathererOf(order.endpoint)
     const first = order.pieces[0]!
@@ -121,7 +126,7 @@
     if (message?.kind === 'done') this.#done(from, message)
     if (message?.kind === 'cancel') gatherer.cancel(message.endpoint, message.request)
     if (message?.kind === 'free') gatherer.free(message.endpoint, message.handles)
-    if (message?.kind === 'leaving') roster.doubt(from, LEAVING_SPAN)
+    if (message?.kind === 'leaving') roster.leaves(from)
     return null
   }
 
@@ -145,4 +150,7 @@
   }
 }
 
+const isMoved = (outcome: PieceOutcome | undefined): boolean =>
+  outcome !== undefined && 'fault' in outcome && outcome.fault === 'moved'
+
 const allUnplaced = (order: StageOrder): readonly PieceOutcome[] => order.pieces.map(() => ({ fault: 'unplaced' }))
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -6,6 +6,8 @@
 export const DOUBT_SPAN = millis(1500)
 /** Silence of a link from which on its instance gathers for nobody. */
 export const GATHERER_SILENCE = millis(1300)
+/** Time in which results that are unknown here are read and freed by their owners. */
+export const FOREIGN_LIFE = millis(800)
 /** A call that takes this many times its forecast, and the time below more, counts as lost. */
 export const LOST_FACTOR = 3
 export const LOST_MARGIN = millis(400)
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -11,7 +11,7 @@
   /** The sender is stopping and gathers no more. */
   | { readonly kind: 'leaving' }
 
-const FAULTS: readonly PieceFault[] = ['late', 'gone', 'room', 'failed', 'unplaced']
+const FAULTS: readonly PieceFault[] = ['late', 'gone', 'room', 'failed', 'unplaced', 'moved']
 
 const packOutcome = (outcome: PieceOutcome): Json => 'handle' in outcome ? outcome.handle : FAULTS.indexOf(outcome.fault)
 
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -33,6 +33,8 @@
   | 'failed'
   /** The endpoint takes no work, or the instance that gathers for it does not. */
   | 'unplaced'
+  /** Another instance gathers for the endpoint now. */
+  | 'moved'
 
 export type PieceOutcome = { readonly handle: string } | { readonly fault: PieceFault }
 
--- a/packages/forwarding/src/EngineBoard.ts
+++ b/packages/forwarding/src/EngineBoard.ts
@@ -1,3 +1,4 @@
+import { CROSS_DOMAIN_MILLIS_PER_BYTE } from '@papayahill/batching'
 import { hash32, millis, tokens } from '@papayahill/common'
 import type { EndpointId, Millis, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
@@ -67,12 +68,13 @@
     return best
   }
 
-  #cost (endpoint: Endpoint, { prompt, domain, now }: PlacementWant, isFavourite: boolean): Millis {
+  #cost (endpoint: Endpoint, { prompt, domain, inputBytes, now }: PlacementWant, isFavourite: boolean): Millis {
     const work = this.#of(endpoint.id)
     const own = prompt === undefined ? 0 : this.#unreadOf(work, prompt)
     const shared = prompt === undefined ? 0 : prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
     const reading = (work.unread + own - (isFavourite ? AFFINITY_SHARE * shared : 0)) / PREFILL_TOKENS_PER_MILLI
-    const crossing = domain === undefined || domain === endpoint.domain ? 0 : 1
+    let crossing = domain === undefined || domain === endpoint.domain ? 0 : 1
+    for (const [from, size] of inputBytes) if (from !== endpoint.domain) crossing += size * CROSS_DOMAIN_MILLIS_PER_BYTE
     const cold = endpoint.isCold(now) ? 1 : 0
     return millis(reading + endpoint.running * RUNNING_WEIGHT + crossing + cold)
   }
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -335,21 +335,24 @@
   }
 
   #choose (): Endpoint | undefined {
-    const { directory, cold, engines, random, clock, versions, profileOf } = this.#context
+    const { directory, cold, engines, random, clock, versions, profileOf, domain } = this.#context
     const all = directory.healthy(this.#service).filter((endpoint) => cold.mayTake(endpoint))
     const endpoints = versions.admit(this.#service, all)
     const want = (exclude: ReadonlySet<EndpointId>): PlacementWant =>
-      ({ endpoints, exclude, prompt: this.#request.prompt, domain: this.#preferredDomain(), now: clock.now() })
+      ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now: clock.now() })
     const isEngine = profileOf(this.#service)?.engine !== undefined
     const choose = (place: PlacementWant): Endpoint | undefined => isEngine ? engines.choose(place) : choosePlain(random, place)
     return choose(want(this.#exclude)) ?? (this.#runs === 0 ? choose(want(NONE)) : undefined)
   }
 
-  /** Where most of the inputs lie, or this instance's own domain. */
-  #preferredDomain (): DomainId | undefined {
-    const { directory, domain } = this.#context
-    const [first] = this.#inputs
-    return first === undefined ? domain : directory.get(first.endpoint)?.domain
+  /** Bytes of this request's inputs in each failure domain. */
+  #inputBytes (): ReadonlyMap<DomainId, number> {
+    const sizes = new Map<DomainId, number>()
+    for (const { endpoint, resultBytes } of this.#inputs) {
+      const domain = this.#context.directory.get(endpoint)?.domain
+      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + resultBytes)
+    }
+    return sizes
   }
 }
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -107,6 +107,8 @@
   readonly prompt: Prompt | undefined
   /** Domain to prefer. */
   readonly domain: DomainId | undefined
+  /** Bytes of inputs that lie in each domain. */
+  readonly inputBytes: ReadonlyMap<DomainId, number>
   readonly now: Millis
 }
 
