An answer that ends with its connection is whole only after an orderly end

Cause: the HTTP client takes the bytes before a reset for a whole answer where the connection is not kept. Ruled out: chunks and lengths, whose tests were green.

--- a/packages/batching/src/BacklogBoard.ts
+++ b/packages/batching/src/BacklogBoard.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, Millis } from '@papayahill/common'
-import type { BatchProfile, Endpoint } from '@papayahill/directory'
-import { BACKLOG_LIFE, CROSS_DOMAIN_MILLIS_PER_BYTE } from './constants.js'
+import type { Endpoint } from '@papayahill/directory'
+import { BACKLOG_LIFE, CROSS_DOMAIN_MILLIS_PER_BYTE, HOME_PREFERENCE, MISSING_STAGE } from './constants.js'
 
 interface BacklogWord {
   readonly backlog: Millis
@@ -37,32 +37,59 @@
 
 export interface PlaceWant {
   readonly endpoints: readonly Endpoint[]
-  readonly pieces: number
-  readonly resultBytes: number
-  /** Domain where the results will be read. */
-  readonly domain: DomainId | undefined
+  /** Bytes that the pieces read from each failure domain. */
+  readonly inputBytes: ReadonlyMap<DomainId, number>
+  /** Bytes of the pieces' results that will be read from them. */
+  readonly outputBytes: number
+  /** Where the results will probably be read. */
+  readonly home: DomainId | undefined
   readonly exclude: ReadonlySet<EndpointId>
 }
 
+/** Delay that equals the bytes which would cross domains, were the pieces made in this one. */
+const crossingAt = (domain: DomainId, { inputBytes, outputBytes, home }: PlaceWant): number => {
+  let crossing = home === undefined || home === domain ? 0 : outputBytes
+  for (const [from, size] of inputBytes) if (from !== domain) crossing += size
+  return crossing * CROSS_DOMAIN_MILLIS_PER_BYTE
+}
+
 /**
- * The endpoint for a request's pieces: the shortest wait, with the cost of results that cross domains weighed in.
+ * The endpoint for a request's pieces: the shortest wait, with the cost of bytes that cross domains weighed in.
  *
  * @example
- * choosePlace(board, profile, { endpoints, pieces: 3, resultBytes, domain, exclude })
+ * choosePlace(board, { endpoints, inputBytes, outputBytes, home, exclude })
  */
-export const choosePlace = (board: BacklogBoard, profile: BatchProfile, want: PlaceWant): Endpoint | undefined => {
-  const tried = want.endpoints.filter(({ id }) => !want.exclude.has(id))
-  const candidates = tried.length > 0 ? tried : want.endpoints
-  const crossing = want.pieces * want.resultBytes * CROSS_DOMAIN_MILLIS_PER_BYTE
-  const costOf = (endpoint: Endpoint): number => {
-    const isNear = want.domain === undefined || endpoint.domain === want.domain
-    return board.backlog(endpoint.id) + (isNear ? 0 : crossing + profile.pieceTime / 100)
-  }
+export const choosePlace = (board: BacklogBoard, want: PlaceWant): Endpoint | undefined => {
+  const untried = want.endpoints.filter(({ id }) => !want.exclude.has(id))
+  const candidates = untried.length > 0 ? untried : want.endpoints
   let best: Endpoint | undefined
   let bestCost = Infinity
   for (const endpoint of candidates) {
-    const cost = costOf(endpoint)
+    const cost = board.backlog(endpoint.id) + crossingAt(endpoint.domain, want)
     if (cost < bestCost) [best, bestCost] = [endpoint, cost]
   }
   return best
 }
+
+/**
+ * The failure domain in which a chain of stages would wait least, the one of its engine where that makes no difference.
+ *
+ * @example
+ * chooseHome(board, [storefronts, dispatchers], engineDomain, 1_500_000)
+ */
+export const chooseHome = (
+  board: BacklogBoard, stages: ReadonlyArray<readonly Endpoint[]>, engineDomain: DomainId | undefined, lastBytes: number
+): DomainId | undefined => {
+  const domains = new Set(stages.flatMap((endpoints) => endpoints.map(({ domain }) => domain)))
+  let best = engineDomain
+  let bestCost = Infinity
+  for (const domain of domains) {
+    const waits = stages.map((endpoints) => board.leastBacklog(endpoints.filter((endpoint) => endpoint.domain === domain)))
+    const missing = waits.filter((wait) => wait === Infinity).length
+    const known = waits.reduce((sum, wait) => sum + (wait === Infinity ? 0 : wait), 0)
+    const away = domain === engineDomain ? 0 : HOME_PREFERENCE + lastBytes * CROSS_DOMAIN_MILLIS_PER_BYTE
+    const cost = known + away + missing * MISSING_STAGE
+    if (cost < bestCost) [best, bestCost] = [domain, cost]
+  }
+  return best
+}
--- a/packages/batching/src/BatchQueue.ts
+++ b/packages/batching/src/BatchQueue.ts
@@ -93,7 +93,10 @@
     return this.#extract(() => true)
   }
 
-  /** The next batch, as large as endpoint and room allow. A request's pieces go together where one batch holds them. */
+  /**
+   * The next batch, as large as endpoint and room allow. A request's pieces are parted only where there is room for
+   * all of them: results of a part would take it up until the rest is made.
+   */
   take (now: Millis, limits: BatchLimits): readonly WaitingPiece[] {
     this.#waiting.sort(compare(now, limits.callTime))
     const batch: WaitingPiece[] = []
@@ -101,10 +104,9 @@
     for (const group of groupsOf(this.#waiting)) {
       const free = limits.size - batch.length
       if (free === 0) break
-      const fitting = Math.min(free, Math.floor(room / Math.max(1, group[0]!.piece.resultBytes)))
-      const isWhole = fitting >= group.length
-      if (!isWhole && batch.length > 0) continue
-      const taken = group.slice(0, fitting)
+      const roomFor = Math.floor(room / Math.max(1, group[0]!.piece.resultBytes))
+      if (roomFor < group.length && batch.length > 0) continue
+      const taken = group.slice(0, Math.min(free, roomFor))
       room -= taken.reduce((sum, { piece }) => sum + piece.resultBytes, 0)
       batch.push(...taken)
     }
--- a/packages/batching/src/EndpointBatcher.ts
+++ b/packages/batching/src/EndpointBatcher.ts
@@ -168,6 +168,7 @@
       return
     }
     if (answer.kind === 'lost') return settleAll(batch, { fault: 'failed' })
+    if (answer.kind === 'unreachable') return settleAll([...batch, ...this.#queue.takeAll()], { fault: 'unplaced' })
     const now = this.#options.clock.now()
     const outcomes = batch.map((_waiting, at): PieceOutcome => answer.outcomes[at] ?? { fault: 'failed' })
     outcomes.forEach((outcome, at) => {
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -2,7 +2,7 @@
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
 import type { BatchProfile, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
-import { choosePlace } from './BacklogBoard.js'
+import { chooseHome, choosePlace } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
 import { MAX_REMAKES } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -56,6 +56,7 @@
   readonly #byStage = new Map<number, StageResult[]>()
   readonly #ended = new Set<number>()
   readonly #asked = new Set<EndpointId>()
+  #chosenHome: DomainId | undefined
   #isCancelled = false
   #isBegun = false
 
@@ -170,11 +171,11 @@
     const { directory, board, links, profileOf } = this.#context
     const profile = profileOf(stage.service)
     if (profile === undefined || this.#isCancelled) return 'unplaced'
-    const endpoint = choosePlace(board, profile, {
+    const endpoint = choosePlace(board, {
       endpoints: directory.healthy(stage.service),
-      pieces: missing.length,
-      resultBytes: stage.resultBytes,
-      domain: this.#work.domain,
+      inputBytes: this.#inputBytes(inputs, missing.length),
+      outputBytes: missing.length * stage.resultBytes * this.#readersOf(stage),
+      home: this.#home(),
       exclude
     })
     if (endpoint === undefined) return 'unplaced'
@@ -185,6 +186,34 @@
     return this.#takeOutcomes(stage, missing, outcomes, results, endpoint.id, exclude)
   }
 
+  /** Each piece reads all inputs. */
+  #inputBytes (inputs: readonly StageResult[], pieces: number): ReadonlyMap<DomainId, number> {
+    const sizes = new Map<DomainId, number>()
+    for (const { endpoint, resultBytes } of inputs) {
+      const domain = this.#context.directory.get(endpoint)?.domain
+      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + pieces * resultBytes)
+    }
+    return sizes
+  }
+
+  /** Pieces that read each of a stage's results; the engine reads the last ones once. */
+  #readersOf (stage: StageNode): number {
+    const { stages, counts } = this.#work
+    const readers = stages.filter((other) => other.after.includes(stage.index)).map((other) => counts[other.index] ?? 0)
+    return Math.max(1, readers.reduce((sum, count) => sum + count, 0))
+  }
+
+  /** The failure domain where the whole chain is best run, chosen once. */
+  #home (): DomainId | undefined {
+    const { board, directory } = this.#context
+    const { stages, counts, domain } = this.#work
+    const used = stages.filter((stage) => (counts[stage.index] ?? 0) > 0)
+    const last = used.filter((stage) => !used.some((other) => other.after.includes(stage.index)))
+    const lastBytes = last.reduce((sum, stage) => sum + (counts[stage.index] ?? 0) * stage.resultBytes, 0)
+    this.#chosenHome ??= chooseHome(board, used.map((stage) => directory.healthy(stage.service)), domain, lastBytes)
+    return this.#chosenHome
+  }
+
   #takeOutcomes (
     stage: StageNode, missing: readonly number[], outcomes: readonly PieceOutcome[],
     results: Array<StageResult | undefined>, endpoint: EndpointId, exclude: Set<EndpointId>
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -24,7 +24,11 @@
 /** A word of an endpoint's backlog counts for this long. */
 export const BACKLOG_LIFE = millis(1000)
 /** Delay that a byte of result carried between domains is weighed like. */
-export const CROSS_DOMAIN_MILLIS_PER_BYTE = 80 / 1_000_000
+export const CROSS_DOMAIN_MILLIS_PER_BYTE = 40 / 1_000_000
+/** Delay by which an engine's own failure domain is preferred for the stages before it. */
+export const HOME_PREFERENCE = millis(30)
+/** Delay that a domain is weighed with for each stage that has no endpoint there. */
+export const MISSING_STAGE = millis(150)
 /** An endpoint that runs at this many times the forecast or slower counts no slower. */
 export const MAX_PACE = 12
 /** How often an instance that took an order is looked for. */
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -44,6 +44,8 @@
   /** The endpoint said that it did not run the call. */
   | { readonly kind: 'refused', readonly detail: string }
   | { readonly kind: 'lost', readonly detail: string }
+  /** No connection could be opened; nothing was sent. */
+  | { readonly kind: 'unreachable', readonly detail: string }
 
 /** Calls stage endpoints; the platform's words are its matter. */
 export interface BatchCaller {
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -44,14 +44,33 @@
 
 export const newStopper = (): Stopper => ({ isStopped: false, stop: undefined })
 
-/** Connects once: a lost connection is never replaced behind the back of who confirmed it. */
-const connectOnce = (): buildConnector.connector => {
+/** How a connection stands, as its own events tell. */
+interface SocketState {
+  /** The endpoint sent no more bytes: it closed or reset the connection. */
+  isOver: boolean
+  /** It ended in an error, such as a reset. */
+  isBroken: boolean
+}
+
+/**
+ * Connects once: a lost connection is never replaced behind the back of who confirmed it. The state is noted before
+ * the client hears of an end, since the client takes the bytes before a reset for a whole answer.
+ */
+const connectOnce = (state: SocketState): buildConnector.connector => {
   const connect = buildConnector({ timeout: OPEN_TIMEOUT })
   let isUsed = false
   return (options, callback) => {
     if (isUsed) return callback(new Error('the connection was lost'), null)
     isUsed = true
-    connect(options, callback)
+    connect(options, (...connected) => {
+      const [, socket] = connected
+      socket?.on('error', () => {
+        state.isOver = true
+        state.isBroken = true
+      })
+      socket?.on('end', () => { state.isOver = true })
+      callback(...connected)
+    })
   }
 }
 
@@ -63,6 +82,7 @@
  */
 export class EndpointSocket {
   readonly #client: Client
+  readonly #state: SocketState = { isOver: false, isBroken: false }
   #isLost = false
   #isClosed = false
   #onLost: () => void = () => {}
@@ -70,7 +90,7 @@
 
   constructor (origin: string) {
     this.#client = new Client(origin, {
-      connect: connectOnce(),
+      connect: connectOnce(this.#state),
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT,
       keepAliveMaxTimeout: IDLE_TIMEOUT,
@@ -98,7 +118,7 @@
   /** Sends one request; the answer's parts go to the listener as they come. */
   exchange (req: SocketRequest, listener: AnswerListener, stopper: Stopper): Promise<Result<void, SocketLoss>> {
     return new Promise((resolve) => {
-      const handler = new ExchangeHandler(listener, stopper, resolve)
+      const handler = new ExchangeHandler(this.#state, listener, stopper, resolve)
       const { method, path, headers, body = null } = req
       this.#client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers: headers as string[], body }, handler)
     })
@@ -127,12 +147,15 @@
 }
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #state: SocketState
   readonly #listener: AnswerListener
   readonly #stopper: Stopper
   readonly #resolve: (result: Result<void, SocketLoss>) => void
   #isSent = false
+  #endsWithConnection = false
 
-  constructor (listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketLoss>) => void) {
+  constructor (state: SocketState, listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketLoss>) => void) {
+    this.#state = state
     this.#listener = listener
     this.#stopper = stopper
     this.#resolve = resolve
@@ -145,6 +168,7 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
+    this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
     this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
   }
 
@@ -152,8 +176,12 @@
     this.#listener.onData(chunk)
   }
 
+  /** An answer is whole by its own framing, or, where it has none, by an orderly end of its connection. */
   onResponseEnd (): void {
-    this.#settle(Result.ok(undefined))
+    const { isOver, isBroken } = this.#state
+    const isWhole = !isOver || (this.#endsWithConnection && !isBroken)
+    if (isWhole) this.#settle(Result.ok(undefined))
+    else this.#settle(Result.err({ isSent: true, detail: 'the connection ended within the answer' }))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
