Inputs are freed when they were read; pieces are due before their inputs expire

Cause: room for results bound the stages: despachos ran 12 to 15 pieces a call of 21 with 100 waiting, tienda 4 of 7 with 20 waiting, since results lay until their reader had ended. Ruled out: splitting of requests (batches were cut by room, not by groups).

--- a/packages/batching/src/BatchQueue.ts
+++ b/packages/batching/src/BatchQueue.ts
@@ -5,6 +5,8 @@
 export interface WaitingPiece {
   readonly piece: Piece
   readonly settle: (outcome: PieceOutcome) => void
+  /** The endpoint has read the piece's inputs. */
+  readonly read: () => void
 }
 
 /** Whether a piece gives way to others: its request cannot meet its target any more. */
--- a/packages/batching/src/EndpointBatcher.ts
+++ b/packages/batching/src/EndpointBatcher.ts
@@ -3,7 +3,7 @@
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import { BatchQueue } from './BatchQueue.js'
 import type { WaitingPiece } from './BatchQueue.js'
-import { FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
+import { FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { ForeignResults } from './ForeignResults.js'
 import { ResultLedger } from './ResultLedger.js'
@@ -142,6 +142,7 @@
       heldBytes: this.#ledger.used(call.startedAt),
       request: batch[0]!.piece.request
     })
+    this.#watchReading(call, batch)
     const timeout = millis(call.forecast * LOST_FACTOR + LOST_MARGIN)
     const answer = await caller.call(endpoint, batch.map(({ piece }) => piece), timeout)
     this.#calls.delete(call)
@@ -154,6 +155,16 @@
     this.pump()
   }
 
+  /** An endpoint reads the inputs of a call when its turn comes, which is at once: there is one call at a time. */
+  #watchReading (call: OpenCall, batch: readonly WaitingPiece[]): void {
+    const size = batch.reduce((sum, { piece }) => sum + piece.inputBytes, 0)
+    if (size === 0) return
+    const readTime = millis(READ_DELAY + size / READ_BYTES_PER_MILLI)
+    this.#options.clock.after(readTime, () => {
+      if (this.#calls.has(call)) for (const waiting of batch) waiting.read()
+    })
+  }
+
   #logFaults (endpoint: Endpoint, answer: BatchAnswer): void {
     if (answer.kind !== 'answered') return
     const faults = answer.outcomes.flatMap((outcome) => 'fault' in outcome ? [outcome.fault] : [])
--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -1,7 +1,7 @@
 import type { Clock, EndpointId, EventLog, Millis } from '@papayahill/common'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { EndpointBatcher } from './EndpointBatcher.js'
-import type { BatchCaller, PieceOutcome, ProfileOf, StageOrder } from './types.js'
+import type { BatchCaller, OrderListener, PieceOutcome, ProfileOf, StageOrder } from './types.js'
 
 export interface GathererOptions {
   readonly clock: Clock
@@ -30,13 +30,15 @@
   }
 
   /** Takes an order in; the time until its last piece is made, or undefined where the endpoint is not usable here. */
-  take (order: StageOrder, done: (outcomes: readonly PieceOutcome[]) => void): Millis | undefined {
+  take (order: StageOrder, listener: OrderListener, done: (outcomes: readonly PieceOutcome[]) => void): Millis | undefined {
     const batcher = this.#batcherOf(order.endpoint)
     if (batcher === undefined) return undefined
     const outcomes: PieceOutcome[] = []
     let open = order.pieces.length
+    let unread = order.pieces.length
     order.pieces.forEach((piece, at) => batcher.add({
       piece,
+      read: () => { if (--unread === 0) listener.read() },
       settle: (outcome) => {
         outcomes[at] = outcome
         if (--open === 0) done(outcomes)
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -1,10 +1,10 @@
-import { millis } from '@papayahill/common'
+import { bytes, millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
 import type { BatchProfile, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
 import { chooseHome, choosePlace } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
-import { MAX_REMAKES } from './constants.js'
+import { LIFE_SHARE, MAX_REMAKES } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { StageLinks } from './StageLinks.js'
 import type { Piece, PieceFault, PieceOutcome, ProfileOf, StageResult } from './types.js'
@@ -54,7 +54,9 @@
   readonly #results = new Map<number, Promise<Result<readonly StageResult[], StageFailure>>>()
   readonly #made = new Set<StageResult>()
   readonly #byStage = new Map<number, StageResult[]>()
-  readonly #ended = new Set<number>()
+  /** Stages that need their inputs no more. */
+  readonly #read = new Set<number>()
+  readonly #readPieces = new Map<number, number>()
   readonly #asked = new Set<EndpointId>()
   #chosenHome: DomainId | undefined
   #isCancelled = false
@@ -65,20 +67,42 @@
     this.#work = work
   }
 
-  /** Results of the stages that no other stage follows. */
+  /** Results of the stages that no other stage follows; where inputs were lost on the way, all is made once more. */
   async run (): Promise<Result<readonly StageResult[], StageFailure>> {
+    const first = await this.#runOnce()
+    if (first.isOk || first.error.fault !== 'gone' || this.#isCancelled || !this.#mayStartAgain()) return this.#finish(first)
+    this.#startAgain()
+    return this.#finish(await this.#runOnce())
+  }
+
+  #finish (results: Result<readonly StageResult[], StageFailure>): Result<readonly StageResult[], StageFailure> {
+    if (results.isErr) this.cancel()
+    else this.#freeAllBut(results.value)
+    return results
+  }
+
+  #mayStartAgain (): boolean {
+    const used = this.#work.stages.filter((stage) => (this.#work.counts[stage.index] ?? 0) > 0)
+    return used.every((stage) => this.#context.takeRetry(stage.service, this.#work.counts[stage.index] ?? 0))
+  }
+
+  #startAgain (): void {
+    this.#freeAllBut([])
+    this.#results.clear()
+    this.#byStage.clear()
+    this.#read.clear()
+    this.#readPieces.clear()
+    this.#context.log.emit(BATCHING_EVENTS.stagesAgain, { request: this.#work.request })
+  }
+
+  async #runOnce (): Promise<Result<readonly StageResult[], StageFailure>> {
     const { stages } = this.#work
     const followed = new Set(stages.flatMap((stage) => stage.after))
     const last = stages.filter((stage) => !followed.has(stage.index))
     const ended = await Promise.all(last.map((stage) => this.#stage(stage)))
     const failed = ended.find((results) => results.isErr)
-    if (failed !== undefined) {
-      this.cancel()
-      return failed
-    }
-    const results = ended.flatMap((result) => result.isOk ? result.value : [])
-    this.#freeAllBut(results)
-    return Result.ok(results)
+    if (failed !== undefined) return failed
+    return Result.ok(ended.flatMap((result) => result.isOk ? result.value : []))
   }
 
   /** The request was given up or has failed: waiting pieces and results make room. */
@@ -123,18 +147,30 @@
     if (failed !== undefined) return failed
     const inputs = before.flatMap((results) => results.isOk ? results.value : [])
     const made = await this.#make(stage, count, inputs)
-    this.#ended.add(stage.index)
-    this.#freeRead(stage)
+    this.#noteRead(stage)
     return made
   }
 
+  /** One order's pieces have read their inputs. */
+  #piecesRead (stage: StageNode, pieces: number): void {
+    const read = (this.#readPieces.get(stage.index) ?? 0) + pieces
+    this.#readPieces.set(stage.index, read)
+    if (read >= (this.#work.counts[stage.index] ?? 0)) this.#noteRead(stage)
+  }
+
+  /** All inputs of a stage were read. */
+  #noteRead (stage: StageNode): void {
+    this.#read.add(stage.index)
+    this.#freeRead(stage)
+  }
+
   /** Gives up the inputs of a stage that no other stage still has to read. */
-  #freeRead (ended: StageNode): void {
+  #freeRead (reader: StageNode): void {
     const { stages } = this.#work
-    for (const index of ended.after) {
+    for (const index of reader.after) {
       const readers = stages.filter((stage) => stage.after.includes(index))
       const results = this.#byStage.get(index) ?? []
-      if (readers.every((reader) => this.#ended.has(reader.index))) this.#free(results)
+      if (readers.every((other) => this.#read.has(other.index))) this.#free(results)
     }
   }
 
@@ -182,7 +218,8 @@
     this.#asked.add(endpoint.id)
     this.#isBegun = true
     const pieces = missing.map((index) => this.#piece(stage, index, inputs))
-    const outcomes = await links.run({ service: stage.service, endpoint: endpoint.id, pieces })
+    const read = (): void => this.#piecesRead(stage, missing.length)
+    const outcomes = await links.run({ service: stage.service, endpoint: endpoint.id, pieces }, { read })
     return this.#takeOutcomes(stage, missing, outcomes, results, endpoint.id, exclude)
   }
 
@@ -219,13 +256,15 @@
     results: Array<StageResult | undefined>, endpoint: EndpointId, exclude: Set<EndpointId>
   ): PieceFault | undefined {
     let fault: PieceFault | undefined
+    const { clock, profileOf } = this.#context
+    const until = millis(clock.now() + LIFE_SHARE * (profileOf(stage.service)?.resultLife ?? 0))
     missing.forEach((index, at) => {
       const outcome = outcomes[at] ?? { fault: 'failed' }
       if ('fault' in outcome) {
         fault = outcome.fault
         return
       }
-      const result: StageResult = { handle: outcome.handle, endpoint, resultBytes: stage.resultBytes }
+      const result: StageResult = { handle: outcome.handle, endpoint, resultBytes: stage.resultBytes, until }
       results[index] = result
       this.#made.add(result)
       this.#byStage.set(stage.index, [...this.#byStage.get(stage.index) ?? [], result])
@@ -244,9 +283,10 @@
       index,
       key: stage.after.length === 0 ? key : undefined,
       inputs: inputs.map((input) => input.handle),
+      inputBytes: bytes(inputs.reduce((sum, input) => sum + input.resultBytes, 0)),
       resultBytes: stage.resultBytes,
       due: millis(due - timeAfter(stages, stage, profileOf, fullCall)),
-      deadline: millis(deadline - timeAfter(stages, stage, profileOf, shortCall)),
+      deadline: millis(Math.min(deadline - timeAfter(stages, stage, profileOf, shortCall), ...inputs.map((input) => input.until))),
       priority
     }
   }
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -7,7 +7,7 @@
 import type { GathererRoster } from './GathererRoster.js'
 import { packMessage, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
-import type { PieceOutcome, StageOrder } from './types.js'
+import type { OrderListener, PieceOutcome, StageOrder } from './types.js'
 
 export interface StageLinksOptions {
   readonly clock: Clock
@@ -22,6 +22,7 @@
 interface OpenOrder {
   readonly to: InstanceId
   readonly endpoint: EndpointId
+  readonly listener: OrderListener
   readonly end: (outcomes: readonly PieceOutcome[]) => void
 }
 
@@ -37,22 +38,22 @@
   }
 
   /** Has an order's pieces made; all of them fail with `failed` where nothing is heard of it any more. */
-  async run (order: StageOrder): Promise<readonly PieceOutcome[]> {
-    const outcomes = await this.#runOnce(order)
+  async run (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    const outcomes = await this.#runOnce(order, listener)
     const moved = order.pieces.filter((_piece, at) => isMoved(outcomes[at]))
     if (moved.length === 0) return outcomes
-    const again = [...await this.run({ ...order, pieces: moved })]
+    const again = [...await this.run({ ...order, pieces: moved }, listener)]
     return outcomes.map((outcome) => isMoved(outcome) ? again.shift() ?? outcome : outcome)
   }
 
-  #runOnce (order: StageOrder): Promise<readonly PieceOutcome[]> {
+  #runOnce (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { roster, peers, log } = this.#options
     const to = roster.gathererOf(order.endpoint)
     const first = order.pieces[0]!
     log.emit(BATCHING_EVENTS.piecesOrdered, {
       request: first.request, stage: first.stage, pieces: order.pieces.length, endpoint: order.endpoint, gatherer: to
     })
-    return to === peers.self ? this.#runHere(order) : this.#runAt(to, order)
+    return to === peers.self ? this.#runHere(order, listener) : this.#runAt(to, order, listener)
   }
 
   /** The request was given up: its waiting pieces make room. */
@@ -75,26 +76,26 @@
     this.#options.peers.broadcast('stage', packMessage({ kind: 'leaving' }, this.#options.clock.now()))
   }
 
-  #runHere (order: StageOrder): Promise<readonly PieceOutcome[]> {
+  #runHere (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     return new Promise((resolve) => {
-      const backlog = this.#options.gatherer.take(order, resolve)
+      const backlog = this.#options.gatherer.take(order, listener, resolve)
       if (backlog === undefined) resolve(allUnplaced(order))
       else this.#options.onBacklog(order.endpoint, backlog)
     })
   }
 
-  async #runAt (to: InstanceId, order: StageOrder): Promise<readonly PieceOutcome[]> {
+  async #runAt (to: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { clock, peers, roster, log } = this.#options
     const id = ++this.#count
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
-      this.#open.set(id, { to, endpoint: order.endpoint, end: resolve })
+      this.#open.set(id, { to, endpoint: order.endpoint, listener, end: resolve })
     })
     const taken = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), TAKE_TIMEOUT)
     if (taken.isErr) {
       this.#open.delete(id)
       roster.doubt(to)
       log.emit(BATCHING_EVENTS.gathererDoubted, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
-      return await this.run(order)
+      return await this.run(order, listener)
     }
     if (typeof taken.value !== 'number') {
       this.#open.delete(id)
@@ -123,6 +124,7 @@
     const { clock, gatherer, roster } = this.#options
     const message = unpackMessage(body, clock.now())
     if (message?.kind === 'order') return this.#take(from, message.id, message.order)
+    if (message?.kind === 'read') this.#open.get(message.id)?.listener.read()
     if (message?.kind === 'done') this.#done(from, message)
     if (message?.kind === 'cancel') gatherer.cancel(message.endpoint, message.request)
     if (message?.kind === 'free') gatherer.free(message.endpoint, message.handles)
@@ -132,7 +134,7 @@
 
   #take (from: InstanceId, id: number, order: StageOrder): Json {
     const { gatherer } = this.#options
-    const backlog = gatherer.take(order, (outcomes) => {
+    const backlog = gatherer.take(order, { read: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
       this.#send(from, { kind: 'done', id, endpoint: order.endpoint, outcomes })
     })
     return backlog ?? null
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -11,6 +11,9 @@
 /** A call that takes this many times its forecast, and the time below more, counts as lost. */
 export const LOST_FACTOR = 3
 export const LOST_MARGIN = millis(400)
+/** Time after which an endpoint has surely begun to read its inputs, and the least rate at which it reads them. */
+export const READ_DELAY = millis(40)
+export const READ_BYTES_PER_MILLI = 300_000
 /** Wait before a refused batch is offered again. */
 export const REFUSED_PAUSE = millis(60)
 /** Wait before pieces are offered again to an endpoint without room. */
@@ -19,6 +22,8 @@
 export const FREE_PERIOD = millis(50)
 /** Weight of the newest call in an endpoint's pace. */
 export const PACE_WEIGHT = 0.3
+/** Part of a result's life in which it is counted on, since its end is not known exactly. */
+export const LIFE_SHARE = 0.95
 /** Times that a stage's pieces may be asked for again before their request fails. */
 export const MAX_REMAKES = 4
 /** A word of an endpoint's backlog counts for this long. */
--- a/packages/batching/src/events.ts
+++ b/packages/batching/src/events.ts
@@ -8,5 +8,6 @@
   gathererDoubted: { number: 1704, level: 'warn', text: 'An instance did not take an order in time; another gathers in its place.' },
   piecesAgain: { number: 1705, level: 'info', text: 'Pieces of a request are made again.' },
   piecesDropped: { number: 1706, level: 'info', text: 'Pieces whose request can no longer be answered in time made room.' },
+  stagesAgain: { number: 1708, level: 'info', text: 'A request\'s stages are run again, since inputs were gone before they were read.' },
   piecesFaulty: { number: 1707, level: 'info', text: 'A stage endpoint did not make some pieces of a batch.' }
 })
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -6,6 +6,8 @@
 export type StageMessage =
   | { readonly kind: 'order', readonly id: number, readonly order: StageOrder }
   | { readonly kind: 'done', readonly id: number, readonly endpoint: EndpointId, readonly outcomes: readonly PieceOutcome[] }
+  /** The endpoint has read the inputs of an order's pieces. */
+  | { readonly kind: 'read', readonly id: number }
   | { readonly kind: 'cancel', readonly endpoint: EndpointId, readonly request: string }
   | { readonly kind: 'free', readonly endpoint: EndpointId, readonly handles: readonly string[] }
   /** The sender is stopping and gathers no more. */
@@ -28,6 +30,7 @@
     stage: first.stage,
     key: first.key ?? null,
     inputs: [...first.inputs],
+    inputBytes: first.inputBytes,
     resultBytes: first.resultBytes,
     priority: first.priority,
     dueIn: first.due - now,
@@ -43,6 +46,7 @@
   readonly stage: number
   readonly key: string | null
   readonly inputs: readonly string[]
+  readonly inputBytes: number
   readonly resultBytes: number
   readonly priority: number
   readonly dueIn: number
@@ -57,6 +61,7 @@
     index,
     key: packed.key ?? undefined,
     inputs: packed.inputs,
+    inputBytes: bytes(packed.inputBytes),
     resultBytes: bytes(packed.resultBytes),
     priority: packed.priority,
     due: millis(now + packed.dueIn),
@@ -70,6 +75,7 @@
   switch (message.kind) {
     case 'order': return { kind: 'order', id: message.id, order: packOrder(message.order, now) }
     case 'done': return { ...message, outcomes: message.outcomes.map(packOutcome) }
+    case 'read':
     case 'cancel': return { ...message }
     case 'free': return { ...message, handles: [...message.handles] }
     case 'leaving': return { kind: 'leaving' }
@@ -83,6 +89,7 @@
   switch (message.kind) {
     case 'order': return { kind: 'order', id: message.id, order: unpackOrder(message.order, now) }
     case 'done': return { ...message, outcomes: message.outcomes.map(unpackOutcome) }
+    case 'read':
     case 'cancel':
     case 'free':
     case 'leaving': return message
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -12,6 +12,8 @@
   readonly key: string | undefined
   /** Handles of all pieces of the stages before. */
   readonly inputs: readonly string[]
+  /** Bytes of all inputs. */
+  readonly inputBytes: Bytes
   readonly resultBytes: Bytes
   /** Monotonic time by which it should be made for its request to meet its target. */
   readonly due: Millis
@@ -66,7 +68,15 @@
   readonly handle: string
   readonly endpoint: EndpointId
   readonly resultBytes: Bytes
+  /** Monotonic time after which it is gone. */
+  readonly until: Millis
 }
 
 /** Looks up how a service's endpoints batch. */
 export type ProfileOf = (service: ServiceId) => BatchProfile | undefined
+
+/** How an order fares. */
+export interface OrderListener {
+  /** The endpoint has read the inputs of all pieces. */
+  read (): void
+}
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -6,7 +6,8 @@
 import { Result } from 'true-myth'
 import { choosePlain } from './choosePlain.js'
 import {
-  FIRST_PLACE_PATIENCE, HANG_TARGETS, MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, PLACE_RETRY
+  FIRST_PLACE_PATIENCE, HANG_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY,
+  MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, PLACE_RETRY
 } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -148,7 +149,9 @@
     this.#sends++
     log.emit(FORWARDING_EVENTS.requestPlaced, this.#placeFields(endpoint, unread))
     this.#guard.dispatched()
+    const reading = clock.after(this.#readTime(), () => this.#graph?.release())
     const end = await exchange.run(socket)
+    reading.cancel()
     endpoint.running--
     if (unread !== undefined) engines.read(endpoint, unread)
     const took = millis(clock.now() - startedAt)
@@ -163,6 +166,12 @@
     return await this.#judge(endpoint, end)
   }
 
+  /** Time after which the endpoint has read the request's inputs. */
+  #readTime (): Millis {
+    const size = this.#inputs.reduce((sum, { resultBytes }) => sum + resultBytes, 0)
+    return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
+  }
+
   #tookUntilFirst (exchange: OpaqueExchange, startedAt: Millis, took: Millis): Millis {
     if (exchange.firstAt === undefined) return took
     const first = millis(exchange.firstAt - startedAt)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -45,3 +45,6 @@
 export const FIRST_EVENT_WEIGHT = 0.15
 /** Time to a first event before any was measured. */
 export const FIRST_EVENT_GUESS = millis(250)
+/** Time after which an engine has surely begun to read a request's inputs, and the least rate at which it reads them. */
+export const INPUT_READ_DELAY = millis(60)
+export const INPUT_BYTES_PER_MILLI = 50_000
