--- /dev/null
+++ b/packages/forwarding/src/MoveGate.ts
@@ -0,0 +1,202 @@
+import { isJsonObject } from '@papayahill/common'
+import type { Clock, EventLog, Json, Millis, Random, ServiceId } from '@papayahill/common'
+import type { Endpoint, ServingRoute, VersionOrder } from '@papayahill/directory'
+import { MOVE_DONE_MARGIN, MOVE_FULL_SPAN, MOVE_PROBE_SHARE, SLOW_FACTOR, SLOW_MARGIN, USUAL_WEIGHT } from './constants.js'
+import { FORWARDING_EVENTS } from './events.js'
+import { judgeMove, sumEvidence } from './MoveEvidence.js'
+import type { RouteCounts, VersionCounts } from './MoveEvidence.js'
+import type { CallEnd } from './types.js'
+import type { VersionGate } from './VersionGate.js'
+
+/** Where a move stands; the last two are final. */
+export type MoveState = 'moving' | 'done' | 'taken-back'
+
+/** What the platform's store holds of a move. */
+export interface MoveRecord {
+  readonly to: string
+  readonly state: MoveState
+}
+
+/** Keeps the state of moves where all instances and operators find it. */
+export interface MoveRecords {
+  read (service: ServiceId): Promise<MoveRecord | undefined>
+  /** Writes unless another write came after the last read; false where it did or the store gave no answer. */
+  write (service: ServiceId, record: MoveRecord): Promise<boolean>
+}
+
+/** Tells the other instances what this one has counted, and hears what they have. */
+export interface MoveNews {
+  publish (service: ServiceId, news: Json): void
+  heard (service: ServiceId): readonly Json[]
+}
+
+export interface MoveGateOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: EventLog
+  readonly records: MoveRecords
+  readonly news: MoveNews
+  /** Part of a service's requests that a bad version may get. */
+  readonly exposureShare: () => number
+  /** Whether this instance records a service's move, so that one does at a time. */
+  readonly isRecorder: (service: ServiceId) => boolean
+}
+
+interface OpenMove {
+  readonly order: VersionOrder
+  readonly seenAt: Millis
+  /** Time of the move that had passed when it was first seen here, as others tell. */
+  passedBefore: number
+  state: MoveState
+  told: MoveState | undefined
+  recorded: MoveRecord | undefined
+  isRecording: boolean
+  readonly routes: Record<string, { fresh: VersionCounts, old: VersionCounts }>
+}
+
+const FINAL: ReadonlySet<MoveState> = new Set(['done', 'taken-back'])
+
+/**
+ * Moves services to new versions: a small share at first, all of it shortly before the time set where all instances'
+ * answers are good, and back to the old one at once where they are not.
+ *
+ * @example
+ * gate.order({ service, to: 'v2', within })
+ * gate.admit(service, endpoints)
+ */
+export class MoveGate implements VersionGate {
+  readonly #options: MoveGateOptions
+  readonly #moves = new Map<ServiceId, OpenMove>()
+  /** Usual time to an answer of the old version on each route. */
+  readonly #usual = new Map<string, number>()
+
+  constructor (options: MoveGateOptions) {
+    this.#options = options
+  }
+
+  /** An order came, or was withdrawn. */
+  order (order: VersionOrder | undefined, service: ServiceId): void {
+    const known = this.#moves.get(service)
+    if (order === undefined) {
+      this.#moves.delete(service)
+      return
+    }
+    if (known?.order.to === order.to && known.order.within === order.within) return
+    const seenAt = this.#options.clock.now()
+    this.#moves.set(service, {
+      order, seenAt, passedBefore: 0, state: 'moving', told: undefined, recorded: undefined, isRecording: false, routes: {}
+    })
+    this.#options.log.emit(FORWARDING_EVENTS.moveBegan, { service, to: order.to, withinMs: order.within })
+  }
+
+  admit (service: ServiceId, endpoints: readonly Endpoint[]): readonly Endpoint[] {
+    const move = this.#moves.get(service)
+    if (move === undefined) return endpoints
+    const { to } = move.order
+    const fresh = endpoints.filter((endpoint) => endpoint.record.version === to)
+    const old = endpoints.filter((endpoint) => endpoint.record.version !== to)
+    const wanted = this.#options.random.next() < this.#share(move) ? fresh : old
+    if (wanted.length > 0) return wanted
+    // A version that was taken back gets nothing, whatever is left.
+    return move.state === 'taken-back' ? old : endpoints
+  }
+
+  ended (endpoint: Endpoint, route: ServingRoute, end: CallEnd, took: number): void {
+    const move = this.#moves.get(endpoint.service)
+    const isFresh = move !== undefined && endpoint.record.version === move.order.to
+    const verdict = this.#verdictOf(route.name, end, took, isFresh)
+    if (move === undefined || verdict === undefined) return
+    const counts = move.routes[route.name] ?? { fresh: { calls: 0, bad: 0 }, old: { calls: 0, bad: 0 } }
+    const side = isFresh ? 'fresh' : 'old'
+    const { calls, bad } = counts[side]
+    move.routes[route.name] = { ...counts, [side]: { calls: calls + 1, bad: bad + (verdict === 'bad' ? 1 : 0) } }
+    if (isFresh && verdict === 'bad') this.#judge(endpoint.service, move)
+  }
+
+  /** Judges, publishes and records all open moves; called every so often. */
+  tend (): void {
+    for (const [service, move] of this.#moves) {
+      this.#judge(service, move)
+      this.#publish(service, move)
+      if (this.#options.isRecorder(service)) void this.#record(service, move)
+    }
+  }
+
+  /** While a move is open its counts are told; then its end, once. */
+  #publish (service: ServiceId, move: OpenMove): void {
+    const isTold = FINAL.has(move.state) && move.told === move.state
+    if (isTold) return
+    move.told = move.state
+    this.#options.news.publish(service, {
+      to: move.order.to, passed: this.#passed(move), state: move.state, routes: move.routes as unknown as Json
+    })
+  }
+
+  #verdictOf (route: string, end: CallEnd, took: number, isFresh: boolean): 'good' | 'bad' | undefined {
+    if (end.kind === 'lost' || (end.kind === 'answered' && end.status >= 500)) return 'bad'
+    if (end.kind !== 'answered' && end.kind !== 'streamed') return undefined
+    const usual = this.#usual.get(route)
+    const isSlow = usual !== undefined && took > SLOW_FACTOR * usual + SLOW_MARGIN
+    if (!isFresh) this.#usual.set(route, usual === undefined ? took : usual + USUAL_WEIGHT * (took - usual))
+    return isSlow ? 'bad' : 'good'
+  }
+
+  #passed (move: OpenMove): number {
+    return move.passedBefore + this.#options.clock.now() - move.seenAt
+  }
+
+  /** Part of the requests that the new version gets now. */
+  #share (move: OpenMove): number {
+    if (move.state === 'taken-back') return 0
+    if (move.state === 'done') return 1
+    const left = move.order.within - this.#passed(move)
+    const isFull = left <= MOVE_FULL_SPAN && left > 0 && judgeMove(this.#evidence(move)) === 'good'
+    return isFull ? 1 : MOVE_PROBE_SHARE * this.#options.exposureShare()
+  }
+
+  #evidence (move: OpenMove): RouteCounts {
+    const heard = this.#options.news.heard(move.order.service).filter(isJsonObject).filter((news) => news.to === move.order.to)
+    return sumEvidence([move.routes, ...heard.map((news) => news.routes as unknown as RouteCounts)])
+  }
+
+  #judge (service: ServiceId, move: OpenMove): void {
+    this.#follow(service, move)
+    if (FINAL.has(move.state)) return
+    const verdict = judgeMove(this.#evidence(move))
+    if (verdict === 'bad') return this.#close(service, move, 'taken-back', 'its answers are worse than the old version\'s')
+    const left = move.order.within - this.#passed(move)
+    if (verdict === 'good' && left <= MOVE_DONE_MARGIN && left > 0) this.#close(service, move, 'done', 'its answers are good')
+  }
+
+  /** A version taken back anywhere is taken back here; a move that is done anywhere is done. */
+  #follow (service: ServiceId, move: OpenMove): void {
+    for (const news of this.#options.news.heard(service).filter(isJsonObject)) {
+      if (news.to !== move.order.to) continue
+      const ahead = Number(news.passed) - this.#passed(move)
+      if (ahead > 0) move.passedBefore += ahead
+      if (news.state === 'taken-back' && move.state === 'moving') this.#close(service, move, 'taken-back', 'another instance took it back')
+    }
+    const { recorded } = move
+    const isDecided = recorded !== undefined && recorded.to === move.order.to && FINAL.has(recorded.state)
+    if (isDecided && recorded.state !== move.state) this.#close(service, move, recorded.state, 'as recorded')
+  }
+
+  #close (service: ServiceId, move: OpenMove, state: MoveState, because: string): void {
+    move.state = state
+    const evidence = JSON.stringify(this.#evidence(move))
+    this.#options.log.emit(FORWARDING_EVENTS.moveClosed, { service, to: move.order.to, state, because, evidence })
+  }
+
+  async #record (service: ServiceId, move: OpenMove): Promise<void> {
+    const { records } = this.#options
+    const isRecorded = move.recorded?.to === move.order.to && move.recorded.state === move.state
+    if (move.isRecording || isRecorded) return
+    move.isRecording = true
+    const before = await records.read(service)
+    const isDecided = before?.to === move.order.to && FINAL.has(before.state)
+    const wanted: MoveRecord = { to: move.order.to, state: move.state }
+    if (isDecided) move.recorded = before
+    else if (await records.write(service, wanted)) move.recorded = wanted
+    move.isRecording = false
+  }
+}
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -48,3 +48,13 @@
 /** Time after which an engine has surely begun to read a request's inputs, and the least rate at which it reads them. */
 export const INPUT_READ_DELAY = millis(60)
 export const INPUT_BYTES_PER_MILLI = 50_000
+/** Part of the allowed exposure that a new version gets until its answers are judged. */
+export const MOVE_PROBE_SHARE = 0.5
+/** Time before the time set at which a good version gets all requests, and at which the move is done. */
+export const MOVE_FULL_SPAN = millis(2200)
+export const MOVE_DONE_MARGIN = millis(700)
+/** An answer is slow that takes this many times the usual, and the time below more. */
+export const SLOW_FACTOR = 2.5
+export const SLOW_MARGIN = millis(60)
+/** Weight of the newest answer in a route's usual time. */
+export const USUAL_WEIGHT = 0.1
--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -12,5 +12,7 @@
   requestCut: { number: 1808, level: 'warn', text: 'An answer that had begun was broken off.' },
   callerGone: { number: 1809, level: 'info', text: 'The caller went away; work for its request was stopped.' },
   stagesEnded: { number: 1810, level: 'info', text: 'The stages before a request\'s last call ended.' },
-  retryDenied: { number: 1811, level: 'info', text: 'A repetition was left out because the retry budget is used up.' }
+  retryDenied: { number: 1811, level: 'info', text: 'A repetition was left out because the retry budget is used up.' },
+  moveBegan: { number: 1812, level: 'info', text: 'A service is to move to another version.' },
+  moveClosed: { number: 1813, level: 'info', text: 'A move is done, or its version was taken back.' }
 })
