--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,6 +8,9 @@
 /** What tests of the entry instance's process may import besides. */
 const TEST_HELP = ['invariants', 'standins']
 
+/** Headers, paths and fields of the users' platform. */
+const PLATFORM_WORDS = '/^(papayahill-(attempt|deadline|prefix|response|replica|not|token|weight|chunk|input|request|expect|tenant|kv|pin)|\\/(rows-|stage-run|stage-free)|(routeTable|headroomMb|coldRemainingMs|targetLatencyMs)$)/i'
+
 const layerRule = ([name, below], files) => ({
   files,
   rules: {
@@ -38,5 +41,15 @@
     }
   },
   ...Object.entries(layers).map((layer) => layerRule(layer, [`packages/${layer[0]}/src/**/*.ts`, `apps/${layer[0]}/src/**/*.ts`])),
+  layerRule(['platform', layers.platform], ['platform/src/**/*.ts']),
+  {
+    files: ['packages/*/src/**/*.ts', 'apps/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', {
+        selector: `Literal[value=${PLATFORM_WORDS}]`,
+        message: 'the platform\'s headers, paths and fields are decoded in platform/ only'
+      }]
+    }
+  },
   layerRule(['papayahilld', [...layers.papayahilld, ...TEST_HELP]], ['apps/papayahilld/src/**/*.test.ts'])
 ]
--- /dev/null
+++ b/packages/batching/src/BacklogBoard.test.ts
@@ -0,0 +1,61 @@
+import { brand, millis, VirtualClock } from '@papayahill/common'
+import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
+import { Endpoint } from '@papayahill/directory'
+import { describe, expect, it } from 'vitest'
+import { BacklogBoard, chooseHome, choosePlace } from './BacklogBoard.js'
+
+const domainOf = (name: string): DomainId => brand<DomainId>(name)
+
+const endpointOf = (id: string, domain: string): Endpoint => new Endpoint({
+  id: brand<EndpointId>(id),
+  service: brand<ServiceId>('encode'),
+  address: { ip: '10.0.0.1', port: 1 },
+  domain: domainOf(domain),
+  version: 'v1',
+  slots: 1,
+  isDraining: false,
+  coldFor: millis(0),
+  sequence: 1,
+  bornAt: undefined
+})
+
+const near = endpointOf('near', 'hall-1')
+const far = endpointOf('far', 'hall-2')
+
+describe('choosePlace', () => {
+  const want = { endpoints: [near, far], inputBytes: new Map(), outputBytes: 0, home: undefined, exclude: new Set<EndpointId>() }
+
+  it('takes the shortest wait, as it has shrunk since it was told', async () => {
+    const clock = new VirtualClock()
+    const board = new BacklogBoard(clock)
+    board.note(near.id, millis(300))
+    expect(choosePlace(board, want)).toBe(far)
+    board.note(far.id, millis(200))
+    await clock.advance(millis(50))
+    expect(board.backlog(near.id)).toBe(250)
+    expect(choosePlace(board, want)).toBe(far)
+  })
+
+  it('waits a little longer where large inputs would cross domains', () => {
+    const board = new BacklogBoard(new VirtualClock())
+    board.note(near.id, millis(100))
+    expect(choosePlace(board, { ...want, inputBytes: new Map([[domainOf('hall-1'), 4_000_000]]) })).toBe(near)
+    expect(choosePlace(board, { ...want, inputBytes: new Map([[domainOf('hall-1'), 8000]]) })).toBe(far)
+  })
+
+  it('goes back to an endpoint that failed only where there is no other', () => {
+    const board = new BacklogBoard(new VirtualClock())
+    expect(choosePlace(board, { ...want, exclude: new Set([near.id]) })).toBe(far)
+    expect(choosePlace(board, { ...want, endpoints: [near], exclude: new Set([near.id]) })).toBe(near)
+  })
+})
+
+describe('chooseHome', () => {
+  it('is the engine\'s domain unless its stages are busy', () => {
+    const board = new BacklogBoard(new VirtualClock())
+    expect(chooseHome(board, [[near, far]], domainOf('hall-2'), 0)).toBe('hall-2')
+    board.note(far.id, millis(400))
+    expect(chooseHome(board, [[near, far]], domainOf('hall-2'), 0)).toBe('hall-1')
+    expect(chooseHome(board, [[near, far]], domainOf('hall-2'), 20_000_000)).toBe('hall-2')
+  })
+})
--- /dev/null
+++ b/packages/batching/src/GathererRoster.test.ts
@@ -0,0 +1,52 @@
+import { brand, millis, VirtualClock } from '@papayahill/common'
+import type { DomainId, EndpointId, Incarnation, InstanceId } from '@papayahill/common'
+import type { PeerMember } from '@papayahill/peers'
+import { describe, expect, it } from 'vitest'
+import { GathererRoster } from './GathererRoster.js'
+
+const idOf = (name: string): InstanceId => brand<InstanceId>(name)
+
+const memberOf = (name: string, life = 1, silence = 0): PeerMember => ({
+  id: idOf(name), incarnation: brand<Incarnation>(`${name}@${life}`), domain: brand<DomainId>('hall'), silence: millis(silence)
+})
+
+const rosterOf = (self: string, members: readonly PeerMember[], clock = new VirtualClock()): GathererRoster =>
+  new GathererRoster(clock, { self: idOf(self), members: () => members })
+
+const ENDPOINTS = Array.from({ length: 30 }, (_none, at) => brand<EndpointId>(`e${at}`))
+const choices = (roster: GathererRoster): readonly InstanceId[] => ENDPOINTS.map((endpoint) => roster.gathererOf(endpoint))
+
+describe('GathererRoster', () => {
+  it('names the same gatherer on all instances that hear each other', () => {
+    const [a, b, c] = ['a', 'b', 'c'].map((name) => memberOf(name))
+    const views = [rosterOf('a', [b!, c!]), rosterOf('b', [a!, c!]), rosterOf('c', [a!, b!])]
+    expect(choices(views[1]!)).toEqual(choices(views[0]!))
+    expect(choices(views[2]!)).toEqual(choices(views[0]!))
+    expect(new Set(choices(views[0]!)).size).toBe(3)
+  })
+
+  it('moves only the endpoints of an instance that fell silent', () => {
+    const before = choices(rosterOf('a', [memberOf('b'), memberOf('c')]))
+    const after = choices(rosterOf('a', [memberOf('b'), memberOf('c', 1, 5000)]))
+    before.forEach((id, at) => { if (id !== idOf('c')) expect(after[at]).toBe(id) })
+    expect(after).not.toContain(idOf('c'))
+  })
+
+  it('leaves out an instance that stops, and takes its next life in at once', () => {
+    const members = [memberOf('b')]
+    const roster = rosterOf('a', members)
+    roster.leaves(idOf('b'))
+    expect(choices(roster)).not.toContain(idOf('b'))
+    members[0] = memberOf('b', 2)
+    expect(choices(roster)).toContain(idOf('b'))
+  })
+
+  it('doubts an instance that took no order only for a while', async () => {
+    const clock = new VirtualClock()
+    const roster = rosterOf('a', [memberOf('b')], clock)
+    roster.doubt(idOf('b'))
+    expect(choices(roster)).not.toContain(idOf('b'))
+    await clock.advance(millis(2000))
+    expect(choices(roster)).toContain(idOf('b'))
+  })
+})
--- a/packages/bench/src/docs/loadCatalogues.ts
+++ b/packages/bench/src/docs/loadCatalogues.ts
@@ -20,7 +20,7 @@
   const folders = ['packages/', 'apps/'].flatMap((parent) => {
     const url = new URL(parent, ROOT)
     return readdirSync(url).map((name) => new URL(`${name}/`, url))
-  })
+  }).concat(new URL('platform/', ROOT))
   const files = folders.map((folder) => ({ folder, file: new URL(path, folder) })).filter(({ file }) => existsSync(file))
   return await Promise.all(files.map(async ({ folder, file }) => ({
     package: basename(folder.pathname),
--- /dev/null
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -0,0 +1,128 @@
+import { brand, epochMillis, EventRecorder, millis, VirtualClock } from '@papayahill/common'
+import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
+import { describe, expect, it } from 'vitest'
+import { EndpointDirectory } from './EndpointDirectory.js'
+import type { EndpointEntry } from './EndpointDirectory.js'
+import type { EndpointRecord, TableRow } from './types.js'
+
+const SERVICE = brand<ServiceId>('orders')
+const NO_OUTAGE = millis(0)
+const OUTAGE = millis(4000)
+
+const rowOf = (id: string, fields: Partial<EndpointRecord> = {}): TableRow<EndpointEntry> => ({
+  key: id,
+  revision: 1,
+  value: {
+    record: {
+      id: brand<EndpointId>(id),
+      service: SERVICE,
+      address: { ip: '10.0.0.1', port: 8080 },
+      domain: brand<DomainId>('hall-1'),
+      version: 'v1',
+      slots: 6,
+      isDraining: false,
+      coldFor: millis(0),
+      sequence: 3,
+      bornAt: epochMillis(1000),
+      ...fields
+    }
+  }
+})
+
+const gone = (key: string): TableRow<EndpointEntry> => ({ key, value: undefined, revision: 2 })
+
+const rig = () => {
+  const clock = new VirtualClock()
+  const out = new Set<string>()
+  const directory = new EndpointDirectory({ clock, log: new EventRecorder(clock), isDomainOut: (domain) => out.has(domain) })
+  const usable = (): readonly string[] => directory.usable(SERVICE).map(({ id }) => id)
+  return { clock, directory, out, usable }
+}
+
+describe('EndpointDirectory', () => {
+  describe('what may take new work', () => {
+    it('leaves out endpoints that leave, are gone, or stand in a domain that is out', () => {
+      const { directory, out, usable } = rig()
+      directory.replaced([rowOf('a'), rowOf('b'), rowOf('c', { domain: brand<DomainId>('hall-2') })], NO_OUTAGE)
+      expect(usable()).toEqual(['a', 'b', 'c'])
+      directory.changed([rowOf('a', { isDraining: true, sequence: 4 }), gone('b')], NO_OUTAGE)
+      expect(usable()).toEqual(['c'])
+      out.add('hall-2')
+      expect(usable()).toEqual([])
+    })
+
+    it('leaves out a malformed entry and keeps the others', () => {
+      const { directory, usable } = rig()
+      directory.replaced([rowOf('a'), { key: 'b', value: { malformed: 'slots: found "x"' }, revision: 1 }], NO_OUTAGE)
+      expect(usable()).toEqual(['a'])
+    })
+  })
+
+  describe('older words', () => {
+    it('never brings back an endpoint that leaves by an older report of the same life', () => {
+      const { directory, usable } = rig()
+      directory.replaced([rowOf('a', { isDraining: true, sequence: 5 })], NO_OUTAGE)
+      directory.changed([rowOf('a', { sequence: 4 })], NO_OUTAGE)
+      expect(usable()).toEqual([])
+    })
+
+    it('takes a restart under the same id as another life that knows nothing of before', () => {
+      const { directory, usable } = rig()
+      const ended: string[] = []
+      directory.onGone(({ id }) => { ended.push(id) })
+      directory.replaced([rowOf('a', { isDraining: true, sequence: 9 })], NO_OUTAGE)
+      const before = directory.get(brand<EndpointId>('a'))
+      directory.changed([rowOf('a', { sequence: 1, bornAt: epochMillis(2000) })], NO_OUTAGE)
+      expect(usable()).toEqual(['a'])
+      expect(ended).toEqual(['a'])
+      expect(before?.isGone).toBe(true)
+    })
+  })
+
+  describe('after an outage of the store', () => {
+    it('keeps missing endpoints for the time in which the living enter themselves again, and no longer', async () => {
+      const { clock, directory, usable } = rig()
+      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      directory.changed([gone('a'), gone('b')], OUTAGE)
+      expect(usable()).toEqual(['a', 'b'])
+      await clock.advance(millis(1500))
+      directory.changed([rowOf('b', { sequence: 4 })], NO_OUTAGE)
+      await clock.advance(millis(600))
+      expect(usable()).toEqual(['b'])
+    })
+
+    it('drops them at once where there was none', () => {
+      const { directory, usable } = rig()
+      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      directory.replaced([rowOf('b')], NO_OUTAGE)
+      expect(usable()).toEqual(['b'])
+    })
+  })
+
+  describe('health', () => {
+    it('avoids broken endpoints while others are left, and tries them again', async () => {
+      const { clock, directory } = rig()
+      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      const [a, b] = directory.usable(SERVICE)
+      const healthy = (): readonly string[] => directory.healthy(SERVICE).map(({ id }) => id)
+      a!.noteBroken(clock.now())
+      expect(healthy()).toEqual(['b'])
+      b!.noteBroken(clock.now())
+      expect(healthy()).toEqual(['a', 'b'])
+      await clock.advance(millis(500))
+      expect(healthy()).toEqual(['a', 'b'])
+    })
+
+    it('avoids an endpoint that fails far more often than its fellows, however healthy it calls itself', () => {
+      const { directory } = rig()
+      directory.replaced([rowOf('a'), rowOf('b'), rowOf('c')], NO_OUTAGE)
+      const [a, b, c] = directory.usable(SERVICE)
+      for (let answer = 0; answer < 12; answer++) {
+        a!.noteAnswer(answer % 2 === 0)
+        b!.noteAnswer(true)
+        c!.noteAnswer(true)
+      }
+      expect(directory.healthy(SERVICE).map(({ id }) => id)).toEqual(['b', 'c'])
+    })
+  })
+})
--- /dev/null
+++ b/packages/directory/src/TableWatch.test.ts
@@ -0,0 +1,57 @@
+import { EventRecorder, millis, SeededRandom, VirtualClock } from '@papayahill/common'
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { TableWatch } from './TableWatch.js'
+import type { WatchedTable } from './TableWatch.js'
+import type { TableError, TableRow, TableRows } from './types.js'
+
+type Answer = Result<TableRows<string>, TableError>
+
+const rows = (revision: number, ...keys: readonly string[]): Answer =>
+  Result.ok({ revision, rows: keys.map((key) => ({ key, value: key, revision })) })
+const failed = (kind: TableError['kind']): Answer => Result.err({ kind, detail: kind })
+
+/** Follows a table that answers by a script, reads and looks alike; the last answer repeats. */
+const follow = async (script: readonly Answer[], span: number) => {
+  const clock = new VirtualClock()
+  const log = new EventRecorder(clock)
+  const calls: string[] = []
+  const seen: string[] = []
+  const answers = [...script]
+  const next = async (call: string): Promise<Answer> => {
+    calls.push(call)
+    await clock.sleep(millis(10))
+    return answers.length > 1 ? answers.shift()! : answers[0]!
+  }
+  const table: WatchedTable<string> = { name: 'things', read: () => next('read'), changes: (after) => next(`after ${after}`) }
+  const note = (kind: string) => (changed: ReadonlyArray<TableRow<string>>, outage: number): void => {
+    seen.push(`${kind} ${changed.map(({ key }) => key).join(' ')}${outage > 0 ? ' after an outage' : ''}`)
+  }
+  const listener = { replaced: note('all'), changed: note('some') }
+  const watch = new TableWatch({ clock, random: new SeededRandom(1), log, table, listener })
+  watch.start()
+  await clock.advance(millis(span))
+  watch.stop()
+  return { calls, seen, names: log.records.map(({ kind }) => kind.name) }
+}
+
+describe('TableWatch', () => {
+  it('reads the table once and follows its changes from there', async () => {
+    const { calls, seen } = await follow([rows(5, 'a', 'b'), rows(6, 'c'), rows(6)], 600)
+    expect(calls.slice(0, 3)).toEqual(['read', 'after 5', 'after 6'])
+    expect(seen).toEqual(['all a b', 'some c'])
+  })
+
+  it('reads the table anew when the history is gone', async () => {
+    const { calls, seen } = await follow([rows(5, 'a'), failed('history-gone'), rows(9, 'b'), rows(9)], 900)
+    expect(calls.slice(0, 3)).toEqual(['read', 'after 5', 'read'])
+    expect(seen).toEqual(['all a', 'all b'])
+  })
+
+  it('goes on after an outage from where it was, and tells how long it lasted', async () => {
+    const { calls, seen, names } = await follow([rows(5, 'a'), failed('unavailable'), failed('unavailable'), rows(7, 'b'), rows(7)], 3000)
+    expect(calls.slice(0, 4)).toEqual(['read', 'after 5', 'after 5', 'after 5'])
+    expect(seen).toEqual(['all a', 'some b after an outage'])
+    expect(names).toEqual(['tableLost', 'tableRegained'])
+  })
+})
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -351,7 +351,8 @@
       ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now: clock.now() })
     const isEngine = profileOf(this.#service)?.engine !== undefined
     const choose = (place: PlacementWant): Endpoint | undefined => isEngine ? engines.choose(place) : choosePlain(random, place)
-    return choose(want(this.#exclude)) ?? (this.#runs === 0 ? choose(want(NONE)) : undefined)
+    // The last endpoint left may be asked again, where the request may run again.
+    return choose(want(this.#exclude)) ?? (this.#runs === 0 || this.#mayRepeat ? choose(want(NONE)) : undefined)
   }
 
   /** Bytes of this request's inputs in each failure domain. */
--- a/packages/forwarding/src/MoveEvidence.ts
+++ b/packages/forwarding/src/MoveEvidence.ts
@@ -13,16 +13,25 @@
 const NO_CALLS: VersionCounts = { calls: 0, bad: 0 }
 /** Bad answers of the new version on one route from which on they are no accident. */
 const MIN_BAD = 4
-/** Share by which the new version's answers must be worse than the old one's. */
-const MIN_EXCESS = 0.08
-const MIN_RATIO = 2.5
+/** Standard deviations above what the old version's rate lets expect from which on the new one is worse. */
+const MIN_DEVIATIONS = 3.5
+/** Rate that is expected where the old version shows no bad answer. */
+const MIN_RATE = 0.01
+/** Added to the variance, which a few calls show poorly. */
+const VARIANCE_MARGIN = 0.5
 /** Calls of the new version without which nothing is known. */
 const MIN_CALLS = 10
 
 const plus = (left: VersionCounts, right: VersionCounts): VersionCounts =>
   ({ calls: left.calls + right.calls, bad: left.bad + right.bad })
 
-const rateOf = ({ calls, bad }: VersionCounts): number => calls === 0 ? 0 : bad / calls
+/** Whether the new version has more bad answers than chance would give it at the old one's rate. */
+const isWorse = (fresh: VersionCounts, old: VersionCounts): boolean => {
+  if (fresh.bad < MIN_BAD) return false
+  const rate = Math.max(MIN_RATE, old.calls === 0 ? 0 : old.bad / old.calls)
+  const deviation = Math.sqrt(fresh.calls * rate * (1 - rate) + VARIANCE_MARGIN)
+  return fresh.bad - fresh.calls * rate > MIN_DEVIATIONS * deviation
+}
 
 /** Adds up what several instances have counted. */
 export const sumEvidence = (parts: readonly RouteCounts[]): RouteCounts => {
@@ -44,9 +53,7 @@
  */
 export const judgeMove = (evidence: RouteCounts): MoveVerdict => {
   const routes = Object.values(evidence)
-  const isBad = routes.some(({ fresh, old }) =>
-    fresh.bad >= MIN_BAD && rateOf(fresh) > Math.max(rateOf(old) + MIN_EXCESS, MIN_RATIO * rateOf(old)))
-  if (isBad) return 'bad'
+  if (routes.some(({ fresh, old }) => isWorse(fresh, old))) return 'bad'
   const calls = routes.reduce((sum, { fresh }) => sum + fresh.calls, 0)
   return calls >= MIN_CALLS ? 'good' : 'open'
 }
--- /dev/null
+++ b/packages/forwarding/src/admission.test.ts
@@ -0,0 +1,20 @@
+import { millis } from '@papayahill/common'
+import { describe, expect, it } from 'vitest'
+import { admit } from './admission.js'
+
+const forecastOf = (stageWaits: number) =>
+  ({ timeLeft: millis(6000), stageWaits: millis(stageWaits), stageTime: millis(750), answerTime: millis(250) })
+
+describe('admit', () => {
+  it('takes what can be answered before its deadline, also late', () => {
+    expect(admit(forecastOf(4900)).kind).toBe('admitted')
+  })
+
+  it('refuses at once what cannot, and says when to come back within the time that the caller has', () => {
+    const admission = admit(forecastOf(5600))
+    expect(admission.kind).toBe('refused')
+    expect('retryAfter' in admission && admission.retryAfter).toBe(600)
+    const far = admit(forecastOf(30_000))
+    expect('retryAfter' in far && far.retryAfter).toBeLessThanOrEqual(2000)
+  })
+})
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,7 +12,7 @@
     ]
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts', 'apps/*/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'apps/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
     testTimeout: 60_000
   }
 })
