--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -1,4 +1,4 @@
-import { StageGraphRun } from '@papayahill/batching'
+import { leastStageTime, StageGraphRun } from '@papayahill/batching'
 import type { StageFailure, StageResult } from '@papayahill/batching'
 import { failure, millis, RunGuard } from '@papayahill/common'
 import type { DomainId, EndpointId, Failure, Millis, ServiceId, Tokens } from '@papayahill/common'
@@ -7,7 +7,8 @@
 import { choosePlain } from './choosePlain.js'
 import {
   FIRST_PLACE_PATIENCE, HANG_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY,
-  MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, PLACE_RETRY
+  MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, PLACE_RETRY,
+  RESUME_SLACK
 } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -100,7 +101,7 @@
       counts: pieceCounts,
       key: pieceKey,
       priority,
-      due: millis(arrivedAt + route.target - ahead),
+      due: this.#relay?.isStarted === true ? this.#dueOfResumed() : millis(arrivedAt + route.target - ahead),
       deadline: millis(deadline - MIN_CALL_TIME),
       domain: this.#wantedDomain()
     })
@@ -113,6 +114,13 @@
     return Result.ok(undefined)
   }
 
+  /** The caller of a broken stream soon leaves: its stages are due as if they met no wait. */
+  #dueOfResumed (): Millis {
+    const { clock, stages } = this.#context
+    const { route, pieceCounts } = this.#request
+    return millis(clock.now() + RESUME_SLACK * leastStageTime(route.stages, pieceCounts, stages.profileOf))
+  }
+
   /** Where the engine that suits the request stands, so that stages are run beside it. */
   #wantedDomain (): DomainId | undefined {
     return this.#choose()?.domain
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -58,3 +58,5 @@
 export const SLOW_MARGIN = millis(60)
 /** Weight of the newest answer in a route's usual time. */
 export const USUAL_WEIGHT = 0.1
+/** Time that a broken stream's stages may take, over what they take without any wait. */
+export const RESUME_SLACK = 2
