--- /dev/null
+++ b/packages/logging/src/LineWriter.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from 'vitest'
+import { MAX_WAITING } from './constants.js'
+import { LineWriter } from './LineWriter.js'
+import type { WriteBytes } from './LineWriter.js'
+
+const LINE = 'x'.repeat(200)
+const LINES = 50_000
+
+describe('LineWriter', () => {
+  it('holds a bounded number of bytes while the reader of the output has stopped, and drops what is more', () => {
+    const neverWritten: WriteBytes = () => {}
+    const writer = new LineWriter(neverWritten)
+    let dropped = 0
+    for (let line = 0; line < LINES; line++) {
+      if (!writer.add(LINE)) dropped++
+      if (line % 100 === 0) writer.flush()
+    }
+    expect(writer.waiting).toBeLessThanOrEqual(MAX_WAITING)
+    expect(dropped).toBeGreaterThan(LINES / 2)
+  })
+
+  it('goes on, in order, where the output takes only a part of the bytes at a time', () => {
+    const written: string[] = []
+    const slowly: WriteBytes = (data, done) => {
+      written.push(data.subarray(0, 3).toString())
+      done(null, Math.min(3, data.length))
+    }
+    const writer = new LineWriter(slowly)
+    writer.add('first')
+    writer.add('second')
+    writer.flush()
+    expect(written.join('')).toBe('first\nsecond\n')
+    expect(writer.waiting).toBe(0)
+  })
+
+  it('goes on after an output that failed', () => {
+    const written: string[] = []
+    const failsOnce: WriteBytes = (data, done) => {
+      written.push(data.toString())
+      done(written.length === 1 ? new Error('EPIPE') : null, data.length)
+    }
+    const writer = new LineWriter(failsOnce)
+    writer.add('lost')
+    writer.flush()
+    writer.add('kept')
+    writer.flush()
+    expect(written).toEqual(['lost\n', 'kept\n'])
+  })
+})
