--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -48,6 +48,16 @@
     })
   })
 
+  describe('an answer without a length whose connection is reset with its last bytes', () => {
+    it('is not whole, though the end arrives without an error', async () => {
+      const end = await answered((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha')
+        socket.resetAndDestroy()
+      })
+      expect(end.isOk).toBe(false)
+    })
+  })
+
   describe('an answer in chunks', () => {
     it('is not whole when its connection ends before its last chunk', async () => {
       const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n'
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
@@ -52,6 +53,9 @@
   isBroken: boolean
 }
 
+/** A reset that comes with the last bytes is told as an orderly end; only the connection's missing peer shows it. */
+const hasPeer = (socket: Socket): boolean => socket.remoteAddress !== undefined
+
 /**
  * Connects once: a lost connection is never replaced behind the back of who confirmed it. The state is noted before
  * the client hears of an end, since the client takes the bytes before a reset for a whole answer.
@@ -68,7 +72,14 @@
         state.isOver = true
         state.isBroken = true
       })
-      socket?.on('end', () => { state.isOver = true })
+      socket?.on('end', () => {
+        state.isOver = true
+        state.isBroken ||= !hasPeer(socket)
+      })
+      socket?.on('close', () => {
+        state.isBroken ||= !state.isOver
+        state.isOver = true
+      })
       callback(...connected)
     })
   }
