--- a/apps/papayahilld/src/createLog.ts
+++ b/apps/papayahilld/src/createLog.ts
@@ -1,19 +1,9 @@
 import type { EventFields, EventKind, EventLevel, EventLog } from '@papayahill/common'
+import { LEVELS, lineFields } from '@papayahill/logging'
 import winston from 'winston'
 
-const LEVELS: Readonly<Record<EventLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 }
-
 const { combine, json, timestamp } = winston.format
 
-/** Hundredths are as fine as an operator can use a measured value. */
-const HUNDRED = 100
-
-const shorten = (value: EventFields[string]): EventFields[string] =>
-  typeof value === 'number' ? Math.round(value * HUNDRED) / HUNDRED : value
-
-const shortenAll = (fields: EventFields): EventFields =>
-  Object.fromEntries(Object.entries(fields).map(([name, value]) => [name, shorten(value)]))
-
 /**
  * Events as JSON lines on standard output, each with its number.
  *
@@ -30,7 +20,7 @@
   })
   return {
     emit: (kind: EventKind, fields: EventFields = {}): void => {
-      logger.log(kind.level, kind.text, { event: kind.number, name: kind.name, ...shortenAll(fields) })
+      logger.log(kind.level, kind.text, lineFields(kind, fields))
     }
   }
 }
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -1,6 +1,6 @@
 import { bytes, millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
-import type { BatchProfile, EndpointDirectory, StageNode } from '@papayahill/directory'
+import type { BatchProfile, DomainRule, Endpoint, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
 import { chooseHome, choosePlace } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
@@ -33,6 +33,8 @@
   readonly deadline: Millis
   /** Domain whose engine will read the last results. */
   readonly domain: DomainId | undefined
+  /** Failure domains whose endpoints may work for it. */
+  readonly isAllowedIn: DomainRule
 }
 
 /** Why the stages did not end: nothing was done for the request yet where `isBegun` is false. */
@@ -204,11 +206,11 @@
     stage: StageNode, missing: readonly number[], inputs: readonly StageResult[],
     results: Array<StageResult | undefined>, exclude: Set<EndpointId>
   ): Promise<PieceFault | undefined> {
-    const { directory, board, links, profileOf } = this.#context
+    const { board, links, profileOf } = this.#context
     const profile = profileOf(stage.service)
     if (profile === undefined || this.#isCancelled) return 'unplaced'
     const endpoint = choosePlace(board, {
-      endpoints: directory.healthy(stage.service),
+      endpoints: this.#endpointsOf(stage),
       inputBytes: this.#inputBytes(inputs, missing.length),
       outputBytes: missing.length * stage.resultBytes * this.#readersOf(stage),
       home: this.#home(),
@@ -223,6 +225,10 @@
     return this.#takeOutcomes(stage, missing, outcomes, results, endpoint.id, exclude)
   }
 
+  #endpointsOf (stage: StageNode): readonly Endpoint[] {
+    return this.#context.directory.healthy(stage.service).filter(({ domain }) => this.#work.isAllowedIn(domain))
+  }
+
   /** Each piece reads all inputs. */
   #inputBytes (inputs: readonly StageResult[], pieces: number): ReadonlyMap<DomainId, number> {
     const sizes = new Map<DomainId, number>()
@@ -242,12 +248,12 @@
 
   /** The failure domain where the whole chain is best run, chosen once. */
   #home (): DomainId | undefined {
-    const { board, directory } = this.#context
+    const { board } = this.#context
     const { stages, counts, domain } = this.#work
     const used = stages.filter((stage) => (counts[stage.index] ?? 0) > 0)
     const last = used.filter((stage) => !used.some((other) => other.after.includes(stage.index)))
     const lastBytes = last.reduce((sum, stage) => sum + (counts[stage.index] ?? 0) * stage.resultBytes, 0)
-    this.#chosenHome ??= chooseHome(board, used.map((stage) => directory.healthy(stage.service)), domain, lastBytes)
+    this.#chosenHome ??= chooseHome(board, used.map((stage) => this.#endpointsOf(stage)), domain, lastBytes)
     return this.#chosenHome
   }
 
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -79,6 +79,8 @@
   readonly id: WorkspaceId
   /** Goes before the route's where it is set. */
   readonly priority: number | undefined
+  /** Regions that may serve it; empty allows all. */
+  readonly regions: readonly RegionId[]
 }
 
 export interface ServingLimits {
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -103,7 +103,8 @@
       priority,
       due: this.#relay?.isStarted === true ? this.#dueOfResumed() : millis(arrivedAt + route.target - ahead),
       deadline: millis(deadline - MIN_CALL_TIME),
-      domain: this.#wantedDomain()
+      domain: this.#wantedDomain(),
+      isAllowedIn: this.#request.isAllowedIn
     })
     const begunAt = clock.now()
     const results = await this.#graph.run()
@@ -353,7 +354,8 @@
 
   #choose (): Endpoint | undefined {
     const { directory, cold, engines, random, clock, versions, profileOf, domain } = this.#context
-    const all = directory.healthy(this.#service).filter((endpoint) => cold.mayTake(endpoint))
+    const allowed = directory.healthy(this.#service).filter(({ domain: at }) => this.#request.isAllowedIn(at))
+    const all = allowed.filter((endpoint) => cold.mayTake(endpoint))
     const endpoints = versions.admit(this.#service, all)
     const want = (exclude: ReadonlySet<EndpointId>): PlacementWant =>
       ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now: clock.now() })
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,6 @@
 import type { DomainId, EndpointId, Failure, Millis, Tokens, WorkspaceId } from '@papayahill/common'
 import type { AnswerHeaders, HeaderList, SocketAnswer } from '@papayahill/connections'
-import type { Endpoint, EndpointDirectory, LoadWord, ServiceProfile, ServingRoute } from '@papayahill/directory'
+import type { DomainRule, Endpoint, EndpointDirectory, LoadWord, ServiceProfile, ServingRoute } from '@papayahill/directory'
 
 /** One part of a prompt that requests share, in the order of the prompt. */
 export interface PromptPart {
@@ -28,6 +28,8 @@
   readonly route: ServingRoute
   readonly workspace: WorkspaceId | undefined
   readonly priority: number
+  /** Failure domains whose endpoints may see it. */
+  readonly isAllowedIn: DomainRule
   /** Version of the configuration by which it was routed. */
   readonly configVersion: number
   /** Monotonic times. */
--- a/packages/logging/src/createLineLog.ts
+++ b/packages/logging/src/createLineLog.ts
@@ -3,21 +3,11 @@
 import winston from 'winston'
 import { LOGGING_EVENTS } from './events.js'
 import { LineRate } from './LineRate.js'
+import { LEVELS, lineFields } from './lineFields.js'
 import type { LineWriter } from './LineWriter.js'
 
-const LEVELS: Readonly<Record<EventLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 }
-
 const { combine, json, timestamp } = winston.format
 
-/** Hundredths are as fine as an operator can use a measured value. */
-const HUNDRED = 100
-
-const shorten = (value: EventFields[string]): EventFields[string] =>
-  typeof value === 'number' ? Math.round(value * HUNDRED) / HUNDRED : value
-
-const shortenAll = (fields: EventFields): EventFields =>
-  Object.fromEntries(Object.entries(fields).map(([name, value]) => [name, shorten(value)]))
-
 export interface LineLogOptions {
   readonly level: EventLevel
   /** Fields of every line. */
@@ -50,7 +40,7 @@
     transports: [new winston.transports.Stream({ stream })]
   })
   const write = (kind: EventKind, fields: EventFields): void => {
-    logger.log(kind.level, kind.text, { event: kind.number, name: kind.name, ...shortenAll(fields) })
+    logger.log(kind.level, kind.text, lineFields(kind, fields))
   }
   return {
     emit: (kind: EventKind, fields: EventFields = {}): void => {
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -1,5 +1,6 @@
 export { createLineLog } from './createLineLog.js'
 export type { LineLogOptions } from './createLineLog.js'
 export { LOGGING_EVENTS } from './events.js'
+export { LEVELS, lineFields } from './lineFields.js'
 export { LineWriter, writeTo } from './LineWriter.js'
 export type { WriteBytes } from './LineWriter.js'
