Inputs are given up as read only while one instance alone calls an endpoint

Cause: after a change of gatherers a call may wait at its endpoint behind another instance's, and its inputs were given up before its turn. Ruled out: expiry and restarts of endpoints.

--- a/packages/batching/src/EndpointBatcher.test.ts
+++ b/packages/batching/src/EndpointBatcher.test.ts
@@ -28,6 +28,8 @@
   readonly batches: Array<readonly string[]> = []
   readonly freed: string[] = []
   next: BatchAnswer | undefined
+  /** Milliseconds for which a call waits at the endpoint. */
+  delay = 0
   readonly #clock: VirtualClock
 
   constructor (clock: VirtualClock) {
@@ -39,7 +41,7 @@
     const told = this.next
     this.next = undefined
     if (told !== undefined && told.kind !== 'answered') return told
-    await this.#clock.sleep(millis(PROFILE.callTime + pieces.length * PROFILE.pieceTime))
+    await this.#clock.sleep(millis(this.delay + PROFILE.callTime + pieces.length * PROFILE.pieceTime))
     return told ?? { kind: 'answered', outcomes: pieces.map((piece) => ({ handle: `${piece.request}/${piece.index}` })) }
   }
 
@@ -139,9 +141,25 @@
 
   it('tells that inputs were read while the call still runs', async () => {
     const { clock, read, outcomes, add } = rig()
+    add('first')
+    await clock.advance(millis(250))
     add('a', { inputs: ['x'], inputBytes: bytes(1000) })
     await clock.advance(millis(60))
     expect(read).toEqual(['a'])
     expect(outcomes.has('a')).toBe(false)
   })
+
+  it('does not tell so while a call may wait behind another instance\'s, as after a change of gatherers', async () => {
+    const { clock, caller, read, add } = rig()
+    add('a', { inputs: ['x'], inputBytes: bytes(1000) })
+    await clock.advance(millis(60))
+    expect(read).toEqual([])
+    await clock.advance(millis(300))
+    caller.delay = 200
+    add('b')
+    await clock.advance(millis(500))
+    add('c', { inputs: ['x'], inputBytes: bytes(1000) })
+    await clock.advance(millis(60))
+    expect(read).toEqual([])
+  })
 })
--- a/packages/batching/src/EndpointBatcher.ts
+++ b/packages/batching/src/EndpointBatcher.ts
@@ -3,7 +3,7 @@
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import { BatchQueue } from './BatchQueue.js'
 import type { WaitingPiece } from './BatchQueue.js'
-import { FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
+import { ALONE_FACTOR, ALONE_MARGIN, FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, PACE_WEIGHT, READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { ForeignResults } from './ForeignResults.js'
 import { ResultLedger } from './ResultLedger.js'
@@ -41,6 +41,8 @@
   #unfreed: string[] = []
   #freeTimer: Timer | undefined
   #pauseTimer: Timer | undefined
+  /** Whether the last call was answered without a wait for another's. */
+  #isAlone = false
   /** Time that calls take over what the profile forecasts. */
   #pace = 1
 
@@ -148,6 +150,7 @@
     this.#calls.delete(call)
     const took = millis(clock.now() - call.startedAt)
     log.emit(BATCHING_EVENTS.batchEnded, { endpoint: endpoint.id, pieces: batch.length, outcome: answer.kind, tookMs: took })
+    this.#isAlone = answer.kind === 'answered' && took <= call.forecast * ALONE_FACTOR + ALONE_MARGIN
     if (answer.kind === 'answered') this.#pace += PACE_WEIGHT * (Math.min(MAX_PACE, took / planned) - this.#pace)
     if (answer.kind === 'lost') this.#pace = Math.min(MAX_PACE, this.#pace * 2)
     this.#logFaults(endpoint, answer)
@@ -155,10 +158,13 @@
     this.pump()
   }
 
-  /** An endpoint reads the inputs of a call when its turn comes, which is at once: there is one call at a time. */
+  /**
+   * An endpoint reads the inputs of a call when its turn comes. That is at once while this instance alone sends it
+   * calls, one at a time; after a change of gatherers a call may wait behind another instance's.
+   */
   #watchReading (call: OpenCall, batch: readonly WaitingPiece[]): void {
     const size = batch.reduce((sum, { piece }) => sum + piece.inputBytes, 0)
-    if (size === 0) return
+    if (size === 0 || !this.#isAlone) return
     const readTime = millis(READ_DELAY + size / READ_BYTES_PER_MILLI)
     this.#options.clock.after(readTime, () => {
       if (this.#calls.has(call)) for (const waiting of batch) waiting.read()
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -14,6 +14,9 @@
 /** Time after which an endpoint has surely begun to read its inputs, and the least rate at which it reads them. */
 export const READ_DELAY = millis(40)
 export const READ_BYTES_PER_MILLI = 300_000
+/** A call that takes at most this many times its forecast, and the time below more, waited for no other. */
+export const ALONE_FACTOR = 1.2
+export const ALONE_MARGIN = millis(40)
 /** Wait before a refused batch is offered again. */
 export const REFUSED_PAUSE = millis(60)
 /** Wait before pieces are offered again to an endpoint without room. */
