One queue for all endpoints of a stage's service, settled as a call begins

Change: the instance that gathers for a group of endpoints keeps one queue for all of them; which endpoint makes a request's pieces is settled as its call begins, by the time at which they would be made and the bytes that cross domains. Ruled out: telling all instances the waits at each batch (tried before: all choose the same endpoint).

--- a/packages/batching/src/BacklogBoard.ts
+++ b/packages/batching/src/BacklogBoard.ts
@@ -37,34 +37,36 @@
 
 export interface PlaceWant {
   readonly endpoints: readonly Endpoint[]
-  /** Bytes that the pieces read from each failure domain. */
+  /** Bytes that a piece reads from each failure domain. */
   readonly inputBytes: ReadonlyMap<DomainId, number>
-  /** Bytes of the pieces' results that will be read from them. */
+  /** Bytes of a piece's result that will be read, by all its readers together. */
   readonly outputBytes: number
   /** Where the results will probably be read. */
   readonly home: DomainId | undefined
-  readonly exclude: ReadonlySet<EndpointId>
 }
 
-/** Delay that equals the bytes which would cross domains, were the pieces made in this one. */
-const crossingAt = (domain: DomainId, { inputBytes, outputBytes, home }: PlaceWant): number => {
+/**
+ * Delay that the bytes are weighed like which would cross domains, were a piece made in this one.
+ *
+ * @example
+ * crossingAt(endpoint.domain, { endpoints, inputBytes, outputBytes, home })
+ */
+export const crossingAt = (domain: DomainId, { inputBytes, outputBytes, home }: PlaceWant): Millis => {
   let crossing = home === undefined || home === domain ? 0 : outputBytes
   for (const [from, size] of inputBytes) if (from !== domain) crossing += size
-  return crossing * CROSS_DOMAIN_MILLIS_PER_BYTE
+  return millis(crossing * CROSS_DOMAIN_MILLIS_PER_BYTE)
 }
 
 /**
- * The endpoint for a request's pieces: the shortest wait, with the cost of bytes that cross domains weighed in.
+ * The endpoint for a request's pieces, as far as is known here: the shortest wait, with the cost of bytes that cross domains weighed in.
  *
  * @example
- * choosePlace(board, { endpoints, inputBytes, outputBytes, home, exclude })
+ * choosePlace(board, { endpoints, inputBytes, outputBytes, home })
  */
 export const choosePlace = (board: BacklogBoard, want: PlaceWant): Endpoint | undefined => {
-  const untried = want.endpoints.filter(({ id }) => !want.exclude.has(id))
-  const candidates = untried.length > 0 ? untried : want.endpoints
   let best: Endpoint | undefined
   let bestCost = Infinity
-  for (const endpoint of candidates) {
+  for (const endpoint of want.endpoints) {
     const cost = board.backlog(endpoint.id) + crossingAt(endpoint.domain, want)
     if (cost < bestCost) [best, bestCost] = [endpoint, cost]
   }
--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -1,7 +1,8 @@
-import type { Clock, EndpointId, EventLog, Millis } from '@papayahill/common'
-import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
-import { EndpointBatcher } from './EndpointBatcher.js'
-import type { BatchCaller, OrderListener, PieceOutcome, ProfileOf, StageOrder } from './types.js'
+import type { Clock, EndpointId, EventLog } from '@papayahill/common'
+import type { EndpointDirectory } from '@papayahill/directory'
+import { EndpointCalls } from './EndpointCalls.js'
+import { GroupBatcher } from './GroupBatcher.js'
+import type { BatchCaller, EndpointBacklog, GroupId, OrderListener, PieceOutcome, ProfileOf, StageOrder } from './types.js'
 
 export interface GathererOptions {
   readonly clock: Clock
@@ -9,35 +10,37 @@
   readonly caller: BatchCaller
   readonly directory: EndpointDirectory
   readonly profileOf: ProfileOf
-  /** Whether the endpoint falls to this instance. */
-  readonly isOwn: (endpoint: EndpointId) => boolean
+  /** Whether the group falls to this instance. */
+  readonly isOwn: (group: GroupId) => boolean
 }
 
 /**
- * Gathers the pieces of all instances for the endpoints that fall to this one.
+ * Gathers the pieces of all instances for the groups of endpoints that fall to this one.
  *
  * @example
- * const backlog = gatherer.take(order, (outcomes) => answer(outcomes))
+ * const backlogs = gatherer.take(order, listener, (outcomes) => answer(outcomes))
  */
 export class Gatherer {
   readonly #options: GathererOptions
-  readonly #batchers = new Map<EndpointId, EndpointBatcher>()
-  readonly #own = new Set<EndpointId>()
+  readonly #batchers = new Map<GroupId, GroupBatcher>()
+  readonly #calls = new Map<EndpointId, EndpointCalls>()
+  readonly #own = new Set<GroupId>()
 
   constructor (options: GathererOptions) {
     this.#options = options
-    options.directory.onGone((endpoint) => this.#forget(endpoint))
+    options.directory.onGone(({ id }) => this.#calls.delete(id))
   }
 
-  /** Takes an order in; the time until its last piece is made, or undefined where the endpoint is not usable here. */
-  take (order: StageOrder, listener: OrderListener, done: (outcomes: readonly PieceOutcome[]) => void): Millis | undefined {
-    const batcher = this.#batcherOf(order.endpoint)
-    if (batcher === undefined) return undefined
+  /** Takes an order in; the waits at its endpoints as they are then. */
+  take (order: StageOrder, listener: OrderListener, done: (outcomes: readonly PieceOutcome[]) => void): readonly EndpointBacklog[] {
+    const batcher = this.#batcherOf(order.group)
+    const { places } = order
     const outcomes: PieceOutcome[] = []
     let open = order.pieces.length
     let unread = order.pieces.length
     order.pieces.forEach((piece, at) => batcher.add({
       piece,
+      places,
       read: () => { if (--unread === 0) listener.read() },
       settle: (outcome) => {
         outcomes[at] = outcome
@@ -45,57 +48,60 @@
       }
     }))
     batcher.pump()
-    return batcher.backlog()
+    return batcher.backlogs(places.map(({ endpoint }) => endpoint))
   }
 
   /** Drops the waiting pieces of a request that was given up. */
-  cancel (endpoint: EndpointId, request: string): void {
-    this.#batchers.get(endpoint)?.cancel(request)
+  cancel (group: GroupId, request: string): void {
+    this.#batchers.get(group)?.cancel(request)
   }
 
-  free (endpoint: EndpointId, handles: readonly string[]): void {
-    this.#batcherOf(endpoint)?.free(handles)
+  free (group: GroupId, endpoint: EndpointId, handles: readonly string[]): void {
+    this.#callsOf(endpoint)?.free(handles)
+    this.#batchers.get(group)?.pump()
   }
 
-  /** Looks at all endpoints again: some may not be used any more, some may have room, some may fall to others now. */
+  /** Looks at all groups again: some endpoints may not be used any more, some groups may fall to others now. */
   pumpAll (): void {
-    for (const [id, batcher] of this.#batchers) {
-      if (this.#lost(id)) batcher.handBack()
+    for (const [group, batcher] of this.#batchers) {
+      if (this.#lost(group)) batcher.handBack()
       batcher.pump()
     }
   }
 
-  /** Whether an endpoint fell to another instance since the last look. */
-  #lost (id: EndpointId): boolean {
-    const isOwn = this.#options.isOwn(id)
-    const wasOwn = this.#own.has(id)
-    if (isOwn) this.#own.add(id)
-    else this.#own.delete(id)
+  /** Whether a group fell to another instance since the last look. */
+  #lost (group: GroupId): boolean {
+    const isOwn = this.#options.isOwn(group)
+    const wasOwn = this.#own.has(group)
+    if (isOwn) this.#own.add(group)
+    else this.#own.delete(group)
     return wasOwn && !isOwn
   }
 
-  #batcherOf (id: EndpointId): EndpointBatcher | undefined {
-    const known = this.#batchers.get(id)
+  #batcherOf (group: GroupId): GroupBatcher {
+    const known = this.#batchers.get(group)
     if (known !== undefined) return known
-    const endpoint = this.#options.directory.get(id)
-    if (endpoint === undefined) return undefined
-    const { clock, log, caller, directory, profileOf } = this.#options
-    const batcher = new EndpointBatcher({
-      clock,
-      log,
-      caller,
-      endpoint,
-      profile: () => profileOf(endpoint.service),
-      isUsable: () => directory.usable(endpoint.service).includes(endpoint)
-    })
-    this.#batchers.set(id, batcher)
+    const { clock, log } = this.#options
+    const batcher = new GroupBatcher({ clock, log, callsOf: (endpoint) => this.#usableCallsOf(endpoint) })
+    this.#batchers.set(group, batcher)
     return batcher
   }
 
-  #forget (endpoint: Endpoint): void {
-    const batcher = this.#batchers.get(endpoint.id)
-    if (batcher === undefined) return
-    this.#batchers.delete(endpoint.id)
-    batcher.pump()
+  #usableCallsOf (id: EndpointId): EndpointCalls | undefined {
+    const { directory } = this.#options
+    const endpoint = directory.get(id)
+    if (endpoint === undefined || !directory.usable(endpoint.service).includes(endpoint)) return undefined
+    return this.#callsOf(id)
+  }
+
+  #callsOf (id: EndpointId): EndpointCalls | undefined {
+    const known = this.#calls.get(id)
+    if (known !== undefined) return known
+    const endpoint = this.#options.directory.get(id)
+    if (endpoint === undefined) return undefined
+    const { clock, log, caller, profileOf } = this.#options
+    const calls = new EndpointCalls({ clock, log, caller, endpoint, profile: () => profileOf(endpoint.service) })
+    this.#calls.set(id, calls)
+    return calls
   }
 }
--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -1,14 +1,14 @@
 import { hash32, millis } from '@papayahill/common'
-import type { Clock, EndpointId, Incarnation, InstanceId, Millis } from '@papayahill/common'
+import type { Clock, Incarnation, InstanceId, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { DOUBT_SPAN, GATHERER_SILENCE } from './constants.js'
 
 /**
- * Tells which instance gathers for an endpoint: rendezvous order over those that are heard. Two that think
+ * Tells which instance gathers for a group of endpoints: rendezvous order over those that are heard. Two that think
  * so at once cost fuller batches and break nothing.
  *
  * @example
- * roster.gathererOf(endpoint) === self
+ * roster.gathererOf(group) === self
  */
 export class GathererRoster {
   readonly #clock: Clock
@@ -49,13 +49,13 @@
     return this.#peers.members().some((member) => member.id === id && member.silence < GATHERER_SILENCE)
   }
 
-  gathererOf (endpoint: EndpointId): InstanceId {
+  gathererOf (group: string): InstanceId {
     const others = this.#others()
     const candidates = this.#isLeaving && others.length > 0 ? others : [...others, this.#peers.self]
     let best = this.#peers.self
     let bestRank = -1
     for (const id of candidates) {
-      const rank = hash32(`${endpoint} ${id}`)
+      const rank = hash32(`${group} ${id}`)
       if (rank > bestRank) [best, bestRank] = [id, rank]
     }
     return best
--- /dev/null
+++ b/packages/batching/src/GroupBatcher.ts
@@ -0,0 +1,99 @@
+import { millis } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, Timer } from '@papayahill/common'
+import { PLAN_PERIOD } from './constants.js'
+import type { EndpointCalls } from './EndpointCalls.js'
+import { BATCHING_EVENTS } from './events.js'
+import { planBatches } from './planBatches.js'
+import type { BatchPlan, WaitingPiece } from './planBatches.js'
+import type { EndpointBacklog, PieceFault } from './types.js'
+
+export interface GroupBatcherOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  /** The calls of an endpoint; undefined where it may not take new work. */
+  readonly callsOf: (endpoint: EndpointId) => EndpointCalls | undefined
+}
+
+/**
+ * Forms the batches of a group's endpoints from one queue: whichever can make a request's pieces soonest gets them,
+ * and that is settled only as a call begins. So batches grow with the load, nothing waits while an endpoint is idle,
+ * and nothing waits behind a slow one.
+ *
+ * @example
+ * const batcher = new GroupBatcher({ clock, log, callsOf })
+ * batcher.add({ piece, places, settle, read })
+ * batcher.pump()
+ */
+export class GroupBatcher {
+  readonly #options: GroupBatcherOptions
+  #waiting: WaitingPiece[] = []
+  #timer: Timer | undefined
+
+  constructor (options: GroupBatcherOptions) {
+    this.#options = options
+  }
+
+  add (waiting: WaitingPiece): void {
+    this.#waiting.push(waiting)
+  }
+
+  /** Gives back the pieces of a request that was given up. */
+  cancel (request: string): void {
+    this.#settle(this.#waiting.filter(({ piece }) => piece.request === request), 'late')
+  }
+
+  /** Another instance gathers from now on: what waits goes back to its owners. */
+  handBack (): void {
+    this.#settle(this.#waiting, 'moved')
+  }
+
+  /** Time until each of the endpoints could begin a piece that came now. */
+  backlogs (endpoints: readonly EndpointId[]): readonly EndpointBacklog[] {
+    const now = this.#options.clock.now()
+    const { freeAt } = this.#plan(endpoints)
+    return [...freeAt].map(([endpoint, at]) => ({ endpoint, backlog: millis(at - now) }))
+  }
+
+  /** Sends what has gathered, where endpoints can take it. */
+  pump (): void {
+    this.#timer?.cancel()
+    this.#timer = undefined
+    const { batches, late, unplaced } = this.#plan([])
+    this.#settle(unplaced, 'unplaced')
+    this.#drop(late)
+    for (const [endpoint, batch] of batches) this.#remove(batch, () => void this.#send(endpoint, batch))
+    if (this.#waiting.length > 0) this.#timer = this.#options.clock.after(PLAN_PERIOD, () => this.pump())
+  }
+
+  #plan (more: readonly EndpointId[]): BatchPlan {
+    const named = new Set([...more, ...this.#waiting.flatMap(({ places }) => places.map(({ endpoint }) => endpoint))])
+    const paces = [...named].map((endpoint) => this.#options.callsOf(endpoint)?.pace())
+    return planBatches(this.#options.clock.now(), this.#waiting, paces.filter((pace) => pace !== undefined))
+  }
+
+  async #send (endpoint: EndpointId, batch: readonly WaitingPiece[]): Promise<void> {
+    const again = await this.#options.callsOf(endpoint)?.send(batch, this.#waiting.length)
+    this.#waiting.push(...again ?? batch)
+    this.pump()
+  }
+
+  #drop (late: readonly WaitingPiece[]): void {
+    if (late.length === 0) return
+    const { request, stage } = late[0]!.piece
+    this.#options.log.emit(BATCHING_EVENTS.piecesDropped, { request, stage, pieces: late.length, waiting: this.#waiting.length })
+    this.#settle(late, 'late')
+  }
+
+  #settle (pieces: readonly WaitingPiece[], fault: PieceFault): void {
+    this.#remove(pieces, () => {
+      for (const waiting of pieces) waiting.settle({ fault, endpoint: undefined })
+    })
+  }
+
+  #remove (pieces: readonly WaitingPiece[], then: () => void): void {
+    if (pieces.length === 0) return
+    const gone = new Set(pieces)
+    this.#waiting = this.#waiting.filter((waiting) => !gone.has(waiting))
+    then()
+  }
+}
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -2,12 +2,13 @@
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
 import type { BatchProfile, DomainRule, Endpoint, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
-import { chooseHome, choosePlace } from './BacklogBoard.js'
+import { chooseHome, choosePlace, crossingAt } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
 import { LIFE_SHARE, MAX_REMAKES } from './constants.js'
+import type { GroupLookup } from './endpointGroups.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { StageLinks } from './StageLinks.js'
-import type { Piece, PieceFault, PieceOutcome, ProfileOf, StageResult } from './types.js'
+import type { GroupId, Piece, PieceFault, PieceOutcome, ProfileOf, StageOrder, StageResult } from './types.js'
 
 /** What stage graphs are run with. */
 export interface StageContext {
@@ -16,6 +17,7 @@
   readonly directory: EndpointDirectory
   readonly board: BacklogBoard
   readonly links: StageLinks
+  readonly groups: GroupLookup
   readonly profileOf: ProfileOf
   /** Takes one repetition from a service's retry budget. */
   readonly takeRetry: (service: StageNode['service'], count: number) => boolean
@@ -59,7 +61,7 @@
   /** Stages that need their inputs no more. */
   readonly #read = new Set<number>()
   readonly #readPieces = new Map<number, number>()
-  readonly #asked = new Set<EndpointId>()
+  readonly #asked = new Set<GroupId>()
   #chosenHome: DomainId | undefined
   #isCancelled = false
   #isBegun = false
@@ -111,7 +113,7 @@
   cancel (): void {
     if (this.#isCancelled) return
     this.#isCancelled = true
-    for (const endpoint of this.#asked) this.#context.links.cancel(endpoint, this.#work.request)
+    for (const group of this.#asked) this.#context.links.cancel(group, this.#work.request)
     this.#freeAllBut([])
   }
 
@@ -206,35 +208,49 @@
     stage: StageNode, missing: readonly number[], inputs: readonly StageResult[],
     results: Array<StageResult | undefined>, exclude: Set<EndpointId>
   ): Promise<PieceFault | undefined> {
-    const { board, links, profileOf } = this.#context
-    const profile = profileOf(stage.service)
-    if (profile === undefined || this.#isCancelled) return 'unplaced'
-    const endpoint = choosePlace(board, {
-      endpoints: this.#endpointsOf(stage),
-      inputBytes: this.#inputBytes(inputs, missing.length),
-      outputBytes: missing.length * stage.resultBytes * this.#readersOf(stage),
-      home: this.#home(),
-      exclude
-    })
-    if (endpoint === undefined) return 'unplaced'
-    this.#asked.add(endpoint.id)
-    this.#isBegun = true
+    if (this.#isCancelled) return 'unplaced'
     const pieces = missing.map((index) => this.#piece(stage, index, inputs))
+    const order = this.#order(stage, pieces, inputs, exclude)
+    if (order === undefined) return 'unplaced'
+    this.#asked.add(order.group)
+    this.#isBegun = true
     const read = (): void => this.#piecesRead(stage, missing.length)
-    const outcomes = await links.run({ service: stage.service, endpoint: endpoint.id, pieces }, { read })
-    return this.#takeOutcomes(stage, missing, outcomes, results, endpoint.id, exclude)
+    const outcomes = await this.#context.links.run(order, { read })
+    return this.#takeOutcomes(stage, missing, outcomes, results, exclude)
+  }
+
+  /** The order for the group that holds the best endpoint; undefined where no endpoint may make the pieces. */
+  #order (
+    stage: StageNode, pieces: readonly Piece[], inputs: readonly StageResult[], exclude: ReadonlySet<EndpointId>
+  ): StageOrder | undefined {
+    const { board, groups, profileOf } = this.#context
+    if (profileOf(stage.service) === undefined) return undefined
+    const all = this.#endpointsOf(stage)
+    const untried = all.filter(({ id }) => !exclude.has(id))
+    const want = {
+      endpoints: untried.length > 0 ? untried : all,
+      inputBytes: this.#inputBytes(inputs),
+      outputBytes: stage.resultBytes * this.#readersOf(stage),
+      home: this.#home()
+    }
+    const best = choosePlace(board, want)
+    const group = best === undefined ? undefined : groups.groupOf(best.id)
+    if (group === undefined) return undefined
+    const fellows = want.endpoints.filter(({ id }) => groups.groupOf(id) === group)
+    const places = fellows.map(({ id, domain }) => ({ endpoint: id, cost: crossingAt(domain, want) }))
+    return { service: stage.service, group, places, pieces }
   }
 
   #endpointsOf (stage: StageNode): readonly Endpoint[] {
     return this.#context.directory.healthy(stage.service).filter(({ domain }) => this.#work.isAllowedIn(domain))
   }
 
-  /** Each piece reads all inputs. */
-  #inputBytes (inputs: readonly StageResult[], pieces: number): ReadonlyMap<DomainId, number> {
+  /** What each piece reads from each failure domain: all inputs. */
+  #inputBytes (inputs: readonly StageResult[]): ReadonlyMap<DomainId, number> {
     const sizes = new Map<DomainId, number>()
     for (const { endpoint, resultBytes } of inputs) {
       const domain = this.#context.directory.get(endpoint)?.domain
-      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + pieces * resultBytes)
+      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + resultBytes)
     }
     return sizes
   }
@@ -259,23 +275,24 @@
 
   #takeOutcomes (
     stage: StageNode, missing: readonly number[], outcomes: readonly PieceOutcome[],
-    results: Array<StageResult | undefined>, endpoint: EndpointId, exclude: Set<EndpointId>
+    results: Array<StageResult | undefined>, exclude: Set<EndpointId>
   ): PieceFault | undefined {
     let fault: PieceFault | undefined
     const { clock, profileOf } = this.#context
     const until = millis(clock.now() + LIFE_SHARE * (profileOf(stage.service)?.resultLife ?? 0))
     missing.forEach((index, at) => {
-      const outcome = outcomes[at] ?? { fault: 'failed' }
+      const outcome = outcomes[at] ?? { fault: 'failed', endpoint: undefined }
       if ('fault' in outcome) {
         fault = outcome.fault
+        if (outcome.endpoint !== undefined) exclude.add(outcome.endpoint)
         return
       }
-      const result: StageResult = { handle: outcome.handle, endpoint, resultBytes: stage.resultBytes, until }
+      const { handle, endpoint } = outcome
+      const result: StageResult = { handle, endpoint, resultBytes: stage.resultBytes, until }
       results[index] = result
       this.#made.add(result)
       this.#byStage.set(stage.index, [...this.#byStage.get(stage.index) ?? [], result])
     })
-    if (fault !== undefined) exclude.add(endpoint)
     if (this.#isCancelled) this.#freeAllBut([])
     return fault
   }
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -1,13 +1,13 @@
-import { millis } from '@papayahill/common'
-import type { Clock, EndpointId, EventLog, InstanceId, Json, Millis } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { HEARD_PERIOD, TAKE_TIMEOUT } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { Gatherer } from './Gatherer.js'
 import type { GathererRoster } from './GathererRoster.js'
-import { packMessage, unpackMessage } from './orderMessages.js'
+import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
-import type { OrderListener, PieceOutcome, StageOrder } from './types.js'
+import type { GroupLookup } from './endpointGroups.js'
+import type { EndpointBacklog, GroupId, OrderListener, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 export interface StageLinksOptions {
   readonly clock: Clock
@@ -15,13 +15,13 @@
   readonly peers: Peers
   readonly gatherer: Gatherer
   readonly roster: GathererRoster
-  /** Told how long a piece that came now would wait at an endpoint. */
-  readonly onBacklog: (endpoint: EndpointId, backlog: Millis) => void
+  readonly groups: GroupLookup
+  /** Told how long a piece that came now would wait at some endpoints. */
+  readonly onBacklogs: (backlogs: readonly EndpointBacklog[]) => void
 }
 
 interface OpenOrder {
   readonly to: InstanceId
-  readonly endpoint: EndpointId
   readonly listener: OrderListener
   readonly end: (outcomes: readonly PieceOutcome[]) => void
 }
@@ -48,26 +48,29 @@
 
   #runOnce (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { roster, peers, log } = this.#options
-    const to = roster.gathererOf(order.endpoint)
+    const to = roster.gathererOf(order.group)
     const first = order.pieces[0]!
     log.emit(BATCHING_EVENTS.piecesOrdered, {
-      request: first.request, stage: first.stage, pieces: order.pieces.length, endpoint: order.endpoint, gatherer: to
+      request: first.request, stage: first.stage, pieces: order.pieces.length, group: order.group, gatherer: to
     })
     return to === peers.self ? this.#runHere(order, listener) : this.#runAt(to, order, listener)
   }
 
   /** The request was given up: its waiting pieces make room. */
-  cancel (endpoint: EndpointId, request: string): void {
-    const to = this.#options.roster.gathererOf(endpoint)
-    if (to === this.#options.peers.self) this.#options.gatherer.cancel(endpoint, request)
-    else this.#send(to, { kind: 'cancel', endpoint, request })
+  cancel (group: GroupId, request: string): void {
+    const to = this.#options.roster.gathererOf(group)
+    if (to === this.#options.peers.self) this.#options.gatherer.cancel(group, request)
+    else this.#send(to, { kind: 'cancel', group, request })
   }
 
-  /** Gives up results, so that their makers have room. */
+  /** Gives up results, so that their maker has room. */
   free (endpoint: EndpointId, handles: readonly string[]): void {
-    const to = this.#options.roster.gathererOf(endpoint)
-    if (to === this.#options.peers.self) this.#options.gatherer.free(endpoint, handles)
-    else this.#send(to, { kind: 'free', endpoint, handles })
+    const { groups, roster, peers, gatherer } = this.#options
+    const group = groups.groupOf(endpoint)
+    if (group === undefined) return
+    const to = roster.gathererOf(group)
+    if (to === peers.self) gatherer.free(group, endpoint, handles)
+    else this.#send(to, { kind: 'free', group, endpoint, handles })
   }
 
   /** Tells the others that this instance gathers no more. */
@@ -78,9 +81,7 @@
 
   #runHere (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     return new Promise((resolve) => {
-      const backlog = this.#options.gatherer.take(order, listener, resolve)
-      if (backlog === undefined) resolve(allUnplaced(order))
-      else this.#options.onBacklog(order.endpoint, backlog)
+      this.#options.onBacklogs(this.#options.gatherer.take(order, listener, resolve))
     })
   }
 
@@ -88,7 +89,7 @@
     const { clock, peers, roster, log } = this.#options
     const id = ++this.#count
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
-      this.#open.set(id, { to, endpoint: order.endpoint, listener, end: resolve })
+      this.#open.set(id, { to, listener, end: resolve })
     })
     const taken = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), TAKE_TIMEOUT)
     if (taken.isErr) {
@@ -97,11 +98,7 @@
       log.emit(BATCHING_EVENTS.gathererDoubted, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
       return await this.run(order, listener)
     }
-    if (typeof taken.value !== 'number') {
-      this.#open.delete(id)
-      return allUnplaced(order)
-    }
-    this.#options.onBacklog(order.endpoint, millis(taken.value))
+    this.#options.onBacklogs(unpackBacklogs(taken.value))
     return await this.#endOf(id, to, ended, order)
   }
 
@@ -112,7 +109,7 @@
     const { clock, roster } = this.#options
     const { deadline } = order.pieces[0]!
     const timer = clock.every(HEARD_PERIOD, () => {
-      if (!roster.isHeard(to) || clock.now() > deadline) this.#open.get(id)?.end(order.pieces.map(() => ({ fault: 'failed' })))
+      if (!roster.isHeard(to) || clock.now() > deadline) this.#open.get(id)?.end(allWith(order, 'failed'))
     })
     const outcomes = await ended
     timer.cancel()
@@ -126,25 +123,24 @@
     if (message?.kind === 'order') return this.#take(from, message.id, message.order)
     if (message?.kind === 'read') this.#open.get(message.id)?.listener.read()
     if (message?.kind === 'done') this.#done(from, message)
-    if (message?.kind === 'cancel') gatherer.cancel(message.endpoint, message.request)
-    if (message?.kind === 'free') gatherer.free(message.endpoint, message.handles)
+    if (message?.kind === 'cancel') gatherer.cancel(message.group, message.request)
+    if (message?.kind === 'free') gatherer.free(message.group, message.endpoint, message.handles)
     if (message?.kind === 'leaving') roster.leaves(from)
     return null
   }
 
   #take (from: InstanceId, id: number, order: StageOrder): Json {
     const { gatherer } = this.#options
-    const backlog = gatherer.take(order, { read: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
-      this.#send(from, { kind: 'done', id, endpoint: order.endpoint, outcomes })
-    })
-    return backlog ?? null
+    return packBacklogs(gatherer.take(order, { read: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
+      this.#send(from, { kind: 'done', id, outcomes })
+    }))
   }
 
-  #done (from: InstanceId, message: Extract<StageMessage, { kind: 'done' }>): void {
-    const open = this.#open.get(message.id)
-    if (open?.to === from) return open.end(message.outcomes)
-    const handles = message.outcomes.flatMap((outcome) => 'handle' in outcome ? [outcome.handle] : [])
-    if (handles.length > 0) this.#send(from, { kind: 'free', endpoint: message.endpoint, handles })
+  /** Results that nobody waits for any more are given up at once. */
+  #done (from: InstanceId, { id, outcomes }: Extract<StageMessage, { kind: 'done' }>): void {
+    const open = this.#open.get(id)
+    if (open?.to === from) return open.end(outcomes)
+    for (const outcome of outcomes) if ('handle' in outcome) this.free(outcome.endpoint, [outcome.handle])
   }
 
   #send (to: InstanceId, message: StageMessage): void {
@@ -155,4 +151,5 @@
 const isMoved = (outcome: PieceOutcome | undefined): boolean =>
   outcome !== undefined && 'fault' in outcome && outcome.fault === 'moved'
 
-const allUnplaced = (order: StageOrder): readonly PieceOutcome[] => order.pieces.map(() => ({ fault: 'unplaced' }))
+const allWith = (order: StageOrder, fault: PieceFault): readonly PieceOutcome[] =>
+  order.pieces.map(() => ({ fault, endpoint: undefined }))
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -37,6 +37,14 @@
 export const HOME_PREFERENCE = millis(30)
 /** Delay that a domain is weighed with for each stage that has no endpoint there. */
 export const MISSING_STAGE = millis(150)
+/** Endpoints of a service for which one instance gathers. */
+export const ENDPOINTS_PER_GROUP = 8
+/** Pieces that wait are planned anew at least this often. */
+export const PLAN_PERIOD = millis(50)
+/** A call that is overdue is expected to last as long again, and this time more. */
+export const OVERDUE_MARGIN = millis(20)
+/** Half-life of what an endpoint's last calls say of its pace. */
+export const PACE_LIFE = millis(1500)
 /** An endpoint that runs at this many times the forecast or slower counts no slower. */
 export const MAX_PACE = 12
 /** How often an instance that took an order is looked for. */
--- a/packages/batching/src/index.ts
+++ b/packages/batching/src/index.ts
@@ -1,5 +1,7 @@
 export { BacklogBoard, choosePlace } from './BacklogBoard.js'
 export { CROSS_DOMAIN_MILLIS_PER_BYTE } from './constants.js'
+export { groupsIn } from './endpointGroups.js'
+export type { GroupLookup } from './endpointGroups.js'
 export { BATCHING_EVENTS } from './events.js'
 export { Gatherer } from './Gatherer.js'
 export { GathererRoster } from './GathererRoster.js'
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -1,31 +1,54 @@
 import { bytes, isJsonObject, millis } from '@papayahill/common'
 import type { EndpointId, Json, Millis, ServiceId } from '@papayahill/common'
-import type { Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
+import type { EndpointBacklog, GroupId, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 /** What instances tell each other about stages. Times travel as spans, since each has its own clock. */
 export type StageMessage =
   | { readonly kind: 'order', readonly id: number, readonly order: StageOrder }
-  | { readonly kind: 'done', readonly id: number, readonly endpoint: EndpointId, readonly outcomes: readonly PieceOutcome[] }
+  | { readonly kind: 'done', readonly id: number, readonly outcomes: readonly PieceOutcome[] }
   /** The endpoint has read the inputs of an order's pieces. */
   | { readonly kind: 'read', readonly id: number }
-  | { readonly kind: 'cancel', readonly endpoint: EndpointId, readonly request: string }
-  | { readonly kind: 'free', readonly endpoint: EndpointId, readonly handles: readonly string[] }
+  | { readonly kind: 'cancel', readonly group: GroupId, readonly request: string }
+  | { readonly kind: 'free', readonly group: GroupId, readonly endpoint: EndpointId, readonly handles: readonly string[] }
   /** The sender is stopping and gathers no more. */
   | { readonly kind: 'leaving' }
 
 const FAULTS: readonly PieceFault[] = ['late', 'gone', 'room', 'failed', 'unplaced', 'moved']
 
-const packOutcome = (outcome: PieceOutcome): Json => 'handle' in outcome ? outcome.handle : FAULTS.indexOf(outcome.fault)
+/** A handle or the number of a fault, with the place of its endpoint in a list. */
+type PackedOutcome = readonly [string | number, number]
 
-const unpackOutcome = (packed: Json): PieceOutcome =>
-  typeof packed === 'string' ? { handle: packed } : { fault: FAULTS[packed as number] ?? 'failed' }
+const packOutcomes = (outcomes: readonly PieceOutcome[]): { readonly endpoints: EndpointId[], readonly outcomes: Json } => {
+  const endpoints = [...new Set(outcomes.flatMap(({ endpoint }) => endpoint ?? []))]
+  const pack = (outcome: PieceOutcome): [string | number, number] => [
+    'handle' in outcome ? outcome.handle : FAULTS.indexOf(outcome.fault),
+    outcome.endpoint === undefined ? -1 : endpoints.indexOf(outcome.endpoint)
+  ]
+  return { endpoints, outcomes: outcomes.map(pack) }
+}
+
+const unpackOutcome = ([end, place]: PackedOutcome, endpoints: readonly EndpointId[]): PieceOutcome => {
+  const endpoint = endpoints[place]
+  if (typeof end !== 'string') return { fault: FAULTS[end] ?? 'failed', endpoint }
+  return endpoint === undefined ? { fault: 'failed', endpoint } : { handle: end, endpoint }
+}
+
+/** Waits at endpoints, as the answer to an order tells them. */
+export const packBacklogs = (backlogs: readonly EndpointBacklog[]): Json =>
+  Object.fromEntries(backlogs.map(({ endpoint, backlog }) => [endpoint, Math.round(backlog)]))
+
+export const unpackBacklogs = (packed: Json): readonly EndpointBacklog[] => {
+  if (!isJsonObject(packed)) return []
+  return Object.entries(packed).map(([endpoint, backlog]) => ({ endpoint: endpoint as EndpointId, backlog: millis(Number(backlog)) }))
+}
 
 /** All pieces of an order share their request, stage and times. */
-const packOrder = ({ service, endpoint, pieces }: StageOrder, now: Millis): Json => {
+const packOrder = ({ service, group, places, pieces }: StageOrder, now: Millis): Json => {
   const first = pieces[0]!
   return {
     service,
-    endpoint,
+    group,
+    places: Object.fromEntries(places.map(({ endpoint, cost }) => [endpoint, Math.round(cost)])),
     request: first.request,
     stage: first.stage,
     key: first.key ?? null,
@@ -41,7 +64,8 @@
 
 interface PackedOrder {
   readonly service: ServiceId
-  readonly endpoint: EndpointId
+  readonly group: GroupId
+  readonly places: Readonly<Record<EndpointId, number>>
   readonly request: string
   readonly stage: number
   readonly key: string | null
@@ -67,14 +91,15 @@
     due: millis(now + packed.dueIn),
     deadline: millis(now + packed.endIn)
   })
-  return { service: packed.service, endpoint: packed.endpoint, pieces: packed.pieces.map(pieceOf) }
+  const places = Object.entries(packed.places).map(([endpoint, cost]) => ({ endpoint: endpoint as EndpointId, cost: millis(cost) }))
+  return { service: packed.service, group: packed.group, places, pieces: packed.pieces.map(pieceOf) }
 }
 
 /** Writes a message for a link. */
 export const packMessage = (message: StageMessage, now: Millis): Json => {
   switch (message.kind) {
     case 'order': return { kind: 'order', id: message.id, order: packOrder(message.order, now) }
-    case 'done': return { ...message, outcomes: message.outcomes.map(packOutcome) }
+    case 'done': return { ...message, ...packOutcomes(message.outcomes) }
     case 'read':
     case 'cancel': return { ...message }
     case 'free': return { ...message, handles: [...message.handles] }
@@ -82,13 +107,22 @@
   }
 }
 
+interface PackedDone {
+  readonly kind: 'done'
+  readonly id: number
+  readonly endpoints: readonly EndpointId[]
+  readonly outcomes: readonly PackedOutcome[]
+}
+
 /** Reads a message; undefined where it is none that this version knows. */
 export const unpackMessage = (packed: Json, now: Millis): StageMessage | undefined => {
   if (!isJsonObject(packed)) return undefined
-  const message = packed as unknown as StageMessage & { readonly order: PackedOrder, readonly outcomes: readonly Json[] }
+  const message = packed as unknown as Exclude<StageMessage, { kind: 'done' }> | PackedDone
   switch (message.kind) {
-    case 'order': return { kind: 'order', id: message.id, order: unpackOrder(message.order, now) }
-    case 'done': return { ...message, outcomes: message.outcomes.map(unpackOutcome) }
+    case 'order': return { kind: 'order', id: message.id, order: unpackOrder(message.order as unknown as PackedOrder, now) }
+    case 'done': return {
+      kind: 'done', id: message.id, outcomes: message.outcomes.map((outcome) => unpackOutcome(outcome, message.endpoints))
+    }
     case 'read':
     case 'cancel':
     case 'free':
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -1,4 +1,4 @@
-import type { Bytes, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import type { Brand, Bytes, EndpointId, Millis, ServiceId } from '@papayahill/common'
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 
 /** One piece of a stage's work, as a stage endpoint is asked for it. */
@@ -35,14 +35,20 @@
   | 'failed'
   /** The endpoint takes no work, or the instance that gathers for it does not. */
   | 'unplaced'
-  /** Another instance gathers for the endpoint now. */
+  /** Another instance gathers for the group now. */
   | 'moved'
 
-export type PieceOutcome = { readonly handle: string } | { readonly fault: PieceFault }
+/** How a piece fared, and at which endpoint it was tried. */
+export type PieceOutcome =
+  | { readonly handle: string, readonly endpoint: EndpointId }
+  | { readonly fault: PieceFault, readonly endpoint: EndpointId | undefined }
+
+/** How a piece fared at an endpoint that is known. */
+export type CallOutcome = { readonly handle: string } | { readonly fault: PieceFault }
 
 /** How a call with a batch ended. */
 export type BatchAnswer =
-  | { readonly kind: 'answered', readonly outcomes: readonly PieceOutcome[] }
+  | { readonly kind: 'answered', readonly outcomes: readonly CallOutcome[] }
   /** The endpoint said that it did not run the call. */
   | { readonly kind: 'refused', readonly detail: string }
   | { readonly kind: 'lost', readonly detail: string }
@@ -56,13 +62,30 @@
   free (endpoint: Endpoint, handles: readonly string[]): void
 }
 
-/** The pieces of one request's stage for one endpoint. */
+/** Endpoints of a service for which one instance gathers. */
+export type GroupId = Brand<string, 'GroupId'>
+
+/** An endpoint that may make an order's pieces. */
+export interface Place {
+  readonly endpoint: EndpointId
+  /** Delay that the bytes which would cross failure domains are weighed like, for each piece. */
+  readonly cost: Millis
+}
+
+/** The pieces of one request's stage, for whichever of a group's endpoints makes them first. */
 export interface StageOrder {
   readonly service: ServiceId
-  readonly endpoint: EndpointId
+  readonly group: GroupId
+  readonly places: readonly Place[]
   readonly pieces: readonly Piece[]
 }
 
+/** Time until an endpoint could begin a piece that came now. */
+export interface EndpointBacklog {
+  readonly endpoint: EndpointId
+  readonly backlog: Millis
+}
+
 /** A result with the endpoint that holds it. */
 export interface StageResult {
   readonly handle: string
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -59,10 +59,14 @@
     return this.#endpoints.get(id)
   }
 
+  /** All endpoints of a service that are listed or held. */
+  known (service: ServiceId): readonly Endpoint[] {
+    return [...this.#byService.get(service) ?? []]
+  }
+
   /** Endpoints of a service that may take new work. */
   usable (service: ServiceId): readonly Endpoint[] {
-    const all = [...this.#byService.get(service) ?? []]
-    return all.filter((endpoint) => endpoint.isListed && !this.#options.isDomainOut(endpoint.domain))
+    return this.known(service).filter((endpoint) => endpoint.isListed && !this.#options.isDomainOut(endpoint.domain))
   }
 
   /** Usable endpoints, without those that are suspected or fail far more often than their fellows while others are left. */
