Room counts as taken until its maker knows that it is free; only inputs that are gone are made again

A piece offered twice also counted twice as read, which freed inputs of the pieces still waiting. Ruled out: results larger than declared alone (held 720 kB + 21 x 60 kB of 3.1 MB met no room).

--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -3,7 +3,7 @@
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import {
   ALONE_FACTOR, ALONE_MARGIN, FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, OVERDUE_MARGIN, PACE_LIFE, PACE_WEIGHT,
-  READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE
+  READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE, ROOM_SHARE
 } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { ForeignResults } from './ForeignResults.js'
@@ -17,6 +17,8 @@
   readonly caller: BatchCaller
   readonly endpoint: Endpoint
   readonly profile: () => BatchProfile | undefined
+  /** Told when the endpoint has room again. */
+  readonly onRoom: () => void
 }
 
 interface OpenCall {
@@ -65,18 +67,17 @@
       isOpen: this.#calls.size < profile.slots && this.#pausedUntil <= now,
       freeAt: millis(Math.max(now, this.#pausedUntil, now + this.#untilFree(now, profile))),
       size: profile.size,
-      room: profile.room - this.#ledger.used(now) - this.#foreign.at(now),
-      wholeRoom: profile.room,
+      room: profile.room * ROOM_SHARE - this.#ledger.used(now) - this.#foreign.at(now),
+      wholeRoom: profile.room * ROOM_SHARE,
       callTime: millis(profile.callTime * pace),
       pieceTime: millis(profile.pieceTime * pace)
     }
   }
 
+  /** Gives up results; their room counts as taken until the endpoint knows of it. */
   free (handles: readonly string[]): void {
-    for (const handle of handles) this.#ledger.free(handle)
-    this.#pausedUntil = millis(0)
     this.#unfreed.push(...handles)
-    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => this.#flushFrees())
+    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => void this.#flushFrees())
   }
 
   /** Sends a batch and settles its pieces; those that may be offered again at once are given back. */
@@ -84,7 +85,6 @@
     const { clock, log, caller, endpoint } = this.#options
     const profile = this.#options.profile()
     if (profile === undefined) return batch
-    this.#flushFrees()
     const planned = profile.callTime + batch.length * profile.pieceTime
     const call: OpenCall = { startedAt: clock.now(), forecast: millis(planned * this.#paceNow(clock.now())) }
     this.#calls.add(call)
@@ -195,12 +195,14 @@
     this.#pausedUntil = millis(this.#options.clock.now() + span)
   }
 
-  #flushFrees (): void {
-    this.#freeTimer?.cancel()
+  async #flushFrees (): Promise<void> {
     this.#freeTimer = undefined
     const handles = this.#unfreed
-    if (handles.length === 0) return
     this.#unfreed = []
-    if (!this.endpoint.isGone) this.#options.caller.free(this.endpoint, handles)
+    if (this.endpoint.isGone) return
+    await this.#options.caller.free(this.endpoint, handles)
+    for (const handle of handles) this.#ledger.free(handle)
+    this.#pausedUntil = millis(0)
+    this.#options.onRoom()
   }
 }
--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -37,11 +37,11 @@
     const { places } = order
     const outcomes: PieceOutcome[] = []
     let open = order.pieces.length
-    let unread = order.pieces.length
+    const unread = new Set(order.pieces)
     order.pieces.forEach((piece, at) => batcher.add({
       piece,
       places,
-      read: () => { if (--unread === 0) listener.read() },
+      read: () => { if (unread.delete(piece) && unread.size === 0) listener.read() },
       settle: (outcome) => {
         outcomes[at] = outcome
         if (--open === 0) done(outcomes)
@@ -56,9 +56,9 @@
     this.#batchers.get(group)?.cancel(request)
   }
 
-  free (group: GroupId, endpoint: EndpointId, handles: readonly string[]): void {
+  /** Gives up results at their maker. */
+  free (endpoint: EndpointId, handles: readonly string[]): void {
     this.#callsOf(endpoint)?.free(handles)
-    this.#batchers.get(group)?.pump()
   }
 
   /** Looks at all groups again: some endpoints may not be used any more, some groups may fall to others now. */
@@ -94,13 +94,20 @@
     return this.#callsOf(id)
   }
 
+  /** Only the group that an endpoint belongs to waits for it, but for moments after a change of groups. */
+  #pumpFor (endpoint: EndpointId): void {
+    for (const batcher of this.#batchers.values()) if (batcher.waitsFor(endpoint)) batcher.pump()
+  }
+
   #callsOf (id: EndpointId): EndpointCalls | undefined {
     const known = this.#calls.get(id)
     if (known !== undefined) return known
     const endpoint = this.#options.directory.get(id)
     if (endpoint === undefined) return undefined
     const { clock, log, caller, profileOf } = this.#options
-    const calls = new EndpointCalls({ clock, log, caller, endpoint, profile: () => profileOf(endpoint.service) })
+    const calls = new EndpointCalls({
+      clock, log, caller, endpoint, profile: () => profileOf(endpoint.service), onRoom: () => this.#pumpFor(id)
+    })
     this.#calls.set(id, calls)
     return calls
   }
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -37,6 +37,10 @@
     this.#waiting.push(waiting)
   }
 
+  waitsFor (endpoint: EndpointId): boolean {
+    return this.#waiting.some(({ places }) => places.some((place) => place.endpoint === endpoint))
+  }
+
   /** Gives back the pieces of a request that was given up. */
   cancel (request: string): void {
     this.#settle(this.#waiting.filter(({ piece }) => piece.request === request), 'late')
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -71,42 +71,20 @@
     this.#work = work
   }
 
-  /** Results of the stages that no other stage follows; where inputs were lost on the way, all is made once more. */
+  /** Results of the stages that no other stage follows. */
   async run (): Promise<Result<readonly StageResult[], StageFailure>> {
-    const first = await this.#runOnce()
-    if (first.isOk || first.error.fault !== 'gone' || this.#isCancelled || !this.#mayStartAgain()) return this.#finish(first)
-    this.#startAgain()
-    return this.#finish(await this.#runOnce())
-  }
-
-  #finish (results: Result<readonly StageResult[], StageFailure>): Result<readonly StageResult[], StageFailure> {
-    if (results.isErr) this.cancel()
-    else this.#freeAllBut(results.value)
-    return results
-  }
-
-  #mayStartAgain (): boolean {
-    const used = this.#work.stages.filter((stage) => (this.#work.counts[stage.index] ?? 0) > 0)
-    return used.every((stage) => this.#context.takeRetry(stage.service, this.#work.counts[stage.index] ?? 0))
-  }
-
-  #startAgain (): void {
-    this.#freeAllBut([])
-    this.#results.clear()
-    this.#byStage.clear()
-    this.#read.clear()
-    this.#readPieces.clear()
-    this.#context.log.emit(BATCHING_EVENTS.stagesAgain, { request: this.#work.request })
-  }
-
-  async #runOnce (): Promise<Result<readonly StageResult[], StageFailure>> {
     const { stages } = this.#work
     const followed = new Set(stages.flatMap((stage) => stage.after))
     const last = stages.filter((stage) => !followed.has(stage.index))
     const ended = await Promise.all(last.map((stage) => this.#stage(stage)))
     const failed = ended.find((results) => results.isErr)
-    if (failed !== undefined) return failed
-    return Result.ok(ended.flatMap((result) => result.isOk ? result.value : []))
+    if (failed !== undefined) {
+      this.cancel()
+      return failed
+    }
+    const results = ended.flatMap((result) => result.isOk ? result.value : [])
+    this.#freeAllBut(results)
+    return Result.ok(results)
   }
 
   /** The request was given up or has failed: waiting pieces and results make room. */
@@ -146,15 +124,18 @@
   async #runStage (stage: StageNode): Promise<Result<readonly StageResult[], StageFailure>> {
     const count = this.#work.counts[stage.index] ?? 0
     if (count === 0) return Result.ok([])
-    const before = await Promise.all(stage.after.map((index) => this.#stage(this.#work.stages[index]!)))
-    const failed = before.find((results) => results.isErr)
-    if (failed !== undefined) return failed
-    const inputs = before.flatMap((results) => results.isOk ? results.value : [])
-    const made = await this.#make(stage, count, inputs)
+    const inputs = await this.#inputsOf(stage)
+    if (inputs.isErr) return inputs
+    const made = await this.#make(stage, count, inputs.value)
     this.#noteRead(stage)
     return made
   }
 
+  async #inputsOf (stage: StageNode): Promise<Result<readonly StageResult[], StageFailure>> {
+    const before = await Promise.all(stage.after.map((index) => this.#stage(this.#work.stages[index]!)))
+    return before.find((results) => results.isErr) ?? Result.ok(before.flatMap((results) => results.isOk ? results.value : []))
+  }
+
   /** One order's pieces have read their inputs. */
   #piecesRead (stage: StageNode, pieces: number): void {
     const read = (this.#readPieces.get(stage.index) ?? 0) + pieces
@@ -179,24 +160,56 @@
   }
 
   async #make (
-    stage: StageNode, count: number, inputs: readonly StageResult[]
+    stage: StageNode, count: number, madeBefore: readonly StageResult[]
   ): Promise<Result<readonly StageResult[], StageFailure>> {
     const results: Array<StageResult | undefined> = Array.from({ length: count })
     const exclude = new Set<EndpointId>()
+    let inputs = madeBefore
     for (let round = 0; round <= MAX_REMAKES; round++) {
       const missing = [...results.keys()].filter((index) => results[index] === undefined)
       const fault = await this.#makeMissing(stage, missing, inputs, results, exclude)
       if (fault === undefined) return Result.ok(results.filter((result) => result !== undefined))
-      if (!this.#mayGoOn(stage, fault, missing.length)) return Result.err(this.#failure(stage, fault))
-      const fields = { request: this.#work.request, stage: stage.index, pieces: missing.length, fault }
+      const left = results.filter((result) => result === undefined).length
+      if (!this.#mayGoOn(stage, fault, left)) return Result.err(this.#failure(stage, fault))
+      const fields = { request: this.#work.request, stage: stage.index, pieces: left, fault }
       this.#context.log.emit(BATCHING_EVENTS.piecesAgain, fields)
+      if (fault !== 'gone') continue
+      const again = await this.#inputsAgain(stage, count - left)
+      if (again.isErr) return again
+      inputs = again.value
     }
     return Result.err(this.#failure(stage, 'failed'))
   }
 
+  /** Makes the inputs of a stage once more, since they were gone before all its pieces had read them. */
+  async #inputsAgain (stage: StageNode, piecesMade: number): Promise<Result<readonly StageResult[], StageFailure>> {
+    const before = this.#ancestors(stage)
+    for (const index of before) {
+      this.#free(this.#byStage.get(index) ?? [])
+      this.#byStage.delete(index)
+      this.#results.delete(index)
+      this.#read.delete(index)
+      this.#readPieces.delete(index)
+    }
+    this.#read.delete(stage.index)
+    this.#readPieces.set(stage.index, piecesMade)
+    this.#context.log.emit(BATCHING_EVENTS.stagesAgain, { request: this.#work.request, stage: stage.index, before: before.size })
+    return await this.#inputsOf(stage)
+  }
+
+  /** All stages whose results a stage needs, directly or not. */
+  #ancestors (stage: StageNode): ReadonlySet<number> {
+    const direct = stage.after.map((index) => this.#work.stages[index]!)
+    return new Set(direct.flatMap((before) => [before.index, ...this.#ancestors(before)]))
+  }
+
   #mayGoOn (stage: StageNode, fault: PieceFault, pieces: number): boolean {
-    if (this.#isCancelled || fault === 'late' || fault === 'gone') return false
-    return fault !== 'failed' || this.#context.takeRetry(stage.service, pieces)
+    if (this.#isCancelled || fault === 'late') return false
+    if (fault === 'failed') return this.#context.takeRetry(stage.service, pieces)
+    if (fault !== 'gone') return true
+    const before = [...this.#ancestors(stage)].map((index) => this.#work.stages[index]!)
+    return [stage, ...before].every((one) =>
+      this.#context.takeRetry(one.service, one === stage ? pieces : this.#work.counts[one.index] ?? 0))
   }
 
   #failure (stage: StageNode, fault: PieceFault): StageFailure {
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -69,8 +69,8 @@
     const group = groups.groupOf(endpoint)
     if (group === undefined) return
     const to = roster.gathererOf(group)
-    if (to === peers.self) gatherer.free(group, endpoint, handles)
-    else this.#send(to, { kind: 'free', group, endpoint, handles })
+    if (to === peers.self) gatherer.free(endpoint, handles)
+    else this.#send(to, { kind: 'free', endpoint, handles })
   }
 
   /** Tells the others that this instance gathers no more. */
@@ -124,7 +124,7 @@
     if (message?.kind === 'read') this.#open.get(message.id)?.listener.read()
     if (message?.kind === 'done') this.#done(from, message)
     if (message?.kind === 'cancel') gatherer.cancel(message.group, message.request)
-    if (message?.kind === 'free') gatherer.free(message.group, message.endpoint, message.handles)
+    if (message?.kind === 'free') gatherer.free(message.endpoint, message.handles)
     if (message?.kind === 'leaving') roster.leaves(from)
     return null
   }
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -21,8 +21,10 @@
 export const REFUSED_PAUSE = millis(60)
 /** Wait before pieces are offered again to an endpoint without room. */
 export const ROOM_PAUSE = millis(80)
+/** Part of an endpoint's room that is filled, since results are only about as large as declared. */
+export const ROOM_SHARE = 0.95
 /** Results that are given up are told to their makers together, this often. */
-export const FREE_PERIOD = millis(50)
+export const FREE_PERIOD = millis(10)
 /** Weight of the newest call in an endpoint's pace. */
 export const PACE_WEIGHT = 0.3
 /** Part of a result's life in which it is counted on, since its end is not known exactly. */
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -9,7 +9,7 @@
   /** The endpoint has read the inputs of an order's pieces. */
   | { readonly kind: 'read', readonly id: number }
   | { readonly kind: 'cancel', readonly group: GroupId, readonly request: string }
-  | { readonly kind: 'free', readonly group: GroupId, readonly endpoint: EndpointId, readonly handles: readonly string[] }
+  | { readonly kind: 'free', readonly endpoint: EndpointId, readonly handles: readonly string[] }
   /** The sender is stopping and gathers no more. */
   | { readonly kind: 'leaving' }
 
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -100,7 +100,7 @@
    * for all of them: results of a part would take it up until the rest is made.
    */
   fits (pieces: readonly WaitingPiece[]): number {
-    const roomFor = Math.floor(this.#room / Math.max(1, pieces[0]!.piece.resultBytes))
+    const roomFor = Math.max(0, Math.floor(this.#room / Math.max(1, pieces[0]!.piece.resultBytes)))
     const free = this.pace.size - this.#taken
     if (roomFor < pieces.length && this.#taken > 0) return 0
     const fits = Math.min(free, roomFor, pieces.length)
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -58,8 +58,8 @@
 /** Calls stage endpoints; the platform's words are its matter. */
 export interface BatchCaller {
   call (endpoint: Endpoint, pieces: readonly Piece[], timeout: Millis): Promise<BatchAnswer>
-  /** Gives up results at their maker. */
-  free (endpoint: Endpoint, handles: readonly string[]): void
+  /** Gives up results at their maker; ends when it has answered, or will not. */
+  free (endpoint: Endpoint, handles: readonly string[]): Promise<void>
 }
 
 /** Endpoints of a service for which one instance gathers. */
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -54,7 +54,7 @@
     const refused = this.#admit(request, service)
     if (refused !== undefined) return { kind: 'failed', failure: refused }
     retries.request(service)
-    for (const stage of request.route.stages) retries.request(stage.service)
+    for (const stage of request.route.stages) retries.request(stage.service, request.pieceCounts[stage.index])
     const slots = directory.usable(service).reduce((sum, endpoint) => sum + endpoint.record.slots, 0)
     return await this.#gate.run(service, slots, request.priority, () => new ForwardRun(this.#context, request, service, sink).run())
   }
@@ -62,17 +62,29 @@
   #admit (request: ForwardRequest, service: ServiceId): Failure | undefined {
     const { clock, log, firstEvents, stages } = this.#context
     const { route, attempt, priority, configVersion, pieceCounts } = request
-    const admission = admit({
+    const inputs = {
       timeLeft: millis(request.deadline - clock.now()),
       stageWaits: this.#stageWaits(request),
       stageTime: leastStageTime(route.stages, pieceCounts, stages.profileOf),
       answerTime: route.kind === 'streaming' ? firstEvents.mean(route.name) : millis(0)
-    })
-    const fields = { request: attempt, route: route.name, service, priority, config: configVersion, forecastMs: admission.forecast }
+    }
+    const admission = admit(inputs)
+    const fields = {
+      request: attempt,
+      route: route.name,
+      service,
+      priority,
+      config: configVersion,
+      timeLeftMs: inputs.timeLeft,
+      waitMs: inputs.stageWaits,
+      stageMs: inputs.stageTime,
+      answerMs: inputs.answerTime
+    }
     if (admission.kind === 'admitted') {
       log.emit(FORWARDING_EVENTS.requestTaken, fields)
       return undefined
     }
+    log.emit(FORWARDING_EVENTS.requestUntimely, fields)
     return refusal('over-capacity', `its forecast of ${Math.round(admission.forecast)} ms passes its deadline`, {
       retryAfter: admission.retryAfter
     })
--- a/packages/forwarding/src/SharedAllowance.ts
+++ b/packages/forwarding/src/SharedAllowance.ts
@@ -40,9 +40,10 @@
     this.#instances = instances
   }
 
-  /** Counts a request for the service. */
-  request (service: ServiceId): void {
-    this.#of(service).requests.push(this.#clock.now())
+  /** Counts requests for the service, or pieces where it runs stages. */
+  request (service: ServiceId, count = 1): void {
+    const { requests } = this.#of(service)
+    for (let counted = 0; counted < count; counted++) requests.push(this.#clock.now())
   }
 
   /** Takes repetitions where the share has them left. */
--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -14,5 +14,6 @@
   stagesEnded: { number: 1810, level: 'info', text: 'The stages before a request\'s last call ended.' },
   retryDenied: { number: 1811, level: 'info', text: 'A repetition was left out because the retry budget is used up.' },
   moveBegan: { number: 1812, level: 'info', text: 'A service is to move to another version.' },
-  moveClosed: { number: 1813, level: 'info', text: 'A move is done, or its version was taken back.' }
+  moveClosed: { number: 1813, level: 'info', text: 'A move is done, or its version was taken back.' },
+  requestUntimely: { number: 1814, level: 'info', text: 'A request was not admitted: its forecast passes its deadline.' }
 })
