--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -28,6 +28,11 @@
     this.#isLeaving = true
   }
 
+  /** Whether this instance hands what it would gather to others. */
+  get isLeaving (): boolean {
+    return this.#isLeaving && this.#others().length > 0
+  }
+
   /** The instance did not take an order in time. */
   doubt (id: InstanceId): void {
     this.#doubtedUntil.set(id, millis(this.#clock.now() + DOUBT_SPAN))
@@ -51,7 +56,7 @@
 
   gathererOf (group: string): InstanceId {
     const others = this.#others()
-    const candidates = this.#isLeaving && others.length > 0 ? others : [...others, this.#peers.self]
+    const candidates = this.isLeaving ? others : [...others, this.#peers.self]
     let best = this.#peers.self
     let bestRank = -1
     for (const id of candidates) {
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -20,6 +20,9 @@
   readonly onBacklogs: (backlogs: readonly EndpointBacklog[]) => void
 }
 
+/** Answer to an order of an instance that had not heard that this one stops, as after its own restart. */
+const LEAVING = 'leaving'
+
 interface OpenOrder {
   readonly to: InstanceId
   readonly listener: OrderListener
@@ -98,6 +101,11 @@
       log.emit(BATCHING_EVENTS.gathererDoubted, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
       return await this.run(order, listener)
     }
+    if (taken.value === LEAVING) {
+      this.#open.delete(id)
+      roster.leaves(to)
+      return await this.run(order, listener)
+    }
     this.#options.onBacklogs(unpackBacklogs(taken.value))
     return await this.#endOf(id, to, ended, order)
   }
@@ -130,7 +138,8 @@
   }
 
   #take (from: InstanceId, id: number, order: StageOrder): Json {
-    const { gatherer } = this.#options
+    const { gatherer, roster } = this.#options
+    if (roster.isLeaving) return LEAVING
     return packBacklogs(gatherer.take(order, { read: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
       this.#send(from, { kind: 'done', id, outcomes })
     }))
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -41,6 +41,8 @@
 export const MISSING_STAGE = millis(150)
 /** Endpoints of a service for which one instance gathers. */
 export const ENDPOINTS_PER_GROUP = 8
+/** Delay by which each step of urgency comes before less urgent work that is due at the same time. */
+export const URGENCY_STEP = millis(200)
 /** Pieces that wait are planned anew at least this often. */
 export const PLAN_PERIOD = millis(50)
 /** A call that is overdue is expected to last as long again, and this time more. */
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -1,5 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { EndpointId, Millis } from '@papayahill/common'
+import { URGENCY_STEP } from './constants.js'
 import type { Piece, PieceOutcome, Place } from './types.js'
 
 /** A piece that waits for its batch. */
@@ -43,12 +44,15 @@
 /** Whether a piece gives way to others: its request cannot meet its target any more. */
 const givesWay = ({ piece }: WaitingPiece, now: Millis, least: Millis): boolean => piece.due < now + least
 
+/** When a piece is due, with its request's urgency weighed in. */
+const rankOf = ({ piece }: WaitingPiece): number => piece.due + piece.priority * URGENCY_STEP
+
 /** The earliest due first; behind them those that give way, by urgency. */
 const compare = (now: Millis, least: Millis) => (left: WaitingPiece, right: WaitingPiece): number => {
   const isLeftBehind = givesWay(left, now, least)
   const isRightBehind = givesWay(right, now, least)
   if (isLeftBehind !== isRightBehind) return isLeftBehind ? 1 : -1
-  if (!isLeftBehind) return left.piece.due - right.piece.due
+  if (!isLeftBehind) return rankOf(left) - rankOf(right)
   return left.piece.priority - right.piece.priority || left.piece.deadline - right.piece.deadline
 }
 
