--- a/packages/forwarding/src/EngineBoard.ts
+++ b/packages/forwarding/src/EngineBoard.ts
@@ -3,7 +3,7 @@
 import type { EndpointId, Millis, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { LRUCache } from 'lru-cache'
-import { AFFINITY_SHARE, MAX_REMEMBERED_PARTS, PREFILL_TOKENS_PER_MILLI, RUNNING_WEIGHT } from './constants.js'
+import { AFFINITY_WEIGHT, MAX_REMEMBERED_PARTS, PREFILL_TOKENS_PER_MILLI, RUNNING_WEIGHT } from './constants.js'
 import type { PlacementWant, Prompt } from './types.js'
 
 interface EngineWork {
@@ -72,7 +72,7 @@
     const work = this.#of(endpoint.id)
     const own = prompt === undefined ? 0 : this.#unreadOf(work, prompt)
     const shared = prompt === undefined ? 0 : prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const reading = (work.unread + own - (isFavourite ? AFFINITY_SHARE * shared : 0)) / PREFILL_TOKENS_PER_MILLI
+    const reading = (work.unread + own - (isFavourite ? AFFINITY_WEIGHT * shared : 0)) / PREFILL_TOKENS_PER_MILLI
     let crossing = domain === undefined || domain === endpoint.domain ? 0 : 1
     for (const [from, size] of inputBytes) if (from !== endpoint.domain) crossing += size * CROSS_DOMAIN_MILLIS_PER_BYTE
     const cold = endpoint.isCold(now) ? 1 : 0
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -36,7 +36,7 @@
 /** Delay that each of an instance's running requests at an engine is weighed like. */
 export const RUNNING_WEIGHT = millis(4)
 /** Delay that an engine is preferred by whose cache the rendezvous order names. */
-export const AFFINITY_SHARE = 0.6
+export const AFFINITY_WEIGHT = 2
 /** Parts that are remembered for each engine. */
 export const MAX_REMEMBERED_PARTS = 2048
 /** Delay that crossing a domain is weighed like at plain services. */
