--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -77,7 +77,7 @@
   /** Gives up results; their room counts as taken until the endpoint knows of it. */
   free (handles: readonly string[]): void {
     this.#unfreed.push(...handles)
-    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => void this.#flushFrees())
+    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => { void this.#flushFrees() })
   }
 
   /** Sends a batch and settles its pieces; those that may be offered again at once are given back. */
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -65,14 +65,14 @@
     const { batches, late, unplaced } = this.#plan([])
     this.#settle(unplaced, 'unplaced')
     this.#drop(late)
-    for (const [endpoint, batch] of batches) this.#remove(batch, () => void this.#send(endpoint, batch))
+    for (const [endpoint, batch] of batches) this.#remove(batch, () => { void this.#send(endpoint, batch) })
     if (this.#waiting.length > 0) this.#timer = this.#options.clock.after(PLAN_PERIOD, () => this.pump())
   }
 
   #plan (more: readonly EndpointId[]): BatchPlan {
     const named = new Set([...more, ...this.#waiting.flatMap(({ places }) => places.map(({ endpoint }) => endpoint))])
     const paces = [...named].map((endpoint) => this.#options.callsOf(endpoint)?.pace())
-    return planBatches(this.#options.clock.now(), this.#waiting, paces.filter((pace) => pace !== undefined))
+    return planBatches(this.#waiting, paces.filter((pace) => pace !== undefined))
   }
 
   async #send (endpoint: EndpointId, batch: readonly WaitingPiece[]): Promise<void> {
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -41,24 +41,20 @@
   readonly freeAt: ReadonlyMap<EndpointId, Millis>
 }
 
-/** Whether a piece gives way to others: its request cannot meet its target any more. */
-const givesWay = ({ piece }: WaitingPiece, now: Millis, least: Millis): boolean => piece.due < now + least
-
 /** When a piece is due, with its request's urgency weighed in. */
 const rankOf = ({ piece }: WaitingPiece): number => piece.due + piece.priority * URGENCY_STEP
 
-/** The earliest due first; behind them those that give way, by urgency. */
-const compare = (now: Millis, least: Millis) => (left: WaitingPiece, right: WaitingPiece): number => {
-  const isLeftBehind = givesWay(left, now, least)
-  const isRightBehind = givesWay(right, now, least)
-  if (isLeftBehind !== isRightBehind) return isLeftBehind ? 1 : -1
-  if (!isLeftBehind) return rankOf(left) - rankOf(right)
-  return left.piece.priority - right.piece.priority || left.piece.deadline - right.piece.deadline
-}
+const byDue = (left: WaitingPiece, right: WaitingPiece): number => rankOf(left) - rankOf(right)
+
+const byUrgency = ([{ piece: left }]: PieceGroup, [{ piece: right }]: PieceGroup): number =>
+  left.priority - right.priority || left.deadline - right.deadline
+
+/** Pieces of one stage of one request. */
+type PieceGroup = readonly [WaitingPiece, ...WaitingPiece[]]
 
-/** Pieces of one stage of one request, in the order of the first of each. */
-const groupsOf = (waiting: readonly WaitingPiece[]): readonly WaitingPiece[][] => {
-  const groups = new Map<string, WaitingPiece[]>()
+/** Groups in the order of the first piece of each. */
+const groupsOf = (waiting: readonly WaitingPiece[]): readonly PieceGroup[] => {
+  const groups = new Map<string, [WaitingPiece, ...WaitingPiece[]]>()
   for (const one of waiting) {
     const name = `${one.piece.stage} ${one.piece.request}`
     const group = groups.get(name)
@@ -138,44 +134,73 @@
   }
 }
 
-/** The endpoint that makes the pieces soonest, with the cost of bytes that cross domains weighed in. */
-const soonest = (pieces: readonly WaitingPiece[], all: ReadonlyMap<EndpointId, PlannedCalls>): PlannedCalls | undefined => {
-  let best: PlannedCalls | undefined
-  let bestCost = Infinity
-  for (const { endpoint, cost } of pieces[0]!.places) {
-    const calls = all.get(endpoint)
-    if (calls === undefined) continue
-    const whole = calls.endOf(pieces) + cost * pieces.length
-    if (whole < bestCost) [best, bestCost] = [calls, whole]
-  }
-  return best
-}
+/** The calls of all endpoints, as pieces are added to them in the order of their rank. */
+class Planner {
+  readonly late: WaitingPiece[] = []
+  readonly unplaced: WaitingPiece[] = []
+  readonly #all: ReadonlyMap<EndpointId, PlannedCalls>
 
-/**
- * Plans the calls of a group's endpoints: each request's pieces go where they are made soonest. Only what can begin
- * now is settled; the rest is planned anew with whatever has come by then.
- *
- * @example
- * const { batches, late } = planBatches(now, waiting, paces)
- */
-export const planBatches = (now: Millis, waiting: readonly WaitingPiece[], paces: readonly EndpointPace[]): BatchPlan => {
-  const all = new Map(paces.map((pace) => [pace.endpoint, new PlannedCalls(pace)]))
-  const least = millis(Math.min(Infinity, ...paces.map(({ callTime }) => callTime)))
-  const late: WaitingPiece[] = []
-  const unplaced: WaitingPiece[] = []
-  for (const group of groupsOf([...waiting].sort(compare(now, least)))) {
+  constructor (paces: readonly EndpointPace[]) {
+    this.#all = new Map(paces.map((pace) => [pace.endpoint, new PlannedCalls(pace)]))
+  }
+
+  get planned (): readonly PlannedCalls[] {
+    return [...this.#all.values()]
+  }
+
+  /** Whether a request's pieces can be made by the time at which they are due, behind what is planned so far. */
+  isInTime (group: PieceGroup): boolean {
+    const calls = this.#soonest(group)
+    return calls === undefined || calls.endOf(group) <= group[0].piece.due
+  }
+
+  place (group: PieceGroup): void {
     let rest: readonly WaitingPiece[] = group
     while (rest.length > 0) {
-      const calls = soonest(rest, all)
-      const isLate = calls !== undefined && rest[0]!.piece.deadline < calls.endOf(rest)
-      if (calls === undefined || isLate) {
-        (isLate ? late : unplaced).push(...rest)
-        break
+      const calls = this.#soonest(rest)
+      if (calls === undefined) {
+        this.unplaced.push(...rest)
+        return
+      }
+      if (group[0].piece.deadline < calls.endOf(rest)) {
+        this.late.push(...rest)
+        return
       }
       rest = rest.slice(calls.take(rest))
     }
   }
-  const planned = [...all.values()]
+
+  /** The endpoint that makes the pieces soonest, with the cost of bytes that cross domains weighed in. */
+  #soonest (pieces: readonly WaitingPiece[]): PlannedCalls | undefined {
+    let best: PlannedCalls | undefined
+    let bestCost = Infinity
+    for (const { endpoint, cost } of pieces[0]!.places) {
+      const calls = this.#all.get(endpoint)
+      if (calls === undefined) continue
+      const whole = calls.endOf(pieces) + cost * pieces.length
+      if (whole < bestCost) [best, bestCost] = [calls, whole]
+    }
+    return best
+  }
+}
+
+/**
+ * Plans the calls of a group's endpoints: each request's pieces go where they are made soonest, the earliest due first.
+ * Those that cannot be made when they are due give way to all that can, since an answer past its target is worth the
+ * same a little later. Only what can begin now is settled; the rest is planned anew with whatever has come by then.
+ *
+ * @example
+ * const { batches, late } = planBatches(waiting, paces)
+ */
+export const planBatches = (waiting: readonly WaitingPiece[], paces: readonly EndpointPace[]): BatchPlan => {
+  const planner = new Planner(paces)
+  const behind: PieceGroup[] = []
+  for (const group of groupsOf([...waiting].sort(byDue))) {
+    if (planner.isInTime(group)) planner.place(group)
+    else behind.push(group)
+  }
+  for (const group of behind.sort(byUrgency)) planner.place(group)
+  const { planned, late, unplaced } = planner
   const sent = planned.filter(({ pace, first }) => pace.isOpen && first.length > 0)
   return {
     batches: new Map(sent.map((calls) => [calls.id, calls.first])),
