--- /dev/null
+++ b/packages/batching/src/GroupBatcher.test.ts
@@ -0,0 +1,181 @@
+import { millis, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import type { EndpointId } from '@papayahill/common'
+import type { Endpoint } from '@papayahill/directory'
+import { describe, expect, it } from 'vitest'
+import { EndpointCalls } from './EndpointCalls.js'
+import { GroupBatcher } from './GroupBatcher.js'
+import { stageEndpoint, stagePiece, TEST_PROFILE } from './testing/stageEndpoint.js'
+import type { BatchAnswer, BatchCaller, Piece, PieceOutcome } from './types.js'
+
+const PROFILE = { ...TEST_PROFILE, size: 3 }
+
+/** Stage endpoints that work for their call time, or answer as they are told. */
+class FakeCaller implements BatchCaller {
+  readonly batches: Array<readonly string[]> = []
+  readonly freed: string[] = []
+  next: BatchAnswer | undefined
+  /** Milliseconds for which a call waits at the endpoint. */
+  delay = 0
+  readonly #clock: VirtualClock
+
+  constructor (clock: VirtualClock) {
+    this.#clock = clock
+  }
+
+  async call (_endpoint: Endpoint, pieces: readonly Piece[]): Promise<BatchAnswer> {
+    this.batches.push(pieces.map((piece) => piece.request))
+    const told = this.next
+    this.next = undefined
+    if (told !== undefined && told.kind !== 'answered') return told
+    await this.#clock.sleep(millis(this.delay + PROFILE.callTime + pieces.length * PROFILE.pieceTime))
+    return told ?? { kind: 'answered', outcomes: pieces.map((piece) => ({ handle: `${piece.request}/${piece.index}` })) }
+  }
+
+  async free (_endpoint: Endpoint, handles: readonly string[]): Promise<void> {
+    await this.#clock.sleep(millis(5))
+    this.freed.push(...handles)
+  }
+}
+
+const rig = (...ids: readonly string[]) => {
+  const clock = new VirtualClock()
+  const caller = new FakeCaller(clock)
+  const endpoints = (ids.length === 0 ? ['e1'] : ids).map((id) => stageEndpoint(id))
+  const calls = new Map<EndpointId, EndpointCalls>()
+  for (const endpoint of endpoints) {
+    calls.set(endpoint.id, new EndpointCalls({
+      clock, log: SILENT_LOG, caller, endpoint, profile: () => PROFILE, onRoom: () => batcher.pump()
+    }))
+  }
+  const batcher = new GroupBatcher({ clock, log: SILENT_LOG, callsOf: (id) => calls.get(id) })
+  const places = endpoints.map(({ id }) => ({ endpoint: id, cost: millis(0) }))
+  const outcomes = new Map<string, PieceOutcome>()
+  const read: string[] = []
+  const add = (request: string, fields: Partial<Piece> = {}): void => {
+    const piece = stagePiece(request, fields)
+    batcher.add({ piece, places, settle: (outcome) => outcomes.set(request, outcome), read: () => { read.push(request) } })
+    batcher.pump()
+  }
+  return { clock, caller, batcher, calls, outcomes, read, add, first: endpoints[0]!.id }
+}
+
+describe('GroupBatcher', () => {
+  it('sends the first piece at once and what gathers meanwhile in one call', async () => {
+    const { clock, caller, outcomes, add } = rig()
+    for (const request of ['a', 'b', 'c', 'd']) add(request)
+    expect(caller.batches).toEqual([['a']])
+    await clock.advance(millis(211))
+    expect(caller.batches).toEqual([['a'], ['b', 'c', 'd']])
+    await clock.advance(millis(231))
+    expect([...outcomes.keys()].sort()).toEqual(['a', 'b', 'c', 'd'])
+  })
+
+  it('gives what waits to whichever endpoint is free first', async () => {
+    const { clock, caller, outcomes, add } = rig('e1', 'e2')
+    for (const request of ['a', 'b']) add(request)
+    await clock.advance(millis(100))
+    for (const request of ['c', 'd']) add(request)
+    await clock.advance(millis(111))
+    expect(caller.batches).toEqual([['a'], ['b'], ['c'], ['d']])
+    expect(new Set([...outcomes.values()].map(({ endpoint }) => endpoint)).size).toBe(2)
+  })
+
+  it('waits for room until the endpoint knows what was freed', async () => {
+    const { clock, caller, calls, add, first } = rig()
+    add('a', { resultBytes: 80 as never })
+    add('b', { resultBytes: 80 as never })
+    await clock.advance(millis(400))
+    expect(caller.batches).toEqual([['a']])
+    calls.get(first)!.free(['a/0'])
+    await clock.advance(millis(14))
+    expect(caller.batches).toEqual([['a']])
+    await clock.advance(millis(1))
+    expect(caller.freed).toEqual(['a/0'])
+    expect(caller.batches).toEqual([['a'], ['b']])
+  })
+
+  it('offers a refused batch again and fails none of it', async () => {
+    const { clock, caller, outcomes, add } = rig()
+    caller.next = { kind: 'refused', detail: 'full' }
+    add('a')
+    await clock.advance(millis(400))
+    expect(caller.batches).toEqual([['a'], ['a']])
+    expect(outcomes.get('a')).toMatchObject({ handle: 'a/0' })
+  })
+
+  it('gives the pieces of a lost call back as failed, and those of an unreachable endpoint as unplaced', async () => {
+    const { clock, caller, outcomes, add, first } = rig()
+    caller.next = { kind: 'lost', detail: 'reset' }
+    add('a')
+    await clock.advance(millis(1))
+    expect(outcomes.get('a')).toEqual({ fault: 'failed', endpoint: first })
+    caller.next = { kind: 'unreachable', detail: 'refused' }
+    add('b')
+    await clock.advance(millis(1))
+    expect(outcomes.get('b')).toEqual({ fault: 'unplaced', endpoint: first })
+  })
+
+  it('sends nothing to an endpoint that may not be used any more', () => {
+    const { caller, calls, outcomes, add } = rig()
+    calls.clear()
+    add('a')
+    expect(caller.batches).toEqual([])
+    expect(outcomes.get('a')).toEqual({ fault: 'unplaced', endpoint: undefined })
+  })
+
+  it('leaves what waits to the other endpoint while a call is overdue', async () => {
+    const { clock, caller, add } = rig('e1', 'e2')
+    caller.delay = 3000
+    add('stuck')
+    await clock.advance(millis(1))
+    caller.delay = 0
+    for (let at = 0; at < 6; at++) {
+      add(`next-${at}`)
+      await clock.advance(millis(220))
+    }
+    expect(caller.batches.length).toBeGreaterThanOrEqual(6)
+  })
+
+  it('hands waiting pieces back when another instance gathers', async () => {
+    const { batcher, outcomes, add } = rig()
+    add('a')
+    add('b')
+    batcher.handBack()
+    expect(outcomes.get('b')).toEqual({ fault: 'moved', endpoint: undefined })
+    expect(outcomes.has('a')).toBe(false)
+  })
+
+  it('gives back the pieces of a request that was given up', () => {
+    const { batcher, outcomes, add } = rig()
+    add('a')
+    add('b')
+    batcher.cancel('b')
+    expect(outcomes.get('b')).toMatchObject({ fault: 'late' })
+  })
+
+  describe('inputs', () => {
+    it('tells that they were read while the call still runs', async () => {
+      const { clock, read, outcomes, add } = rig()
+      add('first')
+      await clock.advance(millis(250))
+      add('a', { inputs: ['x'], inputBytes: 1000 as never })
+      await clock.advance(millis(60))
+      expect(read).toEqual(['a'])
+      expect(outcomes.has('a')).toBe(false)
+    })
+
+    it('does not tell so while a call may wait behind another instance\'s, as after a change of gatherers', async () => {
+      const { clock, caller, read, add } = rig()
+      add('a', { inputs: ['x'], inputBytes: 1000 as never })
+      await clock.advance(millis(60))
+      expect(read).toEqual([])
+      await clock.advance(millis(300))
+      caller.delay = 200
+      add('b')
+      await clock.advance(millis(500))
+      add('c', { inputs: ['x'], inputBytes: 1000 as never })
+      await clock.advance(millis(60))
+      expect(read).toEqual([])
+    })
+  })
+})
