--- a/packages/batching/src/testing/StageWorld.ts
+++ b/packages/batching/src/testing/StageWorld.ts
@@ -24,9 +24,16 @@
   readonly until: Millis
 }
 
+interface FloorCall {
+  readonly endpoint: string
+  /** The instance that sent it. */
+  readonly by: InstanceId
+  readonly pieces: number
+}
+
 /** Stage endpoints that work in virtual time: one call after the other, with room and inputs as the platform has them. */
-export class StageFloor implements BatchCaller {
-  readonly calls: Array<{ readonly endpoint: string, readonly pieces: number }> = []
+export class StageFloor {
+  readonly calls: FloorCall[] = []
   readonly faults: Record<PieceFault, number> = { late: 0, gone: 0, room: 0, failed: 0, unplaced: 0, moved: 0 }
   /** Pieces that are to fail once, by request, stage and index. */
   readonly failing = new Set<string>()
@@ -43,8 +50,16 @@
     this.#clock = clock
   }
 
-  async call (endpoint: Endpoint, pieces: readonly Piece[]): Promise<BatchAnswer> {
+  callerOf (by: InstanceId): BatchCaller {
+    return {
+      call: (endpoint, pieces) => this.#call(endpoint, pieces, by),
+      free: (endpoint, handles) => this.#free(endpoint, handles)
+    }
+  }
+
+  async #call (endpoint: Endpoint, pieces: readonly Piece[], by: InstanceId): Promise<BatchAnswer> {
     await this.#clock.sleep(WAY)
+    this.calls.push({ endpoint: endpoint.id, by, pieces: pieces.length })
     const before = this.#turns.get(endpoint.id)
     const turn = this.#work(endpoint.id, pieces, before)
     this.#turns.set(endpoint.id, turn)
@@ -53,14 +68,13 @@
     return { kind: 'answered', outcomes }
   }
 
-  async free (_endpoint: Endpoint, handles: readonly string[]): Promise<void> {
+  async #free (_endpoint: Endpoint, handles: readonly string[]): Promise<void> {
     await this.#clock.sleep(this.freeDelay)
     for (const handle of handles) this.#results.delete(handle)
   }
 
   async #work (endpoint: string, pieces: readonly Piece[], before: Promise<unknown> | undefined): Promise<readonly CallOutcome[]> {
     await before
-    this.calls.push({ endpoint, pieces: pieces.length })
     const outcomes = pieces.map((piece) => this.#make(endpoint, piece))
     for (const outcome of outcomes) if ('fault' in outcome) this.faults[outcome.fault]++
     const slowness = this.slowness.get(endpoint) ?? 1
@@ -159,7 +173,7 @@
     const roster = new GathererRoster(clock, peers)
     const profileOf = () => TEST_PROFILE
     const isOwn = (group: string): boolean => roster.gathererOf(group) === identity.id
-    const gatherer = new Gatherer({ clock, log: SILENT_LOG, caller: this.floor, directory, profileOf, isOwn })
+    const gatherer = new Gatherer({ clock, log: SILENT_LOG, caller: this.floor.callerOf(identity.id), directory, profileOf, isOwn })
     clock.every(millis(100), () => gatherer.pumpAll())
     const board = new BacklogBoard(clock)
     const groups = groupsIn(directory)
@@ -178,8 +192,8 @@
 }
 
 /** A chain of stages, each by a service of its own. */
-export const chainOf = (...services: readonly string[]): readonly StageNode[] => services.map((service, index) => ({
-  index, service: brand<ServiceId>(service), after: index === 0 ? [] : [index - 1], resultBytes: bytes(5)
+export const chainOf = (resultBytes: number, ...services: readonly string[]): readonly StageNode[] => services.map((service, index) => ({
+  index, service: brand<ServiceId>(service), after: index === 0 ? [] : [index - 1], resultBytes: bytes(resultBytes)
 }))
 
 /** The stages of one request that came now. */
