--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -31,6 +31,11 @@
     options.directory.onGone(({ id }) => this.#calls.delete(id))
   }
 
+  /** Pieces that wait here for a batch. */
+  get waiting (): number {
+    return [...this.#batchers.values()].reduce((sum, batcher) => sum + batcher.size, 0)
+  }
+
   /** Takes an order in; the waits at its endpoints as they are then. */
   take (order: StageOrder, listener: OrderListener, done: (outcomes: readonly PieceOutcome[]) => void): readonly EndpointBacklog[] {
     const batcher = this.#batcherOf(order.group)
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -33,6 +33,11 @@
     this.#options = options
   }
 
+  /** Pieces that wait. */
+  get size (): number {
+    return this.#waiting.length
+  }
+
   add (waiting: WaitingPiece): void {
     this.#waiting.push(waiting)
   }
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -22,6 +22,10 @@
   return born < knownBorn || (born === knownBorn && record.sequence < known.sequence)
 }
 
+const ENDPOINT_STATES = ['usable', 'cold', 'suspect', 'draining', 'domain-out'] as const
+/** What is believed of an endpoint. */
+export type EndpointState = typeof ENDPOINT_STATES[number]
+
 /** An entry as it was read: a record, or undefined where it names no endpoint. */
 export type EndpointEntry = { readonly record: EndpointRecord } | { readonly malformed: string }
 
@@ -59,6 +63,24 @@
     return this.#endpoints.get(id)
   }
 
+  /** Numbers of endpoints by what is believed of them. */
+  states (): ReadonlyMap<EndpointState, number> {
+    const now = this.#options.clock.now()
+    const counts = new Map<EndpointState, number>(ENDPOINT_STATES.map((state) => [state, 0]))
+    for (const endpoint of this.#endpoints.values()) {
+      const state = this.#stateOf(endpoint, now)
+      counts.set(state, (counts.get(state) ?? 0) + 1)
+    }
+    return counts
+  }
+
+  #stateOf (endpoint: Endpoint, now: Millis): EndpointState {
+    if (!endpoint.isListed) return 'draining'
+    if (this.#options.isDomainOut(endpoint.domain)) return 'domain-out'
+    if (endpoint.isSuspect(now)) return 'suspect'
+    return endpoint.isCold(now) ? 'cold' : 'usable'
+  }
+
   /** All endpoints of a service that are listed or held. */
   known (service: ServiceId): readonly Endpoint[] {
     return [...this.#byService.get(service) ?? []]
--- a/packages/directory/src/RouteTable.ts
+++ b/packages/directory/src/RouteTable.ts
@@ -1,8 +1,5 @@
 import type { ServingConfig, ServingRoute, Workspace } from './types.js'
 
-/** Why no route or workspace serves a request. */
-export type RoutingError = 'no-route' | 'unknown-key'
-
 /**
  * Routes of one configuration version, found by host and longest prefix.
  *
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -46,6 +46,10 @@
     this.#options = options
   }
 
+  get name (): string {
+    return this.#options.table.name
+  }
+
   /** Time since the table last answered; undefined where it never did. */
   get age (): Millis | undefined {
     return this.#answeredAt === undefined ? undefined : millis(this.#options.clock.now() - this.#answeredAt)
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -36,6 +36,11 @@
     options.directory.onGone((endpoint) => this.#closeIdle(endpoint))
   }
 
+  /** Connections that are open or opening. */
+  get size (): number {
+    return [...this.#connections.values()].reduce((sum, { open }) => sum + open, 0)
+  }
+
   /** An idle connection, or one that opens with its first exchange; undefined where the share is used up. */
   take (endpoint: Endpoint): EndpointSocket | undefined {
     const connections = this.#of(endpoint)
@@ -56,11 +61,6 @@
     else idle.push(socket)
   }
 
-  /** A connection fell silent: the idle ones beside it may have, too. */
-  closeIdle (endpoint: Endpoint): void {
-    this.#closeIdle(endpoint)
-  }
-
   close (): void {
     for (const { idle } of this.#connections.values()) for (const socket of idle.splice(0)) socket.close()
   }
--- a/packages/forwarding/src/EngineBoard.ts
+++ b/packages/forwarding/src/EngineBoard.ts
@@ -51,6 +51,7 @@
     work.unread = Math.max(0, work.unread - unread)
   }
 
+  /** The engine is gone, and what it had read with it. */
   forget (endpoint: Endpoint): void {
     this.#work.delete(endpoint.id)
   }
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -128,7 +128,6 @@
   }
 
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
-    if (fault === 'gone' && this.#remakes === 0) return this.#refused('no-endpoint', `inputs of stage ${stage} are gone`)
     if (fault === 'late') return this.#refused('over-capacity', `stage ${stage} could not be run in time`)
     return this.#refused('no-endpoint', `stage ${stage} failed: ${fault}`)
   }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -37,6 +37,11 @@
     return this.#running
   }
 
+  /** Requests that wait for their turn at a service. */
+  get waiting (): number {
+    return this.#gate.waiting
+  }
+
   async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
     this.#running++
     try {
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -60,3 +60,5 @@
 export const USUAL_WEIGHT = 0.1
 /** Time that a broken stream's stages may take, over what they take without any wait. */
 export const RESUME_SLACK = 2
+/** Workspaces that metrics name; the others are counted together. */
+export const MAX_METERED_WORKSPACES = 100
