--- a/apps/papayahill/src/commands/index.ts
+++ b/apps/papayahill/src/commands/index.ts
@@ -6,6 +6,7 @@
 import { cost } from './cost.js'
 import { demo } from './demo.js'
 import { domain } from './domain.js'
+import { explain } from './explain.js'
 import { move } from './move.js'
 import { orders } from './orders.js'
 import { standins } from './standins.js'
@@ -14,5 +15,5 @@
 
 /** All commands, in the order in which the help lists them. */
 export const COMMANDS: readonly CliCommand[] = [
-  demo, check, apply, config, status, watch, domain, move, claims, cost, orders, standins
+  demo, check, apply, config, status, explain, watch, domain, move, claims, cost, orders, standins
 ]
--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -11,6 +11,9 @@
   readonly at: Millis
 }
 
+/** Told when an endpoint begins or ends to be avoided. */
+export type SuspicionListener = (endpoint: Endpoint, avoidedFor: Millis | undefined) => void
+
 /** One life of an endpoint, with what this instance has seen of it. */
 export class Endpoint {
   record: EndpointRecord
@@ -24,9 +27,11 @@
   #suspectUntil: Millis = millis(0)
   #suspicion: Millis = MIN_SUSPICION
   #failShare = 0
+  readonly #onSuspicion: SuspicionListener | undefined
 
-  constructor (record: EndpointRecord) {
+  constructor (record: EndpointRecord, onSuspicion?: SuspicionListener) {
     this.record = record
+    this.#onSuspicion = onSuspicion
   }
 
   get id (): EndpointId {
@@ -67,6 +72,7 @@
   noteAnswer (isGood: boolean): void {
     this.#failShare += FAILURE_WEIGHT * ((isGood ? 0 : 1) - this.#failShare)
     if (!isGood) return
+    if (this.#suspectUntil > 0) this.#onSuspicion?.(this, undefined)
     this.#suspectUntil = millis(0)
     this.#suspicion = MIN_SUSPICION
   }
@@ -76,6 +82,7 @@
     this.#failShare += FAILURE_WEIGHT * (1 - this.#failShare)
     if (this.isSuspect(now)) return
     this.#suspectUntil = millis(now + this.#suspicion)
+    this.#onSuspicion?.(this, this.#suspicion)
     this.#suspicion = millis(Math.min(MAX_SUSPICION, this.#suspicion * 2))
   }
 }
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -159,7 +159,7 @@
 
   #add (record: EndpointRecord): void {
     const { id, service, domain, version, isDraining, coldFor } = record
-    const endpoint = new Endpoint(record)
+    const endpoint = new Endpoint(record, (known, avoidedFor) => this.#noteSuspicion(known, avoidedFor))
     this.#endpoints.set(id, endpoint)
     const fellows = this.#byService.get(service) ?? new Set()
     this.#byService.set(service, fellows.add(endpoint))
@@ -167,6 +167,12 @@
     this.#noteCold(endpoint)
   }
 
+  #noteSuspicion ({ id, service, failShare }: Endpoint, avoidedFor: Millis | undefined): void {
+    const { log } = this.#options
+    if (avoidedFor === undefined) return log.emit(DIRECTORY_EVENTS.endpointTrusted, { endpoint: id, service })
+    log.emit(DIRECTORY_EVENTS.endpointSuspected, { endpoint: id, service, failShare, avoidedForMs: avoidedFor })
+  }
+
   #noteCold (endpoint: Endpoint): void {
     const { coldFor } = endpoint.record
     if (coldFor > 0) this.cold(endpoint, coldFor)
