--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -2,7 +2,7 @@
 import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import {
-  ALONE_FACTOR, ALONE_MARGIN, FREE_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_PACE, OVERDUE_MARGIN, PACE_LIFE, PACE_WEIGHT,
+  ALONE_FACTOR, ALONE_MARGIN, FREE_PERIOD, LOSS_DOUBT, LOST_FACTOR, LOST_MARGIN, MAX_PACE, OVERDUE_MARGIN, PACE_LIFE, PACE_WEIGHT,
   READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, ROOM_PAUSE, ROOM_SHARE
 } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -43,6 +43,8 @@
   #pausedUntil: Millis = millis(0)
   /** Whether the last call was answered without a wait for another's. */
   #isAlone = false
+  /** Monotonic time until which calls may well be lost, as one was. */
+  #doubtedUntil: Millis = millis(0)
   /** Time that calls take over what the profile forecasts, at the last call. */
   #lastPace = 1
   #paceAt: Millis = millis(0)
@@ -120,6 +122,7 @@
   #notePace ({ kind }: BatchAnswer, measured: number): void {
     const now = this.#options.clock.now()
     const pace = this.#paceNow(now)
+    if (kind === 'lost') this.#doubtedUntil = millis(now + LOSS_DOUBT)
     if (kind === 'answered') this.#lastPace = pace + PACE_WEIGHT * (Math.min(MAX_PACE, measured) - pace)
     else if (kind === 'lost') this.#lastPace = Math.min(MAX_PACE, pace * 2)
     else return
@@ -128,11 +131,12 @@
 
   /**
    * An endpoint reads the inputs of a call when its turn comes. That is at once while this instance alone sends it
-   * calls, one at a time; after a change of gatherers a call may wait behind another instance's.
+   * calls, one at a time; after a change of gatherers a call may wait behind another instance's. What a lost call had
+   * read is needed again, so that nothing is concluded while losses must be reckoned with.
    */
   #watchReading (call: OpenCall, batch: readonly WaitingPiece[]): void {
     const size = batch.reduce((sum, { piece }) => sum + piece.inputBytes, 0)
-    if (size === 0 || !this.#isAlone) return
+    if (size === 0 || !this.#isAlone || call.startedAt < this.#doubtedUntil) return
     const readTime = millis(READ_DELAY + size / READ_BYTES_PER_MILLI)
     this.#options.clock.after(readTime, () => {
       if (this.#calls.has(call)) for (const waiting of batch) waiting.read()
--- a/packages/batching/src/GroupBatcher.test.ts
+++ b/packages/batching/src/GroupBatcher.test.ts
@@ -164,6 +164,22 @@
       expect(outcomes.has('a')).toBe(false)
     })
 
+    it('does not tell so for a while after a lost call, since the next may be lost, too', async () => {
+      const { clock, caller, read, add } = rig()
+      caller.next = { kind: 'lost', detail: 'nothing came' }
+      add('lost')
+      await clock.advance(millis(1))
+      add('next')
+      await clock.advance(millis(500))
+      add('a', { inputs: ['x'], inputBytes: 1000 as never })
+      await clock.advance(millis(500))
+      expect(read).toEqual([])
+      await clock.advance(millis(3000))
+      add('b', { inputs: ['x'], inputBytes: 1000 as never })
+      await clock.advance(millis(60))
+      expect(read).toEqual(['b'])
+    })
+
     it('does not tell so while a call may wait behind another instance\'s, as after a change of gatherers', async () => {
       const { clock, caller, read, add } = rig()
       add('a', { inputs: ['x'], inputBytes: 1000 as never })
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -11,6 +11,8 @@
 /** A call that takes this many times its forecast, and the time below more, counts as lost. */
 export const LOST_FACTOR = 3
 export const LOST_MARGIN = millis(400)
+/** Time for which further losses are reckoned with after a lost call. */
+export const LOSS_DOUBT = millis(3000)
 /** Time after which an endpoint has surely begun to read its inputs, and the least rate at which it reads them. */
 export const READ_DELAY = millis(40)
 export const READ_BYTES_PER_MILLI = 300_000
--- a/packages/explain/src/explainRequest.ts
+++ b/packages/explain/src/explainRequest.ts
@@ -33,7 +33,8 @@
 
 /** Where the request stood: its last step that tells of one. */
 const whereabouts = (own: readonly LogLine[]): string => {
-  const step = lastOf(own, 'requestPlaced', 'callEnded', 'piecesOrdered', 'stagesEnded', 'requestTaken')
+  const done = own.filter(({ name, fields }) => name !== 'stagesEnded' || fields.outcome === 'made')
+  const step = lastOf(done, 'requestPlaced', 'callEnded', 'piecesOrdered', 'stagesEnded', 'requestTaken')
   if (step === undefined) return 'it was not taken'
   if (step.name === 'piecesOrdered') return `its stage ${show(step, 'stage')} waited for a batch at ${show(step, 'gatherer')}`
   if (step.name === 'requestPlaced') return `it ran at ${step.endpoint ?? 'an endpoint'}`
@@ -83,13 +84,19 @@
   open: ({ own }) => `it has no end in these lines; ${whereabouts(own)}`
 }
 
-/** Whether the instance that took the request wrote of an end or start of its process after it, or nothing at all. */
+/** Lines by which a process shows that it is another than the one before. */
+const LIFE_EVENTS: ReadonlySet<string> = new Set(['processStarting', 'processReady', 'processStopped'])
+
+/**
+ * Whether the instance that took the request ended or lived anew while the request could still be open, or wrote
+ * nothing more while others did.
+ */
 const hasInstanceEnded = (own: readonly LogLine[], all: readonly LogLine[]): boolean => {
-  const taken = own[0]!
-  const after = all.filter(({ instance, at }) => instance === taken.instance && at > own.at(-1)!.at)
-  const isRestarted = after.some(({ name }) => name === 'processStarting' || name === 'processStopped')
-  const newest = all.at(-1)!.at
-  return isRestarted || (after.length === 0 && newest - own.at(-1)!.at > SILENCE)
+  const [taken, last] = [own[0]!, own.at(-1)!]
+  const latest = taken.at + Number(taken.fields.timeLeftMs ?? EVIDENCE_SPAN) + EVIDENCE_SPAN
+  const after = all.filter(({ instance, at }) => instance === taken.instance && at > last.at)
+  const isAnotherLife = after.some(({ name, at }) => LIFE_EVENTS.has(name) && at <= latest)
+  return isAnotherLife || (after.length === 0 && all.at(-1)!.at - last.at > SILENCE)
 }
 
 const evidenceFor = (own: readonly LogLine[], all: readonly LogLine[], end: LogLine): readonly LogLine[] => {
--- a/packages/explain/src/parseLines.ts
+++ b/packages/explain/src/parseLines.ts
@@ -5,25 +5,34 @@
   return typeof value === 'string' ? value : undefined
 }
 
-const parseLine = (text: string): LogLine | undefined => {
-  const start = text.indexOf('{')
-  if (start < 0) return undefined
-  try {
-    const fields = JSON.parse(text.slice(start)) as Readonly<Record<string, unknown>>
-    const name = textIn(fields, 'name')
-    const at = Date.parse(textIn(fields, 'timestamp') ?? '')
-    if (name === undefined || Number.isNaN(at)) return undefined
-    return {
-      at,
-      instance: textIn(fields, 'instance') ?? 'unknown',
-      name,
-      level: textIn(fields, 'level') ?? 'info',
-      request: textIn(fields, 'request'),
-      endpoint: textIn(fields, 'endpoint'),
-      fields
+const OBJECT_START = '{"'
+
+/** The fields that follow a text, or a line that was torn; undefined where none do. */
+const fieldsIn = (text: string): Readonly<Record<string, unknown>> | undefined => {
+  for (let start = text.indexOf(OBJECT_START); start >= 0; start = text.indexOf(OBJECT_START, start + 1)) {
+    try {
+      return JSON.parse(text.slice(start)) as Readonly<Record<string, unknown>>
+    } catch {
+      // A collector may join a torn line and the next one: the next may begin further on.
     }
-  } catch {
-    return undefined
+  }
+  return undefined
+}
+
+const parseLine = (text: string): LogLine | undefined => {
+  const fields = fieldsIn(text)
+  const name = fields === undefined ? undefined : textIn(fields, 'name')
+  if (fields === undefined || name === undefined) return undefined
+  const at = Date.parse(textIn(fields, 'timestamp') ?? '')
+  if (Number.isNaN(at)) return undefined
+  return {
+    at,
+    instance: textIn(fields, 'instance') ?? 'unknown',
+    name,
+    level: textIn(fields, 'level') ?? 'info',
+    request: textIn(fields, 'request'),
+    endpoint: textIn(fields, 'endpoint'),
+    fields
   }
 }
 
