--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -34,9 +34,10 @@
 const rig = () => {
   const clock = new VirtualClock()
   const out = new Set<string>()
-  const directory = new EndpointDirectory({ clock, log: new EventRecorder(clock), isDomainOut: (domain) => out.has(domain) })
+  const log = new EventRecorder(clock)
+  const directory = new EndpointDirectory({ clock, log, isDomainOut: (domain) => out.has(domain) })
   const usable = (): readonly string[] => directory.usable(SERVICE).map(({ id }) => id)
-  return { clock, directory, out, usable }
+  return { clock, directory, log, out, usable }
 }
 
 describe('EndpointDirectory', () => {
@@ -113,6 +114,17 @@
       expect(healthy()).toEqual(['a', 'b'])
     })
 
+    it('logs when an endpoint begins and ends to be avoided', () => {
+      const { clock, directory, log } = rig()
+      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      const [a] = directory.usable(SERVICE)
+      a!.noteBroken(clock.now())
+      a!.noteAnswer(true)
+      a!.noteAnswer(true)
+      const names = log.records.map(({ kind }) => kind.name).filter((name) => name !== 'endpointSeen')
+      expect(names).toEqual(['endpointSuspected', 'endpointTrusted'])
+    })
+
     it('avoids an endpoint that fails far more often than its fellows, however healthy it calls itself', () => {
       const { directory } = rig()
       directory.replaced([rowOf('a'), rowOf('b'), rowOf('c')], NO_OUTAGE)
