--- a/packages/batching/src/testing/StageWorld.ts
+++ b/packages/batching/src/testing/StageWorld.ts
@@ -1,7 +1,7 @@
 import { brand, bytes, millis, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, EndpointId, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import { EndpointDirectory } from '@papayahill/directory'
-import type { Endpoint, StageNode } from '@papayahill/directory'
+import type { BatchProfile, Endpoint, StageNode } from '@papayahill/directory'
 import { MemoryNetwork, PeerCore } from '@papayahill/peers'
 import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
 import { Result } from 'true-myth'
@@ -42,12 +42,14 @@
   /** Times that an endpoint works slower than declared. */
   readonly slowness = new Map<string, number>()
   readonly #clock: VirtualClock
+  readonly #profile: BatchProfile
   readonly #results = new Map<string, HeldResult>()
   readonly #turns = new Map<string, Promise<unknown>>()
   #count = 0
 
-  constructor (clock: VirtualClock) {
+  constructor (clock: VirtualClock, profile: BatchProfile) {
     this.#clock = clock
+    this.#profile = profile
   }
 
   callerOf (by: InstanceId): BatchCaller {
@@ -78,7 +80,7 @@
     const outcomes = pieces.map((piece) => this.#make(endpoint, piece))
     for (const outcome of outcomes) if ('fault' in outcome) this.faults[outcome.fault]++
     const slowness = this.slowness.get(endpoint) ?? 1
-    await this.#clock.sleep(millis((TEST_PROFILE.callTime + pieces.length * TEST_PROFILE.pieceTime) * slowness))
+    await this.#clock.sleep(millis((this.#profile.callTime + pieces.length * this.#profile.pieceTime) * slowness))
     return outcomes
   }
 
@@ -87,7 +89,7 @@
     if (piece.inputs.some((handle) => (this.#results.get(handle)?.until ?? 0) <= now)) return { fault: 'gone' }
     if (this.failing.delete(`${piece.request} ${piece.stage} ${piece.index}`)) return { fault: 'failed' }
     const held = [...this.#results.values()].filter(({ maker, until }) => maker === endpoint && until > now)
-    if (held.reduce((sum, { size }) => sum + size, 0) + piece.resultBytes > TEST_PROFILE.room) return { fault: 'room' }
+    if (held.reduce((sum, { size }) => sum + size, 0) + piece.resultBytes > this.#profile.room) return { fault: 'room' }
     const handle = `${endpoint}/${++this.#count}`
     this.#results.set(handle, { maker: endpoint, size: piece.resultBytes, until: millis(now + seconds(5)) })
     return { handle }
@@ -102,16 +104,30 @@
   readonly context: ConstructorParameters<typeof StageGraphRun>[0]
 }
 
+export interface StageWorldOptions {
+  readonly profile?: BatchProfile
+  /** No instance finds another. */
+  readonly isApart?: boolean
+}
+
 /** Instances that run stage graphs over one floor of endpoints, in virtual time. */
 export class StageWorld {
   readonly clock = new VirtualClock()
-  readonly floor = new StageFloor(this.clock)
   readonly network = new MemoryNetwork(this.clock)
   readonly instances: StageInstance[] = []
+  readonly floor: StageFloor
   readonly #endpoints: ReadonlyArray<readonly [service: string, id: string]>
+  readonly #profile: BatchProfile
+  readonly #isApart: boolean
 
-  constructor (instances: number, endpoints: ReadonlyArray<readonly [service: string, id: string]>) {
+  constructor (
+    instances: number, endpoints: ReadonlyArray<readonly [service: string, id: string]>,
+    { profile = TEST_PROFILE, isApart = false }: StageWorldOptions = {}
+  ) {
     this.#endpoints = endpoints
+    this.#profile = profile
+    this.#isApart = isApart
+    this.floor = new StageFloor(this.clock, profile)
     for (let at = 0; at < instances; at++) this.instances.push(this.#build(at, 1, instances))
   }
 
@@ -155,7 +171,8 @@
       address: { ip: '127.0.0.1', port: 7000 + index }
     })
     const identity = identityOf(at, life)
-    const shown: readonly ListedPeer[] = Array.from({ length: instances }, (_none, index) => identityOf(index))
+    const listed: readonly ListedPeer[] = Array.from({ length: instances }, (_none, index) => identityOf(index))
+    const shown = this.#isApart ? [] : listed
     const peers = new PeerCore({
       self: identity.id,
       incarnation: identity.incarnation,
@@ -171,7 +188,7 @@
       key: id, value: { record: stageRecord(id, service) }, revision: 1
     })), millis(0))
     const roster = new GathererRoster(clock, peers)
-    const profileOf = () => TEST_PROFILE
+    const profileOf = () => this.#profile
     const isOwn = (group: string): boolean => roster.gathererOf(group) === identity.id
     const gatherer = new Gatherer({ clock, log: SILENT_LOG, caller: this.floor.callerOf(identity.id), directory, profileOf, isOwn })
     clock.every(millis(100), () => gatherer.pumpAll())
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -18,6 +18,7 @@
   gossip: () => import('./benches/gossip.js'),
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js'),
+  stages: () => import('./benches/stages.js'),
   chaos: () => import('./benches/chaos.js'),
   capacity: () => import('./benches/capacity.js'),
   roster: () => import('./benches/roster.js')
