--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -45,6 +45,8 @@
 export const ENDPOINTS_PER_GROUP = 8
 /** Delay by which each step of urgency comes before less urgent work that is due at the same time. */
 export const URGENCY_STEP = millis(200)
+/** Time of the ways to and from an endpoint, by which a call must end before its pieces are due. */
+export const DUE_MARGIN = millis(10)
 /** Pieces that wait are planned anew at least this often. */
 export const PLAN_PERIOD = millis(50)
 /** A call that is overdue is expected to last as long again, and this time more. */
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { EndpointId, Millis } from '@papayahill/common'
-import { URGENCY_STEP } from './constants.js'
+import { DUE_MARGIN, URGENCY_STEP } from './constants.js'
 import type { Piece, PieceOutcome, Place } from './types.js'
 
 /** A piece that waits for its batch. */
@@ -41,10 +41,13 @@
   readonly freeAt: ReadonlyMap<EndpointId, Millis>
 }
 
-/** When a piece is due, with its request's urgency weighed in. */
-const rankOf = ({ piece }: WaitingPiece): number => piece.due + piece.priority * URGENCY_STEP
+/** The earliest due first, with the requests' urgency weighed in. */
+const byDue = ({ piece: left }: WaitingPiece, { piece: right }: WaitingPiece): number =>
+  left.due - right.due + (left.priority - right.priority) * URGENCY_STEP
 
-const byDue = (left: WaitingPiece, right: WaitingPiece): number => rankOf(left) - rankOf(right)
+/** The latest due first, with the requests' urgency weighed in. */
+const byLatestDue = ([{ piece: left }]: PieceGroup, [{ piece: right }]: PieceGroup): number =>
+  right.due - left.due + (left.priority - right.priority) * URGENCY_STEP
 
 const byUrgency = ([{ piece: left }]: PieceGroup, [{ piece: right }]: PieceGroup): number =>
   left.priority - right.priority || left.deadline - right.deadline
@@ -115,6 +118,14 @@
     return millis(this.#startAt + callTime + (this.#taken + pieces.length) * pieceTime)
   }
 
+  /** When the last of the pieces would be made here if their call were filled up with others. */
+  fullEndOf (pieces: readonly WaitingPiece[]): Millis {
+    const { callTime, pieceTime, size } = this.pace
+    const fits = this.fits(pieces)
+    if (fits === 0) return millis(this.#nextAt + callTime + size * pieceTime)
+    return millis(this.#startAt + callTime + size * pieceTime)
+  }
+
   /** Plans as many of the pieces as go into one call; their number. */
   take (pieces: readonly WaitingPiece[]): number {
     if (this.fits(pieces) === 0) this.#nextCall()
@@ -151,7 +162,7 @@
   /** Whether a request's pieces can be made by the time at which they are due, behind what is planned so far. */
   isInTime (group: PieceGroup): boolean {
     const calls = this.#soonest(group)
-    return calls === undefined || calls.endOf(group) <= group[0].piece.due
+    return calls === undefined || calls.fullEndOf(group) + DUE_MARGIN <= group[0].piece.due
   }
 
   place (group: PieceGroup): void {
@@ -184,22 +195,33 @@
   }
 }
 
+/** Places what can be made by its due time, in the order given; the others are given back. */
+const placeInTime = (planner: Planner, groups: readonly PieceGroup[]): readonly PieceGroup[] => {
+  const behind: PieceGroup[] = []
+  for (const group of groups) {
+    if (planner.isInTime(group)) planner.place(group)
+    else behind.push(group)
+  }
+  return behind
+}
+
 /**
  * Plans the calls of a group's endpoints: each request's pieces go where they are made soonest, the earliest due first.
- * Those that cannot be made when they are due give way to all that can, since an answer past its target is worth the
- * same a little later. Only what can begin now is settled; the rest is planned anew with whatever has come by then.
+ * Where not all can be made that are in reach of their due times, the latest due go first: were the earliest served, each
+ * would leave with no time for the wait at its next stage, and all would miss their targets in turn. Those that cannot
+ * be made when they are due give way to all that can, since an answer past its target is worth the same a little later.
+ * Only what can begin now is settled; the rest is planned anew with whatever has come by then.
  *
  * @example
  * const { batches, late } = planBatches(waiting, paces)
  */
 export const planBatches = (waiting: readonly WaitingPiece[], paces: readonly EndpointPace[]): BatchPlan => {
+  const groups = groupsOf([...waiting].sort(byDue))
+  const idle = new Planner(paces)
+  const isOverloaded = placeInTime(new Planner(paces), groups).some((group) => idle.isInTime(group))
   const planner = new Planner(paces)
-  const behind: PieceGroup[] = []
-  for (const group of groupsOf([...waiting].sort(byDue))) {
-    if (planner.isInTime(group)) planner.place(group)
-    else behind.push(group)
-  }
-  for (const group of behind.sort(byUrgency)) planner.place(group)
+  const behind = placeInTime(planner, isOverloaded ? groups.toSorted(byLatestDue) : groups)
+  for (const group of behind.toSorted(byUrgency)) planner.place(group)
   const { planned, late, unplaced } = planner
   const sent = planned.filter(({ pace, first }) => pace.isOpen && first.length > 0)
   return {
