--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -50,6 +50,12 @@
       expect(namesOf(batches.get(a))).toEqual(['last', 'p'])
     })
 
+    it('serves the latest due first where not all can be in time, the more urgent of them before', () => {
+      const pieces = [300, 310, 320].map((due) => stagePiece(`due ${due}`, { due: millis(due) }))
+      const urgent = stagePiece('urgent', { due: millis(250), priority: 0 })
+      expect(namesOf(plan([...pieces, urgent], paceOf(a)).batches.get(a))).toEqual(['urgent', 'due 320'])
+    })
+
     it('puts the more urgent of two first that are due about the same time', () => {
       const pieces = [stagePiece('relaxed', { due: millis(900), priority: 2 }), stagePiece('urgent', { due: millis(1000), priority: 0 })]
       expect(namesOf(plan(pieces, paceOf(a, { size: 1 })).batches.get(a))).toEqual(['urgent'])
