--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -37,19 +37,19 @@
     const took = await play(world, 100, 100)
     expect(took).not.toContain(undefined)
     expect(inTime(took)).toBeGreaterThanOrEqual(90)
-    expect(world.floor.faults).toMatchObject({ gone: 0, room: 0 })
+    expect(world.endpoints.faults).toMatchObject({ gone: 0, room: 0 })
   })
 
   it('meets no lack of room though makers learn late of what was given up', async () => {
     const world = await worldOf()
-    world.floor.freeDelay = millis(25)
+    world.endpoints.freeDelay = millis(25)
     await play(world, 100, 150, LARGE)
-    expect(world.floor.faults.room).toBe(0)
+    expect(world.endpoints.faults.room).toBe(0)
   })
 
   it('keeps requests in time beside an endpoint that turned slow', async () => {
     const world = await worldOf()
-    world.floor.slowness.set('scan-0', 5)
+    world.endpoints.slowness.set('scan-0', 5)
     const took = await play(world, 60, 140)
     expect(inTime(took)).toBeGreaterThanOrEqual(50)
   })
@@ -57,12 +57,12 @@
   it('makes only the inputs again that are gone when one piece of a later stage failed', async () => {
     const world = await worldOf(1)
     await play(world, 6, 400)
-    world.floor.failing.add('again 2 1')
+    world.endpoints.failing.add('again 2 1')
     const took = world.serve(0, workOf(world, 'again', CHAIN, [1, 3, 4], TARGET, PATIENCE))
-    const before = world.floor.calls.length
+    const before = world.endpoints.calls.length
     await world.clock.advance(millis(6000))
     expect(await took).toBeDefined()
-    const noted = world.floor.calls.slice(before).filter(({ endpoint }) => endpoint.startsWith('note'))
+    const noted = world.endpoints.calls.slice(before).filter(({ endpoint }) => endpoint.startsWith('note'))
     expect(noted.map(({ pieces }) => pieces)).toEqual([4, 1, 1])
   })
 
@@ -85,7 +85,7 @@
       await world.restart((at + 1) % 3, millis(300))
       const took = await play(world, 60, 100)
       expect(took).not.toContain(undefined)
-      expect(world.floor.calls.map(({ by }) => by)).not.toContain(leaver)
+      expect(world.endpoints.calls.map(({ by }) => by)).not.toContain(leaver)
     })
   })
 })
--- a/packages/batching/src/testing/StageWorld.ts
+++ b/packages/batching/src/testing/StageWorld.ts
@@ -24,7 +24,7 @@
   readonly until: Millis
 }
 
-interface FloorCall {
+interface FakeCall {
   readonly endpoint: string
   /** The instance that sent it. */
   readonly by: InstanceId
@@ -32,8 +32,8 @@
 }
 
 /** Stage endpoints that work in virtual time: one call after the other, with room and inputs as the platform has them. */
-export class StageFloor {
-  readonly calls: FloorCall[] = []
+export class FakeStageEndpoints {
+  readonly calls: FakeCall[] = []
   readonly faults: Record<PieceFault, number> = { late: 0, gone: 0, room: 0, failed: 0, unplaced: 0, moved: 0 }
   /** Pieces that are to fail once, by request, stage and index. */
   readonly failing = new Set<string>()
@@ -110,13 +110,13 @@
   readonly isApart?: boolean
 }
 
-/** Instances that run stage graphs over one floor of endpoints, in virtual time. */
+/** Instances that run stage graphs over the same endpoints, in virtual time. */
 export class StageWorld {
   readonly clock = new VirtualClock()
   readonly network = new MemoryNetwork(this.clock)
   readonly instances: StageInstance[] = []
-  readonly floor: StageFloor
-  readonly #endpoints: ReadonlyArray<readonly [service: string, id: string]>
+  readonly endpoints: FakeStageEndpoints
+  readonly #listed: ReadonlyArray<readonly [service: string, id: string]>
   readonly #profile: BatchProfile
   readonly #isApart: boolean
 
@@ -124,10 +124,10 @@
     instances: number, endpoints: ReadonlyArray<readonly [service: string, id: string]>,
     { profile = TEST_PROFILE, isApart = false }: StageWorldOptions = {}
   ) {
-    this.#endpoints = endpoints
+    this.#listed = endpoints
     this.#profile = profile
     this.#isApart = isApart
-    this.floor = new StageFloor(this.clock, profile)
+    this.endpoints = new FakeStageEndpoints(this.clock, profile)
     for (let at = 0; at < instances; at++) this.instances.push(this.#build(at, 1, instances))
   }
 
@@ -184,13 +184,13 @@
       log: SILENT_LOG
     })
     const directory = new EndpointDirectory({ clock, log: SILENT_LOG, isDomainOut: () => false })
-    directory.changed(this.#endpoints.map(([service, id]) => ({
+    directory.changed(this.#listed.map(([service, id]) => ({
       key: id, value: { record: stageRecord(id, service) }, revision: 1
     })), millis(0))
     const roster = new GathererRoster(clock, peers)
     const profileOf = () => this.#profile
     const isOwn = (group: string): boolean => roster.gathererOf(group) === identity.id
-    const gatherer = new Gatherer({ clock, log: SILENT_LOG, caller: this.floor.callerOf(identity.id), directory, profileOf, isOwn })
+    const gatherer = new Gatherer({ clock, log: SILENT_LOG, caller: this.endpoints.callerOf(identity.id), directory, profileOf, isOwn })
     clock.every(millis(100), () => gatherer.pumpAll())
     const board = new BacklogBoard(clock)
     const groups = groupsIn(directory)
