Ports of tests below those of outgoing connections; one freePort for all

The two other instances were left running; a fleet that does not start is stopped now. Ruled out: slow starts (ph-1 and ph-2 were ready; ph-3 had ended).

--- a/apps/papayahilld/src/Daemon.test.ts
+++ b/apps/papayahilld/src/Daemon.test.ts
@@ -1,12 +1,10 @@
 import { readFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { brand, EventRecorder, millis, SeededRandom, SystemClock } from '@papayahill/common'
 import type { InstanceId } from '@papayahill/common'
 import { Trace } from '@papayahill/invariants'
 import { encodeConfig, parseOperatorConfig } from '@papayahill/settings'
 import type { InstanceSettings, OperatorConfig } from '@papayahill/settings'
-import { serveDeployment } from '@papayahill/standins'
+import { freePort, serveDeployment } from '@papayahill/standins'
 import type { ServedDeployment } from '@papayahill/standins'
 import { afterAll, beforeAll, describe, expect, it, vi } from 'vitest'
 import { Daemon } from './Daemon.js'
@@ -25,13 +23,6 @@
   return parseOperatorConfig(text, 'consorcio.toml').unwrapOrElse(() => { throw new Error('the example does not fit') })
 }
 
-const freePort = (): Promise<number> => new Promise((resolve) => {
-  const server = createServer().listen(0, LOOPBACK, () => {
-    const { port } = server.address() as AddressInfo
-    server.close(() => resolve(port))
-  })
-})
-
 describe('three instances over loopback', () => {
   const config = readConfig()
   const trace = new Trace()
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,5 +51,6 @@
       }]
     }
   },
-  layerRule(['papayahilld', [...layers.papayahilld, ...TEST_HELP]], ['apps/papayahilld/src/**/*.test.ts'])
+  layerRule(['papayahilld', [...layers.papayahilld, ...TEST_HELP]], ['apps/papayahilld/src/**/*.test.ts']),
+  layerRule(['platform', [...layers.platform, ...TEST_HELP]], ['platform/src/**/*.test.ts'])
 ]
--- a/packages/bench/src/processes/ProcessFleet.ts
+++ b/packages/bench/src/processes/ProcessFleet.ts
@@ -84,11 +84,20 @@
       isWarm: true
     })
     const fleet = new ProcessFleet(trace, standIns, places)
-    for (const id of fleet.ids) fleet.spawn(id)
-    await fleet.until(async () => (await Promise.all(fleet.ids.map((id) => fleet.isReady(id)))).every(Boolean))
-    await fleet.operate('POST', '/v1/config/changes', { changes: [{ kind: 'replace', config: encodeConfig(config) }], base: 0 })
-    await fleet.until(async () => (await Promise.all(fleet.ids.map((id) => fleet.isConnected(id)))).every(Boolean))
-    return fleet
+    try {
+      await fleet.#begin(config)
+      return fleet
+    } catch (err) {
+      await fleet.stop()
+      throw err
+    }
+  }
+
+  async #begin (config: OperatorConfig): Promise<void> {
+    for (const id of this.ids) this.spawn(id)
+    await this.until(async () => (await Promise.all(this.ids.map((id) => this.isReady(id)))).every(Boolean))
+    await this.operate('POST', '/v1/config/changes', { changes: [{ kind: 'replace', config: encodeConfig(config) }], base: 0 })
+    await this.until(async () => (await Promise.all(this.ids.map((id) => this.isConnected(id)))).every(Boolean))
   }
 
   get ids (): readonly InstanceId[] {
--- /dev/null
+++ b/packages/standins/src/http/freePort.ts
@@ -0,0 +1,28 @@
+import { randomInt } from 'node:crypto'
+import { createServer } from 'node:net'
+
+/** Below the ports that systems give to outgoing connections, so that none of those takes one before its listener does. */
+const FIRST_PORT = 20_000
+const LAST_PORT = 31_999
+const given = new Set<number>()
+
+const isFree = (port: number): Promise<boolean> => new Promise((resolve) => {
+  const server = createServer()
+  server.once('error', () => resolve(false))
+  server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+})
+
+/**
+ * A port of loopback that nothing listens on; no port is given twice.
+ *
+ * @example
+ * const port = await freePort()
+ */
+export const freePort = async (): Promise<number> => {
+  for (;;) {
+    const port = randomInt(FIRST_PORT, LAST_PORT + 1)
+    if (given.has(port) || !await isFree(port)) continue
+    given.add(port)
+    return port
+  }
+}
