--- a/packages/batching/src/BacklogBoard.test.ts
+++ b/packages/batching/src/BacklogBoard.test.ts
@@ -1,26 +1,13 @@
 import { brand, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
-import { Endpoint } from '@papayahill/directory'
+import type { DomainId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { BacklogBoard, chooseHome, choosePlace } from './BacklogBoard.js'
+import { stageEndpoint } from './testing/stageEndpoint.js'
 
 const domainOf = (name: string): DomainId => brand<DomainId>(name)
 
-const endpointOf = (id: string, domain: string): Endpoint => new Endpoint({
-  id: brand<EndpointId>(id),
-  service: brand<ServiceId>('encode'),
-  address: { ip: '10.0.0.1', port: 1 },
-  domain: domainOf(domain),
-  version: 'v1',
-  slots: 1,
-  isDraining: false,
-  coldFor: millis(0),
-  sequence: 1,
-  bornAt: undefined
-})
-
-const near = endpointOf('near', 'hall-1')
-const far = endpointOf('far', 'hall-2')
+const near = stageEndpoint('near', 'encode', 'hall-1')
+const far = stageEndpoint('far', 'encode', 'hall-2')
 
 describe('choosePlace', () => {
   const want = { endpoints: [near, far], inputBytes: new Map(), outputBytes: 0, home: undefined }
--- a/packages/batching/src/Gatherer.ts
+++ b/packages/batching/src/Gatherer.ts
@@ -95,7 +95,7 @@
   #usableCallsOf (id: EndpointId): EndpointCalls | undefined {
     const { directory } = this.#options
     const endpoint = directory.get(id)
-    if (endpoint === undefined || !directory.usable(endpoint.service).includes(endpoint)) return undefined
+    if (endpoint === undefined || !directory.isUsable(endpoint)) return undefined
     return this.#callsOf(id)
   }
 
--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -1,4 +1,4 @@
-import { hash32, millis } from '@papayahill/common'
+import { firstByRendezvous, millis } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { DOUBT_SPAN, GATHERER_SILENCE } from './constants.js'
@@ -56,14 +56,9 @@
 
   gathererOf (group: string): InstanceId {
     const others = this.#others()
-    const candidates = this.isLeaving ? others : [...others, this.#peers.self]
-    let best = this.#peers.self
-    let bestRank = -1
-    for (const id of candidates) {
-      const rank = hash32(`${group} ${id}`)
-      if (rank > bestRank) [best, bestRank] = [id, rank]
-    }
-    return best
+    const handsOver = this.#isLeaving && others.length > 0
+    const candidates = handsOver ? others : [...others, this.#peers.self]
+    return firstByRendezvous(group, candidates, (id) => id) ?? this.#peers.self
   }
 
   #others (): readonly InstanceId[] {
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -70,7 +70,10 @@
     const { batches, late, unplaced } = this.#plan([])
     this.#settle(unplaced, 'unplaced')
     this.#drop(late)
-    for (const [endpoint, batch] of batches) this.#remove(batch, () => { void this.#send(endpoint, batch) })
+    for (const [endpoint, batch] of batches) {
+      this.#remove(batch)
+      void this.#send(endpoint, batch)
+    }
     if (this.#waiting.length > 0) this.#timer = this.#options.clock.after(PLAN_PERIOD, () => this.pump())
   }
 
@@ -94,15 +97,13 @@
   }
 
   #settle (pieces: readonly WaitingPiece[], fault: PieceFault): void {
-    this.#remove(pieces, () => {
-      for (const waiting of pieces) waiting.settle({ fault, endpoint: undefined })
-    })
+    this.#remove(pieces)
+    for (const waiting of pieces) waiting.settle({ fault, endpoint: undefined })
   }
 
-  #remove (pieces: readonly WaitingPiece[], then: () => void): void {
+  #remove (pieces: readonly WaitingPiece[]): void {
     if (pieces.length === 0) return
     const gone = new Set(pieces)
     this.#waiting = this.#waiting.filter((waiting) => !gone.has(waiting))
-    then()
   }
 }
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -39,11 +39,10 @@
   readonly isAllowedIn: DomainRule
 }
 
-/** Why the stages did not end: nothing was done for the request yet where `isBegun` is false. */
+/** Why the stages did not end. */
 export interface StageFailure {
   readonly fault: PieceFault
   readonly stage: number
-  readonly isBegun: boolean
 }
 
 /**
@@ -64,7 +63,6 @@
   readonly #asked = new Set<GroupId>()
   #chosenHome: DomainId | undefined
   #isCancelled = false
-  #isBegun = false
 
   constructor (context: StageContext, work: StageWork) {
     this.#context = context
@@ -213,7 +211,7 @@
   }
 
   #failure (stage: StageNode, fault: PieceFault): StageFailure {
-    return { fault, stage: stage.index, isBegun: this.#isBegun }
+    return { fault, stage: stage.index }
   }
 
   /** Orders the missing pieces; the worst fault among them, or undefined where all were made. */
@@ -226,7 +224,6 @@
     const order = this.#order(stage, pieces, inputs, exclude)
     if (order === undefined) return 'unplaced'
     this.#asked.add(order.group)
-    this.#isBegun = true
     const read = (): void => this.#piecesRead(stage, missing.length)
     const outcomes = await this.#context.links.run(order, { read })
     return this.#takeOutcomes(stage, missing, outcomes, results, exclude)
@@ -251,7 +248,7 @@
     if (group === undefined) return undefined
     const fellows = want.endpoints.filter(({ id }) => groups.groupOf(id) === group)
     const places = fellows.map(({ id, domain }) => ({ endpoint: id, cost: crossingAt(domain, want) }))
-    return { service: stage.service, group, places, pieces }
+    return { group, places, pieces }
   }
 
   #endpointsOf (stage: StageNode): readonly Endpoint[] {
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -1,5 +1,6 @@
 import type { Clock, EndpointId, EventLog, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
+import type { BacklogBoard } from './BacklogBoard.js'
 import { HEARD_PERIOD, TAKE_TIMEOUT } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { Gatherer } from './Gatherer.js'
@@ -16,8 +17,7 @@
   readonly gatherer: Gatherer
   readonly roster: GathererRoster
   readonly groups: GroupLookup
-  /** Told how long a piece that came now would wait at some endpoints. */
-  readonly onBacklogs: (backlogs: readonly EndpointBacklog[]) => void
+  readonly board: BacklogBoard
 }
 
 /** Answer to an order of an instance that had not heard that this one stops, as after its own restart. */
@@ -84,7 +84,7 @@
 
   #runHere (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     return new Promise((resolve) => {
-      this.#options.onBacklogs(this.#options.gatherer.take(order, listener, resolve))
+      this.#noteBacklogs(this.#options.gatherer.take(order, listener, resolve))
     })
   }
 
@@ -106,7 +106,7 @@
       roster.leaves(to)
       return await this.run(order, listener)
     }
-    this.#options.onBacklogs(unpackBacklogs(taken.value))
+    this.#noteBacklogs(unpackBacklogs(taken.value))
     return await this.#endOf(id, to, ended, order)
   }
 
@@ -152,6 +152,10 @@
     for (const outcome of outcomes) if ('handle' in outcome) this.free(outcome.endpoint, [outcome.handle])
   }
 
+  #noteBacklogs (backlogs: readonly EndpointBacklog[]): void {
+    for (const { endpoint, backlog } of backlogs) this.#options.board.note(endpoint, backlog)
+  }
+
   #send (to: InstanceId, message: StageMessage): void {
     this.#options.peers.send(to, 'stage', packMessage(message, this.#options.clock.now()))
   }
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -1,5 +1,5 @@
 import { bytes, isJsonObject, millis } from '@papayahill/common'
-import type { EndpointId, Json, Millis, ServiceId } from '@papayahill/common'
+import type { EndpointId, Json, Millis } from '@papayahill/common'
 import type { EndpointBacklog, GroupId, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 /** What instances tell each other about stages. Times travel as spans, since each has its own clock. */
@@ -43,10 +43,9 @@
 }
 
 /** All pieces of an order share their request, stage and times. */
-const packOrder = ({ service, group, places, pieces }: StageOrder, now: Millis): Json => {
+const packOrder = ({ group, places, pieces }: StageOrder, now: Millis): Json => {
   const first = pieces[0]!
   return {
-    service,
     group,
     places: Object.fromEntries(places.map(({ endpoint, cost }) => [endpoint, Math.round(cost)])),
     request: first.request,
@@ -63,7 +62,6 @@
 }
 
 interface PackedOrder {
-  readonly service: ServiceId
   readonly group: GroupId
   readonly places: Readonly<Record<EndpointId, number>>
   readonly request: string
@@ -92,7 +90,7 @@
     deadline: millis(now + packed.endIn)
   })
   const places = Object.entries(packed.places).map(([endpoint, cost]) => ({ endpoint: endpoint as EndpointId, cost: millis(cost) }))
-  return { service: packed.service, group: packed.group, places, pieces: packed.pieces.map(pieceOf) }
+  return { group: packed.group, places, pieces: packed.pieces.map(pieceOf) }
 }
 
 /** Writes a message for a link. */
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -89,8 +89,7 @@
 
   /** When the call after the one that is being filled can begin. */
   get #nextAt (): Millis {
-    const { callTime, pieceTime } = this.pace
-    return millis(this.#startAt + callTime + this.#taken * pieceTime)
+    return this.#endOf(this.#startAt, this.#taken)
   }
 
   /** When a piece behind all these could begin. */
@@ -112,18 +111,17 @@
 
   /** When the last of the pieces would be made here. */
   endOf (pieces: readonly WaitingPiece[]): Millis {
-    const { callTime, pieceTime } = this.pace
-    const fits = this.fits(pieces)
-    if (fits === 0) return millis(this.#nextAt + callTime + pieces.length * pieceTime)
-    return millis(this.#startAt + callTime + (this.#taken + pieces.length) * pieceTime)
+    if (this.fits(pieces) === 0) return this.#endOf(this.#nextAt, pieces.length)
+    return this.#endOf(this.#startAt, this.#taken + pieces.length)
   }
 
   /** When the last of the pieces would be made here if their call were filled up with others. */
   fullEndOf (pieces: readonly WaitingPiece[]): Millis {
-    const { callTime, pieceTime, size } = this.pace
-    const fits = this.fits(pieces)
-    if (fits === 0) return millis(this.#nextAt + callTime + size * pieceTime)
-    return millis(this.#startAt + callTime + size * pieceTime)
+    return this.#endOf(this.fits(pieces) === 0 ? this.#nextAt : this.#startAt, this.pace.size)
+  }
+
+  #endOf (startAt: Millis, pieces: number): Millis {
+    return millis(startAt + this.pace.callTime + pieces * this.pace.pieceTime)
   }
 
   /** Plans as many of the pieces as go into one call; their number. */
@@ -218,9 +216,13 @@
 export const planBatches = (waiting: readonly WaitingPiece[], paces: readonly EndpointPace[]): BatchPlan => {
   const groups = groupsOf([...waiting].sort(byDue))
   const idle = new Planner(paces)
-  const isOverloaded = placeInTime(new Planner(paces), groups).some((group) => idle.isInTime(group))
-  const planner = new Planner(paces)
-  const behind = placeInTime(planner, isOverloaded ? groups.toSorted(byLatestDue) : groups)
+  let planner = new Planner(paces)
+  let behind = placeInTime(planner, groups)
+  const isOverloaded = behind.some((group) => idle.isInTime(group))
+  if (isOverloaded) {
+    planner = new Planner(paces)
+    behind = placeInTime(planner, groups.toSorted(byLatestDue))
+  }
   for (const group of behind.toSorted(byUrgency)) planner.place(group)
   const { planned, late, unplaced } = planner
   const sent = planned.filter(({ pace, first }) => pace.isOpen && first.length > 0)
--- a/packages/batching/src/testing/StageWorld.ts
+++ b/packages/batching/src/testing/StageWorld.ts
@@ -201,7 +201,7 @@
       gatherer,
       roster,
       groups,
-      onBacklogs: (backlogs) => { for (const { endpoint, backlog } of backlogs) board.note(endpoint, backlog) }
+      board
     })
     const context = { clock, log: SILENT_LOG, directory, board, links, groups, profileOf, takeRetry: () => true }
     return { identity, peers, roster, links, context }
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -74,7 +74,6 @@
 
 /** The pieces of one request's stage, for whichever of a group's endpoints makes them first. */
 export interface StageOrder {
-  readonly service: ServiceId
   readonly group: GroupId
   readonly places: readonly Place[]
   readonly pieces: readonly Piece[]
--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -7,3 +7,22 @@
 
 /** A 64-bit hash of a string as 16 hexadecimal digits. */
 export const hash64 = (text: string): string => xxhash.h64ToString(text)
+
+/**
+ * The first of the candidates in rendezvous order for a name: all who know the same candidates find the same one, and
+ * where one leaves, only the names that were its own change hands. Undefined where there is none.
+ *
+ * @example
+ * firstByRendezvous('orders/0', ['ph-1', 'ph-2'], (id) => id)
+ */
+export const firstByRendezvous = <Candidate>(
+  name: string, candidates: Iterable<Candidate>, idOf: (candidate: Candidate) => string | number
+): Candidate | undefined => {
+  let first: Candidate | undefined
+  let highest = -1
+  for (const candidate of candidates) {
+    const rank = hash32(`${name} ${idOf(candidate)}`)
+    if (rank > highest) [first, highest] = [candidate, rank]
+  }
+  return first
+}
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -81,14 +81,19 @@
     return endpoint.isCold(now) ? 'cold' : 'usable'
   }
 
-  /** All endpoints of a service that are listed or held. */
-  known (service: ServiceId): readonly Endpoint[] {
-    return [...this.#byService.get(service) ?? []]
+  /** Number of a service's endpoints that are listed or held. */
+  count (service: ServiceId): number {
+    return this.#byService.get(service)?.size ?? 0
+  }
+
+  /** Whether an endpoint may take new work. */
+  isUsable (endpoint: Endpoint): boolean {
+    return endpoint.isListed && !this.#options.isDomainOut(endpoint.domain)
   }
 
   /** Endpoints of a service that may take new work. */
   usable (service: ServiceId): readonly Endpoint[] {
-    return this.known(service).filter((endpoint) => endpoint.isListed && !this.#options.isDomainOut(endpoint.domain))
+    return [...this.#byService.get(service) ?? []].filter((endpoint) => this.isUsable(endpoint))
   }
 
   /** Usable endpoints, without those that are suspected or fail far more often than their fellows while others are left. */
--- a/packages/forwarding/src/EngineBoard.ts
+++ b/packages/forwarding/src/EngineBoard.ts
@@ -1,5 +1,5 @@
 import { CROSS_DOMAIN_MILLIS_PER_BYTE } from '@papayahill/batching'
-import { hash32, millis, tokens } from '@papayahill/common'
+import { firstByRendezvous, millis, tokens } from '@papayahill/common'
 import type { EndpointId, Millis, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { LRUCache } from 'lru-cache'
@@ -59,14 +59,7 @@
   /** First in rendezvous order for the session, so that all instances prefer the same engine. */
   #favourite ({ endpoints, prompt }: PlacementWant): Endpoint | undefined {
     const part = prompt === undefined ? undefined : sessionPart(prompt)
-    if (part === undefined) return undefined
-    let best: Endpoint | undefined
-    let bestRank = -1
-    for (const endpoint of endpoints) {
-      const rank = hash32(`${part} ${endpoint.id}`)
-      if (rank > bestRank) [best, bestRank] = [endpoint, rank]
-    }
-    return best
+    return part === undefined ? undefined : firstByRendezvous(part, endpoints, ({ id }) => id)
   }
 
   #cost (endpoint: Endpoint, { prompt, domain, inputBytes, now }: PlacementWant, isFavourite: boolean): Millis {
--- a/packages/forwarding/src/ForwardMeters.ts
+++ b/packages/forwarding/src/ForwardMeters.ts
@@ -1,4 +1,5 @@
 import { BATCHING_EVENTS } from '@papayahill/batching'
+import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { EventFields, EventKind, EventLog, Millis } from '@papayahill/common'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { MAX_METERED_WORKSPACES } from './constants.js'
@@ -7,7 +8,6 @@
 import type { RunEnd } from './ForwardRun.js'
 import type { ForwardRequest } from './types.js'
 
-const SECOND = 1000
 /** Upper bounds of the latency histograms, in seconds. */
 const LATENCY_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4, 6, 10, 20]
 const PIECE_BUCKETS = [1, 2, 4, 8, 12, 16, 24, 32, 48, 64]
@@ -70,9 +70,9 @@
   /** Meters that read a number from an event's fields. */
   readonly #readers: ReadonlyMap<EventKind, (fields: EventFields) => void> = new Map([
     [BATCHING_EVENTS.batchSent, ({ pieces }: EventFields) => this.#batchPieces.observe(Number(pieces))],
-    [BATCHING_EVENTS.batchEnded, ({ tookMs }: EventFields) => this.#batchSeconds.observe(Number(tookMs) / SECOND)],
-    [FORWARDING_EVENTS.requestTaken, ({ waitMs }: EventFields) => this.#admissionWait.observe(Number(waitMs) / SECOND)],
-    [FORWARDING_EVENTS.requestUntimely, ({ waitMs }: EventFields) => this.#admissionWait.observe(Number(waitMs) / SECOND)]
+    [BATCHING_EVENTS.batchEnded, ({ tookMs }: EventFields) => this.#batchSeconds.observe(Number(tookMs) / MILLIS_PER_SECOND)],
+    [FORWARDING_EVENTS.requestTaken, ({ waitMs }: EventFields) => this.#admissionWait.observe(Number(waitMs) / MILLIS_PER_SECOND)],
+    [FORWARDING_EVENTS.requestUntimely, ({ waitMs }: EventFields) => this.#admissionWait.observe(Number(waitMs) / MILLIS_PER_SECOND)]
   ])
 
   /** Counts events on their way to a log, those too that it leaves out. */
@@ -90,7 +90,7 @@
     const outcome = end.kind === 'failed' ? `${end.failure.kind}:${end.failure.run}` : end.kind
     this.#requests.inc({ route: route.name, outcome })
     this.#byWorkspace.inc({ workspace: this.#labelOf(workspace), outcome: end.kind })
-    this.#latency.observe({ route: route.name }, took / SECOND)
+    this.#latency.observe({ route: route.name }, took / MILLIS_PER_SECOND)
   }
 
   /** Adds a gauge that is read when metrics are asked for; a map's keys become the values of its label. */
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -55,11 +55,6 @@
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
 
-  /** Whether a call went out, so that nothing may be said of "not run". */
-  get isDispatched (): boolean {
-    return this.#guard.isDispatched
-  }
-
   async run (): Promise<RunEnd> {
     const onAbort = (): void => this.#graph?.cancel()
     this.#request.signal.addEventListener('abort', onAbort, { once: true })
--- a/packages/standins/src/http/HttpStandIn.ts
+++ b/packages/standins/src/http/HttpStandIn.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Json } from '@papayahill/common'
 import polka from 'polka'
@@ -70,7 +70,12 @@
       const handle = (req: StandInRequest, res: StandInResponse): void => { void answer(route.handle, req, res) }
       app.add(route.method, route.path, handle as unknown as polka.Middleware)
     }
-    const server = createServer((req, res) => app.handler(req as StandInRequest, res))
+    return await HttpStandIn.serve((req, res) => { app.handler(req as StandInRequest, res) }, port)
+  }
+
+  /** Takes all requests, whatever their paths. */
+  static async serve (take: RequestListener, port = 0): Promise<HttpStandIn> {
+    const server = createServer(take)
     server.keepAliveTimeout = KEEP_ALIVE_MS
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
