Tables of the store are followed by three instances and relayed to all others

Ruled out: longer waits alone (a silent connection would go unnoticed for longer than a leaving endpoint may get work); a watcher for each domain (six of 18 instances there).

--- a/packages/bench/src/state/GatedPeers.ts
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -34,6 +34,10 @@
     return this.#peers.isConnected(id)
   }
 
+  neighbours (): readonly InstanceId[] {
+    return this.#peers.neighbours()
+  }
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     this.#count(message)
     this.#peers.send(to, topic, message)
--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -26,3 +26,16 @@
   }
   return first
 }
+
+/**
+ * All candidates in rendezvous order for a name.
+ *
+ * @example
+ * byRendezvous('servers', ['ph-1', 'ph-2', 'ph-3'], (id) => id).slice(0, 2)
+ */
+export const byRendezvous = <Candidate>(
+  name: string, candidates: Iterable<Candidate>, idOf: (candidate: Candidate) => string | number
+): readonly Candidate[] => [...candidates]
+    .map((candidate) => ({ candidate, rank: hash32(`${name} ${idOf(candidate)}`) }))
+    .sort((left, right) => right.rank - left.rank)
+    .map(({ candidate }) => candidate)
--- /dev/null
+++ b/packages/directory/src/TableRelay.ts
@@ -0,0 +1,100 @@
+import type { Clock, DomainId, EventLog, InstanceId, Json, Timer } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { FETCH_TIMEOUT, MAX_PUSHED_CHARACTERS, RELAY_DELAY } from './constants.js'
+import { DIRECTORY_EVENTS } from './events.js'
+import { packTableMessage, unpackTableMessage } from './tableMessages.js'
+import type { RelayedChanges, TableStatus } from './tableMessages.js'
+import { watchersOf } from './watchersOf.js'
+
+/** One table as the relay sees it. */
+export interface RelayedTable {
+  readonly name: string
+  /** How current the copy is; undefined before the first read. */
+  status (): TableStatus | undefined
+  /** What a copy at a revision lacks. */
+  since (after: number | undefined): RelayedChanges | undefined
+  heard (status: TableStatus, from: InstanceId): void
+  changed (relayed: RelayedChanges, from: InstanceId): void
+}
+
+export interface TableRelayOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly domain: DomainId
+  readonly peers: Pick<Peers, 'self' | 'members' | 'neighbours' | 'send' | 'ask' | 'handle'>
+}
+
+/**
+ * Hands changes of watched tables from neighbour to neighbour, so that a few instances follow the store for all.
+ * Every status tells how old it is, so that each instance knows the age of what it acts on.
+ *
+ * @example
+ * const relay = new TableRelay({ clock, log, domain, peers })
+ * new TableWatch({ clock, random, log, table, decode, listener, relay }).start()
+ */
+export class TableRelay {
+  readonly #options: TableRelayOptions
+  readonly #tables = new Map<string, RelayedTable>()
+  /** Tables whose status is to be passed on, and the neighbour that has it already. */
+  readonly #dirty = new Map<string, InstanceId | undefined>()
+  #timer: Timer | undefined
+
+  constructor (options: TableRelayOptions) {
+    this.#options = options
+    options.peers.handle('table', (from, body) => this.#receive(from, body))
+  }
+
+  add (table: RelayedTable): void {
+    this.#tables.set(table.name, table)
+  }
+
+  /** Whether this instance follows the table in the store for the others. */
+  isWatcher (table: string): boolean {
+    const { peers: { self }, domain } = this.#options
+    return watchersOf(table, [...this.#options.peers.members(), { id: self, domain }]).some(({ id }) => id === self)
+  }
+
+  /** Passes a table's status on shortly; `from` has it already. */
+  announce (table: string, from?: InstanceId): void {
+    this.#dirty.set(table, from)
+    this.#timer ??= this.#options.clock.after(RELAY_DELAY, () => this.#flush())
+  }
+
+  /** Sends changed rows to all neighbours but the one that sent them; large ones are fetched by those that lack them. */
+  push (relayed: RelayedChanges, from?: InstanceId): void {
+    const body = packTableMessage({ kind: 'changes', relayed })
+    if (JSON.stringify(body).length > MAX_PUSHED_CHARACTERS) return this.announce(relayed.table, from)
+    this.#sendAll(body, from)
+  }
+
+  /** What changed at a neighbour after a revision; undefined where it does not answer in time. */
+  async fetch (table: string, from: InstanceId, after: number | undefined): Promise<RelayedChanges | undefined> {
+    const { peers } = this.#options
+    const answer = await peers.ask(from, 'table', packTableMessage({ kind: 'fetch', table, after }), FETCH_TIMEOUT)
+    const message = answer.isOk ? unpackTableMessage(answer.value) : undefined
+    return message?.kind === 'changes' ? message.relayed : undefined
+  }
+
+  #receive (from: InstanceId, body: Json): Json {
+    const message = unpackTableMessage(body)
+    if (message === undefined) this.#options.log.emit(DIRECTORY_EVENTS.tableMessageMalformed, { from })
+    if (message?.kind === 'status') for (const status of message.statuses) this.#tables.get(status.table)?.heard(status, from)
+    if (message?.kind === 'changes') this.#tables.get(message.relayed.table)?.changed(message.relayed, from)
+    if (message?.kind !== 'fetch') return null
+    const relayed = this.#tables.get(message.table)?.since(message.after)
+    return relayed === undefined ? null : packTableMessage({ kind: 'changes', relayed })
+  }
+
+  #flush (): void {
+    this.#timer = undefined
+    const statuses = [...this.#dirty.keys()].map((name) => this.#tables.get(name)?.status()).filter((status) => status !== undefined)
+    const [only] = this.#dirty.size === 1 ? [...this.#dirty.values()] : []
+    this.#dirty.clear()
+    if (statuses.length > 0) this.#sendAll(packTableMessage({ kind: 'status', statuses }), only)
+  }
+
+  #sendAll (body: Json, except: InstanceId | undefined): void {
+    const { peers } = this.#options
+    for (const id of peers.neighbours()) if (id !== except) peers.send(id, 'table', body)
+  }
+}
--- a/packages/directory/src/TableWatch.test.ts
+++ b/packages/directory/src/TableWatch.test.ts
@@ -1,3 +1,4 @@
+import type { Json } from '@papayahill/common'
 import { EventRecorder, millis, SeededRandom, VirtualClock } from '@papayahill/common'
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
@@ -5,7 +6,7 @@
 import type { WatchedTable } from './TableWatch.js'
 import type { TableError, TableRow, TableRows } from './types.js'
 
-type Answer = Result<TableRows<string>, TableError>
+type Answer = Result<TableRows<Json>, TableError>
 
 const rows = (revision: number, ...keys: readonly string[]): Answer =>
   Result.ok({ revision, rows: keys.map((key) => ({ key, value: key, revision })) })
@@ -23,12 +24,12 @@
     await clock.sleep(millis(10))
     return answers.length > 1 ? answers.shift()! : answers[0]!
   }
-  const table: WatchedTable<string> = { name: 'things', read: () => next('read'), changes: (after) => next(`after ${after}`) }
+  const table: WatchedTable = { name: 'things', read: () => next('read'), changes: (after) => next(`after ${after}`) }
   const note = (kind: string) => (changed: ReadonlyArray<TableRow<string>>, outage: number): void => {
     seen.push(`${kind} ${changed.map(({ key }) => key).join(' ')}${outage > 0 ? ' after an outage' : ''}`)
   }
   const listener = { replaced: note('all'), changed: note('some') }
-  const watch = new TableWatch({ clock, random: new SeededRandom(1), log, table, listener })
+  const watch = new TableWatch({ clock, random: new SeededRandom(1), log, table, decode: (_key, value) => String(value), listener })
   watch.start()
   await clock.advance(millis(span))
   watch.stop()
@@ -52,6 +53,6 @@
     const { calls, seen, names } = await follow([rows(5, 'a'), failed('unavailable'), failed('unavailable'), rows(7, 'b'), rows(7)], 3000)
     expect(calls.slice(0, 4)).toEqual(['read', 'after 5', 'after 5', 'after 5'])
     expect(seen).toEqual(['all a', 'some b after an outage'])
-    expect(names).toEqual(['tableLost', 'tableRegained'])
+    expect(names).toEqual(['tableChanged', 'tableLost', 'tableRegained', 'tableChanged'])
   })
 })
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -1,16 +1,23 @@
 import { millis } from '@papayahill/common'
-import type { Clock, EventLog, Millis, Random } from '@papayahill/common'
+import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
-import { MAX_WATCH_RETRY, MIN_WATCH_RETRY, WATCH_PACE, WATCH_WAIT } from './constants.js'
+import {
+  ANSWER_LIMIT, LAPSE_GRACE, LOOK_SPREAD, MAX_SHARED_RETRY, MAX_WATCH_RETRY, MIN_WATCH_RETRY, ROLE_PERIOD, STATUS_GAIN, STATUS_LIMIT,
+  STATUS_PERIOD, WATCH_PACE, WATCH_WAIT
+} from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
+import { TableCopy } from './TableCopy.js'
+import type { TableChanges } from './TableCopy.js'
+import type { RelayedChanges, TableStatus } from './tableMessages.js'
+import type { RelayedTable, TableRelay } from './TableRelay.js'
 import type { TableError, TableRow, TableRows } from './types.js'
 
-/** A table that can be read whole and watched from there. */
-export interface WatchedTable<Value> {
+/** A table that can be read whole and watched from there; its rows are not yet decoded. */
+export interface WatchedTable {
   readonly name: string
-  read (): Promise<Result<TableRows<Value>, TableError>>
+  read (): Promise<Result<TableRows<Json>, TableError>>
   /** Rows changed after a revision, as soon as there are some or when the wait is over. */
-  changes (after: number, wait: Millis): Promise<Result<TableRows<Value>, TableError>>
+  changes (after: number, wait: Millis): Promise<Result<TableRows<Json>, TableError>>
 }
 
 export interface TableListener<Value> {
@@ -23,98 +30,261 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: EventLog
-  readonly table: WatchedTable<Value>
+  readonly table: WatchedTable
+  readonly decode: (key: string, value: Json) => Value
   readonly listener: TableListener<Value>
+  /** Other instances that follow the table; without them this one follows it alone. */
+  readonly relay?: Pick<TableRelay, 'add' | 'isWatcher' | 'announce' | 'push' | 'fetch'>
 }
 
+const NO_WAIT = millis(0)
+const NO_OUTAGE = millis(0)
+
 /**
- * Follows one table: reads it once, then its changes, and reads it anew when their history is gone.
+ * Keeps a copy of one table current. A watcher follows the table in the store and tells the others; an instance that
+ * gets no status in time looks at the store itself, so that no single other instance is relied upon.
  *
  * @example
- * const watch = new TableWatch({ clock, random, log, table, listener })
+ * const watch = new TableWatch({ clock, random, log, table, decode, listener, relay })
  * watch.start()
  */
-export class TableWatch<Value> {
+export class TableWatch<Value> implements RelayedTable {
   readonly #options: TableWatchOptions<Value>
-  #revision: number | undefined
+  readonly #copy = new TableCopy()
   #retry: Millis = MIN_WATCH_RETRY
   #lostAt: Millis | undefined
+  /** When the store confirmed the copy last, to this instance or to another. */
   #answeredAt: Millis | undefined
+  /** When some instance was last known to follow the table in the store. */
+  #statusAt: Millis | undefined
+  #lastOutage: Millis = NO_OUTAGE
+  #lastOutageEnd: Millis | undefined
+  #spread: Millis = NO_WAIT
+  #isWatcher: boolean
+  #roleAt: Millis | undefined
+  #isFetching = false
+  /** Whether the last own look was answered. */
+  #isFollowing = false
   #isStopped = false
 
   constructor (options: TableWatchOptions<Value>) {
     this.#options = options
+    this.#isWatcher = options.relay === undefined
+    options.relay?.add(this)
   }
 
   get name (): string {
     return this.#options.table.name
   }
 
-  /** Time since the table last answered; undefined where it never did. */
+  /** Time since the store confirmed what is known here; undefined where it never did. */
   get age (): Millis | undefined {
     return this.#answeredAt === undefined ? undefined : millis(this.#options.clock.now() - this.#answeredAt)
   }
 
   start (): void {
     void this.#follow()
+    if (this.#options.relay !== undefined) void this.#tellStatus()
   }
 
   stop (): void {
     this.#isStopped = true
   }
 
+  status (): TableStatus | undefined {
+    const { revision, digest } = this.#copy
+    if (revision === undefined || this.#statusAt === undefined || this.#answeredAt === undefined) return undefined
+    const now = this.#options.clock.now()
+    return {
+      table: this.name, revision, digest, statusAge: millis(now - this.#statusAt), answerAge: millis(now - this.#answeredAt)
+    }
+  }
+
+  since (after: number | undefined): RelayedChanges | undefined {
+    const changes = this.#copy.since(after)
+    return changes === undefined ? undefined : this.#relayed(changes)
+  }
+
+  /** A neighbour told how current its copy is. */
+  heard (status: TableStatus, from: InstanceId): void {
+    const standing = this.#copy.compare(status.revision, status.digest)
+    if (standing === 'behind') this.#fetchFrom(from)
+    if (standing === 'equal') this.#noteStatus(status, from)
+  }
+
+  /** A neighbour handed changes on. */
+  changed (relayed: RelayedChanges, from: InstanceId): void {
+    if (!this.#take(relayed.changes, relayed.outage, from)) return this.#fetchFrom(from)
+    this.#noteAnswer(millis(this.#options.clock.now() - relayed.answerAge))
+  }
+
   async #follow (): Promise<void> {
     const { clock } = this.#options
     while (!this.#isStopped) {
-      const begunAt = clock.now()
-      const isAnswered = await this.#look()
-      if (!isAnswered) await this.#pause()
-      else await clock.sleep(millis(Math.max(0, WATCH_PACE - (clock.now() - begunAt))))
+      const wait = this.#untilLook()
+      if (wait > 0) await clock.sleep(wait)
+      else await this.#lookOnce()
     }
   }
 
+  async #lookOnce (): Promise<void> {
+    const { clock } = this.#options
+    const begunAt = clock.now()
+    this.#isFollowing = await this.#look()
+    if (!this.#isFollowing) await this.#pause()
+    else await clock.sleep(millis(Math.max(0, WATCH_PACE - (clock.now() - begunAt))))
+  }
+
+  /** Time until this instance looks at the store, or looks again whether it should. */
+  #untilLook (): Millis {
+    const { clock, log } = this.#options
+    if (this.#copy.revision === undefined || this.#checkRole()) return NO_WAIT
+    const now = clock.now()
+    const statusDue = (this.#statusAt ?? now) + STATUS_LIMIT
+    const answerDue = (this.#answeredAt ?? now) + ANSWER_LIMIT
+    const left = Math.min(statusDue, answerDue) + this.#spread - now
+    if (left > 0) return millis(Math.min(left, ROLE_PERIOD))
+    log.emit(DIRECTORY_EVENTS.tableStale, { table: this.name, statusAgeMs: now - (this.#statusAt ?? now), answerAgeMs: this.age })
+    return NO_WAIT
+  }
+
+  /** Whether this instance follows the table for the others; found anew now and then. */
+  #checkRole (): boolean {
+    const { clock, log, relay } = this.#options
+    if (relay === undefined) return true
+    const now = clock.now()
+    if (this.#roleAt !== undefined && now - this.#roleAt < ROLE_PERIOD) return this.#isWatcher
+    this.#roleAt = now
+    const isWatcher = relay.isWatcher(this.name)
+    if (isWatcher !== this.#isWatcher) log.emit(DIRECTORY_EVENTS.tableRole, { table: this.name, watches: isWatcher })
+    this.#isWatcher = isWatcher
+    return isWatcher
+  }
+
   async #look (): Promise<boolean> {
-    const { table, listener } = this.#options
-    const after = this.#revision
-    const answer = after === undefined ? await table.read() : await table.changes(after, WATCH_WAIT)
+    const { table } = this.#options
+    const after = this.#copy.revision
+    const wait = this.#isWatcher ? WATCH_WAIT : NO_WAIT
+    const answer = after === undefined ? await table.read() : await table.changes(after, wait)
     if (this.#isStopped) return true
-    if (answer.isErr) return this.#failed(answer.error)
-    const outage = this.#regained()
+    if (answer.isErr) return await this.#failed(answer.error)
     const { rows, revision } = answer.value
-    this.#revision = revision
-    if (after === undefined) listener.replaced(rows, outage)
-    else if (rows.length > 0) listener.changed(rows, outage)
+    this.#seen({ after, rows, revision })
     return true
   }
 
-  #failed (err: TableError): boolean {
+  /** Takes the store's answer in and tells the neighbours. */
+  #seen (changes: TableChanges): void {
+    const { clock, random, relay } = this.#options
+    const outage = this.#regained()
+    this.#spread = millis(random.next() * LOOK_SPREAD)
+    this.#noteAnswer(clock.now())
+    this.#statusAt = clock.now()
+    this.#take(changes, outage, undefined)
+    relay?.announce(this.name)
+  }
+
+  async #failed (err: TableError): Promise<boolean> {
     const { clock, log, table } = this.#options
     if (err.kind === 'history-gone') {
-      this.#revision = undefined
+      const whole = await table.read()
+      if (whole.isErr) return await this.#failed(whole.error)
+      this.#seen({ after: undefined, rows: whole.value.rows, revision: whole.value.revision })
       return true
     }
     if (this.#lostAt === undefined) {
       this.#lostAt = this.#answeredAt ?? clock.now()
-      log.emit(DIRECTORY_EVENTS.tableLost, { table: table.name, revision: this.#revision, detail: err.detail })
+      log.emit(DIRECTORY_EVENTS.tableLost, { table: this.name, revision: this.#copy.revision, detail: err.detail })
     }
     return false
   }
 
-  /** Notes the answer; the time for which the table could not be read before it. */
+  /** Notes that the table can be read; the time for which it could not be before. */
   #regained (): Millis {
-    const { clock, log, table } = this.#options
-    const outage = millis(this.#lostAt === undefined ? 0 : clock.now() - this.#lostAt)
-    if (this.#lostAt !== undefined) log.emit(DIRECTORY_EVENTS.tableRegained, { table: table.name, outageMs: outage })
-    this.#lostAt = undefined
-    this.#answeredAt = clock.now()
+    const { clock, log } = this.#options
+    const now = clock.now()
+    const outage = millis(this.#lostAt === undefined ? 0 : now - this.#lostAt)
     this.#retry = MIN_WATCH_RETRY
+    if (this.#lostAt === undefined) return outage
+    log.emit(DIRECTORY_EVENTS.tableRegained, { table: this.name, outageMs: outage })
+    this.#lostAt = undefined
+    this.#lastOutage = outage
+    this.#lastOutageEnd = now
     return outage
   }
 
+  /** Takes changes in and hands them on; false where some before them are missing. */
+  #take (changes: TableChanges, outage: Millis, from: InstanceId | undefined): boolean {
+    const { log, listener, relay } = this.#options
+    const base = this.#copy.digest
+    const step = this.#copy.take(changes)
+    if (step.kind === 'gap') return false
+    if (step.kind === 'known') return true
+    log.emit(DIRECTORY_EVENTS.tableChanged, {
+      table: this.name, revision: changes.revision, rows: step.rows.length, from: from ?? 'store', ageMs: this.age, outageMs: outage
+    })
+    if (step.kind === 'replaced') listener.replaced(step.rows.map((row) => this.#decoded(row)), outage)
+    else listener.changed(step.rows.map((row) => this.#decoded(row)), outage)
+    if (step.kind === 'changed') relay?.push(this.#relayed({ ...changes, rows: step.rows, base }), from)
+    else relay?.announce(this.name, from)
+    return true
+  }
+
+  #decoded ({ key, value, revision }: TableRow<Json>): TableRow<Value> {
+    return { key, revision, value: value === undefined ? undefined : this.#options.decode(key, value) }
+  }
+
+  #relayed (changes: TableChanges): RelayedChanges {
+    const now = this.#options.clock.now()
+    const isBack = this.#lastOutageEnd !== undefined && now - this.#lastOutageEnd < LAPSE_GRACE
+    return { table: this.name, changes, answerAge: this.age ?? NO_WAIT, outage: isBack ? this.#lastOutage : NO_OUTAGE }
+  }
+
+  #noteAnswer (at: Millis): void {
+    this.#answeredAt = millis(Math.max(this.#answeredAt ?? at, at))
+  }
+
+  #noteStatus ({ statusAge, answerAge }: TableStatus, from: InstanceId): void {
+    const { clock, relay } = this.#options
+    const now = clock.now()
+    this.#noteAnswer(millis(now - answerAge))
+    const at = millis(now - statusAge)
+    if (this.#statusAt !== undefined && at - this.#statusAt < STATUS_GAIN) return
+    this.#statusAt = at
+    relay?.announce(this.name, from)
+  }
+
+  /** Asks a neighbour for what is missing here; the next status asks again where it gives nothing. */
+  #fetchFrom (from: InstanceId): void {
+    if (this.#isFetching) return
+    this.#isFetching = true
+    void this.#fetch(from).finally(() => { this.#isFetching = false })
+  }
+
+  async #fetch (from: InstanceId): Promise<void> {
+    const relayed = await this.#options.relay?.fetch(this.name, from, this.#copy.revision)
+    if (relayed === undefined || this.#isStopped) return
+    this.#take(relayed.changes, relayed.outage, from)
+    this.#noteAnswer(millis(this.#options.clock.now() - relayed.answerAge))
+    this.#statusAt ??= this.#answeredAt
+  }
+
+  /** A watcher whose looks are answered says so, also while it waits for the next change. */
+  async #tellStatus (): Promise<void> {
+    const { clock, relay } = this.#options
+    while (!this.#isStopped) {
+      await clock.sleep(STATUS_PERIOD)
+      if (!this.#isWatcher || !this.#isFollowing) continue
+      this.#statusAt = clock.now()
+      relay?.announce(this.name)
+    }
+  }
+
   async #pause (): Promise<void> {
     const { clock, random } = this.#options
+    const most = this.#isWatcher || this.#copy.revision === undefined ? MAX_WATCH_RETRY : MAX_SHARED_RETRY
     const wait = millis(this.#retry * (1 + random.next()) / 2)
-    this.#retry = millis(Math.min(MAX_WATCH_RETRY, this.#retry * 2))
+    this.#retry = millis(Math.min(most, this.#retry * 2))
     await clock.sleep(wait)
   }
 }
--- /dev/null
+++ b/packages/directory/src/testing/TableWorld.ts
@@ -0,0 +1,171 @@
+import { brand, EventRecorder, millis, SeededRandom, VirtualClock } from '@papayahill/common'
+import type { DomainId, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
+import { MemoryNetwork, PeerCore } from '@papayahill/peers'
+import type { PeerIdentity, PeerList } from '@papayahill/peers'
+import { Result } from 'true-myth'
+import { TableRelay } from '../TableRelay.js'
+import { TableWatch } from '../TableWatch.js'
+import type { WatchedTable } from '../TableWatch.js'
+import type { TableError, TableRow, TableRows } from '../types.js'
+
+/** How the store answers one instance. */
+export type StoreAccess = 'serves' | 'refuses' | 'silent'
+
+const CALL_TIME = millis(5)
+const CALL_TIMEOUT = millis(700)
+const DOMAINS = 6
+const TABLE = 'endpoints'
+const FIRST_PORT = 20_000
+
+/** A table of the store in memory, with a history that may be forgotten. */
+class StoreTable {
+  readonly #clock: VirtualClock
+  readonly #rows = new Map<string, TableRow<Json>>()
+  #changes: Array<TableRow<Json>> = []
+  #oldest = 0
+  revision = 0
+  calls = 0
+
+  constructor (clock: VirtualClock) {
+    this.#clock = clock
+  }
+
+  put (key: string, value: Json | undefined): void {
+    const row = { key, value, revision: ++this.revision }
+    if (value === undefined) this.#rows.delete(key)
+    else this.#rows.set(key, row)
+    this.#changes.push(row)
+  }
+
+  forgetHistory (): void {
+    this.#changes = []
+    this.#oldest = this.revision
+  }
+
+  seenBy (accessOf: () => StoreAccess): WatchedTable {
+    const guarded = async (answer: () => Promise<Result<TableRows<Json>, TableError>>): Promise<Result<TableRows<Json>, TableError>> => {
+      this.calls++
+      await this.#clock.sleep(CALL_TIME)
+      if (accessOf() === 'refuses') return unavailable('refused')
+      if (accessOf() === 'serves') return await answer()
+      await this.#clock.sleep(CALL_TIMEOUT)
+      return unavailable('no answer')
+    }
+    return {
+      name: TABLE,
+      read: () => guarded(() => Promise.resolve(Result.ok({ rows: [...this.#rows.values()], revision: this.revision }))),
+      changes: (after, wait) => guarded(() => this.#feed(after, wait))
+    }
+  }
+
+  async #feed (after: number, wait: Millis): Promise<Result<TableRows<Json>, TableError>> {
+    if (after < this.#oldest) return Result.err({ kind: 'history-gone', detail: 'forgotten' })
+    const until = this.#clock.now() + wait
+    for (;;) {
+      const rows = this.#changes.filter((row) => row.revision > after)
+      if (rows.length > 0 || this.#clock.now() >= until) return Result.ok({ rows, revision: this.revision })
+      await this.#clock.sleep(CALL_TIME)
+    }
+  }
+}
+
+const unavailable = (detail: string): Result<TableRows<Json>, TableError> => Result.err({ kind: 'unavailable', detail })
+
+/** One instance: its links, its watch, and the rows that it knows of. */
+export class TableInstance {
+  readonly id: InstanceId
+  readonly identity: PeerIdentity
+  readonly peers: PeerCore
+  readonly watch: TableWatch<Json>
+  readonly known = new Map<string, Json>()
+  readonly revisions: number[] = []
+  readonly log: EventRecorder
+  access: StoreAccess = 'serves'
+
+  constructor (clock: VirtualClock, network: MemoryNetwork, store: StoreTable, at: number, list: PeerList) {
+    const domain = brand<DomainId>(`hall-${at % DOMAINS}`)
+    this.id = brand<InstanceId>(`i${at}`)
+    this.log = new EventRecorder(clock)
+    const incarnation = brand<Incarnation>(`i${at}@${String(clock.now()).padStart(12, '0')}`)
+    this.identity = { id: this.id, incarnation, domain, address: { ip: '10.0.0.1', port: FIRST_PORT + at } }
+    const random = new SeededRandom(at + 1)
+    this.peers = new PeerCore({
+      self: this.id, incarnation, domain, clock, random, transport: network.transport(this.identity), list
+    })
+    const relay = new TableRelay({ clock, log: this.log, domain, peers: this.peers })
+    this.watch = new TableWatch({
+      clock, random, log: this.log, relay, table: store.seenBy(() => this.access), decode: (_key, value) => value, listener: this
+    })
+  }
+
+  replaced (rows: ReadonlyArray<TableRow<Json>>): void {
+    this.known.clear()
+    this.changed(rows)
+  }
+
+  changed (rows: ReadonlyArray<TableRow<Json>>): void {
+    for (const { key, value, revision } of rows) {
+      this.revisions.push(revision)
+      if (value === undefined) this.known.delete(key)
+      else this.known.set(key, value)
+    }
+  }
+}
+
+/**
+ * Instances that share one table, over links in memory and in virtual time.
+ *
+ * @example
+ * const world = new TableWorld(60)
+ * await world.start()
+ * const took = await world.change('a', 1)
+ */
+export class TableWorld {
+  readonly clock = new VirtualClock()
+  readonly network = new MemoryNetwork(this.clock)
+  readonly store = new StoreTable(this.clock)
+  readonly instances: TableInstance[] = []
+  readonly #count: number
+
+  constructor (instances: number) {
+    this.#count = instances
+  }
+
+  /** Starts all instances within some 300 ms, and waits until their links stand. */
+  async start (settle: Millis): Promise<void> {
+    for (let at = 0; at < this.#count; at++) {
+      this.add(at)
+      await this.clock.advance(millis(300 / this.#count))
+    }
+    await this.clock.advance(settle)
+  }
+
+  add (at: number): TableInstance {
+    const list: PeerList = {
+      list: () => Promise.resolve(Result.ok({ instances: this.instances.map(({ identity: { id, address } }) => ({ id, address })) }))
+    }
+    const instance = new TableInstance(this.clock, this.network, this.store, at, list)
+    this.instances[at] = instance
+    void instance.peers.start()
+    instance.watch.start()
+    return instance
+  }
+
+  /** The process ends at once. */
+  kill (instance: TableInstance): void {
+    instance.watch.stop()
+    this.network.kill(instance.identity)
+  }
+
+  get watchers (): readonly TableInstance[] {
+    return this.instances.filter(({ log }) => log.records.findLast(({ kind }) => kind.name === 'tableRole')?.fields.watches === true)
+  }
+
+  /** Changes a row; milliseconds until all the given instances know it, or undefined where one does not within the limit. */
+  async change (key: string, value: Json | undefined, limit: Millis, among = this.instances): Promise<Millis | undefined> {
+    const begunAt = this.clock.now()
+    this.store.put(key, value)
+    const isKnown = await this.clock.advanceUntil(() => among.every(({ known }) => known.get(key) === value), limit)
+    return isKnown ? millis(this.clock.now() - begunAt) : undefined
+  }
+}
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -2,7 +2,7 @@
 import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import { Result } from 'true-myth'
 import {
-  COMPARE_PERIOD, GOSSIP_PERIOD, HEARTBEAT_PERIOD, HEARTBEAT_TIMEOUT, LINK_PERIOD, LIST_PERIOD, SPARSE_HEARTBEAT_PERIOD,
+  COMPARE_PERIOD, GOSSIP_PERIOD, HEARTBEAT_PERIOD, HEARTBEAT_TIMEOUT, LINK_PERIOD, LIST_PERIOD, MEMBERS_LIFE, SPARSE_HEARTBEAT_PERIOD,
   SPARSE_HEARTBEAT_TIMEOUT
 } from './constants.js'
 import { PEERS_EVENTS } from './events.js'
@@ -50,6 +50,9 @@
   readonly #listeners = new Map<Topic, Array<(entry: GossipEntry) => void>>()
   readonly #timers: Timer[] = []
   #isListBad = false
+  #members: readonly PeerMember[] = []
+  /** Until when the members stand as they are. */
+  #membersUntil: Millis = millis(0)
 
   constructor (options: PeerCoreOptions) {
     const { self, incarnation, domain, clock, random, transport } = options
@@ -103,6 +106,14 @@
   }
 
   members (): readonly PeerMember[] {
+    const now = this.#options.clock.now()
+    if (now < this.#membersUntil) return this.#members
+    this.#members = this.#findMembers()
+    this.#membersUntil = millis(now + MEMBERS_LIFE)
+    return this.#members
+  }
+
+  #findMembers (): readonly PeerMember[] {
     const { isMesh } = this.#links
     const limit = isMesh ? HEARTBEAT_TIMEOUT : SPARSE_HEARTBEAT_TIMEOUT
     const linked = this.#links.all().filter((link) => link.silence < limit).map((link): PeerMember => ({
@@ -120,6 +131,10 @@
     return this.#links.get(id) !== undefined
   }
 
+  neighbours (): readonly InstanceId[] {
+    return this.#links.active().map((link) => link.peer.id)
+  }
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     const link = this.#links.get(to)
     if (link !== undefined) link.send({ kind: 'message', topic, body: message })
@@ -210,18 +225,21 @@
   }
 
   #opened (link: OpenLink): void {
+    this.#membersUntil = millis(0)
     this.#log.emit(PEERS_EVENTS.linkOpened, { peer: link.peer.id, incarnation: link.peer.incarnation })
     link.send({ kind: 'heartbeat' })
     this.#spreader.catchUp(link)
   }
 
   #closed (link: OpenLink, isAnnounced: boolean): void {
+    this.#membersUntil = millis(0)
     this.#log.emit(PEERS_EVENTS.linkClosed, { peer: link.peer.id, announced: isAnnounced })
     this.#questions.drop(link.peer.id)
     if (!isAnnounced && !link.isTemporary && !this.#links.isMesh) this.#book.reportLost(link.peer)
   }
 
   #hearMember (entry: GossipEntry): void {
+    this.#membersUntil = millis(0)
     this.#book.hear(entry)
     const member = readMember(entry)
     if (member === undefined || member.id === this.self) return
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -8,6 +8,8 @@
 export const HEARTBEAT_TIMEOUT = seconds(2)
 /** Members up to which every instance keeps a link to every other. */
 export const FULL_MESH_MEMBERS = 16
+/** Time for which the list of members is used again; it is made from all entries. */
+export const MEMBERS_LIFE = millis(100)
 /** Links that an instance keeps above that size, and the most it accepts. */
 export const ACTIVE_LINKS = 5
 export const MAX_ACTIVE_LINKS = 8
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -8,7 +8,8 @@
 
 /** Order on the wire; new topics go to the end. */
 const TOPICS: readonly Topic[] = [
-  'heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order', 'stage', 'version'
+  'heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order', 'stage', 'version',
+  'table'
 ]
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye']
 
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -4,6 +4,7 @@
 /** What a message is about; one closed list, so that bytes are metered per topic. */
 export type Topic =
   | 'heartbeat' | 'gossip' | 'roster' | 'config' | 'latch' | 'load' | 'claim' | 'evidence' | 'cost' | 'order' | 'stage' | 'version'
+  | 'table'
 
 /** A peer, as heartbeats show it. */
 export interface PeerMember {
@@ -50,6 +51,8 @@
   /** Peers heard of within the heartbeat timeout. */
   members (): readonly PeerMember[]
   isConnected (id: InstanceId): boolean
+  /** Peers over whose links gossip spreads: all others while there are few, some of them above that. */
+  neighbours (): readonly InstanceId[]
   send (to: InstanceId, topic: Topic, message: Json): void
   broadcast (topic: Topic, message: Json): void
   ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>>
--- a/packages/standins/src/FakePeerNetwork.ts
+++ b/packages/standins/src/FakePeerNetwork.ts
@@ -148,6 +148,10 @@
     return this.#network.isLinked(this.self, id)
   }
 
+  neighbours (): readonly InstanceId[] {
+    return this.members().map(({ id }) => id)
+  }
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     if (this.#isStopped) return
     this.#network.carry(this, to, (receiver) => { void receiver.receive(this.self, topic, message) })
