Requests spread over the groups of a service; gatherers by capacity; plans only when a call can begin

Change: endpoints of equal cost are taken in rendezvous order for the request; gatherers are chosen among instances with half the largest capacity or more; members are kept as entries come, not parsed anew; a batcher plans when a call can begin, or each 50 ms. The new test fails without the tie break.

--- a/packages/batching/src/BacklogBoard.test.ts
+++ b/packages/batching/src/BacklogBoard.test.ts
@@ -10,7 +10,7 @@
 const far = stageEndpoint('far', 'encode', 'hall-2')
 
 describe('choosePlace', () => {
-  const want = { endpoints: [near, far], inputBytes: new Map(), outputBytes: 0, home: undefined }
+  const want = { endpoints: [near, far], inputBytes: new Map(), outputBytes: 0, home: undefined, request: 'r1' }
 
   it('takes the shortest wait, as it has shrunk since it was told', async () => {
     const clock = new VirtualClock()
--- a/packages/batching/src/BacklogBoard.ts
+++ b/packages/batching/src/BacklogBoard.ts
@@ -1,4 +1,4 @@
-import { millis } from '@papayahill/common'
+import { hash32, millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, Millis } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { BACKLOG_LIFE, CROSS_DOMAIN_MILLIS_PER_BYTE, HOME_PREFERENCE, MISSING_STAGE } from './constants.js'
@@ -43,13 +43,15 @@
   readonly outputBytes: number
   /** Where the results will probably be read. */
   readonly home: DomainId | undefined
+  /** Endpoints of equal cost are taken in rendezvous order for it, so that not all requests choose the same. */
+  readonly request: string
 }
 
 /**
  * Delay that the bytes are weighed like which would cross domains, were a piece made in this one.
  *
  * @example
- * crossingAt(endpoint.domain, { endpoints, inputBytes, outputBytes, home })
+ * crossingAt(endpoint.domain, { endpoints, inputBytes, outputBytes, home, request })
  */
 export const crossingAt = (domain: DomainId, { inputBytes, outputBytes, home }: PlaceWant): Millis => {
   let crossing = home === undefined || home === domain ? 0 : outputBytes
@@ -61,14 +63,17 @@
  * The endpoint for a request's pieces, as far as is known here: the shortest wait, with the cost of bytes that cross domains weighed in.
  *
  * @example
- * choosePlace(board, { endpoints, inputBytes, outputBytes, home })
+ * choosePlace(board, { endpoints, inputBytes, outputBytes, home, request })
  */
 export const choosePlace = (board: BacklogBoard, want: PlaceWant): Endpoint | undefined => {
   let best: Endpoint | undefined
   let bestCost = Infinity
+  let bestRank = 0
   for (const endpoint of want.endpoints) {
     const cost = board.backlog(endpoint.id) + crossingAt(endpoint.domain, want)
-    if (cost < bestCost) [best, bestCost] = [endpoint, cost]
+    if (cost > bestCost) continue
+    const rank = hash32(`${want.request} ${endpoint.id}`)
+    if (cost < bestCost || rank > bestRank) [best, bestCost, bestRank] = [endpoint, cost, rank]
   }
   return best
 }
--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -57,6 +57,11 @@
     return this.#options.endpoint
   }
 
+  /** Whether a call may be sent now. */
+  get isOpen (): boolean {
+    return this.#calls.size < (this.#options.profile()?.slots ?? 0) && this.#pausedUntil <= this.#options.clock.now()
+  }
+
   /** What the endpoint can take now; undefined where operators do not declare how it batches. */
   pace (): EndpointPace | undefined {
     const { clock, endpoint } = this.#options
@@ -66,7 +71,7 @@
     const pace = this.#paceNow(now)
     return {
       endpoint: endpoint.id,
-      isOpen: this.#calls.size < profile.slots && this.#pausedUntil <= now,
+      isOpen: this.isOpen,
       freeAt: millis(Math.max(now, this.#pausedUntil, now + this.#untilFree(now, profile))),
       size: profile.size,
       room: profile.room * ROOM_SHARE - this.#ledger.used(now) - this.#foreign.at(now),
--- a/packages/batching/src/GathererRoster.test.ts
+++ b/packages/batching/src/GathererRoster.test.ts
@@ -11,13 +11,13 @@
 })
 
 const rosterOf = (self: string, members: readonly PeerMember[], clock = new VirtualClock()): GathererRoster =>
-  new GathererRoster(clock, { self: idOf(self), members: () => members })
+  new GathererRoster(clock, { self: idOf(self), members: () => [...members] })
 
 const ENDPOINTS = Array.from({ length: 30 }, (_none, at) => brand<EndpointId>(`e${at}`))
 const choices = (roster: GathererRoster): readonly InstanceId[] => ENDPOINTS.map((endpoint) => roster.gathererOf(endpoint))
 
 describe('GathererRoster', () => {
-  it('names the same gatherer on all instances that hear each other', () => {
+  it('names the same gatherer on all instances that see each other', () => {
     const [a, b, c] = ['a', 'b', 'c'].map((name) => memberOf(name))
     const views = [rosterOf('a', [b!, c!]), rosterOf('b', [a!, c!]), rosterOf('c', [a!, b!])]
     expect(choices(views[1]!)).toEqual(choices(views[0]!))
@@ -41,12 +41,23 @@
     expect(choices(roster)).toContain(idOf('b'))
   })
 
-  it('doubts an instance that took no order only for a while', async () => {
+  it('suspects an instance that took no order only for a while', async () => {
     const clock = new VirtualClock()
     const roster = rosterOf('a', [memberOf('b')], clock)
-    roster.doubt(idOf('b'))
+    roster.suspect(idOf('b'))
     expect(choices(roster)).not.toContain(idOf('b'))
     await clock.advance(millis(2000))
     expect(choices(roster)).toContain(idOf('b'))
   })
+
+  it('names a strong instance while there are enough of them, and any where there are not', () => {
+    const strong = ['a', 'b', 'c', 'd'].map((name) => ({ ...memberOf(name), capacity: 1.35 }))
+    const weak = ['e', 'f', 'g', 'h', 'i'].map((name) => ({ ...memberOf(name), capacity: 0.3 }))
+    const self = brand<InstanceId>('z')
+    const clock = new VirtualClock()
+    const roster = (members: readonly PeerMember[]) => new GathererRoster(clock, { self, members: () => [...members] }, 0.3)
+    const names = strong.map(({ id }) => id)
+    expect(choices(roster([...strong, ...weak])).every((id) => names.includes(id))).toBe(true)
+    expect(choices(roster([...strong.slice(1), ...weak])).some((id) => !names.includes(id))).toBe(true)
+  })
 })
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
-import type { Clock, EndpointId, EventLog, Timer } from '@papayahill/common'
-import { PLAN_PERIOD } from './constants.js'
+import type { Clock, EndpointId, EventLog, Millis, Timer } from '@papayahill/common'
+import { BACKLOG_AGE, PLAN_PERIOD } from './constants.js'
 import type { EndpointCalls } from './EndpointCalls.js'
 import { BATCHING_EVENTS } from './events.js'
 import { planBatches } from './planBatches.js'
@@ -27,6 +27,9 @@
 export class GroupBatcher {
   readonly #options: GroupBatcherOptions
   #waiting: WaitingPiece[] = []
+  /** When each endpoint could begin a piece that came behind all these, as of the last plan. */
+  #freeAt: ReadonlyMap<EndpointId, Millis> = new Map()
+  #plannedAt: Millis | undefined
   #timer: Timer | undefined
 
   constructor (options: GroupBatcherOptions) {
@@ -58,16 +61,22 @@
 
   /** Time until each of the endpoints could begin a piece that came now. */
   backlogs (endpoints: readonly EndpointId[]): readonly EndpointBacklog[] {
-    const now = this.#options.clock.now()
-    const { freeAt } = this.#plan(endpoints)
-    return [...freeAt].map(([endpoint, at]) => ({ endpoint, backlog: millis(at - now) }))
+    const { clock, callsOf } = this.#options
+    const now = clock.now()
+    if (!this.#isPlanned(now, BACKLOG_AGE)) this.#plan(now)
+    return endpoints.flatMap((endpoint) => {
+      const at = this.#freeAt.get(endpoint) ?? callsOf(endpoint)?.pace()?.freeAt
+      return at === undefined ? [] : [{ endpoint, backlog: millis(Math.max(0, at - now)) }]
+    })
   }
 
-  /** Sends what has gathered, where endpoints can take it. */
+  /** Sends what has gathered, where endpoints can take it; plans nothing anew while none can. */
   pump (): void {
+    const now = this.#options.clock.now()
+    if (this.#isPlanned(now, PLAN_PERIOD) && !this.#mayBegin()) return
     this.#timer?.cancel()
     this.#timer = undefined
-    const { batches, late, unplaced } = this.#plan([])
+    const { batches, late, unplaced } = this.#plan(now)
     this.#settle(unplaced, 'unplaced')
     this.#drop(late)
     for (const [endpoint, batch] of batches) {
@@ -77,10 +86,35 @@
     if (this.#waiting.length > 0) this.#timer = this.#options.clock.after(PLAN_PERIOD, () => this.pump())
   }
 
-  #plan (more: readonly EndpointId[]): BatchPlan {
-    const named = new Set([...more, ...this.#waiting.flatMap(({ places }) => places.map(({ endpoint }) => endpoint))])
-    const paces = [...named].map((endpoint) => this.#options.callsOf(endpoint)?.pace())
-    return planBatches(this.#waiting, paces.filter((pace) => pace !== undefined))
+  /** Whether the next plan is due by its timer, and the last one is of late. */
+  #isPlanned (now: Millis, age: number): boolean {
+    return this.#timer !== undefined && this.#plannedAt !== undefined && now - this.#plannedAt < age
+  }
+
+  /** Whether a call can begin at any of the endpoints for which pieces wait. */
+  #mayBegin (): boolean {
+    const { callsOf } = this.#options
+    for (const endpoint of this.#named()) if (callsOf(endpoint)?.isOpen === true) return true
+    return false
+  }
+
+  #named (): ReadonlySet<EndpointId> {
+    const named = new Set<EndpointId>()
+    let last: WaitingPiece['places'] | undefined
+    for (const { places } of this.#waiting) {
+      if (places === last) continue
+      last = places
+      for (const { endpoint } of places) named.add(endpoint)
+    }
+    return named
+  }
+
+  #plan (now: Millis): BatchPlan {
+    const paces = [...this.#named()].map((endpoint) => this.#options.callsOf(endpoint)?.pace())
+    const plan = planBatches(this.#waiting, paces.filter((pace) => pace !== undefined))
+    this.#freeAt = plan.freeAt
+    this.#plannedAt = now
+    return plan
   }
 
   async #send (endpoint: EndpointId, batch: readonly WaitingPiece[]): Promise<void> {
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -241,7 +241,8 @@
       endpoints: untried.length > 0 ? untried : all,
       inputBytes: this.#inputBytes(inputs),
       outputBytes: stage.resultBytes * this.#readersOf(stage),
-      home: this.#home()
+      home: this.#home(),
+      request: this.#work.request
     }
     const best = choosePlace(board, want)
     const group = best === undefined ? undefined : groups.groupOf(best.id)
--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -1,7 +1,7 @@
 import type { Clock, EndpointId, EventLog, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BacklogBoard } from './BacklogBoard.js'
-import { HEARD_PERIOD, TAKE_TIMEOUT } from './constants.js'
+import { PRESENCE_PERIOD, TAKE_TIMEOUT } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { Gatherer } from './Gatherer.js'
 import type { GathererRoster } from './GathererRoster.js'
@@ -97,8 +97,8 @@
     const taken = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), TAKE_TIMEOUT)
     if (taken.isErr) {
       this.#open.delete(id)
-      roster.doubt(to)
-      log.emit(BATCHING_EVENTS.gathererDoubted, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
+      roster.suspect(to)
+      log.emit(BATCHING_EVENTS.gathererSuspected, { gatherer: to, request: order.pieces[0]!.request, detail: taken.error.detail })
       return await this.run(order, listener)
     }
     if (taken.value === LEAVING) {
@@ -116,8 +116,8 @@
   ): Promise<readonly PieceOutcome[]> {
     const { clock, roster } = this.#options
     const { deadline } = order.pieces[0]!
-    const timer = clock.every(HEARD_PERIOD, () => {
-      if (!roster.isHeard(to) || clock.now() > deadline) this.#open.get(id)?.end(allWith(order, 'failed'))
+    const timer = clock.every(PRESENCE_PERIOD, () => {
+      if (!roster.isPresent(to) || clock.now() > deadline) this.#open.get(id)?.end(allWith(order, 'failed'))
     })
     const outcomes = await ended
     timer.cancel()
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -3,7 +3,7 @@
 /** Longest wait for another instance to take an order; a living one takes it at once. */
 export const TAKE_TIMEOUT = millis(250)
 /** Time for which an instance that did not take an order gathers for nobody here. */
-export const DOUBT_SPAN = millis(1500)
+export const SUSPICION_SPAN = millis(1500)
 /** Silence of a link from which on its instance gathers for nobody. */
 export const GATHERER_SILENCE = millis(1300)
 /** Time in which results that are unknown here are read and freed by their owners. */
@@ -41,8 +41,14 @@
 export const HOME_PREFERENCE = millis(30)
 /** Delay that a domain is weighed with for each stage that has no endpoint there. */
 export const MISSING_STAGE = millis(150)
-/** Endpoints of a service for which one instance gathers. */
-export const ENDPOINTS_PER_GROUP = 8
+/** Endpoints of a service for which one instance gathers: few groups need few links, and share the work all the same. */
+export const ENDPOINTS_PER_GROUP = 16
+/** Gatherers have at least this part of the largest capacity of all instances, where there are enough of them. */
+export const GATHERER_CAPACITY = 0.5
+/** Instances of such capacity from which on the others gather for nobody. */
+export const MIN_GATHERERS = 4
+/** Age up to which waits that were planned before are told again. */
+export const BACKLOG_AGE = millis(25)
 /** Delay by which each step of urgency comes before less urgent work that is due at the same time. */
 export const URGENCY_STEP = millis(200)
 /** Time of the ways to and from an endpoint, by which a call must end before its pieces are due. */
@@ -56,4 +62,4 @@
 /** An endpoint that runs at this many times the forecast or slower counts no slower. */
 export const MAX_PACE = 12
 /** How often an instance that took an order is looked for. */
-export const HEARD_PERIOD = millis(200)
+export const PRESENCE_PERIOD = millis(200)
--- /dev/null
+++ b/packages/batching/src/endpointGroups.test.ts
@@ -0,0 +1,38 @@
+import { bytes, exponential, millis, seconds, SeededRandom } from '@papayahill/common'
+import { describe, expect, it } from 'vitest'
+import { TEST_PROFILE } from './testing/stageEndpoint.js'
+import { chainOf, endpointsOf, StageWorld, workOf } from './testing/StageWorld.js'
+
+const SERVICES = ['cut', 'scan', 'note'] as const
+const ENDPOINTS_PER_SERVICE = 20
+const INSTANCES = 100
+/** Pieces of each stage of a request. */
+const COUNTS = [1, 3, 4]
+const TARGET = millis(1800)
+const PATIENCE = millis(6000)
+
+/** Requests a second that the busiest stage bears in full batches. */
+const CAPACITY = ENDPOINTS_PER_SERVICE * TEST_PROFILE.size * 1000 /
+  (TEST_PROFILE.callTime + TEST_PROFILE.size * TEST_PROFILE.pieceTime) / Math.max(...COUNTS)
+
+describe('groups of endpoints', () => {
+  describe('100 instances that each send a request now and then', () => {
+    it('keep all endpoints busy: at 0.85 of their capacity nearly all requests meet their target', { timeout: 60_000 }, async () => {
+      const endpoints = SERVICES.flatMap((service) => endpointsOf(service, ENDPOINTS_PER_SERVICE))
+      const world = new StageWorld(INSTANCES, endpoints, { profile: { ...TEST_PROFILE, room: bytes(400) } })
+      await world.start()
+      const random = new SeededRandom(1)
+      const begunAt = world.clock.now()
+      const took: Array<Promise<number | undefined>> = []
+      while (world.clock.now() - begunAt < seconds(6)) {
+        const work = workOf(world, `r${took.length}`, chainOf(5, ...SERVICES), COUNTS, TARGET, PATIENCE)
+        took.push(world.serve(Math.floor(random.next() * INSTANCES), work))
+        await world.clock.advance(millis(exponential(random, 1000 / (CAPACITY * 0.85))))
+      }
+      await world.clock.advance(PATIENCE)
+      const times = await Promise.all(took)
+      const inTime = times.filter((time) => time !== undefined && time <= TARGET).length
+      expect(inTime / times.length).toBeGreaterThan(0.95)
+    })
+  })
+})
--- a/packages/batching/src/events.ts
+++ b/packages/batching/src/events.ts
@@ -5,7 +5,7 @@
   batchSent: { number: 1701, level: 'info', text: 'A batch of pieces was sent to a stage endpoint.' },
   batchEnded: { number: 1702, level: 'info', text: 'A stage endpoint answered a batch, or its answer was lost.' },
   piecesOrdered: { number: 1703, level: 'info', text: 'A request\'s pieces were handed to the instance that gathers for a group of endpoints.' },
-  gathererDoubted: { number: 1704, level: 'warn', text: 'An instance did not take an order in time; another gathers in its place.' },
+  gathererSuspected: { number: 1704, level: 'warn', text: 'An instance did not take an order in time; another gathers in its place.' },
   piecesAgain: { number: 1705, level: 'info', text: 'Pieces of a request are made again.' },
   piecesDropped: { number: 1706, level: 'info', text: 'Pieces whose request can no longer be answered in time made room.' },
   stagesAgain: { number: 1708, level: 'info', text: 'A request\'s stages are run again, since inputs were gone before they were read.' },
--- a/packages/explain/src/explainRequest.ts
+++ b/packages/explain/src/explainRequest.ts
@@ -13,7 +13,7 @@
 
 /** Lines that tell of an endpoint's or an instance's own state. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
-  'endpointGone', 'endpointLeaving', 'endpointSuspected', 'endpointCold', 'domainOut', 'gathererDoubted', 'processStarting',
+  'endpointGone', 'endpointLeaving', 'endpointSuspected', 'endpointCold', 'domainOut', 'gathererSuspected', 'processStarting',
   'processStopping', 'processStopped', 'taskFailed', 'tableLost', 'tableRegained', 'configInForce', 'configMalformed'
 ])
 
--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -68,7 +68,7 @@
       return
     }
     this.#known.set(id, { address, notBefore: millis(0), wait: MIN_REDIAL, isDialling: false, failingSince: undefined })
-    this.#countReachable()
+    this.#reachable++
   }
 
   forget (id: InstanceId): void {
--- a/packages/peers/src/MemberBook.ts
+++ b/packages/peers/src/MemberBook.ts
@@ -12,13 +12,17 @@
   /** Rises each time the instance contradicts those who lost it. */
   readonly proof: number
   readonly isLeaving: boolean
+  /** Processor share that it may use, in cores. */
+  readonly capacity: number
 }
 
+const DEFAULT_CAPACITY = 1
+
 /** What an entry says of its owner; undefined where it is about something else. */
 export const readMember = (entry: GossipEntry): MemberRecord | undefined => {
   const { value } = entry
   if (entry.key !== MEMBER_KEY || !isJsonObject(value)) return undefined
-  const { domain, ip, port, proof, isLeaving } = value
+  const { domain, ip, port, proof, isLeaving, capacity } = value
   if (typeof domain !== 'string' || typeof ip !== 'string' || typeof port !== 'number') return undefined
   return {
     id: entry.owner,
@@ -26,7 +30,8 @@
     domain: brand<DomainId>(domain),
     address: { ip, port },
     proof: typeof proof === 'number' ? proof : 0,
-    isLeaving: isLeaving === true
+    isLeaving: isLeaving === true,
+    capacity: typeof capacity === 'number' && capacity > 0 ? capacity : DEFAULT_CAPACITY
   }
 }
 
@@ -34,6 +39,7 @@
   readonly id: InstanceId
   readonly incarnation: Incarnation
   readonly domain: DomainId
+  readonly capacity?: number | undefined
   readonly store: GossipStore
   readonly publish: (key: string, value: Json) => void
 }
@@ -44,6 +50,10 @@
  */
 export class MemberBook {
   readonly #options: MemberBookOptions
+  /** The newest record of each instance. */
+  readonly #records = new Map<InstanceId, MemberRecord>()
+  /** For each life that somebody lost, the newest proof of life that it does not count. */
+  readonly #lost = new Map<Incarnation, number>()
   #address: PeerAddress | undefined
   #proof = 0
 
@@ -70,6 +80,7 @@
   /** Contradicts a peer that has lost this instance. */
   hear (entry: GossipEntry): void {
     const { id, incarnation } = this.#options
+    this.#note(entry)
     if (entry.key !== `${DOWN_PREFIX}${id}` || !isJsonObject(entry.value)) return
     const { life, proof } = entry.value
     if (life !== incarnation || typeof proof !== 'number' || proof < this.#proof) return
@@ -78,36 +89,44 @@
   }
 
   all (): readonly MemberRecord[] {
-    return this.#options.store.entries('heartbeat').map(readMember).filter((member) => member !== undefined)
+    return [...this.#records.values()]
+  }
+
+  get (id: InstanceId): MemberRecord | undefined {
+    return this.#records.get(id)
+  }
+
+  /** Reads all entries anew, since some were forgotten. */
+  refresh (): void {
+    this.#records.clear()
+    this.#lost.clear()
+    for (const entry of this.#options.store.entries('heartbeat')) this.#note(entry)
   }
 
   /** Others that live as far as gossip tells. */
-  alive (): readonly PeerIdentity[] {
-    const lost = this.#lost()
-    return this.all().filter((member) =>
-      member.id !== this.#options.id && !member.isLeaving && (lost.get(member.incarnation) ?? -1) < member.proof)
+  alive (): readonly MemberRecord[] {
+    return this.all().filter((member) => member.id !== this.#options.id && !member.isLeaving && !this.#isDown(member))
   }
 
   #isDown (member: MemberRecord): boolean {
-    return (this.#lost().get(member.incarnation) ?? -1) >= member.proof
+    return (this.#lost.get(member.incarnation) ?? -1) >= member.proof
   }
 
-  /** For each life that somebody lost, the newest proof of life that it does not count. */
-  #lost (): ReadonlyMap<Incarnation, number> {
-    const lost = new Map<Incarnation, number>()
-    for (const { key, value } of this.#options.store.entries('heartbeat')) {
-      if (!key.startsWith(DOWN_PREFIX) || !isJsonObject(value)) continue
-      const { life, proof } = value
-      if (typeof life !== 'string' || typeof proof !== 'number') continue
-      const incarnation = brand<Incarnation>(life)
-      lost.set(incarnation, Math.max(proof, lost.get(incarnation) ?? -1))
-    }
-    return lost
+  #note (entry: GossipEntry): void {
+    const member = readMember(entry)
+    if (member !== undefined) this.#records.set(member.id, member)
+    const { key, value } = entry
+    if (!key.startsWith(DOWN_PREFIX) || !isJsonObject(value)) return
+    const { life, proof } = value
+    if (typeof life !== 'string' || typeof proof !== 'number') return
+    const incarnation = brand<Incarnation>(life)
+    this.#lost.set(incarnation, Math.max(proof, this.#lost.get(incarnation) ?? -1))
   }
 
   #publishSelf (isLeaving: boolean): void {
     if (this.#address === undefined) return
     const { ip, port } = this.#address
-    this.#options.publish(MEMBER_KEY, { domain: this.#options.domain, ip, port, proof: this.#proof, isLeaving })
+    const { domain, capacity = DEFAULT_CAPACITY } = this.#options
+    this.#options.publish(MEMBER_KEY, { domain, ip, port, proof: this.#proof, isLeaving, capacity })
   }
 }
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -21,6 +21,8 @@
   readonly self: InstanceId
   readonly incarnation: Incarnation
   readonly domain: DomainId
+  /** Processor share that this instance may use, in cores. */
+  readonly capacity?: number
   readonly clock: Clock
   readonly random: Random
   readonly transport: Transport
@@ -55,7 +57,7 @@
   #membersUntil: Millis = millis(0)
 
   constructor (options: PeerCoreOptions) {
-    const { self, incarnation, domain, clock, random, transport } = options
+    const { self, incarnation, domain, capacity, clock, random, transport } = options
     this.self = self
     this.incarnation = incarnation
     this.#options = options
@@ -80,7 +82,7 @@
       onEntry: (entry) => this.#notify(entry)
     })
     this.#book = new MemberBook({
-      id: self, incarnation, domain, store: this.#store, publish: (key, value) => this.publish('heartbeat', key, value)
+      id: self, incarnation, domain, capacity, store: this.#store, publish: (key, value) => this.publish('heartbeat', key, value)
     })
     this.#questions = new Questions(clock)
     this.onEntry('heartbeat', (entry) => this.#hearMember(entry))
@@ -117,12 +119,16 @@
     const { isMesh } = this.#links
     const limit = isMesh ? HEARTBEAT_TIMEOUT : SPARSE_HEARTBEAT_TIMEOUT
     const linked = this.#links.all().filter((link) => link.silence < limit).map((link): PeerMember => ({
-      id: link.peer.id, incarnation: link.peer.incarnation, domain: link.peer.domain, silence: link.silence
+      id: link.peer.id,
+      incarnation: link.peer.incarnation,
+      domain: link.peer.domain,
+      capacity: this.#book.get(link.peer.id)?.capacity ?? 1,
+      silence: link.silence
     }))
     if (isMesh) return linked
     const direct = new Set(linked.map((member) => member.id))
     const others = this.#book.alive().filter((member) => !direct.has(member.id)).map((member): PeerMember => ({
-      id: member.id, incarnation: member.incarnation, domain: member.domain, silence: millis(0)
+      id: member.id, incarnation: member.incarnation, domain: member.domain, capacity: member.capacity, silence: millis(0)
     }))
     return [...linked, ...others]
   }
@@ -209,6 +215,7 @@
   #compare (): void {
     const alive = new Set(this.members().map((member) => member.id))
     this.#store.expire((owner) => alive.has(owner))
+    this.#book.refresh()
     this.#spreader.compare()
   }
 
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -11,6 +11,8 @@
   readonly id: InstanceId
   readonly incarnation: Incarnation
   readonly domain: DomainId
+  /** Processor share that it may use, in cores; 1 where it does not say. */
+  readonly capacity?: number
   /** Time since its last heartbeat. */
   readonly silence: Millis
 }
