--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -36,6 +36,8 @@
   readonly stages: readonly StageNode[]
   /** Served without a key. */
   readonly isPublic: boolean
+  /** Longest pause between two events of a stream that is on time; undefined where the route sets none. */
+  readonly longestGap?: Millis | undefined
   /** A broken stream may go on at another endpoint. */
   readonly isResumable: boolean
   /** Regions that may serve it; empty allows all. */
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -2,9 +2,9 @@
 import type { Clock, Millis, Timer } from '@papayahill/common'
 import { newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketLoss } from '@papayahill/connections'
-import type { EndpointDirectory } from '@papayahill/directory'
+import type { EndpointDirectory, ServingRoute } from '@papayahill/directory'
 import type { Result } from 'true-myth'
-import { MAX_HELD_ANSWER, STREAM_SILENCE } from './constants.js'
+import { LATE_ANSWER, MAX_HELD_ANSWER, SILENT_GAPS, STREAM_SILENCE } from './constants.js'
 import { EventScanner } from './EventScanner.js'
 import type { StreamRelay } from './StreamRelay.js'
 import type { AnswerMarks, CallEnd, CallWire, OutboundCall } from './types.js'
@@ -42,6 +42,7 @@
   #marks: AnswerMarks | undefined
   #scanner: EventScanner | undefined
   #timer: Timer | undefined
+  #end: Timer | undefined
   #stopCause: string | undefined
   /** Monotonic time of the first byte of the body. */
   firstAt: Millis | undefined
@@ -57,10 +58,12 @@
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
     this.#watch(firstWait)
+    this.#end = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER), () => this.#stop('its time was over'))
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#timer?.cancel()
+    this.#end.cancel()
     signal.removeEventListener('abort', onAbort)
-    const end = this.#end(result)
+    const end = this.#endOf(result)
     this.#note(end)
     if (!this.#isClean(end)) socket.close()
     return end
@@ -72,7 +75,7 @@
     const marks = wire.readAnswer(answer)
     this.#status = answer.status
     this.#marks = marks
-    if (marks.attempt !== undefined && marks.attempt !== request.attempt) return this.#stop('it answered another request')
+    if (isForeign(marks, request.attempt)) return this.#stop('it answered another request')
     if (marks.load !== undefined) endpoint.load = { ...marks.load, at: clock.now() }
     if (marks.coldFor !== undefined) directory.cold(endpoint, marks.coldFor)
     const isStream = relay !== undefined && answer.status === 200 && marks.isEventStream && marks.isSealed
@@ -96,9 +99,12 @@
   }
 
   #relay (scanner: EventScanner, data: Buffer): void {
-    if (this.#options.mayLeave) this.#watch(STREAM_SILENCE)
-    else this.#timer?.cancel()
-    for (const event of scanner.feed(data)) this.#options.relay?.event(event)
+    const { mayLeave, call, relay } = this.#options
+    const events = scanner.feed(data)
+    // Bytes that end no event are no sign that the stream goes on.
+    if (events.length > 0 && mayLeave) this.#watch(silenceOf(call.request.route))
+    if (!mayLeave) this.#timer?.cancel()
+    for (const event of events) relay?.event(event)
     if (scanner.isOverfull) this.#stop('an event is too large')
   }
 
@@ -112,7 +118,7 @@
     stopExchange(this.#stopper)
   }
 
-  #end (result: Result<void, SocketLoss>): CallEnd {
+  #endOf (result: Result<void, SocketLoss>): CallEnd {
     if (result.isErr) return this.#lossOf(result.error)
     const marks = this.#marks
     if (marks === undefined || this.#stopCause !== undefined) return { kind: 'lost', detail: this.#stopCause ?? 'the answer did not begin' }
@@ -154,6 +160,14 @@
   }
 }
 
+/** Whether an answer is not this request's: it names another, or gives a result and names none. */
+const isForeign = ({ attempt, isSealed }: AnswerMarks, own: string): boolean =>
+  attempt === undefined ? isSealed : attempt !== own
+
+/** Pause from which on a resumable stream goes on elsewhere; far above those that its route allows. */
+const silenceOf = ({ longestGap }: Pick<ServingRoute, 'longestGap'>): Millis =>
+  millis(Math.max(STREAM_SILENCE, SILENT_GAPS * (longestGap ?? 0)))
+
 /** Time that a repeatable call may take before it is sent elsewhere. */
 export const firstWaitOf = (timeLeft: Millis, wanted: Millis, mayRepeat: boolean): Millis =>
   mayRepeat ? millis(Math.min(timeLeft, wanted)) : timeLeft
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -16,7 +16,11 @@
 export const HANG_TARGETS = 2.5
 /** Least time before a repeatable request without an answer is sent elsewhere. */
 export const MIN_HANG = millis(250)
-/** Pause in a resumable stream from which on it goes on elsewhere. */
+/** Time after a call's deadline, which its endpoint keeps by itself, from which on its answer is waited for no more. */
+export const LATE_ANSWER = millis(400)
+/** A resumable stream goes on elsewhere after a pause of this many times the longest that its route allows. */
+export const SILENT_GAPS = 5
+/** Least pause in a resumable stream from which on it goes on elsewhere. */
 export const STREAM_SILENCE = millis(1500)
 /** How often a request without a usable endpoint looks again. */
 export const PLACE_RETRY = millis(40)
