--- a/packages/batching/src/StageLinks.ts
+++ b/packages/batching/src/StageLinks.ts
@@ -76,6 +76,16 @@
     else this.#send(to, { kind: 'free', endpoint, handles })
   }
 
+  /** Keeps links open to the instances that gather for these endpoints, so that no order waits for one. */
+  keepLinks (endpoints: Iterable<EndpointId>): void {
+    const { groups, roster, peers } = this.#options
+    const gatherers = [...endpoints].flatMap((endpoint) => {
+      const group = groups.groupOf(endpoint)
+      return group === undefined ? [] : [roster.gathererOf(group)]
+    })
+    peers.keepLinks(new Set(gatherers.filter((id) => id !== peers.self)))
+  }
+
   /** Tells the others that this instance gathers no more. */
   leave (): void {
     this.#options.roster.leave()
--- a/packages/bench/src/state/GatedPeers.ts
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -38,6 +38,10 @@
     return this.#peers.neighbours()
   }
 
+  keepLinks (to: ReadonlySet<InstanceId>): void {
+    this.#peers.keepLinks(to)
+  }
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     this.#count(message)
     this.#peers.send(to, topic, message)
--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -34,6 +34,8 @@
   readonly #links = new Map<InstanceId, OpenLink>()
   readonly #known = new LRUCache<InstanceId, Known>({ max: MAX_KNOWN_PEERS })
   readonly #announced = new Set<OpenLink>()
+  /** Peers to which links are kept beside those that carry gossip. */
+  #kept: ReadonlySet<InstanceId> = new Set()
   #isClosed = false
   /** Known peers that are not known to be gone. */
   #reachable = 0
@@ -89,9 +91,20 @@
       : planLinks(random, known, active)
     for (const id of plan.dial) void this.open(id, false)
     for (const id of plan.drop) this.#drop(id)
+    this.#dialKept(now)
     this.#closeIdle()
   }
 
+  /** Keeps links to these peers open; those to others named before may close when idle. */
+  keep (ids: ReadonlySet<InstanceId>): void {
+    this.#kept = ids
+    this.#dialKept(this.#options.clock.now())
+  }
+
+  #dialKept (now: Millis): void {
+    for (const id of this.#kept) if (!this.#links.has(id) && this.#mayDial(id, now)) void this.open(id, true)
+  }
+
   /** The link to a peer, opened where there is none and its address is known. */
   async open (id: InstanceId, isTemporary: boolean): Promise<OpenLink | undefined> {
     const linked = this.#links.get(id)
@@ -186,6 +199,8 @@
   }
 
   #closeIdle (): void {
-    for (const link of this.all()) if (link.isTemporary && link.idle > IDLE_LINK_TIMEOUT) this.#drop(link.peer.id)
+    for (const link of this.all()) {
+      if (link.isTemporary && link.idle > IDLE_LINK_TIMEOUT && !this.#kept.has(link.peer.id)) this.#drop(link.peer.id)
+    }
   }
 }
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -198,6 +198,24 @@
     })
   })
 
+  describe('kept links', () => {
+    it('stand before anything is sent, outlast idle times and the death of their peer\'s process', async () => {
+      const rig = new Rig(40)
+      await rig.start()
+      const [core] = rig.cores
+      const wanted = identity(39).id
+      core!.keepLinks(new Set([wanted]))
+      await rig.clock.advance(seconds(1))
+      expect(core!.isConnected(wanted)).toBe(true)
+      await rig.clock.advance(seconds(60))
+      expect(core!.isConnected(wanted)).toBe(true)
+      rig.network.kill(identity(39))
+      void rig.add(39, 2).start()
+      await rig.clock.advance(seconds(8))
+      expect(core!.isConnected(wanted)).toBe(true)
+    })
+  })
+
   describe('published entries', () => {
     it('reach all, and the newest wins whatever the order', async () => {
       const rig = await started(4)
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -141,6 +141,10 @@
     return this.#links.active().map((link) => link.peer.id)
   }
 
+  keepLinks (to: ReadonlySet<InstanceId>): void {
+    this.#links.keep(to)
+  }
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     const link = this.#links.get(to)
     if (link !== undefined) link.send({ kind: 'message', topic, body: message })
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -55,6 +55,8 @@
   isConnected (id: InstanceId): boolean
   /** Peers over whose links gossip spreads: all others while there are few, some of them above that. */
   neighbours (): readonly InstanceId[]
+  /** Keeps links to these peers open, so that nothing waits for one to open; in place of those named before. */
+  keepLinks (to: ReadonlySet<InstanceId>): void
   send (to: InstanceId, topic: Topic, message: Json): void
   broadcast (topic: Topic, message: Json): void
   ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>>
--- a/packages/standins/src/FakePeerNetwork.ts
+++ b/packages/standins/src/FakePeerNetwork.ts
@@ -152,6 +152,8 @@
     return this.members().map(({ id }) => id)
   }
 
+  keepLinks (): void {}
+
   send (to: InstanceId, topic: Topic, message: Json): void {
     if (this.#isStopped) return
     this.#network.carry(this, to, (receiver) => { void receiver.receive(this.self, topic, message) })
