--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -109,7 +109,7 @@
   async open (id: InstanceId, isTemporary: boolean): Promise<OpenLink | undefined> {
     const linked = this.#links.get(id)
     if (linked !== undefined) {
-      linked.isTemporary &&= isTemporary
+      if (linked.isTemporary && !isTemporary) this.#use(linked, true)
       return linked
     }
     const known = this.#known.get(id)
@@ -136,12 +136,20 @@
     present?.close()
     opened.onFrame((frame) => {
       if (frame.kind === 'bye') this.#announced.add(opened)
+      if (frame.kind === 'use') opened.isTemporary = !frame.isGossip
       onFrame(opened, frame)
     })
     opened.onClose(() => this.#closed(opened))
+    if (opened.isDialled && opened.isTemporary) this.#use(opened, false)
     onOpen(opened)
   }
 
+  /** Tells the other side what the link is for, so that it does not count messages' links among those for gossip. */
+  #use (link: OpenLink, isGossip: boolean): void {
+    link.isTemporary = !isGossip
+    link.send({ kind: 'use', isGossip })
+  }
+
   /** Closes a link that has fallen silent. */
   lose (link: OpenLink): void {
     link.cut()
@@ -200,7 +208,8 @@
 
   #closeIdle (): void {
     for (const link of this.all()) {
-      if (link.isTemporary && link.idle > IDLE_LINK_TIMEOUT && !this.#kept.has(link.peer.id)) this.#drop(link.peer.id)
+      const isIdle = link.isTemporary && link.isDialled && link.idle > IDLE_LINK_TIMEOUT
+      if (isIdle && !this.#kept.has(link.peer.id)) this.#drop(link.peer.id)
     }
   }
 }
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -199,6 +199,20 @@
   })
 
   describe('kept links', () => {
+    it('of many to one stand, and that one opens and drops none on their account', async () => {
+      const rig = new Rig(60)
+      await rig.start(seconds(10))
+      const busy = identity(7).id
+      for (const core of rig.cores) if (core.self !== busy) core.keepLinks(new Set([busy]))
+      await rig.clock.advance(seconds(5))
+      const before = rig.events.map(({ records }) => records.length)
+      await rig.clock.advance(seconds(60))
+      expect(rig.cores.filter((core) => core.isConnected(busy)).length).toBe(59)
+      const closed = rig.events.flatMap(({ records }, at) => records.slice(before[at])).filter(({ kind }) => kind.name === 'linkClosed')
+      expect(closed.length).toBe(0)
+      expect(rig.cores[7]!.neighbours().length).toBeLessThanOrEqual(8)
+    })
+
     it('stand before anything is sent, outlast idle times and the death of their peer\'s process', async () => {
       const rig = new Rig(40)
       await rig.start()
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -11,7 +11,7 @@
   'heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order', 'stage', 'version',
   'table'
 ]
-const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye']
+const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
 
 type PackedEntry = readonly [topic: number, key: string, owner: string, incarnation: string, sequence: number, value: Json]
 type Packed = readonly unknown[]
@@ -36,6 +36,7 @@
 const PACK: { readonly [Kind in FrameKind]: (frame: Extract<Frame, { readonly kind: Kind }>) => Packed } = {
   heartbeat: () => [],
   bye: () => [],
+  use: (frame) => [frame.isGossip],
   message: (frame) => frame.ask === undefined ? [packTopic(frame.topic), frame.body] : [packTopic(frame.topic), frame.body, frame.ask],
   answer: (frame) => [packTopic(frame.topic), frame.ask, frame.body],
   entries: (frame) => frame.entries.map(packEntry),
@@ -46,6 +47,7 @@
 const UNPACK: { readonly [Kind in FrameKind]: (fields: Packed) => Frame } = {
   heartbeat: () => ({ kind: 'heartbeat' }),
   bye: () => ({ kind: 'bye' }),
+  use: ([isGossip]) => ({ kind: 'use', isGossip: isGossip === true }),
   message: ([topic, body, ask]) =>
     ({ kind: 'message', topic: TOPICS[topic as number]!, body: body as Json, ask: ask as number | undefined }),
   answer: ([topic, ask, body]) => ({ kind: 'answer', topic: TOPICS[topic as number]!, ask: ask as number, body: body as Json }),
--- a/packages/peers/src/frames.ts
+++ b/packages/peers/src/frames.ts
@@ -22,11 +22,13 @@
   | { readonly kind: 'differ', readonly buckets: readonly BucketDigest[], readonly isReply: boolean }
   /** The link will close because this side has enough; it is no sign of trouble. */
   | { readonly kind: 'bye' }
+  /** What the sender uses the link for: gossip, or messages alone. */
+  | { readonly kind: 'use', readonly isGossip: boolean }
 
 export type FrameKind = Frame['kind']
 
 /** Topic under which the bytes of a frame are metered. */
 export const topicOf = (frame: Frame): Topic => {
   if (frame.kind === 'message' || frame.kind === 'answer') return frame.topic
-  return frame.kind === 'heartbeat' || frame.kind === 'bye' ? 'heartbeat' : 'gossip'
+  return frame.kind === 'heartbeat' || frame.kind === 'bye' || frame.kind === 'use' ? 'heartbeat' : 'gossip'
 }
