Limits of single endpoints are split into whole parts that never add up to more

Cause: a floor for each instance broke limits that all share: one request a second to a cold endpoint each (60 instances 60 a second, where one bears 12), two connections each (77 instances 154, where one takes 110). Change: SharedSplit divides a limit evenly, the rest goes to the first in rendezvous order for its endpoint; the rule holds for cold rates and connections. Tests: sums at 6, 60, 200 and 420 instances; what a cold endpoint gets from all in any second.

--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -70,6 +70,11 @@
     return 1 + this.#others().length
   }
 
+  /** Instances that are not silent, this one among them. */
+  get present (): readonly InstanceId[] {
+    return [this.#peers.self, ...this.#others().map(({ id }) => id)]
+  }
+
   /** Whether anything came from an instance of late. */
   isPresent (id: InstanceId): boolean {
     return this.#peers.members().some((member) => member.id === id && member.silence < GATHERER_SILENCE)
--- a/packages/directory/src/TableRelay.ts
+++ b/packages/directory/src/TableRelay.ts
@@ -48,6 +48,11 @@
     this.#tables.set(table.name, table)
   }
 
+  /** Whether there is nobody to hand anything on to. */
+  get isAlone (): boolean {
+    return this.#options.peers.neighbours().length === 0
+  }
+
   /** Whether this instance follows the table in the store for the others. */
   isWatcher (table: string): boolean {
     const { peers: { self }, domain } = this.#options
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -2,8 +2,8 @@
 import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  ANSWER_LIMIT, LAPSE_GRACE, LOOK_SPREAD, MAX_SHARED_RETRY, MAX_WATCH_RETRY, MIN_WATCH_RETRY, ROLE_PERIOD, STATUS_GAIN, STATUS_LIMIT,
-  STATUS_PERIOD, WATCH_PACE, WATCH_WAIT
+  ANSWER_LIMIT, LAPSE_GRACE, LOOK_SPREAD, MAX_SHARED_RETRY, MAX_WATCH_RETRY, MIN_WATCH_RETRY, ROLE_DELAY, ROLE_PERIOD, STATUS_GAIN,
+  STATUS_LIMIT, STATUS_PERIOD, WATCH_PACE, WATCH_WAIT
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { TableCopy } from './TableCopy.js'
@@ -34,7 +34,7 @@
   readonly decode: (key: string, value: Json) => Value
   readonly listener: TableListener<Value>
   /** Other instances that follow the table; without them this one follows it alone. */
-  readonly relay?: Pick<TableRelay, 'add' | 'isWatcher' | 'announce' | 'push' | 'fetch'>
+  readonly relay?: Pick<TableRelay, 'add' | 'isAlone' | 'isWatcher' | 'announce' | 'push' | 'fetch'>
 }
 
 const NO_WAIT = millis(0)
@@ -62,6 +62,7 @@
   #spread: Millis = NO_WAIT
   #isWatcher: boolean
   #roleAt: Millis | undefined
+  readonly #startedAt: Millis
   #isFetching = false
   /** Whether the last own look was answered. */
   #isFollowing = false
@@ -70,6 +71,7 @@
   constructor (options: TableWatchOptions<Value>) {
     this.#options = options
     this.#isWatcher = options.relay === undefined
+    this.#startedAt = options.clock.now()
     options.relay?.add(this)
   }
 
@@ -155,12 +157,18 @@
     const now = clock.now()
     if (this.#roleAt !== undefined && now - this.#roleAt < ROLE_PERIOD) return this.#isWatcher
     this.#roleAt = now
-    const isWatcher = relay.isWatcher(this.name)
+    const isWatcher = this.#mayWatch(relay, now) && relay.isWatcher(this.name)
     if (isWatcher !== this.#isWatcher) log.emit(DIRECTORY_EVENTS.tableRole, { table: this.name, watches: isWatcher })
     this.#isWatcher = isWatcher
     return isWatcher
   }
 
+  /** Shortly after its start an instance may know too few others to tell who should watch. */
+  #mayWatch (relay: Pick<TableRelay, 'isAlone'>, now: Millis): boolean {
+    const age = now - this.#startedAt
+    return age >= ROLE_DELAY || (age >= ROLE_PERIOD && relay.isAlone)
+  }
+
   async #look (): Promise<boolean> {
     const { table } = this.#options
     const after = this.#copy.revision
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -18,6 +18,8 @@
 export const ANSWER_LIMIT = millis(4200)
 /** Looks of many instances that lack a status are spread over this time, so that the first one's spares the others'. */
 export const LOOK_SPREAD = millis(600)
+/** Time after the start before an instance follows a table for others: until then it may know only few of them. */
+export const ROLE_DELAY = millis(2500)
 /** How often an instance looks whether it is a watcher. */
 export const ROLE_PERIOD = millis(500)
 /** A status is passed on where it is newer than the one known by this much. */
--- a/packages/forwarding/src/ColdGate.ts
+++ b/packages/forwarding/src/ColdGate.ts
@@ -2,6 +2,7 @@
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { COLD_SHARE } from './constants.js'
+import type { SharedSplit } from './SharedSplit.js'
 import type { ProfileLookup } from './types.js'
 
 /**
@@ -13,19 +14,19 @@
 export class ColdGate {
   readonly #clock: Clock
   readonly #profileOf: ProfileLookup
-  readonly #instances: () => number
+  readonly #split: Pick<SharedSplit, 'partOf'>
   readonly #sent = new Map<EndpointId, Millis[]>()
 
-  constructor (clock: Clock, profileOf: ProfileLookup, instances: () => number) {
+  constructor (clock: Clock, profileOf: ProfileLookup, split: Pick<SharedSplit, 'partOf'>) {
     this.#clock = clock
     this.#profileOf = profileOf
-    this.#instances = instances
+    this.#split = split
   }
 
   mayTake (endpoint: Endpoint): boolean {
     const perSecond = this.#profileOf(endpoint.service)?.coldPerSecond ?? 0
     if (perSecond === 0 || !endpoint.isCold(this.#clock.now())) return true
-    return this.#recent(endpoint).length < Math.max(1, Math.floor(perSecond * COLD_SHARE / this.#instances()))
+    return this.#recent(endpoint).length < this.#split.partOf(`${endpoint.id} cold`, perSecond * COLD_SHARE)
   }
 
   take (endpoint: Endpoint): void {
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -3,13 +3,14 @@
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { isIPv6 } from 'node:net'
 import { CONNECTION_SHARE, MAX_IDLE_CONNECTIONS } from './constants.js'
+import type { SharedSplit } from './SharedSplit.js'
 import type { ProfileLookup } from './types.js'
 
 export interface ConnectionPoolOptions {
   readonly directory: Pick<EndpointDirectory, 'onGone'>
   readonly profileOf: ProfileLookup
-  /** Instances that share an endpoint's connections. */
-  readonly instances: () => number
+  /** Splits what an endpoint takes between the instances. */
+  readonly split: Pick<SharedSplit, 'partOf' | 'forget'>
 }
 
 interface EndpointConnections {
@@ -17,6 +18,8 @@
   open: number
 }
 
+const splitName = ({ id }: Endpoint): string => `${id} connections`
+
 const originOf = ({ address: { ip, port } }: Endpoint): string => `http://${isIPv6(ip) ? `[${ip}]` : ip}:${port}`
 
 /**
@@ -67,7 +70,9 @@
 
   #closeIdle (endpoint: Endpoint): void {
     for (const socket of this.#of(endpoint).idle.splice(0)) socket.close()
-    if (endpoint.isGone) this.#connections.delete(endpoint.id)
+    if (!endpoint.isGone) return
+    this.#connections.delete(endpoint.id)
+    this.#options.split.forget(splitName(endpoint))
   }
 
   #of (endpoint: Endpoint): EndpointConnections {
@@ -79,7 +84,7 @@
   }
 
   #limitOf (endpoint: Endpoint): number {
-    const most = this.#options.profileOf(endpoint.service)?.maxConnections ?? MAX_IDLE_CONNECTIONS
-    return Math.max(2, Math.floor(most * CONNECTION_SHARE / this.#options.instances()))
+    const most = this.#options.profileOf(endpoint.service)?.maxConnections
+    return most === undefined ? MAX_IDLE_CONNECTIONS : this.#options.split.partOf(splitName(endpoint), most * CONNECTION_SHARE)
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/SharedSplit.test.ts
@@ -0,0 +1,68 @@
+import { brand, millis, VirtualClock } from '@papayahill/common'
+import type { EndpointId, InstanceId, ServiceId } from '@papayahill/common'
+import { Endpoint } from '@papayahill/directory'
+import { describe, expect, it } from 'vitest'
+import { ColdGate } from './ColdGate.js'
+import { SharedSplit } from './SharedSplit.js'
+
+const idsOf = (count: number): readonly InstanceId[] => Array.from({ length: count }, (_none, at) => brand<InstanceId>(`i${at}`))
+const splitsOf = (count: number, clock = new VirtualClock()): readonly SharedSplit[] => {
+  const ids = idsOf(count)
+  return ids.map((self) => new SharedSplit({ clock, self, instances: () => ids }))
+}
+const partsOf = (count: number, name: string, limit: number): readonly number[] =>
+  splitsOf(count).map((split) => split.partOf(name, limit))
+const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0)
+
+const coldEndpoint = (id: string): Endpoint => {
+  const endpoint = new Endpoint({
+    id: brand<EndpointId>(id),
+    service: brand<ServiceId>('pool'),
+    address: { ip: '10.0.0.1', port: 80 },
+    domain: brand('hall-1'),
+    version: 'v1',
+    slots: 12,
+    isDraining: false,
+    coldFor: millis(0),
+    sequence: 1,
+    bornAt: undefined
+  })
+  endpoint.coldUntil = millis(60_000)
+  return endpoint
+}
+
+describe('SharedSplit', () => {
+  describe.each([6, 60, 200, 420])('%i instances', (count) => {
+    it.each([9.6, 88, 110, 1040])('never add up to more than a limit of %d, and use all of it', (limit) => {
+      for (const name of ['e1', 'e2', 'e3']) expect(sum(partsOf(count, name, limit))).toBe(Math.floor(limit))
+    })
+
+    it('share the units that do not divide evenly differently for each endpoint', () => {
+      const total = Array<number>(count).fill(0)
+      for (let endpoint = 0; endpoint < 60; endpoint++) {
+        partsOf(count, `e${endpoint}`, 10).forEach((part, at) => { total[at]! += part })
+      }
+      const mean = 600 / count
+      expect(Math.max(...total)).toBeLessThanOrEqual(mean * 2.5 + 8)
+    })
+
+    it('send a cold endpoint no more than it bears from all of them together', async () => {
+      const clock = new VirtualClock()
+      const profile = { id: brand<ServiceId>('pool'), maxConnections: 1300, coldPerSecond: 12 }
+      const gates = splitsOf(count, clock).map((split) => new ColdGate(clock, () => profile, split))
+      const endpoint = coldEndpoint('e1')
+      const sent: number[] = []
+      for (let step = 0; step < 60; step++) {
+        for (const gate of gates) {
+          if (!gate.mayTake(endpoint)) continue
+          gate.take(endpoint)
+          sent.push(clock.now())
+        }
+        await clock.advance(millis(50))
+      }
+      const inSecondBefore = sent.map((at) => sent.filter((other) => other <= at && other > at - 1000).length)
+      expect(Math.max(...inSecondBefore)).toBeLessThanOrEqual(12)
+      expect(sent.length).toBeGreaterThan(18)
+    })
+  })
+})
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -32,6 +32,8 @@
 export const RETRY_SHARE = 0.7
 /** Part of what a cold endpoint bears that all instances together send. */
 export const COLD_SHARE = 0.8
+/** Time for which an instance's part of a limit stands, after which it is found anew among those that are known. */
+export const SPLIT_LIFE = millis(1000)
 /** Shortest and longest times to come back that callers are told. */
 export const MIN_RETRY_AFTER = millis(100)
 export const MAX_RETRY_AFTER = seconds(2)
