--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -198,6 +198,22 @@
     })
   })
 
+  describe('a frame that cannot be handled', () => {
+    it('ends its own link and nothing else', async () => {
+      const rig = new Rig(3)
+      await rig.start()
+      const stranger = identity(50)
+      const dialled = rig.network.transport(stranger).dial(identity(0).address)
+      await rig.clock.advance(millis(50))
+      const link = await dialled
+      link!.send({ kind: 'differ', isReply: false, buckets: [{ bucket: 0, items: 5 as never }] })
+      await rig.clock.advance(seconds(1))
+      expect(rig.events[0]!.records.map(({ kind }) => kind.name)).toContain('frameFaulty')
+      expect(rig.cores[0]!.isConnected(stranger.id)).toBe(false)
+      expect(rig.cores[0]!.isConnected(identity(1).id)).toBe(true)
+    })
+  })
+
   describe('kept links', () => {
     it('of many to one stand, and that one opens and drops none on their account', async () => {
       const rig = new Rig(60)
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -71,7 +71,7 @@
       meter: this.#meter,
       onOpen: (link) => this.#opened(link),
       onClose: (link, isAnnounced) => this.#closed(link, isAnnounced),
-      onFrame: (link, frame) => this.#take(link, frame)
+      onFrame: (link, frame) => this.#takeGuarded(link, frame)
     })
     this.#spreader = new GossipSpreader({
       store: this.#store,
@@ -258,6 +258,17 @@
     else this.#links.learn(member.id, member.address)
   }
 
+  /** What one message breaks ends with its link. */
+  #takeGuarded (link: OpenLink, frame: Frame): void {
+    try {
+      this.#take(link, frame)
+    } catch (err) {
+      const detail = err instanceof Error ? err.message : String(err)
+      this.#log.emit(PEERS_EVENTS.frameFaulty, { peer: link.peer.id, kind: frame.kind, detail })
+      this.#links.lose(link)
+    }
+  }
+
   #take (link: OpenLink, frame: Frame): void {
     if (frame.kind === 'message') void this.#answer(link, frame)
     else if (frame.kind === 'answer') this.#questions.answer(link.peer.id, frame.ask, frame.body)
--- a/packages/peers/src/events.ts
+++ b/packages/peers/src/events.ts
@@ -10,5 +10,6 @@
   frameBroken: { number: 2006, level: 'warn', text: 'A peer sent a message that could not be read; the link was closed.' },
   peerSilent: { number: 2007, level: 'warn', text: 'Nothing was heard from a peer for the heartbeat timeout.' },
   listUnreadable: { number: 2008, level: 'warn', text: 'The platform\'s instance list could not be read; known peers are kept.' },
-  listEmpty: { number: 2009, level: 'warn', text: 'The platform\'s instance list names no instance; known peers are kept.' }
+  listEmpty: { number: 2009, level: 'warn', text: 'The platform\'s instance list names no instance; known peers are kept.' },
+  frameFaulty: { number: 2010, level: 'error', text: 'A message of a peer could not be handled; its link was closed.' }
 })
