--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -19,6 +19,7 @@
   leaving: () => import('./benches/leaving.js'),
   prefix: () => import('./benches/prefix.js'),
   stages: () => import('./benches/stages.js'),
+  tables: () => import('./benches/tables.js'),
   chaos: () => import('./benches/chaos.js'),
   capacity: () => import('./benches/capacity.js'),
   roster: () => import('./benches/roster.js')
