--- a/packages/directory/src/TableRelay.ts
+++ b/packages/directory/src/TableRelay.ts
@@ -13,8 +13,8 @@
   status (): TableStatus | undefined
   /** What a copy at a revision lacks. */
   since (after: number | undefined): RelayedChanges | undefined
-  heard (status: TableStatus, from: InstanceId): void
-  changed (relayed: RelayedChanges, from: InstanceId): void
+  receiveStatus (status: TableStatus, from: InstanceId): void
+  receiveChanges (relayed: RelayedChanges, from: InstanceId): void
 }
 
 export interface TableRelayOptions {
@@ -83,8 +83,8 @@
   #receive (from: InstanceId, body: Json): Json {
     const message = unpackTableMessage(body)
     if (message === undefined) this.#options.log.emit(DIRECTORY_EVENTS.tableMessageMalformed, { from })
-    if (message?.kind === 'status') for (const status of message.statuses) this.#tables.get(status.table)?.heard(status, from)
-    if (message?.kind === 'changes') this.#tables.get(message.relayed.table)?.changed(message.relayed, from)
+    if (message?.kind === 'status') for (const status of message.statuses) this.#tables.get(status.table)?.receiveStatus(status, from)
+    if (message?.kind === 'changes') this.#tables.get(message.relayed.table)?.receiveChanges(message.relayed, from)
     if (message?.kind !== 'fetch') return null
     const relayed = this.#tables.get(message.table)?.since(message.after)
     return relayed === undefined ? null : packTableMessage({ kind: 'changes', relayed })
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -86,7 +86,7 @@
 
   start (): void {
     void this.#follow()
-    if (this.#options.relay !== undefined) void this.#tellStatus()
+    if (this.#options.relay !== undefined) void this.#publishStatus()
   }
 
   stop (): void {
@@ -108,14 +108,14 @@
   }
 
   /** A neighbour told how current its copy is. */
-  heard (status: TableStatus, from: InstanceId): void {
+  receiveStatus (status: TableStatus, from: InstanceId): void {
     const standing = this.#copy.compare(status.revision, status.digest)
     if (standing === 'behind') this.#fetchFrom(from)
     if (standing === 'equal') this.#noteStatus(status, from)
   }
 
   /** A neighbour handed changes on. */
-  changed (relayed: RelayedChanges, from: InstanceId): void {
+  receiveChanges (relayed: RelayedChanges, from: InstanceId): void {
     if (!this.#take(relayed.changes, relayed.outage, from)) return this.#fetchFrom(from)
     this.#noteAnswer(millis(this.#options.clock.now() - relayed.answerAge))
   }
@@ -278,7 +278,7 @@
   }
 
   /** A watcher whose looks are answered says so, also while it waits for the next change. */
-  async #tellStatus (): Promise<void> {
+  async #publishStatus (): Promise<void> {
     const { clock, relay } = this.#options
     while (!this.#isStopped) {
       await clock.sleep(STATUS_PERIOD)
