--- a/packages/batching/src/GathererRoster.ts
+++ b/packages/batching/src/GathererRoster.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Tells which instance gathers for a group of endpoints: rendezvous order over the strong ones that are not silent. Two
+ * Finds which instance gathers for a group of endpoints: rendezvous order over the strong ones that are not silent. Two
  * that think so at once cost fuller batches and break nothing.
  *
  * @example
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -47,7 +47,7 @@
 export const GATHERER_CAPACITY = 0.5
 /** Instances of such capacity from which on the others gather for nobody. */
 export const MIN_GATHERERS = 4
-/** Age up to which waits that were planned before are told again. */
+/** Age up to which planned waits are reported without a new plan. */
 export const BACKLOG_AGE = millis(25)
 /** Delay by which each step of urgency comes before less urgent work that is due at the same time. */
 export const URGENCY_STEP = millis(200)
--- a/packages/directory/src/TableRelay.ts
+++ b/packages/directory/src/TableRelay.ts
@@ -26,7 +26,7 @@
 
 /**
  * Hands changes of watched tables from neighbour to neighbour, so that a few instances follow the store for all.
- * Every status tells how old it is, so that each instance knows the age of what it acts on.
+ * Every status carries its age, so that each instance knows the age of what it acts on.
  *
  * @example
  * const relay = new TableRelay({ clock, log, domain, peers })
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -2,13 +2,14 @@
 import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  ANSWER_LIMIT, LAPSE_GRACE, LOOK_SPREAD, MAX_SHARED_RETRY, MAX_WATCH_RETRY, MIN_WATCH_RETRY, ROLE_DELAY, ROLE_PERIOD, STATUS_GAIN,
-  STATUS_LIMIT, STATUS_PERIOD, WATCH_PACE, WATCH_WAIT
+  ANSWER_LIMIT, LOOK_SPREAD, MAX_SHARED_RETRY, MAX_WATCH_RETRY, ROLE_DELAY, ROLE_PERIOD, STATUS_GAIN, STATUS_LIMIT, STATUS_PERIOD,
+  WATCH_PACE, WATCH_WAIT
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { TableCopy } from './TableCopy.js'
 import type { TableChanges } from './TableCopy.js'
 import type { RelayedChanges, TableStatus } from './tableMessages.js'
+import { TableReach } from './TableReach.js'
 import type { RelayedTable, TableRelay } from './TableRelay.js'
 import type { TableError, TableRow, TableRows } from './types.js'
 
@@ -38,10 +39,9 @@
 }
 
 const NO_WAIT = millis(0)
-const NO_OUTAGE = millis(0)
 
 /**
- * Keeps a copy of one table current. A watcher follows the table in the store and tells the others; an instance that
+ * Keeps a copy of one table current. A watcher follows the table in the store and relays it; an instance that
  * gets no status in time looks at the store itself, so that no single other instance is relied upon.
  *
  * @example
@@ -51,14 +51,11 @@
 export class TableWatch<Value> implements RelayedTable {
   readonly #options: TableWatchOptions<Value>
   readonly #copy = new TableCopy()
-  #retry: Millis = MIN_WATCH_RETRY
-  #lostAt: Millis | undefined
+  readonly #reach: TableReach
   /** When the store confirmed the copy last, to this instance or to another. */
   #answeredAt: Millis | undefined
   /** When some instance was last known to follow the table in the store. */
   #statusAt: Millis | undefined
-  #lastOutage: Millis = NO_OUTAGE
-  #lastOutageEnd: Millis | undefined
   #spread: Millis = NO_WAIT
   #isWatcher: boolean
   #roleAt: Millis | undefined
@@ -69,9 +66,11 @@
   #isStopped = false
 
   constructor (options: TableWatchOptions<Value>) {
+    const { clock, random, log, table } = options
     this.#options = options
+    this.#reach = new TableReach({ clock, random, log, table: table.name })
     this.#isWatcher = options.relay === undefined
-    this.#startedAt = options.clock.now()
+    this.#startedAt = clock.now()
     options.relay?.add(this)
   }
 
@@ -107,7 +106,7 @@
     return changes === undefined ? undefined : this.#relayed(changes)
   }
 
-  /** A neighbour told how current its copy is. */
+  /** A neighbour sent how current its copy is. */
   receiveStatus (status: TableStatus, from: InstanceId): void {
     const standing = this.#copy.compare(status.revision, status.digest)
     if (standing === 'behind') this.#fetchFrom(from)
@@ -133,10 +132,15 @@
     const { clock } = this.#options
     const begunAt = clock.now()
     this.#isFollowing = await this.#look()
-    if (!this.#isFollowing) await this.#pause()
+    if (!this.#isFollowing) await this.#reach.pause(this.#isRelied ? MAX_WATCH_RETRY : MAX_SHARED_RETRY)
     else await clock.sleep(millis(Math.max(0, WATCH_PACE - (clock.now() - begunAt))))
   }
 
+  /** Whether others wait for this instance's looks, or it knows nothing yet. */
+  get #isRelied (): boolean {
+    return this.#isWatcher || this.#copy.revision === undefined
+  }
+
   /** Time until this instance looks at the store, or looks again whether it should. */
   #untilLook (): Millis {
     const { clock, log } = this.#options
@@ -163,7 +167,7 @@
     return isWatcher
   }
 
-  /** Shortly after its start an instance may know too few others to tell who should watch. */
+  /** Shortly after its start an instance may know too few others to find who should watch. */
   #mayWatch (relay: Pick<TableRelay, 'isAlone'>, now: Millis): boolean {
     const age = now - this.#startedAt
     return age >= ROLE_DELAY || (age >= ROLE_PERIOD && relay.isAlone)
@@ -181,10 +185,10 @@
     return true
   }
 
-  /** Takes the store's answer in and tells the neighbours. */
+  /** Takes the store's answer in and passes it on. */
   #seen (changes: TableChanges): void {
     const { clock, random, relay } = this.#options
-    const outage = this.#regained()
+    const outage = this.#reach.regained()
     this.#spread = millis(random.next() * LOOK_SPREAD)
     this.#noteAnswer(clock.now())
     this.#statusAt = clock.now()
@@ -193,34 +197,16 @@
   }
 
   async #failed (err: TableError): Promise<boolean> {
-    const { clock, log, table } = this.#options
     if (err.kind === 'history-gone') {
-      const whole = await table.read()
+      const whole = await this.#options.table.read()
       if (whole.isErr) return await this.#failed(whole.error)
       this.#seen({ after: undefined, rows: whole.value.rows, revision: whole.value.revision })
       return true
     }
-    if (this.#lostAt === undefined) {
-      this.#lostAt = this.#answeredAt ?? clock.now()
-      log.emit(DIRECTORY_EVENTS.tableLost, { table: this.name, revision: this.#copy.revision, detail: err.detail })
-    }
+    this.#reach.lost(err.detail, this.#copy.revision, this.#answeredAt)
     return false
   }
 
-  /** Notes that the table can be read; the time for which it could not be before. */
-  #regained (): Millis {
-    const { clock, log } = this.#options
-    const now = clock.now()
-    const outage = millis(this.#lostAt === undefined ? 0 : now - this.#lostAt)
-    this.#retry = MIN_WATCH_RETRY
-    if (this.#lostAt === undefined) return outage
-    log.emit(DIRECTORY_EVENTS.tableRegained, { table: this.name, outageMs: outage })
-    this.#lostAt = undefined
-    this.#lastOutage = outage
-    this.#lastOutageEnd = now
-    return outage
-  }
-
   /** Takes changes in and hands them on; false where some before them are missing. */
   #take (changes: TableChanges, outage: Millis, from: InstanceId | undefined): boolean {
     const { log, listener, relay } = this.#options
@@ -243,9 +229,7 @@
   }
 
   #relayed (changes: TableChanges): RelayedChanges {
-    const now = this.#options.clock.now()
-    const isBack = this.#lastOutageEnd !== undefined && now - this.#lastOutageEnd < LAPSE_GRACE
-    return { table: this.name, changes, answerAge: this.age ?? NO_WAIT, outage: isBack ? this.#lastOutage : NO_OUTAGE }
+    return { table: this.name, changes, answerAge: this.age ?? NO_WAIT, outage: this.#reach.recentOutage }
   }
 
   #noteAnswer (at: Millis): void {
@@ -277,7 +261,7 @@
     this.#statusAt ??= this.#answeredAt
   }
 
-  /** A watcher whose looks are answered says so, also while it waits for the next change. */
+  /** A watcher whose looks are answered publishes its status, also while it waits for the next change. */
   async #publishStatus (): Promise<void> {
     const { clock, relay } = this.#options
     while (!this.#isStopped) {
@@ -287,12 +271,4 @@
       relay?.announce(this.name)
     }
   }
-
-  async #pause (): Promise<void> {
-    const { clock, random } = this.#options
-    const most = this.#isWatcher || this.#copy.revision === undefined ? MAX_WATCH_RETRY : MAX_SHARED_RETRY
-    const wait = millis(this.#retry * (1 + random.next()) / 2)
-    this.#retry = millis(Math.min(most, this.#retry * 2))
-    await clock.sleep(wait)
-  }
 }
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -10,7 +10,7 @@
 export const MAX_SHARED_RETRY = seconds(3)
 /** Instances that follow one table in the store; a loss of two at once leaves one. */
 export const WATCHERS = 3
-/** How often a watcher says that it follows the table. */
+/** How often a watcher publishes its status. */
 export const STATUS_PERIOD = millis(500)
 /** Age of the newest status from which on an instance looks itself; an endpoint that leaves must be known sooner than that twice over. */
 export const STATUS_LIMIT = millis(1100)
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -19,6 +19,6 @@
   endpointsHeld: { number: 1615, level: 'info', text: 'Entries missing after an outage are kept until their endpoints had time to return.' },
   tableRole: { number: 1616, level: 'info', text: 'This instance begins or ends to follow a table in the store for the others.' },
   tableStale: { number: 1617, level: 'info', text: 'No status of a watcher came in time; this instance looks at the table itself.' },
-  tableChanged: { number: 1618, level: 'info', text: 'Rows of a watched table changed, as the store or a neighbour told.' },
+  tableChanged: { number: 1618, level: 'info', text: 'Rows of a watched table changed, as the store or a neighbour reported.' },
   tableMessageMalformed: { number: 1619, level: 'warn', text: 'A message about watched tables could not be read and was left aside.' }
 })
--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -144,7 +144,7 @@
     onOpen(opened)
   }
 
-  /** Tells the other side what the link is for, so that it does not count messages' links among those for gossip. */
+  /** Announces what the link is for, so that it does not count messages' links among those for gossip. */
   #use (link: OpenLink, isGossip: boolean): void {
     link.isTemporary = !isGossip
     link.send({ kind: 'use', isGossip })
