A late process reads what has arrived before it acts on a request

What callers saw: requests of theirs ran after they had left, and paid for stages and engines that nobody waited for (GONE, 21 requests at 9.9 s in the users' record; one reached an endpoint 1.58 s after its caller had closed). Cause: a process that is behind reads a request and hands it on within one turn of its loop; the caller's close, which waits behind it on the same connection, is read a turn later, and told as a close two turns after that. Class of fault: acting on input while newer input that takes it back already waits unread. Change: ArrivalReader lets a process that is more than 100 ms late poll once more before a request's work begins and before each call is sent; a caller's end of stream counts as its leaving at once. A process on time does nothing more than before.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export { ArrivalReader } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
 export { brand } from './Brand.js'
 export type { Brand } from './Brand.js'
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -1,5 +1,5 @@
 import type { StageContext } from '@papayahill/batching'
-import type { Clock, DomainId, EventLog, Random } from '@papayahill/common'
+import type { ArrivalReader, Clock, DomainId, EventLog, Random } from '@papayahill/common'
 import type { EndpointDirectory } from '@papayahill/directory'
 import type { ColdGate } from './ColdGate.js'
 import type { ConnectionPool } from './ConnectionPool.js'
@@ -24,6 +24,8 @@
   readonly stages: StageContext
   readonly versions: VersionGate
   readonly profileOf: ProfileLookup
+  /** Reads what callers have sent or closed while this process was late. */
+  readonly arrivals: Pick<ArrivalReader, 'catchUp'>
   /** Failure domain of this instance. */
   readonly domain: DomainId
 }
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -67,6 +67,7 @@
   }
 
   async #work (): Promise<RunEnd> {
+    if (await this.#isGivenUp()) return this.#callerGone()
     const staged = await this.#runStages()
     if (staged.isErr) return this.#stagesFailed(staged.error)
     for (;;) {
@@ -75,6 +76,12 @@
     }
   }
 
+  /** Whether the caller has left; a close that waits to be read counts, too. */
+  async #isGivenUp (): Promise<boolean> {
+    await this.#context.arrivals.catchUp()
+    return this.#request.signal.aborted
+  }
+
   /** Whether a call may be sent again after one that may have run. */
   get #mayRepeat (): boolean {
     const { kind, isResumable } = this.#request.route
@@ -128,7 +135,7 @@
   }
 
   async #attempt (): Promise<Step> {
-    if (this.#request.signal.aborted) return this.#failed('caller-gone', 'the caller went away')
+    if (await this.#isGivenUp()) return this.#callerGone()
     if (this.#timeLeft < MIN_CALL_TIME) return this.#timeOver()
     const endpoint = await this.#place()
     if (endpoint === undefined) return this.#refused('no-endpoint', `no endpoint of ${this.#service} can take the request`)
@@ -255,7 +262,7 @@
   #notRun (endpoint: Endpoint, { detail, isArrived }: Extract<CallEnd, { kind: 'not-run' }>): Step {
     if (this.#runs === 0) this.#guard = new RunGuard()
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#failed('caller-gone', 'the caller went away')
+    if (this.#request.signal.aborted) return this.#callerGone()
     if (isArrived && !this.#context.retries.take(this.#service, 1)) return this.#denied(detail)
     return this.#turnedDown(detail)
   }
@@ -271,7 +278,7 @@
   async #lost (endpoint: Endpoint, detail: string): Promise<Step> {
     this.#runs++
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#failed('caller-gone', 'the caller went away')
+    if (this.#request.signal.aborted) return this.#callerGone()
     if (!this.#mayRepeat || !this.#mayTryAgain()) return this.#broken(detail)
     if (this.#relay !== undefined && this.#relay.events > 0 && this.#inputs.length > 0) {
       const staged = await this.#remakeInputs()
@@ -325,6 +332,10 @@
     return { kind: 'failed', failure: this.#guard.refuse(kind, detail, { retryAfter: this.#comeBack() }) }
   }
 
+  #callerGone (): RunEnd {
+    return this.#failed('caller-gone', 'the caller went away')
+  }
+
   #failed (kind: Failure['kind'], detail: string): RunEnd {
     return { kind: 'failed', failure: failure(kind, detail, 'unknown') }
   }
