Answers that are still awaited count against a new version; each route in use is tried

Cause: a call was judged when it ended. A stream ends seconds after its first event, and what never comes in time was not seen at all, or as a fault of both versions where the caller left. Change: FollowedCalls judges a call as soon as its first part is overdue, once; a caller that leaves in the usual time says nothing, nor does the pace of a cold endpoint. The evidence is summed at each look, no longer for each request.

--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -15,6 +15,7 @@
 import { firstWaitOf, OpaqueExchange } from './OpaqueExchange.js'
 import { StreamRelay } from './StreamRelay.js'
 import type { CallEnd, CallerSink, ForwardRequest, PlacementWant } from './types.js'
+import type { VersionCall } from './VersionGate.js'
 
 /** How a request ended for its caller. */
 export type RunEnd =
@@ -151,7 +152,8 @@
     const request = this.#request
     const { clock, log, cold, engines, versions, connections } = this.#context
     const startedAt = clock.now()
-    const exchange = this.#exchangeWith(endpoint)
+    const call = versions.sent(endpoint, request.route)
+    const exchange = this.#exchangeWith(endpoint, call)
     cold.take(endpoint)
     endpoint.running++
     const unread = request.prompt === undefined ? undefined : engines.sent(endpoint, request.prompt)
@@ -166,7 +168,8 @@
     if (unread !== undefined) engines.read(endpoint, unread)
     const took = millis(clock.now() - startedAt)
     connections.giveBack(endpoint, socket)
-    versions.ended(endpoint, request.route, end, this.#tookUntilFirst(exchange, startedAt, took))
+    call.ended(end, request.signal.aborted)
+    this.#noteFirstEvent(exchange, startedAt)
     const detail = 'detail' in end ? end.detail : undefined
     const status = 'status' in end ? end.status : undefined
     const events = (this.#relay?.events ?? 0) - eventsBefore
@@ -182,11 +185,9 @@
     return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
   }
 
-  #tookUntilFirst (exchange: OpaqueExchange, startedAt: Millis, took: Millis): Millis {
-    if (exchange.firstAt === undefined) return took
-    const first = millis(exchange.firstAt - startedAt)
-    if (this.#request.route.kind === 'streaming') this.#context.firstEvents.note(this.#request.route.name, first)
-    return first
+  #noteFirstEvent ({ firstAt }: OpaqueExchange, startedAt: Millis): void {
+    const { name, kind } = this.#request.route
+    if (firstAt !== undefined && kind === 'streaming') this.#context.firstEvents.note(name, millis(firstAt - startedAt))
   }
 
   #placeFields (endpoint: Endpoint, unread: Tokens | undefined): Record<string, string | number | undefined> {
@@ -205,7 +206,7 @@
     }
   }
 
-  #exchangeWith (endpoint: Endpoint): OpaqueExchange {
+  #exchangeWith (endpoint: Endpoint, versionCall: VersionCall): OpaqueExchange {
     const { clock, wire, directory, firstEvents } = this.#context
     const { route } = this.#request
     const mayRepeat = this.#mayRepeat && this.#runs + 1 < route.maxAttempts
@@ -219,6 +220,7 @@
       relay: this.#relay === undefined ? undefined : this.#releasing(this.#relay),
       firstWait: firstWaitOf(this.#timeLeft, wanted, mayRepeat),
       mayLeave: mayRepeat,
+      onFirst: () => versionCall.begun(),
       call: {
         request: this.#request,
         endpoint,
@@ -361,7 +363,7 @@
     const { directory, cold, engines, random, clock, versions, profileOf, domain } = this.#context
     const allowed = directory.healthy(this.#service).filter(({ domain: at }) => this.#request.isAllowedIn(at))
     const all = allowed.filter((endpoint) => cold.mayTake(endpoint))
-    const endpoints = versions.admit(this.#service, all)
+    const endpoints = versions.admit(this.#service, this.#request.route, all)
     const want = (exclude: ReadonlySet<EndpointId>): PlacementWant =>
       ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now: clock.now() })
     const isEngine = profileOf(this.#service)?.engine !== undefined
--- a/packages/forwarding/src/MoveEvidence.test.ts
+++ b/packages/forwarding/src/MoveEvidence.test.ts
@@ -8,7 +8,9 @@
   describe('a slow version', () => {
     it('is not kept where each route alone has too few of its slow answers to tell', () => {
       const verdict = judgeMove({
-        guide: { fresh: of(2, 0), old: of(81, 2) }, check: { fresh: of(3, 3), old: of(124, 1) }, draft: { fresh: of(10, 3), old: of(137, 3) }
+        guide: { fresh: of(2, 0), old: of(81, 2) },
+        check: { fresh: of(3, 3), old: of(124, 1) },
+        draft: { fresh: of(10, 3), old: of(137, 3) }
       })
       expect(verdict).toBe('bad')
     })
--- a/packages/forwarding/src/MoveEvidence.ts
+++ b/packages/forwarding/src/MoveEvidence.ts
@@ -71,12 +71,15 @@
 export const freshCalls = (evidence: RouteCounts): number =>
   Object.values(evidence).reduce((sum, { fresh }) => sum + fresh.calls, 0)
 
+/** Whether the new version was tried on a route. */
+export const isRouteTried = (evidence: RouteCounts, route: string): boolean => (evidence[route]?.fresh.calls ?? 0) >= MIN_ROUTE_CALLS
+
 /** Whether the new version was tried, on each route that is in use. */
 const isTried = (evidence: RouteCounts): boolean => {
-  const routes = Object.values(evidence)
-  const oldCalls = routes.reduce((sum, { old }) => sum + old.calls, 0)
-  const busy = routes.filter(({ old }) => old.calls > 0 && old.calls >= oldCalls * BUSY_ROUTE_SHARE)
-  return freshCalls(evidence) >= MIN_CALLS && busy.every(({ fresh }) => fresh.calls >= MIN_ROUTE_CALLS)
+  const routes = Object.entries(evidence)
+  const oldCalls = routes.reduce((sum, [, { old }]) => sum + old.calls, 0)
+  const busy = routes.filter(([, { old }]) => old.calls > 0 && old.calls >= oldCalls * BUSY_ROUTE_SHARE)
+  return freshCalls(evidence) >= MIN_CALLS && busy.every(([route]) => isRouteTried(evidence, route))
 }
 
 /**
--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -1,5 +1,5 @@
 import { brand, EventRecorder, millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, Json, ServiceId } from '@papayahill/common'
+import type { DomainId, EndpointId, Json, Millis, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
 import type { ServingRoute } from '@papayahill/directory'
 import { describe, expect, it } from 'vitest'
@@ -7,9 +7,13 @@
 import type { MoveRecord } from './MoveGate.js'
 
 const SERVICE = brand<ServiceId>('pool')
-const ROUTE = { name: 'draft' } as unknown as ServingRoute
 const WITHIN = seconds(12)
 const RATE_PER_SECOND = 25
+/** Time that a sound answer takes, and one of a slow version. */
+const USUAL = millis(150)
+const SLOW = millis(1200)
+const SEEDS = Array.from({ length: 40 }, (_none, seed) => seed)
+const ROUTES = ['draft', 'check', 'guide'].map((name) => ({ name }) as unknown as ServingRoute)
 
 const endpointOf = (version: string): Endpoint => new Endpoint({
   id: brand<EndpointId>(version),
@@ -27,14 +31,23 @@
 const OLD = endpointOf('v1')
 const NEW = endpointOf('v2')
 
+type IsBad = (endpoint: Endpoint, now: number) => boolean
+/** Time of a call's answer; `chance` is drawn anew for each. */
+type TookOf = (endpoint: Endpoint, chance: number) => Millis
+
+const NEVER_BAD: IsBad = () => false
+
+/** A part of the new version's answers is slow. */
+const slowIn = (share: number): TookOf => (endpoint, chance) => endpoint === NEW && chance < share ? SLOW : USUAL
+
 /** Several instances that share a store and hear each other, under one load. */
-const rig = (instances: number) => {
+const rig = (instances: number, seed = 0) => {
   const clock = new VirtualClock()
   const news = new Map<number, Json>()
   let record: MoveRecord | undefined
   const gates = Array.from({ length: instances }, (_none, self) => new MoveGate({
     clock,
-    random: new SeededRandom(self + 1),
+    random: new SeededRandom(seed * instances + self + 1),
     log: new EventRecorder(clock),
     records: {
       read: () => Promise.resolve(record),
@@ -51,15 +64,18 @@
     isRecorder: () => self === 0
   }))
   const counts = { old: 0, fresh: 0 }
-  const call = (gate: MoveGate, isBad: (endpoint: Endpoint, now: number) => boolean): void => {
-    const [endpoint] = gate.admit(SERVICE, [OLD, NEW])
+  const traffic = new SeededRandom(seed)
+  const call = (gate: MoveGate, isBad: IsBad, tookOf: TookOf): void => {
+    const route = ROUTES[Math.floor(traffic.next() * ROUTES.length)]!
+    const [endpoint] = gate.admit(SERVICE, route, [OLD, NEW])
     counts[endpoint === NEW ? 'fresh' : 'old']++
     const status = isBad(endpoint!, clock.now()) ? 500 : 200
-    gate.ended(endpoint!, ROUTE, { kind: 'answered', status, headers: [], body: Buffer.alloc(0) }, 100)
+    const sent = gate.sent(endpoint!, route)
+    clock.after(tookOf(endpoint!, traffic.next()), () => sent.ended({ kind: 'answered', status, headers: [], body: Buffer.alloc(0) }, false))
   }
-  const run = async (span: number, isBad: (endpoint: Endpoint, now: number) => boolean): Promise<void> => {
+  const run = async (span: number, isBad: IsBad, tookOf: TookOf = () => USUAL): Promise<void> => {
     for (let at = 0; at < span * RATE_PER_SECOND; at++) {
-      call(gates[at % instances]!, isBad)
+      call(gates[at % instances]!, isBad, tookOf)
       if (at % 8 === 0) for (const gate of gates) gate.tend()
       await clock.advance(millis(1000 / RATE_PER_SECOND))
     }
@@ -98,4 +114,28 @@
     await run(12, () => ++call % 7 === 0)
     expect(record()?.state).toBe('done')
   })
+
+  describe.each([6, 60])('a version that answers several times slower, at %i instances', (instances) => {
+    it.each([0.5, 0.9])('is not kept where a share of %f of its answers is slow', async (share) => {
+      for (const seed of SEEDS) {
+        const { run, record, counts } = rig(instances, seed)
+        await run(4, NEVER_BAD, slowIn(share))
+        await run(8, NEVER_BAD, slowIn(share))
+        expect(record()?.state, `seed ${seed}`).not.toBe('done')
+        expect(counts.fresh, `seed ${seed}`).toBeLessThanOrEqual(0.1 * 12 * RATE_PER_SECOND + 50)
+      }
+    })
+  })
+
+  it('keeps sound versions, but for a few that it leaves open', async () => {
+    const states: Array<string | undefined> = []
+    for (const seed of SEEDS) {
+      const { run, record } = rig(6, seed)
+      const sometimesSlow: TookOf = (_endpoint, chance) => chance < 0.01 ? SLOW : USUAL
+      await run(12, NEVER_BAD, sometimesSlow)
+      states.push(record()?.state)
+    }
+    expect(states).not.toContain('taken-back')
+    expect(states.filter((state) => state === 'done').length).toBeGreaterThanOrEqual(0.9 * SEEDS.length)
+  })
 })
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -1,12 +1,15 @@
 import { isJsonObject } from '@papayahill/common'
 import type { Clock, EventLog, Json, Millis, Random, ServiceId } from '@papayahill/common'
 import type { Endpoint, ServingRoute, VersionOrder } from '@papayahill/directory'
-import { MOVE_DONE_MARGIN, MOVE_FULL_SPAN, MOVE_PROBE_SHARE, SLOW_FACTOR, SLOW_MARGIN, USUAL_WEIGHT } from './constants.js'
+import {
+  MOVE_DONE_MARGIN, MOVE_FULL_SPAN, MOVE_PROBE_SHARE, MOVE_TRIED_CALLS, MOVE_TRIED_SHARE, MOVE_UNTRIED_FACTOR
+} from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
-import { judgeMove, sumEvidence } from './MoveEvidence.js'
-import type { RouteCounts, VersionCounts } from './MoveEvidence.js'
-import type { CallEnd } from './types.js'
-import type { VersionGate } from './VersionGate.js'
+import { FollowedCalls } from './FollowedCalls.js'
+import type { CallVerdict } from './FollowedCalls.js'
+import { freshCalls, isRouteTried, judgeMove, sumEvidence } from './MoveEvidence.js'
+import type { MoveVerdict, RouteCounts, VersionCounts } from './MoveEvidence.js'
+import type { VersionCall, VersionGate } from './VersionGate.js'
 
 /** Where a move stands; the last two are final. */
 export type MoveState = 'moving' | 'done' | 'taken-back'
@@ -51,6 +54,9 @@
   told: MoveState | undefined
   recorded: MoveRecord | undefined
   isRecording: boolean
+  /** All instances' answers as of the last look, and what they say. */
+  evidence: RouteCounts
+  verdict: MoveVerdict
   readonly routes: Record<string, { fresh: VersionCounts, old: VersionCounts }>
 }
 
@@ -62,16 +68,20 @@
  *
  * @example
  * gate.order({ service, to: 'v2', within })
- * gate.admit(service, endpoints)
+ * gate.admit(service, route, endpoints)
  */
 export class MoveGate implements VersionGate {
   readonly #options: MoveGateOptions
   readonly #moves = new Map<ServiceId, OpenMove>()
-  /** Usual time to an answer of the old version on each route. */
-  readonly #usual = new Map<string, number>()
+  readonly #calls: FollowedCalls
 
   constructor (options: MoveGateOptions) {
     this.#options = options
+    this.#calls = new FollowedCalls({
+      clock: options.clock,
+      isOnTrial: (endpoint) => this.#moves.get(endpoint.service)?.order.to === endpoint.record.version,
+      onVerdict: (endpoint, route, verdict) => this.#count(endpoint, route, verdict)
+    })
   }
 
   /** An order came, or was withdrawn. */
@@ -84,37 +94,39 @@
     if (known?.order.to === order.to && known.order.within === order.within) return
     const seenAt = this.#options.clock.now()
     this.#moves.set(service, {
-      order, seenAt, passedBefore: 0, state: 'moving', told: undefined, recorded: undefined, isRecording: false, routes: {}
+      order,
+      seenAt,
+      passedBefore: 0,
+      state: 'moving',
+      told: undefined,
+      recorded: undefined,
+      isRecording: false,
+      evidence: {},
+      verdict: 'open',
+      routes: {}
     })
     this.#options.log.emit(FORWARDING_EVENTS.moveBegan, { service, to: order.to, withinMs: order.within })
   }
 
-  admit (service: ServiceId, endpoints: readonly Endpoint[]): readonly Endpoint[] {
+  admit (service: ServiceId, route: ServingRoute, endpoints: readonly Endpoint[]): readonly Endpoint[] {
     const move = this.#moves.get(service)
     if (move === undefined) return endpoints
     const { to } = move.order
     const fresh = endpoints.filter((endpoint) => endpoint.record.version === to)
     const old = endpoints.filter((endpoint) => endpoint.record.version !== to)
-    const wanted = this.#options.random.next() < this.#share(move) ? fresh : old
+    const wanted = this.#options.random.next() < this.#share(move, route) ? fresh : old
     if (wanted.length > 0) return wanted
     // A version that was taken back gets nothing, whatever is left.
     return move.state === 'taken-back' ? old : endpoints
   }
 
-  ended (endpoint: Endpoint, route: ServingRoute, end: CallEnd, took: number): void {
-    const move = this.#moves.get(endpoint.service)
-    const isFresh = move !== undefined && endpoint.record.version === move.order.to
-    const verdict = this.#verdictOf(route.name, end, took, isFresh)
-    if (move === undefined || verdict === undefined) return
-    const counts = move.routes[route.name] ?? { fresh: { calls: 0, bad: 0 }, old: { calls: 0, bad: 0 } }
-    const side = isFresh ? 'fresh' : 'old'
-    const { calls, bad } = counts[side]
-    move.routes[route.name] = { ...counts, [side]: { calls: calls + 1, bad: bad + (verdict === 'bad' ? 1 : 0) } }
-    if (isFresh && verdict === 'bad') this.#judge(endpoint.service, move)
+  sent (endpoint: Endpoint, route: ServingRoute): VersionCall {
+    return this.#calls.sent(endpoint, route)
   }
 
   /** Judges, publishes and records all open moves; called every so often. */
   tend (): void {
+    this.#calls.tend()
     for (const [service, move] of this.#moves) {
       this.#judge(service, move)
       this.#publish(service, move)
@@ -132,39 +144,46 @@
     })
   }
 
-  #verdictOf (route: string, end: CallEnd, took: number, isFresh: boolean): 'good' | 'bad' | undefined {
-    if (end.kind === 'lost' || (end.kind === 'answered' && end.status >= 500)) return 'bad'
-    if (end.kind !== 'answered' && end.kind !== 'streamed') return undefined
-    const usual = this.#usual.get(route)
-    const isSlow = usual !== undefined && took > SLOW_FACTOR * usual + SLOW_MARGIN
-    if (!isFresh) this.#usual.set(route, usual === undefined ? took : usual + USUAL_WEIGHT * (took - usual))
-    return isSlow ? 'bad' : 'good'
+  #count (endpoint: Endpoint, route: ServingRoute, verdict: CallVerdict): void {
+    const move = this.#moves.get(endpoint.service)
+    if (move === undefined) return
+    const isFresh = endpoint.record.version === move.order.to
+    const counts = move.routes[route.name] ?? { fresh: { calls: 0, bad: 0 }, old: { calls: 0, bad: 0 } }
+    const side = isFresh ? 'fresh' : 'old'
+    const { calls, bad } = counts[side]
+    move.routes[route.name] = { ...counts, [side]: { calls: calls + 1, bad: bad + (verdict === 'bad' ? 1 : 0) } }
+    if (isFresh && verdict === 'bad') this.#judge(endpoint.service, move)
   }
 
   #passed (move: OpenMove): number {
     return move.passedBefore + this.#options.clock.now() - move.seenAt
   }
 
-  /** Part of the requests that the new version gets now. */
-  #share (move: OpenMove): number {
+  /** Part of a route's requests that the new version gets now. */
+  #share (move: OpenMove, route: ServingRoute): number {
     if (move.state === 'taken-back') return 0
     if (move.state === 'done') return 1
-    const left = move.order.within - this.#passed(move)
-    const isFull = left <= MOVE_FULL_SPAN && left > 0 && judgeMove(this.#evidence(move)) === 'good'
-    return isFull ? 1 : MOVE_PROBE_SHARE * this.#options.exposureShare()
+    const { evidence, verdict, order } = move
+    const left = order.within - this.#passed(move)
+    if (verdict === 'good' && left <= MOVE_FULL_SPAN && left > 0) return 1
+    const isTriedWell = verdict === 'good' && freshCalls(evidence) >= MOVE_TRIED_CALLS
+    const share = this.#options.exposureShare() * (isTriedWell ? MOVE_TRIED_SHARE : MOVE_PROBE_SHARE)
+    return isRouteTried(evidence, route.name) ? share : share * MOVE_UNTRIED_FACTOR
   }
 
-  #evidence (move: OpenMove): RouteCounts {
+  #weigh (move: OpenMove): void {
     const heard = this.#options.news.heard(move.order.service).filter(isJsonObject).filter((news) => news.to === move.order.to)
-    return sumEvidence([move.routes, ...heard.map((news) => news.routes as unknown as RouteCounts)])
+    move.evidence = sumEvidence([move.routes, ...heard.map((news) => news.routes as unknown as RouteCounts)])
+    move.verdict = judgeMove(move.evidence)
   }
 
   #judge (service: ServiceId, move: OpenMove): void {
     this.#follow(service, move)
     if (FINAL.has(move.state)) return
-    const verdict = judgeMove(this.#evidence(move))
+    this.#weigh(move)
+    const { verdict, order } = move
     if (verdict === 'bad') return this.#close(service, move, 'taken-back', 'its answers are worse than the old version\'s')
-    const left = move.order.within - this.#passed(move)
+    const left = order.within - this.#passed(move)
     if (verdict === 'good' && left <= MOVE_DONE_MARGIN && left > 0) this.#close(service, move, 'done', 'its answers are good')
   }
 
@@ -183,7 +202,7 @@
 
   #close (service: ServiceId, move: OpenMove, state: MoveState, because: string): void {
     move.state = state
-    const evidence = JSON.stringify(this.#evidence(move))
+    const evidence = JSON.stringify(move.evidence)
     this.#options.log.emit(FORWARDING_EVENTS.moveClosed, { service, to: move.order.to, state, because, evidence })
   }
 
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -20,6 +20,8 @@
   readonly firstWait: Millis
   /** Whether a silent stream may be left for another endpoint. */
   readonly mayLeave: boolean
+  /** Called with the first byte of the answer's body. */
+  readonly onFirst: () => void
 }
 
 const STATUS_CONFLICT = 409
@@ -84,7 +86,7 @@
   }
 
   onData (data: Buffer): void {
-    this.firstAt ??= this.#options.clock.now()
+    this.#noteFirst()
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
     this.#parts.push(data)
     this.#held += data.length
@@ -98,6 +100,12 @@
     return await socket.exchange(req, this, this.#stopper)
   }
 
+  #noteFirst (): void {
+    if (this.firstAt !== undefined) return
+    this.firstAt = this.#options.clock.now()
+    this.#options.onFirst()
+  }
+
   #relay (scanner: EventScanner, data: Buffer): void {
     const { mayLeave, call, relay } = this.#options
     const events = scanner.feed(data)
--- a/packages/forwarding/src/VersionGate.ts
+++ b/packages/forwarding/src/VersionGate.ts
@@ -1,12 +1,18 @@
 import type { Endpoint, ServingRoute } from '@papayahill/directory'
 import type { CallEnd } from './types.js'
 
-/** Says which versions of a service may take a request, and hears how they did. */
-export interface VersionGate {
-  /** The endpoints among which this request chooses. */
-  admit (service: Endpoint['service'], endpoints: readonly Endpoint[]): readonly Endpoint[]
-  ended (endpoint: Endpoint, route: ServingRoute, end: CallEnd, took: number): void
+/** One call to an endpoint, as far as its version is judged by it. */
+export interface VersionCall {
+  /** The first part of the answer came. */
+  begun (): void
+  /** The call ended; `isGivenUp` where its caller had left. */
+  ended (end: CallEnd, isGivenUp: boolean): void
 }
 
-/** All versions are alike. */
-export const OPEN_GATE: VersionGate = { admit: (_service, endpoints) => endpoints, ended: () => {} }
+/** Says which versions of a service may take a request, and is told how they did. */
+export interface VersionGate {
+  /** The endpoints among which a request on a route chooses. */
+  admit (service: Endpoint['service'], route: ServingRoute, endpoints: readonly Endpoint[]): readonly Endpoint[]
+  /** A request was sent to one of them. */
+  sent (endpoint: Endpoint, route: ServingRoute): VersionCall
+}
