What an endpoint says of itself in any answer: that it leaves, and that it wants nothing for a time

What callers saw: requests kept going to endpoints that had said in an answer that they leave, while the list still showed them as ready, and to endpoints that had turned a request away and named the time after which to come back. Neither header was read on the platform's path; on the product's own path the time was read and never used. Change: an answer marked as leaving ends an endpoint's work for the rest of its life, by whichever kind of answer it came and whatever the list shows; the life is remembered beyond its row. A refusal with a time (retryAfterOf, bounded, one parser for both paths) begins a QuietPeriod: no request, batch or given-up result goes there meanwhile, also none whose connection opens late; then two at a time, one more with each good answer. Admission counts on the time at which an endpoint opens, and refuses at once, with that time, what would wait for longer. Events 1620, 1621, 3010; state quiet among the gauges of endpoints.

--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -1,6 +1,6 @@
-import { formatCallId, isJsonObject, millis, seconds } from '@papayahill/common'
+import { formatCallId, isJsonObject, millis } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
-import { headerOf, newStopper, stopExchange } from '@papayahill/connections'
+import { headerOf, newStopper, retryAfterOf, stopExchange } from '@papayahill/connections'
 import type { SocketAnswer, SocketLoss, SocketRequest, Stopper } from '@papayahill/connections'
 import type { CallError, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { ListedEndpoint } from '@papayahill/stores'
@@ -25,12 +25,6 @@
 
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([429, 503])
 
-const retryAfterOf = (answer: SocketAnswer): Millis | undefined => {
-  const text = headerOf(answer.headers, 'retry-after')
-  const after = Number(text)
-  return text === undefined || Number.isNaN(after) ? undefined : seconds(after)
-}
-
 /** Sends one request over a connection. */
 export type Send = (
   req: SocketRequest, listener: { onStart (answer: SocketAnswer): void, onData (data: Buffer): void }, stopper: Stopper
@@ -149,10 +143,11 @@
     const outcome = REFUSED_STATUSES.has(answer.status) ? 'refused' : 'failed'
     const json = parseJson(this.#received.text)
     const body = isJsonObject(json) ? json : {}
+    const retryAfter = retryAfterOf(answer.headers)
     return {
       outcome,
       detail: `the endpoint answered ${answer.status}`,
-      retryAfter: retryAfterOf(answer),
+      retryAfter: retryAfter?.kind === 'span' ? retryAfter.span : undefined,
       usage: body.usage === undefined ? undefined : this.#adapter.usage(body.usage, this.#took()),
       cacheExport: typeof body.cache_export === 'string' ? body.cache_export : undefined
     }
--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -59,7 +59,12 @@
 
   /** Whether a call may be sent now. */
   get isOpen (): boolean {
-    return this.#calls.size < (this.#options.profile()?.slots ?? 0) && this.#pausedUntil <= this.#options.clock.now()
+    return this.#calls.size < (this.#options.profile()?.slots ?? 0) && this.#opensAt <= this.#options.clock.now()
+  }
+
+  /** Monotonic time from which on the endpoint may be called. */
+  get #opensAt (): Millis {
+    return millis(Math.max(this.#pausedUntil, this.endpoint.quietUntil))
   }
 
   /** What the endpoint can take now; undefined where operators do not declare how it batches. */
@@ -72,7 +77,7 @@
     return {
       endpoint: endpoint.id,
       isOpen: this.isOpen,
-      freeAt: millis(Math.max(now, this.#pausedUntil, now + this.#untilFree(now, profile))),
+      freeAt: millis(Math.max(now, this.#opensAt, now + this.#untilFree(now, profile))),
       size: profile.size,
       room: profile.room * ROOM_SHARE - this.#ledger.used(now) - this.#foreign.at(now),
       wholeRoom: profile.room * ROOM_SHARE,
@@ -84,7 +89,9 @@
   /** Gives up results; their room counts as taken until the endpoint knows of it. */
   free (handles: readonly string[]): void {
     this.#unfreed.push(...handles)
-    this.#freeTimer ??= this.#options.clock.after(FREE_PERIOD, () => { void this.#flushFrees() })
+    const { clock } = this.#options
+    const span = millis(Math.max(FREE_PERIOD, this.endpoint.quietLeft(clock.now())))
+    this.#freeTimer ??= clock.after(span, () => { void this.#flushFrees() })
   }
 
   /** Sends a batch and settles its pieces; those that may be offered again at once are given back. */
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -28,6 +28,8 @@
 export interface AnswerListener {
   onStart (answer: SocketAnswer): void
   onData (data: Buffer): void
+  /** Whether the request may still go out, asked as its connection is open; always where it is left out. */
+  mayStart? (): boolean
 }
 
 /** Ends an exchange from outside; a plain object, since it is made for each call. */
@@ -173,7 +175,8 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
-    if (this.#stopper.isStopped) return controller.abort(new Error('stopped before it was sent'))
+    const mayStart = this.#listener.mayStart?.() ?? true
+    if (this.#stopper.isStopped || !mayStart) return controller.abort(new Error('stopped before it was sent'))
     this.#isSent = true
     this.#stopper.stop = () => controller.abort(new Error('stopped'))
   }
--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -1,4 +1,4 @@
-import { millis } from '@papayahill/common'
+import { millis, QuietPeriod } from '@papayahill/common'
 import type { DomainId, EndpointId, Millis, ServiceId } from '@papayahill/common'
 import { FAILURE_WEIGHT, MAX_SUSPICION, MIN_SUSPICION } from './constants.js'
 import type { EndpointAddress, EndpointRecord } from './types.js'
@@ -19,11 +19,14 @@
   record: EndpointRecord
   /** Left the list or lives anew. */
   isGone = false
+  /** Said in an answer that it leaves; it does so for the rest of its life, whatever the list shows. */
+  isLeaving = false
   /** Monotonic time until which it is cold. */
   coldUntil: Millis = millis(0)
   load: LoadWord | undefined
   /** Calls of this instance that have not ended. */
   running = 0
+  readonly #quiet = new QuietPeriod()
   #suspectUntil: Millis = millis(0)
   #suspicion: Millis = MIN_SUSPICION
   #failShare = 0
@@ -52,7 +55,7 @@
 
   /** May take new work, as far as the list tells. */
   get isListed (): boolean {
-    return !this.isGone && !this.record.isDraining
+    return !this.isGone && !this.isLeaving && !this.record.isDraining
   }
 
   /** Share of failures among its newest answers. */
@@ -60,6 +63,26 @@
     return this.#failShare
   }
 
+  /** Monotonic time until which it wants no requests; in the past where it never asked for that. */
+  get quietUntil (): Millis {
+    return this.#quiet.until
+  }
+
+  /** It wants no requests for a time from now; whether that is longer than known. */
+  beQuiet (now: Millis, span: Millis): boolean {
+    return this.#quiet.begin(now, span)
+  }
+
+  /** Time until it takes requests. */
+  quietLeft (now: Millis): Millis {
+    return this.#quiet.left(now)
+  }
+
+  /** Whether one more request may be sent, as far as it says itself; checked again as the request goes out. */
+  mayTake (now: Millis): boolean {
+    return this.isListed && this.#quiet.mayTake(now, this.running)
+  }
+
   isSuspect (now: Millis): boolean {
     return now < this.#suspectUntil
   }
@@ -69,9 +92,10 @@
   }
 
   /** A whole answer came; `isGood` is false where it told of a failure. */
-  noteAnswer (isGood: boolean): void {
+  noteAnswer (isGood: boolean, now: Millis): void {
     this.#failShare += FAILURE_WEIGHT * ((isGood ? 0 : 1) - this.#failShare)
     if (!isGood) return
+    this.#quiet.answered(now)
     if (this.#suspectUntil > 0) this.#onSuspicion?.(this, undefined)
     this.#suspectUntil = millis(0)
     this.#suspicion = MIN_SUSPICION
--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -119,20 +119,20 @@
       directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
       const [a] = directory.usable(SERVICE)
       a!.noteBroken(clock.now())
-      a!.noteAnswer(true)
-      a!.noteAnswer(true)
+      a!.noteAnswer(true, clock.now())
+      a!.noteAnswer(true, clock.now())
       const names = log.records.map(({ kind }) => kind.name).filter((name) => name !== 'endpointSeen')
       expect(names).toEqual(['endpointSuspected', 'endpointTrusted'])
     })
 
     it('avoids an endpoint that fails far more often than its fellows, however healthy it calls itself', () => {
-      const { directory } = rig()
+      const { clock, directory } = rig()
       directory.replaced([rowOf('a'), rowOf('b'), rowOf('c')], NO_OUTAGE)
       const [a, b, c] = directory.usable(SERVICE)
       for (let answer = 0; answer < 12; answer++) {
-        a!.noteAnswer(answer % 2 === 0)
-        b!.noteAnswer(true)
-        c!.noteAnswer(true)
+        a!.noteAnswer(answer % 2 === 0, clock.now())
+        b!.noteAnswer(true, clock.now())
+        c!.noteAnswer(true, clock.now())
       }
       expect(directory.healthy(SERVICE).map(({ id }) => id)).toEqual(['b', 'c'])
     })
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, EventLog, Millis, ServiceId } from '@papayahill/common'
-import { FAILURE_MARGIN, LAPSE_GRACE, LAPSE_OUTAGE } from './constants.js'
+import { FAILURE_MARGIN, LAPSE_GRACE, LAPSE_OUTAGE, MAX_REMEMBERED_LIVES } from './constants.js'
 import { Endpoint } from './Endpoint.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import type { TableListener } from './TableWatch.js'
@@ -22,7 +22,10 @@
   return born < knownBorn || (born === knownBorn && record.sequence < known.sequence)
 }
 
-const ENDPOINT_STATES = ['usable', 'cold', 'suspect', 'draining', 'domain-out'] as const
+/** What tells one life of an endpoint from the next. */
+const lifeOf = ({ bornAt, service, address: { ip, port } }: EndpointRecord): string => `${bornAt ?? ''} ${service} ${ip}:${port}`
+
+const ENDPOINT_STATES = ['usable', 'cold', 'suspect', 'quiet', 'draining', 'domain-out'] as const
 /** What is believed of an endpoint. */
 export type EndpointState = typeof ENDPOINT_STATES[number]
 
@@ -43,6 +46,8 @@
   readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
   /** Endpoints whose entries are missing after an outage. */
   readonly #missing = new Set<Endpoint>()
+  /** Newest lives that said that they leave, also of endpoints whose rows are gone. */
+  readonly #leavingLives = new Map<EndpointId, string>()
   #isRead = false
   #heldUntil: Millis = millis(0)
 
@@ -77,6 +82,7 @@
   #stateOf (endpoint: Endpoint, now: Millis): EndpointState {
     if (!endpoint.isListed) return 'draining'
     if (this.#options.isDomainOut(endpoint.domain)) return 'domain-out'
+    if (endpoint.quietLeft(now) > 0) return 'quiet'
     if (endpoint.isSuspect(now)) return 'suspect'
     return endpoint.isCold(now) ? 'cold' : 'usable'
   }
@@ -96,6 +102,13 @@
     return [...this.#byService.get(service) ?? []].filter((endpoint) => this.isUsable(endpoint))
   }
 
+  /** Time until one of a service's endpoints wants requests; 0 where one does or there is none. */
+  opensIn (service: ServiceId): Millis {
+    const now = this.#options.clock.now()
+    const waits = this.usable(service).map((endpoint) => endpoint.quietLeft(now))
+    return millis(waits.length === 0 ? 0 : Math.min(...waits))
+  }
+
   /** Usable endpoints, without those that are suspected or fail far more often than their fellows while others are left. */
   healthy (service: ServiceId): readonly Endpoint[] {
     const now = this.#options.clock.now()
@@ -150,14 +163,16 @@
   #update (record: EndpointRecord, known: Endpoint | undefined): void {
     if (known === undefined) return this.#add(record)
     if (isOlder(record, known.record)) return
-    const isSameLife = record.bornAt === known.record.bornAt && record.service === known.service &&
-      record.address.ip === known.address.ip && record.address.port === known.address.port
-    if (!isSameLife) {
+    if (lifeOf(record) !== lifeOf(known.record)) {
       this.#drop(known, 'it lives anew')
       return this.#add(record)
     }
     this.#missing.delete(known)
-    if (record.isDraining && !known.record.isDraining) this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: record.id })
+    if (record.isDraining && !known.record.isDraining) {
+      this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, {
+        endpoint: record.id, born: record.bornAt, source: 'list'
+      })
+    }
     known.record = record
     this.#noteCold(known)
   }
@@ -165,6 +180,7 @@
   #add (record: EndpointRecord): void {
     const { id, service, domain, version, isDraining, coldFor } = record
     const endpoint = new Endpoint(record, (known, avoidedFor) => this.#noteSuspicion(known, avoidedFor))
+    endpoint.isLeaving = this.#leavingLives.get(id) === lifeOf(record)
     this.#endpoints.set(id, endpoint)
     const fellows = this.#byService.get(service) ?? new Set()
     this.#byService.set(service, fellows.add(endpoint))
@@ -190,6 +206,26 @@
     endpoint.coldUntil = millis(now + coldFor)
   }
 
+  /** The endpoint said that it leaves. */
+  leaves (endpoint: Endpoint): void {
+    if (endpoint.isLeaving) return
+    const { id, record } = endpoint
+    endpoint.isLeaving = true
+    this.#leavingLives.delete(id)
+    this.#leavingLives.set(id, lifeOf(record))
+    const [oldest] = this.#leavingLives.keys()
+    if (this.#leavingLives.size > MAX_REMEMBERED_LIVES && oldest !== undefined) this.#leavingLives.delete(oldest)
+    this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: id, born: record.bornAt, source: 'answer' })
+  }
+
+  /** The endpoint said that it wants no requests for a time from now. */
+  beQuiet (endpoint: Endpoint, span: Millis): void {
+    const { clock, log } = this.#options
+    if (!endpoint.beQuiet(clock.now(), span)) return
+    const { id, record, running } = endpoint
+    log.emit(DIRECTORY_EVENTS.endpointQuiet, { endpoint: id, born: record.bornAt, quietForMs: span, own: running })
+  }
+
   #drop (endpoint: Endpoint, detail: string): void {
     endpoint.isGone = true
     this.#missing.delete(endpoint)
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -20,5 +20,7 @@
   tableRole: { number: 1616, level: 'info', text: 'This instance begins or ends to follow a table in the store for the others.' },
   tableStale: { number: 1617, level: 'info', text: 'No status of a watcher came in time; this instance looks at the table itself.' },
   tableChanged: { number: 1618, level: 'info', text: 'Rows of a watched table changed, as the store or a neighbour reported.' },
-  tableMessageMalformed: { number: 1619, level: 'warn', text: 'A message about watched tables could not be read and was left aside.' }
+  tableMessageMalformed: { number: 1619, level: 'warn', text: 'A message about watched tables could not be read and was left aside.' },
+  endpointQuiet: { number: 1620, level: 'info', text: 'An endpoint asked for no requests for a time.' },
+  noticeMalformed: { number: 1621, level: 'warn', text: 'A time for which an endpoint wants no requests could not be read; it counts as none.' }
 })
--- a/packages/endpoints/src/EndpointEntry.ts
+++ b/packages/endpoints/src/EndpointEntry.ts
@@ -1,4 +1,4 @@
-import { hash32, millis } from '@papayahill/common'
+import { hash32, millis, QuietPeriod } from '@papayahill/common'
 import type { CallOutcome, EndpointIncarnation, Incarnation, Millis } from '@papayahill/common'
 import type { ListedEndpoint } from '@papayahill/stores'
 import { CallSet } from './CallSet.js'
@@ -40,6 +40,8 @@
   /** Mean time of a call of the service, to tell overdue calls by; 0 while unknown. */
   typicalCall = millis(0)
   readonly stats = new CallStats()
+  /** The time for which the endpoint has asked for no calls. */
+  readonly quiet = new QuietPeriod()
   readonly warmLimit = new WarmLimit()
   readonly #self: Incarnation
   /** Fixed lot by which a fraction of a slot falls to this instance or not. */
@@ -163,7 +165,7 @@
 
   hasRoom (now: Millis): boolean {
     if (this.#heldAt > this.#reportAskedAt) return false
-    if (this.busy >= this.probation || this.isSuspect(now)) return false
+    if (this.busy >= this.probation || this.isSuspect(now) || !this.quiet.mayTake(now, this.busy)) return false
     const state = this.state
     if (state === 'cold') return this.#calls.notOf(this.#incarnation) === 0 && (this.#ledger?.hasRoom() ?? false)
     return state === 'warm' && this.busy < this.#warmShare(now)
@@ -177,6 +179,7 @@
 
   /** A call ended; after an outcome that leaves the endpoint perhaps still at work, its slot is kept for a while. */
   ended (call: RunningCall, outcome: CallOutcome, now: Millis): void {
+    if (outcome === 'done') this.quiet.answered(now)
     if (!this.#calls.delete(call) || call.slot === undefined) return
     const { ledger, index } = call.slot
     if (LEAVES_DOUBT.has(outcome)) ledger.freeAt(index, millis(now + DOUBT_SPAN))
--- a/packages/endpoints/src/EndpointTable.test.ts
+++ b/packages/endpoints/src/EndpointTable.test.ts
@@ -185,6 +185,23 @@
 }
 
 describe('EndpointTable', () => {
+  describe('an endpoint that refused a call and said when to ask again', () => {
+    it('gets no call before that time, then a few at first', async () => {
+      const setting = await new Setting(new BackEnd('e1').warm()).start()
+      const held = setting.leaseAll()
+      const [refused, ...others] = held
+      refused!.release('refused', millis(5), millis(1500))
+      for (const lease of others) lease.release('done', millis(20))
+      await setting.wait(millis(1400))
+      expect(setting.lease()).toBeUndefined()
+      await setting.wait(millis(200))
+      const first = setting.leaseAll()
+      expect(first).toHaveLength(2)
+      first[0]!.release('done', millis(20))
+      expect(setting.leaseAll().length).toBeGreaterThan(1)
+    })
+  })
+
   describe('a cold endpoint', () => {
     it('gets no more than its report says it bears', async () => {
       const setting = await new Setting(new BackEnd('e1')).start()
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -176,16 +176,25 @@
       domain: entry.listed.domain,
       connection: entry.connection!,
       isUsable: () => isHeld && this.#maySend(entry, call),
-      release: (outcome: CallOutcome, took: Millis) => {
+      release: (outcome: CallOutcome, took: Millis, retryAfter?: Millis) => {
         if (!isHeld) return
         isHeld = false
         entry.ended(call, outcome, this.#options.clock.now())
+        this.#noteQuiet(entry, retryAfter)
         this.#judge.ended(pool, entry, { class: want.class, outcome, took })
         this.#changed(entry)
       }
     }
   }
 
+  /** An endpoint that asked for a pause is tried again when it is over. */
+  #noteQuiet (entry: EndpointEntry, span: Millis | undefined): void {
+    const { clock, log } = this.#options
+    if (span === undefined || !entry.quiet.begin(clock.now(), span)) return
+    log.emit(ENDPOINTS_EVENTS.endpointQuiet, { endpoint: entry.listed.id, incarnation: entry.incarnation, quietForMs: span })
+    clock.after(span, () => this.#changed(entry))
+  }
+
   #holdings (endpoint: SlottedEndpoint): SlotHoldings {
     const { version } = this.#options.roster.view()
     return this.#entries.get(endpoint.id)?.holdings(endpoint, version) ?? { version, busy: [], older: 0, believed: undefined }
--- a/packages/endpoints/src/events.ts
+++ b/packages/endpoints/src/events.ts
@@ -10,5 +10,6 @@
   silentRestart: { number: 3006, level: 'warn', text: 'An endpoint started a new life without breaking its connections; it counts as cold from now on.' },
   endpointEjected: { number: 3007, level: 'warn', text: 'An endpoint failed, hung or was far slower than its like; it gets no new work from this instance for a while.' },
   endpointReadmitted: { number: 3008, level: 'info', text: 'An ejected endpoint gets work again, one call at first.' },
-  reportsMissing: { number: 3009, level: 'warn', text: 'An endpoint\'s reports stopped coming; it counts as cold until the next one.' }
+  reportsMissing: { number: 3009, level: 'warn', text: 'An endpoint\'s reports stopped coming; it counts as cold until the next one.' },
+  endpointQuiet: { number: 3010, level: 'info', text: 'An endpoint that refused a call asked for no calls for a time.' }
 })
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -143,8 +143,11 @@
   readonly connection: EndpointConnection
   /** Whether the right still holds in this tick, for a call that is sent later than its lease was given. */
   isUsable (): boolean
-  /** Gives the slot back, with what the call showed. Only the first call counts. */
-  release (outcome: CallOutcome, took: Millis): void
+  /**
+   * Gives the slot back, with what the call showed, and the time after which an endpoint that refused it wants to be
+   * asked again. Only the first call counts.
+   */
+  release (outcome: CallOutcome, took: Millis, retryAfter?: Millis): void
 }
 
 /** What scheduling needs to know of a service's endpoints, as this instance sees them. */
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -207,7 +207,7 @@
   }
 
   #exchangeWith (endpoint: Endpoint, versionCall: VersionCall): OpaqueExchange {
-    const { clock, wire, directory, firstEvents } = this.#context
+    const { clock, log, wire, directory, firstEvents } = this.#context
     const { route } = this.#request
     const mayRepeat = this.#mayRepeat && this.#runs + 1 < route.maxAttempts
     const usual = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
@@ -215,6 +215,7 @@
     const hasStages = route.stages.length > 0
     return new OpaqueExchange({
       clock,
+      log,
       wire,
       directory,
       relay: this.#relay === undefined ? undefined : this.#releasing(this.#relay),
@@ -343,18 +344,19 @@
   }
 
   #comeBack (): Millis {
-    return millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4))
+    return millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4, this.#context.directory.opensIn(this.#service)))
   }
 
-  /** An endpoint that may take the request now, waiting for one a little. */
+  /** An endpoint that may take the request now, waiting for one a little; not at all where none opens in that time. */
   async #place (): Promise<Endpoint | undefined> {
-    const { clock } = this.#context
+    const { clock, directory } = this.#context
     const patience = this.#inputs.length > 0 || this.#relay?.isStarted === true ? PLACE_PATIENCE : FIRST_PLACE_PATIENCE
     const until = Math.min(clock.now() + patience, this.#request.deadline - MIN_CALL_TIME)
     for (;;) {
       const endpoint = this.#choose()
       if (endpoint !== undefined) return endpoint
-      if (clock.now() >= until || this.#request.signal.aborted) return undefined
+      const opensAt = clock.now() + directory.opensIn(this.#service)
+      if (opensAt >= until || this.#request.signal.aborted) return undefined
       await clock.sleep(PLACE_RETRY)
     }
   }
@@ -362,10 +364,11 @@
   #choose (): Endpoint | undefined {
     const { directory, cold, engines, random, clock, versions, profileOf, domain } = this.#context
     const allowed = directory.healthy(this.#service).filter(({ domain: at }) => this.#request.isAllowedIn(at))
-    const all = allowed.filter((endpoint) => cold.mayTake(endpoint))
+    const now = clock.now()
+    const all = allowed.filter((endpoint) => endpoint.mayTake(now) && cold.mayTake(endpoint))
     const endpoints = versions.admit(this.#service, this.#request.route, all)
     const want = (exclude: ReadonlySet<EndpointId>): PlacementWant =>
-      ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now: clock.now() })
+      ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now })
     const isEngine = profileOf(this.#service)?.engine !== undefined
     const choose = (place: PlacementWant): Endpoint | undefined => isEngine ? engines.choose(place) : choosePlain(random, place)
     // The last endpoint left may be asked again, where the request may run again.
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -53,24 +53,27 @@
   }
 
   async #serve (request: ForwardRequest, sink: CallerSink): Promise<RunEnd> {
-    const { random, retries, directory } = this.#context
+    const { random, clock, retries, directory } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'its route names no service') }
     const refused = this.#admit(request, service)
     if (refused !== undefined) return { kind: 'failed', failure: refused }
     retries.request(service)
     for (const stage of request.route.stages) retries.request(stage.service, request.pieceCounts[stage.index])
-    const slots = directory.usable(service).reduce((sum, endpoint) => sum + endpoint.record.slots, 0)
+    const now = clock.now()
+    const open = directory.usable(service).filter((endpoint) => endpoint.quietLeft(now) === 0)
+    const slots = open.reduce((sum, endpoint) => sum + endpoint.record.slots, 0)
     return await this.#gate.run(service, slots, request.priority, () => new ForwardRun(this.#context, request, service, sink).run())
   }
 
   #admit (request: ForwardRequest, service: ServiceId): Failure | undefined {
-    const { clock, log, firstEvents, stages } = this.#context
+    const { clock, log, directory, firstEvents, stages } = this.#context
     const { route, attempt, priority, configVersion, pieceCounts } = request
     const inputs = {
       timeLeft: millis(request.deadline - clock.now()),
       stageWaits: this.#stageWaits(request),
       stageTime: leastStageTime(route.stages, pieceCounts, stages.profileOf),
+      opensIn: directory.opensIn(service),
       answerTime: route.kind === 'streaming' ? firstEvents.mean(route.name) : millis(0)
     }
     const admission = admit(inputs)
@@ -83,6 +86,7 @@
       timeLeftMs: inputs.timeLeft,
       waitMs: inputs.stageWaits,
       stageMs: inputs.stageTime,
+      opensInMs: inputs.opensIn > 0 ? inputs.opensIn : undefined,
       answerMs: inputs.answerTime
     }
     if (admission.kind === 'admitted') {
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -1,18 +1,21 @@
 import { millis } from '@papayahill/common'
-import type { Clock, Millis, Timer } from '@papayahill/common'
+import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
 import { newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketLoss } from '@papayahill/connections'
-import type { EndpointDirectory, ServingRoute } from '@papayahill/directory'
+import type { ServingRoute } from '@papayahill/directory'
 import type { Result } from 'true-myth'
 import { LATE_ANSWER, MAX_HELD_ANSWER, SILENT_GAPS, STREAM_SILENCE } from './constants.js'
 import { EventScanner } from './EventScanner.js'
+import { noteMarks } from './noteMarks.js'
+import type { NoteMarksContext } from './noteMarks.js'
 import type { StreamRelay } from './StreamRelay.js'
 import type { AnswerMarks, CallEnd, CallWire, OutboundCall } from './types.js'
 
 export interface OpaqueExchangeOptions {
   readonly clock: Clock
+  readonly log: EventLog
   readonly wire: CallWire
-  readonly directory: Pick<EndpointDirectory, 'cold'>
+  readonly directory: NoteMarksContext['directory']
   readonly call: OutboundCall
   /** Where a streamed answer goes. */
   readonly relay: StreamRelay | undefined
@@ -72,14 +75,12 @@
   }
 
   onStart (answer: SocketAnswer): void {
-    const { wire, call, relay, clock, directory } = this.#options
-    const { endpoint, request } = call
+    const { wire, call, relay } = this.#options
     const marks = wire.readAnswer(answer)
     this.#status = answer.status
     this.#marks = marks
-    if (isForeign(marks, request.attempt)) return this.#stop('it answered another request')
-    if (marks.load !== undefined) endpoint.load = { ...marks.load, at: clock.now() }
-    if (marks.coldFor !== undefined) directory.cold(endpoint, marks.coldFor)
+    noteMarks(this.#options, call.endpoint, marks)
+    if (isForeign(marks, call.request.attempt)) return this.#stop('it answered another request')
     const isStream = relay !== undefined && answer.status === 200 && marks.isEventStream && marks.isSealed
     if (isStream) this.#scanner = new EventScanner()
     if (isStream) relay.start(answer.status, marks.headers)
@@ -100,6 +101,12 @@
     return await socket.exchange(req, this, this.#stopper)
   }
 
+  /** A connection may take long to open: its endpoint may have said meanwhile that it wants no more requests. */
+  mayStart (): boolean {
+    const { call: { endpoint }, clock } = this.#options
+    return endpoint.isListed && endpoint.quietLeft(clock.now()) === 0
+  }
+
   #noteFirst (): void {
     if (this.firstAt !== undefined) return
     this.firstAt = this.#options.clock.now()
@@ -161,10 +168,12 @@
     const { call, clock } = this.#options
     const { endpoint, request } = call
     if (request.signal.aborted) return
+    if (end.kind === 'not-run' && !this.mayStart()) return
+    const now = clock.now()
     const isBroken = end.kind === 'lost' || (end.kind === 'not-run' && (!end.isArrived || this.#marks?.isElsewhere === true))
-    if (isBroken) endpoint.noteBroken(clock.now())
-    else if (end.kind === 'answered') endpoint.noteAnswer(end.status < 500)
-    else if (end.kind === 'streamed') endpoint.noteAnswer(true)
+    if (isBroken) endpoint.noteBroken(now)
+    else if (end.kind === 'answered') endpoint.noteAnswer(end.status < 500, now)
+    else if (end.kind === 'streamed') endpoint.noteAnswer(true, now)
   }
 }
 
--- a/packages/forwarding/src/admission.test.ts
+++ b/packages/forwarding/src/admission.test.ts
@@ -3,7 +3,7 @@
 import { admit } from './admission.js'
 
 const forecastOf = (stageWaits: number) =>
-  ({ timeLeft: millis(6000), stageWaits: millis(stageWaits), stageTime: millis(750), answerTime: millis(250) })
+  ({ timeLeft: millis(6000), stageWaits: millis(stageWaits), stageTime: millis(750), opensIn: millis(0), answerTime: millis(250) })
 
 describe('admit', () => {
   it('takes what can be answered before its deadline, also late', () => {
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { MAX_RETRY_AFTER, MIN_RETRY_AFTER } from './constants.js'
+import { FIRST_PLACE_PATIENCE, MAX_RETRY_AFTER, MIN_RETRY_AFTER } from './constants.js'
 
 /** What is known of a request's way at its entrance. */
 export interface Forecast {
@@ -9,6 +9,8 @@
   readonly stageWaits: Millis
   /** Time of the stages' own calls. */
   readonly stageTime: Millis
+  /** Time until an endpoint of the last call wants requests, where none does now. */
+  readonly opensIn: Millis
   /** Time of the last call until its answer begins. */
   readonly answerTime: Millis
 }
@@ -25,11 +27,14 @@
  * under which stages have more pieces waiting than can be made within the callers' deadlines.
  *
  * @example
- * admit({ timeLeft, stageWaits, stageTime, answerTime })
+ * admit({ timeLeft, stageWaits, stageTime, opensIn, answerTime })
  */
-export const admit = ({ timeLeft, stageWaits, stageTime, answerTime }: Forecast): Admission => {
-  const forecast = millis(stageWaits + stageTime + answerTime)
-  if (forecast <= timeLeft) return { kind: 'admitted', forecast }
+export const admit = ({ timeLeft, stageWaits, stageTime, opensIn, answerTime }: Forecast): Admission => {
+  const reached = stageWaits + stageTime
+  const forecast = millis(Math.max(reached, opensIn) + answerTime)
+  const isOpen = opensIn <= reached + FIRST_PLACE_PATIENCE
+  if (isOpen && forecast <= timeLeft) return { kind: 'admitted', forecast }
+  if (!isOpen) return { kind: 'refused', forecast, retryAfter: opensIn }
   const excess = forecast - timeLeft
   const most = Math.min(MAX_RETRY_AFTER, timeLeft * RETURN_SHARE)
   const retryAfter = millis(Math.min(most, Math.max(MIN_RETRY_AFTER, excess)))
--- /dev/null
+++ b/packages/forwarding/src/noteMarks.ts
@@ -0,0 +1,30 @@
+import type { Clock, EventLog } from '@papayahill/common'
+import { DIRECTORY_EVENTS } from '@papayahill/directory'
+import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
+import type { AnswerMarks } from './types.js'
+
+export interface NoteMarksContext {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly directory: Pick<EndpointDirectory, 'cold' | 'leaves' | 'beQuiet'>
+}
+
+/** What an answer says of its endpoint rather than of its request. */
+export type EndpointMarks = Pick<AnswerMarks, 'isElsewhere' | 'load' | 'coldFor' | 'isLeaving' | 'retryAfter'>
+
+/**
+ * Takes in what an endpoint says of itself in any answer, whichever request that is for. What another endpoint at its
+ * address says is left aside.
+ *
+ * @example
+ * noteMarks({ clock, log, directory }, endpoint, wire.readAnswer(answer))
+ */
+export const noteMarks = ({ clock, log, directory }: NoteMarksContext, endpoint: Endpoint, marks: EndpointMarks): void => {
+  const { isElsewhere, load, coldFor, isLeaving, retryAfter } = marks
+  if (isElsewhere) return
+  if (load !== undefined) endpoint.load = { ...load, at: clock.now() }
+  if (coldFor !== undefined) directory.cold(endpoint, coldFor)
+  if (isLeaving) directory.leaves(endpoint)
+  if (retryAfter?.kind === 'span') directory.beQuiet(endpoint, retryAfter.span)
+  if (retryAfter?.kind === 'malformed') log.emit(DIRECTORY_EVENTS.noticeMalformed, { endpoint: endpoint.id, found: retryAfter.text })
+}
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,5 +1,5 @@
 import type { DomainId, EndpointId, Failure, Millis, Tokens, WorkspaceId } from '@papayahill/common'
-import type { AnswerHeaders, HeaderList, SocketAnswer } from '@papayahill/connections'
+import type { AnswerHeaders, HeaderList, RetryAfter, SocketAnswer } from '@papayahill/connections'
 import type { DomainRule, Endpoint, EndpointDirectory, LoadWord, ServiceProfile, ServingRoute } from '@papayahill/directory'
 
 /** One part of a prompt that requests share, in the order of the prompt. */
@@ -80,6 +80,10 @@
   readonly isEventStream: boolean
   readonly load: Omit<LoadWord, 'at'> | undefined
   readonly coldFor: Millis | undefined
+  /** The endpoint says that it leaves. */
+  readonly isLeaving: boolean
+  /** When an endpoint that turned the call away wants to be asked again. */
+  readonly retryAfter: RetryAfter | undefined
   /** What the caller gets to see. */
   readonly headers: HeaderList
 }
--- a/packages/pipeline/src/StageCaller.ts
+++ b/packages/pipeline/src/StageCaller.ts
@@ -76,7 +76,7 @@
     const result = this.#judge(sending, raw, cause)
     const took = millis(this.#clock.now() - startedAt)
     const outcome: CallOutcome = result.isOk ? 'done' : result.error.outcome
-    lease.release(outcome, took)
+    lease.release(outcome, took, result.isErr ? result.error.retryAfter : undefined)
     const isServing = chunksOf(sending) > chunksBefore
     const waste = isServing ? undefined : WASTE[outcome]
     const record = { ...this.#record(sending, startedAt, took), outcome, waste, usage: usageOf(result), isUsageKnown: isUsageKnown(result) }
--- a/packages/scheduling/src/ServiceScheduler.ts
+++ b/packages/scheduling/src/ServiceScheduler.ts
@@ -134,10 +134,10 @@
   /** The lease, with its outcome noted for forecasts and the retry budget. */
   #watched (want: StageWant, lease: EndpointLease): EndpointLease {
     let isReleased = false
-    const release = (outcome: CallOutcome, took: Millis): void => {
+    const release = (outcome: CallOutcome, took: Millis, retryAfter?: Millis): void => {
       if (!isReleased) this.#note(want, outcome, took)
       isReleased = true
-      lease.release(outcome, took)
+      lease.release(outcome, took, retryAfter)
     }
     const { endpoint, incarnation, version, domain, connection } = lease
     return { endpoint, incarnation, version, domain, connection, isUsable: () => lease.isUsable(), release }
