The recorded end of a move binds all instances

What callers would see: an instance that takes a version back while another completes the move, with its news on the way or cut off, kept sending to the old version; the platform stops that on completion, so all requests there were refused from then on. Cause: only the instance that records a move knew of the record; the others took over a take-back, never a completion. Class of fault: two act on different ends around a hand-over. Change: the recorded end travels with the news of the move, and wins over what an instance has judged. Test: failed first with the versions v2, v2, v1 at three instances.

--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -81,7 +81,17 @@
     }
   }
   for (const gate of gates) gate.order({ service: SERVICE, to: 'v2', within: WITHIN }, SERVICE)
-  return { run, counts, record: () => record }
+  /** Answers of the new version that fail, as one instance sees them. */
+  const fail = (self: number, count: number): void => {
+    for (let call = 0; call < count; call++) gates[self]!.sent(NEW, ROUTES[0]!).ended({ kind: 'lost', detail: 'reset' }, false)
+  }
+  const tend = async (looking: readonly MoveGate[] = gates): Promise<void> => {
+    for (const gate of looking) gate.tend()
+    await clock.advance(millis(300))
+  }
+  const tendFirst = async (): Promise<void> => await tend(gates.slice(0, 1))
+  const versionAt = (self: number): string | undefined => gates[self]!.admit(SERVICE, ROUTES[0]!, [OLD, NEW])[0]?.record.version
+  return { run, counts, fail, tend, tendFirst, versionAt, record: () => record }
 }
 
 describe('MoveGate', () => {
@@ -108,6 +118,17 @@
     expect(counts.fresh).toBeLessThanOrEqual(0.1 * 12 * RATE_PER_SECOND + 50)
   })
 
+  it('ends with one version on all instances, where one takes it back as another completes the move', async () => {
+    const { run, fail, tend, tendFirst, versionAt, record } = rig(3)
+    await run(11.2, NEVER_BAD)
+    fail(2, 40)
+    await tendFirst()
+    await tendFirst()
+    expect(record()?.state).toBe('done')
+    for (let look = 0; look < 4; look++) await tend()
+    expect([0, 1, 2].map(versionAt)).toEqual(['v2', 'v2', 'v2'])
+  })
+
   it('does not take a version back for failures that the old one has as well', async () => {
     const { run, record } = rig(6)
     let call = 0
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -51,7 +51,8 @@
   /** Time of the move that had passed when it was first seen here, as others tell. */
   passedBefore: number
   state: MoveState
-  told: MoveState | undefined
+  /** What was last told of its end. */
+  told: string | undefined
   recorded: MoveRecord | undefined
   isRecording: boolean
   /** All instances' answers as of the last look, and what they say. */
@@ -62,6 +63,8 @@
 
 const FINAL: ReadonlySet<MoveState> = new Set(['done', 'taken-back'])
 
+const isEnd = (state: Json | undefined): state is MoveState => FINAL.has(state as MoveState)
+
 /**
  * Moves services to new versions: a small share at first, all of it shortly before the time set where all instances'
  * answers are good, and back to the old one at once where they are not.
@@ -136,11 +139,12 @@
 
   /** While a move is open its counts are told; then its end, once. */
   #publish (service: ServiceId, move: OpenMove): void {
-    const isTold = FINAL.has(move.state) && move.told === move.state
-    if (isTold) return
-    move.told = move.state
+    const recorded = this.#decided(move) ?? null
+    const end = `${move.state} ${recorded}`
+    if (FINAL.has(move.state) && move.told === end) return
+    move.told = end
     this.#options.news.publish(service, {
-      to: move.order.to, passed: this.#passed(move), state: move.state, routes: move.routes as unknown as Json
+      to: move.order.to, passed: this.#passed(move), state: move.state, recorded, routes: move.routes as unknown as Json
     })
   }
 
@@ -187,17 +191,22 @@
     if (verdict === 'good' && left <= MOVE_DONE_MARGIN && left > 0) this.#close(service, move, 'done', 'its answers are good')
   }
 
-  /** A version taken back anywhere is taken back here; a move that is done anywhere is done. */
+  /** The end that the record holds, which binds all instances whatever each has judged. */
+  #decided ({ recorded, order }: OpenMove): MoveState | undefined {
+    return recorded !== undefined && recorded.to === order.to && FINAL.has(recorded.state) ? recorded.state : undefined
+  }
+
+  /** A version taken back anywhere is taken back here; a move that is recorded as ended is so everywhere. */
   #follow (service: ServiceId, move: OpenMove): void {
     for (const news of this.#options.news.heard(service).filter(isJsonObject)) {
       if (news.to !== move.order.to) continue
       const ahead = Number(news.passed) - this.#passed(move)
       if (ahead > 0) move.passedBefore += ahead
+      if (isEnd(news.recorded)) move.recorded = { to: move.order.to, state: news.recorded }
       if (news.state === 'taken-back' && move.state === 'moving') this.#close(service, move, 'taken-back', 'another instance took it back')
     }
-    const { recorded } = move
-    const isDecided = recorded !== undefined && recorded.to === move.order.to && FINAL.has(recorded.state)
-    if (isDecided && recorded.state !== move.state) this.#close(service, move, recorded.state, 'as recorded')
+    const decided = this.#decided(move)
+    if (decided !== undefined && decided !== move.state) this.#close(service, move, decided, 'as recorded')
   }
 
   #close (service: ServiceId, move: OpenMove, state: MoveState, because: string): void {
