A suspected endpoint serves where all others want nothing for a time

Cause: quiet endpoints counted as healthy, so that a suspected one, which would have answered, was left out while no other could be used; requests waited and were refused.

--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -125,6 +125,35 @@
       expect(names).toEqual(['endpointSuspected', 'endpointTrusted'])
     })
 
+    it('leaves out endpoints that want nothing for a time while others are left, suspected ones too', async () => {
+      const { clock, directory } = rig()
+      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      const [a, b] = directory.usable(SERVICE)
+      const healthy = (): readonly string[] => directory.healthy(SERVICE).map(({ id }) => id)
+      a!.noteBroken(clock.now())
+      directory.beQuiet(b!, millis(300))
+      expect(healthy()).toEqual(['a'])
+      expect(directory.opensIn(SERVICE)).toBe(0)
+      directory.beQuiet(a!, millis(200))
+      expect(healthy()).toEqual(['b'])
+      expect(directory.opensIn(SERVICE)).toBe(200)
+      await clock.advance(millis(200))
+      expect(healthy()).toEqual(['a'])
+    })
+
+    it('keeps a life that said that it leaves out, whatever its row shows, until another life begins', () => {
+      const { directory, usable } = rig()
+      directory.replaced([rowOf('a')], NO_OUTAGE)
+      directory.leaves(directory.usable(SERVICE)[0]!)
+      expect(usable()).toEqual([])
+      directory.changed([rowOf('a', { sequence: 8 })], NO_OUTAGE)
+      directory.changed([gone('a')], NO_OUTAGE)
+      directory.changed([rowOf('a', { sequence: 9 })], NO_OUTAGE)
+      expect(usable()).toEqual([])
+      directory.changed([rowOf('a', { bornAt: epochMillis(2000), sequence: 1 })], NO_OUTAGE)
+      expect(usable()).toEqual(['a'])
+    })
+
     it('avoids an endpoint that fails far more often than its fellows, however healthy it calls itself', () => {
       const { clock, directory } = rig()
       directory.replaced([rowOf('a'), rowOf('b'), rowOf('c')], NO_OUTAGE)
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -109,10 +109,17 @@
     return millis(waits.length === 0 ? 0 : Math.min(...waits))
   }
 
-  /** Usable endpoints, without those that are suspected or fail far more often than their fellows while others are left. */
+  /** Endpoints that may take new work, those that want nothing for a time only where there are no others. */
+  #open (service: ServiceId, now: Millis): readonly Endpoint[] {
+    const usable = this.usable(service)
+    const open = usable.filter((endpoint) => endpoint.quietLeft(now) === 0)
+    return open.length > 0 ? open : usable
+  }
+
+  /** Usable endpoints, without those that are quiet, suspected or fail far more often than their fellows while others are left. */
   healthy (service: ServiceId): readonly Endpoint[] {
     const now = this.#options.clock.now()
-    const usable = this.usable(service)
+    const usable = this.#open(service, now)
     const steady = usable.filter((endpoint) => !endpoint.isSuspect(now))
     const limit = medianOf(steady.map((endpoint) => endpoint.failShare)) + FAILURE_MARGIN
     const good = steady.filter((endpoint) => endpoint.failShare <= limit)
