--- a/packages/forwarding/src/FollowedCalls.test.ts
+++ b/packages/forwarding/src/FollowedCalls.test.ts
@@ -1,30 +1,18 @@
 import { brand, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
-import { Endpoint } from '@papayahill/directory'
+import type { ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import { describe, expect, it } from 'vitest'
 import { FollowedCalls } from './FollowedCalls.js'
+import { endpointOfVersion } from './testing/endpointOfVersion.js'
 import type { CallEnd } from './types.js'
 
+const SERVICE = brand<ServiceId>('pool')
 const ROUTE = { name: 'draft' } as unknown as ServingRoute
 const USUAL = millis(200)
 const LONG = millis(900)
 const STREAMED: CallEnd = { kind: 'streamed' }
 const LOST: CallEnd = { kind: 'lost', detail: 'reset' }
 
-const endpointOf = (version: string): Endpoint => new Endpoint({
-  id: brand<EndpointId>(version),
-  service: brand<ServiceId>('pool'),
-  address: { ip: '10.0.0.1', port: 1 },
-  domain: brand<DomainId>('hall'),
-  version,
-  slots: 1,
-  isDraining: false,
-  coldFor: millis(0),
-  sequence: 1,
-  bornAt: undefined
-})
-
 /** Calls of a service whose old version is known to answer in the usual time. */
 const rig = async () => {
   const clock = new VirtualClock()
@@ -34,12 +22,12 @@
     isOnTrial: ({ record }) => record.version === 'v2',
     onVerdict: ({ record }, _route, verdict) => verdicts.push(`${record.version} ${verdict}`)
   })
-  const old = calls.sent(endpointOf('v1'), ROUTE)
+  const old = calls.sent(endpointOfVersion(SERVICE, 'v1'), ROUTE)
   await clock.advance(USUAL)
   old.begun()
   old.ended(STREAMED, false)
   verdicts.length = 0
-  return { clock, calls, verdicts, fresh: endpointOf('v2') }
+  return { clock, calls, verdicts, fresh: endpointOfVersion(SERVICE, 'v2') }
 }
 
 describe('FollowedCalls', () => {
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -4,17 +4,17 @@
 import type { DomainId, EndpointId, Failure, Millis, ServiceId, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { Result } from 'true-myth'
-import { choosePlain } from './choosePlain.js'
 import {
   FIRST_PLACE_PATIENCE, HANG_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY,
-  MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, PLACE_RETRY,
-  RESUME_SLACK
+  MAX_TURN_DOWNS, MIN_CALL_TIME, MIN_HANG, MIN_RETRY_AFTER, PLACE_PATIENCE, RESUME_SLACK
 } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { firstWaitOf, OpaqueExchange } from './OpaqueExchange.js'
+import { RequestPlacement } from './RequestPlacement.js'
+import type { CallPlacement } from './RequestPlacement.js'
 import { StreamRelay } from './StreamRelay.js'
-import type { CallEnd, CallerSink, ForwardRequest, PlacementWant } from './types.js'
+import type { CallEnd, CallerSink, ForwardRequest } from './types.js'
 import type { VersionCall } from './VersionGate.js'
 
 /** How a request ended for its caller. */
@@ -37,6 +37,7 @@
   readonly #request: ForwardRequest
   readonly #service: ServiceId
   readonly #sink: CallerSink
+  readonly #placement: RequestPlacement
   readonly #relay: StreamRelay | undefined
   readonly #exclude = new Set<EndpointId>()
   #guard = new RunGuard()
@@ -52,6 +53,7 @@
     this.#request = request
     this.#service = service
     this.#sink = sink
+    this.#placement = new RequestPlacement(context, request, service)
     const isStream = request.route.kind === 'streaming'
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
@@ -127,7 +129,7 @@
 
   /** Where the engine that suits the request stands, so that stages are run beside it. */
   #wantedDomain (): DomainId | undefined {
-    return this.#choose()?.domain
+    return this.#placement.choose(this.#wanted)?.domain
   }
 
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
@@ -347,43 +349,14 @@
     return millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4, this.#context.directory.opensIn(this.#service)))
   }
 
-  /** An endpoint that may take the request now, waiting for one a little; not at all where none opens in that time. */
+  /** An endpoint that may take the request now; waited for longer where earlier work would be lost by a refusal. */
   async #place (): Promise<Endpoint | undefined> {
-    const { clock, directory } = this.#context
     const patience = this.#inputs.length > 0 || this.#relay?.isStarted === true ? PLACE_PATIENCE : FIRST_PLACE_PATIENCE
-    const until = Math.min(clock.now() + patience, this.#request.deadline - MIN_CALL_TIME)
-    for (;;) {
-      const endpoint = this.#choose()
-      if (endpoint !== undefined) return endpoint
-      const opensAt = clock.now() + directory.opensIn(this.#service)
-      if (opensAt >= until || this.#request.signal.aborted) return undefined
-      await clock.sleep(PLACE_RETRY)
-    }
+    const until = Math.min(this.#context.clock.now() + patience, this.#request.deadline - MIN_CALL_TIME)
+    return await this.#placement.place(this.#wanted, millis(until))
   }
 
-  #choose (): Endpoint | undefined {
-    const { directory, cold, engines, random, clock, versions, profileOf, domain } = this.#context
-    const allowed = directory.healthy(this.#service).filter(({ domain: at }) => this.#request.isAllowedIn(at))
-    const now = clock.now()
-    const all = allowed.filter((endpoint) => endpoint.mayTake(now) && cold.mayTake(endpoint))
-    const endpoints = versions.admit(this.#service, this.#request.route, all)
-    const want = (exclude: ReadonlySet<EndpointId>): PlacementWant =>
-      ({ endpoints, exclude, prompt: this.#request.prompt, domain, inputBytes: this.#inputBytes(), now })
-    const isEngine = profileOf(this.#service)?.engine !== undefined
-    const choose = (place: PlacementWant): Endpoint | undefined => isEngine ? engines.choose(place) : choosePlain(random, place)
-    // The last endpoint left may be asked again, where the request may run again.
-    return choose(want(this.#exclude)) ?? (this.#runs === 0 || this.#mayRepeat ? choose(want(NONE)) : undefined)
-  }
-
-  /** Bytes of this request's inputs in each failure domain. */
-  #inputBytes (): ReadonlyMap<DomainId, number> {
-    const sizes = new Map<DomainId, number>()
-    for (const { endpoint, resultBytes } of this.#inputs) {
-      const domain = this.#context.directory.get(endpoint)?.domain
-      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + resultBytes)
-    }
-    return sizes
+  get #wanted (): CallPlacement {
+    return { exclude: this.#exclude, inputs: this.#inputs, mayAskAgain: this.#runs === 0 || this.#mayRepeat }
   }
 }
-
-const NONE: ReadonlySet<EndpointId> = new Set()
--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -1,10 +1,10 @@
 import { brand, EventRecorder, millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, Json, Millis, ServiceId } from '@papayahill/common'
-import { Endpoint } from '@papayahill/directory'
-import type { ServingRoute } from '@papayahill/directory'
+import type { Json, Millis, ServiceId } from '@papayahill/common'
+import type { Endpoint, ServingRoute } from '@papayahill/directory'
 import { describe, expect, it } from 'vitest'
 import { MoveGate } from './MoveGate.js'
 import type { MoveRecord } from './MoveGate.js'
+import { endpointOfVersion } from './testing/endpointOfVersion.js'
 
 const SERVICE = brand<ServiceId>('pool')
 const WITHIN = seconds(12)
@@ -15,21 +15,8 @@
 const SEEDS = Array.from({ length: 40 }, (_none, seed) => seed)
 const ROUTES = ['draft', 'check', 'guide'].map((name) => ({ name }) as unknown as ServingRoute)
 
-const endpointOf = (version: string): Endpoint => new Endpoint({
-  id: brand<EndpointId>(version),
-  service: SERVICE,
-  address: { ip: '10.0.0.1', port: 1 },
-  domain: brand<DomainId>('hall'),
-  version,
-  slots: 1,
-  isDraining: false,
-  coldFor: millis(0),
-  sequence: 1,
-  bornAt: undefined
-})
-
-const OLD = endpointOf('v1')
-const NEW = endpointOf('v2')
+const OLD = endpointOfVersion(SERVICE, 'v1')
+const NEW = endpointOfVersion(SERVICE, 'v2')
 
 type IsBad = (endpoint: Endpoint, now: number) => boolean
 /** Time of a call's answer; `chance` is drawn anew for each. */
