--- a/packages/common/src/ArrivalReader.ts
+++ b/packages/common/src/ArrivalReader.ts
@@ -1,10 +1,10 @@
 import type { LoopDelay } from './LoopDelay.js'
 import { millis } from './units.js'
 
-/** Delay of the loop up to which what it does is soon enough after what it has read. */
+/** Loop delay up to which a process counts as on time. */
 const PROMPT_DELAY = millis(100)
 
-/** Resolves after the next look for what has arrived. */
+/** Resolves after the event loop has polled for I/O once more. */
 const nextPoll = async (): Promise<void> => {
   // The first check phase follows the poll that is under way, the second one the next poll.
   await new Promise(setImmediate)
@@ -12,8 +12,8 @@
 }
 
 /**
- * Lets a process that is late read what has already arrived, before it acts on what it has read: a connection's close
- * may wait behind the request that came over it.
+ * Lets a late process read what has arrived before it acts on what it read earlier: a connection's close may wait
+ * unread behind the request that came over it.
  *
  * @example
  * await reader.catchUp()
@@ -26,7 +26,7 @@
     this.#delay = delay
   }
 
-  /** Resolves once what had arrived was read; at once while the process is on time. */
+  /** Resolves once all that has arrived by now was read; at once while the process is on time. */
   async catchUp (): Promise<void> {
     if (this.#delay.current > PROMPT_DELAY) await nextPoll()
   }
--- a/packages/common/src/QuietPeriod.ts
+++ b/packages/common/src/QuietPeriod.ts
@@ -1,14 +1,14 @@
 import { millis } from './units.js'
 import type { Millis } from './units.js'
 
-/** Requests under way at once with which an endpoint is tried after its quiet period; each good answer allows one more. */
+/** Concurrent requests with which an endpoint is tried after its quiet period; each good answer allows one more. */
 const RETURN_REQUESTS = 2
-/** Requests under way at once from which on the endpoint has returned. */
+/** Concurrent requests from which on an endpoint counts as back. */
 const RETURNED_REQUESTS = 16
 
 /**
- * The time for which an endpoint has asked to be sent nothing. When it is over, a few requests go first: what has waited
- * would otherwise arrive together.
+ * The back-off that an endpoint has asked for. When it is over, a few requests go first: those that waited would
+ * otherwise arrive together.
  *
  * @example
  * quiet.begin(clock.now(), seconds(2))
@@ -23,7 +23,7 @@
     return this.#until
   }
 
-  /** Never shortens a period that runs; whether it is longer now. */
+  /** Begins or extends the period, never shortens it; tells whether it is longer now. */
   begin (now: Millis, span: Millis): boolean {
     const until = millis(now + span)
     if (until <= this.#until) return false
--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -19,7 +19,7 @@
   record: EndpointRecord
   /** Left the list or lives anew. */
   isGone = false
-  /** Said in an answer that it leaves; it does so for the rest of its life, whatever the list shows. */
+  /** Announced in an answer that it leaves; holds for the rest of its life, whatever the list shows. */
   isLeaving = false
   /** Monotonic time until which it is cold. */
   coldUntil: Millis = millis(0)
@@ -68,8 +68,8 @@
     return this.#quiet.until
   }
 
-  /** It wants no requests for a time from now; whether that is longer than known. */
-  beQuiet (now: Millis, span: Millis): boolean {
+  /** It asked for no requests for a time from now; tells whether that is longer than known. */
+  noteQuiet (now: Millis, span: Millis): boolean {
     return this.#quiet.begin(now, span)
   }
 
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -46,7 +46,7 @@
   readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
   /** Endpoints whose entries are missing after an outage. */
   readonly #missing = new Set<Endpoint>()
-  /** Newest lives that said that they leave, also of endpoints whose rows are gone. */
+  /** The latest life of each endpoint that announced its leaving, kept beyond its row. */
   readonly #leavingLives = new Map<EndpointId, string>()
   #isRead = false
   #heldUntil: Millis = millis(0)
@@ -214,7 +214,7 @@
   }
 
   /** The endpoint said that it leaves. */
-  leaves (endpoint: Endpoint): void {
+  noteLeaving (endpoint: Endpoint): void {
     if (endpoint.isLeaving) return
     const { id, record } = endpoint
     endpoint.isLeaving = true
@@ -226,9 +226,9 @@
   }
 
   /** The endpoint said that it wants no requests for a time from now. */
-  beQuiet (endpoint: Endpoint, span: Millis): void {
+  noteQuiet (endpoint: Endpoint, span: Millis): void {
     const { clock, log } = this.#options
-    if (!endpoint.beQuiet(clock.now(), span)) return
+    if (!endpoint.noteQuiet(clock.now(), span)) return
     const { id, record, running } = endpoint
     log.emit(DIRECTORY_EVENTS.endpointQuiet, { endpoint: id, born: record.bornAt, quietForMs: span, own: running })
   }
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -39,7 +39,7 @@
 /** Bounds of the time for which an endpoint with broken connections is avoided. */
 export const MIN_SUSPICION = millis(400)
 export const MAX_SUSPICION = seconds(4)
-/** Lives of endpoints that said that they leave which are remembered. */
+/** Endpoints whose announced leaving is remembered. */
 export const MAX_REMEMBERED_LIVES = 2000
 /** Weight of the newest outcome in an endpoint's share of failures. */
 export const FAILURE_WEIGHT = 0.15
--- a/packages/forwarding/src/FollowedCalls.ts
+++ b/packages/forwarding/src/FollowedCalls.ts
@@ -25,7 +25,7 @@
 
 /**
  * Judges calls as good or bad. One whose answer is overdue is bad while it is still awaited: were only answers
- * counted, a version whose slow ones never come in time would look well by its quick ones.
+ * counted, a version whose slow ones never come in time would look good by its quick ones.
  *
  * @example
  * const call = calls.sent(endpoint, route)
--- a/packages/forwarding/src/MoveEvidence.ts
+++ b/packages/forwarding/src/MoveEvidence.ts
@@ -27,7 +27,7 @@
 const MIN_ROUTE_CALLS = 3
 const BUSY_ROUTE_SHARE = 0.1
 
-/** Bad answers of the new version beside those that the old one's rates let expect. */
+/** Bad answers of the new version beside the number expected at the old one's rates. */
 interface Comparison {
   readonly bad: number
   readonly expected: number
@@ -93,6 +93,6 @@
   const routes = Object.values(evidence).map(({ fresh, old }) => compare(fresh, old))
   const comparisons = [...routes, together(routes)]
   if (comparisons.some(isWorse)) return 'bad'
-  const isSuspect = comparisons.some((comparison) => isAbove(comparison, GOOD_DEVIATIONS))
-  return isTried(evidence) && !isSuspect ? 'good' : 'open'
+  const mayBeWorse = comparisons.some((comparison) => isAbove(comparison, GOOD_DEVIATIONS))
+  return isTried(evidence) && !mayBeWorse ? 'good' : 'open'
 }
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -54,10 +54,11 @@
 /** Time after which an engine has surely begun to read a request's inputs, and the least rate at which it reads them. */
 export const INPUT_READ_DELAY = millis(60)
 export const INPUT_BYTES_PER_MILLI = 50_000
-/** Part of the allowed exposure that a new version gets until it was tried well, and after; the rest is kept for its full load. */
+/** Part of the allowed exposure that a new version gets until it was tried well. */
 export const MOVE_PROBE_SHARE = 0.8
+/** The same after that, so that most of the exposure is left for its first seconds under full load. */
 export const MOVE_TRIED_SHARE = 0.2
-/** A route on which it was hardly tried gets this many times as much. */
+/** A route on which the new version was hardly tried gets this many times as much. */
 export const MOVE_UNTRIED_FACTOR = 2
 /** Calls of all instances after which a version whose answers are good was tried well. */
 export const MOVE_TRIED_CALLS = 60
--- a/packages/forwarding/src/noteMarks.ts
+++ b/packages/forwarding/src/noteMarks.ts
@@ -6,7 +6,7 @@
 export interface NoteMarksContext {
   readonly clock: Clock
   readonly log: EventLog
-  readonly directory: Pick<EndpointDirectory, 'cold' | 'leaves' | 'beQuiet'>
+  readonly directory: Pick<EndpointDirectory, 'cold' | 'noteLeaving' | 'noteQuiet'>
 }
 
 /** What an answer says of its endpoint rather than of its request. */
@@ -24,7 +24,7 @@
   if (isElsewhere) return
   if (load !== undefined) endpoint.load = { ...load, at: clock.now() }
   if (coldFor !== undefined) directory.cold(endpoint, coldFor)
-  if (isLeaving) directory.leaves(endpoint)
-  if (retryAfter?.kind === 'span') directory.beQuiet(endpoint, retryAfter.span)
+  if (isLeaving) directory.noteLeaving(endpoint)
+  if (retryAfter?.kind === 'span') directory.noteQuiet(endpoint, retryAfter.span)
   if (retryAfter?.kind === 'malformed') log.emit(DIRECTORY_EVENTS.noticeMalformed, { endpoint: endpoint.id, found: retryAfter.text })
 }
