What one instance learns of a leaving endpoint, all learn

An endpoint that announces its leaving in an answer was kept from new work by the instance that got the answer alone; the others went on until their own next answer. LeavingNews publishes its life over the links; each instance takes it in, also before the row comes, and never for another life. Topic endpoint at the end of the wire's list. Test: LeavingNews.test.ts, of a new class; without listen() its first two cases fail.

--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -43,6 +43,7 @@
   readonly #options: EndpointDirectoryOptions
   readonly #endpoints = new Map<EndpointId, Endpoint>()
   readonly #byService = new Map<ServiceId, Set<Endpoint>>()
+  readonly #leavingListeners: Array<(endpoint: EndpointId, life: string) => void> = []
   readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
   /** Endpoints whose entries are missing after an outage. */
   readonly #missing = new Set<Endpoint>()
@@ -213,16 +214,37 @@
     endpoint.coldUntil = millis(now + coldFor)
   }
 
+  /** Calls back with each endpoint, and its life, that announces its leaving to this instance. */
+  onLeaving (listener: (endpoint: EndpointId, life: string) => void): void {
+    this.#leavingListeners.push(listener)
+  }
+
   /** The endpoint said that it leaves. */
   noteLeaving (endpoint: Endpoint): void {
     if (endpoint.isLeaving) return
+    this.#leave(endpoint, 'answer')
+    for (const listener of this.#leavingListeners) listener(endpoint.id, lifeOf(endpoint.record))
+  }
+
+  /** An endpoint said to another instance that it leaves; its row may come later than these news. */
+  leavesElsewhere (id: EndpointId, life: string): void {
+    const known = this.#endpoints.get(id)
+    if (known === undefined) this.#remember(id, life)
+    else if (lifeOf(known.record) === life && !known.isLeaving) this.#leave(known, 'instance')
+  }
+
+  #leave (endpoint: Endpoint, source: 'answer' | 'instance'): void {
     const { id, record } = endpoint
     endpoint.isLeaving = true
+    this.#remember(id, lifeOf(record))
+    this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: id, born: record.bornAt, source })
+  }
+
+  #remember (id: EndpointId, life: string): void {
     this.#leavingLives.delete(id)
-    this.#leavingLives.set(id, lifeOf(record))
+    this.#leavingLives.set(id, life)
     const [oldest] = this.#leavingLives.keys()
     if (this.#leavingLives.size > MAX_REMEMBERED_LIVES && oldest !== undefined) this.#leavingLives.delete(oldest)
-    this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: id, born: record.bornAt, source: 'answer' })
   }
 
   /** The endpoint said that it wants no requests for a time from now. */
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -7,6 +7,8 @@
 export { DIRECTORY_EVENTS } from './events.js'
 export { homesOf } from './homes.js'
 export type { DomainRule } from './homes.js'
+export { LeavingNews } from './LeavingNews.js'
+export type { LeavingNewsOptions } from './LeavingNews.js'
 export { RouteTable } from './RouteTable.js'
 export { TableRelay } from './TableRelay.js'
 export type { RelayedTable, TableRelayOptions } from './TableRelay.js'
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -9,7 +9,7 @@
 /** Order on the wire; new topics go to the end. */
 const TOPICS: readonly Topic[] = [
   'heartbeat', 'gossip', 'roster', 'config', 'latch', 'load', 'claim', 'evidence', 'cost', 'order', 'stage', 'version',
-  'table'
+  'table', 'endpoint'
 ]
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
 
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -4,7 +4,7 @@
 /** What a message is about; one closed list, so that bytes are metered per topic. */
 export type Topic =
   | 'heartbeat' | 'gossip' | 'roster' | 'config' | 'latch' | 'load' | 'claim' | 'evidence' | 'cost' | 'order' | 'stage' | 'version'
-  | 'table'
+  | 'table' | 'endpoint'
 
 /** A peer, as heartbeats show it. */
 export interface PeerMember {
