--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -1,34 +1,14 @@
 import { brand, epochMillis, EventRecorder, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
+import type { DomainId, EndpointId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointEntry } from './EndpointDirectory.js'
-import type { EndpointRecord, TableRow } from './types.js'
+import { endpointRow, ROW_SERVICE } from './testing/endpointRow.js'
+import type { TableRow } from './types.js'
 
-const SERVICE = brand<ServiceId>('orders')
 const NO_OUTAGE = millis(0)
 const OUTAGE = millis(4000)
 
-const rowOf = (id: string, fields: Partial<EndpointRecord> = {}): TableRow<EndpointEntry> => ({
-  key: id,
-  revision: 1,
-  value: {
-    record: {
-      id: brand<EndpointId>(id),
-      service: SERVICE,
-      address: { ip: '10.0.0.1', port: 8080 },
-      domain: brand<DomainId>('hall-1'),
-      version: 'v1',
-      slots: 6,
-      isDraining: false,
-      coldFor: millis(0),
-      sequence: 3,
-      bornAt: epochMillis(1000),
-      ...fields
-    }
-  }
-})
-
 const gone = (key: string): TableRow<EndpointEntry> => ({ key, value: undefined, revision: 2 })
 
 const rig = () => {
@@ -36,7 +16,7 @@
   const out = new Set<string>()
   const log = new EventRecorder(clock)
   const directory = new EndpointDirectory({ clock, log, isDomainOut: (domain) => out.has(domain) })
-  const usable = (): readonly string[] => directory.usable(SERVICE).map(({ id }) => id)
+  const usable = (): readonly string[] => directory.usable(ROW_SERVICE).map(({ id }) => id)
   return { clock, directory, log, out, usable }
 }
 
@@ -44,9 +24,9 @@
   describe('what may take new work', () => {
     it('leaves out endpoints that leave, are gone, or stand in a domain that is out', () => {
       const { directory, out, usable } = rig()
-      directory.replaced([rowOf('a'), rowOf('b'), rowOf('c', { domain: brand<DomainId>('hall-2') })], NO_OUTAGE)
+      directory.replaced([endpointRow('a'), endpointRow('b'), endpointRow('c', { domain: brand<DomainId>('hall-2') })], NO_OUTAGE)
       expect(usable()).toEqual(['a', 'b', 'c'])
-      directory.changed([rowOf('a', { isDraining: true, sequence: 4 }), gone('b')], NO_OUTAGE)
+      directory.changed([endpointRow('a', { isDraining: true, sequence: 4 }), gone('b')], NO_OUTAGE)
       expect(usable()).toEqual(['c'])
       out.add('hall-2')
       expect(usable()).toEqual([])
@@ -54,7 +34,7 @@
 
     it('leaves out a malformed entry and keeps the others', () => {
       const { directory, usable } = rig()
-      directory.replaced([rowOf('a'), { key: 'b', value: { malformed: 'slots: found "x"' }, revision: 1 }], NO_OUTAGE)
+      directory.replaced([endpointRow('a'), { key: 'b', value: { malformed: 'slots: found "x"' }, revision: 1 }], NO_OUTAGE)
       expect(usable()).toEqual(['a'])
     })
   })
@@ -62,8 +42,8 @@
   describe('older words', () => {
     it('never brings back an endpoint that leaves by an older report of the same life', () => {
       const { directory, usable } = rig()
-      directory.replaced([rowOf('a', { isDraining: true, sequence: 5 })], NO_OUTAGE)
-      directory.changed([rowOf('a', { sequence: 4 })], NO_OUTAGE)
+      directory.replaced([endpointRow('a', { isDraining: true, sequence: 5 })], NO_OUTAGE)
+      directory.changed([endpointRow('a', { sequence: 4 })], NO_OUTAGE)
       expect(usable()).toEqual([])
     })
 
@@ -71,9 +51,9 @@
       const { directory, usable } = rig()
       const ended: string[] = []
       directory.onGone(({ id }) => { ended.push(id) })
-      directory.replaced([rowOf('a', { isDraining: true, sequence: 9 })], NO_OUTAGE)
+      directory.replaced([endpointRow('a', { isDraining: true, sequence: 9 })], NO_OUTAGE)
       const before = directory.get(brand<EndpointId>('a'))
-      directory.changed([rowOf('a', { sequence: 1, bornAt: epochMillis(2000) })], NO_OUTAGE)
+      directory.changed([endpointRow('a', { sequence: 1, bornAt: epochMillis(2000) })], NO_OUTAGE)
       expect(usable()).toEqual(['a'])
       expect(ended).toEqual(['a'])
       expect(before?.isGone).toBe(true)
@@ -83,19 +63,19 @@
   describe('after an outage of the store', () => {
     it('keeps missing endpoints for the time in which the living enter themselves again, and no longer', async () => {
       const { clock, directory, usable } = rig()
-      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
       directory.changed([gone('a'), gone('b')], OUTAGE)
       expect(usable()).toEqual(['a', 'b'])
       await clock.advance(millis(1500))
-      directory.changed([rowOf('b', { sequence: 4 })], NO_OUTAGE)
+      directory.changed([endpointRow('b', { sequence: 4 })], NO_OUTAGE)
       await clock.advance(millis(600))
       expect(usable()).toEqual(['b'])
     })
 
     it('drops them at once where there was none', () => {
       const { directory, usable } = rig()
-      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
-      directory.replaced([rowOf('b')], NO_OUTAGE)
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      directory.replaced([endpointRow('b')], NO_OUTAGE)
       expect(usable()).toEqual(['b'])
     })
   })
@@ -103,9 +83,9 @@
   describe('health', () => {
     it('avoids broken endpoints while others are left, and tries them again', async () => {
       const { clock, directory } = rig()
-      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
-      const [a, b] = directory.usable(SERVICE)
-      const healthy = (): readonly string[] => directory.healthy(SERVICE).map(({ id }) => id)
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      const [a, b] = directory.usable(ROW_SERVICE)
+      const healthy = (): readonly string[] => directory.healthy(ROW_SERVICE).map(({ id }) => id)
       a!.noteBroken(clock.now())
       expect(healthy()).toEqual(['b'])
       b!.noteBroken(clock.now())
@@ -116,8 +96,8 @@
 
     it('logs when an endpoint begins and ends to be avoided', () => {
       const { clock, directory, log } = rig()
-      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
-      const [a] = directory.usable(SERVICE)
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      const [a] = directory.usable(ROW_SERVICE)
       a!.noteBroken(clock.now())
       a!.noteAnswer(true, clock.now())
       a!.noteAnswer(true, clock.now())
@@ -127,43 +107,43 @@
 
     it('leaves out endpoints that want nothing for a time while others are left, suspected ones too', async () => {
       const { clock, directory } = rig()
-      directory.replaced([rowOf('a'), rowOf('b')], NO_OUTAGE)
-      const [a, b] = directory.usable(SERVICE)
-      const healthy = (): readonly string[] => directory.healthy(SERVICE).map(({ id }) => id)
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      const [a, b] = directory.usable(ROW_SERVICE)
+      const healthy = (): readonly string[] => directory.healthy(ROW_SERVICE).map(({ id }) => id)
       a!.noteBroken(clock.now())
       directory.noteQuiet(b!, millis(300))
       expect(healthy()).toEqual(['a'])
-      expect(directory.opensIn(SERVICE)).toBe(0)
+      expect(directory.opensIn(ROW_SERVICE)).toBe(0)
       directory.noteQuiet(a!, millis(200))
       expect(healthy()).toEqual(['b'])
-      expect(directory.opensIn(SERVICE)).toBe(200)
+      expect(directory.opensIn(ROW_SERVICE)).toBe(200)
       await clock.advance(millis(200))
       expect(healthy()).toEqual(['a'])
     })
 
     it('keeps a life that said that it leaves out, whatever its row shows, until another life begins', () => {
       const { directory, usable } = rig()
-      directory.replaced([rowOf('a')], NO_OUTAGE)
-      directory.noteLeaving(directory.usable(SERVICE)[0]!)
+      directory.replaced([endpointRow('a')], NO_OUTAGE)
+      directory.noteLeaving(directory.usable(ROW_SERVICE)[0]!)
       expect(usable()).toEqual([])
-      directory.changed([rowOf('a', { sequence: 8 })], NO_OUTAGE)
+      directory.changed([endpointRow('a', { sequence: 8 })], NO_OUTAGE)
       directory.changed([gone('a')], NO_OUTAGE)
-      directory.changed([rowOf('a', { sequence: 9 })], NO_OUTAGE)
+      directory.changed([endpointRow('a', { sequence: 9 })], NO_OUTAGE)
       expect(usable()).toEqual([])
-      directory.changed([rowOf('a', { bornAt: epochMillis(2000), sequence: 1 })], NO_OUTAGE)
+      directory.changed([endpointRow('a', { bornAt: epochMillis(2000), sequence: 1 })], NO_OUTAGE)
       expect(usable()).toEqual(['a'])
     })
 
     it('avoids an endpoint that fails far more often than its fellows, however healthy it calls itself', () => {
       const { clock, directory } = rig()
-      directory.replaced([rowOf('a'), rowOf('b'), rowOf('c')], NO_OUTAGE)
-      const [a, b, c] = directory.usable(SERVICE)
+      directory.replaced([endpointRow('a'), endpointRow('b'), endpointRow('c')], NO_OUTAGE)
+      const [a, b, c] = directory.usable(ROW_SERVICE)
       for (let answer = 0; answer < 12; answer++) {
         a!.noteAnswer(answer % 2 === 0, clock.now())
         b!.noteAnswer(true, clock.now())
         c!.noteAnswer(true, clock.now())
       }
-      expect(directory.healthy(SERVICE).map(({ id }) => id)).toEqual(['b', 'c'])
+      expect(directory.healthy(ROW_SERVICE).map(({ id }) => id)).toEqual(['b', 'c'])
     })
   })
 })
--- a/packages/directory/src/LeavingNews.test.ts
+++ b/packages/directory/src/LeavingNews.test.ts
@@ -1,11 +1,11 @@
 import { brand, epochMillis, EventRecorder, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, Incarnation, InstanceId, Json, ServiceId } from '@papayahill/common'
+import type { EndpointId, Incarnation, InstanceId, Json } from '@papayahill/common'
 import type { GossipEntry } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
 import { EndpointDirectory } from './EndpointDirectory.js'
 import { LeavingNews } from './LeavingNews.js'
+import { endpointRow, ROW_SERVICE } from './testing/endpointRow.js'
 
-const SERVICE = brand<ServiceId>('orders')
 const BORN = 1000
 
 /** Instances that hear each other at once, with directories of their own. */
@@ -29,25 +29,9 @@
     new LeavingNews({ directory, peers }).listen()
     return directory
   })
-  const show = (directory: EndpointDirectory, id: string, bornAt = BORN): void => directory.changed([{
-    key: id,
-    revision: 1,
-    value: {
-      record: {
-        id: brand<EndpointId>(id),
-        service: SERVICE,
-        address: { ip: '10.0.0.1', port: 8080 },
-        domain: brand<DomainId>('hall-1'),
-        version: 'v1',
-        slots: 6,
-        isDraining: false,
-        coldFor: millis(0),
-        sequence: 3,
-        bornAt: epochMillis(bornAt)
-      }
-    }
-  }], millis(0))
-  const usableAt = (at: number): readonly string[] => directories[at]!.usable(SERVICE).map(({ id }) => id)
+  const show = (directory: EndpointDirectory, id: string, bornAt = BORN): void =>
+    directory.changed([endpointRow(id, { bornAt: epochMillis(bornAt) })], millis(0))
+  const usableAt = (at: number): readonly string[] => directories[at]!.usable(ROW_SERVICE).map(({ id }) => id)
   return { directories, show, usableAt, publishedBy, tellAll: (value: Json) => publish(brand<InstanceId>('other'), 0, '0', value) }
 }
 
