An endpoint that left is held once, however often outages are told

Class of fault: a grace period that is renewed by what does not concern it. Change: each missing endpoint is held until the end of the period in which it went missing, and no longer. Evidence: the test failed first (a still used 2.7 s after it left).

--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -105,6 +105,17 @@
       expect(names).toEqual(['endpointSuspected', 'endpointTrusted'])
     })
 
+    it('gets rid of an endpoint that left in its time, though others tell of outages again and again', async () => {
+      const { clock, directory, usable } = rig()
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      directory.changed([gone('a')], OUTAGE)
+      for (let told = 0; told < 3; told++) {
+        await clock.advance(millis(900))
+        directory.changed([endpointRow('b', { sequence: 4 + told })], OUTAGE)
+      }
+      expect(usable()).toEqual(['b'])
+    })
+
     it('leaves out endpoints that want nothing for a time while others are left, suspected ones too', async () => {
       const { clock, directory } = rig()
       directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -45,8 +45,8 @@
   readonly #byService = new Map<ServiceId, Set<Endpoint>>()
   readonly #leavingListeners: Array<(endpoint: EndpointId, life: string) => void> = []
   readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
-  /** Endpoints whose entries are missing after an outage. */
-  readonly #missing = new Set<Endpoint>()
+  /** Endpoints whose entries are missing after an outage, and the time until which each is held; a later outage adds nothing. */
+  readonly #missing = new Map<Endpoint, Millis>()
   /** The latest life of each endpoint that announced its leaving, kept beyond its row. */
   readonly #leavingLives = new Map<EndpointId, string>()
   #isRead = false
@@ -147,8 +147,8 @@
   }
 
   #dropMissing (): void {
-    if (this.#options.clock.now() < this.#heldUntil) return
-    for (const endpoint of [...this.#missing]) this.#drop(endpoint, 'not entered again after an outage')
+    const now = this.#options.clock.now()
+    for (const [endpoint, until] of [...this.#missing]) if (until <= now) this.#drop(endpoint, 'not entered again after an outage')
   }
 
   #take (id: EndpointId, entry: EndpointEntry | undefined): void {
@@ -164,8 +164,9 @@
   #lost (endpoint: Endpoint): void {
     const { clock, log } = this.#options
     if (clock.now() >= this.#heldUntil) return this.#drop(endpoint, 'no longer listed')
-    this.#missing.add(endpoint)
-    log.emit(DIRECTORY_EVENTS.endpointsHeld, { endpoint: endpoint.id })
+    const until = this.#missing.get(endpoint) ?? this.#heldUntil
+    this.#missing.set(endpoint, until)
+    log.emit(DIRECTORY_EVENTS.endpointsHeld, { endpoint: endpoint.id, forMs: millis(until - clock.now()) })
   }
 
   #update (record: EndpointRecord, known: Endpoint | undefined): void {
