--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -4,6 +4,7 @@
 import { Result } from 'true-myth'
 import { chooseHome, choosePlace, crossingAt } from './BacklogBoard.js'
 import type { BacklogBoard } from './BacklogBoard.js'
+import { bytesByDomain } from './bytesByDomain.js'
 import { LIFE_SHARE, MAX_REMAKES } from './constants.js'
 import type { GroupLookup } from './endpointGroups.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -233,13 +234,13 @@
   #order (
     stage: StageNode, pieces: readonly Piece[], inputs: readonly StageResult[], exclude: ReadonlySet<EndpointId>
   ): StageOrder | undefined {
-    const { board, groups, profileOf } = this.#context
+    const { board, directory, groups, profileOf } = this.#context
     if (profileOf(stage.service) === undefined) return undefined
     const all = this.#endpointsOf(stage)
     const untried = all.filter(({ id }) => !exclude.has(id))
     const want = {
       endpoints: untried.length > 0 ? untried : all,
-      inputBytes: this.#inputBytes(inputs),
+      inputBytes: bytesByDomain(directory, inputs),
       outputBytes: stage.resultBytes * this.#readersOf(stage),
       home: this.#home(),
       request: this.#work.request
@@ -256,16 +257,6 @@
     return this.#context.directory.healthy(stage.service).filter(({ domain }) => this.#work.isAllowedIn(domain))
   }
 
-  /** What each piece reads from each failure domain: all inputs. */
-  #inputBytes (inputs: readonly StageResult[]): ReadonlyMap<DomainId, number> {
-    const sizes = new Map<DomainId, number>()
-    for (const { endpoint, resultBytes } of inputs) {
-      const domain = this.#context.directory.get(endpoint)?.domain
-      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + resultBytes)
-    }
-    return sizes
-  }
-
   /** Pieces that read each of a stage's results; the engine reads the last ones once. */
   #readersOf (stage: StageNode): number {
     const { stages, counts } = this.#work
--- a/packages/batching/src/index.ts
+++ b/packages/batching/src/index.ts
@@ -1,4 +1,5 @@
 export { BacklogBoard, choosePlace } from './BacklogBoard.js'
+export { bytesByDomain } from './bytesByDomain.js'
 export { CROSS_DOMAIN_MILLIS_PER_BYTE } from './constants.js'
 export { groupsIn } from './endpointGroups.js'
 export type { GroupLookup } from './endpointGroups.js'
--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -78,6 +78,11 @@
     return this.#quiet.left(now)
   }
 
+  /** Whether it takes requests, as far as the list and its own answers tell. */
+  isOpen (now: Millis): boolean {
+    return this.isListed && this.#quiet.left(now) === 0
+  }
+
   /** Whether one more request may be sent, as far as it says itself; checked again as the request goes out. */
   mayTake (now: Millis): boolean {
     return this.isListed && this.#quiet.mayTake(now, this.running)
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -106,14 +106,18 @@
   /** Time until one of a service's endpoints wants requests; 0 where one does or there is none. */
   opensIn (service: ServiceId): Millis {
     const now = this.#options.clock.now()
-    const waits = this.usable(service).map((endpoint) => endpoint.quietLeft(now))
-    return millis(waits.length === 0 ? 0 : Math.min(...waits))
+    let least = Infinity
+    for (const endpoint of this.#byService.get(service) ?? []) {
+      if (this.isUsable(endpoint)) least = Math.min(least, endpoint.quietLeft(now))
+      if (least === 0) break
+    }
+    return millis(least === Infinity ? 0 : least)
   }
 
   /** Endpoints that may take new work, those that want nothing for a time only where there are no others. */
   #open (service: ServiceId, now: Millis): readonly Endpoint[] {
     const usable = this.usable(service)
-    const open = usable.filter((endpoint) => endpoint.quietLeft(now) === 0)
+    const open = usable.filter((endpoint) => endpoint.isOpen(now))
     return open.length > 0 ? open : usable
   }
 
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -61,7 +61,7 @@
     retries.request(service)
     for (const stage of request.route.stages) retries.request(stage.service, request.pieceCounts[stage.index])
     const now = clock.now()
-    const open = directory.usable(service).filter((endpoint) => endpoint.quietLeft(now) === 0)
+    const open = directory.usable(service).filter((endpoint) => endpoint.isOpen(now))
     const slots = open.reduce((sum, endpoint) => sum + endpoint.record.slots, 0)
     return await this.#gate.run(service, slots, request.priority, () => new ForwardRun(this.#context, request, service, sink).run())
   }
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -103,8 +103,8 @@
 
   /** A connection may take long to open: its endpoint may have said meanwhile that it wants no more requests. */
   mayStart (): boolean {
-    const { call: { endpoint }, clock } = this.#options
-    return endpoint.isListed && endpoint.quietLeft(clock.now()) === 0
+    const { call, clock } = this.#options
+    return call.endpoint.isOpen(clock.now())
   }
 
   #noteFirst (): void {
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -1,5 +1,6 @@
+import { bytesByDomain } from '@papayahill/batching'
 import type { StageResult } from '@papayahill/batching'
-import type { DomainId, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import type { EndpointId, Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { choosePlain } from './choosePlain.js'
 import { PLACE_RETRY } from './constants.js'
@@ -49,11 +50,11 @@
 
   /** The endpoint that suits the call best now. */
   choose ({ exclude, inputs, mayAskAgain }: CallPlacement): Endpoint | undefined {
-    const { clock, domain, versions } = this.#context
+    const { clock, directory, domain, versions } = this.#context
     const { route, prompt } = this.#request
     const now = clock.now()
     const endpoints = versions.admit(this.#service, route, this.#open(now))
-    const want: PlacementWant = { endpoints, exclude, prompt, domain, inputBytes: this.#inputBytes(inputs), now }
+    const want: PlacementWant = { endpoints, exclude, prompt, domain, inputBytes: bytesByDomain(directory, inputs), now }
     return this.#best(want) ?? (mayAskAgain ? this.#best({ ...want, exclude: NONE }) : undefined)
   }
 
@@ -69,14 +70,4 @@
     const isEngine = profileOf(this.#service)?.engine !== undefined
     return isEngine ? engines.choose(want) : choosePlain(random, want)
   }
-
-  /** Bytes of the inputs in each failure domain. */
-  #inputBytes (inputs: readonly StageResult[]): ReadonlyMap<DomainId, number> {
-    const sizes = new Map<DomainId, number>()
-    for (const { endpoint, resultBytes } of inputs) {
-      const domain = this.#context.directory.get(endpoint)?.domain
-      if (domain !== undefined) sizes.set(domain, (sizes.get(domain) ?? 0) + resultBytes)
-    }
-    return sizes
-  }
 }
