--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -6,7 +6,7 @@
 import { timeUntilAvailable } from '@papayahill/limits'
 import { Result } from 'true-myth'
 import {
-  FIRST_PLACEMENT_TIMEOUT, HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY,
+  FIRST_PLACEMENT_TIMEOUT, HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS,
   MAX_REJECTIONS, MIN_CALL_TIME, MIN_HANG_TIMEOUT, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT, RESUMED_STAGES_FACTOR
 } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
@@ -181,12 +181,18 @@
     const detail = 'detail' in end ? end.detail : undefined
     const status = 'status' in end ? end.status : undefined
     const events = (this.#relay?.events ?? 0) - eventsBefore
+    const parts = end.kind === 'lost' && events === 0 ? this.#loggedParts() : undefined
     log.emit(FORWARDING_EVENTS.callEnded, {
-      request: request.attempt, endpoint: endpoint.id, outcome: end.kind, status, detail, events, tookMs: took
+      request: request.attempt, endpoint: endpoint.id, outcome: end.kind, status, detail, events, parts, tookMs: took
     })
     return await this.#handleEnd(endpoint, end)
   }
 
+  /** Parts of the prompt that requests have in common, for the log of a call that was lost before its answer began. */
+  #loggedParts (): string | undefined {
+    return this.#request.prompt?.parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join(' ')
+  }
+
   /** Time after sending by which the endpoint has read the request's inputs. */
   #inputReadTime (): Millis {
     const size = this.#inputs.reduce((sum, { resultBytes }) => sum + resultBytes, 0)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -77,3 +77,5 @@
 export const RESUMED_STAGES_FACTOR = 2
 /** Workspaces with a metric label of their own; the others are counted together. */
 export const MAX_WORKSPACE_LABELS = 100
+/** Parts of a prompt that one log line names. */
+export const MAX_LOGGED_PARTS = 16
