--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -26,6 +26,7 @@
   'body-too-large': { status: 413, title: 'The body is too large', retryLater: false },
   'unsupported-media': { status: 415, title: 'The body must be JSON', retryLater: false },
   'headers-too-large': { status: 431, title: 'The headers are too large', retryLater: false },
+  quarantined: { status: 422, title: 'The request has a part that crashes endpoints', retryLater: false },
   conflict: { status: 409, title: 'Another change came first', retryLater: false },
   'invalid-change': { status: 422, title: 'The change does not fit the configuration', retryLater: false },
   'too-many-connections': { status: 503, title: 'Too many connections', retryLater: true },
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -22,6 +22,8 @@
 /** Why no complete answer was received; `isSent` is true if a byte of the request may have been sent. */
 export interface SocketFailure {
   readonly isSent: boolean
+  /** Whether nothing listens at the address. */
+  readonly isRefused: boolean
   readonly detail: string
 }
 
@@ -159,6 +161,8 @@
   return raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
 }
 
+const isRefusal = (err: NodeJS.ErrnoException): boolean => err.code === 'ECONNREFUSED'
+
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #state: SocketState
   readonly #listener: AnswerListener
@@ -195,11 +199,11 @@
     const { isEnded, isBroken } = this.#state
     const isComplete = !isEnded || (this.#endsWithConnection && !isBroken)
     if (isComplete) this.#settle(Result.ok(undefined))
-    else this.#settle(Result.err({ isSent: true, detail: 'the connection ended before the answer was complete' }))
+    else this.#settle(Result.err({ isSent: true, isRefused: false, detail: 'the connection ended before the answer was complete' }))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
-    this.#settle(Result.err({ isSent: this.#isSent, detail: err.message }))
+    this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), detail: err.message }))
   }
 
   #settle (result: Result<void, SocketFailure>): void {
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -49,7 +49,7 @@
   readonly #endpoints = new Map<EndpointId, Endpoint>()
   readonly #byService = new Map<ServiceId, Set<Endpoint>>()
   readonly #announcementListeners: Array<(announcement: EndpointAnnouncement) => void> = []
-  readonly #goneListeners: Array<(endpoint: Endpoint) => void> = []
+  readonly #goneListeners: Array<(endpoint: Endpoint, isRestart: boolean) => void> = []
   /** Endpoints whose entries are missing after an outage, and until when each is retained; a later outage does not extend it. */
   readonly #missing = new Map<Endpoint, Millis>()
   readonly #announced = new NoticeMemory(MAX_REMEMBERED_ENDPOINTS)
@@ -65,7 +65,8 @@
     return this.#isRead
   }
 
-  onGone (listener: (endpoint: Endpoint) => void): void {
+  /** Calls the listener when an incarnation is gone; `isRestart` if another one took its place under the same id. */
+  onGone (listener: (endpoint: Endpoint, isRestart: boolean) => void): void {
     this.#goneListeners.push(listener)
   }
 
@@ -171,7 +172,7 @@
     if (known === undefined) return this.#add(record)
     if (isOlder(record, known.record)) return
     if (incarnationKeyOf(record) !== incarnationKeyOf(known.record)) {
-      this.#drop(known, 'restarted')
+      this.#drop(known, 'restarted', true)
       return this.#add(record)
     }
     this.#missing.delete(known)
@@ -285,12 +286,12 @@
     log.emit(DIRECTORY_EVENTS.endpointQuiet, { endpoint: id, born: record.startedAt, quietForMs: span, own: running })
   }
 
-  #drop (endpoint: Endpoint, detail: string): void {
+  #drop (endpoint: Endpoint, detail: string, isRestart = false): void {
     endpoint.isGone = true
     this.#missing.delete(endpoint)
     this.#endpoints.delete(endpoint.id)
     this.#byService.get(endpoint.service)?.delete(endpoint)
     this.#options.log.emit(DIRECTORY_EVENTS.endpointGone, { endpoint: endpoint.id, detail })
-    for (const listener of this.#goneListeners) listener(endpoint)
+    for (const listener of this.#goneListeners) listener(endpoint, isRestart)
   }
 }
--- a/packages/forwarding/src/CallMonitor.test.ts
+++ b/packages/forwarding/src/CallMonitor.test.ts
@@ -11,7 +11,7 @@
 const USUAL_TIME = millis(200)
 const SLOW_TIME = millis(900)
 const STREAMED: CallEnd = { kind: 'streamed' }
-const LOST: CallEnd = { kind: 'lost', detail: 'reset' }
+const LOST: CallEnd = { kind: 'lost', detail: 'reset', isConnectionLost: false }
 
 /** A monitor that has learned the usual time from one call to the old version. */
 const setUp = async () => {
--- a/packages/forwarding/src/CallMonitor.ts
+++ b/packages/forwarding/src/CallMonitor.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
 import type { Endpoint, ServingRoute } from '@papayahill/directory'
-import { SLOW_FACTOR, SLOW_MARGIN, USUAL_TIME_WEIGHT } from './constants.js'
+import { SAME_LOSS_SPAN, SLOW_FACTOR, SLOW_MARGIN, USUAL_TIME_WEIGHT } from './constants.js'
 import type { CallEnd } from './types.js'
 import type { VersionCall } from './VersionGate.js'
 
@@ -35,6 +35,8 @@
 export class CallMonitor {
   readonly #options: CallMonitorOptions
   readonly #open = new Set<MonitoredCall>()
+  /** When each endpoint last lost a call with its connection. */
+  readonly #lastLossAt = new WeakMap<Endpoint, Millis>()
   /** Usual time to the first byte of an answer, by route. */
   readonly #usualTimes = new Map<string, number>()
 
@@ -65,13 +67,21 @@
   #callEnded (call: MonitoredCall, end: CallEnd, isCancelled: boolean): void {
     this.#open.delete(call)
     this.#checkWait(call)
-    if (isCancelled) return
+    if (isCancelled || (end.kind === 'lost' && end.isConnectionLost && !this.#isFirstLoss(call))) return
     if (end.kind === 'lost' || (end.kind === 'answered' && end.status >= 500)) return this.#setVerdict(call, 'bad')
     if (end.kind !== 'answered' && end.kind !== 'streamed') return
     this.#updateUsualTime(call)
     this.#setVerdict(call, 'good')
   }
 
+  /** Calls that are lost together with their endpoint's connections have one cause, and count once. */
+  #isFirstLoss ({ endpoint }: MonitoredCall): boolean {
+    const now = this.#options.clock.now()
+    const last = this.#lastLossAt.get(endpoint) ?? -Infinity
+    this.#lastLossAt.set(endpoint, now)
+    return now - last > SAME_LOSS_SPAN
+  }
+
   /** A first byte far later than usual is bad, except at a cold endpoint, whose times say nothing about its version. */
   #checkWait (call: MonitoredCall): void {
     const { clock } = this.#options
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -1,5 +1,6 @@
 import type { EndpointId } from '@papayahill/common'
-import { EndpointSocket } from '@papayahill/connections'
+import { EndpointSocket, probeListener } from '@papayahill/connections'
+import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { isIPv6 } from 'node:net'
 import { CONNECTION_SHARE, MAX_IDLE_CONNECTIONS } from './constants.js'
@@ -56,6 +57,11 @@
     return socket
   }
 
+  /** Whether something still listens at the endpoint's address. */
+  async probe ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
+    return await probeListener(ip, port)
+  }
+
   release (endpoint: Endpoint, socket: EndpointSocket): void {
     const { idle } = this.#connectionsOf(endpoint)
     if (!socket.isUsable) return
--- /dev/null
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -0,0 +1,192 @@
+import type { StageResult } from '@papayahill/batching'
+import { millis } from '@papayahill/common'
+import type { Millis, Tokens } from '@papayahill/common'
+import type { EndpointSocket } from '@papayahill/connections'
+import type { Endpoint } from '@papayahill/directory'
+import { HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT } from './constants.js'
+import { FORWARDING_EVENTS } from './events.js'
+import type { ForwardContext } from './ForwardContext.js'
+import { firstByteTimeoutOf, OpaqueExchange } from './OpaqueExchange.js'
+import type { PromptCheck } from './PromptQuarantine.js'
+import type { StreamRelay } from './StreamRelay.js'
+import type { CallEnd, ForwardRequest } from './types.js'
+import type { VersionCall } from './VersionGate.js'
+
+export interface EndpointCallOptions {
+  readonly context: ForwardContext
+  readonly request: ForwardRequest
+  readonly endpoint: Endpoint
+  readonly check: PromptCheck
+  /** Receives a streamed answer. */
+  readonly relay: StreamRelay | undefined
+  /** Stage results that the endpoint reads first. */
+  readonly inputs: readonly StageResult[]
+  /** Number of this call among those of the request, from 1. */
+  readonly number: number
+  /** Whether the request may be sent to another endpoint if this call is lost. */
+  readonly canRetry: boolean
+  /** Called once the endpoint has read the inputs. */
+  readonly onInputsRead: () => void
+}
+
+/**
+ * One call of a request to an endpoint, with everything that is counted, logged and learned from it.
+ *
+ * @example
+ * const end = await new EndpointCall(options).run(socket)
+ */
+export class EndpointCall {
+  readonly #options: EndpointCallOptions
+  readonly #versionCall: VersionCall
+  readonly #exchange: OpaqueExchange
+  readonly #startedAt: Millis
+  readonly #eventsBefore: number
+  #isBegun: boolean
+  #isWithdrawn = false
+
+  constructor (options: EndpointCallOptions) {
+    const { context, endpoint, request, relay } = options
+    this.#options = options
+    this.#startedAt = context.clock.now()
+    this.#eventsBefore = relay?.events ?? 0
+    this.#isBegun = this.#eventsBefore > 0
+    this.#versionCall = context.versions.recordCall(endpoint, request.route)
+    this.#exchange = this.#newExchange()
+  }
+
+  get endpoint (): Endpoint {
+    return this.#options.endpoint
+  }
+
+  /** Takes the request back from the endpoint if parts of it have come under quarantine, unless its answer has begun. */
+  withdrawIfQuarantined (): void {
+    const { check, endpoint } = this.#options
+    if (this.#isBegun || !check.mustWithdraw(endpoint)) return
+    this.#isWithdrawn = true
+    this.#exchange.withdraw('a part of the request is under quarantine')
+  }
+
+  async run (socket: EndpointSocket): Promise<CallEnd> {
+    const { context: { clock, coldStarts, engines, log, connections }, request, endpoint, check } = this.#options
+    coldStarts.recordDispatch(endpoint)
+    endpoint.running++
+    const uncachedTokens = request.prompt === undefined ? undefined : engines.recordDispatch(endpoint, request.prompt)
+    log.emit(FORWARDING_EVENTS.requestPlaced, this.#placeFields(uncachedTokens))
+    check.callSent()
+    const releaseTimer = clock.after(this.#inputReadTime(), this.#options.onInputsRead)
+    const end = await this.#exchange.run(socket)
+    releaseTimer.cancel()
+    endpoint.running--
+    if (uncachedTokens !== undefined) engines.recordCallEnd(endpoint, uncachedTokens)
+    connections.release(endpoint, socket)
+    this.#versionCall.callEnded(end, request.signal.aborted || this.#isWithdrawn)
+    this.#noteFirstEvent()
+    this.#noteCrash(end)
+    this.#logEnd(end)
+    return end
+  }
+
+  #newExchange (): OpaqueExchange {
+    const { context, request, endpoint, check, relay, inputs, canRetry } = this.#options
+    const { clock, log, wire, directory, limits, firstEvents } = context
+    const { route } = request
+    const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
+    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
+    return new OpaqueExchange({
+      clock,
+      log,
+      wire,
+      directory,
+      limits,
+      isAllowed: () => !check.mustWithdraw(endpoint),
+      relay: relay === undefined ? undefined : this.#watchFirstEvent(relay),
+      firstByteTimeout: firstByteTimeoutOf(this.#timeLeft, hangTimeout, canRetry),
+      canSwitchEndpoint: canRetry,
+      onFirstByte: () => this.#answerBytesBegan(),
+      call: {
+        request,
+        endpoint,
+        inputs: route.stages.length > 0 ? inputs.map((input) => input.handle) : undefined,
+        resumeAfter: relay?.resumeAfter,
+        timeLeft: this.#timeLeft
+      }
+    })
+  }
+
+  get #timeLeft (): Millis {
+    return millis(this.#options.request.deadline - this.#options.context.clock.now())
+  }
+
+  /** The first event shows that the engine has read its inputs, and that no part of the prompt has crashed it. */
+  #watchFirstEvent (relay: StreamRelay): StreamRelay {
+    relay.onFirstEvent = () => {
+      this.#options.onInputsRead()
+      this.#answerBegan()
+    }
+    return relay
+  }
+
+  #answerBytesBegan (): void {
+    this.#versionCall.answerBegan()
+    if (this.#options.relay === undefined) this.#answerBegan()
+  }
+
+  #answerBegan (): void {
+    const { check, endpoint } = this.#options
+    this.#isBegun = true
+    check.answerBegan(endpoint, this.#startedAt)
+  }
+
+  /** Time after sending by which the endpoint has read the request's inputs. */
+  #inputReadTime (): Millis {
+    const size = this.#options.inputs.reduce((sum, { resultBytes }) => sum + resultBytes, 0)
+    return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
+  }
+
+  #noteFirstEvent (): void {
+    const { context: { firstEvents }, request: { route } } = this.#options
+    const { firstByteAt } = this.#exchange
+    if (firstByteAt !== undefined && route.kind === 'streaming') firstEvents.record(route.name, millis(firstByteAt - this.#startedAt))
+  }
+
+  #noteCrash (end: CallEnd): void {
+    const { context: { prompts }, check, endpoint } = this.#options
+    if (end.kind === 'not-run' && end.isRefused === true) prompts.endpointRefused(endpoint)
+    if (end.kind === 'lost' && end.isConnectionLost && !this.#isBegun) check.callLost(endpoint)
+  }
+
+  #placeFields (uncachedTokens: Tokens | undefined): Record<string, string | number | undefined> {
+    const { context: { clock }, request, endpoint, number } = this.#options
+    const { load } = endpoint
+    return {
+      request: request.attempt,
+      endpoint: endpoint.id,
+      send: number,
+      own: endpoint.running,
+      load: load === undefined ? undefined : load.running + load.waiting,
+      loadAgeMs: load === undefined ? undefined : clock.now() - load.at,
+      unread: uncachedTokens,
+      config: request.configVersion,
+      timeLeftMs: this.#timeLeft
+    }
+  }
+
+  #logEnd (end: CallEnd): void {
+    const { context: { clock, log }, request, endpoint, relay } = this.#options
+    log.emit(FORWARDING_EVENTS.callEnded, {
+      request: request.attempt,
+      endpoint: endpoint.id,
+      outcome: end.kind,
+      status: 'status' in end ? end.status : undefined,
+      detail: 'detail' in end ? end.detail : undefined,
+      events: (relay?.events ?? 0) - this.#eventsBefore,
+      parts: end.kind === 'lost' && !this.#isBegun ? this.#loggedParts() : undefined,
+      tookMs: millis(clock.now() - this.#startedAt)
+    })
+  }
+
+  /** Parts of the prompt that requests have in common. */
+  #loggedParts (): string | undefined {
+    return this.#options.request.prompt?.parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join(' ')
+  }
+}
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -2,10 +2,12 @@
 import type { ArrivalReader, Clock, DomainId, EventLog, Random } from '@papayahill/common'
 import type { EndpointDirectory } from '@papayahill/directory'
 import type { SharedRateLimiter } from '@papayahill/limits'
+import type { QuarantineManager } from '@papayahill/quarantine'
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { EngineTracker } from './EngineTracker.js'
 import type { FirstEventTimes } from './FirstEventTimes.js'
+import type { PromptQuarantine } from './PromptQuarantine.js'
 import type { SharedRetryBudget } from './SharedRetryBudget.js'
 import type { CallWire, ProfileLookup } from './types.js'
 import type { UnsentRequests } from './UnsentRequests.js'
@@ -22,6 +24,8 @@
   readonly engines: EngineTracker
   readonly coldStarts: ColdStartLimiter
   readonly limits: SharedRateLimiter
+  readonly quarantines: QuarantineManager
+  readonly prompts: PromptQuarantine
   readonly unsent: UnsentRequests
   readonly retries: SharedRetryBudget
   readonly firstEvents: FirstEventTimes
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -1,23 +1,26 @@
 import { leastStageTime, StageGraphRun } from '@papayahill/batching'
 import type { StageFailure, StageResult } from '@papayahill/batching'
 import { failure, millis, RunGuard } from '@papayahill/common'
-import type { DomainId, EndpointId, Failure, Millis, ServiceId, Tokens } from '@papayahill/common'
+import type { DomainId, EndpointId, Failure, Millis, ServiceId } from '@papayahill/common'
+import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
+import type { Quarantine } from '@papayahill/quarantine'
 import { Result } from 'true-myth'
 import {
-  FIRST_PLACEMENT_TIMEOUT, HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS,
-  MAX_REJECTIONS, MIN_CALL_TIME, MIN_HANG_TIMEOUT, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT, RESUMED_STAGES_FACTOR
+  FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
+  RESUMED_STAGES_FACTOR
 } from './constants.js'
+import { EndpointCall } from './EndpointCall.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
-import { firstByteTimeoutOf, OpaqueExchange } from './OpaqueExchange.js'
+import { logQuarantined } from './logQuarantined.js'
+import type { PromptCheck } from './PromptQuarantine.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallPlacement } from './RequestPlacement.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { StreamRelay } from './StreamRelay.js'
 import type { CallEnd, CallerSink, FailureCause, ForwardRequest } from './types.js'
-import type { VersionCall } from './VersionGate.js'
 
 /** How a request ended for its caller. */
 export type RunEnd =
@@ -42,6 +45,7 @@
   readonly #placement: RequestPlacement
   readonly #relay: StreamRelay | undefined
   readonly #exclude = new Set<EndpointId>()
+  readonly #check: PromptCheck
   #guard = new RunGuard()
   #graph: StageGraphRun | undefined
   #inputs: readonly StageResult[] = []
@@ -49,13 +53,18 @@
   #runCount = 0
   #rejections = 0
   #recomputeCount = 0
+  /** Endpoints that this request may have crashed. */
+  #crashCount = 0
+  /** The call in progress. */
+  #call: EndpointCall | undefined
 
-  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, sink: CallerSink) {
+  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, sink: CallerSink, check: PromptCheck) {
     this.#context = context
     this.#request = request
     this.#service = service
     this.#sink = sink
-    this.#placement = new RequestPlacement(context, request, service)
+    this.#check = check
+    this.#placement = new RequestPlacement(context, request, service, check)
     const isStream = request.route.kind === 'streaming'
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
@@ -71,6 +80,17 @@
     }
   }
 
+  /** A quarantine has begun: stops whatever goes on for the request if it falls under it. */
+  applyQuarantines (): void {
+    if (this.#call !== undefined) this.#call.withdrawIfQuarantined()
+    else if (this.#quarantine() !== undefined) this.#graph?.cancel()
+  }
+
+  /** The quarantine that keeps the request from all endpoints of its service. */
+  #quarantine (): Quarantine | undefined {
+    return this.#check.quarantineOf(this.#context.directory.usable(this.#service))
+  }
+
   async #execute (): Promise<RunEnd> {
     if (await this.#hasCallerDisconnected()) return this.#callerGone()
     const staged = await this.#runStages()
@@ -135,6 +155,8 @@
   }
 
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
+    const quarantine = this.#quarantine()
+    if (quarantine !== undefined) return this.#quarantined(quarantine)
     if (fault === 'late') return this.#refused('over-capacity', `stage ${stage} could not be run in time`, 'late-stage')
     return this.#refused('no-endpoint', `stage ${stage} failed: ${fault}`)
   }
@@ -142,8 +164,12 @@
   async #attempt (): Promise<Step> {
     if (await this.#hasCallerDisconnected()) return this.#callerGone()
     if (this.#timeLeft < MIN_CALL_TIME) return this.#timedOut()
+    const quarantine = this.#quarantine()
+    if (quarantine !== undefined) return this.#quarantined(quarantine)
     const endpoint = await this.#place()
     if (endpoint === undefined) {
+      const late = this.#quarantine()
+      if (late !== undefined) return this.#quarantined(late)
       const cause = this.#placement.wasLimited ? 'limit' : undefined
       return this.#refused('no-endpoint', `no endpoint of ${this.#service} can accept the request`, cause)
     }
@@ -155,104 +181,28 @@
     return await this.#send(endpoint, socket)
   }
 
-  async #send (endpoint: Endpoint, socket: Parameters<OpaqueExchange['run']>[0]): Promise<Step> {
+  async #send (endpoint: Endpoint, socket: EndpointSocket): Promise<Step> {
+    const context = this.#context
     const request = this.#request
-    const { clock, log, coldStarts, engines, versions, connections, unsent } = this.#context
-    const startedAt = clock.now()
-    const call = versions.recordCall(endpoint, request.route)
-    const exchange = this.#exchangeWith(endpoint, call)
-    coldStarts.recordDispatch(endpoint)
-    endpoint.running++
-    const uncachedTokens = request.prompt === undefined ? undefined : engines.recordDispatch(endpoint, request.prompt)
-    const eventsBefore = this.#relay?.events ?? 0
-    this.#sendCount++
-    unsent.delete(this.#service, request)
-    log.emit(FORWARDING_EVENTS.requestPlaced, this.#placeFields(endpoint, uncachedTokens))
-    this.#guard.dispatched()
-    const releaseTimer = clock.after(this.#inputReadTime(), () => this.#graph?.release())
-    const end = await exchange.run(socket)
-    releaseTimer.cancel()
-    endpoint.running--
-    if (uncachedTokens !== undefined) engines.recordCallEnd(endpoint, uncachedTokens)
-    const took = millis(clock.now() - startedAt)
-    connections.release(endpoint, socket)
-    call.callEnded(end, request.signal.aborted)
-    this.#noteFirstEvent(exchange, startedAt)
-    const detail = 'detail' in end ? end.detail : undefined
-    const status = 'status' in end ? end.status : undefined
-    const events = (this.#relay?.events ?? 0) - eventsBefore
-    const parts = end.kind === 'lost' && events === 0 ? this.#loggedParts() : undefined
-    log.emit(FORWARDING_EVENTS.callEnded, {
-      request: request.attempt, endpoint: endpoint.id, outcome: end.kind, status, detail, events, parts, tookMs: took
+    const call = new EndpointCall({
+      context,
+      request,
+      endpoint,
+      check: this.#check,
+      relay: this.#relay,
+      inputs: this.#inputs,
+      number: ++this.#sendCount,
+      canRetry: this.#isRetryable && this.#runCount + 1 < request.route.maxAttempts,
+      onInputsRead: () => this.#graph?.release()
     })
+    context.unsent.delete(this.#service, request)
+    this.#guard.dispatched()
+    this.#call = call
+    const end = await call.run(socket)
+    this.#call = undefined
     return await this.#handleEnd(endpoint, end)
   }
 
-  /** Parts of the prompt that requests have in common, for the log of a call that was lost before its answer began. */
-  #loggedParts (): string | undefined {
-    return this.#request.prompt?.parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join(' ')
-  }
-
-  /** Time after sending by which the endpoint has read the request's inputs. */
-  #inputReadTime (): Millis {
-    const size = this.#inputs.reduce((sum, { resultBytes }) => sum + resultBytes, 0)
-    return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
-  }
-
-  #noteFirstEvent ({ firstByteAt }: OpaqueExchange, startedAt: Millis): void {
-    const { name, kind } = this.#request.route
-    if (firstByteAt !== undefined && kind === 'streaming') this.#context.firstEvents.record(name, millis(firstByteAt - startedAt))
-  }
-
-  #placeFields (endpoint: Endpoint, uncachedTokens: Tokens | undefined): Record<string, string | number | undefined> {
-    const { clock } = this.#context
-    const { load } = endpoint
-    return {
-      request: this.#request.attempt,
-      endpoint: endpoint.id,
-      send: this.#sendCount,
-      own: endpoint.running,
-      load: load === undefined ? undefined : load.running + load.waiting,
-      loadAgeMs: load === undefined ? undefined : clock.now() - load.at,
-      unread: uncachedTokens,
-      config: this.#request.configVersion,
-      timeLeftMs: this.#timeLeft
-    }
-  }
-
-  #exchangeWith (endpoint: Endpoint, versionCall: VersionCall): OpaqueExchange {
-    const { clock, log, wire, directory, limits, firstEvents } = this.#context
-    const { route } = this.#request
-    const canRetry = this.#isRetryable && this.#runCount + 1 < route.maxAttempts
-    const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
-    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
-    const hasStages = route.stages.length > 0
-    return new OpaqueExchange({
-      clock,
-      log,
-      wire,
-      directory,
-      limits,
-      relay: this.#relay === undefined ? undefined : this.#releaseOnFirstEvent(this.#relay),
-      firstByteTimeout: firstByteTimeoutOf(this.#timeLeft, hangTimeout, canRetry),
-      canSwitchEndpoint: canRetry,
-      onFirstByte: () => versionCall.answerBegan(),
-      call: {
-        request: this.#request,
-        endpoint,
-        inputs: hasStages ? this.#inputs.map((input) => input.handle) : undefined,
-        resumeAfter: this.#relay?.resumeAfter,
-        timeLeft: this.#timeLeft
-      }
-    })
-  }
-
-  /** Releases the stage results with the first event: by then the engine has read its inputs. */
-  #releaseOnFirstEvent (relay: StreamRelay): StreamRelay {
-    relay.onFirstEvent = () => this.#graph?.release()
-    return relay
-  }
-
   async #handleEnd (endpoint: Endpoint, end: CallEnd): Promise<Step> {
     switch (end.kind) {
       case 'streamed':
@@ -261,7 +211,7 @@
       case 'answered': return this.#answered(endpoint, end)
       case 'not-run': return this.#notRun(endpoint, end)
       case 'inputs-gone': return await this.#inputsGone(end.detail)
-      case 'lost': return await this.#lost(endpoint, end.detail)
+      case 'lost': return await this.#lost(endpoint, end)
     }
   }
 
@@ -293,10 +243,14 @@
     return staged.isErr ? this.#stagesFailed(staged.error) : 'again'
   }
 
-  async #lost (endpoint: Endpoint, detail: string): Promise<Step> {
+  async #lost (endpoint: Endpoint, { detail, isConnectionLost }: Extract<CallEnd, { kind: 'lost' }>): Promise<Step> {
     this.#runCount++
     this.#exclude.add(endpoint.id)
     if (this.#request.signal.aborted) return this.#callerGone()
+    const quarantine = this.#quarantine()
+    if (quarantine !== undefined) return this.#quarantined(quarantine)
+    const hasBegun = (this.#relay?.events ?? 0) > 0
+    if (isConnectionLost && !hasBegun && ++this.#crashCount >= MAX_CRASHES_PER_REQUEST) return this.#interrupted(detail)
     if (!this.#isRetryable || !this.#tryTakeRetry()) return this.#interrupted(detail)
     if (this.#relay !== undefined && this.#relay.events > 0 && this.#inputs.length > 0) {
       const staged = await this.#recomputeInputs()
@@ -350,6 +304,13 @@
     return { kind: 'failed', failure: this.#guard.refuse(kind, detail, { retryAfter: this.#retryAfter() }), cause }
   }
 
+  /** No endpoint may get the request: it is refused, or its answer is aborted if an earlier call had begun it. */
+  #quarantined (quarantine: Quarantine): RunEnd {
+    const { detail } = logQuarantined(this.#context, this.#request, quarantine)
+    if (this.#relay?.isStarted === true) return this.#interrupted(detail)
+    return { kind: 'failed', failure: this.#guard.refuse('quarantined', detail), cause: 'quarantine' }
+  }
+
   #callerGone (): RunEnd {
     return this.#failed('caller-gone', 'the caller disconnected')
   }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -10,7 +10,9 @@
 import { ForwardRun } from './ForwardRun.js'
 import type { RunEnd } from './ForwardRun.js'
 import { logLimited } from './logLimited.js'
+import { logQuarantined } from './logQuarantined.js'
 import { pickService } from './pickService.js'
+import type { PromptCheck } from './PromptQuarantine.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { ServiceGate } from './ServiceGate.js'
 import type { CallerSink, ForwardRequest } from './types.js'
@@ -33,11 +35,15 @@
   readonly #context: ForwardContext
   readonly #observer: ForwardObserver
   readonly #gate = new ServiceGate()
+  readonly #runs = new Set<ForwardRun>()
   #running = 0
 
   constructor (context: ForwardContext, observer: ForwardObserver) {
     this.#context = context
     this.#observer = observer
+    context.quarantines.onQuarantine(() => {
+      for (const run of this.#runs) run.applyQuarantines()
+    })
   }
 
   /** Requests without a final answer. */
@@ -64,7 +70,8 @@
     const { random, clock, retries, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
-    const refused = this.#admit(request, service)
+    const check = this.#context.prompts.check(request.prompt)
+    const refused = this.#checkQuarantine(request, service, check) ?? this.#admit(request, service)
     if (refused !== undefined) return refused
     retries.countRequests(service)
     for (const stage of request.route.stages) retries.countRequests(stage.service, request.pieceCounts[stage.index])
@@ -73,12 +80,30 @@
     const slots = available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
     unsent.add(service, request)
     try {
-      return await this.#gate.run(service, slots, request.priority, () => new ForwardRun(this.#context, request, service, sink).run())
+      const run = (): Promise<RunEnd> => this.#run(new ForwardRun(this.#context, request, service, sink, check))
+      return await this.#gate.run(service, slots, request.priority, run)
     } finally {
       unsent.delete(service, request)
     }
   }
 
+  async #run (run: ForwardRun): Promise<RunEnd> {
+    this.#runs.add(run)
+    try {
+      return await run.run()
+    } finally {
+      this.#runs.delete(run)
+    }
+  }
+
+  /** The end of a request that no endpoint may get; undefined if one may. */
+  #checkQuarantine (request: ForwardRequest, service: ServiceId, check: PromptCheck): RunEnd | undefined {
+    const quarantine = check.quarantineOf(this.#context.directory.usable(service))
+    if (quarantine === undefined) return undefined
+    const { detail } = logQuarantined(this.#context, request, quarantine)
+    return { kind: 'failed', failure: refusal('quarantined', detail), cause: 'quarantine' }
+  }
+
   /** The end of a request that is not admitted; undefined if it is. */
   #admit (request: ForwardRequest, service: ServiceId): RunEnd | undefined {
     const { clock, log, directory, limits, unsent, firstEvents, stages } = this.#context
--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -70,7 +70,7 @@
   for (const gate of gates) gate.applyOrder({ service: SERVICE, to: 'v2', within: WITHIN }, SERVICE)
   /** Makes calls of one instance to the new version fail. */
   const fail = (instance: number, count: number): void => {
-    for (let call = 0; call < count; call++) gates[instance]!.recordCall(NEW, ROUTES[0]!).callEnded({ kind: 'lost', detail: 'reset' }, false)
+    for (let call = 0; call < count; call++) gates[instance]!.recordCall(NEW, ROUTES[0]!).callEnded({ kind: 'lost', detail: 'reset', isConnectionLost: false }, false)
   }
   const tickAll = async (ticking: readonly MoveGate[] = gates): Promise<void> => {
     for (const gate of ticking) gate.tick()
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -18,6 +18,8 @@
   readonly wire: CallWire
   readonly directory: NoticeContext['directory']
   readonly limits: Pick<RequestLimits, 'trySend'>
+  /** Whether the request may still be sent, asked once the connection is open. */
+  readonly isAllowed: () => boolean
   readonly call: OutboundCall
   /** Receives a streamed answer. */
   readonly relay: StreamRelay | undefined
@@ -51,8 +53,10 @@
   #silenceTimer: Timer | undefined
   #deadlineTimer: Timer | undefined
   #stopCause: string | undefined
-  /** Whether the request was not sent because the endpoint had become unavailable or its limit left no token. */
+  /** Whether the request was not sent because the endpoint or the request had become unusable, or a limit left no token. */
   #isWithheld = false
+  /** Whether this instance withdrew the request, which says nothing about the endpoint. */
+  #isWithdrawn = false
   #sentAt: Millis = millis(0)
   /** Monotonic time of the first byte of the body. */
   firstByteAt: Millis | undefined
@@ -79,6 +83,12 @@
     return end
   }
 
+  /** Stops the call on behalf of this instance. */
+  withdraw (cause: string): void {
+    this.#isWithdrawn = true
+    this.#stop(cause)
+  }
+
   onStart (answer: SocketAnswer): void {
     const { wire, call, relay } = this.#options
     const notices = wire.readAnswer(answer)
@@ -112,7 +122,7 @@
   mayStart (): boolean {
     const { call: { endpoint }, clock, limits } = this.#options
     this.#sentAt = clock.now()
-    this.#isWithheld = !endpoint.isAvailable(this.#sentAt) || !limits.trySend(endpoint)
+    this.#isWithheld = !endpoint.isAvailable(this.#sentAt) || !this.#options.isAllowed() || !limits.trySend(endpoint)
     return !this.#isWithheld
   }
 
@@ -145,26 +155,29 @@
   #endOf (result: Result<void, SocketFailure>): CallEnd {
     if (result.isErr) return this.#endOfFailure(result.error)
     const notices = this.#notices
-    if (notices === undefined || this.#stopCause !== undefined) return { kind: 'lost', detail: this.#stopCause ?? 'the answer did not start' }
+    if (this.#stopCause !== undefined) return lost(this.#stopCause)
+    if (notices === undefined) return lost('the answer did not start')
     if (notices.isOtherEndpoint) return { kind: 'not-run', detail: 'another endpoint answers at its address', isReceived: true }
     if (notices.isNotRun && this.#status === STATUS_CONFLICT) return { kind: 'inputs-gone', detail: 'its inputs are no longer available' }
     if (notices.isNotRun) return { kind: 'not-run', detail: `the endpoint answered ${this.#status}`, isReceived: true }
     if (this.#scanner !== undefined) {
-      return this.#scanner.hasPartialEvent ? { kind: 'lost', detail: 'the stream ended in the middle of an event' } : { kind: 'streamed' }
+      const isCut = this.#scanner.hasPartialEvent
+      return isCut ? { kind: 'lost', detail: 'the stream ended in the middle of an event', isConnectionLost: true } : { kind: 'streamed' }
     }
     return this.#completeAnswer(notices)
   }
 
   #completeAnswer (notices: AnswerNotices): CallEnd {
     const status = this.#status
-    if (!notices.isSigned) return { kind: 'lost', detail: `the answer ${status} has no signature` }
-    if (NOT_RUN_STATUSES.has(status)) return { kind: 'lost', detail: `the endpoint answered ${status} without a not-run notice` }
+    if (!notices.isSigned) return lost(`the answer ${status} has no signature`)
+    if (NOT_RUN_STATUSES.has(status)) return lost(`the endpoint answered ${status} without a not-run notice`)
     return { kind: 'answered', status, headers: notices.headers, body: Buffer.concat(this.#chunks) }
   }
 
   #endOfFailure (error: SocketFailure): CallEnd {
     const detail = this.#stopCause ?? error.detail
-    return error.isSent ? { kind: 'lost', detail } : { kind: 'not-run', detail, isReceived: false }
+    if (!error.isSent) return { kind: 'not-run', detail, isReceived: false, isRefused: error.isRefused }
+    return { kind: 'lost', detail, isConnectionLost: this.#stopCause === undefined }
   }
 
   #isConnectionReusable (end: CallEnd): boolean {
@@ -176,7 +189,7 @@
   #updateEndpointHealth (end: CallEnd): void {
     const { call, clock } = this.#options
     const { endpoint, request } = call
-    if (request.signal.aborted) return
+    if (request.signal.aborted || this.#isWithdrawn) return
     const now = clock.now()
     if (end.kind === 'not-run' && (this.#isWithheld || !endpoint.isAvailable(now))) return
     const isBroken = end.kind === 'lost' || (end.kind === 'not-run' && (!end.isReceived || this.#notices?.isOtherEndpoint === true))
@@ -186,6 +199,8 @@
   }
 }
 
+const lost = (detail: string): CallEnd => ({ kind: 'lost', detail, isConnectionLost: false })
+
 /** Whether an answer belongs to another request: it names another attempt, or is signed and names none. */
 const isOtherAttempt = ({ attempt, isSigned }: AnswerNotices, own: string): boolean =>
   attempt === undefined ? isSigned : attempt !== own
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -7,6 +7,7 @@
 import { PLACEMENT_RETRY_PERIOD } from './constants.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { logLimited } from './logLimited.js'
+import type { PromptCheck } from './PromptQuarantine.js'
 import type { ForwardRequest, PlacementCriteria } from './types.js'
 
 /** Placement constraints of one call of a request. */
@@ -31,12 +32,14 @@
   readonly #context: ForwardContext
   readonly #request: ForwardRequest
   readonly #service: ServiceId
+  readonly #check: PromptCheck
   #wasLimited = false
 
-  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId) {
+  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, check: PromptCheck) {
     this.#context = context
     this.#request = request
     this.#service = service
+    this.#check = check
   }
 
   /** Whether an endpoint could not be chosen because of its limit. */
@@ -64,6 +67,8 @@
     const now = clock.now()
     const endpoints = versions.selectCandidates(this.#service, route, this.#available(now))
     const criteria: PlacementCriteria = { endpoints, exclude, prompt, domain, inputBytes: bytesByDomain(directory, inputs), now }
+    const suspectEndpoint = this.#check.suspectEndpoint(endpoints.filter(({ id }) => !exclude.has(id)))
+    if (suspectEndpoint !== undefined) return suspectEndpoint
     const unconfirmed = endpoints.filter((endpoint) => limits.isUnconfirmed(endpoint))
     const first = this.#best({ ...criteria, endpoints: unconfirmed }) ?? this.#best(criteria)
     return first ?? (canReuseExcluded ? this.#best({ ...criteria, exclude: NO_EXCLUSIONS }) : undefined)
@@ -87,6 +92,7 @@
     const { directory, coldStarts } = this.#context
     return directory.healthy(this.#service)
       .filter((endpoint) => this.#request.isAllowedIn(endpoint.domain) && endpoint.canAccept(now) && coldStarts.canAccept(endpoint))
+      .filter((endpoint) => this.#check.quarantineAt(endpoint) === undefined)
   }
 
   /** Asks for a token of one of the limited endpoints; only one, since a token that is not used is lost. */
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -79,3 +79,9 @@
 export const MAX_WORKSPACE_LABELS = 100
 /** Parts of a prompt that one log line names. */
 export const MAX_LOGGED_PARTS = 16
+/** Calls of one endpoint whose connections are lost within this time are lost for one cause. */
+export const SAME_LOSS_SPAN = millis(50)
+/** Crashes of endpoints that one request may be part of before it is sent to no other. */
+export const MAX_CRASHES_PER_REQUEST = 2
+/** Time after which an endpoint that still accepted a connection is probed once more. */
+export const SECOND_PROBE_DELAY = millis(200)
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -10,6 +10,8 @@
 
 /** Prompt of a generation, as known before it runs. */
 export interface Prompt {
+  /** Model that runs it; empty if the request names none. */
+  readonly model: string
   readonly tokensIn: Tokens
   readonly maxTokensOut: Tokens
   readonly parts: readonly PromptPart[]
@@ -105,18 +107,18 @@
   readAnswer (answer: SocketAnswer): AnswerNotices
 }
 
-/** Why a request failed, where operators' tools tell it apart: a stage was late, or limits of endpoints left no token. */
-export type FailureCause = 'late-stage' | 'limit'
+/** Why a request failed, where operators' tools tell it apart: a stage was late, limits left no token, or a quarantine held it. */
+export type FailureCause = 'late-stage' | 'limit' | 'quarantine'
 
 /** How one call ended. */
 export type CallEnd =
   | { readonly kind: 'answered', readonly status: number, readonly headers: HeaderList, readonly body: Buffer }
   /** The stream was completed. */
   | { readonly kind: 'streamed' }
-  /** No byte was sent, or the endpoint states that it did not run the call. */
-  | { readonly kind: 'not-run', readonly detail: string, readonly isReceived: boolean }
-  /** The call may have run. */
-  | { readonly kind: 'lost', readonly detail: string }
+  /** No byte was sent, or the endpoint states that it did not run the call; `isRefused` if nothing listens at its address. */
+  | { readonly kind: 'not-run', readonly detail: string, readonly isReceived: boolean, readonly isRefused?: boolean }
+  /** The call may have run; `isConnectionLost` if its connection ended before the answer was complete. */
+  | { readonly kind: 'lost', readonly detail: string, readonly isConnectionLost: boolean }
   /** The endpoint did not run the call because its inputs are missing. */
   | { readonly kind: 'inputs-gone', readonly detail: string }
 
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -22,7 +22,8 @@
   version: 11,
   table: 12,
   endpoint: 13,
-  quota: 14
+  quota: 14,
+  quarantine: 15
 }
 const TOPICS: ReadonlyMap<unknown, Topic> = new Map(Object.entries(TOPIC_NUMBERS).map(([topic, number]) => [number, topic as Topic]))
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
--- /dev/null
+++ b/packages/quarantine/src/BegunParts.ts
@@ -0,0 +1,35 @@
+import { LRUCache } from 'lru-cache'
+import { MAX_BEGUN_PARTS } from './constants.js'
+import type { PartId, ScopeId } from './types.js'
+
+/**
+ * The parts on which answers have begun, in each scope. Bounded: the ones that no request has had for longest are forgotten
+ * first, which makes them suspects again in a crash and convicts them of nothing.
+ *
+ * @example
+ * begun.add(scope, part)
+ * begun.has(scope, part) // true
+ */
+export class BegunParts {
+  readonly #parts = new LRUCache<string, true>({ max: MAX_BEGUN_PARTS })
+  readonly #scopes = new LRUCache<ScopeId, true>({ max: MAX_BEGUN_PARTS })
+
+  /** Number of parts that are remembered. */
+  get size (): number {
+    return this.#parts.size
+  }
+
+  has (scope: ScopeId, part: PartId): boolean {
+    return this.#parts.has(`${scope} ${part}`)
+  }
+
+  /** Whether any answer has begun in the scope. */
+  hasAny (scope: ScopeId): boolean {
+    return this.#scopes.has(scope)
+  }
+
+  add (scope: ScopeId, part: PartId): void {
+    this.#parts.set(`${scope} ${part}`, true)
+    this.#scopes.set(scope, true)
+  }
+}
--- /dev/null
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -0,0 +1,321 @@
+import { epochMillis, firstByRendezvous, millis } from '@papayahill/common'
+import type { Clock, EventLog, InstanceId, Millis, Random } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { LRUCache } from 'lru-cache'
+import { BegunParts } from './BegunParts.js'
+import { FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_SCOPES, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE } from './constants.js'
+import { CrashDetector } from './CrashDetector.js'
+import type { LostCalls } from './CrashDetector.js'
+import { QUARANTINE_EVENTS } from './events.js'
+import type { Finding, PartHistory } from './judgeCrashes.js'
+import { QuarantineGossip } from './QuarantineGossip.js'
+import type { BegunNotice, QuarantineMessage } from './quarantineMessages.js'
+import { keyOf, QuarantineTable } from './QuarantineTable.js'
+import { RequestCheck } from './RequestCheck.js'
+import { ScopeEvidence } from './ScopeEvidence.js'
+import type { CrashReport, PartId, Quarantine, QuarantineOrder, RequestParts, ScopedIncarnation, ScopeId } from './types.js'
+
+/** Suspected parts and endpoints that one log line names. */
+const MAX_LOGGED = 8
+/** Endpoints that a quarantine names. */
+const MAX_NAMED_ENDPOINTS = 8
+
+export interface QuarantineManagerOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: EventLog
+  readonly peers: Pick<Peers, 'self' | 'publish' | 'onEntry'>
+  /** All instances that may make a trial, this one included. */
+  readonly instances: () => readonly InstanceId[]
+}
+
+/**
+ * Finds the parts of requests that crash endpoints, together with all other instances, and tells which requests must not be
+ * sent. Each instance judges by itself what all of them report, so that none depends on another.
+ *
+ * @example
+ * quarantines.noteLost(incarnation, parts)
+ * quarantines.confirmCrash(incarnation.incarnation)
+ * quarantines.check(parts).find(scope) // a quarantine, once the evidence suffices
+ */
+export class QuarantineManager {
+  readonly #options: QuarantineManagerOptions
+  readonly #begun = new BegunParts()
+  readonly #detector = new CrashDetector()
+  readonly #evidence = new LRUCache<ScopeId, ScopeEvidence>({ max: MAX_SCOPES })
+  readonly #table = new QuarantineTable()
+  readonly #gossip: QuarantineGossip
+  readonly #listeners: Array<() => void> = []
+  /** Parts whose innocence this instance is about to tell, by scope. */
+  readonly #replies = new Map<ScopeId, Set<PartId>>()
+  /** When operators last lifted each set of parts; later evidence counts again. */
+  readonly #lifted = new LRUCache<string, number>({ max: MAX_SCOPES })
+
+  constructor (options: QuarantineManagerOptions) {
+    this.#options = options
+    this.#gossip = new QuarantineGossip(options.peers, {
+      receive: (message, from) => this.#receive(message, from),
+      receiveMalformed: (from) => options.log.emit(QUARANTINE_EVENTS.quarantineMalformed, { from })
+    })
+  }
+
+  /** Number of quarantines. */
+  get size (): number {
+    return this.#table.size
+  }
+
+  /** Number of suspected parts. */
+  get suspectCount (): number {
+    return [...this.#evidence.values()].reduce((sum, { suspects }) => sum + suspects.size, 0)
+  }
+
+  /** All quarantines, for operators. */
+  list (): readonly Quarantine[] {
+    return this.#table.all()
+  }
+
+  /** Calls the listener when a quarantine has begun. */
+  onQuarantine (listener: () => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** The standing of a request with these parts. */
+  check (parts: RequestParts): RequestCheck {
+    return new RequestCheck({
+      find: (scope, of) => this.#table.find(scope, of), takeTrial: (quarantine) => this.#takeTrial(quarantine)
+    }, parts)
+  }
+
+  /** The part of the request that is suspected of most crashes; requests with the same one should share an endpoint. */
+  suspectIn (scope: ScopeId, parts: RequestParts): PartId | undefined {
+    const evidence = this.#evidence.get(scope)
+    if (evidence === undefined || evidence.suspects.size === 0) return undefined
+    let worst: PartId | undefined
+    const crashesOf = (part: PartId | undefined): number => part === undefined ? 0 : evidence.suspects.get(part) ?? 0
+    for (const part of parts) if (crashesOf(part) > crashesOf(worst)) worst = part
+    return worst
+  }
+
+  /** An answer has begun: none of its parts crashes what runs it. */
+  noteBegun (scope: ScopeId, parts: RequestParts): void {
+    const evidence = this.#evidence.get(scope)
+    const cleared = evidence === undefined ? [] : parts.filter((part) => this.#isBlamed(evidence, part))
+    for (const part of parts) this.#begun.add(scope, part)
+    if (evidence === undefined || cleared.length === 0) return
+    this.#clear(evidence, cleared, 'an answer at this instance')
+    this.#publishBegun({ scope, parts: cleared })
+  }
+
+  /** A call was lost with its connection before its answer began. */
+  noteLost (incarnation: ScopedIncarnation, parts: RequestParts): void {
+    if (parts.length === 0) return
+    const lost = this.#detector.noteLoss(incarnation, parts, this.#options.clock.now())
+    if (lost !== undefined) this.#report(lost)
+  }
+
+  /** The incarnation has ended: it refuses connections, or was replaced without a notice. */
+  confirmCrash (incarnation: string): void {
+    const lost = this.#detector.confirm(incarnation)
+    if (lost !== undefined) this.#report(lost)
+  }
+
+  /** The incarnation answered a call that was sent at this monotonic time: it did not crash with calls that were lost before. */
+  dismissCrash (incarnation: string, sentAt: Millis): void {
+    this.#detector.dismiss(incarnation, sentAt)
+  }
+
+  /** Applies an operator's order here and at all other instances. */
+  order (order: QuarantineOrder): void {
+    this.#applyOrder(order)
+    this.#gossip.publish(keyOf(order), { kind: 'order', order })
+  }
+
+  /** Instances whose reports are the evidence of a quarantine. */
+  reportersOf ({ scope, parts }: Pick<Quarantine, 'scope' | 'parts'>): readonly InstanceId[] {
+    return this.#evidence.get(scope)?.reportersOf(parts) ?? []
+  }
+
+  #isBlamed ({ scope, suspects }: ScopeEvidence, part: PartId): boolean {
+    return suspects.has(part) || this.#table.withPart(scope, part).length > 0
+  }
+
+  /** Crashes of a version on which no answer has begun yet are put down to the version, not to parts. */
+  #report ({ incarnation, requests }: LostCalls): void {
+    const { clock, peers } = this.#options
+    const { scope } = incarnation
+    if (!this.#begun.hasAny(scope)) return
+    const suspected = requests.map((parts) => parts.filter((part) => !this.#begun.has(scope, part)))
+    const report: CrashReport = { ...incarnation, at: clock.wall(), requests: suspected.filter((parts) => parts.length > 0) }
+    this.#gossip.publish(incarnation.incarnation, { kind: 'crash', report })
+    this.#record(report, peers.self)
+  }
+
+  #receive (message: QuarantineMessage, from: InstanceId): void {
+    switch (message.kind) {
+      case 'crash': return this.#receiveReport(message.report, from)
+      case 'begun': return this.#receiveBegun(message.notice, from)
+      case 'quarantine': return this.#receiveQuarantine(message.quarantine)
+      case 'order': return this.#applyOrder(message.order)
+    }
+  }
+
+  #receiveReport (report: CrashReport, from: InstanceId): void {
+    this.#record(report, from)
+    this.confirmCrash(report.incarnation)
+    const innocent = [...new Set(report.requests.flat())].filter((part) => this.#begun.has(report.scope, part))
+    if (innocent.length > 0) this.#replyLater(report.scope, innocent)
+  }
+
+  #record (report: CrashReport, reporter: InstanceId): void {
+    const evidence = this.#evidenceOf(report.scope)
+    if (!evidence.record({ report, reporter, learnedAt: this.#options.clock.now() })) return
+    this.#judge(evidence)
+    const { scope, endpoint, incarnation, requests } = report
+    const suspects = [...new Set(requests.flat())].filter((part) => evidence.suspects.has(part))
+    this.#options.log.emit(QUARANTINE_EVENTS.endpointCrashed, {
+      scope, endpoint, incarnation, reporter, requests: requests.length, suspects: suspects.slice(0, MAX_LOGGED).join(' ')
+    })
+  }
+
+  #judge (evidence: ScopeEvidence): void {
+    const { scope } = evidence
+    const history: PartHistory = {
+      hasBegun: (part) => this.#begun.has(scope, part),
+      isKnownElsewhere: (part) => this.#table.isKnownElsewhere(scope, part)
+    }
+    const findings = evidence.judge(history, this.#options.clock.now())
+    for (const finding of findings) this.#applyFinding(scope, finding)
+  }
+
+  #applyFinding (scope: ScopeId, { parts, crashes }: Finding): void {
+    const lastCrashAt = epochMillis(Math.max(...crashes.map(({ at }) => at)))
+    const known = this.#table.get({ scope, parts })
+    if (known?.source === 'operator' || lastCrashAt <= (this.#lifted.get(keyOf({ scope, parts })) ?? 0)) return
+    const isTrial = known !== undefined && lastCrashAt - known.lastCrashAt >= FIRST_LAPSE / 2
+    const failedTrials = (known?.failedTrials ?? 0) + (isTrial ? 1 : 0)
+    const endpoints = crashes.slice(-MAX_NAMED_ENDPOINTS).map(({ endpoint }) => endpoint)
+    const quarantine: Quarantine = {
+      scope, parts, crashes: Math.max(crashes.length, known?.crashes ?? 0), lastCrashAt, failedTrials, endpoints, source: 'own'
+    }
+    this.#table.put(quarantine)
+    if (known !== undefined && !isTrial) return
+    this.#logQuarantine(quarantine)
+    this.#publishOnce(quarantine)
+    if (known === undefined) this.#notify()
+  }
+
+  /** One instance publishes the quarantine for those that join later; another does if it has not been published soon. */
+  #publishOnce (quarantine: Quarantine): void {
+    const { clock, random, instances, peers } = this.#options
+    const key = keyOf(quarantine)
+    const publish = (): void => this.#gossip.publish(key, { kind: 'quarantine', quarantine })
+    if (firstByRendezvous(key, instances(), (id) => id) === peers.self) return publish()
+    clock.after(millis(PUBLISH_FALLBACK * (1 + random.next())), () => {
+      if (this.#table.get(quarantine)?.source === 'own') publish()
+    })
+  }
+
+  #receiveQuarantine (received: Quarantine): void {
+    const known = this.#table.get(received)
+    if (known?.source === 'operator' || received.lastCrashAt <= (this.#lifted.get(keyOf(received)) ?? 0)) return
+    const isNews = known === undefined || received.lastCrashAt > known.lastCrashAt
+    this.#table.put(isNews ? received : { ...known, source: 'peer' })
+    if (known !== undefined) return
+    this.#logQuarantine(received)
+    this.#notify()
+  }
+
+  #receiveBegun ({ scope, parts }: BegunNotice, from: InstanceId): void {
+    for (const part of parts) {
+      this.#begun.add(scope, part)
+      this.#replies.get(scope)?.delete(part)
+    }
+    this.#clear(this.#evidenceOf(scope), parts, from)
+  }
+
+  /** Ends the suspicion of parts, and their quarantines; where others were blamed with them, it is left for those. */
+  #clear (evidence: ScopeEvidence, parts: readonly PartId[], by: string): void {
+    const { scope, suspects } = evidence
+    const { log } = this.#options
+    for (const part of parts) {
+      if (suspects.has(part)) log.emit(QUARANTINE_EVENTS.partCleared, { scope, part, by })
+      evidence.clear(part)
+      for (const quarantine of this.#table.withPart(scope, part)) this.#narrow(quarantine, part, by)
+    }
+    this.#judge(evidence)
+  }
+
+  /** An answer has begun on a quarantined part. */
+  #narrow (quarantine: Quarantine, part: PartId, by: string): void {
+    const { scope, parts, source, lastCrashAt } = quarantine
+    if (source === 'operator') return
+    const left = parts.filter((other) => other !== part)
+    this.#table.delete(quarantine)
+    this.#lifted.set(keyOf(quarantine), lastCrashAt)
+    if (left.length > 0) this.#table.put({ ...quarantine, parts: left })
+    else this.#options.log.emit(QUARANTINE_EVENTS.quarantineLifted, { scope, parts: parts.join(' '), by })
+  }
+
+  #replyLater (scope: ScopeId, parts: readonly PartId[]): void {
+    const { clock, random, instances } = this.#options
+    const pending = this.#replies.get(scope) ?? new Set()
+    this.#replies.set(scope, pending)
+    for (const part of parts) pending.add(part)
+    const spread = Math.min(MAX_REPLY_SPREAD, instances().length * REPLY_SPREAD_PER_INSTANCE)
+    clock.after(millis(random.next() * spread), () => {
+      const untold = parts.filter((part) => pending.delete(part))
+      if (untold.length > 0) this.#publishBegun({ scope, parts: untold })
+    })
+  }
+
+  #publishBegun (notice: BegunNotice): void {
+    this.#gossip.publish(keyOf(notice), { kind: 'begun', notice })
+  }
+
+  #takeTrial (quarantine: Quarantine): boolean {
+    const { clock, peers, instances, log } = this.#options
+    if (!this.#table.tryTrial(quarantine, peers.self, instances(), clock.wall())) return false
+    const { scope, parts, failedTrials } = quarantine
+    log.emit(QUARANTINE_EVENTS.quarantineTried, { scope, parts: parts.join(' '), failedTrials })
+    return true
+  }
+
+  #applyOrder ({ action, scope, parts, by, at }: QuarantineOrder): void {
+    const { log } = this.#options
+    const known = this.#table.get({ scope, parts })
+    const fields = { scope, parts: parts.join(' '), by }
+    if (action === 'pin') {
+      const none = { crashes: 0, failedTrials: 0, endpoints: [] }
+      this.#table.put({ ...none, ...known, scope, parts, lastCrashAt: known?.lastCrashAt ?? at, source: 'operator' })
+      log.emit(QUARANTINE_EVENTS.quarantinePinned, fields)
+      return this.#notify()
+    }
+    this.#lifted.set(keyOf({ scope, parts }), Math.max(at, known?.lastCrashAt ?? 0))
+    for (const part of parts) this.#evidenceOf(scope).clear(part)
+    if (this.#table.delete({ scope, parts })) log.emit(QUARANTINE_EVENTS.quarantineLifted, fields)
+  }
+
+  #logQuarantine ({ scope, parts, crashes, failedTrials, endpoints, source }: Quarantine): void {
+    this.#options.log.emit(QUARANTINE_EVENTS.partsQuarantined, {
+      scope,
+      parts: parts.join(' '),
+      crashes,
+      failedTrials,
+      endpoints: endpoints.slice(0, MAX_LOGGED).join(' '),
+      reporters: this.reportersOf({ scope, parts }).slice(0, MAX_LOGGED).join(' '),
+      source
+    })
+  }
+
+  #notify (): void {
+    for (const listener of this.#listeners) listener()
+  }
+
+  #evidenceOf (scope: ScopeId): ScopeEvidence {
+    const known = this.#evidence.get(scope)
+    if (known !== undefined) return known
+    const evidence = new ScopeEvidence(scope)
+    this.#evidence.set(scope, evidence)
+    return evidence
+  }
+}
--- /dev/null
+++ b/packages/quarantine/src/ScopeEvidence.ts
@@ -0,0 +1,87 @@
+import { epochMillis } from '@papayahill/common'
+import type { EndpointId, EpochMillis, InstanceId, Millis } from '@papayahill/common'
+import { EVIDENCE_TTL, MAX_REMEMBERED_CRASHES } from './constants.js'
+import { judgeCrashes } from './judgeCrashes.js'
+import type { CrashEvidence, Finding, PartHistory } from './judgeCrashes.js'
+import type { PartId, ReceivedReport, RequestParts, ScopeId } from './types.js'
+
+interface RecordedCrash extends CrashEvidence {
+  readonly endpoint: EndpointId
+  at: EpochMillis
+  /** Requests as each instance reported them. */
+  readonly reports: Map<InstanceId, readonly RequestParts[]>
+}
+
+/**
+ * The crashes of one scope as all instances saw them, and what they say about parts.
+ *
+ * @example
+ * evidence.record({ report, reporter, learnedAt })
+ * evidence.judge(history, now) // findings
+ */
+export class ScopeEvidence {
+  readonly scope: ScopeId
+  readonly #crashes = new Map<string, RecordedCrash>()
+  #suspects: ReadonlyMap<PartId, number> = new Map()
+
+  constructor (scope: ScopeId) {
+    this.scope = scope
+  }
+
+  /** Crashes that each part may have caused, as of the last judgement. */
+  get suspects (): ReadonlyMap<PartId, number> {
+    return this.#suspects
+  }
+
+  /** Instances that reported a crash with these parts. */
+  reportersOf (parts: RequestParts): readonly InstanceId[] {
+    const hasParts = ([, requests]: readonly [InstanceId, readonly RequestParts[]]): boolean =>
+      requests.some((request) => parts.every((part) => request.includes(part)))
+    const reporters = [...this.#crashes.values()].flatMap(({ reports }) => [...reports].filter(hasParts).map(([reporter]) => reporter))
+    return [...new Set(reporters)]
+  }
+
+  /** Records a report; false if it tells nothing new. */
+  record ({ report, reporter, learnedAt }: ReceivedReport): boolean {
+    const known = this.#crashes.get(report.incarnation)
+    const before = known?.reports.get(reporter)
+    if (before !== undefined && before.length >= report.requests.length) return false
+    const crash = known ?? newCrash(report, learnedAt)
+    crash.reports.set(reporter, report.requests)
+    crash.at = epochMillis(Math.min(crash.at, report.at))
+    this.#crashes.set(report.incarnation, crash)
+    this.#forgetOldest()
+    return true
+  }
+
+  /** Whether a crash may have been caused by the part. */
+  has (part: PartId): boolean {
+    for (const { requests } of this.#crashes.values()) if (requests.some((parts) => parts.includes(part))) return true
+    return false
+  }
+
+  /** The part has caused none of the crashes so far. */
+  clear (part: PartId): void {
+    for (const { reports } of this.#crashes.values()) {
+      for (const [reporter, requests] of reports) reports.set(reporter, requests.map((parts) => parts.filter((other) => other !== part)))
+    }
+  }
+
+  /** Judges the crashes that are not too old. */
+  judge (history: PartHistory, now: Millis): readonly Finding[] {
+    for (const [key, { learnedAt }] of this.#crashes) if (now - learnedAt >= EVIDENCE_TTL) this.#crashes.delete(key)
+    const { findings, suspects } = judgeCrashes([...this.#crashes.values()], history)
+    this.#suspects = suspects
+    return findings
+  }
+
+  #forgetOldest (): void {
+    const [oldest] = this.#crashes.keys()
+    if (this.#crashes.size > MAX_REMEMBERED_CRASHES && oldest !== undefined) this.#crashes.delete(oldest)
+  }
+}
+
+const newCrash = ({ endpoint, at }: ReceivedReport['report'], learnedAt: Millis): RecordedCrash => {
+  const reports = new Map<InstanceId, readonly RequestParts[]>()
+  return { endpoint, at, learnedAt, reports, get requests () { return [...reports.values()].flat() } }
+}
--- /dev/null
+++ b/packages/quarantine/src/index.ts
@@ -0,0 +1,7 @@
+export { QUARANTINE_EVENTS } from './events.js'
+export { partIdOf } from './partIdOf.js'
+export { QuarantineManager } from './QuarantineManager.js'
+export type { QuarantineManagerOptions } from './QuarantineManager.js'
+export { RequestCheck } from './RequestCheck.js'
+export { scopeIdOf } from './scopeIdOf.js'
+export type * from './types.js'
