A refusal that an endpoint writes again is not taken for the answer to a later request

Cause: a refusal was believed if it named the own attempt or none. It names the own attempt if a request is retried on the connection on which it was refused, since the pool hands out the connection used last; and none where the endpoint leaves the id out.

Change: a request never uses a connection again that has carried it, and a refusal without an id counts on a connection that has carried nothing else.

--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -98,6 +98,7 @@
 export class EndpointSocket {
   readonly #client: Client
   readonly #state: SocketState = { isEnded: false, isBroken: false }
+  #isUsed = false
   #isLost = false
   #isClosed = false
   #onLost: () => void = () => {}
@@ -120,6 +121,11 @@
     return !this.#isLost && !this.#isClosed
   }
 
+  /** Whether it has carried a request: bytes that arrive may then belong to an earlier one. */
+  get isUsed (): boolean {
+    return this.#isUsed
+  }
+
   /** Sets a listener that is called once if the connection ends by any means other than {@link EndpointSocket.close}. */
   onLost (listener: () => void): void {
     this.#onLost = listener
@@ -132,6 +138,7 @@
 
   /** Sends one request; parts of the answer are passed to the listener as they arrive. */
   exchange (req: SocketRequest, listener: AnswerListener, stopper: Stopper): Promise<Result<void, SocketFailure>> {
+    this.#isUsed = true
     return new Promise((resolve) => {
       const handler = new ExchangeHandler(this.#state, listener, stopper, resolve)
       const { method, path, headers, body = null } = req
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -19,6 +19,8 @@
   open: number
 }
 
+const NO_SOCKETS: ReadonlySet<EndpointSocket> = new Set()
+
 const limitName = ({ id }: Endpoint): string => `${id} connections`
 
 const originOf = ({ address: { ip, port } }: Endpoint): string => `http://${isIPv6(ip) ? `[${ip}]` : ip}:${port}`
@@ -44,12 +46,14 @@
     return [...this.#connections.values()].reduce((sum, { open }) => sum + open, 0)
   }
 
-  /** An idle connection, or a new one that opens with its first exchange; undefined if this instance's share is used up. */
-  acquire (endpoint: Endpoint): EndpointSocket | undefined {
+  /**
+   * An idle connection, or a new one that opens with its first exchange; undefined if this instance's share is used up. None
+   * of `avoided`: a refusal that is written again there would name the attempt that was refused.
+   */
+  acquire (endpoint: Endpoint, avoided: ReadonlySet<EndpointSocket> = NO_SOCKETS): EndpointSocket | undefined {
     const connections = this.#connectionsOf(endpoint)
-    for (let socket = connections.idle.pop(); socket !== undefined; socket = connections.idle.pop()) {
-      if (socket.isUsable) return socket
-    }
+    const idle = this.#takeIdle(connections, avoided)
+    if (idle !== undefined) return idle
     if (connections.open >= this.#limitOf(endpoint)) return undefined
     connections.open++
     const socket = new EndpointSocket(originOf(endpoint))
@@ -57,6 +61,16 @@
     return socket
   }
 
+  #takeIdle ({ idle }: EndpointConnections, avoided: ReadonlySet<EndpointSocket>): EndpointSocket | undefined {
+    for (let at = idle.length - 1; at >= 0; at--) {
+      const socket = idle[at]!
+      if (socket.isUsable && avoided.has(socket)) continue
+      idle.splice(at, 1)
+      if (socket.isUsable) return socket
+    }
+    return undefined
+  }
+
   /** Whether something still listens at the endpoint's address. */
   async probe ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
     return await probeListener(ip, port)
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -46,6 +46,8 @@
   readonly #relay: StreamRelay | undefined
   readonly #exclude = new Set<EndpointId>()
   readonly #check: PromptCheck
+  /** Connections that have carried this request. */
+  readonly #usedSockets = new Set<EndpointSocket>()
   #guard = new RunGuard()
   #graph: StageGraphRun | undefined
   #inputs: readonly StageResult[] = []
@@ -173,7 +175,7 @@
       const cause = this.#placement.wasLimited ? 'limit' : undefined
       return this.#refused('no-endpoint', `no endpoint of ${this.#service} can accept the request`, cause)
     }
-    const socket = this.#context.connections.acquire(endpoint)
+    const socket = this.#context.connections.acquire(endpoint, this.#usedSockets)
     if (socket === undefined) {
       this.#exclude.add(endpoint.id)
       return this.#rejected('the endpoint has no free connection')
@@ -198,6 +200,7 @@
     context.unsent.delete(this.#service, request)
     this.#guard.dispatched()
     this.#call = call
+    this.#usedSockets.add(socket)
     const end = await call.run(socket)
     this.#call = undefined
     return await this.#handleEnd(endpoint, end)
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -55,6 +55,8 @@
   #stopCause: string | undefined
   /** Whether the request was not sent because the endpoint or the request had become unusable, or a limit left no token. */
   #isWithheld = false
+  /** Whether the connection carried an earlier request. */
+  #isConnectionUsed = false
   /** Whether this instance withdrew the request, which says nothing about the endpoint. */
   #isWithdrawn = false
   #sentAt: Millis = millis(0)
@@ -68,6 +70,7 @@
   async run (socket: EndpointSocket): Promise<CallEnd> {
     const { call, wire, firstByteTimeout } = this.#options
     const { method, path, body, signal } = call.request
+    this.#isConnectionUsed = socket.isUsed
     const onAbort = (): void => this.#stop('the request was cancelled')
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
@@ -94,7 +97,7 @@
     const notices = wire.readAnswer(answer)
     this.#status = answer.status
     this.#notices = notices
-    const isOther = isOtherAttempt(notices, call.request.attempt)
+    const isOther = isOtherAttempt(notices, call.request.attempt, this.#isConnectionUsed)
     const isAuthentic = !isOther && (notices.isSigned || notices.isNotRun)
     applyNotices(this.#options, call.endpoint, notices, { sentAt: this.#sentAt, isAuthentic })
     if (isOther) return this.#stop('the answer belongs to another request')
@@ -201,9 +204,12 @@
 
 const lost = (detail: string): CallEnd => ({ kind: 'lost', detail, isConnectionLost: false })
 
-/** Whether an answer belongs to another request: it names another attempt, or is signed and names none. */
-const isOtherAttempt = ({ attempt, isSigned }: AnswerNotices, own: string): boolean =>
-  attempt === undefined ? isSigned : attempt !== own
+/**
+ * Whether an answer belongs to another request: it names another attempt, or it names none and is signed or may be an
+ * earlier refusal that is written again.
+ */
+const isOtherAttempt = ({ attempt, isSigned, isNotRun }: AnswerNotices, own: string, isConnectionUsed: boolean): boolean =>
+  attempt === undefined ? isSigned || (isNotRun && isConnectionUsed) : attempt !== own
 
 /** Pause after which a resumable stream is resumed at another endpoint; far above the longest gap of its route. */
 const silenceTimeoutOf = ({ longestGap }: Pick<ServingRoute, 'longestGap'>): Millis =>
