A stream without framing that ends before its first event is broken off, not whole

The connection's end is the only sign of the end of such an answer, and a crash gives the same one. With framing an empty answer is still the endpoint's word: a resumed stream may have nothing left.

--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -3,6 +3,7 @@
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { IDLE_TIMEOUT, OPEN_TIMEOUT } from './constants.js'
+import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
 
 export interface SocketRequest {
@@ -193,7 +194,7 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
-    this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+    this.#endsWithConnection = !isFramed(headers)
     this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
   }
 
--- a/packages/connections/src/headers.ts
+++ b/packages/connections/src/headers.ts
@@ -14,3 +14,12 @@
   const value = headers[name]
   return Array.isArray(value) ? value[0] : value
 }
+
+/**
+ * Whether an answer states where it ends, by a length or in chunks; one without ends with its connection.
+ *
+ * @example
+ * isFramed({ 'content-length': '2' }) // true
+ */
+export const isFramed = (headers: AnswerHeaders): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,7 +1,7 @@
 export { OPEN_TIMEOUT } from './constants.js'
 export { EndpointSocket, newStopper, stopExchange } from './EndpointSocket.js'
 export type { AnswerListener, SocketAnswer, SocketFailure, SocketRequest, Stopper } from './EndpointSocket.js'
-export { headerOf } from './headers.js'
+export { headerOf, isFramed } from './headers.js'
 export type { AnswerHeaders, HeaderList } from './headers.js'
 export { probeListener } from './probeListener.js'
 export type { ListenerState } from './probeListener.js'
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
-import { newStopper, stopExchange } from '@papayahill/connections'
+import { isFramed, newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketFailure } from '@papayahill/connections'
 import type { ServingRoute } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
@@ -50,6 +50,8 @@
   #status = 0
   #notices: AnswerNotices | undefined
   #scanner: EventScanner | undefined
+  #isFramed = false
+  #hasEvents = false
   #silenceTimer: Timer | undefined
   #deadlineTimer: Timer | undefined
   #stopCause: string | undefined
@@ -103,6 +105,7 @@
     if (isOther) return this.#stop('the answer belongs to another request')
     const isStream = relay !== undefined && answer.status === 200 && notices.isEventStream && notices.isSigned
     if (isStream) this.#scanner = new EventScanner()
+    this.#isFramed = isFramed(answer.headers)
     if (isStream) relay.start(answer.status, notices.headers)
   }
 
@@ -138,6 +141,7 @@
   #relay (scanner: EventScanner, data: Buffer): void {
     const { canSwitchEndpoint, call, relay } = this.#options
     const events = scanner.feed(data)
+    this.#hasEvents ||= events.length > 0
     // Only complete events reset the silence timer: bytes of an incomplete one do not show that the stream goes on.
     if (events.length > 0 && canSwitchEndpoint) this.#setSilenceTimer(silenceTimeoutOf(call.request.route))
     if (!canSwitchEndpoint) this.#silenceTimer?.cancel()
@@ -163,11 +167,14 @@
     if (notices.isOtherEndpoint) return { kind: 'not-run', detail: 'another endpoint answers at its address', isReceived: true }
     if (notices.isNotRun && this.#status === STATUS_CONFLICT) return { kind: 'inputs-gone', detail: 'its inputs are no longer available' }
     if (notices.isNotRun) return { kind: 'not-run', detail: `the endpoint answered ${this.#status}`, isReceived: true }
-    if (this.#scanner !== undefined) {
-      const isCut = this.#scanner.hasPartialEvent
-      return isCut ? { kind: 'lost', detail: 'the stream ended in the middle of an event', isConnectionLost: true } : { kind: 'streamed' }
-    }
-    return this.#completeAnswer(notices)
+    return this.#scanner === undefined ? this.#completeAnswer(notices) : this.#endOfStream(this.#scanner)
+  }
+
+  /** A stream without framing ends with its connection, which is no sign that it is whole if no event came. */
+  #endOfStream ({ hasPartialEvent }: EventScanner): CallEnd {
+    if (hasPartialEvent) return { kind: 'lost', detail: 'the stream ended in the middle of an event', isConnectionLost: true }
+    if (!this.#isFramed && !this.#hasEvents) return { kind: 'lost', detail: 'the stream ended before its first event', isConnectionLost: true }
+    return { kind: 'streamed' }
   }
 
   #completeAnswer (notices: AnswerNotices): CallEnd {
