The product's own path: answers written again do not shift those of later calls, nor answer look-ups

A refusal or an answer that an endpoint wrote again was read for the next call on a kept connection, which was found crossed by its id; but the connection was kept, so that each later call got the answer of the one before, and 11 of 11 failed. A look-up of a key was answered with what an earlier look-up had asked: 'not-run' for a key that runs.

Change: the connection ends after an answer that is not the call's own and after a refusal, which has no id; look-ups use a connection each. Three tests failed before. Heads and bodies cut at every seventh byte, answers and streams without a length: tests, green before and after.

--- a/packages/backends/src/HttpConnection.ts
+++ b/packages/backends/src/HttpConnection.ts
@@ -1,3 +1,4 @@
+import { isSameCall } from '@papayahill/common'
 import type { EndpointIncarnation } from '@papayahill/common'
 import type {
   CallError, EndpointConnection, StageAnswer, StageCall, StageChunk
@@ -47,6 +48,7 @@
     const socket = this.#sockets.acquireIdle() ?? await this.#sockets.open()
     if (socket === undefined) return exchange.notSentError('no connection to the endpoint')
     const result = await exchange.run((req, listener, stopper) => socket.exchange(req, listener, stopper))
+    if (mayBeRepeated(result, call)) socket.close()
     this.#sockets.release(socket)
     this.#checkIncarnation(exchange.incarnation)
     return result
@@ -76,3 +78,10 @@
     this.close()
   }
 }
+
+/**
+ * Whether an answer may be an earlier one that was written again: the call's own would then be read for the next call on
+ * the connection. A refusal carries no id by which it could be told.
+ */
+const mayBeRepeated = (result: Result<StageAnswer, CallError>, call: StageCall): boolean =>
+  result.isOk ? !isSameCall(result.value.call, call.id) : result.error.outcome === 'refused'
--- /dev/null
+++ b/packages/backends/src/HttpEndpointAccess.test.ts
@@ -0,0 +1,162 @@
+import { brand, millis, seconds, SILENT_LOG, SystemClock } from '@papayahill/common'
+import type { CallOutcome, EndpointId, IdempotencyKey, InstanceId, RequestId, StageId } from '@papayahill/common'
+import type { CallError, EndpointConnection, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
+import type { ListedEndpoint } from '@papayahill/stores'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { Result } from 'true-myth'
+import { afterEach, describe, expect, it } from 'vitest'
+import { HttpEndpointAccess } from './HttpEndpointAccess.js'
+
+const CRLF = '\r\n'
+/** Time between a spoilt part of an answer and what follows. */
+const PAUSE = millis(30)
+
+const clock = new SystemClock()
+
+const answerOf = (status: string, body: string, more: readonly string[] = []): string =>
+  [`HTTP/1.1 ${status}`, 'Content-Type: application/json', `Content-Length: ${body.length}`, ...more, '', body].join(CRLF)
+
+const unframed = (body: string, contentType = 'application/json'): string =>
+  ['HTTP/1.1 200 OK', `Content-Type: ${contentType}`, 'Connection: close', '', body].join(CRLF)
+
+const outputOf = (call: string): string => JSON.stringify({ id: call, output: `output of ${call}` })
+
+/** Answers one request on a connection; `turn` counts the calls of the connection, from 1. */
+type RawBehaviour = (socket: Socket, call: string, turn: number) => void
+
+/** The id of a call, or the key of a look-up. */
+const idIn = (request: string): string => /x-call-id: (\S+)/i.exec(request)?.[1] ?? /\/v1\/keys\/(\S+)/.exec(request)?.[1] ?? ''
+
+/** An endpoint that writes raw bytes in answer to calls and look-ups, and confirms its incarnation as it should. */
+const serveRaw = async (behaviour: RawBehaviour): Promise<Server> => {
+  const server = createServer((socket) => {
+    let turn = 0
+    socket.on('error', () => {})
+    socket.on('data', (data) => {
+      const request = data.toString()
+      if (request.startsWith('GET /v1/identity')) socket.write(answerOf('200 OK', '{"incarnation":"i1"}'))
+      else if (request.startsWith('GET /v1/events')) socket.end(answerOf('404 Not Found', ''))
+      else behaviour(socket, idIn(request), ++turn)
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return server
+}
+
+const endpointAt = (server: Server): ListedEndpoint => ({
+  id: brand<EndpointId>('e1'), address: { ip: '127.0.0.1', port: (server.address() as AddressInfo).port }, version: 'v1'
+}) as unknown as ListedEndpoint
+
+const callOf = (attempt: number, more: Partial<StageCall> = {}): StageCall => ({
+  id: { request: brand<RequestId>('r'), stage: brand<StageId>('s'), attempt },
+  kind: 'plain',
+  body: 'input',
+  priority: 0,
+  timeout: seconds(2),
+  isStreamed: false,
+  ...more
+}) as StageCall
+
+describe('HttpEndpointAccess', () => {
+  const closing: Array<() => Promise<void> | void> = []
+
+  afterEach(async () => {
+    for (const close of closing.splice(0)) await close()
+  })
+
+  const accessTo = async (behaviour: RawBehaviour): Promise<{ readonly access: HttpEndpointAccess, readonly endpoint: ListedEndpoint }> => {
+    const server = await serveRaw(behaviour)
+    const access = new HttpEndpointAccess({ self: brand<InstanceId>('i1'), clock, log: SILENT_LOG })
+    closing.push(() => access.close(), () => { server.close() })
+    return { access, endpoint: endpointAt(server) }
+  }
+
+  const connect = async (behaviour: RawBehaviour): Promise<EndpointConnection> => {
+    const { access, endpoint } = await accessTo(behaviour)
+    const opened = await access.open(endpoint)
+    if (opened.isErr) throw new Error(opened.error.detail)
+    return opened.value
+  }
+
+  const send = async (
+    connection: EndpointConnection, call: StageCall, onChunk: (chunk: StageChunk) => void = () => {}
+  ): Promise<Result<StageAnswer, CallError>> => await connection.call(call, onChunk, new AbortController().signal)
+
+  const outcomeOf = (result: Result<StageAnswer, CallError>): CallOutcome => result.isOk ? 'done' : result.error.outcome
+
+  describe('a connection on which an earlier answer was written again', () => {
+    it.each([
+      ['a refusal', answerOf('503 Service Unavailable', '{}')],
+      ['a whole answer', answerOf('200 OK', outputOf('r/s/99'))]
+    ])('carries no further calls: %s', async (_what, repeated) => {
+      const owed = new WeakMap<Socket, string>()
+      const connection = await connect((socket, call, turn) => {
+        const own = answerOf('200 OK', outputOf(call))
+        const isShifted = owed.has(socket) || (call === 'r/s/2' && turn > 1)
+        socket.write(isShifted ? owed.get(socket) ?? repeated : own)
+        if (isShifted) owed.set(socket, own)
+      })
+      const answered: CallOutcome[] = []
+      for (let attempt = 1; attempt <= 12; attempt++) {
+        const result = await send(connection, callOf(attempt))
+        const isOwn = result.isOk && result.value.body === `output of r/s/${attempt}`
+        answered.push(result.isOk && !isOwn ? 'crossed' : outcomeOf(result))
+      }
+      expect(answered.filter((outcome) => outcome !== 'done').length).toBeLessThanOrEqual(1)
+    })
+  })
+
+  describe('an answer that is cut short', () => {
+    const whole = answerOf('200 OK', outputOf('r/s/1'))
+    const cuts = Array.from({ length: Math.floor(whole.length / 7) }, (_each, at) => at * 7 + 1)
+
+    it('is never whole, wherever it ends', async () => {
+      for (const cut of cuts) {
+        const connection = await connect((socket) => socket.end(whole.slice(0, cut)))
+        expect([cut, outcomeOf(await send(connection, callOf(1)))]).toEqual([cut, 'cut'])
+      }
+    })
+  })
+
+  describe('an answer with neither a length nor chunks', () => {
+    const event = (call: string, text: string, index: number): string =>
+      `id: ${index}\ndata: ${JSON.stringify({ id: call, choices: [{ text }] })}\n\n`
+    const endOf = (call: string): string => `data: ${JSON.stringify({ id: call, choices: [{ text: '' }] })}\n\ndata: [DONE]\n\n`
+
+    const streamed = async (bytes: string): Promise<readonly [CallOutcome, string]> => {
+      const connection = await connect((socket) => socket.end(bytes))
+      let text = ''
+      const result = await send(connection, callOf(1, { kind: 'engine', isStreamed: true }), (chunk) => { text += chunk.text })
+      return [outcomeOf(result), text]
+    }
+
+    it('is whole when its connection ends', async () => {
+      const connection = await connect((socket, call) => socket.end(unframed(outputOf(call))))
+      expect(outcomeOf(await send(connection, callOf(1)))).toBe('done')
+    })
+
+    it('is whole as a stream once its end marker has come', async () => {
+      expect(await streamed(unframed(event('r/s/1', 'a', 0) + endOf('r/s/1'), 'text/event-stream'))).toEqual(['done', 'a'])
+    })
+
+    it('is broken off as a stream if it ends inside an event or between two', async () => {
+      expect(await streamed(unframed(event('r/s/1', 'a', 0) + 'id: 1\nda', 'text/event-stream'))).toEqual(['cut', 'a'])
+      expect(await streamed(unframed(event('r/s/1', 'a', 0), 'text/event-stream'))).toEqual(['cut', 'a'])
+    })
+  })
+
+  describe('the look-up of a key', () => {
+    it('is not answered by what the endpoint writes again of an earlier one', async () => {
+      const { access, endpoint } = await accessTo((socket, key, turn) => {
+        const own = answerOf('200 OK', JSON.stringify({ kind: key === 'k1' ? 'not-run' : 'running' }))
+        socket.write(turn === 1 ? own : answerOf('200 OK', '{"kind":"not-run"}'))
+        if (turn > 1) setTimeout(() => { if (!socket.destroyed) socket.write(own) }, PAUSE)
+      })
+      for (let at = 0; at < 3; at++) await access.lookUp(endpoint, brand<IdempotencyKey>('k1'))
+      for (let at = 0; at < 3; at++) {
+        expect((await access.lookUp(endpoint, brand<IdempotencyKey>('k2'))).unwrapOr(undefined)).toEqual({ kind: 'running' })
+      }
+    })
+  })
+})
--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -70,7 +70,7 @@
 
   async lookUp (endpoint: ListedEndpoint, key: IdempotencyKey): Promise<Result<KeyStatus, CallError>> {
     const path = `/v1/keys/${encodeURIComponent(key)}`
-    return (await this.#query(endpoint, path)).andThen((body) => orMalformed(readKeyStatus(body)))
+    return (await this.#query(endpoint, path, true)).andThen((body) => orMalformed(readKeyStatus(body)))
   }
 
   /** Closes all connections and feeds. */
@@ -101,12 +101,13 @@
     if (this.#feeds.get(endpoint) === feed) this.#feeds.delete(endpoint)
   }
 
-  async #query (endpoint: ListedEndpoint, path: string): Promise<Result<Json, CallError>> {
+  /** An answer that names nothing it belongs to must not be read from a connection that is kept. */
+  async #query (endpoint: ListedEndpoint, path: string, closesConnection = false): Promise<Result<Json, CallError>> {
     const abort = new AbortController()
     const timer = this.#options.clock.after(QUERY_TIMEOUT, () => abort.abort())
     try {
       const { statusCode, body } = await this.#agent.request({
-        origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal
+        origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal, reset: closesConnection
       })
       const text = await body.text()
       return statusCode === 200 ? Result.ok(parseJson(text)) : Result.err(queryError(`the endpoint answered ${statusCode}`))
