--- a/apps/papayahilld/src/HttpOrderChannel.test.ts
+++ b/apps/papayahilld/src/HttpOrderChannel.test.ts
@@ -3,6 +3,8 @@
 import type { Order } from '@papayahill/orders'
 import { FakeEndpoint, serveEndpoint } from '@papayahill/standins'
 import type { EndpointServer } from '@papayahill/standins'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { HttpOrderChannel } from './HttpOrderChannel.js'
 
@@ -46,6 +48,26 @@
     expect((await channel.deliver(ignoring, order(3))).isOk).toBe(true)
   })
 
+  it('does not take an answer that the endpoint writes again for the answer to a later order', async () => {
+    const REJECTED = 'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'
+    const DONE = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    const listed = await start(true)
+    const repeating = createServer((socket) => {
+      let turn = 0
+      socket.on('error', () => {})
+      socket.on('data', (data) => {
+        const own = data.toString().includes('"fence":3') ? REJECTED : DONE
+        socket.write(++turn === 1 ? own : REJECTED)
+      })
+    })
+    await new Promise<void>((resolve) => repeating.listen(0, '127.0.0.1', resolve))
+    const { port } = repeating.address() as AddressInfo
+    const endpoint = { ...listed, address: { ip: '127.0.0.1', port } }
+    for (let at = 0; at < 3; at++) expect((await channel.deliver(endpoint, order(3))).isErr).toBe(true)
+    for (let at = 0; at < 3; at++) expect((await channel.deliver(endpoint, order(4))).isOk).toBe(true)
+    repeating.close()
+  })
+
   it('reports an endpoint that refuses the connection as unreachable', async () => {
     const listed = await start(true)
     await server.close()
--- a/apps/papayahilld/src/HttpOrderChannel.ts
+++ b/apps/papayahilld/src/HttpOrderChannel.ts
@@ -46,7 +46,9 @@
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ action: order.action, fence: order.fence }),
-        signal: abort.signal
+        signal: abort.signal,
+        // Answers name no order, so that one which is written again could be read for the next on a connection that is kept.
+        reset: true
       })
       await body.dump()
       return statusCode === 200 ? Result.ok(undefined) : Result.err(refusalFromStatus(statusCode))
