--- /dev/null
+++ b/packages/bench/src/benches/deadly-parts.ts
@@ -0,0 +1,29 @@
+import { measureQuarantine, measureQuarantineBaseline, measureQuarantineHeap, quarantineBounds } from '../quarantine/measureQuarantine.js'
+import type { QuarantineSize } from '../quarantine/measureQuarantine.js'
+import type { Bench } from '../types.js'
+
+const SMALL: QuarantineSize = { instances: 6, engines: 9, requestsPerSecond: 60, maxSeeds: Infinity }
+const SIZES: readonly QuarantineSize[] = [SMALL, { instances: 60, engines: 90, requestsPerSecond: 300, maxSeeds: 8 }]
+
+export const bench: Bench = {
+  name: 'deadly-parts',
+  about: 'Parts of prompts that crash engines, found and refused by 6 and 60 instances together through restarts, cuts, freezes and storms',
+  seeds: 40,
+  ciSeeds: 8,
+  bounds: { ...quarantineBounds(SIZES), heapBytes: { max: 33_554_432 } },
+  baselinesMustMiss: {
+    none: ['reachedAfterFifthAt6', 'soundBegunAt6'],
+    alone: ['reachedAfterFifthAt6'],
+    wholePrompt: ['reachedAfterFifthAt6'],
+    firstPart: ['falselyRefusedShareAt6', 'soundBegunAt6']
+  },
+  run: async (options) => ({
+    figures: { ...await measureQuarantine(SIZES, options), heapBytes: await measureQuarantineHeap() },
+    baselines: {
+      none: await measureQuarantineBaseline('none', SMALL),
+      alone: await measureQuarantineBaseline('alone', SMALL),
+      wholePrompt: await measureQuarantineBaseline('whole-prompt', SMALL),
+      firstPart: await measureQuarantineBaseline('first-part', SMALL)
+    }
+  })
+}
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -24,5 +24,7 @@
   capacity: () => import('./benches/capacity.js'),
   roster: () => import('./benches/roster.js'),
   'endpoint-limits': () => import('./benches/endpoint-limits.js'),
-  'endpoint-limits-large': () => import('./benches/endpoint-limits-large.js')
+  'endpoint-limits-large': () => import('./benches/endpoint-limits-large.js'),
+  'deadly-parts': () => import('./benches/deadly-parts.js'),
+  'deadly-parts-large': () => import('./benches/deadly-parts-large.js')
 }
--- a/packages/forwarding/src/PromptQuarantine.ts
+++ b/packages/forwarding/src/PromptQuarantine.ts
@@ -1,4 +1,4 @@
-import { firstByRendezvous, millis } from '@papayahill/common'
+import { firstByRendezvous, hash64, millis } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
 import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
@@ -15,8 +15,8 @@
   readonly probe: (endpoint: Endpoint) => Promise<ListenerState>
 }
 
-/** Its incarnation's name, as all instances know it. */
-const incarnationOf = ({ id, incarnation }: Endpoint): string => `${id} ${incarnation}`
+/** Its incarnation's short name, as all instances know it. */
+const incarnationOf = ({ id, incarnation }: Endpoint): string => hash64(`${id} ${incarnation}`)
 
 /**
  * Tells the quarantines which calls were lost with their endpoints and which answers began, by the parts of their prompts.
--- a/packages/quarantine/src/CrashDetector.ts
+++ b/packages/quarantine/src/CrashDetector.ts
@@ -45,6 +45,11 @@
     return pending
   }
 
+  /** The calls that were lost with an incarnation, as long as they are remembered. */
+  requestsOf (incarnation: string): readonly RequestParts[] | undefined {
+    return this.#pending.get(incarnation)?.requests
+  }
+
   /** The incarnation answered a call that was sent after others had been lost: only their connections were lost. */
   dismiss (incarnation: string, sentAt: Millis): void {
     const pending = this.#pending.get(incarnation)
--- a/packages/quarantine/src/QuarantineGossip.ts
+++ b/packages/quarantine/src/QuarantineGossip.ts
@@ -44,7 +44,7 @@
     const keys = this.#keys.get(kind) ?? new Map<string, string>()
     this.#keys.set(kind, keys)
     const [oldest] = keys.size < KEYS[kind] ? [] : keys
-    const key = keys.get(name) ?? oldest?.[1] ?? `${kind}/${keys.size}`
+    const key = keys.get(name) ?? oldest?.[1] ?? `${kind[0]}${keys.size}`
     if (!keys.has(name) && oldest !== undefined) keys.delete(oldest[0])
     keys.delete(name)
     keys.set(name, key)
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -3,7 +3,7 @@
 import type { Peers } from '@papayahill/peers'
 import { LRUCache } from 'lru-cache'
 import { BegunParts } from './BegunParts.js'
-import { FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_SCOPES, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE } from './constants.js'
+import { FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, MAX_SCOPES, MIN_CRASHES, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE } from './constants.js'
 import { CrashDetector } from './CrashDetector.js'
 import type { LostCalls } from './CrashDetector.js'
 import { QUARANTINE_EVENTS } from './events.js'
@@ -48,6 +48,8 @@
   readonly #listeners: Array<() => void> = []
   /** Parts whose innocence this instance is about to tell, by scope. */
   readonly #replies = new Map<ScopeId, Set<PartId>>()
+  /** Incarnations whose crash this instance is about to tell. */
+  readonly #reporting = new Set<string>()
   /** When operators last lifted each set of parts; later evidence counts again. */
   readonly #lifted = new LRUCache<string, number>({ max: MAX_SCOPES })
 
@@ -82,10 +84,20 @@
   /** The standing of a request with these parts. */
   check (parts: RequestParts): RequestCheck {
     return new RequestCheck({
-      find: (scope, of) => this.#table.find(scope, of), takeTrial: (quarantine) => this.#takeTrial(quarantine)
+      find: (scope, of) => this.#find(scope, of), takeTrial: (quarantine) => this.#takeTrial(quarantine)
     }, parts)
   }
 
+  #find (scope: ScopeId, parts: RequestParts): Quarantine | undefined {
+    const known = this.#table.find(scope, parts)
+    if (known !== undefined) return known
+    const elsewhere = this.#table.findElsewhere(scope, parts)
+    if (elsewhere === undefined || elsewhere.parts.some((part) => this.#begun.has(scope, part))) return undefined
+    const carriedOver: Quarantine = { ...elsewhere, scope, failedTrials: 0, source: elsewhere.source === 'operator' ? 'operator' : 'other-version' }
+    this.#table.put(carriedOver)
+    return carriedOver
+  }
+
   /** The part of the request that is suspected of most crashes; requests with the same one should share an endpoint. */
   suspectIn (scope: ScopeId, parts: RequestParts): PartId | undefined {
     const evidence = this.#evidence.get(scope)
@@ -98,12 +110,13 @@
 
   /** An answer has begun: none of its parts crashes what runs it. */
   noteBegun (scope: ScopeId, parts: RequestParts): void {
-    const evidence = this.#evidence.get(scope)
-    const cleared = evidence === undefined ? [] : parts.filter((part) => this.#isBlamed(evidence, part))
+    const cleared = parts.filter((part) => this.#isBlamed(scope, part))
     for (const part of parts) this.#begun.add(scope, part)
-    if (evidence === undefined || cleared.length === 0) return
+    if (cleared.length === 0) return
+    const evidence = this.#evidenceOf(scope)
+    const news = cleared.filter((part) => this.#isNearBlame(evidence, part))
     this.#clear(evidence, cleared, 'an answer at this instance')
-    this.#publishBegun({ scope, parts: cleared })
+    if (news.length > 0) this.#publishBegun({ scope, parts: news })
   }
 
   /** A call was lost with its connection before its answer began. */
@@ -135,8 +148,20 @@
     return this.#evidence.get(scope)?.reportersOf(parts) ?? []
   }
 
-  #isBlamed ({ scope, suspects }: ScopeEvidence, part: PartId): boolean {
-    return suspects.has(part) || this.#table.withPart(scope, part).length > 0
+  #isBlamed (scope: ScopeId, part: PartId): boolean {
+    return this.#evidence.get(scope)?.suspects.has(part) === true || this.#isQuarantined(scope, part)
+  }
+
+  /** Whether the part is under quarantine here, or in another version and not yet known to be sound here. */
+  #isQuarantined (scope: ScopeId, part: PartId): boolean {
+    if (this.#table.size === 0) return false
+    return this.#table.withPart(scope, part).length > 0 || (!this.#begun.has(scope, part) && this.#table.isKnownElsewhere(scope, part))
+  }
+
+  /** Whether one more crash may put the part under quarantine, or it is there: only then must others know better. */
+  #isNearBlame ({ scope, suspects }: ScopeEvidence, part: PartId): boolean {
+    return (suspects.get(part) ?? 0) >= MIN_CRASHES - 1 || this.#table.withPart(scope, part).length > 0 ||
+      this.#table.isKnownElsewhere(scope, part)
   }
 
   /** Crashes of a version on which no answer has begun yet are put down to the version, not to parts. */
@@ -146,8 +171,24 @@
     if (!this.#begun.hasAny(scope)) return
     const suspected = requests.map((parts) => parts.filter((part) => !this.#begun.has(scope, part)))
     const report: CrashReport = { ...incarnation, at: clock.wall(), requests: suspected.filter((parts) => parts.length > 0) }
-    this.#gossip.publish(incarnation.incarnation, { kind: 'crash', report })
     this.#record(report, peers.self)
+    this.#publishLater(report)
+  }
+
+  /** Tells the others what they have not told each other until then. */
+  #publishLater (report: CrashReport): void {
+    const { clock, random, instances, peers } = this.#options
+    const { scope, incarnation, requests } = report
+    if (this.#reporting.has(incarnation)) return
+    this.#reporting.add(incarnation)
+    const spread = Math.min(MAX_REPORT_SPREAD, instances().length * REPORT_SPREAD_PER_INSTANCE)
+    clock.after(millis(random.next() * spread), () => {
+      this.#reporting.delete(incarnation)
+      const own = this.#detector.requestsOf(incarnation) ?? requests
+      const blamed = own.map((parts) => parts.filter((part) => !this.#begun.has(scope, part))).filter((parts) => parts.length > 0)
+      const untold = this.#evidenceOf(scope).untold(incarnation, peers.self, blamed)
+      if (untold !== undefined) this.#gossip.publish(incarnation, { kind: 'crash', report: { ...report, requests: untold } })
+    })
   }
 
   #receive (message: QuarantineMessage, from: InstanceId): void {
@@ -162,8 +203,10 @@
   #receiveReport (report: CrashReport, from: InstanceId): void {
     this.#record(report, from)
     this.confirmCrash(report.incarnation)
+    const evidence = this.#evidenceOf(report.scope)
     const innocent = [...new Set(report.requests.flat())].filter((part) => this.#begun.has(report.scope, part))
-    if (innocent.length > 0) this.#replyLater(report.scope, innocent)
+    const endangered = innocent.filter((part) => evidence.crashesWith(part) >= MIN_CRASHES - 1)
+    if (endangered.length > 0) this.#replyLater(report.scope, endangered)
   }
 
   #record (report: CrashReport, reporter: InstanceId): void {
@@ -274,6 +317,8 @@
 
   #takeTrial (quarantine: Quarantine): boolean {
     const { clock, peers, instances, log } = this.#options
+    // A version on which no answer has begun would crash whatever the parts are.
+    if (!this.#begun.hasAny(quarantine.scope)) return false
     if (!this.#table.tryTrial(quarantine, peers.self, instances(), clock.wall())) return false
     const { scope, parts, failedTrials } = quarantine
     log.emit(QUARANTINE_EVENTS.quarantineTried, { scope, parts: parts.join(' '), failedTrials })
@@ -291,7 +336,8 @@
       return this.#notify()
     }
     this.#lifted.set(keyOf({ scope, parts }), Math.max(at, known?.lastCrashAt ?? 0))
-    for (const part of parts) this.#evidenceOf(scope).clear(part)
+    this.#evidenceOf(scope).forget(parts)
+    for (const carriedOver of this.#table.carriedOver(scope, parts)) this.#table.delete(carriedOver)
     if (this.#table.delete({ scope, parts })) log.emit(QUARANTINE_EVENTS.quarantineLifted, fields)
   }
 
--- a/packages/quarantine/src/QuarantineTable.ts
+++ b/packages/quarantine/src/QuarantineTable.ts
@@ -18,14 +18,20 @@
  */
 export const keyOf = ({ scope, parts }: Pick<Quarantine, 'scope' | 'parts'>): string => `${scope}: ${parts.join(' ')}`
 
-/** The number of the period between two trials, from 1; undefined before the first trial is due, or if there is none. */
+/**
+ * The number of the period between two trials, from 1; undefined before the first trial is due, or if there is none. A
+ * version to which a quarantine was carried over has one at once.
+ */
 const trialPeriodOf = ({ source, failedTrials, lastCrashAt }: Quarantine, now: EpochMillis): number | undefined => {
   if (source === 'operator') return undefined
+  if (source === 'other-version') return 1
   const lapse = Math.min(MAX_LAPSE, FIRST_LAPSE * 2 ** failedTrials)
   const period = Math.floor((now - lastCrashAt) / lapse)
   return period >= 1 ? period : undefined
 }
 
+const coversAll = (quarantine: Quarantine, parts: RequestParts): boolean => quarantine.parts.every((part) => parts.includes(part))
+
 /**
  * The quarantines that this instance knows.
  *
@@ -52,8 +58,15 @@
   /** The quarantine that a request with these parts falls under. */
   find (scope: ScopeId, parts: RequestParts): Quarantine | undefined {
     if (this.#size === 0) return undefined
-    for (const { quarantine } of this.#byScope.get(scope)?.values() ?? []) {
-      if (quarantine.parts.every((part) => parts.includes(part))) return quarantine
+    for (const { quarantine } of this.#byScope.get(scope)?.values() ?? []) if (coversAll(quarantine, parts)) return quarantine
+    return undefined
+  }
+
+  /** The same in another version of the scope's service. */
+  findElsewhere (scope: ScopeId, parts: RequestParts): Quarantine | undefined {
+    for (const [other, entries] of this.#byScope) {
+      if (other === scope || !isSameService(other, scope)) continue
+      for (const { quarantine } of entries.values()) if (coversAll(quarantine, parts)) return quarantine
     }
     return undefined
   }
@@ -63,6 +76,12 @@
     return this.all().some((other) => other.scope !== scope && isSameService(other.scope, scope) && other.parts.includes(part))
   }
 
+  /** Quarantines with these parts that were carried over to other versions of the scope's service. */
+  carriedOver (scope: ScopeId, parts: RequestParts): readonly Quarantine[] {
+    const isSame = (other: Quarantine): boolean => isSameService(other.scope, scope) && other.parts.join(' ') === parts.join(' ')
+    return this.all().filter((other) => other.scope !== scope && other.source === 'other-version' && isSame(other))
+  }
+
   /** Adds or replaces a quarantine; the one that was last confirmed is dropped if there are too many. */
   put (quarantine: Quarantine): void {
     const entries = this.#byScope.get(quarantine.scope) ?? new Map<string, TableEntry>()
--- a/packages/quarantine/src/ScopeEvidence.ts
+++ b/packages/quarantine/src/ScopeEvidence.ts
@@ -41,6 +41,14 @@
     return [...new Set(reporters)]
   }
 
+  /** The requests, of these, that no other instance has told of with the same parts; undefined if there is nothing to tell. */
+  untold (incarnation: string, self: InstanceId, requests: readonly RequestParts[]): readonly RequestParts[] | undefined {
+    const others = [...this.#crashes.get(incarnation)?.reports ?? []].filter(([reporter]) => reporter !== self)
+    const told = new Set(others.flatMap(([, reported]) => reported.map((parts) => parts.join(' '))))
+    const own = requests.filter((parts) => !told.has(parts.join(' ')))
+    return own.length === 0 && others.length > 0 ? undefined : own
+  }
+
   /** Records a report; false if it tells nothing new. */
   record ({ report, reporter, learnedAt }: ReceivedReport): boolean {
     const known = this.#crashes.get(report.incarnation)
@@ -54,10 +62,9 @@
     return true
   }
 
-  /** Whether a crash may have been caused by the part. */
-  has (part: PartId): boolean {
-    for (const { requests } of this.#crashes.values()) if (requests.some((parts) => parts.includes(part))) return true
-    return false
+  /** Number of crashes in which the part was lost, as far as it was reported. */
+  crashesWith (part: PartId): number {
+    return [...this.#crashes.values()].filter(({ requests }) => requests.some((parts) => parts.includes(part))).length
   }
 
   /** The part has caused none of the crashes so far. */
@@ -67,6 +74,13 @@
     }
   }
 
+  /** Drops the crashes that the parts explain, which an operator has judged otherwise. */
+  forget (parts: RequestParts): void {
+    for (const [key, { requests }] of this.#crashes) {
+      if (requests.some((request) => parts.every((part) => request.includes(part)))) this.#crashes.delete(key)
+    }
+  }
+
   /** Judges the crashes that are not too old. */
   judge (history: PartHistory, now: Millis): readonly Finding[] {
     for (const [key, { learnedAt }] of this.#crashes) if (now - learnedAt >= EVIDENCE_TTL) this.#crashes.delete(key)
--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -27,13 +27,15 @@
 /** Ids of parts that are longer than this are replaced by their hash. */
 export const MAX_PART_LENGTH = 40
 /** Keys under which an instance publishes its latest crash reports, cleared parts and quarantines. */
-export const CRASH_KEYS = 64
-export const BEGUN_KEYS = 16
+export const CRASH_KEYS = 8
+export const BEGUN_KEYS = 4
 export const QUARANTINE_KEYS = 32
 /**
- * Longest time until an instance tells others that answers have begun on a suspected part, for each instance of the fleet
- * and in all; the first one that does so spares the others.
+ * Longest times until an instance tells others of a crash, and that answers have begun on a suspected part, for each instance
+ * of the fleet and in all: the first one that does so spares the others.
  */
+export const REPORT_SPREAD_PER_INSTANCE = millis(0.5)
+export const MAX_REPORT_SPREAD = millis(40)
 export const REPLY_SPREAD_PER_INSTANCE = millis(1)
 export const MAX_REPLY_SPREAD = millis(150)
 /** Time until an instance publishes a quarantine that the one chosen to do so has not published. */
--- a/packages/quarantine/src/quarantineMessages.ts
+++ b/packages/quarantine/src/quarantineMessages.ts
@@ -1,4 +1,4 @@
-import { brand, epochMillis, isJsonObject } from '@papayahill/common'
+import { brand, epochMillis } from '@papayahill/common'
 import type { EndpointId, Json } from '@papayahill/common'
 import { MAX_PART_LENGTH, MAX_REPORTED_PARTS, MAX_REPORTED_REQUESTS } from './constants.js'
 import type { CrashReport, PartId, Quarantine, QuarantineOrder, RequestParts, ScopeId } from './types.js'
@@ -18,24 +18,27 @@
 
 type MessageOf<Kind extends QuarantineMessage['kind']> = Extract<QuarantineMessage, { kind: Kind }>
 
-const ENCODERS: { readonly [Kind in QuarantineMessage['kind']]: (message: MessageOf<Kind>) => Json } = {
+/** Kinds of messages; each is sent as its index here, followed by its fields in order. */
+const KINDS: ReadonlyArray<QuarantineMessage['kind']> = ['crash', 'begun', 'quarantine', 'order']
+
+const ENCODERS: { readonly [Kind in QuarantineMessage['kind']]: (message: MessageOf<Kind>) => readonly Json[] } = {
   crash: ({ report: { scope, endpoint, incarnation, at, requests } }) =>
-    ({ scope, endpoint, life: incarnation, at, requests: requests.map((parts) => [...parts]) }),
-  begun: ({ notice: { scope, parts } }) => ({ scope, parts: [...parts] }),
+    [scope, endpoint, incarnation, Math.round(at), requests.map((parts) => [...parts])],
+  begun: ({ notice: { scope, parts } }) => [scope, [...parts]],
   quarantine: ({ quarantine: { scope, parts, crashes, lastCrashAt, failedTrials, endpoints } }) =>
-    ({ scope, parts: [...parts], crashes, at: lastCrashAt, trials: failedTrials, endpoints: [...endpoints] }),
-  order: ({ order: { scope, parts, action, by, at } }) => ({ scope, parts: [...parts], action, by, at })
+    [scope, [...parts], crashes, Math.round(lastCrashAt), failedTrials, [...endpoints]],
+  order: ({ order: { scope, parts, action, by, at } }) => [scope, [...parts], action, by, Math.round(at)]
 }
 
 /**
  * Encodes a message between instances.
  *
  * @example
- * encodeMessage({ kind: 'begun', notice }) // { kind: 'begun', scope: 'pool v1', parts: ['a'] }
+ * encodeMessage({ kind: 'begun', notice }) // [1, 'pool v1 m', ['a']]
  */
 export const encodeMessage = <Kind extends QuarantineMessage['kind']>(message: MessageOf<Kind>): Json => {
-  const encode = ENCODERS[message.kind] as (message: QuarantineMessage) => Record<string, Json>
-  return { kind: message.kind, ...encode(message) }
+  const encode = ENCODERS[message.kind] as (message: QuarantineMessage) => readonly Json[]
+  return [KINDS.indexOf(message.kind), ...encode(message)]
 }
 
 const partsIn = (value: Json | undefined, most: number): readonly PartId[] | undefined => {
@@ -52,26 +55,26 @@
 
 const isCount = (value: Json | undefined): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 
-type Fields = Readonly<Record<string, Json | undefined>>
+type Fields = ReadonlyArray<Json | undefined>
 
 const DECODERS: Readonly<Record<QuarantineMessage['kind'], (fields: Fields, scope: ScopeId) => QuarantineMessage | undefined>> = {
-  crash: ({ endpoint, life, at, requests: encoded }, scope) => {
+  crash: ([endpoint, life, at, encoded], scope) => {
     const requests = requestsIn(encoded)
     if (typeof endpoint !== 'string' || typeof life !== 'string' || !isCount(at) || requests === undefined) return undefined
     return { kind: 'crash', report: { scope, endpoint: brand<EndpointId>(endpoint), incarnation: life, at: epochMillis(at), requests } }
   },
-  begun: ({ parts: encoded }, scope) => {
+  begun: ([encoded], scope) => {
     const parts = partsIn(encoded, MAX_REPORTED_REQUESTS * MAX_REPORTED_PARTS)
     return parts === undefined ? undefined : { kind: 'begun', notice: { scope, parts } }
   },
-  quarantine: ({ parts: encoded, crashes, at, trials, endpoints }, scope) => {
+  quarantine: ([encoded, crashes, at, trials, endpoints], scope) => {
     const parts = partsIn(encoded, MAX_REPORTED_PARTS)
     if (parts === undefined || parts.length === 0 || !isCount(crashes) || !isCount(at) || !isCount(trials)) return undefined
     const named = Array.isArray(endpoints) ? endpoints.filter((id) => typeof id === 'string').map((id) => brand<EndpointId>(id)) : []
     const quarantine: Quarantine = { scope, parts, crashes, lastCrashAt: epochMillis(at), failedTrials: trials, endpoints: named, source: 'peer' }
     return { kind: 'quarantine', quarantine }
   },
-  order: ({ parts: encoded, action, by, at }, scope) => {
+  order: ([encoded, action, by, at], scope) => {
     const parts = partsIn(encoded, MAX_REPORTED_PARTS)
     const isAction = action === 'lift' || action === 'pin'
     if (parts === undefined || parts.length === 0 || !isAction || typeof by !== 'string' || !isCount(at)) return undefined
@@ -79,12 +82,11 @@
   }
 }
 
-const isKind = (kind: Json | undefined): kind is QuarantineMessage['kind'] => typeof kind === 'string' && Object.hasOwn(DECODERS, kind)
-
 /** Decodes a message; undefined if it is malformed or of a kind that this version does not know. */
 export const decodeMessage = (value: Json): QuarantineMessage | undefined => {
-  if (!isJsonObject(value)) return undefined
-  const { kind, scope } = value
-  if (!isKind(kind) || typeof scope !== 'string') return undefined
-  return DECODERS[kind](value, brand<ScopeId>(scope))
+  if (!Array.isArray(value)) return undefined
+  const [index, scope, ...fields] = value as readonly Json[]
+  const kind = KINDS[Number(index)]
+  if (kind === undefined || typeof scope !== 'string') return undefined
+  return DECODERS[kind](fields, brand<ScopeId>(scope))
 }
--- a/packages/quarantine/src/types.ts
+++ b/packages/quarantine/src/types.ts
@@ -47,8 +47,11 @@
   readonly source: QuarantineSource
 }
 
-/** `own` and `peer`: by evidence, judged here or by another instance; `operator`: pinned, and never tried again. */
-export type QuarantineSource = 'own' | 'peer' | 'operator'
+/**
+ * `own` and `peer`: by evidence, judged here or by another instance; `other-version`: carried over from another version of the
+ * service, until one trial has shown whether it holds; `operator`: pinned, and never tried again.
+ */
+export type QuarantineSource = 'own' | 'peer' | 'other-version' | 'operator'
 
 /** What an operator orders about parts of a scope. */
 export interface QuarantineOrder {
