--- a/packages/explain/src/explainRequest.ts
+++ b/packages/explain/src/explainRequest.ts
@@ -13,7 +13,7 @@
 
 /** Events about the state of an endpoint or an instance. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
-  'endpointGone', 'endpointLeaving', 'endpointLimited', 'endpointSuspected', 'endpointCold', 'domainOut', 'gathererSuspected', 'processStarting',
+  'endpointGone', 'endpointLeaving', 'endpointLimited', 'endpointSuspected', 'endpointCold', 'endpointCrashed', 'partsQuarantined', 'quarantineLifted', 'domainOut', 'gathererSuspected', 'processStarting',
   'processStopping', 'processStopped', 'taskFailed', 'tableLost', 'tableRegained', 'configInForce', 'configMalformed'
 ])
 
@@ -48,6 +48,7 @@
 
 const refusalCause: DescribeCause = ({ own, all, end }) => {
   if (end.fields.cause === 'limit') return limitCause(own) ?? fieldText(end, 'detail')
+  if (end.fields.cause === 'quarantine') return quarantineCause(own) ?? fieldText(end, 'detail')
   const untimely = lastOf(own, 'requestUntimely')
   if (untimely !== undefined) {
     return `it arrived with ${fieldText(untimely, 'timeLeftMs')} ms left; the forecast was ${fieldText(untimely, 'stageMs')} ms for its stages ` +
@@ -70,6 +71,16 @@
     `${fieldText(limited, 'availableInMs')} ms away`
 }
 
+/** Describes the quarantine that held the request; undefined if there was none. */
+const quarantineCause = (own: readonly LogLine[]): string | undefined => {
+  const held = lastOf(own, 'requestQuarantined')
+  if (held === undefined) return undefined
+  const parts = fieldText(held, 'parts').split(' ').join(' and ')
+  if (fieldText(held, 'source') === 'operator') return `an operator put prompts with ${parts} under quarantine`
+  return `prompts with ${parts} had crashed ${fieldText(held, 'crashes')} endpoints of ${fieldText(held, 'scope')} (${fieldText(held, 'endpoints')}), ` +
+    `the last one ${fieldText(held, 'lastCrashAgeMs')} ms before, as ${fieldText(held, 'reporters') || 'another instance'} saw`
+}
+
 /** Describes the lost call or pieces; undefined if there were none. */
 const failureCause = ({ own, end }: CauseInput): string | undefined => {
   const rerun = lastOf(own, 'piecesAgain', 'stagesAgain')
@@ -96,7 +107,7 @@
   },
   refused: refusalCause,
   rejected: ({ end }) => `${fieldText(end, 'detail')}, by configuration ${fieldText(end, 'config')}`,
-  failed: (input) => failureCause(input) ?? fieldText(input.end, 'detail'),
+  failed: (input) => quarantineCause(input.own) ?? failureCause(input) ?? fieldText(input.end, 'detail'),
   cut: (input) => failureCause(input) ?? fieldText(input.end, 'detail'),
   'caller-gone': ({ own, end }) => `the caller disconnected after ${fieldText(end, 'tookMs')} ms, while ${describeProgress(own)}`,
   'instance-ended': ({ own, end }) => `${end.instance} ended while ${describeProgress(own)}`,
