The product's own path refuses prefixes that crash engines, by the same quarantines

Change: an instance has a QuarantineManager; StageRun tells it lost calls and answers that began, asks before each lease and sends to no third engine after two crashes; PipelineServer refuses at admission (422 quarantined, not-run). An incarnation has ended when nothing listens or another one does after its connection was lost. A sign of the end may come before the loss of the calls: the detector remembered the loss only, so that such crashes did not count; it takes either order now, on the users' platform as well. Stand-in endpoints can end on a prefix (fault deadlyPrefix).

--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -47,8 +47,9 @@
     const origin = originOf(endpoint.address)
     const opened = await openSocket(origin, clock)
     if (opened.isErr) {
-      log.emit(BACKENDS_EVENTS.openFailed, { endpoint: endpoint.id, detail: opened.error })
-      return Result.err({ outcome: 'not-sent', detail: opened.error })
+      const { detail, isRefused } = opened.error
+      log.emit(BACKENDS_EVENTS.openFailed, { endpoint: endpoint.id, detail })
+      return Result.err({ outcome: 'not-sent', detail, isRefused })
     }
     const connection = new HttpConnection({ ...this.#options, endpoint, origin, first: opened.value })
     log.emit(BACKENDS_EVENTS.connectionOpened, { endpoint: endpoint.id, incarnation: connection.incarnation })
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -4,6 +4,13 @@
 import { EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
 import { parseJson } from './parseJson.js'
 
+/** Why no connection was confirmed. */
+export interface OpenFailure {
+  readonly detail: string
+  /** Whether nothing listens at the address. */
+  readonly isRefused: boolean
+}
+
 /** A connection and the incarnation that the endpoint reported on it. */
 export interface OpenedSocket {
   readonly socket: EndpointSocket
@@ -16,7 +23,7 @@
 }
 
 /** Opens one connection and asks on it for the endpoint's incarnation. */
-export const openSocket = async (origin: string, clock: Clock): Promise<Result<OpenedSocket, string>> => {
+export const openSocket = async (origin: string, clock: Clock): Promise<Result<OpenedSocket, OpenFailure>> => {
   const socket = new EndpointSocket(origin)
   const stopper = newStopper()
   const timer = clock.after(OPEN_TIMEOUT, () => stopExchange(stopper))
@@ -27,5 +34,6 @@
   const incarnation = parseIncarnation(text)
   if (result.isOk && incarnation !== undefined) return Result.ok({ socket, incarnation })
   socket.close()
-  return Result.err(result.isErr ? result.error.detail : 'the endpoint did not report its incarnation')
+  if (result.isErr) return Result.err({ detail: result.error.detail, isRefused: result.error.isRefused })
+  return Result.err({ detail: 'the endpoint did not report its incarnation', isRefused: false })
 }
--- a/packages/bench/src/rig/DeploymentHarness.ts
+++ b/packages/bench/src/rig/DeploymentHarness.ts
@@ -8,6 +8,7 @@
 import type { Answer, AnswerSink, CallerRequest } from '@papayahill/pipeline'
 import type { ListedEndpoint } from '@papayahill/stores'
 import { ServiceScheduler } from '@papayahill/scheduling'
+import { isolatedQuarantines } from '@papayahill/quarantine'
 import type { OperatorConfig } from '@papayahill/settings'
 import { FakeEndpoint, FakeEndpointAccess, FakeFleet, FakeInstanceList } from '@papayahill/standins'
 import { Result } from 'true-myth'
@@ -245,6 +246,7 @@
     versionsFor: (service) => [config().services.get(service)!.version],
     checkBudget: () => Result.ok(undefined),
     observers: [],
+    quarantines: isolatedQuarantines(clock),
     log: SILENT_LOG
   })
 }
--- a/packages/endpoints/src/EndpointTable.ts
+++ b/packages/endpoints/src/EndpointTable.ts
@@ -65,7 +65,8 @@
       serviceKind: options.serviceKind,
       nearness: (domain) => this.#pools.nearness(domain),
       onChange: (entry, effect) => this.#handleWatchEffect(entry, effect),
-      onEnd: (entry) => this.#endWatch(entry)
+      onEnd: (entry) => this.#endWatch(entry),
+      onIncarnationEnded: (incarnation) => options.onIncarnationEnded?.(incarnation)
     })
     this.#prefixes = new PrefixIndex()
     this.#pauses = new PauseGuard({ clock, refresh: () => this.#reader.readNow() })
--- a/packages/endpoints/src/EndpointTableOptions.ts
+++ b/packages/endpoints/src/EndpointTableOptions.ts
@@ -1,4 +1,4 @@
-import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Millis, Random, RegionId, ServiceId } from '@papayahill/common'
+import type { Clock, DomainId, EndpointIncarnation, EventLog, Incarnation, InstanceId, Millis, Random, RegionId, ServiceId } from '@papayahill/common'
 import type { InstanceList } from '@papayahill/stores'
 import type { ServiceKind } from '@papayahill/settings'
 import type { EndpointAccess, PeerChannel, RosterCopy } from './types.js'
@@ -26,6 +26,8 @@
   /** Kind of a service; undefined where the configuration does not name it. */
   readonly serviceKind: (service: ServiceId) => ServiceKind | undefined
   readonly log: EventLog
+  /** Called when an incarnation that carried calls has ended without leaving first. */
+  readonly onIncarnationEnded?: (incarnation: EndpointIncarnation) => void
   /** Maximum age of the roster copy for use of a slot of a cold endpoint; changed only by benchmarks. */
   readonly rosterMaxAge?: Millis
   /** Whether prefixes are routed to endpoints that cache them; turned off only by benchmarks. */
--- a/packages/endpoints/src/EndpointWatch.ts
+++ b/packages/endpoints/src/EndpointWatch.ts
@@ -1,5 +1,5 @@
 import { millis } from '@papayahill/common'
-import type { Clock, Millis, Random, Timer } from '@papayahill/common'
+import type { Clock, EndpointIncarnation, Millis, Random, Timer } from '@papayahill/common'
 import type { ServiceKind } from '@papayahill/settings'
 import { COLD_REPORT_PERIOD, PERIOD_JITTER, RECONNECT_DELAY } from './constants.js'
 import type { EndpointEntry, ReportEffect } from './EndpointEntry.js'
@@ -22,6 +22,8 @@
   readonly warmPeriod: () => Millis
   /** Called after every event that may have changed the entry. */
   readonly onChange: (effect: WatchEffect) => void
+  /** Called when an incarnation whose connection was lost is known to have ended: nothing listens, or another one does. */
+  readonly onEnded: (incarnation: EndpointIncarnation) => void
 }
 
 /**
@@ -37,6 +39,8 @@
   #polls = 0
   #isOpening = false
   #isStopped = true
+  /** Incarnation of the connection that was lost last. */
+  #lost: EndpointIncarnation | undefined
 
   constructor (options: EndpointWatchOptions) {
     this.#options = options
@@ -82,8 +86,12 @@
     this.#isOpening = true
     const opened = await access.open(entry.listed, service)
     this.#isOpening = false
-    if (opened.isErr) return
+    if (opened.isErr) {
+      if (opened.error.isRefused === true) this.#noteEnd(undefined)
+      return
+    }
     const connection = opened.value
+    this.#noteEnd(connection.incarnation)
     if (this.#isStopped || !connection.isOpen) return connection.close()
     connection.onClose(() => this.#closed(connection))
     entry.connected(connection, clock.now())
@@ -91,10 +99,18 @@
     this.pollNow()
   }
 
+  /** Another incarnation than the lost one is there now, or none. */
+  #noteEnd (now: EndpointIncarnation | undefined): void {
+    const lost = this.#lost
+    this.#lost = undefined
+    if (lost !== undefined && lost !== now) this.#options.onEnded(lost)
+  }
+
   #closed (connection: EndpointConnection): void {
     const { entry, onChange } = this.#options
     const isCurrent = entry.connection === undefined || entry.connection === connection
     if (!isCurrent) return
+    if (!this.#isStopped && !entry.isLeaving) this.#lost = connection.incarnation
     entry.disconnected()
     onChange('disconnected')
     this.#timer?.cancel()
--- a/packages/endpoints/src/WatchManager.ts
+++ b/packages/endpoints/src/WatchManager.ts
@@ -1,5 +1,5 @@
 import { millis, MILLIS_PER_SECOND } from '@papayahill/common'
-import type { Clock, DomainId, EndpointId, Incarnation, Millis, Random, ServiceId } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, EndpointIncarnation, Incarnation, Millis, Random, ServiceId } from '@papayahill/common'
 import type { ServiceKind } from '@papayahill/settings'
 import { chooseWatched, sharersOf } from './chooseWatched.js'
 import { SLOT_OWNERS, WARM_POLLS_PER_SECOND, WARM_POLLS_PER_SECOND_MANY, WARM_REPORT_PERIOD } from './constants.js'
@@ -21,6 +21,7 @@
   readonly nearness: (domain: DomainId) => Nearness
   readonly onChange: (entry: EndpointEntry, effect: WatchEffect) => void
   readonly onEnd: (entry: EndpointEntry) => void
+  readonly onIncarnationEnded: (incarnation: EndpointIncarnation) => void
 }
 
 const groupByVersion = (entries: readonly EndpointEntry[]): Iterable<readonly EndpointEntry[]> => {
@@ -118,7 +119,7 @@
   }
 
   #watch (entry: EndpointEntry): void {
-    const { clock, random, access, serviceKind, onChange } = this.#options
+    const { clock, random, access, serviceKind, onChange, onIncarnationEnded } = this.#options
     const watch = new EndpointWatch({
       entry,
       clock,
@@ -127,7 +128,8 @@
       kind: () => serviceKind(entry.listed.service),
       instances: () => this.instances(),
       warmPeriod: () => this.warmPeriod(),
-      onChange: (effect) => onChange(entry, effect)
+      onChange: (effect) => onChange(entry, effect),
+      onEnded: onIncarnationEnded
     })
     this.#watches.set(entry, watch)
     watch.start()
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -89,6 +89,8 @@
   readonly usage?: StageUsage
   /** Time after which the endpoint asked to be tried again. */
   readonly retryAfter?: Millis
+  /** Whether nothing listens at the endpoint's address. */
+  readonly isRefused?: boolean
   /** Name under which the engine exported its KV cache before it abandoned the call, if it did. */
   readonly cacheExport?: string
 }
--- a/packages/instance/src/Instance.ts
+++ b/packages/instance/src/Instance.ts
@@ -6,10 +6,11 @@
 import { OrderManager } from '@papayahill/orders'
 import type { Peers } from '@papayahill/peers'
 import { PipelineServer } from '@papayahill/pipeline'
+import { QuarantineManager } from '@papayahill/quarantine'
 import { MoveManager } from '@papayahill/rollout'
 import { ServiceScheduler } from '@papayahill/scheduling'
 import { refusal } from '@papayahill/common'
-import type { ClassId, DomainId, Failure, InstanceId } from '@papayahill/common'
+import type { ClassId, DomainId, Failure, InstanceId, Random } from '@papayahill/common'
 import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 import { DEREGISTRATION_DELAY, DRAIN_POLL_PERIOD, START_TIMEOUT, START_POLL_PERIOD } from './constants.js'
@@ -35,6 +36,7 @@
   readonly table: MeteredTable
   readonly roster: RosterManager
   readonly config: ConfigManager
+  readonly quarantines: QuarantineManager
   readonly pool: EndpointTable
   readonly claims: ClaimManager
   readonly moves: MoveManager
@@ -69,7 +71,11 @@
     this.metrics = new ServingMetrics({ clock, watch: { log, attainmentOf } })
     this.orders = this.#createOrders()
     this.scheduler = new ServiceScheduler({ clock, random: random.fork(), pool: this.pool, config, log })
-    this.runner = this.#createRunner()
+    const runnerRandom = random.fork()
+    this.quarantines = new QuarantineManager({
+      clock, random: random.fork(), log, peers, instances: () => this.roster.view().members.map(({ id }) => id)
+    })
+    this.runner = this.#createRunner(runnerRandom)
   }
 
   get isReady (): boolean {
@@ -161,17 +167,18 @@
     })
   }
 
-  #createRunner (): PipelineServer {
-    const { clock, random, log } = this.#options
+  #createRunner (random: Random): PipelineServer {
+    const { clock, log } = this.#options
     return new PipelineServer({
       clock,
-      random: random.fork(),
+      random,
       scheduler: this.scheduler,
       claims: this.claims,
       config: () => this.config.view().config,
       versionsFor: (service, route) => this.moves.versionsFor(service, route),
       checkBudget: (workspace, classId) => this.cost.check(workspace, classId),
       observers: [this.moves, this.cost, this.metrics],
+      quarantines: this.quarantines,
       log
     })
   }
@@ -190,6 +197,7 @@
       channel: createPeerChannel(peers),
       domainsOut: () => this.#domainsOut(),
       serviceKind: (service) => this.config.view().config.services.get(service)?.kind,
+      onIncarnationEnded: (incarnation) => this.quarantines.confirmCrash(incarnation),
       log
     })
   }
--- a/packages/pipeline/src/PipelineServer.test.ts
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -6,6 +6,7 @@
 import type { ClaimAttempt, ClaimDecision, Claims } from '@papayahill/claims'
 import type { CallError, EndpointConnection, EndpointLease, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { Scheduler, StageLeaseRequest } from '@papayahill/scheduling'
+import { isolatedQuarantines } from '@papayahill/quarantine'
 import { EMPTY_CONFIG } from '@papayahill/settings'
 import type { ClassSettings, OperatorConfig, ServiceSettings } from '@papayahill/settings'
 import fc from 'fast-check'
@@ -261,6 +262,7 @@
         stageEnded: (record) => records.push(record),
         requestEnded: (record, stages) => ends.push({ record, stages })
       }],
+      quarantines: isolatedQuarantines(clock),
       log: events
     })
   })
--- a/packages/pipeline/src/PipelineServer.ts
+++ b/packages/pipeline/src/PipelineServer.ts
@@ -3,10 +3,14 @@
   ClassId, Clock, EventLog, Failure, Millis, Random, RequestRecord, ServiceId, ServingObserver, StageRecord, VersionId, WorkspaceId
 } from '@papayahill/common'
 import type { Claims } from '@papayahill/claims'
+import type { QuarantineManager } from '@papayahill/quarantine'
 import type { Scheduler } from '@papayahill/scheduling'
 import type { ClassSettings, OperatorConfig, PipelineSettings } from '@papayahill/settings'
 import { Result } from 'true-myth'
+import { PIPELINE_EVENTS } from './events.js'
 import { FirstChunkTimes } from './FirstChunkTimes.js'
+import { PrefixQuarantine, quarantineDetail } from './PrefixQuarantine.js'
+import { prefixOf } from './prefixOf.js'
 import { RequestRun } from './RequestRun.js'
 import type { RunContext } from './RunContext.js'
 import { StageCaller } from './StageCaller.js'
@@ -26,6 +30,7 @@
   /** Fails if a budget is used up. */
   readonly checkBudget: (workspace: WorkspaceId, classId: ClassId) => Result<void, Failure>
   readonly observers: readonly ServingObserver[]
+  readonly quarantines: QuarantineManager
   readonly log: EventLog
 }
 
@@ -49,12 +54,21 @@
 
   constructor (options: PipelineServerOptions) {
     this.#options = options
-    const { clock, random, scheduler, claims, versionsFor, log } = options
+    const { clock, random, scheduler, claims, versionsFor, quarantines, log } = options
     const caller = new StageCaller(clock, log)
     this.#observers = new DeferredObservers(clock, options.observers)
     const stageEnded = (record: StageRecord): void => this.#observers.stageEnded(record)
     this.#context = {
-      clock, random, scheduler, claims, versionsFor, log, caller, stageEnded, firstChunks: new FirstChunkTimes()
+      clock,
+      random,
+      scheduler,
+      claims,
+      versionsFor,
+      log,
+      caller,
+      stageEnded,
+      firstChunks: new FirstChunkTimes(),
+      prefixes: new PrefixQuarantine(quarantines)
     }
   }
 
@@ -88,6 +102,8 @@
 
   #checkAdmission (request: CallerRequest, route: ClassRoute): Result<void, Failure> {
     const { scheduler, checkBudget } = this.#options
+    const notQuarantined = this.#checkQuarantine(request, route)
+    if (notQuarantined.isErr) return notQuarantined
     const withinBudget = checkBudget(request.workspace, request.class)
     if (withinBudget.isErr) return withinBudget
     return scheduler.admit({
@@ -99,6 +115,22 @@
     })
   }
 
+  /** Fails if the request's prefix is under quarantine in all versions of one of its engines. */
+  #checkQuarantine ({ body }: CallerRequest, { settings, pipeline }: ClassRoute): Result<void, Failure> {
+    const { prefixes, versionsFor, log } = this.#context
+    const { services } = this.#options.config()
+    for (const stage of pipeline.stages) {
+      const service = services.get(stage.service)
+      const prefix = service === undefined ? undefined : prefixOf(service.kind, body)
+      if (service === undefined || prefix === undefined) continue
+      const { quarantine } = prefixes.check(prefix).allowed(service.id, versionsFor(service.id, { class: settings.id, stage: stage.id }))
+      if (quarantine === undefined) continue
+      log.emit(PIPELINE_EVENTS.quarantined, { class: settings.id, stage: stage.id, prefix, crashes: quarantine.crashes })
+      return Result.err(refusal('quarantined', quarantineDetail(quarantine)))
+    }
+    return Result.ok(undefined)
+  }
+
   async #serve (request: CallerRequest, route: ClassRoute, run: RequestRun): Promise<Result<Answer, Failure>> {
     const work = run.run().catch(internalFailure)
     const answer = await Promise.race([work, run.abandoned])
--- a/packages/pipeline/src/RunContext.ts
+++ b/packages/pipeline/src/RunContext.ts
@@ -2,6 +2,7 @@
 import type { Claims } from '@papayahill/claims'
 import type { Scheduler } from '@papayahill/scheduling'
 import type { FirstChunkTimes } from './FirstChunkTimes.js'
+import type { PrefixQuarantine } from './PrefixQuarantine.js'
 import type { StageCaller } from './StageCaller.js'
 import type { Route } from './StagePlan.js'
 
@@ -15,6 +16,7 @@
   readonly log: EventLog
   readonly caller: StageCaller
   readonly firstChunks: FirstChunkTimes
+  readonly prefixes: PrefixQuarantine
   /** Called when a stage call has ended. */
   readonly stageEnded: (record: StageRecord) => void
 }
--- a/packages/pipeline/src/StageCaller.ts
+++ b/packages/pipeline/src/StageCaller.ts
@@ -14,6 +14,8 @@
   readonly relay?: ChunkRelay
   /** Aborted when the answer is no longer needed. */
   readonly signal: AbortSignal
+  /** Called once the answer has begun. */
+  readonly onBegun?: () => void
   /** Called after each period without progress; true abandons the call so that it can be retried at another endpoint. */
   readonly slow?: { readonly after: Millis, readonly shouldAbandon: () => boolean }
 }
@@ -25,6 +27,8 @@
   readonly isRetryTaken: boolean
   /** The caller reads too slowly. */
   readonly isOverflow: boolean
+  /** Whether any part of the answer came. */
+  readonly hasBegun: boolean
 }
 
 type StopCause = 'gap' | 'overflow' | 'slow'
@@ -65,7 +69,15 @@
     }
     const timer = slow && this.#clock.every(slow.after, checkProgress)
     outgoing.relay?.open(call.id)
-    const onChunk = (chunk: StageChunk): void => this.#onChunk(outgoing, chunk, stopFor)
+    let hasBegun = chunksBefore > 0
+    const noteBegun = (): void => {
+      if (!hasBegun) outgoing.onBegun?.()
+      hasBegun = true
+    }
+    const onChunk = (chunk: StageChunk): void => {
+      noteBegun()
+      this.#onChunk(outgoing, chunk, stopFor)
+    }
     const onAbort = (): void => stop.abort()
     outgoing.signal.addEventListener('abort', onAbort, { once: true })
     if (outgoing.signal.aborted) stop.abort()
@@ -74,6 +86,7 @@
     timer?.cancel()
     outgoing.relay?.pause()
     const result = this.#checkAnswer(outgoing, received, cause)
+    if (result.isOk) noteBegun()
     const took = millis(this.#clock.now() - startedAt)
     const outcome: CallOutcome = result.isOk ? 'done' : result.error.outcome
     lease.release(outcome, took, result.isErr ? result.error.retryAfter : undefined)
@@ -82,7 +95,7 @@
     const record = {
       ...this.#record(outgoing, startedAt, took), outcome, waste, usage: usageOf(result), isUsageKnown: isUsageKnown(result)
     }
-    return { result, record, isRetryTaken: cause === 'slow', isOverflow: cause === 'overflow' }
+    return { result, record, isRetryTaken: cause === 'slow', isOverflow: cause === 'overflow', hasBegun }
   }
 
   #onChunk (outgoing: OutgoingCall, chunk: StageChunk, stopFor: (why: StopCause) => void): void {
--- a/packages/pipeline/src/StageRun.ts
+++ b/packages/pipeline/src/StageRun.ts
@@ -1,12 +1,15 @@
-import { failure, isJsonObject, millis, serviceKey } from '@papayahill/common'
-import type { EndpointId, Failure, Json, Millis, StageRecord } from '@papayahill/common'
+import { failure, millis, serviceKey } from '@papayahill/common'
+import type { EndpointId, Failure, Json, Millis, StageRecord, VersionId } from '@papayahill/common'
 import type { CallError, EndpointLease, StageCall } from '@papayahill/endpoints'
 import type { StageLeaseRequest } from '@papayahill/scheduling'
 import type { ClassSettings } from '@papayahill/settings'
 import type { ChunkRelay } from './ChunkRelay.js'
-import { BACKOFF_BASE, BACKOFF_MAX, MAX_ATTEMPTS, MIN_SLOW_CALL_TIME, SLOW_CALL_FACTOR } from './constants.js'
+import { BACKOFF_BASE, BACKOFF_MAX, MAX_ATTEMPTS, MAX_CRASHES_PER_REQUEST, MIN_SLOW_CALL_TIME, SLOW_CALL_FACTOR } from './constants.js'
 import { PIPELINE_EVENTS } from './events.js'
 import type { AtMostOnceClaim, Permit } from './AtMostOnceClaim.js'
+import { quarantineDetail } from './PrefixQuarantine.js'
+import type { AllowedVersions, PrefixCheck } from './PrefixQuarantine.js'
+import { prefixOf } from './prefixOf.js'
 import type { RunContext } from './RunContext.js'
 import type { CallEnd } from './StageCaller.js'
 import type { PlannedStage } from './StagePlan.js'
@@ -62,6 +65,7 @@
   #attempt = 0
   #sentCalls = 0
   #cacheImport: string | undefined
+  #check: PrefixCheck | undefined
 
   constructor (options: StageRunOptions) {
     this.#options = options
@@ -81,13 +85,22 @@
   async #attemptOnce (planned: PlannedStage): Promise<AttemptEnd> {
     const { scheduler, clock } = this.#options.context
     const queuedAt = clock.now()
-    const used = await scheduler.withLease(this.#leaseRequest(planned), (lease) => this.#claimAndSend(planned, lease, queuedAt))
+    const { versions, quarantine } = this.#allowedVersions(planned)
+    if (quarantine !== undefined) return failedEnd('quarantined', quarantineDetail(quarantine))
+    const used = await scheduler.withLease(this.#leaseRequest(planned, versions), (lease) => this.#claimAndSend(planned, lease, queuedAt))
     return used.match({
       Ok: (end) => end,
       Err: (cause): AttemptEnd => ({ kind: 'failed', failure: cause })
     })
   }
 
+  /** Versions without a quarantine for the request's prefix. */
+  #allowedVersions ({ service, stage }: PlannedStage): AllowedVersions {
+    const { context, request, settings } = this.#options
+    this.#check ??= context.prefixes.check(prefixOf(service.kind, request.body))
+    return this.#check.allowed(service.id, context.versionsFor(service.id, { class: settings.id, stage: stage.id }))
+  }
+
   /** Claims the key if the class needs it, then sends in the same event loop iteration as the dispatch. */
   async #claimAndSend (planned: PlannedStage, lease: EndpointLease, queuedAt: Millis): Promise<AttemptEnd> {
     const { claim, guard, context } = this.#options
@@ -117,14 +130,18 @@
   async #send (planned: PlannedStage, lease: EndpointLease, queuedAt: Millis): Promise<AttemptEnd> {
     const { context, relay, callSignal, onRecord, settings } = this.#options
     const isResumed = relay?.resumePoint !== undefined
+    const called = { service: planned.service.id, version: lease.version, endpoint: lease.endpoint, incarnation: lease.incarnation }
+    this.#check?.callSent()
     const end = await context.caller.send({
       call: this.#call(planned),
       lease,
       queued: millis(context.clock.now() - queuedAt),
       relay,
       signal: callSignal,
-      slow: this.#slowCallCheck(planned)
+      slow: this.#slowCallCheck(planned),
+      onBegun: () => this.#check?.answerBegan(called)
     })
+    if (!end.hasBegun && end.record.outcome === 'cut') this.#check?.callLost(called)
     onRecord(end.record)
     if (end.record.firstChunk !== undefined && !isResumed) context.firstChunks.record(settings.id, end.record.firstChunk)
     return { kind: 'called', end }
@@ -152,6 +169,7 @@
     if (error.outcome === 'not-sent') return await this.#afterNotSent(planned, detail)
     if (this.#options.claim !== undefined) return this.#failWithUnknownOutcome(detail)
     if (this.#options.callSignal.aborted) return failedEnd('deadline-passed', detail)
+    if ((this.#check?.crashes ?? 0) >= MAX_CRASHES_PER_REQUEST) return failedEnd('stage-failed', detail)
     if (!isRetryTaken && !this.#takeRetry(planned)) return failedEnd('stage-failed', detail)
     return await this.#retryAfterBackoff(planned, 'stage-failed', detail)
   }
@@ -216,8 +234,8 @@
     return millis(Math.max(slowCallTime(planned.forecast), settings.target.firstChunk ?? 0))
   }
 
-  #leaseRequest (planned: PlannedStage): StageLeaseRequest {
-    const { context, request, settings } = this.#options
+  #leaseRequest (planned: PlannedStage, versions: readonly VersionId[]): StageLeaseRequest {
+    const { request, settings } = this.#options
     const { stage, service } = planned
     return {
       request: request.id,
@@ -225,8 +243,8 @@
       class: settings.id,
       stage: stage.id,
       service: service.id,
-      versions: context.versionsFor(service.id, { class: settings.id, stage: stage.id }),
-      prefix: this.#prefix(planned),
+      versions,
+      prefix: prefixOf(planned.service.kind, this.#options.request.body),
       exclude: this.#failedEndpoints,
       stageDeadline: this.#queueDeadline(planned),
       softDeadline: planned.softDeadline,
@@ -257,7 +275,7 @@
       key: service.kind === 'plain' && claim !== undefined ? serviceKey(request.workspace, claim.key) : undefined,
       priority: this.#priority(planned),
       timeout: millis(timeout),
-      prefix: this.#prefix(planned),
+      prefix: prefixOf(planned.service.kind, this.#options.request.body),
       isStreamed: relay !== undefined,
       resume: relay?.resumePoint,
       cacheImport: this.#cacheImport
@@ -269,16 +287,9 @@
     const endBy = Math.min(planned.deadline, planned.softDeadline ?? Infinity)
     return Math.max(0, Math.round(endBy - planned.forecast - this.#options.context.clock.now()))
   }
-
-  #prefix (planned: PlannedStage): string | undefined {
-    if (planned.service.kind !== 'engine') return undefined
-    const { body } = this.#options.request
-    const prefix = isJsonObject(body) ? body['prefix'] : undefined
-    return typeof prefix === 'string' ? prefix : undefined
-  }
 }
 
-const failedEnd = (kind: Failure['kind'], detail: string): StageEnd => ({
+const failedEnd = (kind: Failure['kind'], detail: string): Extract<StageEnd, { kind: 'failed' }> => ({
   kind: 'failed', failure: failure(kind, detail, 'unknown')
 })
 
--- a/packages/pipeline/src/constants.ts
+++ b/packages/pipeline/src/constants.ts
@@ -14,3 +14,5 @@
 export const FIRST_CHUNK_WEIGHT = 0.1
 /** Max wait of an answer for its outcome to be recorded. */
 export const RECORD_TIMEOUT = millis(250)
+/** Crashes of endpoints that one request may be part of before it is sent to no other. */
+export const MAX_CRASHES_PER_REQUEST = 2
--- a/packages/pipeline/src/events.ts
+++ b/packages/pipeline/src/events.ts
@@ -16,5 +16,6 @@
     number: 3207,
     level: 'error',
     text: 'A request that may not be repeated was sent and its outcome is not known; see the claims list.'
-  }
+  },
+  quarantined: { number: 3208, level: 'info', text: 'A request was refused because the prefix of its prompt crashes endpoints.' }
 })
--- a/packages/quarantine/src/CrashDetector.ts
+++ b/packages/quarantine/src/CrashDetector.ts
@@ -6,60 +6,71 @@
 export interface LostCalls {
   readonly incarnation: ScopedIncarnation
   readonly requests: readonly RequestParts[]
-  readonly lostAt: Millis
 }
 
-interface PendingLoss {
-  readonly incarnation: ScopedIncarnation
+/** What is known of one incarnation: calls that were lost, a sign that it has ended, or both. */
+interface Suspicion {
+  readonly since: Millis
+  incarnation: ScopedIncarnation | undefined
   readonly requests: RequestParts[]
-  readonly lostAt: Millis
-  isCrash: boolean
+  hasEnded: boolean
 }
 
 /**
- * Tells the crash of an endpoint from a connection that was only lost: calls that end with their connections count once
- * there is a sign that the incarnation has ended, such as a refused connection, a successor, or another instance's report.
+ * Tells the crash of an endpoint from a connection that was only lost: calls that end with their connections count together
+ * with a sign that the incarnation has ended, such as a refused connection, a successor, or another instance's report. Either
+ * may come first.
  *
  * @example
  * detector.noteLoss(incarnation, ['first', 'rare'], now)
- * detector.confirm(incarnation.incarnation) // { incarnation, requests: [['first', 'rare']], lostAt }
+ * detector.confirm(incarnation.incarnation, now) // { incarnation, requests: [['first', 'rare']] }
  */
 export class CrashDetector {
-  readonly #pending = new Map<string, PendingLoss>()
+  readonly #suspicions = new Map<string, Suspicion>()
 
-  /** Records a lost call; returns the incarnation's lost calls if it is already known to have crashed. */
+  /** Records a lost call; returns the incarnation's lost calls if it is already known to have ended. */
   noteLoss (incarnation: ScopedIncarnation, parts: RequestParts, now: Millis): LostCalls | undefined {
-    this.#dropOld(now)
-    const key = incarnation.incarnation
-    const pending = this.#pending.get(key) ?? { incarnation, requests: [], lostAt: now, isCrash: false }
-    this.#pending.set(key, pending)
-    if (pending.requests.length < MAX_REPORTED_REQUESTS) pending.requests.push(parts.slice(-MAX_REPORTED_PARTS))
-    return pending.isCrash ? pending : undefined
+    const suspicion = this.#suspicionOf(incarnation.incarnation, now)
+    suspicion.incarnation = incarnation
+    if (suspicion.requests.length < MAX_REPORTED_REQUESTS) suspicion.requests.push(parts.slice(-MAX_REPORTED_PARTS))
+    return suspicion.hasEnded ? lostCallsOf(suspicion) : undefined
   }
 
   /** The incarnation has ended; returns the calls that were lost with it, unless they were returned before. */
-  confirm (incarnation: string): LostCalls | undefined {
-    const pending = this.#pending.get(incarnation)
-    if (pending === undefined || pending.isCrash) return undefined
-    pending.isCrash = true
-    return pending
+  confirm (incarnation: string, now: Millis): LostCalls | undefined {
+    const suspicion = this.#suspicionOf(incarnation, now)
+    if (suspicion.hasEnded) return undefined
+    suspicion.hasEnded = true
+    return lostCallsOf(suspicion)
   }
 
   /** The calls that were lost with an incarnation, as long as they are remembered. */
   requestsOf (incarnation: string): readonly RequestParts[] | undefined {
-    return this.#pending.get(incarnation)?.requests
+    return this.#suspicions.get(incarnation)?.requests
   }
 
   /** The incarnation answered a call that was sent after others had been lost: only their connections were lost. */
   dismiss (incarnation: string, sentAt: Millis): void {
-    const pending = this.#pending.get(incarnation)
-    if (pending !== undefined && pending.lostAt < sentAt) this.#pending.delete(incarnation)
+    const suspicion = this.#suspicions.get(incarnation)
+    if (suspicion !== undefined && suspicion.since < sentAt) this.#suspicions.delete(incarnation)
+  }
+
+  #suspicionOf (incarnation: string, now: Millis): Suspicion {
+    this.#dropOld(now)
+    const known = this.#suspicions.get(incarnation)
+    if (known !== undefined) return known
+    const suspicion: Suspicion = { since: now, incarnation: undefined, requests: [], hasEnded: false }
+    this.#suspicions.set(incarnation, suspicion)
+    return suspicion
   }
 
   #dropOld (now: Millis): void {
-    for (const [key, { lostAt }] of this.#pending) {
-      if (now - lostAt < CONFIRMATION_TIMEOUT && this.#pending.size <= MAX_PENDING_CRASHES) return
-      this.#pending.delete(key)
+    for (const [key, { since }] of this.#suspicions) {
+      if (now - since < CONFIRMATION_TIMEOUT && this.#suspicions.size < MAX_PENDING_CRASHES) return
+      this.#suspicions.delete(key)
     }
   }
 }
+
+const lostCallsOf = ({ incarnation, requests }: Suspicion): LostCalls | undefined =>
+  incarnation === undefined ? undefined : { incarnation, requests }
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -128,7 +128,7 @@
 
   /** The incarnation has ended: it refuses connections, or was replaced without a notice. */
   confirmCrash (incarnation: string): void {
-    const lost = this.#detector.confirm(incarnation)
+    const lost = this.#detector.confirm(incarnation, this.#options.clock.now())
     if (lost !== undefined) this.#report(lost)
   }
 
--- a/packages/standins/src/FakeEndpoint.ts
+++ b/packages/standins/src/FakeEndpoint.ts
@@ -29,6 +29,8 @@
   cutShare: number
   /** Load reports are neither answered nor pushed. */
   isSilent: boolean
+  /** The endpoint ends when it begins an answer to a call with this prefix; undefined for none. */
+  deadlyPrefix?: string | undefined
 }
 
 const NO_FAULTS: EndpointFaults = {
@@ -222,6 +224,10 @@
     const isCut = this.#random.next() < this.faults.cutShare
     const startTime = this.model.callTime * (isCached ? 1 - this.model.prefixSaving : 1)
     if (!await this.#simulateWork(startTime * this.#randomFactor(), signal)) return this.#aborted(signal, inputUsage)
+    if (call.prefix !== undefined && call.prefix === this.faults.deadlyPrefix) {
+      this.kill()
+      return Result.err({ outcome: 'cut', detail: 'the endpoint died', usage: inputUsage })
+    }
     if (isFailing) return Result.err({ outcome: 'failed', detail: 'the endpoint answered 500', usage: inputUsage })
     this.#performEffect(call)
     if (call.isStreamed || this.model.chunks > 0) return await this.#stream(call, onChunk, signal, inputUsage, isCut)
--- a/packages/standins/src/FakeEndpointAccess.ts
+++ b/packages/standins/src/FakeEndpointAccess.ts
@@ -8,7 +8,7 @@
 import type { FakeEndpoint } from './FakeEndpoint.js'
 import { linkSignals } from './linkSignals.js'
 
-const NOT_CONNECTED: CallError = { outcome: 'not-sent', detail: 'connection refused' }
+const NOT_CONNECTED: CallError = { outcome: 'not-sent', detail: 'connection refused', isRefused: true }
 
 /** All fake endpoints of a deployment, shared by the instances that connect to them. */
 export class FakeFleet {
