--- a/apps/papayahill/src/commands/index.ts
+++ b/apps/papayahill/src/commands/index.ts
@@ -9,11 +9,12 @@
 import { explain } from './explain.js'
 import { move } from './move.js'
 import { orders } from './orders.js'
+import { quarantine } from './quarantine.js'
 import { standins } from './standins.js'
 import { status } from './status.js'
 import { watch } from './watch.js'
 
 /** All commands, in the order in which the help lists them. */
 export const COMMANDS: readonly CliCommand[] = [
-  demo, check, apply, config, status, explain, watch, domain, move, claims, cost, orders, standins
+  demo, check, apply, config, status, explain, watch, domain, move, claims, quarantine, cost, orders, standins
 ]
--- a/apps/papayahill/src/runCli.test.ts
+++ b/apps/papayahill/src/runCli.test.ts
@@ -94,6 +94,7 @@
       ['an action that is not offered', ['domain', 'off', 'scl-a'], EXIT_CODES.malformed, 'Invalid values'],
       ['a move without a service', ['move', 'start', '--by', '5min'], EXIT_CODES.malformed, 'give --service'],
       ['a move with a bad time', ['move', 'start', '--service', 's', '--to', 'v2', '--by', 'soon'], EXIT_CODES.malformed, '--by must be a duration'],
+      ['a quarantine without its parts', ['quarantine', 'pin', '--service', 's', '--of-version', 'v1'], EXIT_CODES.malformed, 'give --service, --of-version and --parts'],
       ['a claim without its resolution', ['claims', 'resolve', '--workspace', 'w'], EXIT_CODES.malformed, 'give --workspace, --key and --as'],
       ['an order without its endpoint', ['orders', 'give', '--service', 's'], EXIT_CODES.malformed, 'give --service, --endpoint'],
       ['a malformed instance for the stand-ins', ['standins', '--settings', EXAMPLE, '--instance', 'ph-1'], EXIT_CODES.malformed, 'ph-1 is not a valid instance'],
@@ -174,6 +175,18 @@
       expect(by - Date.now()).toBeGreaterThan(29 * 60_000)
     })
 
+    it('show what is under quarantine and who saw the crashes, and lift it', async () => {
+      const held = {
+        scope: 'assistant v1 ', parts: ['guide-7'], crashes: 3, lastCrashAt: Date.UTC(2027, 0, 4), failedTrials: 1, endpoints: ['e1', 'e2'], reporters: ['ph-2'], source: 'own'
+      }
+      answers['GET /v1/quarantines'] = { body: [held] }
+      answers['POST /v1/quarantines'] = { body: { action: 'lift', parts: ['guide-7'] } }
+      expect((await run(['quarantine', 'list'])).out).toMatch(/assistant v1 +guide-7 +3 +2027-01-04T00:00:00.000Z +1 +e1 e2 +ph-2 +own/)
+      const lifted = await run(['quarantine', 'lift', '--service', 'assistant', '--of-version', 'v1', '--parts', 'guide-7'])
+      expect(lifted.out).toBe('guide-7 of assistant v1: lifted at all instances\n')
+      expect(receivedRequests.at(-1)?.body).toEqual({ action: 'lift', service: 'assistant', version: 'v1', parts: ['guide-7'] })
+    })
+
     it('resolve a claim whose key needs escaping', async () => {
       answers['POST /v1/claims/dealers/po%2F81'] = { body: { resolution: 'ran' } }
       const ended = await run(['claims', 'resolve', '--workspace', 'dealers', '--key', 'po/81', '--as', 'ran'])
--- a/packages/edge/src/operators/createOperatorsApp.ts
+++ b/packages/edge/src/operators/createOperatorsApp.ts
@@ -16,6 +16,7 @@
 import type { RequestIds } from '../RequestIds.js'
 import { readChange } from './readChange.js'
 import { readOrder } from './readOrder.js'
+import { readQuarantineOrder } from './readQuarantineOrder.js'
 import { statusOf } from './statusOf.js'
 
 export interface OperatorsAppOptions {
@@ -101,6 +102,16 @@
   return await input.instance.orders.issue(order.value.service, order.value.endpoint, order.value.action)
 }
 
+const listQuarantines = ({ instance: { quarantines } }: OperatorInput): Result<unknown, Failure> =>
+  Result.ok(quarantines.list().map((quarantine) => ({ ...quarantine, reporters: quarantines.reportersOf(quarantine) })))
+
+const orderQuarantine = ({ instance, operator, clock, body }: OperatorInput): Result<unknown, Failure> => {
+  const order = readQuarantineOrder(body, operator, clock.wall())
+  if (order.isErr) return Result.err(invalid(order.error))
+  instance.quarantines.order(order.value)
+  return Result.ok({ action: order.value.action, parts: order.value.parts })
+}
+
 const OPERATOR_ROUTES: readonly OperatorRoute[] = [
   { method: 'GET', path: '/v1/config', answer: showConfig },
   { method: 'POST', path: '/v1/config/changes', answer: proposeAll },
@@ -114,7 +125,9 @@
   { method: 'POST', path: '/v1/claims/:workspace/:key', answer: resolveClaim },
   { method: 'GET', path: '/v1/cost', answer: showCost },
   { method: 'GET', path: '/v1/orders', answer: ({ instance }) => Result.ok(instance.orders.status()) },
-  { method: 'POST', path: '/v1/orders', answer: issueOrder }
+  { method: 'POST', path: '/v1/orders', answer: issueOrder },
+  { method: 'GET', path: '/v1/quarantines', answer: listQuarantines },
+  { method: 'POST', path: '/v1/quarantines', answer: orderQuarantine }
 ]
 
 /** Decodes path parameters; undefined if the path is not valid percent-encoding. */
--- a/packages/edge/src/operators/operators.test.ts
+++ b/packages/edge/src/operators/operators.test.ts
@@ -22,7 +22,8 @@
   describe('tokens', () => {
     const PATHS = [
       ['GET', '/v1/config'], ['POST', '/v1/config/changes'], ['GET', '/v1/status'], ['POST', '/v1/domains/scl-a/out'],
-      ['GET', '/v1/claims'], ['GET', '/v1/cost'], ['GET', '/v1/orders'], ['GET', '/metrics']
+      ['GET', '/v1/claims'], ['GET', '/v1/cost'], ['GET', '/v1/orders'], ['GET', '/v1/quarantines'],
+      ['POST', '/v1/quarantines'], ['GET', '/metrics']
     ] as const
 
     it.each(PATHS)('%s %s accepts only an operator\'s', async (method, path) => {
@@ -76,6 +77,28 @@
     })
   })
 
+  describe('quarantines', () => {
+    const PART = { service: 'assistant', version: 'v1', parts: ['guide-7'] }
+
+    it('are pinned and lifted with the operator\'s name, and listed', async () => {
+      expect((await ask('POST', '/v1/quarantines', { ...PART, action: 'pin' })).status).toBe(200)
+      const pinned = await (await ask('GET', '/v1/quarantines')).json() as ReadonlyArray<{ readonly source: string }>
+      expect(pinned).toMatchObject([{ scope: 'assistant v1 ', parts: ['guide-7'], source: 'operator' }])
+      expect((await ask('POST', '/v1/quarantines', { ...PART, action: 'lift' })).status).toBe(200)
+      expect(await (await ask('GET', '/v1/quarantines')).json()).toEqual([])
+    })
+
+    it.each([
+      ['no action', PART, 'lift or pin'],
+      ['no version', { ...PART, action: 'pin', version: 7 }, 'service and version'],
+      ['no parts', { ...PART, action: 'pin', parts: [] }, 'its parts']
+    ])('with %s are refused with the reason', async (_what, body, detail) => {
+      const res = await ask('POST', '/v1/quarantines', body)
+      expect(res.status).toBe(422)
+      expect((await res.json() as { readonly detail: string }).detail).toContain(detail)
+    })
+  })
+
   describe('views', () => {
     it('show status, configuration, cost, claims and moves', async () => {
       const views: Response[] = []
--- a/packages/edge/src/testing/StubInstance.ts
+++ b/packages/edge/src/testing/StubInstance.ts
@@ -3,10 +3,14 @@
 import type { ConfigChange, ConfigView } from '@papayahill/control'
 import type { EntryInstance } from '@papayahill/instance'
 import type { Answer, AnswerSink, CallerRequest } from '@papayahill/pipeline'
+import { isolatedQuarantines } from '@papayahill/quarantine'
 import { parseOperatorConfig } from '@papayahill/settings'
 import type { OperatorConfig } from '@papayahill/settings'
 import { Result } from 'true-myth'
 
+/** System clock, for listeners on real sockets. */
+export const CLOCK = new SystemClock()
+
 const CONFIG = `
 [[domains]]
 id = "scl-a"
@@ -98,6 +102,7 @@
   readonly cost = { rows: () => Promise.resolve([]), forecasts: () => [] }
   readonly metrics = { attainment: () => [], exposition: () => Promise.resolve('up 1\n') }
   readonly orders = { status: () => [], issue: () => Promise.resolve(Result.ok({ id: 'o-1', state: 'done' })) }
+  readonly quarantines = isolatedQuarantines(CLOCK)
   readonly pool = { snapshot: () => [] }
   readonly peers = { members: () => [] }
 
@@ -106,6 +111,3 @@
     return this as unknown as EntryInstance
   }
 }
-
-/** System clock, for listeners on real sockets. */
-export const CLOCK = new SystemClock()
--- a/packages/instance/src/types.ts
+++ b/packages/instance/src/types.ts
@@ -7,6 +7,7 @@
 import type { OrderChannel, Orders } from '@papayahill/orders'
 import type { Peers } from '@papayahill/peers'
 import type { PipelineRunner } from '@papayahill/pipeline'
+import type { QuarantineManager } from '@papayahill/quarantine'
 import type { InstanceList, ObjectStore, TableService } from '@papayahill/stores'
 import type { Moves } from '@papayahill/rollout'
 import type { Result } from 'true-myth'
@@ -37,6 +38,7 @@
   readonly cost: Cost
   readonly metrics: Metrics
   readonly orders: Orders
+  readonly quarantines: Pick<QuarantineManager, 'list' | 'reportersOf' | 'order'>
   readonly pool: EndpointPool
   readonly peers: Peers
   /** Whether the load balancer may send new requests: false until the start has completed and while draining. */
