--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -195,7 +195,7 @@
       this.#pauseFor(REFUSED_PAUSE)
       return batch
     }
-    if (answer.kind === 'lost') return this.#failAll(batch, 'failed')
+    if (answer.kind === 'lost') return this.#failAll(batch, answer.isConnectionLost ? 'lost' : 'failed')
     if (answer.kind === 'unreachable') return this.#failAll(batch, 'unplaced')
     const now = this.#options.clock.now()
     const outcomes = batch.map((_waiting, at): CallOutcome => answer.outcomes[at] ?? { fault: 'failed' })
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -51,7 +51,7 @@
   readonly missing: readonly number[]
   /** Results that each of them reads. */
   readonly inputs: readonly StageResult[]
-  /** Calls that failed or were lost with one of them. */
+  /** Calls that were lost with one of them. */
   readonly losses: number
 }
 
@@ -179,7 +179,7 @@
       const fault = await this.#runMissingPieces(stage, { missing, inputs, losses }, results, exclude)
       if (fault === undefined) return Result.ok(results.filter((result) => result !== undefined))
       const left = results.filter((result) => result === undefined).length
-      if (fault === 'failed') losses++
+      if (fault === 'lost') losses++
       if (losses >= MAX_PIECE_LOSSES || !this.#canRetry(stage, fault, left)) return Result.err(this.#failure(stage, fault))
       const fields = { request: this.#work.request, stage: stage.index, pieces: left, fault }
       this.#context.log.emit(BATCHING_EVENTS.piecesAgain, fields)
@@ -215,7 +215,7 @@
 
   #canRetry (stage: StageNode, fault: PieceFault, pieces: number): boolean {
     if (this.#isCancelled || fault === 'late') return false
-    if (fault === 'failed') return this.#context.takeRetry(stage.service, pieces)
+    if (fault === 'failed' || fault === 'lost') return this.#context.takeRetry(stage.service, pieces)
     if (fault !== 'gone') return true
     const before = [...this.#ancestors(stage)].map((index) => this.#work.stages[index]!)
     return [stage, ...before].every((each) =>
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -66,6 +66,8 @@
 /** Period of the check whether the instance that accepted an order is still reachable. */
 export const PRESENCE_CHECK_PERIOD = millis(200)
 /** Calls that a piece may be lost with before its request fails. */
-export const MAX_PIECE_LOSSES = 3
-/** Factor by which a call shrinks with each earlier loss of one of its pieces. */
+export const MAX_PIECE_LOSSES = 4
+/** Losses of a piece that say nothing: connections end for other reasons, too. */
+export const HARMLESS_LOSSES = 1
+/** Factor by which a call shrinks with each further loss of one of its pieces. */
 export const LOSS_DIVISOR = 8
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -13,7 +13,7 @@
   /** The sender is stopping and coordinates no more batches. */
   | { readonly kind: 'leaving' }
 
-const FAULTS: readonly PieceFault[] = ['late', 'gone', 'room', 'failed', 'unplaced', 'moved']
+const FAULTS: readonly PieceFault[] = ['late', 'gone', 'room', 'failed', 'unplaced', 'moved', 'lost']
 
 /** A handle or the index of a fault in `FAULTS`, with the index of its endpoint in the message's list. */
 type PackedOutcome = readonly [string | number, number]
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -37,7 +37,7 @@
   readonly calls: FakeCall[] = []
   /** Sizes of the calls that deadly pieces ended. */
   readonly lostCalls: number[] = []
-  readonly faults: Record<PieceFault, number> = { late: 0, gone: 0, room: 0, failed: 0, unplaced: 0, moved: 0 }
+  readonly faults: Record<PieceFault, number> = { late: 0, gone: 0, room: 0, failed: 0, unplaced: 0, moved: 0, lost: 0 }
   /** Pieces that fail once, as `request stage index`. */
   readonly failing = new Set<string>()
   /** Requests of which any piece ends the call that it is in. */
@@ -69,7 +69,7 @@
     this.calls.push({ endpoint: endpoint.id, instance, pieces: pieces.length })
     if (pieces.some(({ request }) => this.deadly.has(request))) {
       this.lostCalls.push(pieces.length)
-      return { kind: 'lost', detail: 'the endpoint ended' }
+      return { kind: 'lost', detail: 'the endpoint ended', isConnectionLost: true }
     }
     const previousCall = this.#lastCalls.get(endpoint.id)
     const work = this.#work(endpoint.id, pieces, previousCall)
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -12,7 +12,7 @@
   readonly key: string | undefined
   /** Handles of all results of the preceding stages. */
   readonly inputs: readonly string[]
-  /** Calls that failed or were lost with the piece: it may be what ends them. */
+  /** Calls that were lost with the piece because their connection ended: it may be what ends them. */
   readonly losses: number
   /** Total size of the inputs. */
   readonly inputBytes: Bytes
@@ -33,8 +33,10 @@
   | 'gone'
   /** The endpoint has no memory for its result. */
   | 'room'
-  /** The endpoint failed or its answer was lost. */
+  /** The endpoint failed, or did not answer in time. */
   | 'failed'
+  /** Its call's connection ended before the answer. */
+  | 'lost'
   /** No endpoint that may run it accepts work, or its endpoint was unreachable. */
   | 'unplaced'
   /** Another instance coordinates the group now. */
@@ -53,7 +55,8 @@
   | { readonly kind: 'answered', readonly outcomes: readonly CallOutcome[] }
   /** The endpoint answered that it did not run the call. */
   | { readonly kind: 'refused', readonly detail: string }
-  | { readonly kind: 'lost', readonly detail: string }
+  /** It may have run; `isConnectionLost` if its connection ended before the answer was complete. */
+  | { readonly kind: 'lost', readonly detail: string, readonly isConnectionLost: boolean }
   /** No connection could be opened; nothing was sent. */
   | { readonly kind: 'unreachable', readonly detail: string }
 
