The log names answers of the store that are older than the copy, with their era

An answer whose rows were all dropped left no line, so that its hypotheses (revisions given out again, whole table read and dropped, nobody asks) could not be told apart. No logic changes.

--- a/packages/directory/src/TableWatch.test.ts
+++ b/packages/directory/src/TableWatch.test.ts
@@ -9,7 +9,7 @@
 type Answer = Result<TableRows<Json>, TableError>
 
 const rows = (revision: number, ...keys: readonly string[]): Answer =>
-  Result.ok({ revision, rows: keys.map((key) => ({ key, value: key, revision })) })
+  Result.ok({ era: 1, revision, rows: keys.map((key) => ({ key, value: key, revision })) })
 const failed = (kind: TableError['kind']): Answer => Result.err({ kind, detail: kind })
 
 /** Watches a table that answers reads and polls from a script; the last answer repeats. */
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -63,6 +63,7 @@
   #isFetching = false
   /** Whether the last poll of this instance was answered. */
   #wasLastPollAnswered = false
+  #droppedEra: number | undefined
   #isStopped = false
 
   constructor (options: TableWatchOptions<Value>) {
@@ -180,28 +181,36 @@
     const answer = after === undefined ? await table.read() : await table.changes(after, wait)
     if (this.#isStopped) return true
     if (answer.isErr) return await this.#handleError(answer.error)
-    const { rows, revision } = answer.value
-    this.#applyAnswer({ after, rows, revision })
+    this.#applyAnswer(after, answer.value)
     return true
   }
 
-  /** Applies the store's answer and relays it. */
-  #applyAnswer (changes: TableChanges): void {
+  /** Applies the store's answer to a poll after a revision, or to a read, and relays it. */
+  #applyAnswer (after: number | undefined, { era, rows, revision }: TableRows<Json>): void {
     const { clock, random, relay } = this.#options
     const now = clock.now()
     const outage = this.#answerGaps.outageOf(this.#availability.regained(), now, now)
     this.#pollDelay = millis(random.next() * POLL_SPREAD)
     this.#noteAnswer(now)
     this.#statusAt = now
-    this.#apply(changes, outage, undefined)
+    this.#logIfDropped(after, era, revision)
+    this.#apply({ after, rows, revision }, outage, undefined)
     relay?.announce(this.name)
   }
 
+  /** Logs an answer of an older revision than the copy's, once for each era. */
+  #logIfDropped (after: number | undefined, era: number, revision: number): void {
+    const known = this.#copy.revision
+    if (known === undefined || revision >= known || this.#droppedEra === era) return
+    this.#droppedEra = era
+    this.#options.log.emit(DIRECTORY_EVENTS.tableAnswerDropped, { table: this.name, era, after, revision, known })
+  }
+
   async #handleError (err: TableError): Promise<boolean> {
     if (err.kind === 'history-gone') {
       const whole = await this.#options.table.read()
       if (whole.isErr) return await this.#handleError(whole.error)
-      this.#applyAnswer({ after: undefined, rows: whole.value.rows, revision: whole.value.revision })
+      this.#applyAnswer(undefined, whole.value)
       return true
     }
     this.#availability.lost(err.detail, this.#copy.revision, this.#answerGaps.answeredAt)
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -26,5 +26,6 @@
   endpointLimited: {
     number: 1622, level: 'info', text: 'An endpoint named, changed or withdrew its limit of requests per second from all instances together.'
   },
-  limitMalformed: { number: 1623, level: 'warn', text: 'The limit that an endpoint named is not a positive decimal number; it was ignored or bounded.' }
+  limitMalformed: { number: 1623, level: 'warn', text: 'The limit that an endpoint named is not a positive decimal number; it was ignored or bounded.' },
+  tableAnswerDropped: { number: 1624, level: 'warn', text: 'The store answered with an older revision than the one known here; nothing of the answer was applied.' }
 })
--- a/packages/directory/src/testing/TableHarness.ts
+++ b/packages/directory/src/testing/TableHarness.ts
@@ -23,6 +23,7 @@
   readonly #rows = new Map<string, TableRow<Json>>()
   #changes: Array<TableRow<Json>> = []
   #oldest = 0
+  era = 1
   revision = 0
   calls = 0
 
@@ -53,7 +54,7 @@
     }
     return {
       name: TABLE,
-      read: () => guarded(() => Promise.resolve(Result.ok({ rows: [...this.#rows.values()], revision: this.revision }))),
+      read: () => guarded(() => Promise.resolve(Result.ok({ era: this.era, rows: [...this.#rows.values()], revision: this.revision }))),
       changes: (after, wait) => guarded(() => this.#feed(after, wait))
     }
   }
@@ -63,7 +64,7 @@
     const until = this.#clock.now() + wait
     for (;;) {
       const rows = this.#changes.filter((row) => row.revision > after)
-      if (rows.length > 0 || this.#clock.now() >= until) return Result.ok({ rows, revision: this.revision })
+      if (rows.length > 0 || this.#clock.now() >= until) return Result.ok({ era: this.era, rows, revision: this.revision })
       await this.#clock.sleep(CALL_TIME)
     }
   }
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -148,6 +148,8 @@
 }
 
 export interface TableRows<Value> {
+  /** Era of the store's history: each restore from an older copy begins a new one. 0 where the store names none. */
+  readonly era: number
   readonly rows: ReadonlyArray<TableRow<Value>>
   /** Newest revision that the rows include; the next poll continues from there. */
   readonly revision: number
