Tests, failing: changes are seen, and nothing goes back, after the store was restored from an older copy

Three processes and a store that comes back from a copy: a configuration written after that is in force nowhere, an endpoint that had left gets requests, one that had started gets none, and a lost row of an instance is never written again. Six and 60 instances in virtual time: no instance knows a change within 2 s, with revisions below and beyond the earlier ones.

--- a/packages/directory/src/TableRelay.test.ts
+++ b/packages/directory/src/TableRelay.test.ts
@@ -83,6 +83,28 @@
     expect(harness.instances.every(neverWentBack)).toBe(true)
   })
 
+  describe.each([6, 60])('%i instances, after the store was restored from an older copy,', (count) => {
+    /** Restores the store from a copy that lacks the newest changes; `lost` are their keys. */
+    const restore = async (...lost: readonly string[]): Promise<TableHarness> => {
+      const harness = await startHarness(count)
+      const copy = harness.store.copy()
+      for (const key of lost) expect(await harness.change(key, 'lost', LEAVING_LIMIT)).toBeDefined()
+      harness.store.restore(copy)
+      await harness.clock.advance(millis(600))
+      return harness
+    }
+
+    it('are notified of a change whose revision had been given out before', async () => {
+      const harness = await restore('e1', 'e2', 'e3')
+      expect(await harness.change('e4', 'new', LEAVING_LIMIT)).toBeDefined()
+    })
+
+    it('are notified of a change once the revisions have passed the earlier ones', async () => {
+      const harness = await restore('e1')
+      for (const key of ['e2', 'e3', 'e4']) expect(await harness.change(key, 'new', LEAVING_LIMIT)).toBeDefined()
+    })
+  })
+
   describe('after the store did not answer', () => {
     const OUTAGE = seconds(8)
     const settle = async (access: 'all' | 'one watcher'): Promise<TableHarness> => {
--- a/packages/directory/src/testing/TableHarness.ts
+++ b/packages/directory/src/testing/TableHarness.ts
@@ -17,10 +17,17 @@
 const TABLE = 'endpoints'
 const FIRST_PORT = 20_000
 
-/** An in-memory table of the store whose history can be dropped. */
+/** All rows and changes of the table at one moment. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, TableRow<Json>>
+  readonly changes: ReadonlyArray<TableRow<Json>>
+  readonly revision: number
+}
+
+/** An in-memory table of the store whose history can be dropped, and which can be restored from an older copy. */
 class StoreTable {
   readonly #clock: VirtualClock
-  readonly #rows = new Map<string, TableRow<Json>>()
+  #rows = new Map<string, TableRow<Json>>()
   #changes: Array<TableRow<Json>> = []
   #oldest = 0
   era = 1
@@ -43,6 +50,18 @@
     this.#oldest = this.revision
   }
 
+  copy (): StoreCopy {
+    return { rows: new Map(this.#rows), changes: [...this.#changes], revision: this.revision }
+  }
+
+  /** Comes back from an older copy: what was written since is gone, and its revisions are given out again. */
+  restore ({ rows, changes, revision }: StoreCopy): void {
+    this.#rows = new Map(rows)
+    this.#changes = [...changes]
+    this.revision = revision
+    this.era++
+  }
+
   viewFor (accessOf: () => StoreAccess): WatchedTable {
     const guarded = async (answer: () => Promise<Result<TableRows<Json>, TableError>>): Promise<Result<TableRows<Json>, TableError>> => {
       this.calls++
@@ -63,6 +82,7 @@
     if (after < this.#oldest) return Result.err({ kind: 'history-gone', detail: 'forgotten' })
     const until = this.#clock.now() + wait
     for (;;) {
+      if (after > this.revision) return Result.err({ kind: 'history-gone', detail: 'restored from an older copy' })
       const rows = this.#changes.filter((row) => row.revision > after)
       if (rows.length > 0 || this.#clock.now() >= until) return Result.ok({ era: this.era, rows, revision: this.revision })
       await this.#clock.sleep(CALL_TIME)
