Copies of the store's tables compare eras before revisions, and keep what was in force

Cause: a copy's place in the store's history was a revision alone. After a restore revisions go back and are given out again, and copies took the restored table (whole read at 31 by copies at 32: event 1624), then the new version with a revision they had, for known. Statuses, digests and fetches between instances had no history either.

Change: a position is (era, revision), from the header Store-Era, in copies, statuses, pushes, fetches and reads; what is of an older era is dropped, and changes of a newer one lead to a whole read. What an instance knew stays in force until the operator or the endpoint has written it again (by version; by start and sequence), or for a bounded time: 8 s for operators' rows, 2 s for endpoints, 30 s for rows that had been removed. An instance that starts meanwhile asks its neighbours for it. Events 1625 to 1627, gauges of the era and of retained rows.

--- a/packages/directory/src/ActiveConfig.ts
+++ b/packages/directory/src/ActiveConfig.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Configurations tell their order by their versions; other rows do not tell. */
+  compare (left: OperatorRow, right: OperatorRow): number {
+    return left.kind === 'config' && right.kind === 'config' ? left.config.version - right.config.version : 0
+  }
+
   /** Puts a configuration in force unless it is older than the current one. */
   adopt (config: ServingConfig): void {
     if (config.version < this.version) {
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -18,12 +18,9 @@
 const medianOf = (values: readonly number[]): number =>
   [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0
 
-/** Whether a record is older than the known one. */
-const isOlder = (record: EndpointRecord, known: EndpointRecord): boolean => {
-  const startedAt = record.startedAt ?? 0
-  const knownStartedAt = known.startedAt ?? 0
-  return startedAt < knownStartedAt || (startedAt === knownStartedAt && record.sequence < known.sequence)
-}
+/** Compares two records of one endpoint: negative if the left one is older. */
+const compareRecords = (left: EndpointRecord, right: EndpointRecord): number =>
+  (left.startedAt ?? 0) - (right.startedAt ?? 0) || left.sequence - right.sequence
 
 const ENDPOINT_STATES = ['usable', 'cold', 'limited', 'suspect', 'quiet', 'draining', 'domain-out'] as const
 /** State of an endpoint as seen by this instance. */
@@ -134,6 +131,10 @@
     this.changed([...rows, ...missing.map((key) => ({ key, value: undefined, revision: 0 }))], outage)
   }
 
+  compare (left: EndpointEntry, right: EndpointEntry): number {
+    return 'record' in left && 'record' in right ? compareRecords(left.record, right.record) : 0
+  }
+
   changed (rows: ReadonlyArray<TableRow<EndpointEntry>>, outage: Millis): void {
     if (outage >= LAPSE_OUTAGE) this.#retainMissing()
     for (const { key, value } of rows) this.#applyEntry(key as EndpointId, value)
@@ -170,7 +171,7 @@
 
   #update (record: EndpointRecord, known: Endpoint | undefined): void {
     if (known === undefined) return this.#add(record)
-    if (isOlder(record, known.record)) return
+    if (compareRecords(record, known.record) < 0) return
     if (incarnationKeyOf(record) !== incarnationKeyOf(known.record)) {
       this.#drop(known, 'restarted', true)
       return this.#add(record)
--- a/packages/directory/src/TableCopy.ts
+++ b/packages/directory/src/TableCopy.ts
@@ -1,17 +1,17 @@
 import { hash32 } from '@papayahill/common'
 import type { Json } from '@papayahill/common'
 import { RECENT_ROWS } from './constants.js'
-import type { TableRow } from './types.js'
+import type { RetainedRow, StorePosition, TableRow } from './types.js'
 
 /** Rows of a table as read from the store or relayed, not yet decoded. */
-export interface TableChanges {
+export interface TableChanges extends StorePosition {
   /** The rows are all changes after this revision; undefined if they are the whole table. */
   readonly after: number | undefined
-  /** Newest revision that the rows include. */
-  readonly revision: number
   readonly rows: ReadonlyArray<TableRow<Json>>
   /** Digest of the table before the changes; a copy with the same digest misses no earlier change. */
   readonly base?: number | undefined
+  /** With a whole table: what the sender retains of the history before a restore. */
+  readonly retained?: readonly RetainedRow[]
 }
 
 /** Bits of a digest's upper half; both halves together stay below 2^53, an integer that JSON carries exactly. */
@@ -24,43 +24,51 @@
   | { readonly kind: 'changed', readonly rows: ReadonlyArray<TableRow<Json>> }
   /** All changes were already known. */
   | { readonly kind: 'known' }
-  /** Changes between the copy's revision and these are missing. */
+  /** The changes are of an earlier era: the store has been restored from an older copy since. */
+  | { readonly kind: 'outdated' }
+  /** Changes between the copy's position and these are missing. */
   | { readonly kind: 'gap' }
 
 /**
- * One table as of a revision, with its newest changes. The revision never decreases, in whatever order changes arrive.
+ * One table as of a position in the store's history, with its newest changes. The position never decreases, in whatever
+ * order changes arrive; in a new era the copy begins with the whole table.
  *
  * @example
  * const copy = new TableCopy()
- * copy.apply({ after: undefined, revision: 7, rows }) // { kind: 'replaced', rows }
+ * copy.apply({ era: 1, after: undefined, revision: 7, rows }) // { kind: 'replaced', rows }
  */
 export class TableCopy {
   readonly #rows = new Map<string, TableRow<Json>>()
   /** Newest changes, oldest first; complete after revision `#recentAfter`. */
   #recent: Array<TableRow<Json>> = []
   #recentAfter = 0
-  #revision: number | undefined
+  #position: StorePosition | undefined
   #lower = 0
   #upper = 0
 
-  /** Revision up to which all changes are applied; undefined before the first read. */
-  get revision (): number | undefined {
-    return this.#revision
+  /** Position up to which all changes are applied; undefined before the first read. */
+  get position (): StorePosition | undefined {
+    return this.#position
   }
 
-  /** A hash over all rows and their revisions: copies with equal digests hold the same rows. */
+  get rows (): ReadonlyMap<string, TableRow<Json>> {
+    return this.#rows
+  }
+
+  /** A hash over all rows and their revisions: copies of one era with equal digests hold the same rows. */
   get digest (): number {
     return this.#upper * LOWER_RANGE + this.#lower
   }
 
   apply (changes: TableChanges): ApplyResult {
-    const { after, revision, rows, base } = changes
-    if (after === undefined) return this.#replace(rows, revision)
-    if (this.#revision === undefined) return { kind: 'gap' }
-    if (after > this.#revision && base !== this.digest) return { kind: 'gap' }
-    const known = this.#revision
-    const newRows = rows.filter((row) => row.revision > known)
-    this.#revision = Math.max(known, revision)
+    const { era, after, revision, rows, base } = changes
+    const known = this.#position
+    if (known !== undefined && era < known.era) return { kind: 'outdated' }
+    if (after === undefined) return this.#replace(rows, { era, revision })
+    if (known === undefined || era > known.era) return { kind: 'gap' }
+    if (after > known.revision && base !== this.digest) return { kind: 'gap' }
+    const newRows = rows.filter((row) => row.revision > known.revision)
+    this.#position = { era, revision: Math.max(known.revision, revision) }
     if (newRows.length === 0) return { kind: 'known' }
     for (const row of newRows) this.#put(row)
     this.#recent.push(...newRows)
@@ -69,30 +77,34 @@
   }
 
   /** Compares with another copy; an equal digest advances this copy to the revision of the other. */
-  compare (revision: number, digest: number): 'equal' | 'behind' | 'ahead' {
-    if (this.#revision === undefined) return 'behind'
-    if (digest !== this.digest) return revision > this.#revision ? 'behind' : 'ahead'
-    this.#revision = Math.max(this.#revision, revision)
+  compare ({ era, revision, digest }: StorePosition & { readonly digest: number }): 'equal' | 'behind' | 'ahead' {
+    const known = this.#position
+    if (known === undefined || era > known.era) return 'behind'
+    if (era < known.era) return 'ahead'
+    if (digest !== this.digest) return revision > known.revision ? 'behind' : 'ahead'
+    this.#position = { era, revision: Math.max(known.revision, revision) }
     return 'equal'
   }
 
-  /** The changes after a revision, or the whole table where changes are no longer kept that far back. */
-  since (after: number | undefined): TableChanges | undefined {
-    if (this.#revision === undefined) return undefined
-    if (after === undefined || after < this.#recentAfter) {
-      return { after: undefined, revision: this.#revision, rows: [...this.#rows.values()] }
+  /** The changes after a position, or the whole table where changes are no longer kept that far back or of another era. */
+  since (after: StorePosition | undefined): TableChanges | undefined {
+    const known = this.#position
+    if (known === undefined) return undefined
+    if (after === undefined || after.era !== known.era || after.revision < this.#recentAfter) {
+      return { ...known, after: undefined, rows: [...this.#rows.values()] }
     }
-    return { after, revision: this.#revision, rows: this.#recent.filter((row) => row.revision > after) }
+    return { ...known, after: after.revision, rows: this.#recent.filter((row) => row.revision > after.revision) }
   }
 
-  #replace (rows: ReadonlyArray<TableRow<Json>>, revision: number): ApplyResult {
-    if (this.#revision !== undefined && revision <= this.#revision) return { kind: 'known' }
+  #replace (rows: ReadonlyArray<TableRow<Json>>, position: StorePosition): ApplyResult {
+    const known = this.#position
+    if (known !== undefined && position.era === known.era && position.revision <= known.revision) return { kind: 'known' }
     this.#rows.clear()
     this.#lower = 0
     this.#upper = 0
-    this.#revision = revision
+    this.#position = position
     this.#recent = []
-    this.#recentAfter = revision
+    this.#recentAfter = position.revision
     for (const row of rows) this.#put(row)
     return { kind: 'replaced', rows }
   }
--- a/packages/directory/src/TableRelay.ts
+++ b/packages/directory/src/TableRelay.ts
@@ -4,6 +4,7 @@
 import { DIRECTORY_EVENTS } from './events.js'
 import { packTableMessage, unpackTableMessage } from './tableMessages.js'
 import type { RelayedChanges, TableStatus } from './tableMessages.js'
+import type { StorePosition } from './types.js'
 import { watchersOf } from './watchersOf.js'
 
 /** One table as seen by the relay. */
@@ -11,8 +12,8 @@
   readonly name: string
   /** How current the copy is; undefined before the first read. */
   status (): TableStatus | undefined
-  /** Changes after a revision, or the whole table. */
-  since (after: number | undefined): RelayedChanges | undefined
+  /** Changes after a position, or the whole table. */
+  since (after: StorePosition | undefined): RelayedChanges | undefined
   receiveStatus (status: TableStatus, from: InstanceId): void
   receiveChanges (relayed: RelayedChanges, from: InstanceId): void
 }
@@ -72,8 +73,8 @@
     this.#sendAll(body, from)
   }
 
-  /** A neighbour's changes after a revision; undefined if it does not answer in time. */
-  async fetch (table: string, from: InstanceId, after: number | undefined): Promise<RelayedChanges | undefined> {
+  /** A neighbour's changes after a position; undefined if it does not answer in time. */
+  async fetch (table: string, from: InstanceId, after: StorePosition | undefined): Promise<RelayedChanges | undefined> {
     const { peers } = this.#options
     const answer = await peers.ask(from, 'table', packTableMessage({ kind: 'fetch', table, after }), FETCH_TIMEOUT)
     const message = answer.isOk ? unpackTableMessage(answer.value) : undefined
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -1,18 +1,20 @@
 import { millis } from '@papayahill/common'
-import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
+import type { Clock, EventLog, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  ANSWER_LIMIT, LONG_POLL_WAIT, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, POLL_SPREAD, ROLE_PERIOD,
-  ROLE_START_DELAY, STATUS_LIMIT, STATUS_PERIOD
+  ANSWER_LIMIT, LAPSE_GRACE, LONG_POLL_WAIT, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, POLL_SPREAD,
+  REMOVAL_RETENTION, ROLE_PERIOD, STATUS_LIMIT, STATUS_PERIOD
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { AnswerGaps } from './AnswerGaps.js'
 import { TableAvailability } from './TableAvailability.js'
-import { TableCopy } from './TableCopy.js'
-import type { TableChanges } from './TableCopy.js'
+import { StoreHistory } from './StoreHistory.js'
+import type { ApplyResult, TableChanges } from './TableCopy.js'
 import type { RelayedChanges, TableStatus } from './tableMessages.js'
 import type { RelayedTable, TableRelay } from './TableRelay.js'
-import type { TableError, TableRow, TableRows } from './types.js'
+import { TableView } from './TableView.js'
+import type { RowRetention, StorePosition, TableError, TableRow, TableRows } from './types.js'
+import { WatchRole } from './WatchRole.js'
 
 /** A table of the store that can be read whole and polled for changes; its rows are not yet decoded. */
 export interface WatchedTable {
@@ -26,6 +28,8 @@
   /** All rows as of one revision; rows not among them were removed. */
   replaced (rows: ReadonlyArray<TableRow<Value>>, outage: Millis): void
   changed (rows: ReadonlyArray<TableRow<Value>>, outage: Millis): void
+  /** Compares two values of one row: negative if the left one is older by what they say themselves, 0 if they do not tell. */
+  compare? (left: Value, right: Value): number
 }
 
 export interface TableWatchOptions<Value> {
@@ -37,9 +41,22 @@
   readonly listener: TableListener<Value>
   /** Relay to the other instances that watch the table; without it, this instance always polls the store. */
   readonly relay?: Pick<TableRelay, 'add' | 'isAlone' | 'isWatcher' | 'announce' | 'push' | 'fetch'>
+  /** The store's history, shared by all that read the store; without it, the table's own. */
+  readonly history?: StoreHistory
+  /** How long rows stay in force that a restored store has lost; by default, as long as endpoints have to register again. */
+  readonly retention?: RowRetention
 }
 
 const NO_WAIT = millis(0)
+/** Keys that are named when rows are released. */
+const MAX_LOGGED_KEYS = 5
+const DEFAULT_RETENTION: RowRetention = { rowTime: LAPSE_GRACE, removalTime: REMOVAL_RETENTION }
+
+/** Changes whose retained rows have other ends: `by` later. */
+const shiftRetained = (changes: TableChanges, by: number): TableChanges =>
+  changes.retained === undefined
+    ? changes
+    : { ...changes, retained: changes.retained.map((row) => ({ ...row, until: millis(row.until + by) })) }
 
 /**
  * Keeps a copy of one table current. A watcher polls the table in the store and relays it; an instance that
@@ -51,27 +68,30 @@
  */
 export class TableWatch<Value> implements RelayedTable {
   readonly #options: TableWatchOptions<Value>
-  readonly #copy = new TableCopy()
+  readonly #view: TableView
+  readonly #history: StoreHistory
+  readonly #role: WatchRole
   readonly #availability: TableAvailability
   readonly #answerGaps = new AnswerGaps()
   /** When an instance was last known to poll the table in the store. */
   #statusAt: Millis | undefined
   #pollDelay: Millis = NO_WAIT
-  #isWatcher: boolean
-  #roleCheckedAt: Millis | undefined
-  readonly #startedAt: Millis
   #isFetching = false
   /** Whether the last poll of this instance was answered. */
   #wasLastPollAnswered = false
   #droppedEra: number | undefined
+  #releaseTimer: Timer | undefined
   #isStopped = false
 
   constructor (options: TableWatchOptions<Value>) {
     const { clock, random, log, table } = options
     this.#options = options
     this.#availability = new TableAvailability({ clock, random, log, table: table.name })
-    this.#isWatcher = options.relay === undefined
-    this.#startedAt = clock.now()
+    this.#role = new WatchRole({ clock, log, table: table.name, relay: options.relay })
+    this.#history = options.history ?? new StoreHistory(log)
+    this.#view = new TableView({
+      clock, retention: options.retention ?? DEFAULT_RETENTION, compare: (key, left, right) => this.#compare(key, left, right)
+    })
     options.relay?.add(this)
   }
 
@@ -85,6 +105,11 @@
     return answeredAt === undefined ? undefined : millis(this.#options.clock.now() - answeredAt)
   }
 
+  /** Number of rows and removals that are retained after a restore of the store. */
+  get retainedCount (): number {
+    return this.#view.retainedCount
+  }
+
   start (): void {
     void this.#pollLoop()
     if (this.#options.relay !== undefined) void this.#publishStatus()
@@ -92,32 +117,34 @@
 
   stop (): void {
     this.#isStopped = true
+    this.#releaseTimer?.cancel()
   }
 
   status (): TableStatus | undefined {
-    const { revision, digest } = this.#copy
-    if (revision === undefined || this.#statusAt === undefined || this.#answerGaps.answeredAt === undefined) return undefined
+    const { summary } = this.#view
+    if (summary === undefined || this.#statusAt === undefined || this.#answerGaps.answeredAt === undefined) return undefined
     const now = this.#options.clock.now()
     return {
-      table: this.name, revision, digest, statusAge: millis(now - this.#statusAt), answerAge: millis(now - this.#answerGaps.answeredAt)
+      ...summary, table: this.name, statusAge: millis(now - this.#statusAt), answerAge: millis(now - this.#answerGaps.answeredAt)
     }
   }
 
-  since (after: number | undefined): RelayedChanges | undefined {
-    const changes = this.#copy.since(after)
+  since (after: StorePosition | undefined): RelayedChanges | undefined {
+    const changes = this.#view.since(after)
     return changes === undefined ? undefined : this.#relayed(changes)
   }
 
   /** Receives the status of a neighbour's copy. */
   receiveStatus (status: TableStatus, from: InstanceId): void {
-    const comparison = this.#copy.compare(status.revision, status.digest)
-    if (comparison === 'behind') this.#fetchFrom(from)
+    const comparison = this.#view.compare(status)
+    if (comparison === 'behind') return this.#fetchFrom(from, this.#view.position)
     if (comparison === 'equal') this.#noteStatus(status, from)
+    if (comparison === 'equal' && this.#view.shouldAskFor(status.retained)) this.#fetchFrom(from, undefined)
   }
 
   /** Receives changes relayed by a neighbour. */
   receiveChanges (relayed: RelayedChanges, from: InstanceId): void {
-    if (!this.#applyRelayed(relayed, from)) this.#fetchFrom(from)
+    if (!this.#applyRelayed(relayed, from)) this.#fetchFrom(from, this.#view.position)
   }
 
   async #pollLoop (): Promise<void> {
@@ -139,13 +166,13 @@
 
   /** Whether others depend on this instance's polls, or it has no copy yet. */
   get #isReliedOn (): boolean {
-    return this.#isWatcher || this.#copy.revision === undefined
+    return this.#role.isWatcher || this.#view.position === undefined
   }
 
   /** Time until this instance polls the store, or checks again whether it should. */
   #timeUntilPoll (): Millis {
     const { clock, log } = this.#options
-    if (this.#copy.revision === undefined || this.#checkRole()) return NO_WAIT
+    if (this.#view.position === undefined || this.#role.check()) return NO_WAIT
     const now = clock.now()
     const statusDue = (this.#statusAt ?? now) + STATUS_LIMIT
     const answerDue = (this.#answerGaps.answeredAt ?? now) + ANSWER_LIMIT
@@ -155,100 +182,146 @@
     return NO_WAIT
   }
 
-  /** Whether this instance is a watcher of the table; determined again every {@link ROLE_PERIOD}. */
-  #checkRole (): boolean {
-    const { clock, log, relay } = this.#options
-    if (relay === undefined) return true
-    const now = clock.now()
-    if (this.#roleCheckedAt !== undefined && now - this.#roleCheckedAt < ROLE_PERIOD) return this.#isWatcher
-    this.#roleCheckedAt = now
-    const isWatcher = this.#canWatch(relay, now) && relay.isWatcher(this.name)
-    if (isWatcher !== this.#isWatcher) log.emit(DIRECTORY_EVENTS.tableRole, { table: this.name, watches: isWatcher })
-    this.#isWatcher = isWatcher
-    return isWatcher
-  }
-
-  /** Shortly after its start an instance may know too few others to determine the watchers. */
-  #canWatch (relay: Pick<TableRelay, 'isAlone'>, now: Millis): boolean {
-    const age = now - this.#startedAt
-    return age >= ROLE_START_DELAY || (age >= ROLE_PERIOD && relay.isAlone)
-  }
-
   async #poll (): Promise<boolean> {
     const { table } = this.#options
-    const after = this.#copy.revision
-    const wait = this.#isWatcher ? LONG_POLL_WAIT : NO_WAIT
-    const answer = after === undefined ? await table.read() : await table.changes(after, wait)
+    const after = this.#view.position
+    const wait = this.#role.isWatcher ? LONG_POLL_WAIT : NO_WAIT
+    const answer = after === undefined ? await table.read() : await table.changes(after.revision, wait)
     if (this.#isStopped) return true
     if (answer.isErr) return await this.#handleError(answer.error)
-    this.#applyAnswer(after, answer.value)
-    return true
+    this.#history.note(answer.value.era)
+    if (after === undefined) return this.#applyAnswer(undefined, answer.value)
+    // Changes of a new era begin at a revision that was another one in this copy's era.
+    if (answer.value.era > after.era) return await this.#readWhole()
+    return this.#applyAnswer(after.revision, answer.value)
+  }
+
+  async #readWhole (): Promise<boolean> {
+    const whole = await this.#options.table.read()
+    if (this.#isStopped) return true
+    if (whole.isErr) return await this.#handleError(whole.error)
+    this.#history.note(whole.value.era)
+    return this.#applyAnswer(undefined, whole.value)
   }
 
   /** Applies the store's answer to a poll after a revision, or to a read, and relays it. */
-  #applyAnswer (after: number | undefined, { era, rows, revision }: TableRows<Json>): void {
+  #applyAnswer (after: number | undefined, answer: TableRows<Json>): boolean {
     const { clock, random, relay } = this.#options
     const now = clock.now()
     const outage = this.#answerGaps.outageOf(this.#availability.regained(), now, now)
     this.#pollDelay = millis(random.next() * POLL_SPREAD)
+    this.#logIfDropped(after, answer)
     this.#noteAnswer(now)
     this.#statusAt = now
-    this.#logIfDropped(after, era, revision)
-    this.#apply({ after, rows, revision }, outage, undefined)
+    this.#apply({ ...answer, after }, outage, undefined)
     relay?.announce(this.name)
+    return true
   }
 
-  /** Logs an answer of an older revision than the copy's, once for each era. */
-  #logIfDropped (after: number | undefined, era: number, revision: number): void {
-    const known = this.#copy.revision
-    if (known === undefined || revision >= known || this.#droppedEra === era) return
+  /** Logs an answer of an older position than the copy's, once for each era. */
+  #logIfDropped (after: number | undefined, { era, revision }: StorePosition): void {
+    const known = this.#view.position
+    if (known === undefined || this.#droppedEra === era) return
+    if (era > known.era || (era === known.era && revision >= known.revision)) return
     this.#droppedEra = era
-    this.#options.log.emit(DIRECTORY_EVENTS.tableAnswerDropped, { table: this.name, era, after, revision, known })
+    this.#options.log.emit(DIRECTORY_EVENTS.tableAnswerDropped, {
+      table: this.name, era, after, revision, knownEra: known.era, known: known.revision
+    })
   }
 
   async #handleError (err: TableError): Promise<boolean> {
-    if (err.kind === 'history-gone') {
-      const whole = await this.#options.table.read()
-      if (whole.isErr) return await this.#handleError(whole.error)
-      this.#applyAnswer(undefined, whole.value)
-      return true
-    }
-    this.#availability.lost(err.detail, this.#copy.revision, this.#answerGaps.answeredAt)
+    if (err.kind === 'history-gone') return await this.#readWhole()
+    this.#availability.lost(err.detail, this.#view.position?.revision, this.#answerGaps.answeredAt)
     return false
   }
 
   /** Applies changes and relays them; false if changes before them are missing. */
   #apply (changes: TableChanges, outage: Millis, from: InstanceId | undefined): boolean {
-    const { log, listener, relay } = this.#options
-    const base = this.#copy.digest
-    const result = this.#copy.apply(changes)
+    const { relay } = this.#options
+    const base = this.#view.digest
+    const known = this.#view.position
+    const result = this.#view.apply(changes)
     if (result.kind === 'gap') return false
-    if (result.kind === 'known') return true
-    log.emit(DIRECTORY_EVENTS.tableChanged, {
-      table: this.name, revision: changes.revision, rows: result.rows.length, from: from ?? 'store', ageMs: this.age, outageMs: outage
-    })
-    if (result.kind === 'replaced') listener.replaced(result.rows.map((row) => this.#decoded(row)), outage)
-    else listener.changed(result.rows.map((row) => this.#decoded(row)), outage)
-    if (result.kind === 'changed') relay?.push(this.#relayed({ ...changes, rows: result.rows, base }), from)
+    if (result.kind === 'known' || result.kind === 'outdated') return true
+    this.#logChange(changes, result.rows.length, outage, from)
+    if (known !== undefined && changes.era > known.era) this.#noteRetained()
+    this.#deliver(result, outage)
+    if (result.kind === 'changed') relay?.push(this.#relayed({ ...changes, base }), from)
     else relay?.announce(this.name, from)
     return true
   }
 
+  #logChange ({ era, revision }: StorePosition, rows: number, outage: Millis, from: InstanceId | undefined): void {
+    this.#options.log.emit(DIRECTORY_EVENTS.tableChanged, {
+      table: this.name, era, revision, rows, from: from ?? 'store', ageMs: this.age, outageMs: outage
+    })
+  }
+
+  #deliver ({ kind, rows }: Extract<ApplyResult, { readonly rows: unknown }>, outage: Millis): void {
+    const decoded = rows.map((row) => this.#decoded(row))
+    if (kind === 'replaced') this.#options.listener.replaced(decoded, outage)
+    else if (decoded.length > 0) this.#options.listener.changed(decoded, outage)
+  }
+
   /** Applies relayed changes, with the outage that they report if the store answered nobody in it; false if changes are missing. */
-  #applyRelayed ({ changes, outage, answerAge }: RelayedChanges, from: InstanceId): boolean {
+  #applyRelayed (relayed: RelayedChanges, from: InstanceId): boolean {
     const now = this.#options.clock.now()
-    const answeredAt = millis(now - answerAge)
-    if (!this.#apply(changes, this.#answerGaps.outageOf(outage, answeredAt, now), from)) return false
-    this.#noteAnswer(answeredAt)
+    const answeredAt = millis(now - relayed.answerAge)
+    const changes = shiftRetained(relayed.changes, now)
+    this.#history.note(changes.era)
+    if (!this.#apply(changes, this.#answerGaps.outageOf(relayed.outage, answeredAt, now), from)) return false
+    this.#adoptRetained(changes)
+    if (changes.era === this.#view.position?.era) this.#noteAnswer(answeredAt)
     return true
   }
 
+  /** Takes over what a neighbour retains of an era that this instance did not know. */
+  #adoptRetained (changes: TableChanges): void {
+    const rows = this.#view.adopt(changes)
+    if (rows.length === 0) return
+    this.#noteRetained()
+    this.#deliver({ kind: 'changed', rows }, NO_WAIT)
+  }
+
+  /** Logs what is retained after a restore, and releases it in time. */
+  #noteRetained (): void {
+    const { clock, log } = this.#options
+    const { nextRelease, retainedCount } = this.#view
+    this.#releaseTimer?.cancel()
+    if (nextRelease === undefined) return
+    log.emit(DIRECTORY_EVENTS.rowsRetained, { table: this.name, era: this.#view.position?.era, rows: retainedCount })
+    this.#scheduleRelease(millis(Math.max(0, nextRelease - clock.now())))
+  }
+
+  #scheduleRelease (wait: Millis): void {
+    this.#releaseTimer = this.#options.clock.after(wait, () => this.#release())
+  }
+
+  /** Puts the restored table in force for rows that were not written again in time. */
+  #release (): void {
+    const { clock, log } = this.#options
+    if (this.#isStopped) return
+    const rows = this.#view.release()
+    if (rows.length > 0) {
+      log.emit(DIRECTORY_EVENTS.rowsReleased, { table: this.name, rows: rows.length, keys: rows.slice(0, MAX_LOGGED_KEYS).map(({ key }) => key).join(' ') })
+      this.#deliver({ kind: 'changed', rows }, NO_WAIT)
+    }
+    const { nextRelease } = this.#view
+    if (nextRelease !== undefined) this.#scheduleRelease(millis(Math.max(1, nextRelease - clock.now())))
+  }
+
+  #compare (key: string, left: Json, right: Json): number {
+    const { decode, listener } = this.#options
+    return listener.compare?.(decode(key, left), decode(key, right)) ?? 0
+  }
+
   #decoded ({ key, value, revision }: TableRow<Json>): TableRow<Value> {
     return { key, revision, value: value === undefined ? undefined : this.#options.decode(key, value) }
   }
 
   #relayed (changes: TableChanges): RelayedChanges {
-    return { table: this.name, changes, answerAge: this.age ?? NO_WAIT, outage: this.#availability.recentOutage }
+    const timeLeft = shiftRetained(changes, -this.#options.clock.now())
+    return { table: this.name, changes: timeLeft, answerAge: this.age ?? NO_WAIT, outage: this.#availability.recentOutage }
   }
 
   #noteAnswer (at: Millis): void {
@@ -266,14 +339,14 @@
   }
 
   /** Fetches missing changes from a neighbour; if that fails, the next status triggers another fetch. */
-  #fetchFrom (from: InstanceId): void {
+  #fetchFrom (from: InstanceId, after: StorePosition | undefined): void {
     if (this.#isFetching) return
     this.#isFetching = true
-    void this.#fetch(from).finally(() => { this.#isFetching = false })
+    void this.#fetch(from, after).finally(() => { this.#isFetching = false })
   }
 
-  async #fetch (from: InstanceId): Promise<void> {
-    const relayed = await this.#options.relay?.fetch(this.name, from, this.#copy.revision)
+  async #fetch (from: InstanceId, after: StorePosition | undefined): Promise<void> {
+    const relayed = await this.#options.relay?.fetch(this.name, from, after)
     if (relayed === undefined || this.#isStopped) return
     this.#applyRelayed(relayed, from)
     this.#statusAt ??= this.#answerGaps.answeredAt
@@ -284,7 +357,7 @@
     const { clock, relay } = this.#options
     while (!this.#isStopped) {
       await clock.sleep(STATUS_PERIOD)
-      if (!this.#isWatcher || !this.#wasLastPollAnswered) continue
+      if (!this.#role.isWatcher || !this.#wasLastPollAnswered) continue
       this.#statusAt = clock.now()
       relay?.announce(this.name)
     }
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -32,6 +32,12 @@
 export const FETCH_TIMEOUT = millis(500)
 /** Changed rows kept for fetches of neighbours. */
 export const RECENT_ROWS = 400
+/** Removed rows whose last values are remembered, so that a restored store does not bring them back. */
+export const MAX_REMOVED_ROWS = 2000
+/** Time for which a row that a restored store brings back stays removed; a dead endpoint's row expires in it. */
+export const REMOVAL_RETENTION = seconds(30)
+/** Time that operators have to write again what a restored store has lost. */
+export const OPERATOR_RETENTION = seconds(8)
 /** Shortest outage in which entries of live endpoints may have expired. */
 export const LAPSE_OUTAGE = seconds(1)
 /** Time that endpoints have to register again once the store is back. */
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -27,5 +27,10 @@
     number: 1622, level: 'info', text: 'An endpoint named, changed or withdrew its limit of requests per second from all instances together.'
   },
   limitMalformed: { number: 1623, level: 'warn', text: 'The limit that an endpoint named is not a positive decimal number; it was ignored or bounded.' },
-  tableAnswerDropped: { number: 1624, level: 'warn', text: 'The store answered with an older revision than the one known here; nothing of the answer was applied.' }
+  tableAnswerDropped: { number: 1624, level: 'warn', text: 'The store answered with an older revision than the one known here; nothing of the answer was applied.' },
+  storeRestored: {
+    number: 1625, level: 'warn', text: 'The store came back from an older copy; what was known stays in force until it is written again, or its time is over.'
+  },
+  rowsRetained: { number: 1626, level: 'warn', text: 'Rows and removals that a restored table lacks stay in force.' },
+  rowsReleased: { number: 1627, level: 'warn', text: 'Rows were not written again in time after a restore; the restored table is in force for them.' }
 })
--- a/packages/directory/src/tableMessages.ts
+++ b/packages/directory/src/tableMessages.ts
@@ -1,17 +1,15 @@
 import { isJsonObject, millis } from '@papayahill/common'
 import type { Json, Millis } from '@papayahill/common'
 import type { TableChanges } from './TableCopy.js'
-import type { TableRow } from './types.js'
+import type { TableSummary } from './TableView.js'
+import type { RetainedRow, StorePosition, TableRow } from './types.js'
 
 /** How current one instance's copy of a table is. */
-export interface TableStatus {
+export interface TableStatus extends TableSummary {
   readonly table: string
-  readonly revision: number
-  /** Hash over all rows and their revisions. */
-  readonly digest: number
   /** Time since a watcher was last known to poll the table. */
   readonly statusAge: Millis
-  /** Time since the store confirmed the revision. */
+  /** Time since the store confirmed the position. */
   readonly answerAge: Millis
 }
 
@@ -28,35 +26,49 @@
 export type TableMessage =
   | { readonly kind: 'status', readonly statuses: readonly TableStatus[] }
   | { readonly kind: 'changes', readonly relayed: RelayedChanges }
-  /** Requests the changes after a revision; without one, the whole table. */
-  | { readonly kind: 'fetch', readonly table: string, readonly after: number | undefined }
+  /** Requests the changes after a position; without one, the whole table. */
+  | { readonly kind: 'fetch', readonly table: string, readonly after: StorePosition | undefined }
 
 const STATUS = 0
 const CHANGES = 1
 const FETCH = 2
 
-const packChanges = ({ table, changes: { after, revision, rows, base }, answerAge, outage }: RelayedChanges): Json => [
+const packRetained = ({ key, value, last, after, until }: RetainedRow): Json =>
+  value === undefined ? [key, after, Math.round(until), last, 0] : [key, after, Math.round(until), value]
+
+/** Retained rows carry the time left, not the sender's clock. */
+const packChanges = ({ table, changes: { era, after, revision, rows, base, retained }, answerAge, outage }: RelayedChanges): Json => [
   CHANGES, table, after ?? null, revision, base ?? null, Math.round(answerAge), Math.round(outage),
-  rows.map((row) => row.value === undefined ? [row.key, row.revision] : [row.key, row.revision, row.value])
+  rows.map((row) => row.value === undefined ? [row.key, row.revision] : [row.key, row.revision, row.value]),
+  era, (retained ?? []).map(packRetained)
 ]
 
 /** Encodes a message compactly, without field names. */
 export const packTableMessage = (message: TableMessage): Json => {
   if (message.kind === 'changes') return packChanges(message.relayed)
-  if (message.kind === 'fetch') return [FETCH, message.table, message.after ?? null]
-  return [STATUS, ...message.statuses.map(({ table, revision, digest, statusAge, answerAge }) =>
-    [table, revision, digest, Math.round(statusAge), Math.round(answerAge)])]
+  if (message.kind === 'fetch') return [FETCH, message.table, message.after?.revision ?? null, message.after?.era ?? 0]
+  return [STATUS, ...message.statuses.map(({ table, era, revision, digest, retained, statusAge, answerAge }) =>
+    [table, revision, digest, Math.round(statusAge), Math.round(answerAge), era, retained])]
 }
 
 const isCount = (value: Json | undefined): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0
 
 const isOptionalCount = (value: Json | undefined): value is number | null => value === null || isCount(value)
 
+/** Earlier versions name no era and retain nothing. */
 const statusOf = (packed: Json): TableStatus | undefined => {
   if (!Array.isArray(packed)) return undefined
-  const [table, revision, digest, statusAge, answerAge] = packed as readonly Json[]
-  if (typeof table !== 'string' || !isCount(revision) || !isCount(digest) || !isCount(statusAge) || !isCount(answerAge)) return undefined
-  return { table, revision, digest, statusAge: millis(statusAge), answerAge: millis(answerAge) }
+  const [table, revision, digest, statusAge, answerAge, era = 0, retained = 0] = packed as readonly Json[]
+  if (typeof table !== 'string' || !isCount(revision) || !isCount(digest) || !isCount(era) || !isCount(retained)) return undefined
+  if (!isCount(statusAge) || !isCount(answerAge)) return undefined
+  return { table, era, revision, digest, retained, statusAge: millis(statusAge), answerAge: millis(answerAge) }
+}
+
+const retainedOf = (packed: Json): RetainedRow | undefined => {
+  if (!Array.isArray(packed)) return undefined
+  const [key, after, timeLeft, last, removal] = packed as readonly Json[]
+  if (typeof key !== 'string' || !isCount(after) || !isCount(timeLeft) || last === undefined) return undefined
+  return { key, after, until: millis(timeLeft), last, value: removal === undefined ? last : undefined }
 }
 
 const rowOf = (packed: Json): TableRow<Json> | undefined => {
@@ -71,11 +83,14 @@
   return items.every((item) => item !== undefined) ? items as readonly Item[] : undefined
 }
 
-const changesOf = ([table, after, revision, base, answerAge, outage, packedRows]: readonly Json[]): TableMessage | undefined => {
+const changesOf = (fields: readonly Json[]): TableMessage | undefined => {
+  const [table, after, revision, base, answerAge, outage, packedRows, era = 0, packedRetained = []] = fields
   const rows = Array.isArray(packedRows) ? readAll(packedRows, rowOf) : undefined
-  if (typeof table !== 'string' || !isOptionalCount(after) || !isOptionalCount(base) || rows === undefined) return undefined
-  if (!isCount(revision) || !isCount(answerAge) || !isCount(outage)) return undefined
-  const changes = { after: after ?? undefined, revision, rows, base: base ?? undefined }
+  const retained = Array.isArray(packedRetained) ? readAll(packedRetained, retainedOf) : undefined
+  if (typeof table !== 'string' || !isOptionalCount(after) || !isOptionalCount(base)) return undefined
+  if (rows === undefined || retained === undefined) return undefined
+  if (!isCount(era) || !isCount(revision) || !isCount(answerAge) || !isCount(outage)) return undefined
+  const changes = { era, after: after ?? undefined, revision, rows, base: base ?? undefined, retained }
   return { kind: 'changes', relayed: { table, changes, answerAge: millis(answerAge), outage: millis(outage) } }
 }
 
@@ -85,8 +100,9 @@
   const [kind, ...fields] = packed as readonly Json[]
   if (kind === CHANGES) return changesOf(fields)
   if (kind === FETCH) {
-    const [table, after] = fields
-    return typeof table === 'string' && isOptionalCount(after) ? { kind: 'fetch', table, after: after ?? undefined } : undefined
+    const [table, revision, era = 0] = fields
+    if (typeof table !== 'string' || !isOptionalCount(revision) || !isCount(era)) return undefined
+    return { kind: 'fetch', table, after: revision === null ? undefined : { era, revision } }
   }
   const statuses = kind === STATUS ? readAll(fields, statusOf) : undefined
   return statuses === undefined ? undefined : { kind: 'status', statuses }
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -1,4 +1,4 @@
-import type { Bytes, DomainId, EndpointId, EpochMillis, Millis, RegionId, ServiceId, WorkspaceId } from '@papayahill/common'
+import type { Bytes, DomainId, EndpointId, EpochMillis, Json, Millis, RegionId, ServiceId, WorkspaceId } from '@papayahill/common'
 
 /** Whether a request may be repeated: `safe` requests and resumable streams may; all others run at most once. */
 export type RequestKind = 'safe' | 'unsafe' | 'streaming'
@@ -139,6 +139,37 @@
   /** The store refused or did not answer. */
   | { readonly kind: 'unavailable', readonly detail: string }
 
+/**
+ * A point in the store's history. A store that is restored from an older copy begins a new era, in which the revisions
+ * go back and are given out again: an era is compared before a revision.
+ */
+export interface StorePosition {
+  /** 0 where the store names none. */
+  readonly era: number
+  readonly revision: number
+}
+
+/** How long what was known before a restore stays in force unless it is written again. */
+export interface RowRetention {
+  /** For rows that the restored table lacks or has in an older state. */
+  readonly rowTime: Millis
+  /** For removals of rows that are back in the restored table. */
+  readonly removalTime: Millis
+}
+
+/** A row of the history before a restore that stays in force. */
+export interface RetainedRow {
+  readonly key: string
+  /** Undefined where the row had been removed. */
+  readonly value: Json | undefined
+  /** The value, or the last one before the removal. */
+  readonly last: Json
+  /** Revision of the table as it came back; a newer revision of the row was written after the restore. */
+  readonly after: number
+  /** Monotonic time at which it is released. */
+  readonly until: Millis
+}
+
 /** One row, or its removal. */
 export interface TableRow<Value> {
   readonly key: string
@@ -147,10 +178,7 @@
   readonly revision: number
 }
 
-export interface TableRows<Value> {
-  /** Era of the store's history: each restore from an older copy begins a new one. 0 where the store names none. */
-  readonly era: number
+/** Rows as of a position; the next poll continues from there. */
+export interface TableRows<Value> extends StorePosition {
   readonly rows: ReadonlyArray<TableRow<Value>>
-  /** Newest revision that the rows include; the next poll continues from there. */
-  readonly revision: number
 }
