States of moves that a restored store has lost are recorded again

The recorder wrote a state once and took it for stored; after a restore operators read an older state, or none, of a move that had ended.

--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -78,7 +78,12 @@
   }
   const tickFirst = async (): Promise<void> => await tickAll(gates.slice(0, 1))
   const versionAt = (self: number): string | undefined => gates[self]!.selectCandidates(SERVICE, ROUTES[0]!, [OLD, NEW])[0]?.record.version
-  return { run, counts, fail, tickAll, tickFirst, versionAt, record: () => record }
+  /** The store comes back from an older copy, in which the move was in the given state. */
+  const restore = (older: MoveRecord | undefined): void => {
+    record = older
+    for (const gate of gates) gate.recordAgain()
+  }
+  return { run, counts, fail, tickAll, tickFirst, versionAt, restore, record: () => record }
 }
 
 describe('MoveGate', () => {
@@ -116,6 +121,29 @@
     expect([0, 1, 2].map(versionAt)).toEqual(['v2', 'v2', 'v2'])
   })
 
+  describe('when a restored store has lost its record', () => {
+    it.each<[string, MoveRecord | undefined]>([['lacks it', undefined], ['still says that it moves', { to: 'v2', state: 'moving' }]])(
+      'writes its end again if the store %s', async (_what, older) => {
+        const { run, tickAll, restore, record } = setUpCluster(3)
+        await run(12, (endpoint) => endpoint === NEW)
+        expect(record()?.state).toBe('taken-back')
+        restore(older)
+        for (let round = 0; round < 3; round++) await tickAll()
+        expect(record()).toEqual({ to: 'v2', state: 'taken-back' })
+      })
+
+    it('keeps an end that was recorded, whatever it saw since', async () => {
+      const { run, fail, tickAll, restore, versionAt, record } = setUpCluster(3)
+      await run(12, NEVER_BAD)
+      expect(record()?.state).toBe('done')
+      restore({ to: 'v2', state: 'moving' })
+      fail(0, 40)
+      for (let round = 0; round < 3; round++) await tickAll()
+      expect(record()?.state).toBe('done')
+      expect([0, 1, 2].map(versionAt)).toEqual(['v2', 'v2', 'v2'])
+    })
+  })
+
   it('does not roll a version back for failures that the old version has as well', async () => {
     const { run, record } = setUpCluster(6)
     let call = 0
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -54,6 +54,8 @@
   /** State and recorded end as last published. */
   published: string | undefined
   recorded: MoveRecord | undefined
+  /** Whether the store had the record when this instance last read or wrote it, and has not been restored from an older copy since. */
+  isStored: boolean
   isRecording: boolean
   /** Answers of all instances as of the last check, and their verdict. */
   evidence: RouteCounts
@@ -104,6 +106,7 @@
       state: 'moving',
       published: undefined,
       recorded: undefined,
+      isStored: false,
       isRecording: false,
       evidence: {},
       verdict: 'open',
@@ -138,6 +141,11 @@
     }
   }
 
+  /** Records the states of all moves again; call it when the store may have lost them. */
+  recordAgain (): void {
+    for (const move of this.#moves.values()) move.isStored = false
+  }
+
   /** Publishes the counts while the move is open, and its final state once. */
   #publish (service: ServiceId, move: OpenMove): void {
     const recorded = this.#recordedEnd(move) ?? null
@@ -219,13 +227,13 @@
   async #record (service: ServiceId, move: OpenMove): Promise<void> {
     const { records } = this.#options
     const isRecorded = move.recorded?.to === move.order.to && move.recorded.state === move.state
-    if (move.isRecording || isRecorded) return
+    if (move.isRecording || (isRecorded && move.isStored)) return
     move.isRecording = true
     const stored = await records.read(service)
     const isDecided = stored?.to === move.order.to && FINAL.has(stored.state)
     const record: MoveRecord = { to: move.order.to, state: move.state }
-    if (isDecided) move.recorded = stored
-    else if (await records.write(service, record)) move.recorded = record
+    move.isStored = isDecided || await records.write(service, record)
+    if (move.isStored) move.recorded = isDecided ? stored : record
     move.isRecording = false
   }
 }
