--- a/packages/directory/src/ActiveConfig.ts
+++ b/packages/directory/src/ActiveConfig.ts
@@ -1,7 +1,7 @@
 import type { DomainId, EventLog, ServiceId } from '@papayahill/common'
 import { DIRECTORY_EVENTS } from './events.js'
 import { RouteTable } from './RouteTable.js'
-import type { TableListener } from './TableWatch.js'
+import type { TableListener } from './WatchedRows.js'
 import type { ServingConfig, TableRow, VersionOrder } from './types.js'
 
 /** One row of the table that operators write to. */
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -6,7 +6,7 @@
 import { limitAfterAnswer, limitAfterNotice, noticeOf } from './NamedLimit.js'
 import type { AnsweredLimit, LimitNotice, NamedLimit } from './NamedLimit.js'
 import { NoticeMemory } from './NoticeMemory.js'
-import type { TableListener } from './TableWatch.js'
+import type { TableListener } from './WatchedRows.js'
 import type { EndpointRecord, TableRow } from './types.js'
 
 export interface EndpointDirectoryOptions {
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -1,19 +1,21 @@
 import { millis } from '@papayahill/common'
-import type { Clock, EventLog, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
+import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  ANSWER_LIMIT, LAPSE_GRACE, LONG_POLL_WAIT, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, POLL_SPREAD,
-  REMOVAL_RETENTION, ROLE_PERIOD, STATUS_LIMIT, STATUS_PERIOD
+  ANSWER_LIMIT, LONG_POLL_WAIT, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, POLL_SPREAD, ROLE_PERIOD,
+  STATUS_LIMIT, STATUS_PERIOD
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { AnswerGaps } from './AnswerGaps.js'
 import { TableAvailability } from './TableAvailability.js'
 import { StoreHistory } from './StoreHistory.js'
-import type { ApplyResult, TableChanges } from './TableCopy.js'
+import type { TableChanges } from './TableCopy.js'
 import type { RelayedChanges, TableStatus } from './tableMessages.js'
 import type { RelayedTable, TableRelay } from './TableRelay.js'
-import { TableView } from './TableView.js'
-import type { RowRetention, StorePosition, TableError, TableRow, TableRows } from './types.js'
+import type { TableView } from './TableView.js'
+import type { RowRetention, StorePosition, TableError, TableRows } from './types.js'
+import { WatchedRows } from './WatchedRows.js'
+import type { TableListener } from './WatchedRows.js'
 import { WatchRole } from './WatchRole.js'
 
 /** A table of the store that can be read whole and polled for changes; its rows are not yet decoded. */
@@ -24,14 +26,6 @@
   changes (after: number, wait: Millis): Promise<Result<TableRows<Json>, TableError>>
 }
 
-export interface TableListener<Value> {
-  /** All rows as of one revision; rows not among them were removed. */
-  replaced (rows: ReadonlyArray<TableRow<Value>>, outage: Millis): void
-  changed (rows: ReadonlyArray<TableRow<Value>>, outage: Millis): void
-  /** Compares two values of one row: negative if the left one is older by what they say themselves, 0 if they do not tell. */
-  compare? (left: Value, right: Value): number
-}
-
 export interface TableWatchOptions<Value> {
   readonly clock: Clock
   readonly random: Random
@@ -48,9 +42,6 @@
 }
 
 const NO_WAIT = millis(0)
-/** Keys that are named when rows are released. */
-const MAX_LOGGED_KEYS = 5
-const DEFAULT_RETENTION: RowRetention = { rowTime: LAPSE_GRACE, removalTime: REMOVAL_RETENTION }
 
 /** Changes whose retained rows have other ends: `by` later. */
 const shiftRetained = (changes: TableChanges, by: number): TableChanges =>
@@ -68,7 +59,7 @@
  */
 export class TableWatch<Value> implements RelayedTable {
   readonly #options: TableWatchOptions<Value>
-  readonly #view: TableView
+  readonly #rows: WatchedRows<Value>
   readonly #history: StoreHistory
   readonly #role: WatchRole
   readonly #availability: TableAvailability
@@ -80,7 +71,6 @@
   /** Whether the last poll of this instance was answered. */
   #wasLastPollAnswered = false
   #droppedEra: number | undefined
-  #releaseTimer: Timer | undefined
   #isStopped = false
 
   constructor (options: TableWatchOptions<Value>) {
@@ -89,9 +79,8 @@
     this.#availability = new TableAvailability({ clock, random, log, table: table.name })
     this.#role = new WatchRole({ clock, log, table: table.name, relay: options.relay })
     this.#history = options.history ?? new StoreHistory(log)
-    this.#view = new TableView({
-      clock, retention: options.retention ?? DEFAULT_RETENTION, compare: (key, left, right) => this.#compare(key, left, right)
-    })
+    const { decode, listener, retention } = options
+    this.#rows = new WatchedRows({ clock, log, name: table.name, decode, listener, retention })
     options.relay?.add(this)
   }
 
@@ -105,6 +94,10 @@
     return answeredAt === undefined ? undefined : millis(this.#options.clock.now() - answeredAt)
   }
 
+  get #view (): TableView {
+    return this.#rows.view
+  }
+
   /** Number of rows and removals that are retained after a restore of the store. */
   get retainedCount (): number {
     return this.#view.retainedCount
@@ -117,7 +110,7 @@
 
   stop (): void {
     this.#isStopped = true
-    this.#releaseTimer?.cancel()
+    this.#rows.stop()
   }
 
   status (): TableStatus | undefined {
@@ -239,13 +232,10 @@
   #apply (changes: TableChanges, outage: Millis, from: InstanceId | undefined): boolean {
     const { relay } = this.#options
     const base = this.#view.digest
-    const known = this.#view.position
-    const result = this.#view.apply(changes)
+    const result = this.#rows.apply(changes, outage)
     if (result.kind === 'gap') return false
     if (result.kind === 'known' || result.kind === 'outdated') return true
     this.#logChange(changes, result.rows.length, outage, from)
-    if (known !== undefined && changes.era > known.era) this.#noteRetained()
-    this.#deliver(result, outage)
     if (result.kind === 'changed') relay?.push(this.#relayed({ ...changes, base }), from)
     else relay?.announce(this.name, from)
     return true
@@ -257,12 +247,6 @@
     })
   }
 
-  #deliver ({ kind, rows }: Extract<ApplyResult, { readonly rows: unknown }>, outage: Millis): void {
-    const decoded = rows.map((row) => this.#decoded(row))
-    if (kind === 'replaced') this.#options.listener.replaced(decoded, outage)
-    else if (decoded.length > 0) this.#options.listener.changed(decoded, outage)
-  }
-
   /** Applies relayed changes, with the outage that they report if the store answered nobody in it; false if changes are missing. */
   #applyRelayed (relayed: RelayedChanges, from: InstanceId): boolean {
     const now = this.#options.clock.now()
@@ -270,55 +254,11 @@
     const changes = shiftRetained(relayed.changes, now)
     this.#history.note(changes.era)
     if (!this.#apply(changes, this.#answerGaps.outageOf(relayed.outage, answeredAt, now), from)) return false
-    this.#adoptRetained(changes)
+    this.#rows.adopt(changes)
     if (changes.era === this.#view.position?.era) this.#noteAnswer(answeredAt)
     return true
   }
 
-  /** Takes over what a neighbour retains of an era that this instance did not know. */
-  #adoptRetained (changes: TableChanges): void {
-    const rows = this.#view.adopt(changes)
-    if (rows.length === 0) return
-    this.#noteRetained()
-    this.#deliver({ kind: 'changed', rows }, NO_WAIT)
-  }
-
-  /** Logs what is retained after a restore, and releases it in time. */
-  #noteRetained (): void {
-    const { clock, log } = this.#options
-    const { nextRelease, retainedCount } = this.#view
-    this.#releaseTimer?.cancel()
-    if (nextRelease === undefined) return
-    log.emit(DIRECTORY_EVENTS.rowsRetained, { table: this.name, era: this.#view.position?.era, rows: retainedCount })
-    this.#scheduleRelease(millis(Math.max(0, nextRelease - clock.now())))
-  }
-
-  #scheduleRelease (wait: Millis): void {
-    this.#releaseTimer = this.#options.clock.after(wait, () => this.#release())
-  }
-
-  /** Puts the restored table in force for rows that were not written again in time. */
-  #release (): void {
-    const { clock, log } = this.#options
-    if (this.#isStopped) return
-    const rows = this.#view.release()
-    if (rows.length > 0) {
-      log.emit(DIRECTORY_EVENTS.rowsReleased, { table: this.name, rows: rows.length, keys: rows.slice(0, MAX_LOGGED_KEYS).map(({ key }) => key).join(' ') })
-      this.#deliver({ kind: 'changed', rows }, NO_WAIT)
-    }
-    const { nextRelease } = this.#view
-    if (nextRelease !== undefined) this.#scheduleRelease(millis(Math.max(1, nextRelease - clock.now())))
-  }
-
-  #compare (key: string, left: Json, right: Json): number {
-    const { decode, listener } = this.#options
-    return listener.compare?.(decode(key, left), decode(key, right)) ?? 0
-  }
-
-  #decoded ({ key, value, revision }: TableRow<Json>): TableRow<Value> {
-    return { key, revision, value: value === undefined ? undefined : this.#options.decode(key, value) }
-  }
-
   #relayed (changes: TableChanges): RelayedChanges {
     const timeLeft = shiftRetained(changes, -this.#options.clock.now())
     return { table: this.name, changes: timeLeft, answerAge: this.age ?? NO_WAIT, outage: this.#availability.recentOutage }
--- a/packages/directory/src/tableMessages.ts
+++ b/packages/directory/src/tableMessages.ts
@@ -32,9 +32,11 @@
 const STATUS = 0
 const CHANGES = 1
 const FETCH = 2
+/** Marks a retained row as a removal. */
+const REMOVAL = 0
 
 const packRetained = ({ key, value, last, after, until }: RetainedRow): Json =>
-  value === undefined ? [key, after, Math.round(until), last, 0] : [key, after, Math.round(until), value]
+  [key, after, Math.max(0, Math.round(until)), last, ...(value === undefined ? [REMOVAL] : [])]
 
 /** Retained rows carry the time left, not the sender's clock. */
 const packChanges = ({ table, changes: { era, after, revision, rows, base, retained }, answerAge, outage }: RelayedChanges): Json => [
