--- a/packages/directory/src/testing/TableHarness.ts
+++ b/packages/directory/src/testing/TableHarness.ts
@@ -6,11 +6,18 @@
 import { TableRelay } from '../TableRelay.js'
 import { TableWatch } from '../TableWatch.js'
 import type { WatchedTable } from '../TableWatch.js'
-import type { TableError, TableRow, TableRows } from '../types.js'
+import type { RowRetention, TableError, TableRow, TableRows } from '../types.js'
 
 /** How the store answers one instance. */
 export type StoreAccess = 'serves' | 'refuses' | 'silent'
 
+export interface TableHarnessOptions {
+  /** Whether the store names its era in answers; without it, instances know revisions alone. */
+  readonly namesEra?: boolean
+  /** How long instances keep in force what a restored store has lost. */
+  readonly retention?: RowRetention
+}
+
 const CALL_TIME = millis(5)
 const CALL_TIMEOUT = millis(700)
 const DOMAINS = 6
@@ -30,12 +37,14 @@
   #rows = new Map<string, TableRow<Json>>()
   #changes: Array<TableRow<Json>> = []
   #oldest = 0
+  readonly #namesEra: boolean
   era = 1
   revision = 0
   calls = 0
 
-  constructor (clock: VirtualClock) {
+  constructor (clock: VirtualClock, namesEra: boolean) {
     this.#clock = clock
+    this.#namesEra = namesEra
   }
 
   put (key: string, value: Json | undefined): void {
@@ -45,6 +54,10 @@
     this.#changes.push(row)
   }
 
+  get (key: string): Json | undefined {
+    return this.#rows.get(key)?.value
+  }
+
   forgetHistory (): void {
     this.#changes = []
     this.#oldest = this.revision
@@ -59,7 +72,7 @@
     this.#rows = new Map(rows)
     this.#changes = [...changes]
     this.revision = revision
-    this.era++
+    if (this.#namesEra) this.era++
   }
 
   viewFor (accessOf: () => StoreAccess): WatchedTable {
@@ -105,7 +118,9 @@
   readonly log: EventRecorder
   access: StoreAccess = 'serves'
 
-  constructor (clock: VirtualClock, network: MemoryNetwork, store: StoreTable, at: number, list: PeerList) {
+  constructor (
+    clock: VirtualClock, network: MemoryNetwork, store: StoreTable, at: number, list: PeerList, retention: RowRetention | undefined
+  ) {
     const domain = brand<DomainId>(`hall-${at % DOMAINS}`)
     this.id = brand<InstanceId>(`i${at}`)
     this.log = new EventRecorder(clock)
@@ -117,10 +132,22 @@
     })
     const relay = new TableRelay({ clock, log: this.log, domain, peers: this.peers })
     this.watch = new TableWatch({
-      clock, random, log: this.log, relay, table: store.viewFor(() => this.access), decode: (_key, value) => value, listener: this
+      clock,
+      random,
+      log: this.log,
+      relay,
+      table: store.viewFor(() => this.access),
+      decode: (_key, value) => value,
+      listener: this,
+      ...(retention === undefined ? {} : { retention })
     })
   }
 
+  /** Rows whose values are numbers tell their order by them. */
+  compare (left: Json, right: Json): number {
+    return typeof left === 'number' && typeof right === 'number' ? left - right : 0
+  }
+
   replaced (rows: ReadonlyArray<TableRow<Json>>, outage: Millis): void {
     this.known.clear()
     this.changed(rows, outage)
@@ -147,12 +174,15 @@
 export class TableHarness {
   readonly clock = new VirtualClock()
   readonly network = new MemoryNetwork(this.clock)
-  readonly store = new StoreTable(this.clock)
+  readonly store: StoreTable
   readonly instances: TableInstance[] = []
   readonly #count: number
+  readonly #retention: RowRetention | undefined
 
-  constructor (instances: number) {
+  constructor (instances: number, { namesEra = true, retention }: TableHarnessOptions = {}) {
+    this.store = new StoreTable(this.clock, namesEra)
     this.#count = instances
+    this.#retention = retention
   }
 
   /** Starts all instances within about 300 ms, then waits `settle` for their links to be established. */
@@ -168,7 +198,7 @@
     const list: PeerList = {
       list: () => Promise.resolve(Result.ok({ instances: this.instances.map(({ identity: { id, address } }) => ({ id, address })) }))
     }
-    const instance = new TableInstance(this.clock, this.network, this.store, at, list)
+    const instance = new TableInstance(this.clock, this.network, this.store, at, list, this.#retention)
     this.instances[at] = instance
     void instance.peers.start()
     instance.watch.start()
