Rows that were retained and then released or removed stay removed through the next restore

A removal was remembered only where the copy held the row: one that ended a retained row, or the end of its time, was not.

--- a/packages/directory/src/RetainedRows.ts
+++ b/packages/directory/src/RetainedRows.ts
@@ -52,6 +52,10 @@
     return ends.length === 0 ? undefined : millis(Math.min(...ends))
   }
 
+  get (key: string): RetainedRow | undefined {
+    return this.#rows.get(key)
+  }
+
   list (): readonly RetainedRow[] {
     return [...this.#rows.values()]
   }
@@ -101,11 +105,11 @@
     return [...written, ...retained.map(({ key, value, after }) => ({ key, value, revision: after }))]
   }
 
-  /** Releases the rows whose time is over; returns their keys. */
-  release (): readonly string[] {
+  /** Releases the rows whose time is over; returns them. */
+  release (): readonly RetainedRow[] {
     const now = this.#options.clock.now()
-    const due = this.list().filter(({ until }) => until <= now).map(({ key }) => key)
-    for (const key of due) this.#rows.delete(key)
+    const due = this.list().filter(({ until }) => until <= now)
+    for (const { key } of due) this.#rows.delete(key)
     return due
   }
 
--- a/packages/directory/src/TableView.test.ts
+++ b/packages/directory/src/TableView.test.ts
@@ -99,6 +99,15 @@
       expect(view.nextRelease).toBeUndefined()
     })
 
+    it('does not come back with a later restore once it was released or removed', async () => {
+      const { clock, view, restore, changed } = rig(row('a', 1, 9), row('b', 1, 9))
+      restore()
+      changed(row('a', undefined, 8))
+      await clock.advance(ROW_TIME)
+      view.release()
+      expect(view.apply({ era: 3, after: undefined, revision: 9, rows: [row('a', 1, 9), row('b', 1, 9)] })).toMatchObject({ rows: [] })
+    })
+
     it('is taken over by an instance that starts after the restore, and not by one that knew the era before', () => {
       const { view, newView, restore } = rig(row('a', 3, 9), row('b', 1, 9))
       restore(row('a', 1, 5))
--- a/packages/directory/src/TableView.ts
+++ b/packages/directory/src/TableView.ts
@@ -104,7 +104,11 @@
   /** Releases retained rows whose time is over; returns the rows of the store that come into force instead. */
   release (): ReadonlyArray<TableRow<Json>> {
     const revision = this.#copy.position?.revision ?? 0
-    return this.#retained.release().map((key) => this.#copy.rows.get(key) ?? { key, value: undefined, revision })
+    return this.#retained.release().map(({ key, last }) => {
+      const stored = this.#copy.rows.get(key)
+      if (stored === undefined) this.#removed.set(key, { value: last })
+      return stored ?? { key, value: undefined, revision }
+    })
   }
 
   #beginEra (known: ReadonlyMap<string, Json>): void {
@@ -132,7 +136,7 @@
       ? [...this.#copy.rows.keys()].filter((key) => !listed.has(key))
       : rows.filter(({ value }) => value === undefined).map(({ key }) => key)
     for (const key of gone) {
-      const last = this.#copy.rows.get(key)?.value
+      const last = this.#retained.get(key)?.last ?? this.#copy.rows.get(key)?.value
       if (last !== undefined) values.set(key, last)
     }
     return values
--- a/packages/directory/src/restoredTables.test.ts
+++ b/packages/directory/src/restoredTables.test.ts
@@ -94,6 +94,8 @@
 class Instance {
   readonly view: TableView
   readonly inForce = new Map<string, Json>()
+  /** Versions that were in force when their rows were removed. */
+  readonly #removed = new Map<string, number>()
   readonly sent: TableChanges[] = []
   wentBack = false
 
@@ -105,7 +107,7 @@
     const result = this.view.apply(changes)
     if (result.kind === 'replaced') {
       const listed = new Set(result.rows.map(({ key }) => key))
-      for (const key of [...this.inForce.keys()]) if (!listed.has(key)) this.inForce.delete(key)
+      for (const key of [...this.inForce.keys()]) if (!listed.has(key)) this.#remove(key)
     }
     if ('rows' in result) this.#put(result.rows)
     this.#put(this.view.adopt(changes))
@@ -117,13 +119,19 @@
 
   #put (rows: ReadonlyArray<TableRow<Json>>): void {
     for (const { key, value } of rows) {
-      if (value === undefined) this.inForce.delete(key)
+      if (value === undefined) this.#remove(key)
       else {
-        this.wentBack ||= Number(value) < Number(this.inForce.get(key) ?? 0)
+        this.wentBack ||= Number(value) < Number(this.inForce.get(key) ?? 0) || Number(value) <= (this.#removed.get(key) ?? 0)
         this.inForce.set(key, value)
       }
     }
   }
+
+  #remove (key: string): void {
+    const version = this.inForce.get(key)
+    if (version !== undefined) this.#removed.set(key, Number(version))
+    this.inForce.delete(key)
+  }
 }
 
 /** Plays steps; afterwards all is written again, polled and released. True if nothing went back and all instances have what was written. */
