The log names the fingerprint of calls that were lost

Attempts of a request that comes again differ, so that the log did not say whether the calls lost with several endpoints were one request. callEnded (1804) of a lost call has a hash of caller, method, path and body. No logic changes.

--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '@papayahill/directory'
 import { HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
+import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { firstByteTimeoutOf, OpaqueExchange } from './OpaqueExchange.js'
 import type { PromptCheck } from './PromptQuarantine.js'
@@ -181,6 +182,7 @@
       detail: 'detail' in end ? end.detail : undefined,
       events: (relay?.events ?? 0) - this.#eventsBefore,
       parts: end.kind === 'lost' && !this.#isBegun ? this.#loggedParts() : undefined,
+      fingerprint: end.kind === 'lost' ? fingerprintOf(request) : undefined,
       tookMs: millis(clock.now() - this.#startedAt)
     })
   }
