--- a/packages/forwarding/src/PromptQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -7,7 +7,7 @@
 import { SECOND_PROBE_DELAY } from './constants.js'
 import type { Prompt } from './types.js'
 
-export interface PromptQuarantineOptions {
+export interface CallQuarantineOptions {
   readonly clock: Clock
   readonly quarantines: QuarantineManager
   readonly directory: Pick<EndpointDirectory, 'onGone'>
@@ -22,14 +22,14 @@
  * Tells the quarantines which calls were lost with their endpoints and which answers began, by the parts of their prompts.
  *
  * @example
- * const check = prompts.check(request.prompt)
+ * const check = callQuarantine.check(request.prompt)
  * if (check.quarantineOf(endpoints) !== undefined) refuse()
  */
-export class PromptQuarantine {
-  readonly #options: PromptQuarantineOptions
+export class CallQuarantine {
+  readonly #options: CallQuarantineOptions
   readonly #probed = new WeakSet<Endpoint>()
 
-  constructor (options: PromptQuarantineOptions) {
+  constructor (options: CallQuarantineOptions) {
     this.#options = options
     options.directory.onGone((endpoint, isRestart) => {
       if (isRestart && !endpoint.isLeaving && !endpoint.record.isDraining) options.quarantines.confirmCrash(incarnationOf(endpoint))
@@ -37,8 +37,8 @@
   }
 
   /** The standing of a request with this prompt. */
-  check (prompt: Prompt | undefined): PromptCheck {
-    return new PromptCheck(this, this.#options.quarantines, prompt)
+  check (prompt: Prompt | undefined): CallCheck {
+    return new CallCheck(this, this.#options.quarantines, prompt)
   }
 
   /** A call was lost with its connection before its answer began. */
@@ -65,14 +65,14 @@
 }
 
 /** One request's standing at each endpoint, asked again whenever it is about to go out. */
-export class PromptCheck {
-  readonly #prompts: PromptQuarantine
+export class CallCheck {
+  readonly #owner: CallQuarantine
   readonly #quarantines: QuarantineManager
   readonly #model: string
   readonly #check: RequestCheck
 
-  constructor (prompts: PromptQuarantine, quarantines: QuarantineManager, prompt: Prompt | undefined) {
-    this.#prompts = prompts
+  constructor (owner: CallQuarantine, quarantines: QuarantineManager, prompt: Prompt | undefined) {
+    this.#owner = owner
     this.#quarantines = quarantines
     this.#model = prompt?.model ?? ''
     // The last part belongs to the request itself.
@@ -121,7 +121,7 @@
 
   callLost (endpoint: Endpoint): void {
     const incarnation = { scope: this.#scopeOf(endpoint), endpoint: endpoint.id, incarnation: incarnationOf(endpoint) }
-    this.#prompts.callLost(endpoint, incarnation, this.#check)
+    this.#owner.callLost(endpoint, incarnation, this.#check)
   }
 
   #scopeOf ({ service, record }: Endpoint): ScopedIncarnation['scope'] {
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -8,7 +8,7 @@
 import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { firstByteTimeoutOf, OpaqueExchange } from './OpaqueExchange.js'
-import type { PromptCheck } from './PromptQuarantine.js'
+import type { CallCheck } from './CallQuarantine.js'
 import type { StreamRelay } from './StreamRelay.js'
 import type { CallEnd, ForwardRequest } from './types.js'
 import type { VersionCall } from './VersionGate.js'
@@ -17,7 +17,7 @@
   readonly context: ForwardContext
   readonly request: ForwardRequest
   readonly endpoint: Endpoint
-  readonly check: PromptCheck
+  readonly check: CallCheck
   /** Receives a streamed answer. */
   readonly relay: StreamRelay | undefined
   /** Stage results that the endpoint reads first. */
@@ -151,8 +151,8 @@
   }
 
   #noteCrash (end: CallEnd): void {
-    const { context: { prompts }, check, endpoint } = this.#options
-    if (end.kind === 'not-run' && end.isRefused === true) prompts.endpointRefused(endpoint)
+    const { context: { callQuarantine }, check, endpoint } = this.#options
+    if (end.kind === 'not-run' && end.isRefused === true) callQuarantine.endpointRefused(endpoint)
     if (end.kind === 'lost' && end.isConnectionLost && !this.#isBegun) check.callLost(endpoint)
   }
 
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -7,7 +7,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { EngineTracker } from './EngineTracker.js'
 import type { FirstEventTimes } from './FirstEventTimes.js'
-import type { PromptQuarantine } from './PromptQuarantine.js'
+import type { CallQuarantine } from './CallQuarantine.js'
 import type { SharedRetryBudget } from './SharedRetryBudget.js'
 import type { CallWire, ProfileLookup } from './types.js'
 import type { UnsentRequests } from './UnsentRequests.js'
@@ -25,7 +25,7 @@
   readonly coldStarts: ColdStartLimiter
   readonly limits: SharedRateLimiter
   readonly quarantines: QuarantineManager
-  readonly prompts: PromptQuarantine
+  readonly callQuarantine: CallQuarantine
   readonly unsent: UnsentRequests
   readonly retries: SharedRetryBudget
   readonly firstEvents: FirstEventTimes
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -15,7 +15,7 @@
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { logQuarantined } from './logQuarantined.js'
-import type { PromptCheck } from './PromptQuarantine.js'
+import type { CallCheck } from './CallQuarantine.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallPlacement } from './RequestPlacement.js'
 import { returnTimeOf } from './returnTimeOf.js'
@@ -45,7 +45,7 @@
   readonly #placement: RequestPlacement
   readonly #relay: StreamRelay | undefined
   readonly #exclude = new Set<EndpointId>()
-  readonly #check: PromptCheck
+  readonly #check: CallCheck
   /** Connections that have carried this request. */
   readonly #usedSockets = new Set<EndpointSocket>()
   #guard = new RunGuard()
@@ -60,7 +60,7 @@
   /** The call in progress. */
   #call: EndpointCall | undefined
 
-  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, sink: CallerSink, check: PromptCheck) {
+  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, sink: CallerSink, check: CallCheck) {
     this.#context = context
     this.#request = request
     this.#service = service
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -12,7 +12,7 @@
 import { logLimited } from './logLimited.js'
 import { logQuarantined } from './logQuarantined.js'
 import { pickService } from './pickService.js'
-import type { PromptCheck } from './PromptQuarantine.js'
+import type { CallCheck } from './CallQuarantine.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { ServiceGate } from './ServiceGate.js'
 import type { CallerSink, ForwardRequest } from './types.js'
@@ -70,7 +70,7 @@
     const { random, clock, retries, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
-    const check = this.#context.prompts.check(request.prompt)
+    const check = this.#context.callQuarantine.check(request.prompt)
     const refused = this.#checkQuarantine(request, service, check) ?? this.#admit(request, service)
     if (refused !== undefined) return refused
     retries.countRequests(service)
@@ -97,7 +97,7 @@
   }
 
   /** The end of a request that no endpoint may get; undefined if one may. */
-  #checkQuarantine (request: ForwardRequest, service: ServiceId, check: PromptCheck): RunEnd | undefined {
+  #checkQuarantine (request: ForwardRequest, service: ServiceId, check: CallCheck): RunEnd | undefined {
     const quarantine = check.quarantineOf(this.#context.directory.usable(service))
     if (quarantine === undefined) return undefined
     const { detail } = logQuarantined(this.#context, request, quarantine)
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -7,7 +7,7 @@
 import { PLACEMENT_RETRY_PERIOD } from './constants.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { logLimited } from './logLimited.js'
-import type { PromptCheck } from './PromptQuarantine.js'
+import type { CallCheck } from './CallQuarantine.js'
 import type { ForwardRequest, PlacementCriteria } from './types.js'
 
 /** Placement constraints of one call of a request. */
@@ -32,10 +32,10 @@
   readonly #context: ForwardContext
   readonly #request: ForwardRequest
   readonly #service: ServiceId
-  readonly #check: PromptCheck
+  readonly #check: CallCheck
   #wasLimited = false
 
-  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, check: PromptCheck) {
+  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, check: CallCheck) {
     this.#context = context
     this.#request = request
     this.#service = service
