Requests that crash what runs them are judged as a whole, beside parts of prompts

Cause: only parts of prompts were judged. Sound requests had each of its parts, answers cleared them, and nothing was left to suspect; requests without a prompt, and endpoints that end in the middle of an answer, were no evidence at all.

It is computed only while something is suspected, or on a loss. An answer that ended clears it, one that began does not. A call that was lost midway counts once for each attempt, so that a long answer is not convicted by what others crash. A request is not sent on after a second endpoint ended under it, whichever instance and attempt was first.

--- a/packages/explain/src/explainRequest.ts
+++ b/packages/explain/src/explainRequest.ts
@@ -75,9 +75,11 @@
 const quarantineCause = (own: readonly LogLine[]): string | undefined => {
   const held = lastOf(own, 'requestQuarantined')
   if (held === undefined) return undefined
-  const parts = fieldText(held, 'parts').split(' ').join(' and ')
-  if (fieldText(held, 'source') === 'operator') return `an operator put prompts with ${parts} under quarantine`
-  return `prompts with ${parts} had crashed ${fieldText(held, 'crashes')} endpoints of ${fieldText(held, 'scope')} (${fieldText(held, 'endpoints')}), ` +
+  const parts = fieldText(held, 'parts').split(' ')
+  // The id of a whole request begins with an equals sign.
+  const subject = parts.some((part) => part.startsWith('=')) ? 'this request' : `prompts with ${parts.join(' and ')}`
+  if (fieldText(held, 'source') === 'operator') return `an operator put ${subject} under quarantine`
+  return `${subject} had crashed ${fieldText(held, 'crashes')} endpoints of ${fieldText(held, 'scope')} (${fieldText(held, 'endpoints')}), ` +
     `the last one ${fieldText(held, 'lastCrashAgeMs')} ms before, as ${fieldText(held, 'reporters') || 'another instance'} saw`
 }
 
--- a/packages/forwarding/src/CallQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -2,10 +2,11 @@
 import type { Clock, Millis } from '@papayahill/common'
 import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
-import { partIdOf, scopeIdOf } from '@papayahill/quarantine'
-import type { Quarantine, QuarantineManager, RequestCheck, ScopedIncarnation } from '@papayahill/quarantine'
+import { partIdOf, scopeIdOf, wholeIdOf } from '@papayahill/quarantine'
+import type { Quarantine, QuarantineManager, RequestCheck, RequestParts, ScopedIncarnation } from '@papayahill/quarantine'
 import { SECOND_PROBE_DELAY } from './constants.js'
-import type { Prompt } from './types.js'
+import { fingerprintOf } from './fingerprintOf.js'
+import type { ForwardRequest } from './types.js'
 
 export interface CallQuarantineOptions {
   readonly clock: Clock
@@ -19,10 +20,11 @@
 const incarnationOf = ({ id, incarnation }: Endpoint): string => hash64(`${id} ${incarnation}`)
 
 /**
- * Tells the quarantines which calls were lost with their endpoints and which answers began, by the parts of their prompts.
+ * Tells the quarantines which calls were lost with their endpoints and which answers began and ended, by the parts of their prompts and by
+ * whole requests.
  *
  * @example
- * const check = callQuarantine.check(request.prompt)
+ * const check = callQuarantine.check(request)
  * if (check.quarantineOf(endpoints) !== undefined) refuse()
  */
 export class CallQuarantine {
@@ -36,15 +38,15 @@
     })
   }
 
-  /** The standing of a request with this prompt. */
-  check (prompt: Prompt | undefined): CallCheck {
-    return new CallCheck(this, this.#options.quarantines, prompt)
+  /** The standing of a request. */
+  check (request: ForwardRequest): CallCheck {
+    return new CallCheck(this, this.#options.quarantines, request)
   }
 
-  /** A call was lost with its connection before its answer began. */
-  callLost (endpoint: Endpoint, incarnation: ScopedIncarnation, check: RequestCheck): void {
-    if (check.parts.length === 0 || endpoint.isLeaving || endpoint.record.isDraining) return
-    this.#options.quarantines.noteLost(incarnation, check.parts)
+  /** A call was lost with its connection. */
+  callLost (endpoint: Endpoint, incarnation: ScopedIncarnation, suspects: RequestParts): void {
+    if (suspects.length === 0 || endpoint.isLeaving || endpoint.record.isDraining) return
+    this.#options.quarantines.noteLost(incarnation, suspects)
     if (this.#probed.has(endpoint)) return
     this.#probed.add(endpoint)
     void this.#probe(endpoint)
@@ -71,12 +73,14 @@
   readonly #model: string
   readonly #check: RequestCheck
 
-  constructor (owner: CallQuarantine, quarantines: QuarantineManager, prompt: Prompt | undefined) {
+  constructor (owner: CallQuarantine, quarantines: QuarantineManager, request: ForwardRequest) {
+    const { prompt } = request
     this.#owner = owner
     this.#quarantines = quarantines
     this.#model = prompt?.model ?? ''
     // The last part belongs to the request itself.
-    this.#check = quarantines.check(prompt?.parts.slice(0, -1).map(({ id }) => partIdOf(id)) ?? [])
+    const parts = prompt?.parts.slice(0, -1).map(({ id }) => partIdOf(id)) ?? []
+    this.#check = quarantines.check(parts, () => wholeIdOf(fingerprintOf(request)))
   }
 
   /** The quarantine that keeps the request from all of the endpoints; undefined if it may go to one, or if there is none. */
@@ -99,13 +103,15 @@
   }
 
   /**
-   * The endpoint for a request with a suspected part; undefined if it has none. All instances send those with one part to
+   * The endpoint for a suspected request, or one with a suspected part; undefined if it has none. All instances send those with one part to
    * one endpoint, and those with another part to another, so that few endpoints crash and each crash tells parts apart.
    */
   suspectEndpoint (endpoints: readonly Endpoint[]): Endpoint | undefined {
     const [any] = endpoints
     if (any === undefined) return undefined
-    const part = this.#quarantines.suspectIn(this.#scopeOf(any), this.#check.parts)
+    const scope = this.#scopeOf(any)
+    if (!this.#quarantines.hasSuspects(scope)) return undefined
+    const part = this.#quarantines.suspectIn(scope, this.#check.suspects)
     return part === undefined ? undefined : firstByRendezvous(part, endpoints, ({ id }) => id)
   }
 
@@ -119,9 +125,25 @@
     this.#quarantines.dismissCrash(incarnationOf(endpoint), millis(sentAt))
   }
 
-  callLost (endpoint: Endpoint): void {
-    const incarnation = { scope: this.#scopeOf(endpoint), endpoint: endpoint.id, incarnation: incarnationOf(endpoint) }
-    this.#owner.callLost(endpoint, incarnation, this.#check)
+  /** The answer was received to its end, whatever its status. */
+  answerEnded (endpoint: Endpoint): void {
+    const scope = this.#scopeOf(endpoint)
+    if (this.#quarantines.hasSuspects(scope) && this.#check.whole !== undefined) this.#quarantines.noteEnded(scope, this.#check.whole)
+  }
+
+  /** The call was lost with its connection. */
+  callLost (endpoint: Endpoint, isBegun: boolean): void {
+    this.#owner.callLost(endpoint, this.#incarnationAt(endpoint), this.#check.suspectsOfLoss(isBegun))
+  }
+
+  /** Crashes of other endpoints under this request, whichever instance and attempt sent it there. */
+  crashesBefore (endpoint: Endpoint): number {
+    const { whole } = this.#check
+    return whole === undefined ? 0 : this.#quarantines.crashesWith(this.#incarnationAt(endpoint), whole)
+  }
+
+  #incarnationAt (endpoint: Endpoint): ScopedIncarnation {
+    return { scope: this.#scopeOf(endpoint), endpoint: endpoint.id, incarnation: incarnationOf(endpoint) }
   }
 
   #scopeOf ({ service, record }: Endpoint): ScopedIncarnation['scope'] {
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -59,12 +59,12 @@
     return this.#options.endpoint
   }
 
-  /** Takes the request back from the endpoint if parts of it have come under quarantine, unless its answer has begun. */
+  /** Takes the request back from the endpoint if it or parts of it have come under quarantine, unless its answer has begun. */
   withdrawIfQuarantined (): void {
     const { check, endpoint } = this.#options
     if (this.#isBegun || !check.mustWithdraw(endpoint)) return
     this.#isWithdrawn = true
-    this.#exchange.withdraw('a part of the request is under quarantine')
+    this.#exchange.withdraw('the request or a part of it is under quarantine')
   }
 
   async run (socket: EndpointSocket): Promise<CallEnd> {
@@ -153,7 +153,8 @@
   #noteCrash (end: CallEnd): void {
     const { context: { callQuarantine }, check, endpoint } = this.#options
     if (end.kind === 'not-run' && end.isRefused === true) callQuarantine.endpointRefused(endpoint)
-    if (end.kind === 'lost' && end.isConnectionLost && !this.#isBegun) check.callLost(endpoint)
+    if (end.kind === 'lost' && end.isConnectionLost) check.callLost(endpoint, this.#isBegun)
+    if (end.kind === 'answered' || end.kind === 'streamed') check.answerEnded(endpoint)
   }
 
   #placeFields (uncachedTokens: Tokens | undefined): Record<string, string | number | undefined> {
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -252,8 +252,7 @@
     if (this.#request.signal.aborted) return this.#callerGone()
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#quarantined(quarantine)
-    const hasBegun = (this.#relay?.events ?? 0) > 0
-    if (isConnectionLost && !hasBegun && ++this.#crashCount >= MAX_CRASHES_PER_REQUEST) return this.#interrupted(detail)
+    if (isConnectionLost && this.#mayHaveCrashedTooMany(endpoint)) return this.#interrupted(detail)
     if (!this.#isRetryable || !this.#tryTakeRetry()) return this.#interrupted(detail)
     if (this.#relay !== undefined && this.#relay.events > 0 && this.#inputs.length > 0) {
       const staged = await this.#recomputeInputs()
@@ -262,6 +261,17 @@
     return this.#retry(detail)
   }
 
+  /**
+   * Whether this request, with this endpoint, may have crashed too many. A stream that had begun is a bystander, unless other
+   * attempts of the request were lost with endpoints as well.
+   */
+  #mayHaveCrashedTooMany (endpoint: Endpoint): boolean {
+    const before = this.#check.crashesBefore(endpoint)
+    if ((this.#relay?.events ?? 0) > 0) return before >= MAX_CRASHES_PER_REQUEST
+    this.#crashCount++
+    return Math.max(this.#crashCount, before + 1) >= MAX_CRASHES_PER_REQUEST
+  }
+
   async #recomputeInputs (): Promise<Result<void, StageFailure>> {
     this.#graph?.cancel()
     return await this.#runStages()
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -70,7 +70,7 @@
     const { random, clock, retries, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
-    const check = this.#context.callQuarantine.check(request.prompt)
+    const check = this.#context.callQuarantine.check(request)
     const refused = this.#checkQuarantine(request, service, check) ?? this.#admit(request, service)
     if (refused !== undefined) return refused
     retries.countRequests(service)
--- a/packages/forwarding/src/logQuarantined.ts
+++ b/packages/forwarding/src/logQuarantined.ts
@@ -1,4 +1,5 @@
 import { millis } from '@papayahill/common'
+import { isWhole } from '@papayahill/quarantine'
 import type { Quarantine } from '@papayahill/quarantine'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -19,7 +20,6 @@
   quarantine: Quarantine
 ): { readonly detail: string } => {
   const { scope, parts, crashes, lastCrashAt, endpoints, failedTrials, source } = quarantine
-  const named = parts.join(' and ')
   log.emit(FORWARDING_EVENTS.requestQuarantined, {
     request: attempt,
     scope,
@@ -32,5 +32,6 @@
     source
   })
   const cause = source === 'operator' ? 'by an operator\'s order' : `${crashes} endpoints crashed on it`
-  return { detail: `prompts with the part ${named} are under quarantine: ${cause}; sending it again does not help` }
+  const subject = parts.some(isWhole) ? 'this request is' : `prompts with the part ${parts.join(' and ')} are`
+  return { detail: `${subject} under quarantine: ${cause}; sending it again does not help` }
 }
--- a/packages/quarantine/src/BegunParts.ts
+++ b/packages/quarantine/src/BegunParts.ts
@@ -3,8 +3,9 @@
 import type { PartId, ScopeId } from './types.js'
 
 /**
- * The parts on which answers have begun, in each scope. Bounded: the ones that no request has had for longest are forgotten
- * first, which makes them suspects again in a crash and convicts them of nothing.
+ * The parts on which answers have begun, and suspected whole requests whose answers have ended, in each scope. Bounded: the
+ * ones that no request has had for longest are forgotten first, which makes them suspects again in a crash and convicts them
+ * of nothing.
  *
  * @example
  * begun.add(scope, part)
@@ -30,6 +31,11 @@
 
   add (scope: ScopeId, part: PartId): void {
     this.#parts.set(`${scope} ${part}`, true)
+    this.addScope(scope)
+  }
+
+  /** An answer has begun in the scope, to a request without parts. */
+  addScope (scope: ScopeId): void {
     this.#scopes.set(scope, true)
   }
 }
--- a/packages/quarantine/src/QuarantineManager.test.ts
+++ b/packages/quarantine/src/QuarantineManager.test.ts
@@ -2,7 +2,7 @@
 import type { EndpointId, InstanceId, Json } from '@papayahill/common'
 import type { GossipEntry } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
-import { partIdOf } from './partIdOf.js'
+import { partIdOf, wholeIdOf } from './partIdOf.js'
 import { QuarantineManager } from './QuarantineManager.js'
 import { scopeIdOf } from './scopeIdOf.js'
 import type { PartId, ScopedIncarnation, ScopeId } from './types.js'
@@ -207,4 +207,53 @@
       expect(fleet.logs.get(fleet.ids[0]!)!.records.map(({ kind }) => kind.name)).toEqual(['quarantineMalformed'])
     })
   })
+
+  describe('a whole request that comes again', () => {
+    const WHOLE = wholeIdOf('q1Lr0cVh2xk9JbJd')
+    const isKept = (manager: QuarantineManager, whole = WHOLE): boolean => manager.check(partsOf('first'), () => whole).find(V1) !== undefined
+
+    const crashed = async (crashes: number): Promise<ReturnType<typeof twoInstances>> => {
+      const { fleet, one, two } = twoInstances()
+      for (let crash = 0; crash < crashes; crash++) {
+        const lost = [one, two][crash % 2]!
+        await fleet.crash(V1, [lost, lost.check(partsOf('first'), () => WHOLE).suspectsOfLoss(false)])
+      }
+      return { fleet, one, two }
+    }
+
+    it('is kept from endpoints after three crashes though answers have begun on all its parts, and others with them are not', async () => {
+      const { one, two } = await crashed(3)
+      expect([one, two].map((manager) => isKept(manager))).toEqual([true, true])
+      expect(isKept(one, wholeIdOf('another'))).toBe(false)
+    })
+
+    it('is cleared by an answer that ended, not by one that began', async () => {
+      const { one, two } = await crashed(3)
+      one.noteBegun(V1, partsOf('first'))
+      expect(isKept(two)).toBe(true)
+      one.noteEnded(V1, WHOLE)
+      expect([one, two].map((manager) => isKept(manager))).toEqual([false, false])
+    })
+
+    it('is suspected once of the crashes in which one attempt was lost midway', () => {
+      const check = new Instances().add().check(partsOf('first'), () => WHOLE)
+      expect([check.suspectsOfLoss(true), check.suspectsOfLoss(true)]).toEqual([[WHOLE], []])
+      expect(check.suspectsOfLoss(false)).toEqual([...partsOf('first'), WHOLE])
+    })
+
+    it('counts crashes of other endpoints only, before it is sent on', async () => {
+      const { one } = await crashed(2)
+      expect(one.crashesWith({ scope: V1, endpoint: brand<EndpointId>('e9'), incarnation: 'e9' }, WHOLE)).toBe(2)
+      expect(one.crashesWith({ scope: V1, endpoint: brand<EndpointId>('e2'), incarnation: 'e2' }, WHOLE)).toBe(1)
+    })
+
+    it('cannot be named by a caller as a part of a prompt', () => {
+      expect(partIdOf(WHOLE)).not.toBe(WHOLE)
+    })
+
+    it('shares an endpoint with others of its kind only once it was lost with two', async () => {
+      expect((await crashed(1)).one.suspectIn(V1, [WHOLE])).toBeUndefined()
+      expect((await crashed(2)).one.suspectIn(V1, [WHOLE])).toBe(WHOLE)
+    })
+  })
 })
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -3,13 +3,17 @@
 import type { Peers } from '@papayahill/peers'
 import { LRUCache } from 'lru-cache'
 import { BegunParts } from './BegunParts.js'
-import { FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, MAX_SCOPES, MIN_CRASHES, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE } from './constants.js'
+import {
+  FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, MAX_SCOPES, MIN_CRASHES, MIN_ISOLATED_CRASHES, PUBLISH_FALLBACK,
+  REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE
+} from './constants.js'
 import { CrashDetector } from './CrashDetector.js'
 import type { LostCalls } from './CrashDetector.js'
 import { QUARANTINE_EVENTS } from './events.js'
 import type { Finding, PartHistory } from './judgeCrashes.js'
 import { QuarantineGossip } from './QuarantineGossip.js'
 import type { BegunNotice, QuarantineMessage } from './quarantineMessages.js'
+import { isWhole } from './partIdOf.js'
 import { keyOf, QuarantineTable } from './QuarantineTable.js'
 import { RequestCheck } from './RequestCheck.js'
 import { ScopeEvidence } from './ScopeEvidence.js'
@@ -81,11 +85,23 @@
     this.#listeners.push(listener)
   }
 
-  /** The standing of a request with these parts. */
-  check (parts: RequestParts): RequestCheck {
+  /** The standing of a request with these parts; `wholeOf` identifies it among requests that come again. */
+  check (parts: RequestParts, wholeOf?: () => PartId): RequestCheck {
     return new RequestCheck({
-      find: (scope, of) => this.#find(scope, of), takeTrial: (quarantine) => this.#takeTrial(quarantine)
-    }, parts)
+      isEmpty: () => this.#table.size === 0,
+      find: (scope, of) => this.#find(scope, of),
+      takeTrial: (quarantine) => this.#takeTrial(quarantine)
+    }, parts, wholeOf)
+  }
+
+  /** Whether anything is suspected or under quarantine in the scope. */
+  hasSuspects (scope: ScopeId): boolean {
+    return this.#table.size > 0 || (this.#evidence.get(scope)?.suspects.size ?? 0) > 0
+  }
+
+  /** Crashes of other incarnations in which the part was lost. */
+  crashesWith ({ scope, incarnation }: ScopedIncarnation, part: PartId): number {
+    return this.#evidence.get(scope)?.crashesWith(part, incarnation) ?? 0
   }
 
   #find (scope: ScopeId, parts: RequestParts): Quarantine | undefined {
@@ -103,13 +119,22 @@
     const evidence = this.#evidence.get(scope)
     if (evidence === undefined || evidence.suspects.size === 0) return undefined
     let worst: PartId | undefined
-    const crashesOf = (part: PartId | undefined): number => part === undefined ? 0 : evidence.suspects.get(part) ?? 0
+    const crashesOf = (part: PartId | undefined): number => {
+      const crashes = part === undefined ? 0 : evidence.suspects.get(part) ?? 0
+      return part !== undefined && isWhole(part) && crashes < MIN_ISOLATED_CRASHES ? 0 : crashes
+    }
     for (const part of parts) if (crashesOf(part) > crashesOf(worst)) worst = part
     return worst
   }
 
+  /** The answer to a whole request has ended, so that it does not crash what runs it. */
+  noteEnded (scope: ScopeId, whole: PartId): void {
+    if (this.#isBlamed(scope, whole)) this.noteBegun(scope, [whole])
+  }
+
   /** An answer has begun: none of its parts crashes what runs it. */
   noteBegun (scope: ScopeId, parts: RequestParts): void {
+    this.#begun.addScope(scope)
     const cleared = parts.filter((part) => this.#isBlamed(scope, part))
     for (const part of parts) this.#begun.add(scope, part)
     if (cleared.length === 0) return
@@ -119,7 +144,7 @@
     if (news.length > 0) this.#publishBegun({ scope, parts: news })
   }
 
-  /** A call was lost with its connection before its answer began. */
+  /** A call was lost with its connection; `parts` are what is suspected for it. */
   noteLost (incarnation: ScopedIncarnation, parts: RequestParts): void {
     if (parts.length === 0) return
     const lost = this.#detector.noteLoss(incarnation, parts, this.#options.clock.now())
--- a/packages/quarantine/src/ScopeEvidence.ts
+++ b/packages/quarantine/src/ScopeEvidence.ts
@@ -62,9 +62,10 @@
     return true
   }
 
-  /** Number of crashes in which the part was lost, as far as it was reported. */
-  crashesWith (part: PartId): number {
-    return [...this.#crashes.values()].filter(({ requests }) => requests.some((parts) => parts.includes(part))).length
+  /** Number of crashes in which the part was lost, as far as it was reported, without that of one incarnation. */
+  crashesWith (part: PartId, except?: string): number {
+    const others = [...this.#crashes].filter(([incarnation]) => incarnation !== except)
+    return others.filter(([, { requests }]) => requests.some((parts) => parts.includes(part))).length
   }
 
   /** The part has caused none of the crashes so far. */
--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -4,6 +4,8 @@
 export const MIN_CRASHES = 3
 /** Crashes that do so however many others there are that the part does not explain. */
 export const MAX_CRASHES = 5
+/** Crashes after which a suspected whole request goes to an endpoint of its own; until then most are bystanders. */
+export const MIN_ISOLATED_CRASHES = 2
 /** Crashes within this time of each other have a common cause, such as a failure domain that is lost, and count once. */
 export const SIMULTANEOUS = millis(50)
 /** Crashes that a part does not explain count against its guilt if they lie this close to those that it would explain. */
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -1,5 +1,5 @@
 export { QUARANTINE_EVENTS } from './events.js'
-export { partIdOf } from './partIdOf.js'
+export { isWhole, partIdOf, wholeIdOf } from './partIdOf.js'
 export { QuarantineManager } from './QuarantineManager.js'
 export type { QuarantineManagerOptions } from './QuarantineManager.js'
 export { RequestCheck } from './RequestCheck.js'
--- a/packages/quarantine/src/types.ts
+++ b/packages/quarantine/src/types.ts
@@ -1,6 +1,6 @@
 import type { Brand, EndpointId, EpochMillis, InstanceId, Millis } from '@papayahill/common'
 
-/** Something that requests have in common and that may crash what runs it, such as one part of a prompt. */
+/** Something that requests have in common and that may crash what runs it: one part of a prompt, or a whole request that comes again. */
 export type PartId = Brand<string, 'PartId'>
 
 /** One version of a service with one model; crashes and answers are compared within it. */
@@ -13,7 +13,7 @@
   readonly incarnation: string
 }
 
-/** The parts of one request, in the order of the request. */
+/** The parts of one request, in the order of the request; the request as a whole, if it is among them, is the last one. */
 export type RequestParts = readonly PartId[]
 
 /** What one instance saw of an endpoint's crash. */
