A quarantine does not reach an instance that knows an answer on its part

An instance that had been cut off while three others' crashes convicted a part took the quarantine over though it knew an answer on the part; now it leaves such parts out and tells the others. The test fails without the change.

--- a/packages/quarantine/src/QuarantineManager.test.ts
+++ b/packages/quarantine/src/QuarantineManager.test.ts
@@ -112,6 +112,18 @@
       expect(isRefused(one, partsOf('first', 'other'))).toBe(false)
     })
 
+    it('does not reach an instance that knows an answer on the part, which tells the others', async () => {
+      const { fleet, one } = twoInstances()
+      const late = fleet.add()
+      for (let crash = 0; crash < 3; crash++) await fleet.crash(V1, [one, DEADLY])
+      expect(isRefused(late, DEADLY)).toBe(true)
+      const cutOff = fleet.add()
+      cutOff.noteBegun(V1, DEADLY)
+      for (const value of [...fleet.published]) fleet.deliver(value)
+      await fleet.clock.advance(millis(1000))
+      expect([one, late, cutOff].map((manager) => isRefused(manager, DEADLY))).toEqual([false, false, false])
+    })
+
     it('withdraws requests that were sent, but not the one that tries it', async () => {
       const { one } = await quarantined()
       expect(one.check(DEADLY).mustWithdraw(V1)).toBe(true)
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -283,7 +283,15 @@
     })
   }
 
-  #receiveQuarantine (received: Quarantine): void {
+  /** A quarantine that another instance has begun; parts that are known to be sound here are left out, and the others are told. */
+  #receiveQuarantine (told: Quarantine): void {
+    const innocent = told.parts.filter((part) => this.#begun.has(told.scope, part))
+    if (innocent.length > 0) this.#replyLater(told.scope, innocent)
+    const received = { ...told, parts: told.parts.filter((part) => !innocent.includes(part)) }
+    if (received.parts.length > 0) this.#adopt(received)
+  }
+
+  #adopt (received: Quarantine): void {
     const known = this.#table.get(received)
     if (known?.source === 'operator' || received.lastCrashAt <= (this.#lifted.get(keyOf(received)) ?? 0)) return
     const isNews = known === undefined || received.lastCrashAt > known.lastCrashAt
