--- a/packages/bench/src/quarantine/measureQuarantine.ts
+++ b/packages/bench/src/quarantine/measureQuarantine.ts
@@ -1,7 +1,7 @@
 import { brand, hash64, millis, MILLIS_PER_SECOND, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { InstanceId, Millis } from '@papayahill/common'
 import { partIdOf, QuarantineHarness, QuarantineManager, scopeIdOf } from '@papayahill/quarantine'
-import type { QuarantinePolicy, SentRequest } from '@papayahill/quarantine'
+import type { DeadlyKind, QuarantinePolicy, SentRequest } from '@papayahill/quarantine'
 import { heapAfterGc } from '../load/heapAfterGc.js'
 import type { Bench, BenchOptions, Figures } from '../types.js'
 
@@ -10,11 +10,16 @@
   readonly instances: number
   readonly engines: number
   readonly requestsPerSecond: number
+  /** Max seeds for deadly parts, and for each kind of deadly requests. */
   readonly maxSeeds: number
+  readonly maxRequestSeeds: number
 }
 
-/** The platform's bound: requests that may reach engines once this many have crashed and the contact time is over. */
-const BOUNDED_CRASHES = 5
+/** The platform's bound: after so many crashes and the contact time, hardly any deadly request may reach engines. */
+const BOUNDED_CRASHES: Readonly<Record<DeadlyKind, number>> = { part: 5, request: 3, 'request-midway': 3 }
+/** What the figures of each kind begin with. */
+const PREFIXES: Readonly<Record<DeadlyKind, string>> = { part: '', request: 'request.', 'request-midway': 'midway.' }
+const KINDS = Object.keys(BOUNDED_CRASHES) as readonly DeadlyKind[]
 const CONTACT = seconds(3)
 const SOUND_SPAN = seconds(6)
 const TAINTED_SPAN = seconds(20)
@@ -91,8 +96,10 @@
 const FAULT_NAMES = Object.keys(FAULTS) as readonly FaultName[]
 
 interface Measures {
-  readonly crashesPerPart: number
-  readonly reachedAfterFifth: number
+  /** Most crashes by one deadly part or request. */
+  readonly crashes: number
+  /** Requests that reached engines though the bound held. */
+  readonly reachedAfterBound: number
   readonly soundBegun: number
   readonly falselyRefusedShare: number
   readonly allKnowMs: number
@@ -105,38 +112,47 @@
 const shareOf = (requests: readonly SentRequest[], isCounted: (request: SentRequest) => boolean): number =>
   requests.filter(isCounted).length / Math.max(1, requests.length)
 
-/** Time from which the bound holds for a part: the contact time after its fifth crash; Infinity before that. */
-const boundedFrom = ({ crashes }: QuarantineHarness, part: SentRequest['deadly']): number =>
-  (crashes.filter((crash) => crash.part === part)[BOUNDED_CRASHES - 1]?.at ?? Infinity) + CONTACT
+/** Time from which the bound holds for a part or request: the contact time after its last allowed crash; Infinity before that. */
+const boundedFrom = ({ crashes }: QuarantineHarness, kind: DeadlyKind, part: SentRequest['deadly']): number =>
+  (crashes.filter((crash) => crash.part === part)[BOUNDED_CRASHES[kind] - 1]?.at ?? Infinity) + CONTACT
 
-const reachedOf = (harness: QuarantineHarness): number => Math.max(0, ...harness.deadly.map((part) => {
-  const from = boundedFrom(harness, part)
+const reachedOf = (harness: QuarantineHarness, kind: DeadlyKind): number => Math.max(0, ...harness.deadly.map((part) => {
+  const from = boundedFrom(harness, kind, part)
   return harness.arrivals.filter(({ at, deadly, isInTouch }) => deadly === part && isInTouch && at > from).length
 }))
 
-const measureScenario = async (size: QuarantineSize, seed: number, policy: QuarantinePolicy, name: FaultName): Promise<Measures> => {
+/** One scenario: its size and seed, what is deadly, what instances remember, and the fault beside it. */
+interface Scenario {
+  readonly size: QuarantineSize
+  readonly seed: number
+  readonly kind: DeadlyKind
+  readonly policy: QuarantinePolicy
+  readonly fault: FaultName
+}
+
+const measureScenario = async ({ size, seed, kind, policy, fault }: Scenario): Promise<Measures> => {
   const { instances, engines, requestsPerSecond } = size
   const deadlyShare = DEADLY_SHARES[(seed - 1) % DEADLY_SHARES.length]!
   const deadlyParts = DEADLY_PARTS[(seed - 1) % DEADLY_PARTS.length]!
-  const harness = new QuarantineHarness({ instances, engines, requestsPerSecond, deadlyShare, deadlyParts, seed, policy })
+  const harness = new QuarantineHarness({ instances, engines, requestsPerSecond, kind, deadlyShare, deadlyParts, seed, policy })
   const { clock } = harness
   await harness.start()
   await clock.advance(SOUND_SPAN)
   const bytes = harness.publishedBytes
   const taintedAt = clock.now()
-  harness.isTainted = name !== 'storm'
-  await FAULTS[name](harness)
+  harness.isTainted = fault !== 'storm'
+  await FAULTS[fault](harness)
   await clock.advance(millis(TAINTED_SPAN - FAULT_SPAN))
   const sound = harness.sent.filter(({ deadly }) => deadly === undefined)
   const before = sound.filter(({ at }) => at < taintedAt)
   const own = harness.crashes.filter(({ part }) => part !== undefined)
-  const settledAt = Math.max(taintedAt + FAULT_SPAN, own[BOUNDED_CRASHES - 1]?.at ?? own.at(-1)?.at ?? taintedAt) + 2 * CONTACT
+  const settledAt = Math.max(taintedAt + FAULT_SPAN, own[BOUNDED_CRASHES[kind] - 1]?.at ?? own.at(-1)?.at ?? taintedAt) + 2 * CONTACT
   const settled = sound.filter(({ at }) => at > settledAt && at < clock.now() - MILLIS_PER_SECOND)
   const known = harness.instances.filter(({ isInTouch }) => isInTouch).flatMap(({ quarantinedAt }) => quarantinedAt ?? [])
   const begunShare = (requests: readonly SentRequest[]): number => shareOf(requests, ({ hasBegun }) => hasBegun)
   return {
-    crashesPerPart: Math.max(0, ...harness.deadly.map((part) => own.filter((crash) => crash.part === part).length)),
-    reachedAfterFifth: reachedOf(harness),
+    crashes: Math.max(0, ...harness.deadly.map((part) => own.filter((crash) => crash.part === part).length)),
+    reachedAfterBound: reachedOf(harness, kind),
     soundBegun: settled.length < MIN_REQUESTS ? 1 : begunShare(settled) / begunShare(before),
     falselyRefusedShare: shareOf(sound, ({ isRefused }) => isRefused),
     allKnowMs: known.length === 0 ? 0 : Math.max(...known) - Math.min(...known),
@@ -155,33 +171,39 @@
   return LOWEST.has(name) ? Math.min(left, right) : Math.max(left, right)
 }
 
-/** The worst figures of each size over all seeds. */
-export const measureQuarantine = async (sizes: readonly QuarantineSize[], { seed, seeds }: BenchOptions): Promise<Figures> => {
+/** The worst figures of one kind and size over all seeds. */
+const measureKind = async (size: QuarantineSize, kind: DeadlyKind, { seed, seeds }: BenchOptions): Promise<Figures> => {
   const figures: Record<string, number> = {}
-  for (const size of sizes) {
-    for (let at = seed; at < seed + Math.min(seeds, size.maxSeeds); at++) {
-      const name = FAULT_NAMES[(at - 1) % FAULT_NAMES.length]!
-      const { allKnowMs, falselyRefusedShare, ...others } = await measureScenario(size, at, 'shared', name)
-      // What instances publish in the same scenario without quarantines is membership, not the cost of these.
-      const { bytesPerInstanceSecond: membership } = await measureScenario(size, at, 'none', name)
-      const measures: Record<string, number> = {
-        ...others, bytesPerInstanceSecond: Math.max(0, others.bytesPerInstanceSecond - membership)
-      }
-      if (!UNTOLD.has(name)) measures.allKnowMs = allKnowMs
-      measures[name === 'storm' ? 'falselyRefusedInStorms' : 'falselyRefusedShare'] = falselyRefusedShare
-      for (const [figure, value] of Object.entries(measures)) {
-        const key = `${figure}At${size.instances}`
-        figures[key] = worseOf(figure, figures[key], value)
-      }
+  const most = kind === 'part' ? size.maxSeeds : size.maxRequestSeeds
+  for (let at = seed; at < seed + Math.min(seeds, most); at++) {
+    const scenario = { size, seed: at, kind, fault: FAULT_NAMES[(at - 1) % FAULT_NAMES.length]! }
+    const { allKnowMs, falselyRefusedShare, ...others } = await measureScenario({ ...scenario, policy: 'shared' })
+    // What instances publish in the same scenario without quarantines is membership, not the cost of these.
+    const { bytesPerInstanceSecond: membership } = await measureScenario({ ...scenario, policy: 'none' })
+    const measures: Record<string, number> = {
+      ...others, bytesPerInstanceSecond: Math.max(0, others.bytesPerInstanceSecond - membership)
+    }
+    if (!UNTOLD.has(scenario.fault)) measures.allKnowMs = allKnowMs
+    measures[scenario.fault === 'storm' ? 'falselyRefusedInStorms' : 'falselyRefusedShare'] = falselyRefusedShare
+    for (const [figure, value] of Object.entries(measures)) {
+      const key = `${PREFIXES[kind]}${figure}At${size.instances}`
+      figures[key] = worseOf(figure, figures[key], value)
     }
   }
   return figures
 }
 
+/** The worst figures of each kind and size. */
+export const measureQuarantine = async (sizes: readonly QuarantineSize[], options: BenchOptions): Promise<Figures> => {
+  const figures: Record<string, number> = {}
+  for (const size of sizes) for (const kind of KINDS) Object.assign(figures, await measureKind(size, kind, options))
+  return figures
+}
+
 /** The scenario without other faults, under a simpler policy. */
-export const measureQuarantineBaseline = async (policy: QuarantinePolicy, size: QuarantineSize): Promise<Figures> => {
-  const measures = await measureScenario(size, BASELINE_SEED, policy, 'none')
-  return Object.fromEntries(Object.entries(measures).map(([name, value]) => [`${name}At${size.instances}`, value as number]))
+export const measureQuarantineBaseline = async (policy: QuarantinePolicy, size: QuarantineSize, kind: DeadlyKind = 'part'): Promise<Figures> => {
+  const measures = await measureScenario({ size, seed: BASELINE_SEED, kind, policy, fault: 'none' })
+  return Object.fromEntries(Object.entries(measures).map(([name, value]) => [`${PREFIXES[kind]}${name}At${size.instances}`, value as number]))
 }
 
 /** Heap that one instance needs after workspaces have named random parts in begun answers and in lost calls. */
@@ -204,11 +226,12 @@
   return manager.size >= 0 ? heap : 0
 }
 
-export const quarantineBounds = (sizes: readonly QuarantineSize[]): Bench['bounds'] => Object.fromEntries(sizes.flatMap(({ instances }) => [
-  [`reachedAfterFifthAt${instances}`, { max: 3 }],
-  [`soundBegunAt${instances}`, { min: 0.9 }],
-  [`falselyRefusedShareAt${instances}`, { max: 0.001 }],
-  [`falselyRefusedInStormsAt${instances}`, { max: 0 }],
-  [`allKnowMsAt${instances}`, { max: CONTACT satisfies Millis }],
-  [`bytesPerInstanceSecondAt${instances}`, { max: 3072 }]
-]))
+export const quarantineBounds = (sizes: readonly QuarantineSize[]): Bench['bounds'] => Object.fromEntries(
+  sizes.flatMap(({ instances }) => Object.values(PREFIXES).flatMap((prefix) => [
+    [`${prefix}reachedAfterBoundAt${instances}`, { max: 3 }],
+    [`${prefix}soundBegunAt${instances}`, { min: 0.9 }],
+    [`${prefix}falselyRefusedShareAt${instances}`, { max: 0.001 }],
+    [`${prefix}falselyRefusedInStormsAt${instances}`, { max: 0 }],
+    [`${prefix}allKnowMsAt${instances}`, { max: CONTACT satisfies Millis }],
+    [`${prefix}bytesPerInstanceSecondAt${instances}`, { max: 3072 }]
+  ])))
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -27,6 +27,6 @@
   roster: () => import('./benches/roster.js'),
   'endpoint-limits': () => import('./benches/endpoint-limits.js'),
   'endpoint-limits-large': () => import('./benches/endpoint-limits-large.js'),
-  'deadly-parts': () => import('./benches/deadly-parts.js'),
-  'deadly-parts-large': () => import('./benches/deadly-parts-large.js')
+  'deadly-work': () => import('./benches/deadly-work.js'),
+  'deadly-work-large': () => import('./benches/deadly-work-large.js')
 }
--- a/packages/forwarding/src/CallQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -3,7 +3,7 @@
 import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { partIdOf, scopeIdOf, wholeIdOf } from '@papayahill/quarantine'
-import type { Quarantine, QuarantineManager, RequestCheck, RequestParts, ScopedIncarnation } from '@papayahill/quarantine'
+import type { Quarantine, QuarantineManager, RequestCheck, ScopedIncarnation } from '@papayahill/quarantine'
 import { SECOND_PROBE_DELAY } from './constants.js'
 import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardRequest } from './types.js'
@@ -16,6 +16,24 @@
   readonly probe: (endpoint: Endpoint) => Promise<ListenerState>
 }
 
+/** How a call was lost: in the middle of its answer or, before it began, with the request to be sent on, or for good. */
+export type CallLoss = 'midway' | 'sent-on' | 'for-good'
+
+type LossHandler = (quarantines: QuarantineManager, incarnation: ScopedIncarnation, check: RequestCheck) => void
+
+const LOSS_HANDLERS: Readonly<Record<CallLoss, LossHandler>> = {
+  midway: (quarantines, incarnation, check) => {
+    const whole = check.takeMidwayLoss()
+    if (whole !== undefined) quarantines.noteLostWhole(whole, { incarnation, suspects: [whole] })
+  },
+  'sent-on': (quarantines, incarnation, check) => {
+    const { parts, whole, suspects } = check
+    if (parts.length > 0) quarantines.noteLost(incarnation, parts)
+    if (whole !== undefined) quarantines.noteLostWhole(whole, { incarnation, suspects })
+  },
+  'for-good': (quarantines, incarnation, check) => quarantines.noteLost(incarnation, check.suspects)
+}
+
 /** Its incarnation's short name, as all instances know it. */
 const incarnationOf = ({ id, incarnation }: Endpoint): string => hash64(`${id} ${incarnation}`)
 
@@ -44,9 +62,9 @@
   }
 
   /** A call was lost with its connection. */
-  callLost (endpoint: Endpoint, incarnation: ScopedIncarnation, suspects: RequestParts): void {
-    if (suspects.length === 0 || endpoint.isLeaving || endpoint.record.isDraining) return
-    this.#options.quarantines.noteLost(incarnation, suspects)
+  callLost (endpoint: Endpoint, incarnation: ScopedIncarnation, check: RequestCheck, loss: CallLoss): void {
+    if (endpoint.isLeaving || endpoint.record.isDraining) return
+    LOSS_HANDLERS[loss](this.#options.quarantines, incarnation, check)
     if (this.#probed.has(endpoint)) return
     this.#probed.add(endpoint)
     void this.#probe(endpoint)
@@ -127,13 +145,13 @@
 
   /** The answer was received to its end, whatever its status. */
   answerEnded (endpoint: Endpoint): void {
-    const scope = this.#scopeOf(endpoint)
-    if (this.#quarantines.hasSuspects(scope) && this.#check.whole !== undefined) this.#quarantines.noteEnded(scope, this.#check.whole)
+    const { whole } = this.#check
+    if (whole !== undefined) this.#quarantines.noteEnded(this.#scopeOf(endpoint), whole)
   }
 
   /** The call was lost with its connection. */
-  callLost (endpoint: Endpoint, isBegun: boolean): void {
-    this.#owner.callLost(endpoint, this.#incarnationAt(endpoint), this.#check.suspectsOfLoss(isBegun))
+  callLost (endpoint: Endpoint, loss: CallLoss): void {
+    this.#owner.callLost(endpoint, this.#incarnationAt(endpoint), this.#check, loss)
   }
 
   /** Crashes of other endpoints under this request, whichever instance and attempt sent it there. */
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -151,9 +151,10 @@
   }
 
   #noteCrash (end: CallEnd): void {
-    const { context: { callQuarantine }, check, endpoint } = this.#options
+    const { context: { callQuarantine }, check, endpoint, canRetry } = this.#options
     if (end.kind === 'not-run' && end.isRefused === true) callQuarantine.endpointRefused(endpoint)
-    if (end.kind === 'lost' && end.isConnectionLost) check.callLost(endpoint, this.#isBegun)
+    const unbegunLoss = canRetry ? 'sent-on' : 'for-good'
+    if (end.kind === 'lost' && end.isConnectionLost) check.callLost(endpoint, this.#isBegun ? 'midway' : unbegunLoss)
     if (end.kind === 'answered' || end.kind === 'streamed') check.answerEnded(endpoint)
   }
 
--- a/packages/quarantine/src/BegunParts.ts
+++ b/packages/quarantine/src/BegunParts.ts
@@ -1,9 +1,10 @@
 import { LRUCache } from 'lru-cache'
-import { MAX_BEGUN_PARTS } from './constants.js'
+import { MAX_BEGUN_PARTS, MAX_ENDED_REQUESTS } from './constants.js'
+import { isWhole } from './partIdOf.js'
 import type { PartId, ScopeId } from './types.js'
 
 /**
- * The parts on which answers have begun, and suspected whole requests whose answers have ended, in each scope. Bounded: the
+ * The parts on which answers have begun, and whole requests whose answers have ended, in each scope. Bounded: the
  * ones that no request has had for longest are forgotten first, which makes them suspects again in a crash and convicts them
  * of nothing.
  *
@@ -13,15 +14,17 @@
  */
 export class BegunParts {
   readonly #parts = new LRUCache<string, true>({ max: MAX_BEGUN_PARTS })
+  /** Most whole requests come once and must not push out parts. */
+  readonly #wholes = new LRUCache<string, true>({ max: MAX_ENDED_REQUESTS })
   readonly #scopes = new LRUCache<ScopeId, true>({ max: MAX_BEGUN_PARTS })
 
-  /** Number of parts that are remembered. */
+  /** Number of parts and requests that are remembered. */
   get size (): number {
-    return this.#parts.size
+    return this.#parts.size + this.#wholes.size
   }
 
   has (scope: ScopeId, part: PartId): boolean {
-    return this.#parts.has(`${scope} ${part}`)
+    return this.#cacheOf(part).has(`${scope} ${part}`)
   }
 
   /** Whether any answer has begun in the scope. */
@@ -30,10 +33,14 @@
   }
 
   add (scope: ScopeId, part: PartId): void {
-    this.#parts.set(`${scope} ${part}`, true)
+    this.#cacheOf(part).set(`${scope} ${part}`, true)
     this.addScope(scope)
   }
 
+  #cacheOf (part: PartId): LRUCache<string, true> {
+    return isWhole(part) ? this.#wholes : this.#parts
+  }
+
   /** An answer has begun in the scope, to a request without parts. */
   addScope (scope: ScopeId): void {
     this.#scopes.set(scope, true)
--- a/packages/quarantine/src/CrashDetector.ts
+++ b/packages/quarantine/src/CrashDetector.ts
@@ -5,6 +5,8 @@
 /** Calls of this instance that were lost with one incarnation of an endpoint before their answers began. */
 export interface LostCalls {
   readonly incarnation: ScopedIncarnation
+  /** Monotonic time of the first sign of the crash. */
+  readonly since: Millis
   readonly requests: readonly RequestParts[]
 }
 
@@ -72,5 +74,5 @@
   }
 }
 
-const lostCallsOf = ({ incarnation, requests }: Suspicion): LostCalls | undefined =>
-  incarnation === undefined ? undefined : { incarnation, requests }
+const lostCallsOf = ({ incarnation, since, requests }: Suspicion): LostCalls | undefined =>
+  incarnation === undefined ? undefined : { incarnation, since, requests }
--- a/packages/quarantine/src/QuarantineManager.test.ts
+++ b/packages/quarantine/src/QuarantineManager.test.ts
@@ -15,6 +15,9 @@
 
 const DEADLY = partsOf('first', 'deadly')
 
+/** What an instance lost with an endpoint: the parts of a call that had not begun, or a whole request midway. */
+type Lost = readonly [manager: QuarantineManager, parts: readonly PartId[] | PartId]
+
 /** Instances whose messages reach each other at once, unless one is deaf. */
 class Instances {
   readonly clock = new VirtualClock()
@@ -43,10 +46,13 @@
   }
 
   /** An endpoint of the scope crashes with requests of these instances. */
-  async crash (scope: ScopeId, ...lost: ReadonlyArray<readonly [QuarantineManager, readonly PartId[]]>): Promise<void> {
+  async crash (scope: ScopeId, ...lost: readonly Lost[]): Promise<void> {
     const id = `e${++this.#crashes}`
     const incarnation: ScopedIncarnation = { scope, endpoint: brand<EndpointId>(id), incarnation: id }
-    for (const [manager, parts] of lost) manager.noteLost(incarnation, parts)
+    for (const [manager, parts] of lost) {
+      if (Array.isArray(parts)) manager.noteLost(incarnation, parts)
+      else manager.noteLostWhole(parts as PartId, { incarnation, suspects: [parts as PartId] })
+    }
     for (const [manager] of lost) manager.confirmCrash(id)
     await this.clock.advance(millis(1000))
   }
@@ -228,7 +234,7 @@
       const { fleet, one, two } = twoInstances()
       for (let crash = 0; crash < crashes; crash++) {
         const lost = [one, two][crash % 2]!
-        await fleet.crash(V1, [lost, lost.check(partsOf('first'), () => WHOLE).suspectsOfLoss(false)])
+        await fleet.crash(V1, [lost, lost.check(partsOf('first'), () => WHOLE).suspects])
       }
       return { fleet, one, two }
     }
@@ -249,8 +255,26 @@
 
     it('is suspected once of the crashes in which one attempt was lost midway', () => {
       const check = new Instances().add().check(partsOf('first'), () => WHOLE)
-      expect([check.suspectsOfLoss(true), check.suspectsOfLoss(true)]).toEqual([[WHOLE], []])
-      expect(check.suspectsOfLoss(false)).toEqual([...partsOf('first'), WHOLE])
+      expect([check.takeMidwayLoss(), check.takeMidwayLoss()]).toEqual([WHOLE, undefined])
+      expect(check.suspects).toEqual([...partsOf('first'), WHOLE])
+    })
+
+    it('is told to the others once it was lost midway with two incarnations, by all that saw one', async () => {
+      const { fleet, one, two } = twoInstances()
+      const lose = async (manager: QuarantineManager): Promise<void> =>
+        await fleet.crash(V1, [manager, WHOLE])
+      await lose(two)
+      await lose(one)
+      expect(fleet.published).toEqual([])
+      await lose(one)
+      expect([one, two].map((manager) => isKept(manager))).toEqual([true, true])
+    })
+
+    it('that has always ended before is not suspected in a crash', async () => {
+      const { fleet, one, two } = twoInstances()
+      one.noteEnded(V1, WHOLE)
+      for (let crash = 0; crash < 3; crash++) await fleet.crash(V1, [one, [WHOLE]])
+      expect([one, two].map((manager) => isKept(manager))).toEqual([false, false])
     })
 
     it('counts crashes of other endpoints only, before it is sent on', async () => {
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -17,6 +17,8 @@
 import { keyOf, QuarantineTable } from './QuarantineTable.js'
 import { RequestCheck } from './RequestCheck.js'
 import { ScopeEvidence } from './ScopeEvidence.js'
+import { UntoldLosses } from './UntoldLosses.js'
+import type { RequestLoss } from './UntoldLosses.js'
 import type { CrashReport, PartId, Quarantine, QuarantineOrder, RequestParts, ScopedIncarnation, ScopeId } from './types.js'
 
 /** Suspected parts and endpoints that one log line names. */
@@ -46,6 +48,7 @@
   readonly #options: QuarantineManagerOptions
   readonly #begun = new BegunParts()
   readonly #detector = new CrashDetector()
+  readonly #untold = new UntoldLosses()
   readonly #evidence = new LRUCache<ScopeId, ScopeEvidence>({ max: MAX_SCOPES })
   readonly #table = new QuarantineTable()
   readonly #gossip: QuarantineGossip
@@ -94,9 +97,9 @@
     }, parts, wholeOf)
   }
 
-  /** Whether anything is suspected or under quarantine in the scope. */
+  /** Whether anything is suspected in the scope. */
   hasSuspects (scope: ScopeId): boolean {
-    return this.#table.size > 0 || (this.#evidence.get(scope)?.suspects.size ?? 0) > 0
+    return (this.#evidence.get(scope)?.suspects.size ?? 0) > 0
   }
 
   /** Crashes of other incarnations in which the part was lost. */
@@ -129,7 +132,7 @@
 
   /** The answer to a whole request has ended, so that it does not crash what runs it. */
   noteEnded (scope: ScopeId, whole: PartId): void {
-    if (this.#isBlamed(scope, whole)) this.noteBegun(scope, [whole])
+    this.noteBegun(scope, [whole])
   }
 
   /** An answer has begun: none of its parts crashes what runs it. */
@@ -144,6 +147,15 @@
     if (news.length > 0) this.#publishBegun({ scope, parts: news })
   }
 
+  /** A whole request was lost that may be a bystander; others are told once it was lost with two incarnations. */
+  noteLostWhole (whole: PartId, loss: RequestLoss): void {
+    const earlier = this.#untold.take(whole, loss.incarnation)
+    const isSuspected = earlier !== undefined || this.crashesWith(loss.incarnation, whole) > 0
+    if (!isSuspected) return this.#untold.note(whole, loss)
+    if (earlier !== undefined) this.noteLost(earlier.incarnation, earlier.suspects)
+    this.noteLost(loss.incarnation, loss.suspects)
+  }
+
   /** A call was lost with its connection; `parts` are what is suspected for it. */
   noteLost (incarnation: ScopedIncarnation, parts: RequestParts): void {
     if (parts.length === 0) return
@@ -190,12 +202,15 @@
   }
 
   /** Crashes of a version on which no answer has begun yet are put down to the version, not to parts. */
-  #report ({ incarnation, requests }: LostCalls): void {
+  #report ({ incarnation, since, requests }: LostCalls): void {
     const { clock, peers } = this.#options
     const { scope } = incarnation
     if (!this.#begun.hasAny(scope)) return
     const suspected = requests.map((parts) => parts.filter((part) => !this.#begun.has(scope, part)))
-    const report: CrashReport = { ...incarnation, at: clock.wall(), requests: suspected.filter((parts) => parts.length > 0) }
+    const age = millis(clock.now() - since)
+    const report: CrashReport = {
+      ...incarnation, at: epochMillis(clock.wall() - age), age, requests: suspected.filter((parts) => parts.length > 0)
+    }
     this.#record(report, peers.self)
     this.#publishLater(report)
   }
@@ -228,15 +243,24 @@
   #receiveReport (report: CrashReport, from: InstanceId): void {
     this.#record(report, from)
     this.confirmCrash(report.incarnation)
+    this.#tellLossesOf(report)
     const evidence = this.#evidenceOf(report.scope)
     const innocent = [...new Set(report.requests.flat())].filter((part) => this.#begun.has(report.scope, part))
     const endangered = innocent.filter((part) => evidence.crashesWith(part) >= MIN_CRASHES - 1)
     if (endangered.length > 0) this.#replyLater(report.scope, endangered)
   }
 
+  /** Another instance suspects requests that were lost here with another incarnation. */
+  #tellLossesOf (report: CrashReport): void {
+    for (const whole of report.requests.flat().filter(isWhole)) {
+      const own = this.#untold.take(whole, report)
+      if (own !== undefined) this.noteLost(own.incarnation, own.suspects)
+    }
+  }
+
   #record (report: CrashReport, reporter: InstanceId): void {
     const evidence = this.#evidenceOf(report.scope)
-    if (!evidence.record({ report, reporter, learnedAt: this.#options.clock.now() })) return
+    if (!evidence.record({ report, reporter, learnedAt: millis(this.#options.clock.now() - report.age) })) return
     this.#judge(evidence)
     const { scope, endpoint, incarnation, requests } = report
     const suspects = [...new Set(requests.flat())].filter((part) => evidence.suspects.has(part))
--- a/packages/quarantine/src/RequestCheck.ts
+++ b/packages/quarantine/src/RequestCheck.ts
@@ -26,7 +26,7 @@
   /** The quarantine that this request tries, and whether it was sent. */
   #trial: string | undefined
   #isTrialSent = false
-  #wasLostMidway = false
+  #lostMidway = false
 
   constructor (lookup: QuarantineLookup, parts: RequestParts, wholeOf?: () => PartId) {
     this.#lookup = lookup
@@ -61,14 +61,13 @@
   }
 
   /**
-   * What is suspected after the request was lost with an endpoint; an answer that had begun clears the parts. A request that is
-   * resumed time and again is suspected of one crash only: what others crash would convict a long answer otherwise.
+   * Records that the answer was lost midway; returns the request if it is suspected for that. One that is resumed time and again
+   * is suspected of one crash only: what others crash would convict a long answer otherwise.
    */
-  suspectsOfLoss (isBegun: boolean): RequestParts {
-    if (!isBegun) return this.suspects
-    if (this.#wasLostMidway || this.whole === undefined) return []
-    this.#wasLostMidway = true
-    return [this.whole]
+  takeMidwayLoss (): PartId | undefined {
+    if (this.#lostMidway) return undefined
+    this.#lostMidway = true
+    return this.whole
   }
 
   /** Whether a request that was already sent must be withdrawn. */
--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -22,7 +22,9 @@
 export const MAX_REMEMBERED_CRASHES = 128
 export const MAX_QUARANTINES = 256
 export const MAX_BEGUN_PARTS = 8192
+export const MAX_ENDED_REQUESTS = 4096
 export const MAX_PENDING_CRASHES = 256
+export const MAX_UNTOLD_LOSSES = 512
 /** Bounds of one crash report. */
 export const MAX_REPORTED_REQUESTS = 32
 export const MAX_REPORTED_PARTS = 8
--- a/packages/quarantine/src/quarantineMessages.ts
+++ b/packages/quarantine/src/quarantineMessages.ts
@@ -1,4 +1,4 @@
-import { brand, epochMillis } from '@papayahill/common'
+import { brand, epochMillis, millis } from '@papayahill/common'
 import type { EndpointId, Json } from '@papayahill/common'
 import { MAX_PART_LENGTH, MAX_REPORTED_PARTS, MAX_REPORTED_REQUESTS } from './constants.js'
 import type { CrashReport, PartId, Quarantine, QuarantineOrder, RequestParts, ScopeId } from './types.js'
@@ -22,8 +22,8 @@
 const KINDS: ReadonlyArray<QuarantineMessage['kind']> = ['crash', 'begun', 'quarantine', 'order']
 
 const ENCODERS: { readonly [Kind in QuarantineMessage['kind']]: (message: MessageOf<Kind>) => readonly Json[] } = {
-  crash: ({ report: { scope, endpoint, incarnation, at, requests } }) =>
-    [scope, endpoint, incarnation, Math.round(at), requests.map((parts) => [...parts])],
+  crash: ({ report: { scope, endpoint, incarnation, at, age, requests } }) =>
+    [scope, endpoint, incarnation, Math.round(at), requests.map((parts) => [...parts]), Math.round(age)],
   begun: ({ notice: { scope, parts } }) => [scope, [...parts]],
   quarantine: ({ quarantine: { scope, parts, crashes, lastCrashAt, failedTrials, endpoints } }) =>
     [scope, [...parts], crashes, Math.round(lastCrashAt), failedTrials, [...endpoints]],
@@ -58,10 +58,12 @@
 type Fields = ReadonlyArray<Json | undefined>
 
 const DECODERS: Readonly<Record<QuarantineMessage['kind'], (fields: Fields, scope: ScopeId) => QuarantineMessage | undefined>> = {
-  crash: ([endpoint, life, at, encoded], scope) => {
+  // Earlier versions tell each crash at once, and no age.
+  crash: ([endpoint, life, at, encoded, age = 0], scope) => {
     const requests = requestsIn(encoded)
-    if (typeof endpoint !== 'string' || typeof life !== 'string' || !isCount(at) || requests === undefined) return undefined
-    return { kind: 'crash', report: { scope, endpoint: brand<EndpointId>(endpoint), incarnation: life, at: epochMillis(at), requests } }
+    if (typeof endpoint !== 'string' || typeof life !== 'string' || !isCount(at) || !isCount(age) || requests === undefined) return undefined
+    const report = { scope, endpoint: brand<EndpointId>(endpoint), incarnation: life, at: epochMillis(at), age: millis(age), requests }
+    return { kind: 'crash', report }
   },
   begun: ([encoded], scope) => {
     const parts = partsIn(encoded, MAX_REPORTED_REQUESTS * MAX_REPORTED_PARTS)
--- a/packages/quarantine/src/testing/QuarantineHarness.ts
+++ b/packages/quarantine/src/testing/QuarantineHarness.ts
@@ -6,7 +6,7 @@
 import { MemoryNetwork, PeerCore } from '@papayahill/peers'
 import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
 import { Result } from 'true-myth'
-import { partIdOf } from '../partIdOf.js'
+import { partIdOf, wholeIdOf } from '../partIdOf.js'
 import { QuarantineManager } from '../QuarantineManager.js'
 import type { PartId, RequestParts } from '../types.js'
 import { CountingPolicy, FORGETFUL } from './CrashPolicy.js'
@@ -25,17 +25,26 @@
 /** Subjects that are new in each second, and classes. */
 const SUBJECTS = 20
 const CLASSES = 3
+/** One in so many requests is always the same one. */
+const HOT_EVERY = 10
 /** Pause after which a caller repeats a request that was lost or refused. */
 const REPEAT_AFTER = millis(250)
 
 /** What instances remember: together, each by itself, nothing, or counts of whole prompts or first parts. */
 export type QuarantinePolicy = 'shared' | 'alone' | 'none' | 'whole-prompt' | 'first-part'
 
+/**
+ * What is deadly: parts of requests no two of which are alike, or whole requests that come again and whose parts are those of
+ * sound ones; the latter crash engines before their answers begin, or midway.
+ */
+export type DeadlyKind = 'part' | 'request' | 'request-midway'
+
 export interface QuarantineHarnessOptions {
   readonly instances: number
   readonly engines: number
   readonly requestsPerSecond: number
-  /** Share of the requests that have a deadly part, and the number of such parts. */
+  readonly kind?: DeadlyKind
+  /** Share of the requests that are deadly, and the number of deadly parts or requests. */
   readonly deadlyShare: number
   readonly deadlyParts: number
   readonly seed: number
@@ -62,6 +71,7 @@
 interface Attempt {
   readonly request: SentRequest
   readonly parts: RequestParts
+  readonly whole: PartId
   readonly check: PolicyCheck
   crashes: number
 }
@@ -76,9 +86,18 @@
 const shortOf = (policy: CrashPolicy | QuarantineManager): CrashPolicy => {
   if (!(policy instanceof QuarantineManager)) return policy
   return {
-    check: (parts) => {
-      const check = policy.check(parts)
+    check: (parts, whole) => {
+      const check = policy.check(parts, () => whole)
       return {
+        noteLost: (incarnation, isBegun) => {
+          const midway = isBegun ? check.takeMidwayLoss() : undefined
+          if (midway !== undefined) policy.noteLostWhole(midway, { incarnation, suspects: [midway] })
+          if (isBegun) return
+          policy.noteLost(incarnation, parts)
+          policy.noteLostWhole(whole, { incarnation, suspects: check.suspects })
+        },
+        crashesBefore: (incarnation) => policy.crashesWith(incarnation, whole),
+        answerEnded: (scope) => policy.noteEnded(scope, whole),
         isRefused: (scope) => check.find(scope) !== undefined,
         noteSent: () => check.noteSent(),
         mustWithdraw: (scope) => check.mustWithdraw(scope)
@@ -86,7 +105,6 @@
     },
     suspectIn: (scope, parts) => policy.suspectIn(scope, parts),
     noteBegun: (scope, parts) => policy.noteBegun(scope, parts),
-    noteLost: (incarnation, parts) => policy.noteLost(incarnation, parts),
     confirmCrash: (incarnation) => policy.confirmCrash(incarnation),
     onQuarantine: (listener) => policy.onQuarantine(listener)
   }
@@ -151,7 +169,7 @@
 }
 
 /**
- * Instances before engines that crash on deadly parts, over links in memory and in virtual time.
+ * Instances before engines that crash on deadly parts or requests, over links in memory and in virtual time.
  *
  * @example
  * const harness = new QuarantineHarness({ instances: 6, engines: 9, requestsPerSecond: 60, deadlyShare: 0.05, deadlyParts: 1, seed: 1 })
@@ -180,7 +198,8 @@
     this.#options = options
     this.#random = new SeededRandom(seed)
     this.policy = policy
-    this.deadly = Array.from({ length: deadlyParts }, (_each, at) => partIdOf(`deadly-${at}`))
+    const idOf = this.#isPartDeadly ? partIdOf : wholeIdOf
+    this.deadly = Array.from({ length: deadlyParts }, (_each, at) => idOf(`deadly-${at}`))
     this.baseline = BASELINES[policy]()
     for (let at = 0; at < engines; at++) this.engines.push(this.#newEngine(`e${at}`, 'v1'))
   }
@@ -245,9 +264,15 @@
     return sent.reduce((sum, bytes) => sum + bytes, 0) / sent.length
   }
 
+  get #isPartDeadly (): boolean {
+    return (this.#options.kind ?? 'part') === 'part'
+  }
+
   #newEngine (name: string, version: string): SimulatedEngine {
     const deadly = new Set(this.deadly)
-    return new SimulatedEngine({ clock: this.clock, name, version, isDeadly: (part) => deadly.has(part), crashes: this.crashes })
+    const { clock, crashes } = this
+    const crashesMidway = this.#options.kind === 'request-midway'
+    return new SimulatedEngine({ clock, name, version, isDeadly: (part) => deadly.has(part), crashesMidway, crashes })
   }
 
   #add (at: number): QuarantineInstance {
@@ -276,7 +301,14 @@
   #partsOf (deadly: PartId | undefined): RequestParts {
     const first = partIdOf(`class-${this.#requests % CLASSES}`)
     const subject = partIdOf(`subject-${Math.floor(this.clock.now() / MILLIS_PER_SECOND)}-${this.#random.below(SUBJECTS)}`)
-    return deadly === undefined ? [first, subject] : [first, subject, deadly]
+    return deadly === undefined || !this.#isPartDeadly ? [first, subject] : [first, subject, deadly]
+  }
+
+  /** Deadly requests come again; of the others, some are always the same and most come once. */
+  #wholeOf (deadly: PartId | undefined): PartId {
+    if (deadly !== undefined && !this.#isPartDeadly) return deadly
+    const isHot = deadly === undefined && this.#requests % HOT_EVERY === 0
+    return wholeIdOf(isHot ? 'hot' : `request-${this.#requests}`)
   }
 
   #send (instance: QuarantineInstance, deadly: PartId | undefined, canRepeat: boolean): void {
@@ -284,7 +316,8 @@
     const request: SentRequest = { at: this.clock.now(), deadly, isRefused: false, hasBegun: false }
     this.sent.push(request)
     const parts = this.#partsOf(deadly)
-    const attempt = { request, parts, check: instance.policy.check(parts), crashes: 0 }
+    const whole = this.#wholeOf(deadly)
+    const attempt = { request, parts, whole, check: instance.policy.check(parts, whole), crashes: 0 }
     this.#place(instance, attempt, () => {
       const other = pickOne(this.#random, this.instances.filter(({ gate }) => !gate.isDead))
       if (canRepeat && other !== undefined) other.clock.after(REPEAT_AFTER, () => this.#send(other, deadly, false))
@@ -301,7 +334,7 @@
       request.isRefused ||= this.engines.some(({ isUp }) => isUp)
       return onFailed()
     }
-    const suspect = policy.suspectIn(any.scope, parts)
+    const suspect = policy.suspectIn(any.scope, [...parts, attempt.whole])
     const engine = suspect === undefined
       ? pickOne(instance.random, allowed)!
       : firstByRendezvous(suspect, allowed, ({ incarnation }) => incarnation.endpoint)!
@@ -317,6 +350,7 @@
     const end = (): void => { open.delete(call) }
     const withdraw = engine.serve({
       parts,
+      whole: attempt.whole,
       size: instance.random.next(),
       onBegun: () => gate.run(() => {
         call.isBegun = true
@@ -325,16 +359,19 @@
       }),
       onLost: (isBegun) => gate.run(() => {
         end()
-        if (isBegun) return
         attempt.crashes++
-        policy.noteLost(incarnation, parts)
+        check.noteLost(incarnation, isBegun)
         instance.clock.after(PROBE_TIME, () => {
           policy.confirmCrash(incarnation.incarnation)
-          if (attempt.crashes < MAX_CRASHES) this.#place(instance, attempt, onFailed)
-          else onFailed()
+          const crashes = Math.max(attempt.crashes, check.crashesBefore(incarnation) + 1)
+          if (!isBegun && crashes < MAX_CRASHES) this.#place(instance, attempt, onFailed)
+          else if (!isBegun || request.deadly !== undefined) onFailed()
         })
       }),
-      onDone: end
+      onDone: () => gate.run(() => {
+        end()
+        check.answerEnded(scope)
+      })
     })
     const call: OpenCall = {
       check,
--- a/packages/quarantine/src/testing/SimulatedEngine.ts
+++ b/packages/quarantine/src/testing/SimulatedEngine.ts
@@ -14,6 +14,8 @@
 /** A request at an engine. */
 export interface EngineCall {
   readonly parts: RequestParts
+  /** The request as a whole. */
+  readonly whole: PartId
   readonly onBegun: () => void
   /** The connection ended; `isBegun` if the answer had begun. */
   readonly onLost: (isBegun: boolean) => void
@@ -27,7 +29,7 @@
   isBegun: boolean
 }
 
-/** A crash, and the deadly part that caused it; undefined if another fault did. */
+/** A crash, and the deadly part or request that caused it; undefined if another fault did. */
 export interface EngineCrash {
   readonly at: Millis
   readonly part: PartId | undefined
@@ -38,6 +40,8 @@
   readonly name: string
   readonly version: string
   readonly isDeadly: (part: PartId) => boolean
+  /** Whether it crashes in the middle of an answer instead of at its begin. */
+  readonly crashesMidway: boolean
   readonly crashes: EngineCrash[]
 }
 
@@ -91,11 +95,12 @@
 
   #begin (running: RunningCall): void {
     if (!this.#running.has(running)) return
-    const { clock, isDeadly } = this.#options
-    const deadly = running.call.parts.find(isDeadly)
-    if (deadly !== undefined || this.isBroken) return this.crash(deadly)
+    const { clock, isDeadly, crashesMidway } = this.#options
+    const deadly = [...running.call.parts, running.call.whole].find(isDeadly)
+    if (this.isBroken || (deadly !== undefined && !crashesMidway)) return this.crash(deadly)
     running.isBegun = true
     running.call.onBegun()
+    if (deadly !== undefined) clock.after(millis(ANSWER_TIME / 2), () => this.#running.has(running) && this.crash(deadly))
     clock.after(ANSWER_TIME, () => {
       if (this.#running.delete(running)) running.call.onDone()
     })
--- a/packages/quarantine/src/types.ts
+++ b/packages/quarantine/src/types.ts
@@ -16,9 +16,11 @@
 /** The parts of one request, in the order of the request; the request as a whole, if it is among them, is the last one. */
 export type RequestParts = readonly PartId[]
 
-/** What one instance saw of an endpoint's crash. */
+/** What one instance saw of an endpoint's crash; what it had not thought worth telling may be told later. */
 export interface CrashReport extends ScopedIncarnation {
   readonly at: EpochMillis
+  /** Time from the crash until it was told. */
+  readonly age: Millis
   /** Requests at the endpoint whose answers had not begun, with those of their parts on which the reporter knows no answer. */
   readonly requests: readonly RequestParts[]
 }
@@ -27,7 +29,7 @@
 export interface ReceivedReport {
   readonly report: CrashReport
   readonly reporter: InstanceId
-  /** Monotonic time at which this instance learned of it. */
+  /** Monotonic time at which this instance could have learned of it first. */
   readonly learnedAt: Millis
 }
 
