--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export { ArrivalReader } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
+export { parseJson } from './parseJson.js'
 export { bindServer } from './bindServer.js'
 export type { SocketAddress } from './bindServer.js'
 export { brand } from './Brand.js'
--- a/packages/directory/src/TableWatch.test.ts
+++ b/packages/directory/src/TableWatch.test.ts
@@ -26,6 +26,7 @@
   }
   const table: WatchedTable = { name: 'things', read: () => next('read'), changes: (after) => next(`after ${after}`) }
   const note = (kind: string) => (changed: ReadonlyArray<TableRow<string>>, outage: number): void => {
+    if (changed.some(({ key }) => key === 'odd')) throw new Error('odd')
     seen.push(`${kind} ${changed.map(({ key }) => key).join(' ')}${outage > 0 ? ' after an outage' : ''}`)
   }
   const listener = { replaced: note('all'), changed: note('some') }
@@ -49,6 +50,12 @@
     expect(seen).toEqual(['all a', 'all b'])
   })
 
+  it('goes on polling after its listener has failed on a row', async () => {
+    const { seen, names } = await runWatch([rows(5, 'a'), rows(6, 'odd'), rows(7, 'b'), rows(7)], 3000)
+    expect(names).toContain('tablePollFailed')
+    expect(seen).toEqual(['all a', 'some b'])
+  })
+
   it('continues after an outage from its last revision, and reports the length of the outage', async () => {
     const { calls, seen, names } = await runWatch([rows(5, 'a'), failed('unavailable'), failed('unavailable'), rows(7, 'b'), rows(7)], 3000)
     expect(calls.slice(0, 4)).toEqual(['read', 'after 5', 'after 5', 'after 5'])
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -145,10 +145,17 @@
     while (!this.#isStopped) {
       const wait = this.#timeUntilPoll()
       if (wait > 0) await clock.sleep(wait)
-      else await this.#pollAndWait()
+      else await this.#pollAndWait().catch((err: unknown) => this.#pollFailed(err))
     }
   }
 
+  /** A bug met what the table holds: the loop must go on, since others depend on it. */
+  async #pollFailed (err: unknown): Promise<void> {
+    const { clock, log } = this.#options
+    log.emit(DIRECTORY_EVENTS.tablePollFailed, { table: this.name, detail: err instanceof Error ? err.stack ?? err.message : String(err) })
+    await clock.sleep(MAX_POLL_RETRY)
+  }
+
   async #pollAndWait (): Promise<void> {
     const { clock } = this.#options
     const begunAt = clock.now()
