--- a/packages/forwarding/src/CallQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -38,8 +38,8 @@
 const incarnationOf = ({ id, incarnation }: Endpoint): string => hash64(`${id} ${incarnation}`)
 
 /**
- * Tells the quarantines which calls were lost with their endpoints and which answers began and ended, by the parts of their prompts and by
- * whole requests.
+ * Tells the quarantines which calls were lost with their endpoints, and which answers began and ended, by the parts of their
+ * prompts and by whole requests.
  *
  * @example
  * const check = callQuarantine.check(request)
@@ -121,8 +121,8 @@
   }
 
   /**
-   * The endpoint for a suspected request, or one with a suspected part; undefined if it has none. All instances send those with one part to
-   * one endpoint, and those with another part to another, so that few endpoints crash and each crash tells parts apart.
+   * The endpoint for a suspected request, or one with a suspected part; undefined if it has none. All instances send those with
+   * one part to one endpoint, and those with another part to another, so that few endpoints crash and each crash tells parts apart.
    */
   suspectEndpoint (endpoints: readonly Endpoint[]): Endpoint | undefined {
     const [any] = endpoints
--- a/packages/quarantine/src/RequestCheck.ts
+++ b/packages/quarantine/src/RequestCheck.ts
@@ -26,7 +26,7 @@
   /** The quarantine that this request tries, and whether it was sent. */
   #trial: string | undefined
   #isTrialSent = false
-  #lostMidway = false
+  #wasLostMidway = false
 
   constructor (lookup: QuarantineLookup, parts: RequestParts, wholeOf?: () => PartId) {
     this.#lookup = lookup
@@ -65,8 +65,8 @@
    * is suspected of one crash only: what others crash would convict a long answer otherwise.
    */
   takeMidwayLoss (): PartId | undefined {
-    if (this.#lostMidway) return undefined
-    this.#lostMidway = true
+    if (this.#wasLostMidway) return undefined
+    this.#wasLostMidway = true
     return this.whole
   }
 
