--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -1,4 +1,4 @@
-import { formatCallId, isJsonObject, millis } from '@papayahill/common'
+import { formatCallId, isJsonObject, millis, parseJson } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
 import { headerOf, newStopper, retryAfterOf, stopExchange } from '@papayahill/connections'
 import type { SocketAnswer, SocketFailure, SocketRequest, Stopper } from '@papayahill/connections'
@@ -9,7 +9,6 @@
 import type { Adapter } from './adapters.js'
 import { CompletionStream } from './CompletionStream.js'
 import { BACKENDS_EVENTS } from './events.js'
-import { parseJson } from './parseJson.js'
 
 export interface CallExchangeOptions {
   readonly self: InstanceId
--- a/packages/backends/src/CompletionStream.ts
+++ b/packages/backends/src/CompletionStream.ts
@@ -1,11 +1,10 @@
-import { isJsonObject, millis, tokens } from '@papayahill/common'
+import { isJsonObject, millis, parseJson, tokens } from '@papayahill/common'
 import type { JsonObject, Millis, StageUsage, Tokens } from '@papayahill/common'
 import type { StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import { createParser } from 'eventsource-parser'
 import type { EventSourceMessage, EventSourceParser } from 'eventsource-parser'
 import { choiceText, completionAnswer } from './adapters.js'
 import { parseCallId } from './callId.js'
-import { parseJson } from './parseJson.js'
 
 const END_MARKER = '[DONE]'
 /** Tokens counted for a chunk whose event has no `tokens` field. */
--- a/packages/backends/src/EndpointFeed.ts
+++ b/packages/backends/src/EndpointFeed.ts
@@ -1,10 +1,10 @@
+import { parseJson } from '@papayahill/common'
 import type { Clock, Timer } from '@papayahill/common'
 import type { CacheEvent, LoadReport } from '@papayahill/endpoints'
 import { createParser } from 'eventsource-parser'
 import type { EventSourceMessage } from 'eventsource-parser'
 import type { Dispatcher } from 'undici'
 import { FEED_RETRY } from './constants.js'
-import { parseJson } from './parseJson.js'
 import { readCacheEvent, readReport } from './readReport.js'
 
 export interface EndpointFeedOptions {
@@ -62,7 +62,7 @@
   }
 
   #handleEvent (event: EventSourceMessage): void {
-    const data = parseJson(event.data)
+    const data = parseJson(event.data) ?? null
     const report = event.event === 'report' ? readReport(data) : undefined
     if (report !== undefined) this.#options.onReport(report)
     const cacheEvent = event.event === 'cache' ? readCacheEvent(data) : undefined
--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, IdempotencyKey, InstanceId, Json } from '@papayahill/common'
 import type {
   CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport
@@ -11,7 +12,6 @@
 import { BACKENDS_EVENTS } from './events.js'
 import { HttpConnection } from './HttpConnection.js'
 import { openSocket } from './openSocket.js'
-import { parseJson } from './parseJson.js'
 import { readKeyStatus, readReport } from './readReport.js'
 
 export interface HttpEndpointAccessOptions {
@@ -111,7 +111,7 @@
         origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal, reset: closesConnection
       })
       const text = await body.text()
-      return statusCode === 200 ? Result.ok(parseJson(text)) : Result.err(queryError(`the endpoint answered ${statusCode}`))
+      return statusCode === 200 ? Result.ok(parseJson(text) ?? null) : Result.err(queryError(`the endpoint answered ${statusCode}`))
     } catch (err) {
       return Result.err(queryError(err instanceof Error ? err.message : String(err)))
     } finally {
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -1,8 +1,7 @@
-import { brand, isJsonObject } from '@papayahill/common'
+import { brand, isJsonObject, parseJson } from '@papayahill/common'
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
 import { Result } from 'true-myth'
 import { EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
-import { parseJson } from './parseJson.js'
 
 /** Why no connection was confirmed. */
 export interface OpenFailure {
--- a/packages/common/src/parseJson.ts
+++ b/packages/common/src/parseJson.ts
@@ -22,17 +22,24 @@
 }
 
 /**
- * Parses JSON that another program wrote; undefined if it is none, or nested so deep that it cannot be passed on.
+ * Parses a JSON text; undefined if it is none.
  *
  * @example
  * parseJson('{"a":1}') // { a: 1 }
- * parseJson('[['.repeat(9000)) // undefined
+ * parseJson('{a') // undefined
  */
 export const parseJson = (text: string): Json | undefined => {
-  if (isNestedTooDeep(text)) return undefined
   try {
     return JSON.parse(text) as Json
   } catch {
     return undefined
   }
 }
+
+/**
+ * Parses JSON that is to be encoded again; undefined if it is none, or nested so deep that it cannot be.
+ *
+ * @example
+ * parseShallowJson('['.repeat(9000) + ']'.repeat(9000)) // undefined
+ */
+export const parseShallowJson = (text: string): Json | undefined => isNestedTooDeep(text) ? undefined : parseJson(text)
--- a/packages/stores/src/responses.ts
+++ b/packages/stores/src/responses.ts
@@ -1,4 +1,4 @@
-import { seconds } from '@papayahill/common'
+import { parseJson, seconds } from '@papayahill/common'
 import type { Json, Millis } from '@papayahill/common'
 import { Result } from 'true-myth'
 import { z } from 'zod'
@@ -21,17 +21,9 @@
   endpoints: z.array(ENDPOINT), instances: z.array(INSTANCE)
 }) as unknown as z.ZodType<InstanceListing>
 
-const parseText = (text: string): unknown => {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 /** Parses and validates the body of a response; undefined if it does not match the schema. */
 export const readBody = <Value>(response: HttpResponse, schema: z.ZodType<Value>): Value | undefined => {
-  const parsed = schema.safeParse(parseText(response.text))
+  const parsed = schema.safeParse(parseJson(response.text))
   return parsed.success ? parsed.data : undefined
 }
 
