--- a/packages/bench/src/benches/tables.ts
+++ b/packages/bench/src/benches/tables.ts
@@ -44,17 +44,15 @@
   return harness
 }
 
-const bytesOf = ({ peers }: TableInstance): number => peers.traffic().find(({ topic }) => topic === 'table')?.sentBytes ?? 0
-
 const idleFigures = async (instances: number): Promise<Figures> => {
   const harness = await startHarness(instances)
   const calls = harness.store.calls
-  const bytes = harness.instances.map(bytesOf)
+  const bytes = harness.instances.map(({ sentBytes }) => sentBytes)
   await harness.clock.advance(IDLE_SPAN)
   const span = IDLE_SPAN / 1000
   return {
     [`storeCallsPerSecondAt${instances}`]: (harness.store.calls - calls) / span,
-    [`bytesPerInstanceSecondAt${instances}`]: Math.max(...harness.instances.map((instance, at) => (bytesOf(instance) - bytes[at]!) / span))
+    [`bytesPerInstanceSecondAt${instances}`]: Math.max(...harness.instances.map((instance, at) => (instance.sentBytes - bytes[at]!) / span))
   }
 }
 
--- a/packages/bench/src/restore/RestoreScenario.ts
+++ b/packages/bench/src/restore/RestoreScenario.ts
@@ -1,5 +1,5 @@
 import { millis, seconds, SeededRandom } from '@papayahill/common'
-import type { InstanceId, Json, Millis, Random } from '@papayahill/common'
+import type { Millis, Random } from '@papayahill/common'
 import { TableHarness } from '@papayahill/directory'
 import type { StoreCopy, TableHarnessOptions, TableInstance } from '@papayahill/directory'
 
@@ -22,6 +22,8 @@
 /** Time after an acknowledged change after which an instance that does not know it counts as not following. */
 const MAX_FOLLOW_TIME = seconds(5)
 const REMOVED_SHARE = 0.15
+/** What a removal adds to the version that a row had: less than the difference of two versions. */
+const REMOVAL_STEP = 0.5
 const DISTURBED_SHARE = 0.3
 
 /** What happens to some of the instances beside the restores. */
@@ -100,7 +102,7 @@
     for (let row = 0; row < ROWS; row++) this.#write(`e${row}`, ++this.#version)
     await harness.start(SETTLE)
     const startedAt = harness.clock.now()
-    const bytesBefore = new Map(harness.instances.map((instance) => [instance, bytesOf(instance)]))
+    const bytesBefore = new Map(harness.instances.map((instance) => [instance, instance.sentBytes]))
     await this.#pass(seconds(3 + this.#random.next() * 3), true)
     const restores = 1 + this.#random.below(3)
     for (let restore = 0; restore < restores; restore++) {
@@ -110,7 +112,7 @@
     await this.#pass(CONTACT, false)
     const { slowest, notFollowing } = await this.#measureChanges()
     const span = (harness.clock.now() - startedAt) / 1000
-    const bytes = harness.instances.map((instance) => (bytesOf(instance) - (bytesBefore.get(instance) ?? 0)) / span)
+    const bytes = harness.instances.map((instance) => (instance.sentBytes - (bytesBefore.get(instance) ?? 0)) / span)
     return {
       olderInForce: this.#olderInForce,
       slowestInForceMs: slowest,
@@ -199,7 +201,7 @@
     let notFollowing = 0
     for (let change = 0; change < LAST_CHANGES; change++) {
       const key = `e${this.#random.below(ROWS)}`
-      const took = await this.#harness.change(key, ++this.#version as Json, MAX_FOLLOW_TIME)
+      const took = await this.#harness.change(key, ++this.#version, MAX_FOLLOW_TIME)
       slowest = millis(Math.max(slowest, took ?? MAX_FOLLOW_TIME))
       notFollowing += instances.filter(({ known }) => known.get(key) !== this.#version).length
       await clock.advance(millis(this.#random.next() * MAX_WRITE_GAP))
@@ -207,9 +209,3 @@
     return { slowest, notFollowing }
   }
 }
-
-/** Less than the difference of two versions. */
-const REMOVAL_STEP = 0.5
-
-const bytesOf = ({ peers }: { readonly id: InstanceId } & TableInstance): number =>
-  peers.traffic().find(({ topic }) => topic === 'table')?.sentBytes ?? 0
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -189,7 +189,6 @@
     const answer = after === undefined ? await table.read() : await table.changes(after.revision, wait)
     if (this.#isStopped) return true
     if (answer.isErr) return await this.#handleError(answer.error)
-    this.#history.note(answer.value.era)
     if (after === undefined) return this.#applyAnswer(undefined, answer.value)
     // Changes of a new era begin at a revision that was another one in this copy's era.
     if (answer.value.era > after.era) return await this.#readWhole()
@@ -200,7 +199,6 @@
     const whole = await this.#options.table.read()
     if (this.#isStopped) return true
     if (whole.isErr) return await this.#handleError(whole.error)
-    this.#history.note(whole.value.era)
     return this.#applyAnswer(undefined, whole.value)
   }
 
@@ -239,6 +237,7 @@
   #apply (changes: TableChanges, outage: Millis, from: InstanceId | undefined): boolean {
     const { relay } = this.#options
     const base = this.#view.digest
+    this.#history.note(changes.era)
     const result = this.#rows.apply(changes, outage)
     if (result.kind === 'gap') return false
     if (result.kind === 'known' || result.kind === 'outdated') return true
@@ -259,7 +258,6 @@
     const now = this.#options.clock.now()
     const answeredAt = millis(now - relayed.answerAge)
     const changes = shiftRetained(relayed.changes, now)
-    this.#history.note(changes.era)
     if (!this.#apply(changes, this.#answerGaps.outageOf(relayed.outage, answeredAt, now), from)) return false
     this.#rows.adopt(changes)
     if (changes.era === this.#view.position?.era) this.#noteAnswer(answeredAt)
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -32,6 +32,6 @@
     number: 1625, level: 'warn', text: 'The store came back from an older copy; what was known stays in force until it is written again, or its time is over.'
   },
   rowsRetained: { number: 1626, level: 'warn', text: 'Rows and removals that a restored table lacks stay in force.' },
-  tablePollFailed: { number: 1628, level: 'error', text: 'A poll of a watched table failed because of a bug in the program; polling goes on.' },
-  rowsReleased: { number: 1627, level: 'warn', text: 'Rows were not written again in time after a restore; the restored table is in force for them.' }
+  rowsReleased: { number: 1627, level: 'warn', text: 'Rows were not written again in time after a restore; the restored table is in force for them.' },
+  tablePollFailed: { number: 1628, level: 'error', text: 'A poll of a watched table failed because of a bug in the program; polling goes on.' }
 })
--- a/packages/directory/src/testing/TableHarness.ts
+++ b/packages/directory/src/testing/TableHarness.ts
@@ -143,6 +143,11 @@
     })
   }
 
+  /** Bytes that it has sent to others about tables. */
+  get sentBytes (): number {
+    return this.peers.traffic().find(({ topic }) => topic === 'table')?.sentBytes ?? 0
+  }
+
   /** Rows whose values are numbers tell their order by them. */
   compare (left: Json, right: Json): number {
     return typeof left === 'number' && typeof right === 'number' ? left - right : 0
--- a/packages/forwarding/src/CallQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -127,9 +127,7 @@
   suspectEndpoint (endpoints: readonly Endpoint[]): Endpoint | undefined {
     const [any] = endpoints
     if (any === undefined) return undefined
-    const scope = this.#scopeOf(any)
-    if (!this.#quarantines.hasSuspects(scope)) return undefined
-    const part = this.#quarantines.suspectIn(scope, this.#check.suspects)
+    const part = this.#quarantines.suspectIn(this.#scopeOf(any), this.#check.suspects)
     return part === undefined ? undefined : firstByRendezvous(part, endpoints, ({ id }) => id)
   }
 
--- a/packages/quarantine/src/BegunParts.ts
+++ b/packages/quarantine/src/BegunParts.ts
@@ -37,12 +37,12 @@
     this.addScope(scope)
   }
 
-  #cacheOf (part: PartId): LRUCache<string, true> {
-    return isWhole(part) ? this.#wholes : this.#parts
-  }
-
   /** An answer has begun in the scope, to a request without parts. */
   addScope (scope: ScopeId): void {
     this.#scopes.set(scope, true)
   }
+
+  #cacheOf (part: PartId): LRUCache<string, true> {
+    return isWhole(part) ? this.#wholes : this.#parts
+  }
 }
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -97,11 +97,6 @@
     }, parts, wholeOf)
   }
 
-  /** Whether anything is suspected in the scope. */
-  hasSuspects (scope: ScopeId): boolean {
-    return (this.#evidence.get(scope)?.suspects.size ?? 0) > 0
-  }
-
   /** Crashes of other incarnations in which the part was lost. */
   crashesWith ({ scope, incarnation }: ScopedIncarnation, part: PartId): number {
     return this.#evidence.get(scope)?.crashesWith(part, incarnation) ?? 0
@@ -122,11 +117,13 @@
     const evidence = this.#evidence.get(scope)
     if (evidence === undefined || evidence.suspects.size === 0) return undefined
     let worst: PartId | undefined
-    const crashesOf = (part: PartId | undefined): number => {
-      const crashes = part === undefined ? 0 : evidence.suspects.get(part) ?? 0
-      return part !== undefined && isWhole(part) && crashes < MIN_ISOLATED_CRASHES ? 0 : crashes
+    let most = 0
+    for (const part of parts) {
+      const crashes = evidence.suspects.get(part) ?? 0
+      if (crashes <= most || (isWhole(part) && crashes < MIN_ISOLATED_CRASHES)) continue
+      worst = part
+      most = crashes
     }
-    for (const part of parts) if (crashesOf(part) > crashesOf(worst)) worst = part
     return worst
   }
 
