--- a/packages/quarantine/src/partIdOf.ts
+++ b/packages/quarantine/src/partIdOf.ts
@@ -9,7 +9,7 @@
  * The id under which a whole request is remembered, by a fingerprint that nobody can make up for another caller's.
  *
  * @example
- * wholeIdOf('q1Lr0cVh2xk9JbJd') // '=q1Lr0cVh2xk9JbJd'
+ * wholeIdOf('q1Lr0cVh2xk9') // '=q1Lr0cVh2xk9'
  */
 export const wholeIdOf = (fingerprint: string): PartId => brand<PartId>(WHOLE + fingerprint)
 
@@ -17,7 +17,7 @@
  * Whether an id is that of a whole request.
  *
  * @example
- * isWhole(wholeIdOf('q1Lr0cVh2xk9JbJd')) // true
+ * isWhole(wholeIdOf('q1Lr0cVh2xk9')) // true
  */
 export const isWhole = (part: PartId): boolean => part.startsWith(WHOLE)
 
