A crash that is told late counts though what was told of it before was cleared meanwhile

A request that is sent on is told once it is lost twice, and its first loss is added to the report of that crash. ScopeEvidence took a report for news only if it had more requests than the reporter's last one; where others of the first report had been cleared, the late one had fewer, and the crash was not counted. Now a report is news if it names requests that its reporter had not named, and adds them. The test fails without the change: kept on no instance after three crashes.

--- a/packages/quarantine/src/QuarantineManager.test.ts
+++ b/packages/quarantine/src/QuarantineManager.test.ts
@@ -270,6 +270,15 @@
       expect([one, two].map((manager) => isKept(manager))).toEqual([true, true])
     })
 
+    it('counts a crash that is told late though what was told of it before was cleared meanwhile', async () => {
+      const { fleet, one, two } = twoInstances()
+      const bystanders = ['b1', 'b2', 'b3'].map((id) => [one, partsOf(id)] as const)
+      await fleet.crash(V1, ...bystanders, [one, WHOLE])
+      one.noteBegun(V1, partsOf('b1', 'b2', 'b3'))
+      for (let crash = 0; crash < 2; crash++) await fleet.crash(V1, [one, WHOLE])
+      expect([one, two].map((manager) => isKept(manager))).toEqual([true, true])
+    })
+
     it('that has always ended before is not suspected in a crash', async () => {
       const { fleet, one, two } = twoInstances()
       one.noteEnded(V1, WHOLE)
--- a/packages/quarantine/src/ScopeEvidence.ts
+++ b/packages/quarantine/src/ScopeEvidence.ts
@@ -1,6 +1,6 @@
 import { epochMillis } from '@papayahill/common'
 import type { EndpointId, EpochMillis, InstanceId, Millis } from '@papayahill/common'
-import { EVIDENCE_TTL, MAX_REMEMBERED_CRASHES } from './constants.js'
+import { EVIDENCE_TTL, MAX_REMEMBERED_CRASHES, MAX_REPORTED_REQUESTS } from './constants.js'
 import { judgeCrashes } from './judgeCrashes.js'
 import type { CrashEvidence, Finding, PartHistory } from './judgeCrashes.js'
 import type { PartId, ReceivedReport, RequestParts, ScopeId } from './types.js'
@@ -49,13 +49,15 @@
     return own.length === 0 && others.length > 0 ? undefined : own
   }
 
-  /** Records a report; false if it tells nothing new. */
+  /** Records a report, beside what its reporter told of the crash before; false if it tells nothing new. */
   record ({ report, reporter, learnedAt }: ReceivedReport): boolean {
     const known = this.#crashes.get(report.incarnation)
     const before = known?.reports.get(reporter)
-    if (before !== undefined && before.length >= report.requests.length) return false
+    const told = new Set(before?.map((parts) => parts.join(' ')))
+    const news = report.requests.filter((parts) => !told.has(parts.join(' ')))
+    if (before !== undefined && news.length === 0) return false
     const crash = known ?? newCrash(report, learnedAt)
-    crash.reports.set(reporter, report.requests)
+    crash.reports.set(reporter, [...before ?? [], ...news].slice(-MAX_REPORTED_REQUESTS))
     crash.at = epochMillis(Math.min(crash.at, report.at))
     this.#crashes.set(report.incarnation, crash)
     this.#forgetOldest()
