--- /dev/null
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -0,0 +1,40 @@
+import { brand, millis, seconds } from '@papayahill/common'
+import { describe, expect, it } from 'vitest'
+import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
+
+const PIECES = 6
+const STAGES = chainOf(1, 'encode')
+
+/** Two instances, one of which coordinates the only stage endpoint and the other one orders from it. */
+const startPair = async (): Promise<{ readonly harness: StageHarness, readonly coordinator: number, readonly orderer: number }> => {
+  const harness = new StageHarness(2, endpointsOf('encode', 1))
+  await harness.start()
+  const { roster, context } = harness.instances[0]!
+  const group = context.groups.groupOf(brand('encode-0'))!
+  const coordinator = harness.instances.findIndex(({ identity }) => identity.id === roster.coordinatorOf(group))
+  return { harness, coordinator, orderer: 1 - coordinator }
+}
+
+const workFor = (harness: StageHarness, request: string): ReturnType<typeof workOf> =>
+  workOf(harness, request, STAGES, [PIECES], seconds(10), seconds(20))
+
+describe('StageOrderRouter', () => {
+  describe('an instance that restarts under its id while its orders run', () => {
+    // Guards against outcomes of the ended process's orders that are taken for those of its successor's.
+    it.each([1, 2])('never takes results that were made for an earlier incarnation, after %i restarts', async (restarts) => {
+      const { harness, orderer } = await startPair()
+      for (let life = 0; life < restarts; life++) {
+        for (let at = 0; at < 3; at++) void harness.run(orderer, workFor(harness, `life ${life}, request ${at}`))
+        await harness.clock.advance(millis(20))
+        await harness.restart(orderer, millis(400))
+      }
+      const runs = ['a', 'b', 'c'].map(async (request) => {
+        const results = await harness.run(orderer, workFor(harness, request))
+        const handles = results.isOk ? results.value.map(({ handle }) => handle) : []
+        return handles.map((handle) => harness.endpoints.requestOf(handle))
+      })
+      await harness.clock.advance(seconds(12))
+      expect(await Promise.all(runs)).toEqual(['a', 'b', 'c'].map((request) => Array.from({ length: PIECES }, () => request)))
+    })
+  })
+})
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,3 +1,4 @@
+import { brand } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BacklogTracker } from './BacklogTracker.js'
@@ -8,7 +9,7 @@
 import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
 import type { GroupLookup } from './endpointGroups.js'
-import type { EndpointBacklog, GroupId, OrderListener, PieceFault, PieceOutcome, StageOrder } from './types.js'
+import type { EndpointBacklog, GroupId, OrderId, OrderListener, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 export interface StageOrderRouterOptions {
   readonly clock: Clock
@@ -32,8 +33,8 @@
 /** Sends orders to the instances that coordinate their groups, and returns the outcomes. */
 export class StageOrderRouter {
   readonly #options: StageOrderRouterOptions
-  readonly #openOrders = new Map<number, OpenOrder>()
-  #lastId = 0
+  readonly #openOrders = new Map<OrderId, OpenOrder>()
+  #orderCount = 0
 
   constructor (options: StageOrderRouterOptions) {
     this.#options = options
@@ -100,7 +101,7 @@
 
   async #runRemotely (to: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { clock, peers, roster, log } = this.#options
-    const id = ++this.#lastId
+    const id = this.#nextId()
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#openOrders.set(id, { to, listener, resolve })
     })
@@ -120,9 +121,13 @@
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
+  #nextId (): OrderId {
+    return brand<OrderId>(`${this.#options.peers.incarnation}/${++this.#orderCount}`)
+  }
+
   /** Waits for the outcomes; fails the order if its coordinator falls silent or the deadline passes. */
   async #awaitOutcomes (
-    id: number, to: InstanceId, ended: Promise<readonly PieceOutcome[]>, order: StageOrder
+    id: OrderId, to: InstanceId, ended: Promise<readonly PieceOutcome[]>, order: StageOrder
   ): Promise<readonly PieceOutcome[]> {
     const { clock, roster } = this.#options
     const { deadline } = order.pieces[0]!
@@ -139,7 +144,7 @@
     const { clock, coordinator, roster } = this.#options
     const message = unpackMessage(body, clock.now())
     if (message?.kind === 'order') return this.#acceptOrder(from, message.id, message.order)
-    if (message?.kind === 'read') this.#openOrders.get(message.id)?.listener.onInputsRead()
+    if (message?.kind === 'read') this.#handleRead(from, message.id)
     if (message?.kind === 'done') this.#handleDone(from, message)
     if (message?.kind === 'cancel') coordinator.cancel(message.group, message.request)
     if (message?.kind === 'free') coordinator.free(message.endpoint, message.handles)
@@ -147,7 +152,7 @@
     return null
   }
 
-  #acceptOrder (from: InstanceId, id: number, order: StageOrder): Json {
+  #acceptOrder (from: InstanceId, id: OrderId, order: StageOrder): Json {
     const { coordinator, roster } = this.#options
     if (roster.isLeaving) return LEAVING
     return packBacklogs(coordinator.accept(order, { onInputsRead: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
@@ -155,6 +160,11 @@
     }))
   }
 
+  #handleRead (from: InstanceId, id: OrderId): void {
+    const open = this.#openOrders.get(id)
+    if (open?.to === from) open.listener.onInputsRead()
+  }
+
   /** Resolves the order; results of an order that is no longer open are released at once. */
   #handleDone (from: InstanceId, { id, outcomes }: Extract<StageMessage, { kind: 'done' }>): void {
     const open = this.#openOrders.get(id)
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -1,13 +1,13 @@
 import { bytes, isJsonObject, millis } from '@papayahill/common'
 import type { EndpointId, Json, Millis } from '@papayahill/common'
-import type { EndpointBacklog, GroupId, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
+import type { EndpointBacklog, GroupId, OrderId, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 /** Messages between instances about stages. Times are sent relative to now, since each instance has its own monotonic clock. */
 export type StageMessage =
-  | { readonly kind: 'order', readonly id: number, readonly order: StageOrder }
-  | { readonly kind: 'done', readonly id: number, readonly outcomes: readonly PieceOutcome[] }
+  | { readonly kind: 'order', readonly id: OrderId, readonly order: StageOrder }
+  | { readonly kind: 'done', readonly id: OrderId, readonly outcomes: readonly PieceOutcome[] }
   /** The endpoint has read the inputs of an order's pieces. */
-  | { readonly kind: 'read', readonly id: number }
+  | { readonly kind: 'read', readonly id: OrderId }
   | { readonly kind: 'cancel', readonly group: GroupId, readonly request: string }
   | { readonly kind: 'free', readonly endpoint: EndpointId, readonly handles: readonly string[] }
   /** The sender is stopping and coordinates no more batches. */
@@ -111,7 +111,7 @@
 
 interface PackedDone {
   readonly kind: 'done'
-  readonly id: number
+  readonly id: OrderId
   readonly endpoints: readonly EndpointId[]
   readonly outcomes: readonly PackedOutcome[]
 }
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -20,6 +20,8 @@
 const ONE_WAY_DELAY = millis(1)
 
 interface HeldResult {
+  /** The request for which it was made. */
+  readonly request: string
   readonly endpoint: string
   readonly size: number
   readonly expiresAt: Millis
@@ -57,6 +59,16 @@
     this.#profile = profile
   }
 
+  /** The request for which a result was made; undefined once it has been freed. */
+  requestOf (handle: string): string | undefined {
+    return this.#results.get(handle)?.request
+  }
+
+  /** Number of results that were not freed. */
+  get heldResults (): number {
+    return this.#results.size
+  }
+
   callerOf (instance: InstanceId): BatchCaller {
     return {
       call: (endpoint, pieces) => this.#call(endpoint, pieces, instance),
@@ -100,7 +112,7 @@
     const held = [...this.#results.values()].filter(({ endpoint: holder, expiresAt }) => holder === endpoint && expiresAt > now)
     if (held.reduce((sum, { size }) => sum + size, 0) + piece.resultBytes > this.#profile.resultCapacity) return { fault: 'room' }
     const handle = `${endpoint}/${++this.#count}`
-    this.#results.set(handle, { endpoint, size: piece.resultBytes, expiresAt: millis(now + seconds(5)) })
+    this.#results.set(handle, { request: piece.request, endpoint, size: piece.resultBytes, expiresAt: millis(now + seconds(5)) })
     return { handle }
   }
 }
@@ -108,6 +120,7 @@
 interface StageInstance {
   readonly identity: PeerIdentity
   readonly peers: PeerCore
+  readonly coordinator: BatchCoordinator
   readonly roster: CoordinatorRoster
   readonly router: StageOrderRouter
   readonly context: ConstructorParameters<typeof StageGraphRun>[0]
@@ -128,6 +141,7 @@
   readonly #listed: ReadonlyArray<readonly [service: string, id: string]>
   readonly #profile: BatchProfile
   readonly #isIsolated: boolean
+  #incarnationCount = 1
 
   constructor (
     instances: number, endpoints: ReadonlyArray<readonly [service: string, id: string]>,
@@ -153,7 +167,7 @@
   /** Restarts an instance, without any state of its previous incarnation. */
   async restart (at: number, settle: Millis): Promise<void> {
     this.kill(at)
-    this.instances[at] = this.#build(at, 2, this.instances.length)
+    this.instances[at] = this.#build(at, ++this.#incarnationCount, this.instances.length)
     void this.instances[at].peers.start()
     await this.clock.advance(settle)
   }
@@ -215,7 +229,7 @@
       backlogs
     })
     const context = { clock, log: SILENT_LOG, directory, backlogs, router, groups, profileOf, takeRetry: () => true }
-    return { identity, peers, roster, router, context }
+    return { identity, peers, coordinator, roster, router, context }
   }
 }
 
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -84,6 +84,9 @@
   readonly pieces: readonly Piece[]
 }
 
+/** Id of an order sent to another instance, unique among the orders of all instances and their incarnations. */
+export type OrderId = Brand<string, 'OrderId'>
+
 /** Time until an endpoint could begin a piece that arrives now. */
 export interface EndpointBacklog {
   readonly endpoint: EndpointId
