An announcement that an incarnation stops excludes that incarnation only

Read from the ended process's link after the next process had linked, it kept the new one from coordinating for its whole lifetime; its groups then moved to the others for good.

Change: handlers of peer messages get the incarnation at the other end of the link, and the roster marks that one.

Before: StageOrderRouter.test.ts, "does not exclude the next incarnation that is already known", failed: no group of twenty was left to the new incarnation, which coordinated about half of them.

--- a/packages/batching/src/CoordinatorRoster.test.ts
+++ b/packages/batching/src/CoordinatorRoster.test.ts
@@ -35,7 +35,7 @@
   it('excludes an instance that stops, but not its next incarnation', () => {
     const members = [memberOf('b')]
     const roster = rosterOf('a', members)
-    roster.markLeaving(idOf('b'))
+    roster.markLeaving(members[0]!.incarnation)
     expect(coordinatorsOf(roster)).not.toContain(idOf('b'))
     members[0] = memberOf('b', 2)
     expect(coordinatorsOf(roster)).toContain(idOf('b'))
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -58,13 +58,17 @@
     this.#coordinators.clear()
   }
 
-  /** Excludes an instance that announced that it stops; its next incarnation is a candidate again. */
-  markLeaving (id: InstanceId): void {
-    const member = this.#peers.members().find((known) => known.id === id)
-    if (member !== undefined) this.#leavingIncarnations.add(member.incarnation)
+  /** Excludes an incarnation that announced that it stops; the next one under its id is a candidate again. */
+  markLeaving (incarnation: Incarnation): void {
+    this.#leavingIncarnations.add(incarnation)
     this.#coordinators.clear()
   }
 
+  /** The incarnation under which an instance is reachable; undefined if it is not. */
+  incarnationOf (id: InstanceId): Incarnation | undefined {
+    return this.#peers.members().find((member) => member.id === id)?.incarnation
+  }
+
   /** Whether an instance has sent anything recently. */
   isPresent (id: InstanceId): boolean {
     return this.#peers.members().some((member) => member.id === id && member.silence < MAX_COORDINATOR_SILENCE)
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -1,5 +1,10 @@
-import { brand, millis, seconds } from '@papayahill/common'
+import { brand, millis, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
+import type { PeerHandler, PeerMember, Peers } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
+import { CoordinatorRoster } from './CoordinatorRoster.js'
+import { StageOrderRouter } from './StageOrderRouter.js'
+import type { StageOrderRouterOptions } from './StageOrderRouter.js'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
 
 const PIECES = 6
@@ -37,4 +42,26 @@
       expect(await Promise.all(runs)).toEqual(['a', 'b', 'c'].map((request) => Array.from({ length: PIECES }, () => request)))
     })
   })
+
+  describe('an announcement that an incarnation stops', () => {
+    // Guards against a late message of an ended process that keeps its successor from coordinating for good.
+    it('does not exclude the next incarnation that is already known', async () => {
+      const clock = new VirtualClock()
+      const next: PeerMember = {
+        id: brand<InstanceId>('b'), incarnation: brand<Incarnation>('b@2'), domain: brand<DomainId>('d1'), silence: millis(0)
+      }
+      const handlers: PeerHandler[] = []
+      const peers: Pick<Peers, 'self' | 'members' | 'handle'> = {
+        self: brand<InstanceId>('a'), members: () => [next], handle: (_topic, handler) => { handlers.push(handler) }
+      }
+      const roster = new CoordinatorRoster(clock, peers)
+      // eslint-disable-next-line no-new -- the router registers its handler
+      new StageOrderRouter({ clock, log: SILENT_LOG, peers, roster } as unknown as StageOrderRouterOptions)
+      const groups = Array.from({ length: 20 }, (_none, at) => `group ${at}`)
+      const before = groups.map((group) => roster.coordinatorOf(group))
+      await handlers[0]!(next.id, { kind: 'leaving' }, brand<Incarnation>('b@1'))
+      expect(before).toContain(next.id)
+      expect(groups.map((group) => roster.coordinatorOf(group))).toEqual(before)
+    })
+  })
 })
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,5 +1,5 @@
 import { brand } from '@papayahill/common'
-import type { Clock, EndpointId, EventLog, InstanceId, Json } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BacklogTracker } from './BacklogTracker.js'
 import { PRESENCE_CHECK_PERIOD, ACCEPT_TIMEOUT } from './constants.js'
@@ -38,7 +38,7 @@
 
   constructor (options: StageOrderRouterOptions) {
     this.#options = options
-    options.peers.handle('stage', (from, body) => this.#receive(from, body))
+    options.peers.handle('stage', (from, body, incarnation) => this.#receive(from, body, incarnation))
   }
 
   /** Runs an order's pieces; all of them fail with `failed` if the coordinator becomes unreachable. */
@@ -114,7 +114,8 @@
     }
     if (accepted.value === LEAVING) {
       this.#openOrders.delete(id)
-      roster.markLeaving(to)
+      const incarnation = roster.incarnationOf(to)
+      if (incarnation !== undefined) roster.markLeaving(incarnation)
       return await this.run(order, listener)
     }
     this.#recordBacklogs(unpackBacklogs(accepted.value))
@@ -140,7 +141,7 @@
     return outcomes
   }
 
-  #receive (from: InstanceId, body: Json): Json {
+  #receive (from: InstanceId, body: Json, incarnation: Incarnation): Json {
     const { clock, coordinator, roster } = this.#options
     const message = unpackMessage(body, clock.now())
     if (message?.kind === 'order') return this.#acceptOrder(from, message.id, message.order)
@@ -148,7 +149,7 @@
     if (message?.kind === 'done') this.#handleDone(from, message)
     if (message?.kind === 'cancel') coordinator.cancel(message.group, message.request)
     if (message?.kind === 'free') coordinator.free(message.endpoint, message.handles)
-    if (message?.kind === 'leaving') roster.markLeaving(from)
+    if (message?.kind === 'leaving') roster.markLeaving(incarnation)
     return null
   }
 
--- a/packages/bench/src/state/GatedPeers.ts
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -57,8 +57,8 @@
   }
 
   handle (topic: Topic, handler: PeerHandler): void {
-    this.#peers.handle(topic, async (from, message) => {
-      const answer = await handler(from, message)
+    this.#peers.handle(topic, async (from, message, incarnation) => {
+      const answer = await handler(from, message, incarnation)
       this.#count(answer)
       return answer
     })
--- a/packages/cost/src/CostManager.test.ts
+++ b/packages/cost/src/CostManager.test.ts
@@ -60,8 +60,9 @@
   join (self: InstanceId, incarnation: Incarnation): Peers {
     this.#incarnations.set(self, incarnation)
     const others = () => [...this.#incarnations].filter(([id]) => id !== self && !this.isolated.has(id) && !this.isolated.has(self))
+    const isCut = (to: InstanceId): boolean => this.isLosingFrames || this.isolated.has(to) || this.isolated.has(self)
     const deliver = async (to: InstanceId, message: Json): Promise<Json | undefined> =>
-      this.isLosingFrames || this.isolated.has(to) || this.isolated.has(self) ? undefined : await this.#handlers.get(to)?.(self, message)
+      isCut(to) ? undefined : await this.#handlers.get(to)?.(self, message, incarnation)
     return {
       self,
       incarnation,
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -168,10 +168,10 @@
   describe('messages', () => {
     it('carry a request and its answer', async () => {
       const cluster = await startCluster(2)
-      cluster.cores[1]!.handle('claim', (from, message) => ({ from, message }))
+      cluster.cores[1]!.handle('claim', (from, message, incarnation) => ({ from, message, incarnation }))
       const asked = cluster.cores[0]!.ask(identity(1).id, 'claim', { n: 1 }, millis(100))
       await cluster.clock.advance(millis(50))
-      expect((await asked).unwrapOr(null)).toEqual({ from: 'i0', message: { n: 1 } })
+      expect((await asked).unwrapOr(null)).toEqual({ from: 'i0', message: { n: 1 }, incarnation: 'i0#1' })
     })
 
     it('distinguish a peer that does not answer from one that cannot be reached', async () => {
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -286,7 +286,7 @@
 
   async #answer (link: OpenLink, frame: Extract<Frame, { readonly kind: 'message' }>): Promise<void> {
     const { topic, ask } = frame
-    const answer = await this.#handlers.get(topic)?.(link.peer.id, frame.body) ?? NO_ANSWER
+    const answer = await this.#handlers.get(topic)?.(link.peer.id, frame.body, link.peer.incarnation) ?? NO_ANSWER
     if (ask !== undefined && answer !== NO_ANSWER) link.send({ kind: 'answer', topic, ask, body: answer })
   }
 
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -21,7 +21,11 @@
   | { readonly kind: 'unreachable', readonly detail: string }
   | { readonly kind: 'timeout', readonly detail: string }
 
-export type PeerHandler = (from: InstanceId, message: Json) => Promise<Json> | Json
+/**
+ * Receives a message with its sender. The incarnation is that of the process at the other end of the link: a message of a
+ * process that has ended may still arrive when the next one under its id is already known.
+ */
+export type PeerHandler = (from: InstanceId, message: Json, incarnation: Incarnation) => Promise<Json> | Json
 
 /** A value that an instance publishes under a key; the newest incarnation and then the highest sequence wins. */
 export interface GossipEntry {
--- a/packages/standins/src/FakePeerNetwork.ts
+++ b/packages/standins/src/FakePeerNetwork.ts
@@ -156,7 +156,7 @@
 
   send (to: InstanceId, topic: Topic, message: Json): void {
     if (this.#isStopped) return
-    this.#network.transmit(this, to, (receiver) => { void receiver.receive(this.self, topic, message) })
+    this.#network.transmit(this, to, (receiver) => { void receiver.receive(this.self, topic, message, this.incarnation) })
   }
 
   broadcast (topic: Topic, message: Json): void {
@@ -172,7 +172,7 @@
         resolve(Result.err({ kind: 'timeout', detail: `${to} did not answer in ${timeout} ms` }))
       })
       this.#network.transmit(this, to, (receiver) => {
-        void receiver.receive(this.self, topic, message).then((answer) => {
+        void receiver.receive(this.self, topic, message, this.incarnation).then((answer) => {
           if (answer === undefined) return
           this.#network.transmit(receiver, this.self, () => {
             timer.cancel()
@@ -230,8 +230,8 @@
     for (const listener of this.#listeners.get(entry.topic) ?? []) listener(entry)
   }
 
-  async receive (from: InstanceId, topic: Topic, message: Json): Promise<Json | undefined> {
+  async receive (from: InstanceId, topic: Topic, message: Json, incarnation: Incarnation): Promise<Json | undefined> {
     if (this.#isStopped) return undefined
-    return await this.#handlers.get(topic)?.(from, message)
+    return await this.#handlers.get(topic)?.(from, message, incarnation)
   }
 }
