An order ends when its coordinator restarts within a presence check

One that restarted between two checks (200 ms) was present again, but knew nothing of the order, which then waited until its deadline.

Change: the check compares the incarnation that accepted the order.

Before: StageOrderRouter.test.ts, "ends the orders that its earlier incarnation had accepted, so that they run again", failed: the request of 260 ms ended at its deadline of 20 s without results. After: within 2 s.

--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -43,6 +43,18 @@
     })
   })
 
+  describe('a coordinator that restarts under its id', () => {
+    // Guards against orders that wait until their deadline for a process that has ended, since its successor is present.
+    it('ends the orders that its earlier incarnation had accepted, so that they run again', async () => {
+      const { harness, coordinator, orderer } = await startPair()
+      const run = harness.serve(orderer, workFor(harness, 'a'))
+      await harness.clock.advance(millis(20))
+      await harness.restart(coordinator, millis(100))
+      await harness.clock.advance(seconds(25))
+      expect(await run).toBeLessThan(2000)
+    })
+  })
+
   describe('an announcement that an incarnation stops', () => {
     // Guards against a late message of an ended process that keeps its successor from coordinating for good.
     it('does not exclude the next incarnation that is already known', async () => {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -126,14 +126,16 @@
     return brand<OrderId>(`${this.#options.peers.incarnation}/${++this.#orderCount}`)
   }
 
-  /** Waits for the outcomes; fails the order if its coordinator falls silent or the deadline passes. */
+  /** Waits for the outcomes; fails the order if its coordinator falls silent or restarts, or if the deadline passes. */
   async #awaitOutcomes (
     id: OrderId, to: InstanceId, ended: Promise<readonly PieceOutcome[]>, order: StageOrder
   ): Promise<readonly PieceOutcome[]> {
     const { clock, roster } = this.#options
     const { deadline } = order.pieces[0]!
+    const acceptedBy = roster.incarnationOf(to)
     const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
-      if (!roster.isPresent(to) || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order, 'failed'))
+      const isLost = !roster.isPresent(to) || roster.incarnationOf(to) !== acceptedBy
+      if (isLost || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order, 'failed'))
     })
     const outcomes = await ended
     timer.cancel()
