A coordinator drops what is queued for an instance that has ended

Stage endpoints worked for requests that no longer existed, and held results until they expired.

Change: orders that run for other instances are watched (AcceptedOrders): once another incarnation is known under the sender's id, or the sender was unreachable for as long as it takes to give its orders up, its queued pieces are dropped (event 1709), the results of running ones are freed, and nothing is sent to a successor. A sender that was only cut off and still waits gets `moved` and orders again.

Not covered: results that had been reported to a process after its death and before anyone noticed expire by themselves.

--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -63,6 +63,11 @@
     this.#batchers.get(group)?.cancel(request)
   }
 
+  /** Drops the queued pieces of a request whose instance has ended. */
+  drop (group: GroupId, request: string): void {
+    this.#batchers.get(group)?.drop(request)
+  }
+
   /** Releases results at the endpoint that holds them. */
   free (endpoint: EndpointId, handles: readonly string[]): void {
     this.#callsOf(endpoint)?.free(handles)
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -2,6 +2,7 @@
 import type { Clock, Incarnation, InstanceId, Millis } from '@papayahill/common'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import { MAX_COORDINATOR_SILENCE, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
+import type { OrderSender } from './types.js'
 
 /** An instance that can coordinate batches. */
 interface CoordinatorCandidate {
@@ -69,6 +70,12 @@
     return this.#peers.members().find((member) => member.id === id)?.incarnation
   }
 
+  /** Whether another process runs under the id of this one, which has ended then. */
+  hasRestarted ({ id, incarnation }: OrderSender): boolean {
+    const known = this.incarnationOf(id)
+    return known !== undefined && known !== incarnation
+  }
+
   /** Whether an instance has sent anything recently. */
   isPresent (id: InstanceId): boolean {
     return this.#peers.members().some((member) => member.id === id && member.silence < MAX_COORDINATOR_SILENCE)
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -51,7 +51,12 @@
 
   /** Drops the queued pieces of a cancelled request. */
   cancel (request: string): void {
-    this.#settle(this.#waiting.filter(({ piece }) => piece.request === request), 'late')
+    this.#settle(this.#waitingFor(request), 'late')
+  }
+
+  /** Drops the queued pieces of a request whose instance has ended; one that is only cut off may order them again. */
+  drop (request: string): void {
+    this.#settle(this.#waitingFor(request), 'moved')
   }
 
   /** Returns all queued pieces to their instances, since another one coordinates the group now. */
@@ -100,6 +105,10 @@
     return false
   }
 
+  #waitingFor (request: string): readonly WaitingPiece[] {
+    return this.#waiting.filter(({ piece }) => piece.request === request)
+  }
+
   #candidateEndpoints (): ReadonlySet<EndpointId> {
     const candidates = new Set<EndpointId>()
     let last: WaitingPiece['places'] | undefined
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -43,6 +43,41 @@
     })
   })
 
+  describe('an instance that ends while its orders are queued', () => {
+    const QUEUED = 5
+
+    type End = (harness: StageHarness, orderer: number) => Promise<void>
+
+    const endWithOrders = async (slowdown: number, end: End): Promise<StageHarness> => {
+      const { harness, coordinator, orderer } = await startPair()
+      harness.endpoints.slowdown.set('encode-0', slowdown)
+      for (let at = 0; at < QUEUED; at++) void harness.run(orderer, workFor(harness, `request ${at}`))
+      await harness.clock.advance(millis(20))
+      expect(harness.instances[coordinator]!.coordinator.waitingPieces).toBe((QUEUED - 1) * PIECES)
+      await end(harness, orderer)
+      expect(harness.instances[coordinator]!.coordinator.waitingPieces).toBe(0)
+      await harness.clock.advance(seconds(2))
+      return harness
+    }
+
+    // Guards against endpoints that work for nobody, and results that are held though nobody will read them.
+    it('has its pieces dropped within one check, and their results freed, if it restarts', async () => {
+      const harness = await endWithOrders(1, async (pair, orderer) => await pair.restart(orderer, millis(250)))
+      expect(harness.endpoints.calls.length).toBeLessThanOrEqual(2)
+      expect(harness.endpoints.heldResults).toBe(0)
+    })
+
+    // Guards against the same where no successor shows that it has ended.
+    it('has its pieces dropped once it was unreachable for long', async () => {
+      const harness = await endWithOrders(20, async (pair, orderer) => {
+        pair.kill(orderer)
+        await pair.clock.advance(millis(1600))
+      })
+      await harness.clock.advance(seconds(6))
+      expect(harness.endpoints.heldResults).toBe(0)
+    })
+  })
+
   describe('a coordinator that restarts under its id', () => {
     // Guards against orders that wait until their deadline for a process that has ended, since its successor is present.
     it('ends the orders that its earlier incarnation had accepted, so that they run again', async () => {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -4,12 +4,13 @@
 import type { BacklogTracker } from './BacklogTracker.js'
 import { PRESENCE_CHECK_PERIOD, ACCEPT_TIMEOUT } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
+import { AcceptedOrders } from './AcceptedOrders.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
 import type { CoordinatorRoster } from './CoordinatorRoster.js'
 import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
 import type { GroupLookup } from './endpointGroups.js'
-import type { EndpointBacklog, GroupId, OrderId, OrderListener, PieceFault, PieceOutcome, StageOrder } from './types.js'
+import type { EndpointBacklog, GroupId, OrderId, OrderListener, OrderSender, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 export interface StageOrderRouterOptions {
   readonly clock: Clock
@@ -34,10 +35,12 @@
 export class StageOrderRouter {
   readonly #options: StageOrderRouterOptions
   readonly #openOrders = new Map<OrderId, OpenOrder>()
+  readonly #acceptedOrders: AcceptedOrders
   #orderCount = 0
 
   constructor (options: StageOrderRouterOptions) {
     this.#options = options
+    this.#acceptedOrders = new AcceptedOrders(options)
     options.peers.handle('stage', (from, body, incarnation) => this.#receive(from, body, incarnation))
   }
 
@@ -146,7 +149,7 @@
   #receive (from: InstanceId, body: Json, incarnation: Incarnation): Json {
     const { clock, coordinator, roster } = this.#options
     const message = unpackMessage(body, clock.now())
-    if (message?.kind === 'order') return this.#acceptOrder(from, message.id, message.order)
+    if (message?.kind === 'order') return this.#acceptOrder({ id: from, incarnation }, message.id, message.order)
     if (message?.kind === 'read') this.#handleRead(from, message.id)
     if (message?.kind === 'done') this.#handleDone(from, message)
     if (message?.kind === 'cancel') coordinator.cancel(message.group, message.request)
@@ -155,14 +158,24 @@
     return null
   }
 
-  #acceptOrder (from: InstanceId, id: OrderId, order: StageOrder): Json {
+  #acceptOrder (from: OrderSender, id: OrderId, order: StageOrder): Json {
     const { coordinator, roster } = this.#options
     if (roster.isLeaving) return LEAVING
-    return packBacklogs(coordinator.accept(order, { onInputsRead: () => this.#send(from, { kind: 'read', id }) }, (outcomes) => {
-      this.#send(from, { kind: 'done', id, outcomes })
+    const accepted = this.#acceptedOrders.add(from, order)
+    const onInputsRead = (): void => this.#sendBack(from, { kind: 'read', id })
+    return packBacklogs(coordinator.accept(order, { onInputsRead }, (outcomes) => {
+      this.#acceptedOrders.delete(accepted)
+      if (!accepted.isOrphaned && !roster.hasRestarted(from)) return this.#sendBack(from, { kind: 'done', id, outcomes })
+      this.#freeResults(outcomes)
+      this.#sendBack(from, { kind: 'done', id, outcomes: failAllPieces(order, 'moved') })
     }))
   }
 
+  /** Sends a message about an order to the incarnation that gave it, if that has not ended. */
+  #sendBack (to: OrderSender, message: StageMessage): void {
+    if (!this.#options.roster.hasRestarted(to)) this.#send(to.id, message)
+  }
+
   #handleRead (from: InstanceId, id: OrderId): void {
     const open = this.#openOrders.get(id)
     if (open?.to === from) open.listener.onInputsRead()
@@ -172,6 +185,10 @@
   #handleDone (from: InstanceId, { id, outcomes }: Extract<StageMessage, { kind: 'done' }>): void {
     const open = this.#openOrders.get(id)
     if (open?.to === from) return open.resolve(outcomes)
+    this.#freeResults(outcomes)
+  }
+
+  #freeResults (outcomes: readonly PieceOutcome[]): void {
     for (const outcome of outcomes) if ('handle' in outcome) this.free(outcome.endpoint, [outcome.handle])
   }
 
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -52,6 +52,7 @@
   readonly #profile: BatchProfile
   readonly #results = new Map<string, HeldResult>()
   readonly #lastCalls = new Map<string, Promise<unknown>>()
+  readonly #ended = new Set<Incarnation>()
   #count = 0
 
   constructor (clock: VirtualClock, profile: BatchProfile) {
@@ -69,13 +70,20 @@
     return this.#results.size
   }
 
-  callerOf (instance: InstanceId): BatchCaller {
+  /** The calls of one process; once it has ended, it sends none. */
+  callerOf ({ id, incarnation }: PeerIdentity): BatchCaller {
+    const never = new Promise<never>(() => {})
     return {
-      call: (endpoint, pieces) => this.#call(endpoint, pieces, instance),
-      free: (endpoint, handles) => this.#free(endpoint, handles)
+      call: (endpoint, pieces) => this.#ended.has(incarnation) ? never : this.#call(endpoint, pieces, id),
+      free: (endpoint, handles) => this.#ended.has(incarnation) ? never : this.#free(endpoint, handles)
     }
   }
 
+  /** A process has ended: it sends no further calls. */
+  endCaller (incarnation: Incarnation): void {
+    this.#ended.add(incarnation)
+  }
+
   async #call (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId): Promise<BatchAnswer> {
     await this.#clock.sleep(ONE_WAY_DELAY)
     this.calls.push({ endpoint: endpoint.id, instance, pieces: pieces.length })
@@ -161,6 +169,7 @@
 
   kill (at: number): void {
     this.network.kill(this.instances[at]!.identity)
+    this.endpoints.endCaller(this.instances[at]!.identity.incarnation)
     void this.instances[at]!.peers.close()
   }
 
@@ -214,7 +223,7 @@
     const profileOf = () => this.#profile
     const isOwn = (group: string): boolean => roster.coordinatorOf(group) === identity.id
     const coordinator = new BatchCoordinator({
-      clock, log: SILENT_LOG, caller: this.endpoints.callerOf(identity.id), directory, limits: UNLIMITED, profileOf, isOwn
+      clock, log: SILENT_LOG, caller: this.endpoints.callerOf(identity), directory, limits: UNLIMITED, profileOf, isOwn
     })
     clock.every(millis(100), () => coordinator.pumpAll())
     const backlogs = new BacklogTracker(clock)
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -1,4 +1,4 @@
-import type { Brand, Bytes, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import type { Brand, Bytes, EndpointId, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 
 /** One unit of a stage's work; an endpoint runs it in a batch and holds its result. */
@@ -87,6 +87,12 @@
 /** Id of an order sent to another instance, unique among the orders of all instances and their incarnations. */
 export type OrderId = Brand<string, 'OrderId'>
 
+/** The process that gave an order. */
+export interface OrderSender {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+}
+
 /** Time until an endpoint could begin a piece that arrives now. */
 export interface EndpointBacklog {
   readonly endpoint: EndpointId
