--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -63,7 +63,7 @@
     this.#batchers.get(group)?.cancel(request)
   }
 
-  /** Drops the queued pieces of a request whose instance has ended. */
+  /** Gives the queued pieces of a request back to its instance. */
   drop (group: GroupId, request: string): void {
     this.#batchers.get(group)?.drop(request)
   }
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -54,7 +54,7 @@
     this.#settle(this.#waitingFor(request), 'late')
   }
 
-  /** Drops the queued pieces of a request whose instance has ended; one that is only cut off may order them again. */
+  /** Gives the queued pieces of a request back to its instance, which may order them again. */
   drop (request: string): void {
     this.#settle(this.#waitingFor(request), 'moved')
   }
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -34,6 +34,8 @@
   /** Monotonic time by which the last result should be ready. */
   readonly due: Millis
   readonly deadline: Millis
+  /** Time that the answer takes after the last result. */
+  readonly answerTime: Millis
   /** Domain of the engine that will read the last results. */
   readonly engineDomain: DomainId | undefined
   /** Failure domains whose endpoints may run the stages. */
@@ -310,8 +312,9 @@
   }
 
   #piece (stage: StageNode, index: number, inputs: readonly StageResult[], losses: number): Piece {
-    const { request, key, priority, due, deadline, stages } = this.#work
+    const { request, key, priority, due, deadline, answerTime, stages } = this.#work
     const { profileOf } = this.#context
+    const stagesAfter = followingStageTime(stages, stage, profileOf, shortCallTime)
     return {
       request,
       stage: stage.index,
@@ -323,8 +326,9 @@
       resultBytes: stage.resultBytes,
       due: millis(due - followingStageTime(stages, stage, profileOf, fullCallTime)),
       deadline: millis(Math.min(
-        deadline - followingStageTime(stages, stage, profileOf, shortCallTime), ...inputs.map((input) => input.expiresAt)
+        deadline - stagesAfter, ...inputs.map((input) => input.expiresAt)
       )),
+      timeAfter: millis(stagesAfter + answerTime),
       priority
     }
   }
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -78,6 +78,29 @@
     })
   })
 
+  describe('an instance that stops while its orders are queued', () => {
+    // Guards against requests that wait until the end of the grace though it is known that they cannot end by then.
+    it.each([2, 1])('fails at once what cannot end in time, and runs the rest, in a fleet of %i', async (instances) => {
+      const harness = new StageHarness(instances, endpointsOf('encode', 1))
+      await harness.start()
+      const ends: Array<{ readonly took: number, readonly isOk: boolean }> = []
+      const startedAt = harness.clock.now()
+      for (let at = 0; at < 10; at++) {
+        void harness.run(0, workFor(harness, `request ${at}`)).then(({ isOk }) => ends.push({ took: harness.clock.now() - startedAt, isOk }))
+      }
+      await harness.clock.advance(millis(20))
+      harness.instances[0]!.router.endBy(millis(startedAt + 1000))
+      harness.instances[0]!.router.leave()
+      await harness.clock.advance(millis(100))
+      const refused = ends.length
+      expect(refused).toBeGreaterThanOrEqual(6)
+      expect(ends.some(({ isOk }) => isOk)).toBe(false)
+      await harness.clock.advance(millis(900))
+      expect(ends).toHaveLength(10)
+      expect(ends.slice(refused).filter(({ isOk }) => isOk).length).toBeGreaterThanOrEqual(2)
+    })
+  })
+
   describe('a coordinator that restarts under its id', () => {
     // Guards against orders that wait until their deadline for a process that has ended, since its successor is present.
     it('ends the orders that its earlier incarnation had accepted, so that they run again', async () => {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,5 +1,5 @@
-import { brand } from '@papayahill/common'
-import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json } from '@papayahill/common'
+import { brand, millis } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BacklogTracker } from './BacklogTracker.js'
 import { PRESENCE_CHECK_PERIOD, ACCEPT_TIMEOUT } from './constants.js'
@@ -10,7 +10,7 @@
 import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
 import type { GroupLookup } from './endpointGroups.js'
-import type { EndpointBacklog, GroupId, OrderId, OrderListener, OrderSender, PieceFault, PieceOutcome, StageOrder } from './types.js'
+import type { EndpointBacklog, GroupId, OrderId, OrderListener, OrderSender, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 export interface StageOrderRouterOptions {
   readonly clock: Clock
@@ -27,6 +27,7 @@
 
 interface OpenOrder {
   readonly to: InstanceId
+  readonly order: StageOrder
   readonly listener: OrderListener
   readonly resolve: (outcomes: readonly PieceOutcome[]) => void
 }
@@ -36,7 +37,11 @@
   readonly #options: StageOrderRouterOptions
   readonly #openOrders = new Map<OrderId, OpenOrder>()
   readonly #acceptedOrders: AcceptedOrders
+  /** Orders that run here. */
+  readonly #localOrders = new Set<StageOrder>()
   #orderCount = 0
+  /** Monotonic time by which every request must be answered; infinite until this instance stops. */
+  #endsAt: Millis = millis(Infinity)
 
   constructor (options: StageOrderRouterOptions) {
     this.#options = options
@@ -53,16 +58,33 @@
     return outcomes.map((outcome) => isMoved(outcome) ? retried.shift() ?? outcome : outcome)
   }
 
-  #runOnce (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { roster, peers, log } = this.#options
+  #runOnce (given: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    const { roster, peers, log, clock } = this.#options
+    const order = this.#boundByStop(given)
     const to = roster.coordinatorOf(order.group)
     const first = order.pieces[0]!
+    if (this.#endsAt !== Infinity && first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order, 'late'))
     log.emit(BATCHING_EVENTS.piecesOrdered, {
       request: first.request, stage: first.stage, pieces: order.pieces.length, group: order.group, gatherer: to
     })
     return to === peers.self ? this.#runLocally(order, listener) : this.#runRemotely(to, order, listener)
   }
 
+  /** All requests must be answered by this time: pieces that are still queued are ordered again, with no more time than that. */
+  endBy (endsAt: Millis): void {
+    this.#endsAt = endsAt
+    for (const { group, pieces } of this.#localOrders) this.#options.coordinator.drop(group, pieces[0]!.request)
+    for (const { to, order: { group, pieces } } of this.#openOrders.values()) {
+      this.#send(to, { kind: 'recall', group, request: pieces[0]!.request })
+    }
+  }
+
+  #boundByStop (order: StageOrder): StageOrder {
+    if (this.#endsAt === Infinity) return order
+    const bound = (piece: Piece): Piece => ({ ...piece, deadline: millis(Math.min(piece.deadline, this.#endsAt - piece.timeAfter)) })
+    return { ...order, pieces: order.pieces.map(bound) }
+  }
+
   /** Drops the queued pieces of a cancelled request. */
   cancel (group: GroupId, request: string): void {
     const to = this.#options.roster.coordinatorOf(group)
@@ -96,17 +118,20 @@
     this.#options.peers.broadcast('stage', packMessage({ kind: 'leaving' }, this.#options.clock.now()))
   }
 
-  #runLocally (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    return new Promise((resolve) => {
+  async #runLocally (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    this.#localOrders.add(order)
+    const outcomes = await new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#recordBacklogs(this.#options.coordinator.accept(order, listener, resolve))
     })
+    this.#localOrders.delete(order)
+    return outcomes
   }
 
   async #runRemotely (to: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { clock, peers, roster, log } = this.#options
     const id = this.#nextId()
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
-      this.#openOrders.set(id, { to, listener, resolve })
+      this.#openOrders.set(id, { to, order, listener, resolve })
     })
     const accepted = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), ACCEPT_TIMEOUT)
     if (accepted.isErr) {
@@ -152,6 +177,7 @@
     if (message?.kind === 'order') return this.#acceptOrder({ id: from, incarnation }, message.id, message.order)
     if (message?.kind === 'read') this.#handleRead(from, message.id)
     if (message?.kind === 'done') this.#handleDone(from, message)
+    if (message?.kind === 'recall') coordinator.drop(message.group, message.request)
     if (message?.kind === 'cancel') coordinator.cancel(message.group, message.request)
     if (message?.kind === 'free') coordinator.free(message.endpoint, message.handles)
     if (message?.kind === 'leaving') roster.markLeaving(incarnation)
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -9,6 +9,8 @@
   /** The endpoint has read the inputs of an order's pieces. */
   | { readonly kind: 'read', readonly id: OrderId }
   | { readonly kind: 'cancel', readonly group: GroupId, readonly request: string }
+  /** Asks for the queued pieces of a request back, because the sender will order them with other times or not at all. */
+  | { readonly kind: 'recall', readonly group: GroupId, readonly request: string }
   | { readonly kind: 'free', readonly endpoint: EndpointId, readonly handles: readonly string[] }
   /** The sender is stopping and coordinates no more batches. */
   | { readonly kind: 'leaving' }
@@ -91,7 +93,8 @@
     priority: packed.priority,
     losses: packed.losses ?? 0,
     due: millis(now + packed.dueIn),
-    deadline: millis(now + packed.endIn)
+    deadline: millis(now + packed.endIn),
+    timeAfter: millis(0)
   })
   const places = Object.entries(packed.places).map(([endpoint, cost]) => ({ endpoint: endpoint as EndpointId, cost: millis(cost) }))
   return { group: packed.group, places, pieces: packed.pieces.map(pieceOf) }
@@ -103,6 +106,7 @@
     case 'order': return { kind: 'order', id: message.id, order: packOrder(message.order, now) }
     case 'done': return { ...message, ...packOutcomes(message.outcomes) }
     case 'read':
+    case 'recall':
     case 'cancel': return { ...message }
     case 'free': return { ...message, handles: [...message.handles] }
     case 'leaving': return { kind: 'leaving' }
@@ -126,6 +130,7 @@
       kind: 'done', id: message.id, outcomes: message.outcomes.map((outcome) => unpackOutcome(outcome, message.endpoints))
     }
     case 'read':
+    case 'recall':
     case 'cancel':
     case 'free':
     case 'leaving': return message
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -258,6 +258,7 @@
   priority: 1,
   due: millis(harness.clock.now() + target),
   deadline: millis(harness.clock.now() + timeout),
+  answerTime: millis(0),
   engineDomain: undefined,
   isAllowedIn: () => true
 })
--- a/packages/batching/src/testing/stageEndpoint.ts
+++ b/packages/batching/src/testing/stageEndpoint.ts
@@ -37,6 +37,7 @@
   resultBytes: 10 as Bytes,
   due: millis(10_000),
   deadline: millis(20_000),
+  timeAfter: millis(0),
   priority: 1,
   ...fields
 })
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -21,6 +21,8 @@
   readonly due: Millis
   /** Monotonic time after which its result is useless. */
   readonly deadline: Millis
+  /** Time that its request needs after it, for the stages that follow and the answer. */
+  readonly timeAfter: Millis
   /** Priority of its request; 0 is the most urgent. */
   readonly priority: number
 }
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -81,7 +81,7 @@
     if (uncachedTokens !== undefined) engines.recordCallEnd(endpoint, uncachedTokens)
     connections.release(endpoint, socket)
     this.#versionCall.callEnded(end, request.signal.aborted || this.#isWithdrawn)
-    this.#noteFirstEvent()
+    this.#noteTimes(end)
     this.#noteCrash(end)
     this.#logEnd(end)
     return end
@@ -144,9 +144,11 @@
     return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
   }
 
-  #noteFirstEvent (): void {
-    const { context: { firstEvents }, request: { route } } = this.#options
+  #noteTimes (end: CallEnd): void {
+    const { context: { clock, firstEvents, answerTimes }, request: { route } } = this.#options
     const { firstByteAt } = this.#exchange
+    const isWhole = (end.kind === 'answered' || end.kind === 'streamed') && this.#eventsBefore === 0
+    if (isWhole) answerTimes.record(route.name, millis(clock.now() - this.#startedAt))
     if (firstByteAt !== undefined && route.kind === 'streaming') firstEvents.record(route.name, millis(firstByteAt - this.#startedAt))
   }
 
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -6,9 +6,10 @@
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { EngineTracker } from './EngineTracker.js'
-import type { FirstEventTimes } from './FirstEventTimes.js'
 import type { CallQuarantine } from './CallQuarantine.js'
+import type { RouteTimes } from './RouteTimes.js'
 import type { SharedRetryBudget } from './SharedRetryBudget.js'
+import type { StopTime } from './StopTime.js'
 import type { CallWire, ProfileLookup } from './types.js'
 import type { UnsentRequests } from './UnsentRequests.js'
 import type { VersionGate } from './VersionGate.js'
@@ -28,7 +29,10 @@
   readonly callQuarantine: CallQuarantine
   readonly unsent: UnsentRequests
   readonly retries: SharedRetryBudget
-  readonly firstEvents: FirstEventTimes
+  /** Times from a call to the first event of its answer, and to its end. */
+  readonly firstEvents: RouteTimes
+  readonly answerTimes: RouteTimes
+  readonly stopTime: StopTime
   readonly stages: StageContext
   readonly versions: VersionGate
   readonly profileOf: ProfileLookup
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -9,7 +9,7 @@
 import { Result } from 'true-myth'
 import {
   FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
-  RESUMED_STAGES_FACTOR
+  RESUMED_STAGES_FACTOR, STOP_ANSWER_FACTOR, STOP_RETRY_AFTER
 } from './constants.js'
 import { EndpointCall } from './EndpointCall.js'
 import { FORWARDING_EVENTS } from './events.js'
@@ -19,6 +19,7 @@
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallPlacement } from './RequestPlacement.js'
 import { returnTimeOf } from './returnTimeOf.js'
+import { INSTANCE_STOPPED } from './StopTime.js'
 import { StreamRelay } from './StreamRelay.js'
 import type { CallEnd, CallerSink, FailureCause, ForwardRequest } from './types.js'
 
@@ -71,6 +72,11 @@
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
 
+  /** Whether an endpoint may have begun to work on the request. */
+  get isDispatched (): boolean {
+    return this.#guard.isDispatched
+  }
+
   async run (): Promise<RunEnd> {
     const onAbort = (): void => this.#graph?.cancel()
     this.#request.signal.addEventListener('abort', onAbort, { once: true })
@@ -94,7 +100,7 @@
   }
 
   async #execute (): Promise<RunEnd> {
-    if (await this.#hasCallerDisconnected()) return this.#callerGone()
+    if (await this.#isAborted()) return this.#aborted()
     const staged = await this.#runStages()
     if (staged.isErr) return this.#stagesFailed(staged.error)
     for (;;) {
@@ -103,12 +109,22 @@
     }
   }
 
-  /** Whether the caller has disconnected, including a close that has not been read yet. */
-  async #hasCallerDisconnected (): Promise<boolean> {
+  /** Whether nobody waits for the request any more, including a caller's close that has not been read yet. */
+  async #isAborted (): Promise<boolean> {
     await this.#context.arrivals.catchUp()
     return this.#request.signal.aborted
   }
 
+  /** Time that is kept for the answer during a planned stop. */
+  get #stopAnswerTime (): Millis {
+    return millis(STOP_ANSWER_FACTOR * this.#context.answerTimes.mean(this.#request.route.name))
+  }
+
+  get #canEndBeforeStop (): boolean {
+    const { clock, stopTime } = this.#context
+    return clock.now() + this.#stopAnswerTime <= stopTime.endsAt
+  }
+
   /** Whether a call may be repeated after one that may have run. */
   get #isRetryable (): boolean {
     const { kind, isResumable } = this.#request.route
@@ -132,6 +148,7 @@
       priority,
       due: this.#relay?.isStarted === true ? this.#resumedDue() : millis(arrivedAt + route.target - answerTime),
       deadline: millis(deadline - MIN_CALL_TIME),
+      answerTime: this.#stopAnswerTime,
       engineDomain: this.#preferredDomain(),
       isAllowedIn: this.#request.isAllowedIn
     })
@@ -164,7 +181,8 @@
   }
 
   async #attempt (): Promise<Step> {
-    if (await this.#hasCallerDisconnected()) return this.#callerGone()
+    if (await this.#isAborted()) return this.#aborted()
+    if (!this.#canEndBeforeStop) return this.#retryDenied('the instance stops before an answer could be complete')
     if (this.#timeLeft < MIN_CALL_TIME) return this.#timedOut()
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#quarantined(quarantine)
@@ -233,7 +251,7 @@
   #notRun (endpoint: Endpoint, { detail, isReceived }: Extract<CallEnd, { kind: 'not-run' }>): Step {
     if (this.#runCount === 0) this.#guard = new RunGuard()
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#callerGone()
+    if (this.#request.signal.aborted) return this.#aborted()
     if (isReceived && !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
     return this.#rejected(detail)
   }
@@ -249,7 +267,7 @@
   async #lost (endpoint: Endpoint, { detail, isConnectionLost }: Extract<CallEnd, { kind: 'lost' }>): Promise<Step> {
     this.#runCount++
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#callerGone()
+    if (this.#request.signal.aborted) return this.#aborted()
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#quarantined(quarantine)
     if (isConnectionLost && this.#mayHaveCrashedTooMany(endpoint)) return this.#interrupted(detail)
@@ -314,7 +332,8 @@
 
   #refused (kind: 'no-endpoint' | 'over-capacity', detail: string, cause?: FailureCause): RunEnd {
     if (this.#relay?.isStarted === true) return this.#interrupted(detail)
-    return { kind: 'failed', failure: this.#guard.refuse(kind, detail, { retryAfter: this.#retryAfter() }), cause }
+    const stopKind = this.#context.stopTime.isStopping ? 'draining' : kind
+    return { kind: 'failed', failure: this.#guard.refuse(stopKind, detail, { retryAfter: this.#retryAfter() }), cause }
   }
 
   /** No endpoint may get the request: it is refused, or its answer is aborted if an earlier call had begun it. */
@@ -324,16 +343,24 @@
     return { kind: 'failed', failure: this.#guard.refuse('quarantined', detail), cause: 'quarantine' }
   }
 
-  #callerGone (): RunEnd {
+  /** Nobody waits for the request any more, or this instance can wait for it no longer. */
+  #aborted (): RunEnd {
+    if (this.#request.signal.reason === INSTANCE_STOPPED) return this.#stopped()
     return this.#failed('caller-gone', 'the caller disconnected')
   }
 
+  #stopped (): RunEnd {
+    const detail = 'the instance has stopped'
+    return this.#guard.isDispatched ? this.#interrupted(detail) : this.#refused('no-endpoint', detail)
+  }
+
   #failed (kind: Failure['kind'], detail: string): RunEnd {
     return { kind: 'failed', failure: failure(kind, detail, 'unknown') }
   }
 
   #retryAfter (): Millis {
-    const { limits, directory, clock } = this.#context
+    const { limits, directory, clock, stopTime } = this.#context
+    if (stopTime.isStopping) return STOP_RETRY_AFTER
     const availableIn = timeUntilAvailable(limits, directory.usable(this.#service), clock.now())
     return returnTimeOf(this.#context, this.#service, millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4, availableIn)))
   }
@@ -341,7 +368,8 @@
   /** Waits for an endpoint that can accept the request; longer if a refusal would waste earlier work. */
   async #place (): Promise<Endpoint | undefined> {
     const maxWait = this.#inputs.length > 0 || this.#relay?.isStarted === true ? PLACEMENT_TIMEOUT : FIRST_PLACEMENT_TIMEOUT
-    const until = Math.min(this.#context.clock.now() + maxWait, this.#request.deadline - MIN_CALL_TIME)
+    const { clock, stopTime } = this.#context
+    const until = Math.min(clock.now() + maxWait, this.#request.deadline - MIN_CALL_TIME, stopTime.endsAt)
     return await this.#placement.place(this.#callPlacement, millis(until))
   }
 
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,10 +1,11 @@
 import { leastStageTime } from '@papayahill/batching'
 import { millis, refusal } from '@papayahill/common'
-import type { Millis, ServiceId } from '@papayahill/common'
+import type { Failure, Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
 import { admit } from './admission.js'
 import type { Admission } from './admission.js'
+import { STOP_RETRY_AFTER } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { ForwardRun } from './ForwardRun.js'
@@ -15,6 +16,7 @@
 import type { CallCheck } from './CallQuarantine.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { ServiceGate } from './ServiceGate.js'
+import { INSTANCE_STOPPED } from './StopTime.js'
 import type { CallerSink, ForwardRequest } from './types.js'
 
 /** Observes the end of each request, for metrics. */
@@ -22,6 +24,15 @@
   requestEnded (request: ForwardRequest, end: RunEnd, took: Millis): void
 }
 
+/** A request without a final answer. */
+interface PendingRequest {
+  readonly sink: CallerSink
+  /** Ends the request while no endpoint has it. */
+  readonly end: (end: RunEnd) => void
+  /** Undefined while it is queued for its service. */
+  run: ForwardRun | undefined
+}
+
 /** Slots of an endpoint that can be used: with a limit, not more than the requests of one second. */
 const usableSlots = ({ record, limit }: Endpoint): number => Math.min(record.slots, Math.ceil(limit?.perSecond ?? Infinity))
 
@@ -35,20 +46,19 @@
   readonly #context: ForwardContext
   readonly #observer: ForwardObserver
   readonly #gate = new ServiceGate()
-  readonly #runs = new Set<ForwardRun>()
-  #running = 0
+  readonly #pending = new Set<PendingRequest>()
 
   constructor (context: ForwardContext, observer: ForwardObserver) {
     this.#context = context
     this.#observer = observer
     context.quarantines.onQuarantine(() => {
-      for (const run of this.#runs) run.applyQuarantines()
+      for (const { run } of this.#pending) run?.applyQuarantines()
     })
   }
 
   /** Requests without a final answer. */
   get running (): number {
-    return this.#running
+    return this.#pending.size
   }
 
   /** Requests queued for a service. */
@@ -57,16 +67,38 @@
   }
 
   async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
-    this.#running++
+    let pending: PendingRequest | undefined
     try {
-      const end = await this.#serve(request, sink)
+      const end = await new Promise<RunEnd>((resolve, reject) => {
+        pending = { sink, end: resolve, run: undefined }
+        this.#pending.add(pending)
+        this.#serve(request, pending).then(resolve, reject)
+      })
       this.#finish(request, sink, end)
     } finally {
-      this.#running--
+      if (pending !== undefined) this.#pending.delete(pending)
+    }
+  }
+
+  /** A planned stop begins: requests that cannot be answered by `endsAt` are refused as soon as this is known. */
+  beginStop (endsAt: Millis): void {
+    this.#context.stopTime.begin(endsAt)
+    this.#context.stages.router.endBy(endsAt)
+  }
+
+  /** Gives every request its final answer: a refusal if no endpoint has it, wherever it waits; a failure or a cut otherwise. */
+  endStop (): void {
+    for (const { sink, run, end } of this.#pending) {
+      sink.abandon()
+      if (run?.isDispatched !== true) end({ kind: 'failed', failure: this.#stopRefusal('the instance has stopped') })
     }
   }
 
-  async #serve (request: ForwardRequest, sink: CallerSink): Promise<RunEnd> {
+  #stopRefusal (detail: string): Failure {
+    return refusal('draining', detail, { retryAfter: STOP_RETRY_AFTER })
+  }
+
+  async #serve (request: ForwardRequest, pending: PendingRequest): Promise<RunEnd> {
     const { random, clock, retries, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
@@ -80,22 +112,15 @@
     const slots = available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
     unsent.add(service, request)
     try {
-      const run = (): Promise<RunEnd> => this.#run(new ForwardRun(this.#context, request, service, sink, check))
-      return await this.#gate.run(service, slots, request.priority, run)
+      return await this.#gate.run(service, slots, request.priority, () => {
+        pending.run = new ForwardRun(this.#context, request, service, pending.sink, check)
+        return pending.run.run()
+      })
     } finally {
       unsent.delete(service, request)
     }
   }
 
-  async #run (run: ForwardRun): Promise<RunEnd> {
-    this.#runs.add(run)
-    try {
-      return await run.run()
-    } finally {
-      this.#runs.delete(run)
-    }
-  }
-
   /** The end of a request that no endpoint may get; undefined if one may. */
   #checkQuarantine (request: ForwardRequest, service: ServiceId, check: CallCheck): RunEnd | undefined {
     const quarantine = check.quarantineOf(this.#context.directory.usable(service))
@@ -106,12 +131,12 @@
 
   /** The end of a request that is not admitted; undefined if it is. */
   #admit (request: ForwardRequest, service: ServiceId): RunEnd | undefined {
-    const { clock, log, directory, limits, unsent, firstEvents, stages } = this.#context
+    const { clock, log, directory, limits, unsent, firstEvents, stages, stopTime } = this.#context
     const { route, attempt, priority, configVersion, pieceCounts } = request
     const now = clock.now()
     const endpoints = directory.usable(service)
     const inputs = {
-      timeLeft: millis(request.deadline - now),
+      timeLeft: millis(Math.min(request.deadline, stopTime.endsAt) - now),
       stageWaits: this.#stageWaits(request),
       stageTime: leastStageTime(route.stages, pieceCounts, stages.profileOf),
       timeUntilAvailable: timeUntilAvailable(limits, endpoints, now),
@@ -147,6 +172,7 @@
     const detail = cause === 'limit'
       ? `the limits of all endpoints of ${service} leave no token in time`
       : `the forecast of ${Math.round(forecast)} ms exceeds the deadline`
+    if (this.#context.stopTime.isStopping) return { kind: 'failed', failure: this.#stopRefusal(detail), cause }
     const failure = refusal('over-capacity', detail, { retryAfter: returnTimeOf(this.#context, service, retryAfter) })
     return { kind: 'failed', failure, cause }
   }
@@ -168,7 +194,8 @@
     const fields = { request: request.attempt, route: request.route.name, workspace: request.workspace, tookMs: took }
     this.#observer.requestEnded(request, end, took)
     if (end.kind === 'answered') return log.emit(FORWARDING_EVENTS.requestAnswered, { ...fields, status: end.status })
-    if (request.signal.aborted) return log.emit(FORWARDING_EVENTS.callerGone, fields)
+    const isCallerGone = request.signal.aborted && request.signal.reason !== INSTANCE_STOPPED
+    if (isCallerGone) return log.emit(FORWARDING_EVENTS.callerGone, fields)
     if (end.kind === 'cut') return log.emit(FORWARDING_EVENTS.requestCut, { ...fields, detail: end.detail })
     const { failure, cause } = end
     const event = failure.run === 'not-run' ? FORWARDING_EVENTS.requestRefused : FORWARDING_EVENTS.requestFailed
--- a/packages/forwarding/src/StreamRelay.test.ts
+++ b/packages/forwarding/src/StreamRelay.test.ts
@@ -10,7 +10,8 @@
   write: (chunk) => { got.push(chunk.toString()) },
   end: () => { got.push('end') },
   cut: () => { got.push('cut') },
-  fail: () => { got.push('fail') }
+  fail: () => { got.push('fail') },
+  abandon: () => { got.push('abandon') }
 })
 
 const eventOf = (id: number): { readonly bytes: Buffer, readonly id: string } => ({ bytes: Buffer.from(`e${id}`), id: `${id}` })
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -50,10 +50,14 @@
 export const MAX_CACHED_PARTS = 2048
 /** Cost of calling a plain service in another failure domain, in concurrent requests. */
 export const CROSS_DOMAIN_COST = 0.4
-/** Weight of the newest sample in a route's mean time to the first event. */
-export const FIRST_EVENT_WEIGHT = 0.15
-/** Time to the first event assumed before there is a sample. */
-export const DEFAULT_FIRST_EVENT_TIME = millis(250)
+/** Weight of the newest sample in a route's mean time. */
+export const ROUTE_TIME_WEIGHT = 0.15
+/** A route's time assumed before there is a sample. */
+export const DEFAULT_ROUTE_TIME = millis(250)
+/** During a planned stop a call is sent only if this many times its route's usual answer time is left. */
+export const STOP_ANSWER_FACTOR = 2
+/** `Retry-After` of requests that an instance refuses because it stops; other instances serve them. */
+export const STOP_RETRY_AFTER = millis(300)
 /** Time after which an engine has started to read a request's inputs, and the lowest rate at which it reads them. */
 export const INPUT_READ_DELAY = millis(60)
 export const INPUT_BYTES_PER_MILLI = 50_000
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -43,7 +43,7 @@
   /** Pieces of each stage, and the key of the first stages' input. */
   readonly pieceCounts: readonly number[]
   readonly pieceKey: string | undefined
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects or the instance has stopped; its reason tells which. */
   readonly signal: AbortSignal
 }
 
@@ -58,6 +58,8 @@
   /** Aborts the answer, so that it does not look complete. */
   cut (): void
   fail (failure: Failure): void
+  /** Aborts the request's signal with `INSTANCE_STOPPED`; the answer can still be sent. */
+  abandon (): void
 }
 
 /** One call to an endpoint on behalf of a request. */
