A call ends once its endpoint has sent too many bytes that are no answer

Reported by others: a faulty endpoint sent bytes without end, and the instance that had called it ran out of memory with the requests of all callers. Here: heads and bodies were bounded, but the HTTP client's parser reads a reason, interim answers, the extension of a chunk and the zeros of a chunk's size without a limit and tells its caller nothing. Such calls lasted until their deadline and took the processor from all others.

Change: each call counts the bytes of its connection that are not content, and ends as lost beyond 128 KiB plus 8 times the content. The endpoint counts as failing, not as crashed.

--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -78,4 +78,47 @@
       expect(end.isOk).toBe(false)
     })
   })
+
+  describe('bytes without end that are no answer', () => {
+    const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    const MAX_READ = 4_194_304
+    const MAX_MILLIS = 1000
+
+    // Guards against an endpoint that fills this process's memory and time while it answers nothing.
+    it.each([
+      ['a reason', 'HTTP/1.1 200 ', 'x'],
+      ['a header', 'HTTP/1.1 200 OK\r\nX-Filler: ', 'x'],
+      ['interim answers', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+      ['the extension of a chunk', `${CHUNKED}1;`, 'x'],
+      ['the zeros of a chunk\'s size', CHUNKED, '0'],
+      ['a trailer', `${CHUNKED}0\r\nX-Filler: `, 'x'],
+      ['trailers', `${CHUNKED}0\r\n`, 'X-Filler: x\r\n']
+    ])('end the connection soon: %s', async (_what, start, filler) => {
+      let sent = 0
+      const startedAt = performance.now()
+      const end = await answered((socket) => {
+        const block = filler.repeat(Math.ceil(65_536 / filler.length))
+        const more = (): void => {
+          if (socket.destroyed) return
+          sent += block.length
+          if (socket.write(block)) setImmediate(more)
+          else socket.once('drain', more)
+        }
+        socket.write(start, more)
+      })
+      expect(end.isOk).toBe(false)
+      expect(sent).toBeLessThan(MAX_READ)
+      expect(performance.now() - startedAt).toBeLessThan(MAX_MILLIS)
+    }, 5000)
+  })
+
+  describe('an answer in many small chunks', () => {
+    it('is complete, however many there are', async () => {
+      const COUNT = 60_000
+      const end = await answered((socket) => {
+        socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(COUNT)}0\r\n\r\n`)
+      })
+      expect(end).toEqual({ isOk: true, body: 'x'.repeat(COUNT) })
+    })
+  })
 })
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import { IDLE_TIMEOUT, OPEN_TIMEOUT } from './constants.js'
+import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, OPEN_TIMEOUT, OVERHEAD_FACTOR } from './constants.js'
 import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
 
@@ -25,6 +25,8 @@
   readonly isSent: boolean
   /** Whether nothing listens at the address. */
   readonly isRefused: boolean
+  /** Whether this instance ended the connection, since the endpoint sent bytes without end that were no answer. */
+  readonly isEndless: boolean
   readonly detail: string
 }
 
@@ -56,6 +58,10 @@
   isEnded: boolean
   /** It ended in an error, such as a reset. */
   isBroken: boolean
+  /** Bytes received. */
+  bytesRead: number
+  /** Called after received bytes have been parsed. */
+  onRead: () => void
 }
 
 /** A reset that arrives with the last bytes is reported as an orderly end; only the missing remote address reveals it. */
@@ -73,6 +79,11 @@
     isUsed = true
     connect(options, (...connected) => {
       const [, socket] = connected
+      socket?.on('readable', () => {
+        state.bytesRead = socket.bytesRead
+        // The client parses the bytes in its own listener, which is called after this one.
+        queueMicrotask(() => state.onRead())
+      })
       socket?.on('error', () => {
         state.isEnded = true
         state.isBroken = true
@@ -98,7 +109,7 @@
  */
 export class EndpointSocket {
   readonly #client: Client
-  readonly #state: SocketState = { isEnded: false, isBroken: false }
+  readonly #state: SocketState = { isEnded: false, isBroken: false, bytesRead: 0, onRead: () => {} }
   #isUsed = false
   #isLost = false
   #isClosed = false
@@ -178,6 +189,9 @@
   readonly #resolve: (result: Result<void, SocketFailure>) => void
   #isSent = false
   #endsWithConnection = false
+  #bytesBefore = 0
+  #contentBytes = 0
+  #isEndless = false
 
   constructor (state: SocketState, listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketFailure>) => void) {
     this.#state = state
@@ -191,6 +205,8 @@
     if (this.#stopper.isStopped || !mayStart) return controller.abort(new Error('stopped before it was sent'))
     this.#isSent = true
     this.#stopper.stop = () => controller.abort(new Error('stopped'))
+    this.#bytesBefore = this.#state.bytesRead
+    this.#state.onRead = () => this.#checkOverhead(controller)
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
@@ -199,6 +215,7 @@
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#contentBytes += chunk.length
     this.#listener.onData(chunk)
   }
 
@@ -207,15 +224,24 @@
     const { isEnded, isBroken } = this.#state
     const isComplete = !isEnded || (this.#endsWithConnection && !isBroken)
     if (isComplete) this.#settle(Result.ok(undefined))
-    else this.#settle(Result.err({ isSent: true, isRefused: false, detail: 'the connection ended before the answer was complete' }))
+    else this.#settle(Result.err({ isSent: true, isRefused: false, isEndless: false, detail: 'the connection ended before the answer was complete' }))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
-    this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), detail: err.message }))
+    this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), isEndless: this.#isEndless, detail: err.message }))
+  }
+
+  /** The parser reads some parts of an answer without a limit, and passes nothing of them on. */
+  #checkOverhead (controller: Dispatcher.DispatchController): void {
+    const overhead = this.#state.bytesRead - this.#bytesBefore - this.#contentBytes
+    if (overhead <= MAX_ANSWER_OVERHEAD + OVERHEAD_FACTOR * this.#contentBytes) return
+    this.#isEndless = true
+    controller.abort(new Error('the endpoint sends bytes that are no answer'))
   }
 
   #settle (result: Result<void, SocketFailure>): void {
     this.#stopper.stop = undefined
+    this.#state.onRead = () => {}
     this.#resolve(result)
   }
 }
--- a/packages/connections/src/constants.ts
+++ b/packages/connections/src/constants.ts
@@ -1,6 +1,12 @@
-import { millis, seconds } from '@papayahill/common'
+import { bytes, millis, seconds } from '@papayahill/common'
 
 /** Longest wait for a connection to an endpoint. */
 export const OPEN_TIMEOUT = millis(500)
 /** Time for which an idle connection is kept open; endpoints may request less by a keep-alive hint. */
 export const IDLE_TIMEOUT = seconds(600)
+/**
+ * Bytes of an answer in addition to its content, such as its head and the framing of chunks: at most this many, and this many
+ * times the bytes of the content. An endpoint that sends more sends no answer.
+ */
+export const MAX_ANSWER_OVERHEAD = bytes(131_072)
+export const OVERHEAD_FACTOR = 8
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -187,7 +187,7 @@
   #endOfFailure (error: SocketFailure): CallEnd {
     const detail = this.#stopCause ?? error.detail
     if (!error.isSent) return { kind: 'not-run', detail, isReceived: false, isRefused: error.isRefused }
-    return { kind: 'lost', detail, isConnectionLost: this.#stopCause === undefined }
+    return { kind: 'lost', detail, isConnectionLost: this.#stopCause === undefined && !error.isEndless }
   }
 
   #isConnectionReusable (end: CallEnd): boolean {
