--- a/apps/papayahilld/src/constants.ts
+++ b/apps/papayahilld/src/constants.ts
@@ -2,5 +2,3 @@
 
 /** Time that the callers' listener stays open after the health check begins to fail, so that load balancers notice before it closes. */
 export const LISTENER_LINGER = seconds(2)
-/** A third stop signal within this time after the second cuts the running requests. */
-export const CUT_CONFIRM_WINDOW = seconds(10)
--- a/apps/papayahilld/src/events.ts
+++ b/apps/papayahilld/src/events.ts
@@ -5,14 +5,7 @@
   starting: { number: 7101, level: 'info', text: 'The process is starting with these settings.' },
   started: { number: 7102, level: 'info', text: 'The instance has started and serves requests.' },
   startFailed: { number: 7103, level: 'error', text: 'The instance could not start; the fields give the reason and what to do.' },
-  stopAsked: { number: 7104, level: 'info', text: 'A signal requested a planned stop; running requests are finished first.' },
-  stopPending: {
-    number: 7105,
-    level: 'warn',
-    text: 'Another signal arrived while requests are running; a further one shortly after, or SIGQUIT, cuts the requests counted in the field.'
-  },
   stopped: { number: 7106, level: 'info', text: 'The planned stop is complete; no request was cut.' },
-  cut: { number: 7107, level: 'error', text: 'The process was told to stop at once; the requests counted in the field were cut.' },
   waiting: {
     number: 7109,
     level: 'warn',
--- a/apps/papayahilld/src/main.ts
+++ b/apps/papayahilld/src/main.ts
@@ -1,6 +1,7 @@
 import { SystemClock } from '@papayahill/common'
 import type { EventLevel } from '@papayahill/common'
 import type { InstanceSettings } from '@papayahill/settings'
+import { StopSignals } from '@papayahill/shutdown'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { createLog } from './createLog.js'
@@ -9,7 +10,6 @@
 import { EXIT_CODES } from './exitCodes.js'
 import type { ExitCode } from './exitCodes.js'
 import { loadSettings } from './loadSettings.js'
-import { StopSignals } from './StopSignals.js'
 
 const LEVELS = ['error', 'warn', 'info', 'debug'] as const satisfies readonly EventLevel[]
 
@@ -30,10 +30,7 @@
     log.emit(PAPAYAHILLD_EVENTS.stopped, {})
     exit(EXIT_CODES.stopped)
   }
-  const signals = new StopSignals({ clock, log, running: () => daemon.running, drain, cut: () => exit(EXIT_CODES.cut) })
-  process.on('SIGTERM', () => signals.stop())
-  process.on('SIGINT', () => signals.stop())
-  process.on('SIGQUIT', () => signals.quit())
+  new StopSignals({ log, running: () => daemon.running, drain, cut: () => exit(EXIT_CODES.cut) }).listen(process)
   // A failed background task must not cut the streams of unrelated callers.
   process.on('unhandledRejection', (err) => log.emit(PAPAYAHILLD_EVENTS.taskFailed, { detail: String(err) }))
   const crash = (err: unknown): void => {
@@ -64,7 +61,7 @@
   .option('log-level', { choices: LEVELS, default: 'info' as const, describe: 'Lowest level of events to log' })
   .example('$0 --settings ph-1.toml', 'Serve')
   .example('$0 --settings ph-1.toml --check', 'Check whether the settings are valid')
-  .epilogue('Exit codes: 0 planned stop, 1 error, 2 malformed settings or command line, 3 requests cut by signals.')
+  .epilogue('Exit codes: 0 planned stop, 1 error, 2 malformed settings or command line, 3 requests cut by SIGQUIT.')
   .completion('completion', 'Print a completion script for the shell')
   .version()
   .strict()
