--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,7 @@
 export { ArrivalReader } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
 export { bindServer } from './bindServer.js'
+export { CallerConnections } from './CallerConnections.js'
 export type { SocketAddress } from './bindServer.js'
 export { brand } from './Brand.js'
 export type { Brand } from './Brand.js'
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { bindServer, ERROR_ANSWERS, failure } from '@papayahill/common'
+import { bindServer, CallerConnections, ERROR_ANSWERS, failure, SystemClock } from '@papayahill/common'
 import type { ErrorKind, EventLog } from '@papayahill/common'
 import type { ListenAddress } from '@papayahill/settings'
 import type polka from 'polka'
@@ -75,7 +75,9 @@
   }
 }
 
-const answerParserError = (options: ListenOptions, err: Error & { readonly code?: string }, socket: Socket): void => {
+type ParserError = Error & { readonly code?: string }
+
+const answerParserError = (options: ListenOptions, known: CallerConnections, err: ParserError, socket: Socket): void => {
   if (!socket.writable || socket.bytesWritten > 0) {
     socket.destroy()
     return
@@ -85,7 +87,7 @@
   const id = options.ids.next()
   const body = JSON.stringify(encodeProblem(failure(kind, detail, 'unknown'), id))
   const { status } = ERROR_ANSWERS[kind]
-  socket.end([
+  known.refuse(socket, [
     `HTTP/1.1 ${status} Refused`, 'content-type: application/problem+json', `x-request-id: ${id}`,
     `content-length: ${Buffer.byteLength(body)}`, 'connection: close', '', body
   ].join('\r\n'))
@@ -106,7 +108,9 @@
   const { address, connections, log } = options
   let openConnections = 0
   const aboveLimit = new WeakSet<Socket>()
+  const known = new CallerConnections(new SystemClock())
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    if (!known.accept(req, res)) return
     if (!aboveLimit.has(req.socket)) return handleSafely(options, req as polka.Request, res)
     res.setHeader('connection', 'close')
     const isKeyed = req.headers['idempotency-key'] !== undefined
@@ -125,7 +129,7 @@
     if (openConnections === connections + 1) log.emit(EDGE_EVENTS.connectionsUsedUp, { limit: connections })
     socket.on('close', () => { openConnections-- })
   })
-  server.on('clientError', (err: Error, socket) => answerParserError(options, err, socket as Socket))
+  server.on('clientError', (err: Error, socket) => answerParserError(options, known, err, socket as Socket))
   await bindServer(server, address, (err) => log.emit(EDGE_EVENTS.listenerFailed, { ip: address.ip, detail: err.message }))
   const listener = new EdgeListener(server)
   log.emit(EDGE_EVENTS.listening, { ip: address.ip, port: listener.port })
