A request that waits for its stages a second time has an end when the instance stops, too

Found while reading the stop again: a request of which an endpoint had begun a call that was lost, and whose stages are run again, counted as being with an endpoint. It was left to the end of its stage call, which may come after the process has exited.

Change: the run says how it ends (refused, failed or cut); only a call in progress decides by itself. A process counts as restarted only if a newer incarnation is known under its id, since gossip may name an older one for a while.

Before: plannedStop.test.ts, "cuts a stream that waits to be resumed", failed ("a request has no answer at the end of the stop").

--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -70,10 +70,10 @@
     return this.#peers.members().find((member) => member.id === id)?.incarnation
   }
 
-  /** Whether another process runs under the id of this one, which has ended then. */
+  /** Whether a newer process runs under the id of this one, which has ended then; gossip may also name an older one for a while. */
   hasRestarted ({ id, incarnation }: OrderSender): boolean {
     const known = this.incarnationOf(id)
-    return known !== undefined && known !== incarnation
+    return known !== undefined && known > incarnation
   }
 
   /** Whether an instance has sent anything recently. */
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -162,7 +162,7 @@
     const { deadline } = order.pieces[0]!
     const acceptedBy = roster.incarnationOf(to)
     const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
-      const isLost = !roster.isPresent(to) || roster.incarnationOf(to) !== acceptedBy
+      const isLost = !roster.isPresent(to) || acceptedBy === undefined || roster.hasRestarted({ id: to, incarnation: acceptedBy })
       if (isLost || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order, 'failed'))
     })
     const outcomes = await ended
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -72,9 +72,9 @@
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
 
-  /** Whether an endpoint may have begun to work on the request. */
-  get isDispatched (): boolean {
-    return this.#guard.isDispatched
+  /** The request's end if the instance stops now; undefined during a call, whose own end decides. */
+  endAtStop (): RunEnd | undefined {
+    return this.#call === undefined ? this.#stopped() : undefined
   }
 
   async run (): Promise<RunEnd> {
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -27,7 +27,7 @@
 /** A request without a final answer. */
 interface PendingRequest {
   readonly sink: CallerSink
-  /** Ends the request while no endpoint has it. */
+  /** Ends the request, wherever it waits. */
   readonly end: (end: RunEnd) => void
   /** Undefined while it is queued for its service. */
   run: ForwardRun | undefined
@@ -86,14 +86,20 @@
     this.#context.stages.router.endBy(endsAt)
   }
 
-  /** Gives every request its final answer: a refusal if no endpoint has it, wherever it waits; a failure or a cut otherwise. */
+  /** Gives every request its final answer: a refusal if it has not run, wherever it waits; a failure or a cut otherwise. */
   endStop (): void {
     for (const { sink, run, end } of this.#pending) {
       sink.abandon()
-      if (run?.isDispatched !== true) end({ kind: 'failed', failure: this.#stopRefusal('the instance has stopped') })
+      const stopEnd = run === undefined ? this.#unbegunEnd() : run.endAtStop()
+      if (stopEnd !== undefined) end(stopEnd)
     }
   }
 
+  /** The end of a request that is still queued for its service. */
+  #unbegunEnd (): RunEnd {
+    return { kind: 'failed', failure: this.#stopRefusal('the instance has stopped') }
+  }
+
   #stopRefusal (detail: string): Failure {
     return refusal('draining', detail, { retryAfter: STOP_RETRY_AFTER })
   }
