--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -1,7 +1,9 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
+import { MAX_INTERIM_ANSWERS } from './constants.js'
 import { EndpointSocket, newStopper } from './EndpointSocket.js'
+import type { SocketAnswer } from './EndpointSocket.js'
 
 const REQUEST = { method: 'GET', path: '/', headers: {} }
 
@@ -15,10 +17,15 @@
   return { server, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}` }
 }
 
-const exchange = async (origin: string): Promise<{ readonly isOk: boolean, readonly body: string }> => {
+interface Received {
+  readonly isOk: boolean
+  readonly body: string
+}
+
+const exchange = async (origin: string, onStart: (answer: SocketAnswer) => void): Promise<Received> => {
   const socket = new EndpointSocket(origin)
   const parts: Buffer[] = []
-  const result = await socket.exchange(REQUEST, { onStart: () => {}, onData: (data) => { parts.push(data) } }, newStopper())
+  const result = await socket.exchange(REQUEST, { onStart, onData: (data) => { parts.push(data) } }, newStopper())
   socket.close()
   return { isOk: result.isOk, body: Buffer.concat(parts).toString() }
 }
@@ -28,10 +35,10 @@
 
   afterEach(() => { server?.close() })
 
-  const answered = async (answer: (socket: Socket) => void): Promise<Awaited<ReturnType<typeof exchange>>> => {
+  const answered = async (answer: (socket: Socket) => void, onStart: (answer: SocketAnswer) => void = () => {}): Promise<Received> => {
     const served = await serve(answer)
     server = served.server
-    return await exchange(served.origin)
+    return await exchange(served.origin, onStart)
   }
 
   describe('an answer without a length', () => {
@@ -112,6 +119,25 @@
     }, 5000)
   })
 
+  describe('interim answers', () => {
+    const INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n'
+    const FINAL = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+    // Guards against an interim answer that is taken for the head of the answer.
+    it('are not passed on: the answer begins with the final status', async () => {
+      const statuses: number[] = []
+      const end = await answered((socket) => socket.end(INTERIM.repeat(3) + FINAL), ({ status }) => statuses.push(status))
+      expect(end).toEqual({ isOk: true, body: 'ok' })
+      expect(statuses).toEqual([200])
+    })
+
+    // Guards against thousands of short interim answers, each with objects of its own, that fill the memory of this process.
+    it('end the connection once there are more than any sound endpoint sends', async () => {
+      const end = await answered((socket) => socket.end(INTERIM.repeat(MAX_INTERIM_ANSWERS + 1) + FINAL))
+      expect(end.isOk).toBe(false)
+    })
+  })
+
   describe('an answer in many small chunks', () => {
     it('is complete, however many there are', async () => {
       const COUNT = 60_000
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, OPEN_TIMEOUT, OVERHEAD_FACTOR } from './constants.js'
+import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OPEN_TIMEOUT, OVERHEAD_FACTOR } from './constants.js'
 import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
 
@@ -180,6 +180,9 @@
   return raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
 }
 
+/** Statuses below this one belong to interim answers, which a final answer follows. */
+const FINAL_STATUS = 200
+
 const isRefusal = (err: NodeJS.ErrnoException): boolean => err.code === 'ECONNREFUSED'
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
@@ -191,6 +194,7 @@
   #endsWithConnection = false
   #bytesBefore = 0
   #contentBytes = 0
+  #interimAnswers = 0
   #isEndless = false
 
   constructor (state: SocketState, listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketFailure>) => void) {
@@ -210,6 +214,7 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
+    if (status < FINAL_STATUS) return this.#countInterim(controller)
     this.#endsWithConnection = !isFramed(headers)
     this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
   }
@@ -231,10 +236,19 @@
     this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), isEndless: this.#isEndless, detail: err.message }))
   }
 
+  /** Interim answers are not passed on. They are short, so that a limit in bytes alone would let thousands of them be parsed. */
+  #countInterim (controller: Dispatcher.DispatchController): void {
+    this.#interimAnswers++
+    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#endAsEndless(controller)
+  }
+
   /** The parser reads some parts of an answer without a limit, and passes nothing of them on. */
   #checkOverhead (controller: Dispatcher.DispatchController): void {
     const overhead = this.#state.bytesRead - this.#bytesBefore - this.#contentBytes
-    if (overhead <= MAX_ANSWER_OVERHEAD + OVERHEAD_FACTOR * this.#contentBytes) return
+    if (overhead > MAX_ANSWER_OVERHEAD + OVERHEAD_FACTOR * this.#contentBytes) this.#endAsEndless(controller)
+  }
+
+  #endAsEndless (controller: Dispatcher.DispatchController): void {
     this.#isEndless = true
     controller.abort(new Error('the endpoint sends bytes that are no answer'))
   }
--- a/packages/connections/src/constants.ts
+++ b/packages/connections/src/constants.ts
@@ -10,3 +10,5 @@
  */
 export const MAX_ANSWER_OVERHEAD = bytes(131_072)
 export const OVERHEAD_FACTOR = 8
+/** Interim answers (1xx) that may come before the final one. */
+export const MAX_INTERIM_ANSWERS = 32
