--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -4,6 +4,7 @@
 import { MAX_INTERIM_ANSWERS } from './constants.js'
 import { EndpointSocket, newStopper } from './EndpointSocket.js'
 import type { SocketAnswer } from './EndpointSocket.js'
+import { EndlessSender } from './testing/EndlessSender.js'
 
 const REQUEST = { method: 'GET', path: '/', headers: {} }
 
@@ -101,20 +102,11 @@
       ['a trailer', `${CHUNKED}0\r\nX-Filler: `, 'x'],
       ['trailers', `${CHUNKED}0\r\n`, 'X-Filler: x\r\n']
     ])('end the connection soon: %s', async (_what, start, filler) => {
-      let sent = 0
+      const sender = new EndlessSender(start, filler)
       const startedAt = performance.now()
-      const end = await answered((socket) => {
-        const block = filler.repeat(Math.ceil(65_536 / filler.length))
-        const more = (): void => {
-          if (socket.destroyed) return
-          sent += block.length
-          if (socket.write(block)) setImmediate(more)
-          else socket.once('drain', more)
-        }
-        socket.write(start, more)
-      })
+      const end = await answered((socket) => sender.send(socket))
       expect(end.isOk).toBe(false)
-      expect(sent).toBeLessThan(MAX_READ)
+      expect(sender.sentBytes).toBeLessThan(MAX_READ)
       expect(performance.now() - startedAt).toBeLessThan(MAX_MILLIS)
     }, 5000)
   })
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,3 +1,5 @@
+export { AnswerBody } from './AnswerBody.js'
+export { boundedConnector } from './boundedConnector.js'
 export { OPEN_TIMEOUT } from './constants.js'
 export { EndpointSocket, newStopper, stopExchange } from './EndpointSocket.js'
 export type { AnswerListener, SocketAnswer, SocketFailure, SocketRequest, Stopper } from './EndpointSocket.js'
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
-import { isFramed, newStopper, stopExchange } from '@papayahill/connections'
+import { AnswerBody, isFramed, newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketFailure } from '@papayahill/connections'
 import type { ServingRoute } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
@@ -45,8 +45,7 @@
 export class OpaqueExchange {
   readonly #options: OpaqueExchangeOptions
   readonly #stopper = newStopper()
-  readonly #chunks: Buffer[] = []
-  #bufferedBytes = 0
+  readonly #body = new AnswerBody(MAX_BUFFERED_ANSWER)
   #status = 0
   #notices: AnswerNotices | undefined
   #scanner: EventScanner | undefined
@@ -112,9 +111,7 @@
   onData (data: Buffer): void {
     this.#recordFirstByte()
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
-    this.#chunks.push(data)
-    this.#bufferedBytes += data.length
-    if (this.#bufferedBytes > MAX_BUFFERED_ANSWER) this.#stop('the answer is too large')
+    if (!this.#body.add(data)) this.#stop('the answer is too large')
   }
 
   /** A call that cannot be written ends in a failure with `isSent` false: nothing was sent. */
@@ -181,7 +178,7 @@
     const status = this.#status
     if (!notices.isSigned) return lost(`the answer ${status} has no signature`)
     if (NOT_RUN_STATUSES.has(status)) return lost(`the endpoint answered ${status} without a not-run notice`)
-    return { kind: 'answered', status, headers: notices.headers, body: Buffer.concat(this.#chunks) }
+    return { kind: 'answered', status, headers: notices.headers, body: this.#body.bytes() }
   }
 
   #endOfFailure (error: SocketFailure): CallEnd {
