--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -108,6 +108,7 @@
 
   #acceptEntries (entries: readonly GossipEntry[], from: GossipLink): void {
     for (const entry of entries) {
+      for (const own of this.#options.store.outbid(entry)) this.spread(own)
       if (!this.#options.store.accept(entry)) continue
       this.#options.onEntry(entry)
       this.spread(entry, from)
--- a/packages/peers/src/GossipStore.test.ts
+++ b/packages/peers/src/GossipStore.test.ts
@@ -2,6 +2,7 @@
 import type { Incarnation, InstanceId } from '@papayahill/common'
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
+import { OUTBID_PERIOD } from './constants.js'
 import { decodeFrame, encodeFrame } from './frameCodec.js'
 import { GossipStore } from './GossipStore.js'
 import type { GossipEntry } from './types.js'
@@ -14,8 +15,11 @@
   key: fc.constantFrom('a', 'b'),
   owner: fc.constantFrom('x', 'y').map((id) => brand<InstanceId>(id)),
   incarnation: fc.constantFrom('#1', '#2').map((id) => brand<Incarnation>(id)),
-  sequence: fc.integer({ min: 1, max: 5 })
-}).map((entry): GossipEntry => ({ ...entry, value: `${entry.incarnation}/${entry.sequence}` }))
+  sequence: fc.integer({ min: 1, max: 5 }),
+  epoch: fc.constantFrom(undefined, 1, 2)
+}).map(({ epoch, ...entry }): GossipEntry => ({
+  ...entry, value: `${epoch}/${entry.incarnation}/${entry.sequence}`, ...(epoch === undefined ? {} : { epoch })
+}))
 
 const contentOf = (store: GossipStore): readonly string[] =>
   store.all().map((entry) => `${entry.topic} ${entry.owner} ${entry.key} ${JSON.stringify(entry.value)}`).sort()
@@ -42,6 +46,32 @@
     expect(left.missingIn(right.bucket(differing[0]!.bucket))).toContainEqual(missing)
   })
 
+  describe('an entry of its own id from an incarnation that compares greater', () => {
+    const foreign = (sequence: number): GossipEntry =>
+      ({ topic: 'cost', key: 'own', owner: brand<InstanceId>('l'), incarnation: brand<Incarnation>('l#2'), sequence, value: 'foreign' })
+
+    it('is outbid by all own entries, which others then prefer', () => {
+      const [store, other] = [storeOf('l'), storeOf('r')]
+      other.accept(foreign(7))
+      store.publish('cost', 'own', 1)
+      expect(store.accept(foreign(7))).toBe(false)
+      const renewed = store.outbid(foreign(7))
+      expect(renewed.map((entry) => other.accept(entry))).toEqual([true])
+      expect(contentOf(other)).toEqual(contentOf(store))
+    })
+
+    // Guards against two processes that run under one id and answer each other's entries at the speed of the network.
+    it('is outbid once a period at most', async () => {
+      const clock = new VirtualClock()
+      const store = storeOf('l', clock)
+      store.publish('cost', 'own', 1)
+      const renewals = [7, 8, 9].map((sequence) => store.outbid({ ...foreign(sequence), epoch: sequence }).length)
+      expect(renewals).toEqual([1, 0, 0])
+      await clock.advance(OUTBID_PERIOD)
+      expect(store.outbid({ ...foreign(10), epoch: 10 }).length).toBe(1)
+    })
+  })
+
   it('rejects entries of its own incarnation from others', () => {
     const store = storeOf('l')
     const own = store.publish('load', 'own', 1)
--- a/packages/peers/src/GossipStore.ts
+++ b/packages/peers/src/GossipStore.ts
@@ -1,6 +1,6 @@
 import { hash32, millis } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
-import { COMPARE_BUCKETS, GOSSIP_RETENTION } from './constants.js'
+import { COMPARE_BUCKETS, GOSSIP_RETENTION, OUTBID_PERIOD } from './constants.js'
 import type { BucketDigest, EntryDigest } from './frames.js'
 import type { GossipEntry, Topic } from './types.js'
 
@@ -14,13 +14,21 @@
 
 const nameOf = (entry: GossipEntry): string => `${entry.topic} ${entry.owner} ${entry.key}`
 
-const digestOf = (entry: GossipEntry): EntryDigest =>
-  [hash32(nameOf(entry)), hash32(`${entry.incarnation} ${entry.sequence}`)]
+const epochOf = ({ epoch = 0 }: Pick<GossipEntry, 'epoch'>): number => epoch
+
+const stateOf = (entry: GossipEntry): string =>
+  `${entry.incarnation} ${entry.sequence}${entry.epoch === undefined ? '' : ` ${entry.epoch}`}`
+
+const digestOf = (entry: GossipEntry): EntryDigest => [hash32(nameOf(entry)), hash32(stateOf(entry))]
 
 const bucketOf = (digest: EntryDigest): number => digest[0] % COMPARE_BUCKETS
 
-const isNewer = (entry: GossipEntry, other: GossipEntry): boolean =>
-  entry.incarnation === other.incarnation ? entry.sequence > other.sequence : entry.incarnation > other.incarnation
+type Age = Pick<GossipEntry, 'epoch' | 'incarnation' | 'sequence'>
+
+const isNewer = (entry: Age, other: Age): boolean => {
+  if (epochOf(entry) !== epochOf(other)) return epochOf(entry) > epochOf(other)
+  return entry.incarnation === other.incarnation ? entry.sequence > other.sequence : entry.incarnation > other.incarnation
+}
 
 export interface GossipStoreOptions {
   readonly self: InstanceId
@@ -43,6 +51,8 @@
   readonly #hashes = new Array<number>(COMPARE_BUCKETS).fill(0)
   readonly #receivedAt = new Map<InstanceId, Millis>()
   #sequence = 0
+  #epoch = 0
+  #lastOutbidAt: Millis | undefined
 
   constructor (options: GossipStoreOptions) {
     this.#options = options
@@ -55,15 +65,16 @@
   /** Creates and stores a new entry owned by this instance. */
   publish (topic: Topic, key: string, value: Json): GossipEntry {
     const { self, incarnation } = this.#options
-    const entry: GossipEntry = { topic, key, owner: self, incarnation, sequence: ++this.#sequence, value }
+    const epoch = this.#epoch === 0 ? {} : { epoch: this.#epoch }
+    const entry: GossipEntry = { topic, key, owner: self, incarnation, sequence: ++this.#sequence, value, ...epoch }
     this.#set(entry)
     return entry
   }
 
-  /** Stores an entry if it is newer than the stored one; false if not, or if it is forged in the name of this instance. */
+  /** Stores an entry if it is newer than the stored one; false if not, or if it is of this instance's id but not of its past. */
   accept (entry: GossipEntry): boolean {
-    const { self, incarnation, clock } = this.#options
-    if (entry.owner === self && entry.incarnation >= incarnation) return false
+    const { self, clock } = this.#options
+    if (entry.owner === self && this.#outranksOwn(entry)) return false
     const known = this.#entries.get(nameOf(entry))
     if (known !== undefined && !isNewer(entry, known.entry)) return false
     this.#receivedAt.set(entry.owner, clock.now())
@@ -71,6 +82,21 @@
     return true
   }
 
+  /**
+   * Publishes all own entries anew, so that they are newer than those of a predecessor under this id whose incarnation
+   * compares greater; empty unless the entry is such a one. As with a refutation in SWIM, only the living process does so.
+   */
+  outbid (entry: GossipEntry): readonly GossipEntry[] {
+    const { self, incarnation, clock } = this.#options
+    if (entry.owner !== self || entry.incarnation === incarnation || !this.#outranksOwn(entry)) return []
+    // Two processes that run under one id would outbid each other at the speed of the network.
+    if (this.#lastOutbidAt !== undefined && clock.now() - this.#lastOutbidAt < OUTBID_PERIOD) return []
+    this.#lastOutbidAt = clock.now()
+    this.#epoch = epochOf(entry) + 1
+    const own = this.all().filter((one) => one.owner === self && one.incarnation === incarnation)
+    return own.map(({ topic, key, value }) => this.publish(topic, key, value))
+  }
+
   entries (topic: Topic): readonly GossipEntry[] {
     return [...this.#byTopic.get(topic)?.values() ?? []]
   }
@@ -109,6 +135,10 @@
     }
   }
 
+  #outranksOwn (entry: GossipEntry): boolean {
+    return !isNewer({ epoch: this.#epoch, incarnation: this.#options.incarnation, sequence: 0 }, entry)
+  }
+
   #inBucket (bucket: number): readonly StoredEntry[] {
     return [...this.#byBucket[bucket]?.values() ?? []]
   }
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -98,6 +98,26 @@
       expect(cluster.cores[0]!.members().find((member) => member.id === 'i2')?.incarnation).toBe('i2#2')
     })
 
+    // Guards against an instance that others do not see for an hour, since its clock was set back before its restart.
+    it.each([3, 30])('replaces it also by one that compares less, in a cluster of %i', async (size) => {
+      const cluster = await startCluster(size)
+      await cluster.clock.advance(seconds(20))
+      cluster.cores[2]!.publish('cost', 'own', 'of the first')
+      cluster.cores[2]!.publish('quarantine', 'own', 'of the first')
+      await cluster.clock.advance(seconds(2))
+      cluster.network.kill(identity(2))
+      const second = cluster.add(2, 0)
+      void second.start()
+      second.publish('cost', 'own', 'of the second')
+      second.publish('quarantine', 'own', 'of the second')
+      await cluster.clock.advance(seconds(30))
+      for (const core of cluster.cores.filter((one) => one !== second)) {
+        expect(core.members().find((member) => member.id === 'i2')?.incarnation).toBe('i2#0')
+        expect(core.entries('cost').map(({ value }) => value)).toEqual(['of the second'])
+        expect(core.entries('quarantine').map(({ value }) => value)).toEqual(['of the second'])
+      }
+    })
+
     it('keeps a bounded number of links in a large cluster, and knows all live members', async () => {
       const cluster = await startCluster(40)
       await cluster.clock.advance(seconds(20))
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -27,6 +27,8 @@
 export const GOSSIP_BYTES_PER_SECOND = 1200
 export const SPARSE_GOSSIP_BYTES_PER_SECOND = 450
 export const GOSSIP_BURST_BYTES = 16_384
+/** Shortest interval at which an instance outbids entries of a predecessor under its id. */
+export const OUTBID_PERIOD = seconds(1)
 /** Interval at which the store is compared with that of one random peer. */
 export const COMPARE_PERIOD = seconds(10)
 /** Number of buckets that entries are hashed into for comparison. */
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -28,7 +28,7 @@
 const TOPICS: ReadonlyMap<unknown, Topic> = new Map(Object.entries(TOPIC_NUMBERS).map(([topic, number]) => [number, topic as Topic]))
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
 
-type PackedEntry = readonly [topic: number, key: string, owner: string, incarnation: string, sequence: number, value: Json]
+type PackedEntry = readonly [topic: number, key: string, owner: string, incarnation: string, sequence: number, value: Json, epoch?: number]
 type Packed = readonly unknown[]
 
 const packTopic = (topic: Topic): number => TOPIC_NUMBERS[topic]
@@ -40,11 +40,20 @@
 const unpackIncarnation = (owner: string, packed: string): Incarnation =>
   brand<Incarnation>(packed.startsWith('=') ? owner + packed.slice(1) : packed.slice(1))
 
-const packEntry = (entry: GossipEntry): PackedEntry =>
-  [packTopic(entry.topic), entry.key, entry.owner, packIncarnation(entry.owner, entry.incarnation), entry.sequence, entry.value]
+const packEntry = (entry: GossipEntry): PackedEntry => {
+  const { topic, key, owner, incarnation, sequence, value, epoch } = entry
+  const packed = [packTopic(topic), key, owner, packIncarnation(owner, incarnation), sequence, value] as const
+  return epoch === undefined ? packed : [...packed, epoch]
+}
 
-const unpackEntry = ([topic, key, owner, packedIncarnation, sequence, value]: PackedEntry): GossipEntry => ({
-  topic: TOPICS.get(topic)!, key, owner: brand<InstanceId>(owner), incarnation: unpackIncarnation(owner, packedIncarnation), sequence, value
+const unpackEntry = ([topic, key, owner, packedIncarnation, sequence, value, epoch]: PackedEntry): GossipEntry => ({
+  topic: TOPICS.get(topic)!,
+  key,
+  owner: brand<InstanceId>(owner),
+  incarnation: unpackIncarnation(owner, packedIncarnation),
+  sequence,
+  value,
+  ...(epoch === undefined ? {} : { epoch })
 })
 
 /** Fields of each kind of frame, in wire order after the kind's number. */
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -27,11 +27,13 @@
  */
 export type PeerHandler = (from: InstanceId, message: Json, incarnation: Incarnation) => Promise<Json> | Json
 
-/** A value that an instance publishes under a key; the newest incarnation and then the highest sequence wins. */
+/** A value that an instance publishes under a key; the highest epoch, then the newest incarnation, then the highest sequence wins. */
 export interface GossipEntry {
   readonly topic: Topic
   readonly key: string
   readonly owner: InstanceId
+  /** Raised by an owner whose incarnation compares less than that of its predecessor, as after its clock was set back; 0 if absent. */
+  readonly epoch?: number
   readonly incarnation: Incarnation
   readonly sequence: number
   readonly value: Json
