One moving mean by key and one bounded wait, where two copies stood

RouteTimes and pipeline's FirstChunkTimes were one class with other constants; the last answers and the last log lines were awaited by the same loop, each with its own period constant. No behaviour changes: 345 tests of common, pipeline, forwarding and platform passed.

--- a/packages/pipeline/src/PipelineServer.ts
+++ b/packages/pipeline/src/PipelineServer.ts
@@ -1,4 +1,4 @@
-import { failure, millis, refusal } from '@papayahill/common'
+import { failure, millis, MovingMeans, refusal } from '@papayahill/common'
 import type {
   ClassId, Clock, EventLog, Failure, Millis, Random, RequestRecord, ServiceId, ServingObserver, StageRecord, VersionId, WorkspaceId
 } from '@papayahill/common'
@@ -7,8 +7,8 @@
 import type { Scheduler } from '@papayahill/scheduling'
 import type { ClassSettings, OperatorConfig, PipelineSettings } from '@papayahill/settings'
 import { Result } from 'true-myth'
+import { FIRST_CHUNK_WEIGHT } from './constants.js'
 import { PIPELINE_EVENTS } from './events.js'
-import { FirstChunkTimes } from './FirstChunkTimes.js'
 import { PrefixQuarantine, quarantineDetail } from './PrefixQuarantine.js'
 import { prefixOf } from './prefixOf.js'
 import { RequestRun } from './RequestRun.js'
@@ -67,7 +67,7 @@
       log,
       caller,
       stageEnded,
-      firstChunks: new FirstChunkTimes(),
+      firstChunks: new MovingMeans({ weight: FIRST_CHUNK_WEIGHT, initial: millis(0) }),
       prefixes: new PrefixQuarantine(quarantines)
     }
   }
--- a/packages/pipeline/src/RunContext.ts
+++ b/packages/pipeline/src/RunContext.ts
@@ -1,7 +1,6 @@
-import type { Clock, EventLog, Random, ServiceId, StageRecord, VersionId } from '@papayahill/common'
+import type { ClassId, Clock, EventLog, MovingMeans, Random, ServiceId, StageRecord, VersionId } from '@papayahill/common'
 import type { Claims } from '@papayahill/claims'
 import type { Scheduler } from '@papayahill/scheduling'
-import type { FirstChunkTimes } from './FirstChunkTimes.js'
 import type { PrefixQuarantine } from './PrefixQuarantine.js'
 import type { StageCaller } from './StageCaller.js'
 import type { Route } from './StagePlan.js'
@@ -15,7 +14,8 @@
   readonly versionsFor: (service: ServiceId, route: Route) => readonly VersionId[]
   readonly log: EventLog
   readonly caller: StageCaller
-  readonly firstChunks: FirstChunkTimes
+  /** Time from a call's start to its first chunk. */
+  readonly firstChunks: MovingMeans<ClassId>
   readonly prefixes: PrefixQuarantine
   /** Called when a stage call has ended. */
   readonly stageEnded: (record: StageRecord) => void
--- a/packages/pipeline/src/StagePlan.ts
+++ b/packages/pipeline/src/StagePlan.ts
@@ -1,8 +1,7 @@
 import { millis } from '@papayahill/common'
-import type { ClassId, Clock, Millis, ServiceId, StageId } from '@papayahill/common'
+import type { ClassId, Clock, Millis, MovingMeans, ServiceId, StageId } from '@papayahill/common'
 import type { Scheduler } from '@papayahill/scheduling'
 import type { ClassSettings, PipelineSettings, ServiceSettings, StageSettings } from '@papayahill/settings'
-import type { FirstChunkTimes } from './FirstChunkTimes.js'
 
 /** One stage of a request, with its share of the deadline. */
 export interface PlannedStage {
@@ -21,7 +20,8 @@
 export interface PlanOptions {
   readonly clock: Clock
   readonly scheduler: Scheduler
-  readonly firstChunks: FirstChunkTimes
+  /** Time from a call's start to its first chunk. */
+  readonly firstChunks: MovingMeans<ClassId>
   readonly settings: ClassSettings
   readonly pipeline: PipelineSettings
   readonly services: ReadonlyMap<ServiceId, ServiceSettings>
