A connection that is refused fails the request (bounded connector)

Found by the tests of the product's platform client. EndlessSender moves to common, where the tests of all readers can use it.

--- a/packages/connections/src/testing/EndlessSender.ts
+++ b/packages/common/src/EndlessSender.ts
@@ -3,7 +3,8 @@
 const BLOCK_BYTES = 65_536
 
 /**
- * Writes the start of an answer and then a part of it without end, until the connection is closed.
+ * Writes the start of an answer and then a part of it without end, until the connection is closed: the faulty side in tests of
+ * bounds.
  *
  * @example
  * const sender = new EndlessSender('HTTP/1.1 200 ', 'x')
--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -1,10 +1,10 @@
+import { EndlessSender } from '@papayahill/common'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { MAX_INTERIM_ANSWERS } from './constants.js'
 import { EndpointSocket, newStopper } from './EndpointSocket.js'
 import type { SocketAnswer } from './EndpointSocket.js'
-import { EndlessSender } from './testing/EndlessSender.js'
 
 const REQUEST = { method: 'GET', path: '/', headers: {} }
 
--- a/packages/connections/src/boundedConnector.test.ts
+++ b/packages/connections/src/boundedConnector.test.ts
@@ -1,10 +1,9 @@
-import { bytes } from '@papayahill/common'
+import { bytes, EndlessSender } from '@papayahill/common'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { Pool } from 'undici'
 import { afterEach, describe, expect, it } from 'vitest'
 import { boundedConnector } from './boundedConnector.js'
-import { EndlessSender } from './testing/EndlessSender.js'
 
 const MAX_ANSWER = bytes(1_048_576)
 /** The maximum and what the sockets of both sides may hold. */
@@ -53,6 +52,15 @@
     }, 10_000)
   })
 
+  describe('a connection that is refused', () => {
+    // Guards against a call that never ends, since the connector fails by itself.
+    it('fails the request', async () => {
+      const from = await poolBefore(() => {})
+      await new Promise((resolve) => server!.close(resolve))
+      await expect(textOf(from)).rejects.toThrow('ECONNREFUSED')
+    }, 5000)
+  })
+
   describe('answers on a connection that is kept', () => {
     it('are each measured by themselves', async () => {
       const body = 'x'.repeat(MAX_ANSWER / 2)
--- a/packages/connections/src/boundedConnector.ts
+++ b/packages/connections/src/boundedConnector.ts
@@ -29,8 +29,9 @@
 export const boundedConnector = (maxAnswer: Bytes, options: buildConnector.BuildOptions = {}): buildConnector.connector => {
   const connect = buildConnector(options)
   return (target, callback) => connect(target, (...connected) => {
-    const [, socket] = connected
-    if (socket !== null) endWhenOversized(socket, maxAnswer)
+    // Declared as null after an error, but undefined.
+    const socket: Socket | null | undefined = connected[1]
+    if (socket) endWhenOversized(socket, maxAnswer)
     callback(...connected)
   })
 }
