--- a/apps/papayahilld/src/HttpOrderChannel.test.ts
+++ b/apps/papayahilld/src/HttpOrderChannel.test.ts
@@ -1,4 +1,4 @@
-import { brand, SeededRandom, SystemClock } from '@papayahill/common'
+import { brand, EndlessSender, SeededRandom, SystemClock } from '@papayahill/common'
 import { Trace } from '@papayahill/invariants'
 import type { Order } from '@papayahill/orders'
 import { FakeEndpoint, serveEndpoint } from '@papayahill/standins'
@@ -74,4 +74,21 @@
     const unreached = await channel.deliver(listed, order(5))
     expect(unreached.isErr && unreached.error.kind).toBe('unreachable')
   })
+
+  // Guards against an endpoint that is read for as long as it sends, in the part of an answer before its final status.
+  it('ends the connection to an endpoint that answers without end, and does not know what became of the order', async () => {
+    const MAX_MILLIS = 2000
+    const listed = await start(true)
+    const sender = new EndlessSender('', 'HTTP/1.1 103 Early Hints\r\n\r\n')
+    const endless = createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => sender.send(socket))
+    })
+    await new Promise<void>((resolve) => endless.listen(0, '127.0.0.1', resolve))
+    const startedAt = performance.now()
+    const answer = await channel.deliver({ ...listed, address: { ip: '127.0.0.1', port: (endless.address() as AddressInfo).port } }, order(3))
+    expect(answer.isErr && answer.error.kind).toBe('unknown')
+    expect(performance.now() - startedAt).toBeLessThan(MAX_MILLIS)
+    endless.close()
+  })
 })
--- a/apps/papayahilld/src/HttpOrderChannel.ts
+++ b/apps/papayahilld/src/HttpOrderChannel.ts
@@ -1,11 +1,14 @@
 import { originOf } from '@papayahill/backends'
 import type { Clock, Millis } from '@papayahill/common'
-import { seconds } from '@papayahill/common'
+import { bytes, seconds } from '@papayahill/common'
+import { boundedConnector } from '@papayahill/connections'
 import type { Order, OrderChannel, OrderRefusal } from '@papayahill/orders'
 import { Result } from 'true-myth'
 import { Agent } from 'undici'
 
 const ORDER_TIMEOUT: Millis = seconds(10)
+/** Largest answer to an order, of which only the status is used. */
+const MAX_ORDER_ANSWER = bytes(262_144)
 
 type Endpoint = Parameters<OrderChannel['deliver']>[0]
 
@@ -30,7 +33,7 @@
  */
 export class HttpOrderChannel implements OrderChannel {
   readonly #clock: Clock
-  readonly #agent = new Agent()
+  readonly #agent = new Agent({ connect: boundedConnector(MAX_ORDER_ANSWER) })
 
   constructor (clock: Clock) {
     this.#clock = clock
--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -1,6 +1,6 @@
 import { formatCallId, isJsonObject, millis, parseJson } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
-import { headerOf, newStopper, retryAfterOf, stopExchange } from '@papayahill/connections'
+import { AnswerBody, headerOf, newStopper, retryAfterOf, stopExchange } from '@papayahill/connections'
 import type { SocketAnswer, SocketFailure, SocketRequest, Stopper } from '@papayahill/connections'
 import type { CallError, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { ListedEndpoint } from '@papayahill/stores'
@@ -8,6 +8,7 @@
 import { ADAPTERS } from './adapters.js'
 import type { Adapter } from './adapters.js'
 import { CompletionStream } from './CompletionStream.js'
+import { MAX_ANSWER } from './constants.js'
 import { BACKENDS_EVENTS } from './events.js'
 
 export interface CallExchangeOptions {
@@ -17,11 +18,6 @@
   readonly endpoint: ListedEndpoint
 }
 
-interface Received {
-  answer?: SocketAnswer
-  text: string
-}
-
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([429, 503])
 
 /** Sends one request over a connection and streams the answer to `listener`. */
@@ -42,7 +38,9 @@
   readonly #adapter: Adapter
   readonly #stream: CompletionStream | undefined
   readonly #signal: AbortSignal
-  readonly #received: Received = { text: '' }
+  readonly #stopper = newStopper()
+  readonly #body = new AnswerBody(MAX_ANSWER)
+  #answer: SocketAnswer | undefined
   readonly #startedAt: Millis
   #isTimedOut = false
 
@@ -58,8 +56,7 @@
   }
 
   get incarnation (): string | undefined {
-    const { answer } = this.#received
-    return answer === undefined ? undefined : headerOf(answer.headers, 'x-incarnation')
+    return this.#answer === undefined ? undefined : headerOf(this.#answer.headers, 'x-incarnation')
   }
 
   notSentError (detail: string): Result<StageAnswer, CallError> {
@@ -67,28 +64,27 @@
   }
 
   async run (send: Send): Promise<Result<StageAnswer, CallError>> {
-    const stopper = newStopper()
-    const stop = (): void => stopExchange(stopper)
+    const stop = (): void => stopExchange(this.#stopper)
     const timer = this.#options.clock.after(this.#call.timeout, () => {
       this.#isTimedOut = true
       stop()
     })
     this.#signal.addEventListener('abort', stop, { once: true })
     if (this.#signal.aborted) stop()
-    const result = await send(this.#request(), this, stopper)
+    const result = await send(this.#request(), this, this.#stopper)
     this.#signal.removeEventListener('abort', stop)
     timer.cancel()
     return result.isErr ? Result.err(this.#callErrorOf(result.error)) : this.#readAnswer()
   }
 
   onStart (answer: SocketAnswer): void {
-    this.#received.answer = answer
+    this.#answer = answer
   }
 
   onData (data: Buffer): void {
-    const isStreaming = this.#stream !== undefined && this.#received.answer?.status === 200
-    if (isStreaming) this.#stream?.feed(data)
-    else this.#received.text += data.toString()
+    const isStreaming = this.#stream !== undefined && this.#answer?.status === 200
+    const isBounded = isStreaming ? this.#stream.feed(data) : this.#body.add(data)
+    if (!isBounded) stopExchange(this.#stopper)
   }
 
   #request (): SocketRequest {
@@ -121,7 +117,7 @@
   }
 
   #readAnswer (): Result<StageAnswer, CallError> {
-    const { answer } = this.#received
+    const answer = this.#answer
     if (answer === undefined) return Result.err({ outcome: 'cut', detail: 'no response was received' })
     if (answer.status !== 200) return Result.err(this.#statusError(answer))
     const stageAnswer = this.#stream === undefined ? this.#decodeBody() : this.#stream.answer(this.#elapsed())
@@ -134,13 +130,13 @@
   }
 
   #decodeBody (): StageAnswer | undefined {
-    const body = parseJson(this.#received.text)
+    const body = parseJson(this.#body.text())
     return isJsonObject(body) ? this.#adapter.decode(body, this.#elapsed()) : undefined
   }
 
   #statusError (answer: SocketAnswer): CallError {
     const outcome = REFUSED_STATUSES.has(answer.status) ? 'refused' : 'failed'
-    const json = parseJson(this.#received.text)
+    const json = parseJson(this.#body.text())
     const body = isJsonObject(json) ? json : {}
     const retryAfter = retryAfterOf(answer.headers)
     return {
--- a/packages/backends/src/CompletionStream.ts
+++ b/packages/backends/src/CompletionStream.ts
@@ -1,10 +1,10 @@
 import { isJsonObject, millis, parseJson, tokens } from '@papayahill/common'
 import type { JsonObject, Millis, StageUsage, Tokens } from '@papayahill/common'
 import type { StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
-import { createParser } from 'eventsource-parser'
-import type { EventSourceMessage, EventSourceParser } from 'eventsource-parser'
+import type { EventSourceMessage } from 'eventsource-parser'
 import { choiceText, completionAnswer } from './adapters.js'
 import { parseCallId } from './callId.js'
+import { EventReader } from './EventReader.js'
 
 const END_MARKER = '[DONE]'
 /** Tokens counted for a chunk whose event has no `tokens` field. */
@@ -20,8 +20,7 @@
  * stream.answer(took) // undefined before the end marker
  */
 export class CompletionStream {
-  readonly #parser: EventSourceParser
-  readonly #decoder = new TextDecoder()
+  readonly #reader: EventReader
   readonly #onChunk: (chunk: StageChunk) => void
   #index: number
   #text: string
@@ -33,11 +32,12 @@
     this.#onChunk = onChunk
     this.#index = call.resume?.chunks ?? 0
     this.#text = call.resume?.text ?? ''
-    this.#parser = createParser({ onEvent: (event) => this.#handleEvent(event) })
+    this.#reader = new EventReader((event) => this.#handleEvent(event))
   }
 
-  feed (data: Buffer): void {
-    this.#parser.feed(this.#decoder.decode(data, { stream: true }))
+  /** Parses a part of the stream; false once there have been too many bytes without a chunk. */
+  feed (data: Buffer): boolean {
+    return this.#reader.feed(data)
   }
 
   /** Usage of the chunks received so far, for a stream that broke. */
@@ -51,21 +51,23 @@
     return completionAnswer(call, this.#lastEvent, this.#text, took)
   }
 
-  #handleEvent (event: EventSourceMessage): void {
+  /** Whether the event could be used: one without text is not, as an endpoint could repeat it without end. */
+  #handleEvent (event: EventSourceMessage): boolean {
     if (event.data === END_MARKER) {
       this.#isEnded = true
-      return
+      return false
     }
     const body = parseJson(event.data)
-    if (!isJsonObject(body)) return
+    if (!isJsonObject(body)) return false
     const text = choiceText(body)
-    if (text === '') this.#lastEvent = body
-    else this.#emitChunk(body, text, event.id)
+    if (text !== '') return this.#emitChunk(body, text, event.id)
+    this.#lastEvent = body
+    return false
   }
 
-  #emitChunk (body: JsonObject, text: string, id: string | undefined): void {
+  #emitChunk (body: JsonObject, text: string, id: string | undefined): boolean {
     const call = parseCallId(body.id)
-    if (call === undefined) return
+    if (call === undefined) return false
     const count: Tokens = tokens(typeof body.tokens === 'number' ? body.tokens : TOKENS_PER_CHUNK)
     const index = id === undefined ? this.#index : Number(id)
     this.#index = index + 1
@@ -73,5 +75,6 @@
     this.#tokens += count
     if (body.usage !== undefined) this.#lastEvent = body
     this.#onChunk({ call, index, text, tokens: count })
+    return true
   }
 }
--- a/packages/backends/src/EndpointFeed.ts
+++ b/packages/backends/src/EndpointFeed.ts
@@ -1,16 +1,19 @@
 import { parseJson } from '@papayahill/common'
 import type { Clock, Timer } from '@papayahill/common'
+import { EndpointSocket, newStopper, stopExchange } from '@papayahill/connections'
+import type { Stopper } from '@papayahill/connections'
 import type { CacheEvent, LoadReport } from '@papayahill/endpoints'
-import { createParser } from 'eventsource-parser'
 import type { EventSourceMessage } from 'eventsource-parser'
-import type { Dispatcher } from 'undici'
 import { FEED_RETRY } from './constants.js'
+import { EventReader } from './EventReader.js'
 import { readCacheEvent, readReport } from './readReport.js'
 
+const STATUS_OK = 200
+const FIRST_SERVER_ERROR = 500
+
 export interface EndpointFeedOptions {
   readonly origin: string
   readonly clock: Clock
-  readonly dispatcher: Dispatcher
   readonly onReport: (report: LoadReport) => void
   readonly onCacheEvent: (event: CacheEvent) => void
 }
@@ -19,12 +22,13 @@
  * Subscribes to the reports and cache events that an endpoint pushes, until stopped; reconnects when the feed is lost.
  *
  * @example
- * const feed = new EndpointFeed({ origin, clock, dispatcher, onReport, onCacheEvent })
+ * const feed = new EndpointFeed({ origin, clock, onReport, onCacheEvent })
  * feed.start()
  */
 export class EndpointFeed {
   readonly #options: EndpointFeedOptions
-  readonly #abort = new AbortController()
+  #stopper: Stopper = newStopper()
+  #isStopped = false
   #timer: Timer | undefined
 
   constructor (options: EndpointFeedOptions) {
@@ -36,36 +40,39 @@
   }
 
   stop (): void {
-    this.#abort.abort()
+    this.#isStopped = true
+    stopExchange(this.#stopper)
     this.#timer?.cancel()
   }
 
   async #listen (): Promise<void> {
-    const shouldRetry = await this.#read().catch(() => true)
-    if (shouldRetry && !this.#abort.signal.aborted) this.#timer = this.#options.clock.after(FEED_RETRY, () => this.start())
+    const status = await this.#read()
+    const hasFeed = status === undefined || status === STATUS_OK || status >= FIRST_SERVER_ERROR
+    if (hasFeed && !this.#isStopped) this.#timer = this.#options.clock.after(FEED_RETRY, () => this.start())
   }
 
-  /** Reads the feed until it ends; false if the endpoint has no feed. */
-  async #read (): Promise<boolean> {
-    const { origin, dispatcher } = this.#options
-    const { statusCode, body } = await dispatcher.request({
-      origin, path: '/v1/events', method: 'GET', signal: this.#abort.signal, bodyTimeout: 0
-    })
-    if (statusCode !== 200) {
-      await body.dump()
-      return statusCode >= 500
-    }
-    const parser = createParser({ onEvent: (event) => this.#handleEvent(event) })
-    const decoder = new TextDecoder()
-    for await (const part of body) parser.feed(decoder.decode(part as Buffer, { stream: true }))
-    return true
+  /** Reads the feed until it ends; the status of its answer, undefined if there was none. */
+  async #read (): Promise<number | undefined> {
+    const socket = new EndpointSocket(this.#options.origin)
+    const stopper = newStopper()
+    this.#stopper = stopper
+    const reader = new EventReader((event) => this.#handleEvent(event))
+    let status: number | undefined
+    await socket.exchange({ method: 'GET', path: '/v1/events', headers: {} }, {
+      onStart: (answer) => { status = answer.status },
+      onData: (data) => { if (status !== STATUS_OK || !reader.feed(data)) stopExchange(stopper) }
+    }, stopper)
+    socket.close()
+    return status
   }
 
-  #handleEvent (event: EventSourceMessage): void {
+  /** Whether the event could be used. */
+  #handleEvent (event: EventSourceMessage): boolean {
     const data = parseJson(event.data) ?? null
     const report = event.event === 'report' ? readReport(data) : undefined
     if (report !== undefined) this.#options.onReport(report)
     const cacheEvent = event.event === 'cache' ? readCacheEvent(data) : undefined
     if (cacheEvent !== undefined) this.#options.onCacheEvent(cacheEvent)
+    return report !== undefined || cacheEvent !== undefined
   }
 }
--- /dev/null
+++ b/packages/backends/src/EventReader.ts
@@ -0,0 +1,30 @@
+import { createParser } from 'eventsource-parser'
+import type { EventSourceMessage, EventSourceParser } from 'eventsource-parser'
+import { MAX_BYTES_WITHOUT_EVENT } from './constants.js'
+
+/** Handles an event; false if nothing in it could be used. */
+export type EventHandler = (event: EventSourceMessage) => boolean
+
+/**
+ * Parses server-sent events, and tells when an endpoint sends bytes without an event that could be used.
+ *
+ * @example
+ * const reader = new EventReader((event) => handle(event))
+ * if (!reader.feed(data)) stopExchange(stopper)
+ */
+export class EventReader {
+  readonly #parser: EventSourceParser
+  readonly #decoder = new TextDecoder()
+  #bytesWithoutEvent = 0
+
+  constructor (onEvent: EventHandler) {
+    this.#parser = createParser({ onEvent: (event) => { if (onEvent(event)) this.#bytesWithoutEvent = 0 } })
+  }
+
+  /** Parses a part of the stream; false once there have been too many bytes since the last event that could be used. */
+  feed (data: Buffer): boolean {
+    this.#bytesWithoutEvent += data.length
+    if (this.#bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT) this.#parser.feed(this.#decoder.decode(data, { stream: true }))
+    return this.#bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT
+  }
+}
--- a/packages/backends/src/HttpEndpointAccess.test.ts
+++ b/packages/backends/src/HttpEndpointAccess.test.ts
@@ -1,4 +1,4 @@
-import { brand, millis, seconds, SILENT_LOG, SystemClock } from '@papayahill/common'
+import { brand, EndlessSender, millis, seconds, SILENT_LOG, SystemClock } from '@papayahill/common'
 import type { CallOutcome, EndpointId, IdempotencyKey, InstanceId, RequestId, StageId } from '@papayahill/common'
 import type { CallError, EndpointConnection, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { ListedEndpoint } from '@papayahill/stores'
@@ -159,4 +159,72 @@
       }
     })
   })
+
+  describe('bytes without end', () => {
+    /** The largest answer and what the sockets of both sides may hold. */
+    const MAX_SENT = 16_777_216
+    const MAX_MILLIS = 1500
+    const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+
+    const KINDS = [
+      ['of a body', HEAD, 'x'],
+      ['of comments', HEAD, ': no event\n\n'],
+      ['of interim answers', '', 'HTTP/1.1 103 Early Hints\r\n\r\n']
+    ] as const
+
+    const READERS: Readonly<Record<string, readonly [path: string, read: (server: Server) => Promise<unknown>]>> = {
+      'an endpoint\'s identity': ['/v1/identity', async (server) => await accessOf().open(endpointAt(server))],
+      'a report': ['/v1/load', async (server) => await accessOf().report(endpointAt(server))],
+      'the look-up of a key': ['/v1/keys', async (server) => await accessOf().lookUp(endpointAt(server), brand<IdempotencyKey>('k1'))],
+      'an answer': ['', async (server) => await callTo(server)],
+      'a stream': ['', async (server) => await callTo(server, { kind: 'engine', isStreamed: true })],
+      'the feed of events': ['/v1/events', async (server) => await accessOf().open(endpointAt(server))]
+    }
+
+    const accessOf = (): HttpEndpointAccess => {
+      const access = new HttpEndpointAccess({ self: brand<InstanceId>('i1'), clock, log: SILENT_LOG })
+      closing.push(() => access.close())
+      return access
+    }
+
+    const callTo = async (server: Server, more: Partial<StageCall> = {}): Promise<unknown> => {
+      const opened = await accessOf().open(endpointAt(server))
+      if (opened.isErr) throw new Error(opened.error.detail)
+      return await send(opened.value, callOf(1, { ...more, timeout: seconds(20) }))
+    }
+
+    /** Serves as `serveRaw`, but continues the answer to the given path, or to calls, without end; reports the end of that connection. */
+    const serveEndless = async (
+      path: string, sender: EndlessSender, onClose: () => void
+    ): Promise<Server> => {
+      const server = createServer((socket) => {
+        socket.on('error', () => {})
+        socket.on('data', (data) => {
+          const request = data.toString()
+          const isEndless = path === '' ? request.startsWith('POST') : request.startsWith(`GET ${path}`)
+          if (isEndless) socket.once('close', onClose)
+          if (isEndless) sender.send(socket)
+          else if (request.startsWith('GET /v1/identity')) socket.write(answerOf('200 OK', '{"incarnation":"i1"}'))
+          else socket.end(answerOf('404 Not Found', ''))
+        })
+      })
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+      closing.push(() => { server.close() })
+      return server
+    }
+
+    describe.each(Object.entries(READERS))('in %s', (_reader, [path, read]) => {
+      // Guards against a process that reads such bytes on, or keeps them, until it runs out of memory.
+      it.each(KINDS)('end its connection soon: %s', async (_kind, start, filler) => {
+        const sender = new EndlessSender(start, filler)
+        const startedAt = performance.now()
+        const isClosed = new Promise<void>((resolve) => {
+          void serveEndless(path, sender, resolve).then(read)
+        })
+        await isClosed
+        expect(performance.now() - startedAt).toBeLessThan(MAX_MILLIS)
+        expect(sender.sentBytes).toBeLessThan(MAX_SENT)
+      }, 5000)
+    })
+  })
 })
--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -1,5 +1,6 @@
 import { parseJson } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, IdempotencyKey, InstanceId, Json } from '@papayahill/common'
+import { boundedConnector } from '@papayahill/connections'
 import type {
   CacheEvent, CallError, EndpointAccess, EndpointConnection, KeyStatus, LoadReport
 } from '@papayahill/endpoints'
@@ -7,7 +8,7 @@
 import { isIPv6 } from 'node:net'
 import { Result } from 'true-myth'
 import { Agent } from 'undici'
-import { QUERY_CONNECTIONS, QUERY_TIMEOUT } from './constants.js'
+import { MAX_QUERY_ANSWER, QUERY_CONNECTIONS, QUERY_TIMEOUT } from './constants.js'
 import { EndpointFeed } from './EndpointFeed.js'
 import { BACKENDS_EVENTS } from './events.js'
 import { HttpConnection } from './HttpConnection.js'
@@ -32,7 +33,7 @@
  */
 export class HttpEndpointAccess implements EndpointAccess {
   readonly #options: HttpEndpointAccessOptions
-  readonly #agent = new Agent({ connections: QUERY_CONNECTIONS })
+  readonly #agent = new Agent({ connections: QUERY_CONNECTIONS, connect: boundedConnector(MAX_QUERY_ANSWER) })
   readonly #connections = new Set<EndpointConnection>()
   readonly #feeds = new Map<EndpointId, EndpointFeed>()
   readonly #reportListeners: Array<(report: LoadReport) => void> = []
@@ -87,7 +88,6 @@
     const feed = new EndpointFeed({
       origin,
       clock: this.#options.clock,
-      dispatcher: this.#agent,
       onReport: (report) => { for (const listener of this.#reportListeners) listener(report) },
       onCacheEvent: (event) => { for (const listener of this.#cacheListeners) listener(event) }
     })
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -1,7 +1,8 @@
 import { brand, isJsonObject, parseJson } from '@papayahill/common'
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
 import { Result } from 'true-myth'
-import { EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
+import { AnswerBody, EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
+import { MAX_QUERY_ANSWER } from './constants.js'
 
 /** Why no connection was confirmed. */
 export interface OpenFailure {
@@ -26,11 +27,11 @@
   const socket = new EndpointSocket(origin)
   const stopper = newStopper()
   const timer = clock.after(OPEN_TIMEOUT, () => stopExchange(stopper))
-  let text = ''
-  const listener = { onStart: () => {}, onData: (data: Buffer) => { text += data.toString() } }
+  const answer = new AnswerBody(MAX_QUERY_ANSWER)
+  const listener = { onStart: () => {}, onData: (data: Buffer) => { if (!answer.add(data)) stopExchange(stopper) } }
   const result = await socket.exchange({ method: 'GET', path: '/v1/identity', headers: {} }, listener, stopper)
   timer.cancel()
-  const incarnation = parseIncarnation(text)
+  const incarnation = parseIncarnation(answer.text())
   if (result.isOk && incarnation !== undefined) return Result.ok({ socket, incarnation })
   socket.close()
   if (result.isErr) return Result.err({ detail: result.error.detail, isRefused: result.error.isRefused })
--- a/packages/stores/src/HttpExchange.ts
+++ b/packages/stores/src/HttpExchange.ts
@@ -1,7 +1,8 @@
 import type { Clock, EventLog, Json, Millis } from '@papayahill/common'
+import { boundedConnector } from '@papayahill/connections'
 import { Result } from 'true-myth'
 import { errors, Pool } from 'undici'
-import { RESPONSE_TIMEOUT, CONNECT_TIMEOUT, MAX_CONNECTIONS, IDLE_TIMEOUT } from './constants.js'
+import { RESPONSE_TIMEOUT, CONNECT_TIMEOUT, MAX_CONNECTIONS, MAX_RESPONSE, IDLE_TIMEOUT } from './constants.js'
 import { PLATFORM_EVENTS } from './events.js'
 
 export interface HttpExchangeOptions {
@@ -69,7 +70,9 @@
     this.#timeout = options.timeout ?? RESPONSE_TIMEOUT
     this.#origin = options.origin
     this.#pool = new Pool(options.origin, {
-      connections: MAX_CONNECTIONS, keepAliveTimeout: IDLE_TIMEOUT, connect: { timeout: CONNECT_TIMEOUT }
+      connections: MAX_CONNECTIONS,
+      keepAliveTimeout: IDLE_TIMEOUT,
+      connect: boundedConnector(MAX_RESPONSE, { timeout: CONNECT_TIMEOUT })
     })
   }
 
