--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -43,6 +43,8 @@
   #answer: SocketAnswer | undefined
   readonly #startedAt: Millis
   #isTimedOut = false
+  /** Whether the endpoint sent more than an answer, or a stream without a chunk, may have. */
+  #isEndless = false
 
   constructor (
     options: CallExchangeOptions, call: StageCall, onChunk: (chunk: StageChunk) => void, signal: AbortSignal
@@ -84,7 +86,9 @@
   onData (data: Buffer): void {
     const isStreaming = this.#stream !== undefined && this.#answer?.status === 200
     const isBounded = isStreaming ? this.#stream.feed(data) : this.#body.add(data)
-    if (!isBounded) stopExchange(this.#stopper)
+    if (isBounded) return
+    this.#isEndless = true
+    stopExchange(this.#stopper)
   }
 
   #request (): SocketRequest {
@@ -112,6 +116,7 @@
     if (!failure.isSent) return { outcome: 'not-sent', detail: failure.detail }
     const usage = this.#stream?.partialUsage(this.#elapsed())
     if (this.#isTimedOut) return { outcome: 'timed-out', detail: `no answer in ${this.#call.timeout} ms`, usage }
+    if (this.#isEndless) return { outcome: 'cut', detail: 'the endpoint sent more bytes than an answer may have', usage }
     if (this.#signal.aborted) return { outcome: 'cancelled', detail: 'cancelled', usage }
     return { outcome: 'cut', detail: failure.detail, usage }
   }
