--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -44,6 +44,8 @@
   readonly failing = new Set<string>()
   /** Requests of which any piece ends the call that it is in. */
   readonly deadly = new Set<string>()
+  /** Pieces that were given results of another request as inputs. */
+  foreignInputs = 0
   /** Time until an endpoint has freed released results. */
   freeDelay = ONE_WAY_DELAY
   /** Factor by which an endpoint is slower than its profile. */
@@ -115,6 +117,7 @@
 
   #run (endpoint: string, piece: Piece): CallOutcome {
     const now = this.#clock.now()
+    if (piece.inputs.some((handle) => (this.requestOf(handle) ?? piece.request) !== piece.request)) this.foreignInputs++
     if (piece.inputs.some((handle) => (this.#results.get(handle)?.expiresAt ?? 0) <= now)) return { fault: 'gone' }
     if (this.failing.delete(`${piece.request} ${piece.stage} ${piece.index}`)) return { fault: 'failed' }
     const held = [...this.#results.values()].filter(({ endpoint: holder, expiresAt }) => holder === endpoint && expiresAt > now)
