A listener waits for its address instead of ending the process

Cause: each listener (callers, health checks, instances) rejected on any error of its first try, one after the other, and main ended the process. The port for instances was always the first of the range, though any of it is free.

Why it works: openListener (common) tries again, with backoff, for as long as the cause may pass and the listener is wanted; an address that can never be bound still rejects. Instances take the first free port of the range and register it once it is bound.

--- a/packages/common/src/bindServer.ts
+++ b/packages/common/src/bindServer.ts
@@ -17,9 +17,16 @@
  * const { port } = await bindServer(server, { ip: '127.0.0.1', port: 0 }, (err) => report(err))
  */
 export const bindServer = async (server: Server, { ip, port }: SocketAddress, onError: (err: Error) => void): Promise<SocketAddress> => {
+  // A server that could not be bound is tried again, so no listener of a try may stay.
+  server.removeAllListeners('error')
   await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host: ip, port, backlog: BACKLOG }, resolve)
+    const onListening = (): void => resolve()
+    server.once('listening', onListening)
+    server.once('error', (err) => {
+      server.off('listening', onListening)
+      reject(err)
+    })
+    server.listen({ host: ip, port, backlog: BACKLOG })
   })
   server.removeAllListeners('error')
   server.on('error', onError)
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -1,4 +1,4 @@
-import { millis, SILENT_LOG } from '@papayahill/common'
+import { millis, openListener, SILENT_LOG } from '@papayahill/common'
 import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import { Result } from 'true-myth'
 import {
@@ -51,6 +51,7 @@
   readonly #listeners = new Map<Topic, Array<(entry: GossipEntry) => void>>()
   readonly #timers: Timer[] = []
   #address: PeerAddress | undefined
+  #isClosed = false
   #isListUnusable = false
   #members: readonly PeerMember[] = []
   /** Expiry of the cached members. */
@@ -93,13 +94,31 @@
     return this.#address
   }
 
-  /** Opens the listener, reads the instance list once and starts to open links. */
+  /**
+   * Opens the listener, reads the instance list once and starts to open links; resolves once all of it is done. While the
+   * listener cannot be opened, links are dialled without it.
+   */
   async start (): Promise<void> {
-    const { clock, random, transport } = this.#options
-    const address = await transport.listen((link) => this.#links.add(link, false))
+    const { clock, transport } = this.#options
+    let links: Promise<void> | undefined
+    const address = await openListener({
+      clock,
+      open: () => transport.listen((link) => this.#links.add(link, false)),
+      onBlocked: (err) => {
+        this.#log.emit(PEERS_EVENTS.listenerBlocked, { detail: err.message })
+        links ??= this.#startLinks()
+      },
+      isClosed: () => this.#isClosed
+    })
+    if (address === undefined) return
     this.#address = address
     this.#log.emit(PEERS_EVENTS.listening, { ip: address.ip, port: address.port })
     this.#memberTable.announce(address)
+    await (links ?? this.#startLinks())
+  }
+
+  async #startLinks (): Promise<void> {
+    const { clock, random } = this.#options
     await this.#readList()
     this.#links.tick()
     this.#repeat(LIST_PERIOD, () => { void this.#readList() })
@@ -193,6 +212,7 @@
   }
 
   async close (): Promise<void> {
+    this.#isClosed = true
     this.#memberTable.leave()
     this.#spreader.flush()
     for (const timer of this.#timers) timer.cancel()
--- a/packages/peers/src/PeerLinks.ts
+++ b/packages/peers/src/PeerLinks.ts
@@ -1,14 +1,14 @@
 import { SILENT_LOG } from '@papayahill/common'
 import { PeerCore } from './PeerCore.js'
 import type { PeerCoreOptions } from './PeerCore.js'
-import type { PeerAddress } from './transport.js'
+import type { ListenRange, PeerAddress } from './transport.js'
 import { WsTransport } from './WsTransport.js'
 
 export interface PeerLinksOptions extends Omit<PeerCoreOptions, 'transport'> {
   /** Shared by all instances and secret from everyone else. */
   readonly secret: string
   /** Port 0 picks a free port, for tests. */
-  readonly listen: PeerAddress
+  readonly listen: ListenRange
 }
 
 /**
--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -7,7 +7,7 @@
 import type { Frame } from './frames.js'
 import { decodeHello, decodeIdentity, encodeHello, encodeIdentity, isProofValid, newNonce, computeProof } from './handshake.js'
 import type { HandshakeRole, Hello } from './handshake.js'
-import type { Link, PeerAddress, PeerIdentity, Transport } from './transport.js'
+import type { Link, ListenRange, PeerAddress, PeerIdentity, Transport } from './transport.js'
 
 /** Size of the WebSocket header of a typical frame. */
 const HEADER_BYTES = 6
@@ -15,7 +15,7 @@
 export interface WsTransportOptions {
   readonly identity: (address: PeerAddress) => PeerIdentity
   readonly secret: string
-  readonly listen: PeerAddress
+  readonly listen: ListenRange
   readonly clock: Clock
   readonly log: EventLog
 }
@@ -27,6 +27,17 @@
   return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data)
 }
 
+/** Resolves once the server listens; rejects if the address cannot be bound. */
+const openServerOn = async ({ ip, port }: PeerAddress): Promise<WebSocketServer> => {
+  const server = new WebSocketServer({ host: ip, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+  await new Promise<void>((resolve, reject) => {
+    server.once('listening', resolve)
+    server.once('error', reject)
+  })
+  server.removeAllListeners('error')
+  return server
+}
+
 /** Links over WebSockets; each side proves knowledge of the secret by an HMAC over the other's nonce. */
 export class WsTransport implements Transport {
   readonly #options: WsTransportOptions
@@ -41,15 +52,11 @@
 
   async listen (onLink: (link: Link) => void): Promise<PeerAddress> {
     const { ip, port } = this.#options.listen
-    const server = new WebSocketServer({ host: ip, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    const server = await this.#openServer()
     this.#server = server
     server.on('connection', (socket) => {
       void this.#handshake(socket, 'accepts').then((link) => { if (link !== undefined) onLink(link) })
     })
-    await new Promise<void>((resolve, reject) => {
-      server.once('listening', resolve)
-      server.once('error', reject)
-    })
     server.on('error', (err) => this.#options.log.emit(PEERS_EVENTS.listenerFailed, { detail: err.message }))
     const bound = server.address()
     this.#address = { ip, port: typeof bound === 'object' && bound !== null ? bound.port : port }
@@ -71,6 +78,18 @@
     })
   }
 
+  /** Opens the server on the first port of the range that can be bound; rejects if there is none. */
+  async #openServer (): Promise<WebSocketServer> {
+    const { ip, port, lastPort = port } = this.#options.listen
+    for (let next = port; ; next++) {
+      try {
+        return await openServerOn({ ip, port: next })
+      } catch (err) {
+        if (next >= lastPort || (err as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw err
+      }
+    }
+  }
+
   /** Exchanges hellos; undefined if the remote is not a peer or fails to authenticate. */
   #handshake (socket: WebSocket, role: HandshakeRole): Promise<Link | undefined> {
     this.#sockets.add(socket)
--- a/packages/peers/src/events.ts
+++ b/packages/peers/src/events.ts
@@ -12,5 +12,6 @@
   listUnreadable: { number: 2008, level: 'warn', text: 'The platform\'s instance list could not be read; known peers are kept.' },
   listEmpty: { number: 2009, level: 'warn', text: 'The platform\'s instance list contains no instances; known peers are kept.' },
   frameFaulty: { number: 2010, level: 'error', text: 'A message from a peer could not be handled; the link was closed.' },
-  listenerFailed: { number: 2011, level: 'error', text: 'The open listener for peers reported an error, such as a link that could not be accepted; it stays open.' }
+  listenerFailed: { number: 2011, level: 'error', text: 'The open listener for peers reported an error, such as a link that could not be accepted; it stays open.' },
+  listenerBlocked: { number: 2031, level: 'warn', text: 'No address for peers can be bound, for a cause that may pass; it is tried again, and links are dialled meanwhile.' }
 })
--- a/packages/peers/src/transport.ts
+++ b/packages/peers/src/transport.ts
@@ -7,6 +7,12 @@
   readonly port: number
 }
 
+/** Where a peer listens: the first port of a range that is free. */
+export interface ListenRange extends PeerAddress {
+  /** Last port of the range; `port` if it is not given. */
+  readonly lastPort?: number
+}
+
 /** The authenticated identity of the peer at the other end of a link. */
 export interface PeerIdentity {
   readonly id: InstanceId
