The product's own program waits for the addresses of its listeners, too

Evidence: two of three cases of 'does not end because the address of its ... is in use, and uses it once it is free' (real process) failed before: exit 1. They pass now. The third, for peers, passes since the links wait for their address.

Why it works: listenOn opens through openListener, and the daemon opens its listeners and its links independently of each other.

--- a/apps/papayahilld/src/Daemon.ts
+++ b/apps/papayahilld/src/Daemon.ts
@@ -50,8 +50,7 @@
    * Retries until the store or a peer is reachable: waiting is better than a restart loop.
    */
   async start (): Promise<void> {
-    await this.#parts.peers.start()
-    await this.#listen()
+    await Promise.all([this.#parts.peers.start(), this.#listen()])
     while ((await this.#parts.instance.start()).isErr) this.#resetAfterFailedStart()
     this.#log.emit(PAPAYAHILLD_EVENTS.started, { instance: this.#cfg.id })
   }
@@ -85,11 +84,10 @@
     const ids = new RequestIds(id, this.#parts.random)
     const common = { instance: this.#parts.instance, clock: this.#clock, log: this.#log, secrets, ids }
     const { headerBytes } = limits
-    this.#listeners.push(await listenOn({
-      app: createCallersApp({ ...common, limits }), address: callers, connections: limits.connections, headerBytes, ids, log: this.#log
-    }))
-    this.#listeners.push(await listenOn({
-      app: createOperatorsApp(common), address: operators, connections: OPERATOR_CONNECTIONS, headerBytes, ids, log: this.#log
-    }))
+    const shared = { headerBytes, ids, log: this.#log }
+    this.#listeners.push(...await Promise.all([
+      listenOn({ ...shared, app: createCallersApp({ ...common, limits }), address: callers, connections: limits.connections }),
+      listenOn({ ...shared, app: createOperatorsApp(common), address: operators, connections: OPERATOR_CONNECTIONS })
+    ]))
   }
 }
--- a/apps/papayahilld/src/main.test.ts
+++ b/apps/papayahilld/src/main.test.ts
@@ -1,6 +1,7 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -16,6 +17,12 @@
 `)}`
 const WAIT_MILLIS = 20_000
 
+interface StartedDaemon {
+  readonly daemon: ChildProcess
+  /** Whether it logs this text in time. */
+  readonly logged: (text: string) => Promise<boolean>
+}
+
 describe('the daemon', () => {
   const folder = mkdtempSync(join(tmpdir(), 'papayahilld-'))
   let child: ChildProcess | undefined
@@ -23,9 +30,9 @@
   afterEach(() => { child?.kill('SIGKILL') })
   afterAll(() => { rmSync(folder, { recursive: true }) })
 
-  const start = async (): Promise<{ readonly daemon: ChildProcess, readonly logged: (text: string) => Promise<boolean> }> => {
+  const start = async (adapt = (text: string): string => text): Promise<StartedDaemon> => {
     const file = join(folder, 'ph-1.toml')
-    writeFileSync(file, readFileSync(EXAMPLE, 'utf8').replace(/127\.0\.0\.1:80\d\d/g, '127.0.0.1:0'))
+    writeFileSync(file, adapt(readFileSync(EXAMPLE, 'utf8').replace(/127\.0\.0\.1:80\d\d/g, '127.0.0.1:0')))
     const daemon = spawn(process.execPath, ['--import', ERRORS_BY_SIGNAL, BINARY, '--settings', file], {
       env: { PATH: process.env['PATH'], ...SECRETS }
     })
@@ -43,6 +50,20 @@
     return { daemon, logged }
   }
 
+  const LISTENERS = ['callers', 'peers', 'operators'] as const
+
+  it.each(LISTENERS)('does not end because the address of its %s is in use, and uses it once it is free', async (listener) => {
+    const other = createServer()
+    const port = await new Promise<number>((resolve) => {
+      other.listen(0, '127.0.0.1', () => resolve((other.address() as { readonly port: number }).port))
+    })
+    const { daemon, logged } = await start((text) => text.replace(new RegExp(`^(${listener} = "127.0.0.1:)0`, 'm'), `$1${port}`))
+    await new Promise((resolve) => setTimeout(resolve, 1500))
+    expect(daemon.exitCode).toBeNull()
+    await new Promise((resolve) => other.close(resolve))
+    expect(await logged(`"port":${port}`)).toBe(true)
+  })
+
   it('logs a rejection that nothing handles, and goes on', async () => {
     const { daemon, logged } = await start()
     daemon.kill('SIGUSR2')
--- a/packages/edge/src/events.ts
+++ b/packages/edge/src/events.ts
@@ -24,5 +24,5 @@
     text: 'A caller read its stream too slowly and was disconnected, so that its answer does not fill the memory.'
   },
   operatorActed: { number: 7006, level: 'info', text: 'An operator made a change; the fields name the operator and the request.' },
-  listenerFailed: { number: 7007, level: 'error', text: 'An open listener reported an error, such as a connection that could not be accepted; it stays open.' }
+  listenerFailed: { number: 7007, level: 'error', text: 'A listener cannot be opened yet and is tried again, or reported an error, such as a connection that could not be accepted, and stays open.' }
 })
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { bindServer, CallerConnections, ERROR_ANSWERS, failure, SystemClock } from '@papayahill/common'
+import { bindServer, CallerConnections, ERROR_ANSWERS, failure, openListener, SystemClock } from '@papayahill/common'
 import type { ErrorKind, EventLog } from '@papayahill/common'
 import type { ListenAddress } from '@papayahill/settings'
 import type polka from 'polka'
@@ -103,12 +103,16 @@
   }
 }
 
-/** Opens a listener. Connections above the limit get an error answer; those above the limit and its margin are dropped. */
+/**
+ * Opens a listener as soon as its address can be bound. Connections above the limit get an error answer; those
+ * above the limit and its margin are dropped.
+ */
 export const listenOn = async (options: ListenOptions): Promise<EdgeListener> => {
   const { address, connections, log } = options
   let openConnections = 0
   const aboveLimit = new WeakSet<Socket>()
-  const known = new CallerConnections(new SystemClock())
+  const clock = new SystemClock()
+  const known = new CallerConnections(clock)
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     if (!known.accept(req, res)) return
     if (!aboveLimit.has(req.socket)) return handleSafely(options, req as polka.Request, res)
@@ -130,7 +134,8 @@
     socket.on('close', () => { openConnections-- })
   })
   server.on('clientError', (err: Error, socket) => answerParserError(options, known, err, socket as Socket))
-  await bindServer(server, address, (err) => log.emit(EDGE_EVENTS.listenerFailed, { ip: address.ip, detail: err.message }))
+  const report = (err: Error): void => log.emit(EDGE_EVENTS.listenerFailed, { ip: address.ip, detail: err.message })
+  await openListener({ clock, open: () => bindServer(server, address, report), onBlocked: report, isClosed: () => false })
   const listener = new EdgeListener(server)
   log.emit(EDGE_EVENTS.listening, { ip: address.ip, port: listener.port })
   return listener
