--- a/apps/papayahilld/src/main.test.ts
+++ b/apps/papayahilld/src/main.test.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -23,6 +24,13 @@
   readonly logged: (text: string) => Promise<boolean>
 }
 
+/** Holds a port as another program would. */
+const holdPort = async (): Promise<{ readonly other: Server, readonly port: number }> => {
+  const other = createServer()
+  await new Promise<void>((resolve) => { other.listen(0, '127.0.0.1', resolve) })
+  return { other, port: (other.address() as AddressInfo).port }
+}
+
 describe('the daemon', () => {
   const folder = mkdtempSync(join(tmpdir(), 'papayahilld-'))
   let child: ChildProcess | undefined
@@ -53,10 +61,7 @@
   const LISTENERS = ['callers', 'peers', 'operators'] as const
 
   it.each(LISTENERS)('does not end because the address of its %s is in use, and uses it once it is free', async (listener) => {
-    const other = createServer()
-    const port = await new Promise<number>((resolve) => {
-      other.listen(0, '127.0.0.1', () => resolve((other.address() as { readonly port: number }).port))
-    })
+    const { other, port } = await holdPort()
     const { daemon, logged } = await start((text) => text.replace(new RegExp(`^(${listener} = "127.0.0.1:)0`, 'm'), `$1${port}`))
     await new Promise((resolve) => setTimeout(resolve, 1500))
     expect(daemon.exitCode).toBeNull()
@@ -64,6 +69,16 @@
     expect(await logged(`"port":${port}`)).toBe(true)
   })
 
+  it('stops as planned while the address of its callers is in use', async () => {
+    const { other, port } = await holdPort()
+    const { daemon } = await start((text) => text.replace(/^(callers = "127.0.0.1:)0/m, `$1${port}`))
+    await new Promise((resolve) => setTimeout(resolve, 1000))
+    const ended = new Promise((resolve) => { daemon.once('exit', resolve) })
+    daemon.kill('SIGTERM')
+    expect(await ended).toBe(0)
+    other.close()
+  })
+
   it('logs a rejection that nothing handles, and goes on', async () => {
     const { daemon, logged } = await start()
     daemon.kill('SIGUSR2')
