The file that is run handles signals before it loads the program

Cause: Node links a module and loads all that it imports before its first statement runs.

Why it works: the file that is run is a few lines without imports; it installs handlers and then imports the program, which takes over from them as before. The bundler writes both files.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,4 +1,4 @@
-/** Bundles the program for the users' platform (platform/src/main.ts) into one file under target/. */
+/** Bundles the program for the users' platform (platform/src/main.ts) and the file that loads it (load.ts) under target/. */
 import { build } from 'esbuild'
 import { renameSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -18,21 +18,15 @@
   }
 }
 
-const bundle = pathOf('target/papayahill.mjs')
-const unfinished = `${bundle}.${process.pid}`
+/** Builds an entry; a process that starts meanwhile must not read half a file. */
+const buildTo = async (outfile, entry, options) => {
+  const unfinished = `${outfile}.${process.pid}`
+  await build({ entryPoints: [entry], outfile: unfinished, platform: 'node', target: 'node20', format: 'esm', ...options })
+  renameSync(unfinished, outfile)
+}
 
-await build({
-  entryPoints: [pathOf('platform/src/main.ts')],
-  outfile: unfinished,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minify: true,
-  keepNames: true,
-  banner: { js: REQUIRE },
-  plugins: [fromSources]
+await buildTo(pathOf('target/papayahill-program.mjs'), pathOf('platform/src/main.ts'), {
+  bundle: true, minify: true, keepNames: true, banner: { js: REQUIRE }, plugins: [fromSources]
 })
-
-// A process that starts meanwhile must not read half a bundle.
-renameSync(unfinished, bundle)
+// The file that is run imports nothing, so that it handles signals before the program is read.
+await buildTo(pathOf('target/papayahill.mjs'), pathOf('platform/src/load.ts'), {})
