--- /dev/null
+++ b/packages/reach/src/index.ts
@@ -0,0 +1,1 @@
+export type { PathEvidence, Reach } from './types.js'
