reach: beliefs about the paths of an instance to its endpoints, and what peers tell of theirs

A path is lost only by a probe that fails; an instance is cut off once probed endpoints of all services accept no connection and none has accepted one since the first doubt.

--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -126,4 +126,12 @@
     this.#onSuspicion?.(this, this.#suspicion)
     this.#suspicion = millis(Math.min(MAX_SUSPICION, this.#suspicion * 2))
   }
+
+  /** Forgets the failures of its connections: this instance had lost its own paths, which says nothing about the endpoint. */
+  forgetConnectionFailures (): void {
+    this.#failShare = 0
+    if (this.#suspectUntil > 0) this.#onSuspicion?.(this, undefined)
+    this.#suspectUntil = millis(0)
+    this.#suspicion = MIN_SUSPICION
+  }
 }
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -91,6 +91,11 @@
     return endpoint.isCold(now) ? 'cold' : 'usable'
   }
 
+  /** Services that have or had endpoints. */
+  get services (): readonly ServiceId[] {
+    return [...this.#byService.keys()]
+  }
+
   /** Number of a service's endpoints that are listed or retained. */
   count (service: ServiceId): number {
     return this.#byService.get(service)?.size ?? 0
--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -8,7 +8,7 @@
 import type { GossipEntry, Topic } from './types.js'
 
 /** Topics whose entries are sent immediately over every link; entries of other topics are queued. */
-const URGENT_TOPICS: ReadonlySet<Topic> = new Set<Topic>(['heartbeat', 'latch', 'config', 'order', 'endpoint', 'quarantine'])
+const URGENT_TOPICS: ReadonlySet<Topic> = new Set<Topic>(['heartbeat', 'latch', 'config', 'order', 'endpoint', 'quarantine', 'reach'])
 /** Maximum number of entries in one frame. */
 const MAX_FRAME_ENTRIES = 64
 /** Maximum number of repeated store comparisons on a new link. */
--- a/packages/reach/src/types.ts
+++ b/packages/reach/src/types.ts
@@ -24,4 +24,15 @@
   noteNoContact (endpoint: Endpoint): void
   /** A call has waited for its first byte for longer than is usual; the path is then probed. */
   noteSilence (endpoint: Endpoint): void
+  /** A call was given up for its silence; the endpoint is avoided only if it has been silent for far longer than a sound one. */
+  noteHang (endpoint: Endpoint): void
+}
+
+/** Whether something accepts connections at an endpoint's address; `unknown` if there was no answer in time. */
+export type ProbeResult = 'listening' | 'refused' | 'unknown'
+
+/** Holds back what a lost call shows about its endpoint until it is known whether this instance was cut off. */
+export interface LossJudge {
+  /** Calls `tell` once the loss is known to be the endpoint's; never, if this instance had lost its paths to all endpoints. */
+  judgeLoss (endpoint: Endpoint, tell: () => void): void
 }
