An instance that reaches no endpoint of a service coordinates none of its groups while another one does

Callers of sound instances were refused with 'stage 1 could not be run in time' while one instance was cut off: its links to the others lived, so it stayed coordinator of their batches. The roster now goes by what instances tell of their reach, this one included; an order that arrives at one that does not reach the service is refused and goes elsewhere; queued pieces are given back, calls in progress on lost paths are given up, and a lost endpoint gets no batch while another one of its service is reached. The stage harness now gives each instance its own reach.

--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -1,5 +1,5 @@
 import type { Clock, EndpointId, EventLog } from '@papayahill/common'
-import type { EndpointDirectory } from '@papayahill/directory'
+import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
 import { EndpointCalls } from './EndpointCalls.js'
 import { GroupBatcher } from './GroupBatcher.js'
@@ -14,6 +14,10 @@
   readonly profileOf: ProfileOf
   /** Whether this instance coordinates the group. */
   readonly isOwn: (group: GroupId) => boolean
+  /** Whether this instance leaves the group to another one, since it does not reach the endpoints; never, if absent. */
+  readonly mustLeave?: (group: GroupId) => boolean
+  /** Whether this instance has a path to the endpoint; always, if absent. */
+  readonly reachesEndpoint?: (endpoint: Endpoint) => boolean
 }
 
 /**
@@ -76,7 +80,7 @@
   /** Plans all groups again, since endpoints may have become unusable and groups may have moved to other instances. */
   pumpAll (): void {
     for (const [group, batcher] of this.#batchers) {
-      if (this.#hasLostGroup(group)) batcher.handBack()
+      if (this.#hasLostGroup(group) || this.#options.mustLeave?.(group) === true) batcher.handBack()
       batcher.pump()
     }
   }
@@ -102,10 +106,17 @@
   #usableCallsOf (id: EndpointId): EndpointCalls | undefined {
     const { directory } = this.#options
     const endpoint = directory.get(id)
-    if (endpoint === undefined || !directory.isUsable(endpoint)) return undefined
+    if (endpoint === undefined || !directory.isUsable(endpoint) || this.#isPassedOver(endpoint)) return undefined
     return this.#callsOf(id)
   }
 
+  /** Whether the endpoint gets no calls, since this instance reaches others of its service. */
+  #isPassedOver (endpoint: Endpoint): boolean {
+    const { directory, reachesEndpoint } = this.#options
+    if (reachesEndpoint?.(endpoint) !== false) return false
+    return directory.usable(endpoint.service).some((other) => reachesEndpoint(other))
+  }
+
   /** Usually one group waits for an endpoint; just after a change of groups it can be several. */
   #pumpFor (endpoint: EndpointId): void {
     for (const batcher of this.#batchers.values()) if (batcher.waitsFor(endpoint)) batcher.pump()
--- a/packages/batching/src/CoordinatorRoster.test.ts
+++ b/packages/batching/src/CoordinatorRoster.test.ts
@@ -1,5 +1,5 @@
 import { brand, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, Incarnation, InstanceId } from '@papayahill/common'
+import type { DomainId, EndpointId, Incarnation, InstanceId, ServiceId } from '@papayahill/common'
 import type { PeerMember } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
 import { CoordinatorRoster } from './CoordinatorRoster.js'
@@ -60,4 +60,54 @@
     expect(coordinatorsOf(roster([...strong, ...weak])).every((id) => names.includes(id))).toBe(true)
     expect(coordinatorsOf(roster([...strong.slice(1), ...weak])).some((id) => !names.includes(id))).toBe(true)
   })
+
+  describe('instances that do not reach the endpoints of a service', () => {
+    const SERVICE = 'encode'
+    const GROUPS = Array.from({ length: 30 }, (_none, at) => `${SERVICE}/${at}`)
+
+    const rosterWith = (unreaching: ReadonlySet<string>, clock = new VirtualClock()): CoordinatorRoster => {
+      const members = ['b', 'c'].map((name) => memberOf(name))
+      const isReachedBy = (id: InstanceId, service: ServiceId): boolean => service !== SERVICE || !unreaching.has(id)
+      const reach = {
+        get version () { return unreaching.size },
+        reaches: (service: ServiceId) => isReachedBy(idOf('a'), service),
+        isReachedBy
+      }
+      return new CoordinatorRoster(clock, { self: idOf('a'), members: () => members }, 1, reach)
+    }
+    const chosenBy = (roster: CoordinatorRoster, groups = GROUPS): ReadonlySet<string> =>
+      new Set(groups.map((group) => roster.coordinatorOf(group)))
+
+    it('coordinate none of its groups, the own instance included, and all of them after the heal', () => {
+      const unreaching = new Set<string>()
+      const roster = rosterWith(unreaching)
+      const before = GROUPS.map((group) => roster.coordinatorOf(group))
+      unreaching.add('a').add('b')
+      expect(chosenBy(roster)).toEqual(new Set(['c']))
+      expect(GROUPS.every((group) => roster.mustLeave(group))).toBe(true)
+      unreaching.clear()
+      expect(GROUPS.map((group) => roster.coordinatorOf(group))).toEqual(before)
+      expect(GROUPS.some((group) => roster.mustLeave(group))).toBe(false)
+    })
+
+    it('go on to coordinate the groups of other services', () => {
+      const roster = rosterWith(new Set(['a', 'b']))
+      expect(chosenBy(roster, GROUPS.map((group) => `other ${group}`)).size).toBe(3)
+    })
+
+    it('coordinate where no instance reaches them', () => {
+      const roster = rosterWith(new Set(['a', 'b', 'c']))
+      expect(chosenBy(roster).size).toBe(3)
+    })
+
+    it('are excluded for a while once they have refused an order, before they have told', async () => {
+      const clock = new VirtualClock()
+      const roster = rosterWith(new Set(), clock)
+      roster.markUnreached(memberOf('b').incarnation, GROUPS[0]!)
+      expect(chosenBy(roster)).toEqual(new Set(['a', 'c']))
+      await clock.advance(millis(2000))
+      roster.markUnreached(memberOf('c').incarnation, 'other/0')
+      expect(chosenBy(roster)).toEqual(new Set(['a', 'b', 'c']))
+    })
+  })
 })
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -1,9 +1,19 @@
 import { firstByRendezvous, millis } from '@papayahill/common'
-import type { Clock, Incarnation, InstanceId, Millis } from '@papayahill/common'
+import type { Clock, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { PeerMember, Peers } from '@papayahill/peers'
+import type { Reach } from '@papayahill/reach'
 import { MAX_COORDINATOR_SILENCE, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
+import { serviceOf } from './endpointGroups.js'
 import type { OrderSender } from './types.js'
 
+/** Which instances reach the endpoints of a service, as far as they have told; `version` changes with the answers. */
+export interface RosterReach extends Pick<Reach, 'reaches' | 'isReachedBy'> {
+  readonly version: number
+}
+
+/** All instances reach all endpoints. */
+const FULL_REACH: RosterReach = { version: 0, reaches: () => true, isReachedBy: () => true }
+
 /** An instance that can coordinate batches. */
 interface CoordinatorCandidate {
   readonly id: InstanceId
@@ -19,7 +29,8 @@
 
 /**
  * Finds the instance that coordinates batches for a group of endpoints, by rendezvous hashing over the strong reachable
- * ones. If two instances coordinate one group at the same time, batches are less full but nothing breaks.
+ * ones that reach the group's endpoints themselves. If two instances coordinate one group at the same time, batches are
+ * less full but nothing breaks.
  *
  * @example
  * roster.coordinatorOf(group) === self
@@ -28,18 +39,24 @@
   readonly #clock: Clock
   readonly #peers: Pick<Peers, 'self' | 'members'>
   readonly #capacity: number
+  readonly #reach: RosterReach
   readonly #suspectedUntil = new Map<InstanceId, Millis>()
+  /** Incarnations that have refused orders for endpoints that they do not reach, by service. */
+  readonly #unreachedUntil = new Map<string, Millis>()
   /** Incarnations of instances that announced that they stop. */
   readonly #leavingIncarnations = new Set<Incarnation>()
-  /** Cache of coordinators by group; valid for `#cachedMembers`, since the member list is replaced on each change. */
+  /** Cache of coordinators by group; valid for `#cachedMembers` and `#cachedReach`. */
   readonly #coordinators = new Map<string, InstanceId>()
+  /** The member list is replaced on each change. */
   #cachedMembers: readonly PeerMember[] | undefined
+  #cachedReach = 0
   #isLeaving = false
 
-  constructor (clock: Clock, peers: Pick<Peers, 'self' | 'members'>, capacity = 1) {
+  constructor (clock: Clock, peers: Pick<Peers, 'self' | 'members'>, capacity = 1, reach = FULL_REACH) {
     this.#clock = clock
     this.#peers = peers
     this.#capacity = capacity
+    this.#reach = reach
   }
 
   /** This instance is stopping and coordinates no groups while another instance is reachable. */
@@ -65,6 +82,17 @@
     this.#coordinators.clear()
   }
 
+  /** Excludes an incarnation from the groups of a service until it has had time to tell that it does not reach them. */
+  markUnreached (incarnation: Incarnation, group: string): void {
+    this.#unreachedUntil.set(`${incarnation} ${serviceOf(group)}`, millis(this.#clock.now() + SUSPICION_PERIOD))
+    this.#coordinators.clear()
+  }
+
+  /** Whether this instance leaves the group to another one, since it does not reach the group's endpoints itself. */
+  mustLeave (group: string): boolean {
+    return !this.#reach.reaches(serviceOf(group)) && this.coordinatorOf(group) !== this.#peers.self
+  }
+
   /** The incarnation under which an instance is reachable; undefined if it is not. */
   incarnationOf (id: InstanceId): Incarnation | undefined {
     return this.#peers.members().find((member) => member.id === id)?.incarnation
@@ -83,8 +111,10 @@
 
   coordinatorOf (group: string): InstanceId {
     const members = this.#peers.members()
-    if (members !== this.#cachedMembers) this.#coordinators.clear()
+    const { version } = this.#reach
+    if (members !== this.#cachedMembers || version !== this.#cachedReach) this.#coordinators.clear()
     this.#cachedMembers = members
+    this.#cachedReach = version
     const known = this.#coordinators.get(group)
     if (known !== undefined) return known
     const found = this.#findCoordinator(group)
@@ -96,7 +126,15 @@
     const others = this.#reachablePeers()
     const isHandingOver = this.#isLeaving && others.length > 0
     const candidates = isHandingOver ? others : [...others, { id: this.#peers.self, capacity: this.#capacity }]
-    return firstByRendezvous(group, strongCandidates(candidates), ({ id }) => id)?.id ?? this.#peers.self
+    const reaching = candidates.filter(({ id }) => this.#isReachedBy(id, serviceOf(group)))
+    const strong = strongCandidates(reaching.length > 0 ? reaching : candidates)
+    return firstByRendezvous(group, strong, ({ id }) => id)?.id ?? this.#peers.self
+  }
+
+  #isReachedBy (id: InstanceId, service: ServiceId): boolean {
+    if (id === this.#peers.self) return this.#reach.reaches(service)
+    const refusedUntil = this.#unreachedUntil.get(`${this.incarnationOf(id)} ${service}`) ?? 0
+    return this.#reach.isReachedBy(id, service) && refusedUntil <= this.#clock.now()
   }
 
   #reachablePeers (): readonly CoordinatorCandidate[] {
--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -146,7 +146,9 @@
     return 1 + (this.#lastSlowdown - 1) * 2 ** (-age / SLOWDOWN_HALF_LIFE)
   }
 
-  #updateSlowdown ({ kind }: BatchAnswer, measured: number): void {
+  #updateSlowdown (answer: BatchAnswer, measured: number): void {
+    const { kind } = answer
+    if (kind === 'lost' && answer.isWithdrawn === true) return
     const now = this.#options.clock.now()
     const slowdown = this.#currentSlowdown(now)
     if (kind === 'lost') this.#lossesExpectedUntil = millis(now + LOSS_EXPECTED_PERIOD)
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -50,6 +50,31 @@
       await servedByOthers(harness, coordinator, 2000)
       expect(await servedByOthers(harness, coordinator, 4000)).toBe(1)
     })
+
+    it('has its requests served by another coordinator, and coordinates again after the heal', async () => {
+      const { harness, coordinator, orderer } = await startPair()
+      harness.cut(coordinator)
+      void harness.serve(coordinator, workFor(harness, 'before'))
+      await harness.clock.advance(seconds(3))
+      const served = harness.serve(coordinator, workFor(harness, 'during'))
+      await harness.clock.advance(seconds(2))
+      expect(await served).toBeLessThan(1000)
+      expect(harness.endpoints.calls.at(-1)?.instance).toBe(harness.instances[orderer]!.identity.id)
+      harness.heal(coordinator)
+      await harness.clock.advance(seconds(2))
+      void harness.serve(orderer, workFor(harness, 'after'))
+      await harness.clock.advance(seconds(1))
+      expect(harness.endpoints.calls.at(-1)?.instance).toBe(harness.instances[coordinator]!.identity.id)
+    })
+
+    it('gives queued pieces back as soon as it knows, and the calls in progress up', async () => {
+      const { harness, coordinator, orderer } = await startPair()
+      harness.cut(coordinator)
+      const served = Array.from({ length: 3 }, async (_none, at) => await harness.serve(orderer, workFor(harness, `request ${at}`)))
+      await harness.clock.advance(seconds(5))
+      expect((await Promise.all(served)).every((took) => took !== undefined && took < 3000)).toBe(true)
+      expect(harness.instances[coordinator]!.coordinator.waitingPieces).toBe(0)
+    })
   })
 
   describe('an instance that restarts under its id while its orders run', () => {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -2,7 +2,7 @@
 import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import type { BacklogTracker } from './BacklogTracker.js'
-import { PRESENCE_CHECK_PERIOD, ACCEPT_TIMEOUT } from './constants.js'
+import { ACCEPT_TIMEOUT, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { AcceptedOrders } from './AcceptedOrders.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
@@ -24,6 +24,8 @@
 
 /** Answer to an order from an instance that missed the message that this one stops, as after its own restart. */
 const LEAVING = 'leaving'
+/** Answer to an order from an instance that has not learned yet that this one does not reach the endpoints. */
+const UNREACHED = 'unreached'
 
 interface OpenOrder {
   readonly to: InstanceId
@@ -146,10 +148,24 @@
       if (incarnation !== undefined) roster.markLeaving(incarnation)
       return await this.run(order, listener)
     }
+    if (accepted.value === UNREACHED) {
+      this.#openOrders.delete(id)
+      return await this.#runAtReaching(to, order, listener)
+    }
     this.#recordBacklogs(unpackBacklogs(accepted.value))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
+  /** Orders again from an instance that reaches the endpoints; waits a little where none is known to. */
+  async #runAtReaching (refusedBy: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    const { clock, roster } = this.#options
+    const incarnation = roster.incarnationOf(refusedBy)
+    if (incarnation !== undefined) roster.markUnreached(incarnation, order.group)
+    if (roster.coordinatorOf(order.group) === refusedBy) await clock.sleep(REORDER_PERIOD)
+    if (order.pieces[0]!.deadline <= clock.now()) return failAllPieces(order, 'late')
+    return await this.run(order, listener)
+  }
+
   #nextId (): OrderId {
     return brand<OrderId>(`${this.#options.peers.incarnation}/${++this.#orderCount}`)
   }
@@ -187,6 +203,7 @@
   #acceptOrder (from: OrderSender, id: OrderId, order: StageOrder): Json {
     const { coordinator, roster } = this.#options
     if (roster.isLeaving) return LEAVING
+    if (roster.mustLeave(order.group)) return UNREACHED
     const accepted = this.#acceptedOrders.add(from, order)
     const onInputsRead = (): void => this.#sendBack(from, { kind: 'read', id })
     return packBacklogs(coordinator.accept(order, { onInputsRead }, (outcomes) => {
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -4,6 +4,8 @@
 export const ACCEPT_TIMEOUT = millis(250)
 /** Time for which an instance that did not accept an order is not chosen as coordinator here. */
 export const SUSPICION_PERIOD = millis(1500)
+/** Wait before an order goes once more to an instance that has refused it, where no other is known. */
+export const REORDER_PERIOD = millis(50)
 /** An instance whose link was silent for this long is not chosen as coordinator. */
 export const MAX_COORDINATOR_SILENCE = millis(1300)
 /** Time after which other instances' results are assumed to be read and freed. */
--- a/packages/batching/src/endpointGroups.ts
+++ b/packages/batching/src/endpointGroups.ts
@@ -17,6 +17,17 @@
   return brand<GroupId>(`${service}/${group}`)
 }
 
+/**
+ * The service of a group.
+ *
+ * @example
+ * serviceOf('encode/0') // 'encode'
+ */
+export const serviceOf = (group: string): ServiceId => {
+  const end = group.lastIndexOf('/')
+  return brand<ServiceId>(end < 0 ? group : group.slice(0, end))
+}
+
 /** Looks up the group of an endpoint; undefined where the endpoint is no longer known. */
 export interface GroupLookup {
   groupOf (endpoint: EndpointId): GroupId | undefined
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -5,6 +5,8 @@
 import { UNLIMITED } from '@papayahill/limits'
 import { MemoryNetwork, PeerCore } from '@papayahill/peers'
 import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
+import { EndpointReach } from '@papayahill/reach'
+import type { ProbeResult } from '@papayahill/reach'
 import { Result } from 'true-myth'
 import { BacklogTracker } from '../BacklogTracker.js'
 import { groupsIn } from '../endpointGroups.js'
@@ -18,6 +20,9 @@
 
 /** Network delay in each direction. */
 const ONE_WAY_DELAY = millis(1)
+const CONNECT_TIMEOUT = millis(500)
+/** Time without an answer after which a call is reported as silent. */
+const SILENCE = millis(1000)
 
 interface HeldResult {
   /** The request for which it was made. */
@@ -75,10 +80,10 @@
   }
 
   /** The calls of one process; once it has ended, it sends none. */
-  callerOf ({ id, incarnation }: PeerIdentity): BatchCaller {
+  callerOf ({ id, incarnation }: PeerIdentity, reach: EndpointReach): BatchCaller {
     const never = new Promise<never>(() => {})
     return {
-      call: (endpoint, pieces, timeout) => this.#ended.has(incarnation) ? never : this.#callOrLose(endpoint, pieces, id, timeout),
+      call: (endpoint, pieces, timeout) => this.#ended.has(incarnation) ? never : this.#callOrLose(endpoint, pieces, id, timeout, reach),
       free: (endpoint, handles) => this.#ended.has(incarnation) || this.#cut.has(id) ? never : this.#free(endpoint, handles)
     }
   }
@@ -98,13 +103,33 @@
     this.#ended.add(incarnation)
   }
 
-  async #callOrLose (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId, timeout: Millis): Promise<BatchAnswer> {
-    const lost: BatchAnswer = { kind: 'lost', detail: 'no answer in time', isConnectionLost: false }
-    const startedAt = this.#clock.now()
-    const answer = this.#cut.has(instance) ? undefined : await this.#call(endpoint, pieces, instance)
-    if (!this.#cut.has(instance) && answer !== undefined) return answer
-    await this.#clock.sleep(millis(Math.max(0, startedAt + timeout - this.#clock.now())))
-    return lost
+  /** A cut instance's connections hang. */
+  async probe (instance: InstanceId): Promise<ProbeResult> {
+    const isCut = this.#cut.has(instance)
+    await this.#clock.sleep(isCut ? CONNECT_TIMEOUT : ONE_WAY_DELAY)
+    return isCut ? 'unknown' : 'listening'
+  }
+
+  async #callOrLose (
+    endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId, timeout: Millis, reach: EndpointReach
+  ): Promise<BatchAnswer> {
+    const silence = this.#clock.every(SILENCE, () => reach.noteSilence(endpoint))
+    const gaveUp = new Promise<BatchAnswer>((resolve) => {
+      const giveUp = (isWithdrawn: boolean): void =>
+        resolve({ kind: 'lost', detail: 'no answer in time', isConnectionLost: false, isWithdrawn })
+      this.#clock.after(timeout, () => { if (this.#cut.has(instance)) giveUp(false) })
+      reach.onPathLost((lost) => { if (lost === endpoint) giveUp(true) })
+    })
+    const answer = await Promise.race([gaveUp, this.#answerTo(endpoint, pieces, instance)])
+    silence.cancel()
+    if (answer.kind === 'answered') reach.noteContact(endpoint)
+    return answer
+  }
+
+  async #answerTo (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId): Promise<BatchAnswer> {
+    if (this.#cut.has(instance)) return await new Promise<never>(() => {})
+    const answer = await this.#call(endpoint, pieces, instance)
+    return this.#cut.has(instance) ? await new Promise<never>(() => {}) : answer
   }
 
   async #call (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId): Promise<BatchAnswer> {
@@ -252,12 +277,24 @@
     directory.changed(this.#listed.map(([service, id]) => ({
       key: id, value: { record: stageRecord(id, service) }, revision: 1
     })), millis(0))
-    const roster = new CoordinatorRoster(clock, peers)
+    const reach = new EndpointReach({
+      clock, log: SILENT_LOG, directory, peers, probe: () => this.endpoints.probe(identity.id), hasIdle: () => false
+    })
+    const roster = new CoordinatorRoster(clock, peers, 1, reach)
     const profileOf = () => this.#profile
     const isOwn = (group: string): boolean => roster.coordinatorOf(group) === identity.id
     const coordinator = new BatchCoordinator({
-      clock, log: SILENT_LOG, caller: this.endpoints.callerOf(identity), directory, limits: UNLIMITED, profileOf, isOwn
+      clock,
+      log: SILENT_LOG,
+      caller: this.endpoints.callerOf(identity, reach),
+      directory,
+      limits: UNLIMITED,
+      profileOf,
+      isOwn,
+      mustLeave: (group) => roster.mustLeave(group),
+      reachesEndpoint: (endpoint) => reach.reachesEndpoint(endpoint)
     })
+    reach.onChange(() => coordinator.pumpAll())
     clock.every(millis(100), () => coordinator.pumpAll())
     const backlogs = new BacklogTracker(clock)
     const groups = groupsIn(directory)
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -57,8 +57,11 @@
   | { readonly kind: 'answered', readonly outcomes: readonly CallOutcome[] }
   /** The endpoint answered that it did not run the call. */
   | { readonly kind: 'refused', readonly detail: string }
-  /** It may have run; `isConnectionLost` if its connection ended before the answer was complete. */
-  | { readonly kind: 'lost', readonly detail: string, readonly isConnectionLost: boolean }
+  /**
+   * It may have run; `isConnectionLost` if its connection ended before the answer was complete, `isWithdrawn` if this
+   * instance gave it up, since it had lost its path to the endpoint.
+   */
+  | { readonly kind: 'lost', readonly detail: string, readonly isConnectionLost: boolean, readonly isWithdrawn?: boolean }
   /** No connection could be opened; nothing was sent. */
   | { readonly kind: 'unreachable', readonly detail: string }
 
