Calls tell of the paths that they use; silence alone no longer makes an endpoint suspect

Connections that open or fail, bytes, and calls without a byte for longer than usual are told to the package reach, which probes the path. A call that is given up for its silence makes its endpoint avoided only if that has been silent for 2 s (a sound one may be for a second or so); refusals and lost or late calls count against endpoints or versions once another endpoint was reached after them, and never if this instance was cut off. Tests of the move gate and the call monitor take a judge that passes all losses on, so they check what they did.

--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -62,6 +62,8 @@
   bytesRead: number
   /** Called after received bytes have been parsed. */
   onRead: () => void
+  /** Called once the connection has opened, or could not be opened. */
+  onConnected: (isOpen: boolean) => void
 }
 
 /** A reset that arrives with the last bytes is reported as an orderly end; only the missing remote address reveals it. */
@@ -79,6 +81,7 @@
     isUsed = true
     connect(options, (...connected) => {
       const [, socket] = connected
+      state.onConnected(socket !== null)
       socket?.on('readable', () => {
         state.bytesRead = socket.bytesRead
         // The client parses the bytes in its own listener, which is called after this one.
@@ -109,7 +112,7 @@
  */
 export class EndpointSocket {
   readonly #client: Client
-  readonly #state: SocketState = { isEnded: false, isBroken: false, bytesRead: 0, onRead: () => {} }
+  readonly #state: SocketState = { isEnded: false, isBroken: false, bytesRead: 0, onRead: () => {}, onConnected: () => {} }
   #isUsed = false
   #isLost = false
   #isClosed = false
@@ -138,6 +141,11 @@
     return this.#isUsed
   }
 
+  /** Sets a listener that is called once: whether the connection opened, unless it was closed before. */
+  onConnected (listener: (isOpen: boolean) => void): void {
+    this.#state.onConnected = (isOpen) => { if (isOpen || !this.#isClosed) listener(isOpen) }
+  }
+
   /** Sets a listener that is called once if the connection ends by any means other than {@link EndpointSocket.close}. */
   onLost (listener: () => void): void {
     this.#onLost = listener
--- a/packages/forwarding/src/CallMonitor.test.ts
+++ b/packages/forwarding/src/CallMonitor.test.ts
@@ -1,6 +1,7 @@
 import { brand, millis, VirtualClock } from '@papayahill/common'
 import type { ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
+import { NO_JUDGE } from '@papayahill/reach'
 import { describe, expect, it } from 'vitest'
 import { CallMonitor } from './CallMonitor.js'
 import { endpointOfVersion } from './testing/endpointOfVersion.js'
@@ -18,6 +19,7 @@
   const clock = new VirtualClock()
   const verdicts: string[] = []
   const calls = new CallMonitor({
+    losses: NO_JUDGE,
     clock,
     isOnTrial: ({ record }) => record.version === 'v2',
     onVerdict: ({ record }, _route, verdict) => verdicts.push(`${record.version} ${verdict}`)
--- a/packages/forwarding/src/CallMonitor.ts
+++ b/packages/forwarding/src/CallMonitor.ts
@@ -1,6 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
 import type { Endpoint, ServingRoute } from '@papayahill/directory'
+import type { LossJudge } from '@papayahill/reach'
 import { SAME_LOSS_SPAN, SLOW_FACTOR, SLOW_MARGIN, USUAL_TIME_WEIGHT } from './constants.js'
 import type { CallEnd } from './types.js'
 import type { VersionCall } from './VersionGate.js'
@@ -13,6 +14,8 @@
   readonly isOnTrial: (endpoint: Endpoint) => boolean
   /** Called once for each call that says something about its endpoint's version. */
   readonly onVerdict: (endpoint: Endpoint, route: ServingRoute, verdict: CallVerdict) => void
+  /** Tells lost and late calls of an endpoint from those of an instance that is cut off from all of them. */
+  readonly losses: LossJudge
 }
 
 interface MonitoredCall {
@@ -68,7 +71,8 @@
     this.#open.delete(call)
     this.#checkWait(call)
     if (isCancelled || (end.kind === 'lost' && end.isConnectionLost && !this.#isFirstLoss(call))) return
-    if (end.kind === 'lost' || (end.kind === 'answered' && end.status >= 500)) return this.#setVerdict(call, 'bad')
+    if (end.kind === 'lost') return this.#setLostVerdict(call, (tell) => this.#options.losses.judgeLoss(call.endpoint, tell))
+    if (end.kind === 'answered' && end.status >= 500) return this.#setVerdict(call, 'bad')
     if (end.kind !== 'answered' && end.kind !== 'streamed') return
     this.#updateUsualTime(call)
     this.#setVerdict(call, 'good')
@@ -90,7 +94,14 @@
     const isSlow = usual !== undefined && clock.now() - call.sentAt > SLOW_FACTOR * usual + SLOW_MARGIN
     if (!isSlow) return
     if (call.endpoint.isCold(clock.now())) call.hasVerdict = true
-    else this.#setVerdict(call, 'bad')
+    else this.#setLostVerdict(call, (tell) => this.#options.losses.judgeWait(call.endpoint, tell))
+  }
+
+  /** A bad verdict that counts once it is known to be the endpoint's. */
+  #setLostVerdict (call: MonitoredCall, judge: (tell: () => void) => void): void {
+    if (call.hasVerdict) return
+    call.hasVerdict = true
+    judge(() => this.#options.onVerdict(call.endpoint, call.route, 'bad'))
   }
 
   #setVerdict (call: MonitoredCall, verdict: CallVerdict): void {
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -12,6 +12,8 @@
   readonly profileOf: ProfileLookup
   /** Divides an endpoint's connection limit between the instances. */
   readonly partitioner: Pick<LimitPartitioner, 'shareOf' | 'forget'>
+  /** Called when a connection has opened, or could not be opened. */
+  readonly onConnected: (endpoint: Endpoint, isOpen: boolean) => void
 }
 
 interface EndpointConnections {
@@ -58,6 +60,7 @@
     connections.open++
     const socket = new EndpointSocket(originOf(endpoint))
     socket.onClosed(() => { connections.open-- })
+    socket.onConnected((isOpen) => this.#options.onConnected(endpoint, isOpen))
     return socket
   }
 
@@ -71,6 +74,11 @@
     return undefined
   }
 
+  /** Whether a connection to the endpoint is open and carries no request. */
+  hasIdle (endpoint: Endpoint): boolean {
+    return this.#connections.get(endpoint.id)?.idle.some((socket) => socket.isUsable) === true
+  }
+
   /** Whether something still listens at the endpoint's address. */
   async probe ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
     return await probeListener(ip, port)
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -3,7 +3,10 @@
 import type { Millis, Tokens } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
-import { HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT } from './constants.js'
+import {
+  HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT, PLAIN_SILENCE, STREAM_SILENCE,
+  USUAL_SILENCE_FACTOR
+} from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -89,7 +92,7 @@
 
   #newExchange (): OpaqueExchange {
     const { context, request, endpoint, check, relay, inputs, canRetry } = this.#options
-    const { clock, log, wire, directory, limits, firstEvents } = context
+    const { clock, log, wire, directory, limits, firstEvents, reach } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
     const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
@@ -99,6 +102,8 @@
       wire,
       directory,
       limits,
+      paths: reach,
+      probedSilence: this.#probedSilence,
       isAllowed: () => !check.mustWithdraw(endpoint),
       relay: relay === undefined ? undefined : this.#watchFirstEvent(relay),
       firstByteTimeout: firstByteTimeoutOf(this.#timeLeft, hangTimeout, canRetry),
@@ -114,6 +119,14 @@
     })
   }
 
+  /** Time without a byte that is unusual on the route. */
+  get #probedSilence (): Millis {
+    const { context: { firstEvents, answerTimes }, request: { route } } = this.#options
+    const isStream = route.kind === 'streaming'
+    const usual = (isStream ? firstEvents : answerTimes).mean(route.name)
+    return millis(Math.max(isStream ? STREAM_SILENCE : PLAIN_SILENCE, USUAL_SILENCE_FACTOR * usual))
+  }
+
   get #timeLeft (): Millis {
     return millis(this.#options.request.deadline - this.#options.context.clock.now())
   }
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -3,6 +3,7 @@
 import type { EndpointDirectory } from '@papayahill/directory'
 import type { SharedRateLimiter } from '@papayahill/limits'
 import type { QuarantineManager } from '@papayahill/quarantine'
+import type { PathEvidence, Reach } from '@papayahill/reach'
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { EngineTracker } from './EngineTracker.js'
@@ -36,6 +37,8 @@
   readonly stages: StageContext
   readonly versions: VersionGate
   readonly profileOf: ProfileLookup
+  /** What this instance and its peers reach. */
+  readonly reach: Reach & PathEvidence
   /** Reads what callers sent or closed while the event loop was blocked. */
   readonly arrivals: Pick<ArrivalReader, 'catchUp'>
   /** Failure domain of this instance. */
--- a/packages/forwarding/src/MoveGate.test.ts
+++ b/packages/forwarding/src/MoveGate.test.ts
@@ -1,6 +1,7 @@
 import { brand, EventRecorder, millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
 import type { Json, Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint, ServingRoute } from '@papayahill/directory'
+import { NO_JUDGE } from '@papayahill/reach'
 import { describe, expect, it } from 'vitest'
 import { MoveGate } from './MoveGate.js'
 import type { MoveRecord } from './MoveGate.js'
@@ -33,6 +34,7 @@
   const reports = new Map<number, Json>()
   let record: MoveRecord | undefined
   const gates = Array.from({ length: instances }, (_none, self) => new MoveGate({
+    losses: NO_JUDGE,
     clock,
     random: new SeededRandom(seed * instances + self + 1),
     log: new EventRecorder(clock),
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -1,6 +1,7 @@
 import { isJsonObject } from '@papayahill/common'
 import type { Clock, EventLog, Json, Millis, Random, ServiceId } from '@papayahill/common'
 import type { Endpoint, ServingRoute, VersionOrder } from '@papayahill/directory'
+import type { LossJudge } from '@papayahill/reach'
 import {
   MOVE_DONE_MARGIN, MOVE_FULL_TRAFFIC_SPAN, MOVE_PROBE_SHARE, MOVE_TRIED_CALLS, MOVE_TRIED_SHARE, MOVE_UNTRIED_FACTOR
 } from './constants.js'
@@ -43,6 +44,8 @@
   readonly exposureShare: () => number
   /** Whether this instance records the move of a service; one instance does at a time. */
   readonly isRecorder: (service: ServiceId) => boolean
+  /** Tells lost and late calls of an endpoint from those of an instance that is cut off from all of them. */
+  readonly losses: LossJudge
 }
 
 interface OpenMove {
@@ -86,6 +89,7 @@
     this.#calls = new CallMonitor({
       clock: options.clock,
       isOnTrial: (endpoint) => this.#moves.get(endpoint.service)?.order.to === endpoint.record.version,
+      losses: options.losses,
       onVerdict: (endpoint, route, verdict) => this.#count(endpoint, route, verdict)
     })
   }
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -4,6 +4,7 @@
 import type { EndpointSocket, SocketAnswer, SocketFailure } from '@papayahill/connections'
 import type { ServingRoute } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
+import type { PathEvidence } from '@papayahill/reach'
 import type { Result } from 'true-myth'
 import { LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE } from './constants.js'
 import { EventScanner } from './EventScanner.js'
@@ -18,6 +19,9 @@
   readonly wire: CallWire
   readonly directory: NoticeContext['directory']
   readonly limits: Pick<RequestLimits, 'trySend'>
+  readonly paths: PathEvidence
+  /** Time without a byte after which the path to the endpoint is probed. */
+  readonly probedSilence: Millis
   /** Whether the request may still be sent, asked once the connection is open. */
   readonly isAllowed: () => boolean
   readonly call: OutboundCall
@@ -53,7 +57,10 @@
   #hasEvents = false
   #silenceTimer: Timer | undefined
   #deadlineTimer: Timer | undefined
+  #probeTimer: Timer | undefined
   #stopCause: string | undefined
+  /** Whether the call was given up because nothing came in time, which alone is no failure of the endpoint. */
+  #isHung = false
   /** Whether the request was not sent because the endpoint or the request had become unusable, or a limit left no token. */
   #isWithheld = false
   /** Whether the connection carried an earlier request. */
@@ -76,10 +83,12 @@
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
     this.#setSilenceTimer(firstByteTimeout)
-    this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#stop('the deadline passed'))
+    this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('the deadline passed'))
+    this.#awaitBytes()
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#silenceTimer?.cancel()
     this.#deadlineTimer.cancel()
+    this.#probeTimer?.cancel()
     signal.removeEventListener('abort', onAbort)
     const end = this.#endOf(result)
     this.#updateEndpointHealth(end)
@@ -94,7 +103,8 @@
   }
 
   onStart (answer: SocketAnswer): void {
-    const { wire, call, relay } = this.#options
+    const { wire, call, relay, paths } = this.#options
+    paths.noteContact(call.endpoint)
     const notices = wire.readAnswer(answer)
     this.#status = answer.status
     this.#notices = notices
@@ -110,6 +120,8 @@
 
   onData (data: Buffer): void {
     this.#recordFirstByte()
+    this.#options.paths.noteContact(this.#options.call.endpoint)
+    this.#awaitBytes()
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
     if (!this.#body.add(data)) this.#stop('the answer is too large')
   }
@@ -148,7 +160,19 @@
 
   #setSilenceTimer (span: Millis): void {
     this.#silenceTimer?.cancel()
-    this.#silenceTimer = this.#options.clock.after(span, () => this.#stop(`no data for ${Math.round(span)} ms`))
+    this.#silenceTimer = this.#options.clock.after(span, () => this.#giveUp(`no data for ${Math.round(span)} ms`))
+  }
+
+  /** Has the path probed for as long as no further byte comes. */
+  #awaitBytes (): void {
+    const { clock, paths, probedSilence, call } = this.#options
+    this.#probeTimer?.cancel()
+    this.#probeTimer = clock.every(probedSilence, () => paths.noteSilence(call.endpoint))
+  }
+
+  #giveUp (cause: string): void {
+    this.#isHung = this.#stopCause === undefined
+    this.#stop(cause)
   }
 
   #stop (cause: string): void {
@@ -194,13 +218,15 @@
 
   /** Updates the endpoint's health from the outcome of the call. */
   #updateEndpointHealth (end: CallEnd): void {
-    const { call, clock } = this.#options
+    const { call, clock, paths } = this.#options
     const { endpoint, request } = call
+    if (end.kind === 'lost' && end.isConnectionLost) paths.noteNoContact(endpoint)
     if (request.signal.aborted || this.#isWithdrawn) return
     const now = clock.now()
     if (end.kind === 'not-run' && (this.#isWithheld || !endpoint.isAvailable(now))) return
     const isBroken = end.kind === 'lost' || (end.kind === 'not-run' && (!end.isReceived || this.#notices?.isOtherEndpoint === true))
-    if (isBroken) endpoint.noteConnectionFailure(now)
+    if (isBroken && this.#isHung) paths.noteHang(endpoint)
+    else if (isBroken) endpoint.noteConnectionFailure(now)
     else if (end.kind === 'answered') endpoint.noteAnswer(end.status < 500, now)
     else if (end.kind === 'streamed') endpoint.noteAnswer(true, now)
   }
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -19,6 +19,11 @@
 export const HANG_TIMEOUT_TARGETS = 2.5
 /** Lower bound of that timeout. */
 export const MIN_HANG_TIMEOUT = millis(250)
+/** Time without a byte after which the path of a call is probed; for a stream, also between its events. */
+export const PLAIN_SILENCE = millis(300)
+export const STREAM_SILENCE = millis(1000)
+/** The same, as a multiple of the route's usual time, where that is longer. */
+export const USUAL_SILENCE_FACTOR = 1.2
 /** Grace after a call's deadline, which its endpoint enforces itself, before its answer is no longer awaited. */
 export const LATE_ANSWER_GRACE = millis(400)
 /** A resumable stream is resumed at another endpoint after a pause of this many times the longest gap of its route. */
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -3,7 +3,8 @@
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import {
-  MAX_OPEN_PROBES, MAX_PROBED_PER_SERVICE, MAX_SOUND_SILENCE, MIN_PROBE_SPACING, PROBE_PERIOD, PROBED_AT_LOSS, PROBED_LOST, RECENT_CONTACT
+  JUST_NOW, MAX_OPEN_PROBES, MAX_PROBED_PER_SERVICE, MAX_SOUND_SILENCE, MIN_PROBE_SPACING, MIN_SILENCE_SPACING, PROBE_PERIOD,
+  PROBED_AT_LOSS, PROBED_LOST, RECENT_CONTACT
 } from './constants.js'
 import { REACH_EVENTS } from './events.js'
 import { HeldLosses } from './HeldLosses.js'
@@ -149,7 +150,7 @@
     const now = this.#options.clock.now()
     const path = this.#paths.of(endpoint)
     path.silentSince ??= now
-    if (now - path.contactAt >= RECENT_CONTACT) this.#doubt(path)
+    if (now - path.contactAt >= RECENT_CONTACT && now - path.openedAt >= MIN_SILENCE_SPACING) this.#doubt(path)
   }
 
   noteHang (endpoint: Endpoint): void {
@@ -169,6 +170,11 @@
     if (chosen.length === 0) this.#prober.probe(this.#paths.of(endpoint))
   }
 
+  judgeWait (endpoint: Endpoint, tell: () => void): void {
+    if (this.#options.clock.now() - this.#lastContactAt <= JUST_NOW) tell()
+    else this.judgeLoss(endpoint, tell)
+  }
+
   #doubt (path: Path): void {
     if (path.lostAt !== undefined || this.#cutAt !== undefined || path.endpoint.isGone) return
     if (!this.#doubts.has(path)) this.#doubts.set(path, this.#options.clock.now())
--- a/packages/reach/src/constants.ts
+++ b/packages/reach/src/constants.ts
@@ -14,8 +14,12 @@
 export const MAX_PROBE_TIME = millis(750)
 /** A call's silence says nothing about a path on which bytes of other calls arrived within this time. */
 export const RECENT_CONTACT = millis(250)
+/** Time after a connection has opened in which a call's silence does not have it probed again. */
+export const MIN_SILENCE_SPACING = millis(500)
+/** Age up to which bytes show that this instance is not cut off. */
+export const JUST_NOW = millis(100)
 /** An endpoint that accepts connections and sends nothing for this long has failed; a sound one may be silent for a second or so. */
-export const MAX_SOUND_SILENCE = millis(2500)
+export const MAX_SOUND_SILENCE = millis(2000)
 /** Time for which it stays open whether a lost call shows anything about its endpoint. */
 export const MAX_JUDGE_TIME = millis(600)
 /** Other endpoints that are probed when a call is lost. */
--- a/packages/reach/src/types.ts
+++ b/packages/reach/src/types.ts
@@ -35,4 +35,9 @@
 export interface LossJudge {
   /** Calls `tell` once the loss is known to be the endpoint's; never, if this instance had lost its paths to all endpoints. */
   judgeLoss (endpoint: Endpoint, tell: () => void): void
+  /** The same for a call that has waited for long; bytes from any endpoint just now show that this instance is not cut off. */
+  judgeWait (endpoint: Endpoint, tell: () => void): void
 }
+
+/** A judge that takes all losses for the endpoints'. */
+export const NO_JUDGE: LossJudge = { judgeLoss: (_endpoint, tell) => tell(), judgeWait: (_endpoint, tell) => tell() }
