reach: what a cut seemed to show is settled after the heal; connections that are reset at once reach nothing

Probes and new connections count once they have lasted for 25 ms, since something between may accept and reset them.

--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OPEN_TIMEOUT, OVERHEAD_FACTOR } from './constants.js'
+import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OPEN_TIMEOUT, OVERHEAD_FACTOR, SETTLE_TIME } from './constants.js'
 import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
 
@@ -69,6 +69,12 @@
 /** A reset that arrives with the last bytes is reported as an orderly end; only the missing remote address reveals it. */
 const hasPeer = (socket: Socket): boolean => socket.remoteAddress !== undefined
 
+/** Reports a connection as open once it has lasted for a moment, or as failed. */
+const reportConnected = (state: SocketState, isOpen: boolean): void => {
+  if (!isOpen) return state.onConnected(false)
+  setTimeout(() => state.onConnected(!state.isEnded || state.bytesRead > 0), SETTLE_TIME).unref()
+}
+
 /**
  * Connects only once: a lost connection is never replaced silently, since the caller confirmed the endpoint on it. The
  * state is updated before the client handles the end, because the client accepts the bytes before a reset as a whole answer.
@@ -81,7 +87,7 @@
     isUsed = true
     connect(options, (...connected) => {
       const [, socket] = connected
-      state.onConnected(socket !== null)
+      reportConnected(state, connected[0] === null)
       socket?.on('readable', () => {
         state.bytesRead = socket.bytesRead
         // The client parses the bytes in its own listener, which is called after this one.
@@ -141,9 +147,9 @@
     return this.#isUsed
   }
 
-  /** Sets a listener that is called once: whether the connection opened, unless it was closed before. */
+  /** Sets a listener that is called once: whether the connection opened and lasted, unless this side closed it first. */
   onConnected (listener: (isOpen: boolean) => void): void {
-    this.#state.onConnected = (isOpen) => { if (isOpen || !this.#isClosed) listener(isOpen) }
+    this.#state.onConnected = (isOpen) => { if (isOpen || this.#isLost || !this.#isClosed) listener(isOpen) }
   }
 
   /** Sets a listener that is called once if the connection ends by any means other than {@link EndpointSocket.close}. */
--- a/packages/connections/src/constants.ts
+++ b/packages/connections/src/constants.ts
@@ -2,6 +2,8 @@
 
 /** Longest wait for a connection to an endpoint. */
 export const OPEN_TIMEOUT = millis(500)
+/** A connection that something between accepts and resets at once has never reached its endpoint. */
+export const SETTLE_TIME = millis(25)
 /** Time for which an idle connection is kept open; endpoints may request less by a keep-alive hint. */
 export const IDLE_TIMEOUT = seconds(600)
 /**
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -1,5 +1,5 @@
 import type { EndpointId } from '@papayahill/common'
-import { EndpointSocket, probeListener } from '@papayahill/connections'
+import { EndpointSocket, probeListener, probePath } from '@papayahill/connections'
 import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { isIPv6 } from 'node:net'
@@ -84,6 +84,11 @@
     return await probeListener(ip, port)
   }
 
+  /** Whether new connections reach the endpoint. */
+  async probePath ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
+    return await probePath(ip, port)
+  }
+
   release (endpoint: Endpoint, socket: EndpointSocket): void {
     const { idle } = this.#connectionsOf(endpoint)
     if (!socket.isUsable) return
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -89,7 +89,10 @@
     this.#calls = new CallMonitor({
       clock: options.clock,
       isOnTrial: (endpoint) => this.#moves.get(endpoint.service)?.order.to === endpoint.record.version,
-      losses: options.losses,
+      losses: {
+        judgeLoss: (endpoint, tell) => this.#moves.has(endpoint.service) ? options.losses.judgeLoss(endpoint, tell) : tell(),
+        judgeWait: (endpoint, tell) => this.#moves.has(endpoint.service) ? options.losses.judgeWait(endpoint, tell) : tell()
+      },
       onVerdict: (endpoint, route, verdict) => this.#count(endpoint, route, verdict)
     })
   }
--- a/packages/reach/src/EndpointReach.test.ts
+++ b/packages/reach/src/EndpointReach.test.ts
@@ -365,6 +365,27 @@
       expect(told).toBe(0)
     })
 
+    // Guards against calls that are late because of a cut and count as bad answers of a version before the cut is known.
+    it('is dropped though a late call is the first sign that this instance was cut off', async () => {
+      const rig = new ReachRig()
+      let told = 0
+      await rig.traffic(1000)
+      await rig.clock.advance(millis(200))
+      rig.set('hangs')
+      rig.reach.judgeWait(rig.endpoint(ORDERS, 0), () => told++)
+      await rig.traffic(3000)
+      expect(told).toBe(0)
+    })
+
+    it('is told at once for a late call while bytes come from other endpoints', async () => {
+      const rig = new ReachRig()
+      let told = 0
+      rig.reach.noteContact(rig.endpoint(SEARCH, 0))
+      rig.reach.judgeWait(rig.endpoint(ORDERS, 0), () => told++)
+      expect(told).toBe(1)
+      expect(rig.probes).toBe(0)
+    })
+
     it('is told within some round trips if it was the endpoint', async () => {
       const rig = new ReachRig()
       let told = 0
@@ -375,6 +396,36 @@
       expect(told).toBe(1)
     })
 
+    // Guards against crashes that count nowhere where one request ends all endpoints one after the other.
+    it('is told once any endpoint is back if all had really ended', async () => {
+      const rig = new ReachRig({ services: [ORDERS], endpoints: 2 })
+      const told: EndpointId[] = []
+      rig.set('refuses')
+      for (const endpoint of rig.directory.usable(ORDERS)) {
+        rig.reach.noteNoContact(endpoint)
+        rig.reach.judgeLoss(endpoint, () => told.push(endpoint.id))
+      }
+      await rig.clock.advance(seconds(1))
+      expect(told).toEqual([])
+      const lost = rig.directory.usable(ORDERS)
+      rig.list([recordOf(ORDERS, 0, 2)])
+      rig.set((endpoint) => lost.includes(endpoint) ? 'refuses' : 'open')
+      await rig.clock.advance(seconds(1))
+      expect(told.length).toBe(2)
+    })
+
+    it('is told by bytes of another endpoint', async () => {
+      const rig = new ReachRig()
+      let told = 0
+      rig.set('hangs')
+      rig.reach.judgeLoss(rig.endpoint(ORDERS, 0), () => told++)
+      rig.reach.noteContact(rig.endpoint(SEARCH, 0))
+      expect(told).toBe(0)
+      await rig.clock.advance(millis(10))
+      rig.reach.noteContact(rig.endpoint(SEARCH, 1))
+      expect(told).toBe(1)
+    })
+
     it('is told after the heal again', async () => {
       const rig = new ReachRig()
       let told = 0
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -3,8 +3,8 @@
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import {
-  JUST_NOW, MAX_OPEN_PROBES, MAX_PROBED_PER_SERVICE, MAX_SOUND_SILENCE, MIN_PROBE_SPACING, MIN_SILENCE_SPACING, PROBE_PERIOD,
-  PROBED_AT_LOSS, PROBED_LOST, RECENT_CONTACT
+  HEAL_GRACE, JUST_NOW, MAX_OPEN_PROBES, MAX_PROBED_PER_SERVICE, MAX_SOUND_SILENCE, MIN_PROBE_SPACING, MIN_SILENCE_SPACING,
+  PROBE_PERIOD, PROBED_AT_LOSS, PROBED_LOST, RECENT_CONTACT
 } from './constants.js'
 import { REACH_EVENTS } from './events.js'
 import { HeldLosses } from './HeldLosses.js'
@@ -70,7 +70,7 @@
     this.#options = options
     this.#prober = new PathProber({ clock, probe, onResult: (path, result, startedAt) => this.#receive(path, result, startedAt) })
     this.#peerReach = new PeerReach({ clock, peers, onChange: () => { this.#version++ } })
-    this.#held = new HeldLosses(clock, () => this.#suspicion !== undefined)
+    this.#held = new HeldLosses(clock, () => this.#isInDoubt)
     directory.onGone((endpoint) => {
       const path = this.#paths.of(endpoint)
       this.#lost.delete(path)
@@ -121,6 +121,7 @@
     path.contactAt = now
     path.silentSince = undefined
     this.#lastContactAt = now
+    if (!this.#isCutOrHealing) this.#held.noteBytes(endpoint)
     const isUnreached = path.lostAt !== undefined || !this.reaches(endpoint.service)
     if (!isUnreached) this.#doubts.delete(path)
     else if (now - path.probedAt >= MIN_PROBE_SPACING) this.#prober.probe(path)
@@ -139,7 +140,7 @@
     this.#lost.delete(path)
     this.#endSuspicion(path)
     this.#endCut(path)
-    this.#held.tellAll()
+    if (!this.#isCutOrHealing) this.#held.tellAll()
   }
 
   noteNoContact (endpoint: Endpoint): void {
@@ -162,12 +163,13 @@
   }
 
   judgeLoss (endpoint: Endpoint, tell: () => void): void {
-    this.#held.add(tell)
+    if (this.#isOfLastCut(endpoint)) return
+    this.#held.add(endpoint, tell)
     if (this.#cutAt !== undefined || this.#suspicion !== undefined) return
+    this.#doubt(this.#paths.of(endpoint))
     const others = this.#allUsable().filter((path) => path.lostAt === undefined && path.endpoint !== endpoint)
     const chosen = byLatestContact(others).slice(0, PROBED_AT_LOSS)
     for (const path of chosen) this.#prober.probe(path)
-    if (chosen.length === 0) this.#prober.probe(this.#paths.of(endpoint))
   }
 
   judgeWait (endpoint: Endpoint, tell: () => void): void {
@@ -175,6 +177,20 @@
     else this.judgeLoss(endpoint, tell)
   }
 
+  /** Whether it is open if this instance is cut off, or what a cut had to do with. */
+  get #isInDoubt (): boolean {
+    return this.#suspicion !== undefined || this.#doubts.size > 0 || this.#isCutOrHealing
+  }
+
+  get #isCutOrHealing (): boolean {
+    return this.#cutAt !== undefined || this.#recovery !== undefined
+  }
+
+  /** Whether a call that is lost now was lost by the cut that has just ended. */
+  #isOfLastCut (endpoint: Endpoint): boolean {
+    return this.#options.clock.now() - this.#healedAt < HEAL_GRACE && this.#paths.of(endpoint).openedAt >= this.#healedAt
+  }
+
   #doubt (path: Path): void {
     if (path.lostAt !== undefined || this.#cutAt !== undefined || path.endpoint.isGone) return
     if (!this.#doubts.has(path)) this.#doubts.set(path, this.#options.clock.now())
@@ -276,7 +292,6 @@
     this.#suspicion = undefined
     this.#cutAt = clock.now()
     this.#recovery = undefined
-    this.#held.dropAll()
     this.#doubts.clear()
     this.#timer ??= clock.every(PROBE_PERIOD, () => this.#tick())
     this.#loseServices()
@@ -309,7 +324,6 @@
   #beginRecovery (opened: Path): void {
     this.#cutAt = undefined
     this.#healedAt = this.#options.clock.now()
-    this.#held.endCut()
     for (const path of this.#allUsable()) if (path.isCut && path.lostAt === undefined) forgetCut(path)
     const unreached = [...this.#unreached].flatMap((service) => byLatestContact(this.#usable(service)).slice(0, MAX_PROBED_PER_SERVICE))
     const awaited = [...new Set([...unreached, ...this.#lost])].filter((path) => path !== opened)
@@ -322,6 +336,7 @@
   #endRecovery (): void {
     this.#recovery = undefined
     this.#regain([...this.#unreached], undefined)
+    this.#held.endCut((endpoint, since) => this.#paths.of(endpoint).openedAt >= since)
   }
 
   #regain (services: readonly ServiceId[], endpoint: Endpoint | undefined): void {
--- a/packages/reach/src/HeldLosses.ts
+++ b/packages/reach/src/HeldLosses.ts
@@ -1,57 +1,70 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
-import { HEAL_GRACE, MAX_JUDGE_TIME } from './constants.js'
+import type { Endpoint } from '@papayahill/directory'
+import { MAX_HELD_LOSSES, MAX_JUDGE_TIME, MIN_HELD_TIME } from './constants.js'
+
+interface HeldLoss {
+  readonly endpoint: Endpoint
+  readonly at: Millis
+  readonly tell: () => void
+}
 
 /**
  * What lost calls show, held back until it is known whether this instance was cut off: on a cut, the calls to all
  * endpoints are lost, as if all had crashed at once.
  *
  * @example
- * held.add(() => noteCrash())
+ * held.add(endpoint, () => noteCrash())
  * held.tellAll() // once an endpoint was reached
  */
 export class HeldLosses {
   readonly #clock: Clock
-  /** Whether it is still open if this instance is cut off. */
+  /** Whether it is still open if this instance is or was cut off. */
   readonly #isOpen: () => boolean
-  #tells: Array<() => void> = []
-  #droppedUntil: Millis = millis(0)
+  #losses: HeldLoss[] = []
 
   constructor (clock: Clock, isOpen: () => boolean) {
     this.#clock = clock
     this.#isOpen = isOpen
   }
 
-  add (tell: () => void): void {
-    if (this.#clock.now() < this.#droppedUntil) return
-    this.#tells.push(tell)
-    this.#tellAfter(tell, MAX_JUDGE_TIME)
+  add (endpoint: Endpoint, tell: () => void): void {
+    const loss: HeldLoss = { endpoint, at: this.#clock.now(), tell }
+    if (this.#losses.length >= MAX_HELD_LOSSES) this.#losses.shift()
+    this.#losses.push(loss)
+    this.#tellInTime(loss)
   }
 
   /** This instance is not cut off. */
   tellAll (): void {
-    if (this.#tells.length === 0) return
-    for (const tell of this.#tells.splice(0)) tell()
+    this.#settle(() => true)
+  }
+
+  /** Bytes came from an endpoint: what others have lost before is their own. */
+  noteBytes (from: Endpoint): void {
+    if (this.#losses.length === 0) return
+    const before = millis(this.#clock.now() - MIN_HELD_TIME)
+    this.#settle(({ endpoint, at }) => endpoint !== from && at <= before)
   }
 
-  /** This instance is cut off. */
-  dropAll (): void {
-    this.#tells = []
-    this.#droppedUntil = millis(Infinity)
+  /** A cut is over: what it had to do with is dropped, and the rest is told. */
+  endCut (isAlive: (endpoint: Endpoint, since: Millis) => boolean): void {
+    this.#losses = this.#losses.filter(({ endpoint, at }) => !isAlive(endpoint, at))
+    this.tellAll()
   }
 
-  /** The cut has ended; losses that it has caused may still come for a while. */
-  endCut (): void {
-    this.#droppedUntil = millis(this.#clock.now() + HEAL_GRACE)
+  #settle (isTold: (loss: HeldLoss) => boolean): void {
+    if (this.#losses.length === 0) return
+    const told = this.#losses.filter(isTold)
+    this.#losses = this.#losses.filter((loss) => !told.includes(loss))
+    for (const { tell } of told) tell()
   }
 
-  #tellAfter (tell: () => void, span: Millis): void {
-    this.#clock.after(span, () => {
-      const at = this.#tells.indexOf(tell)
-      if (at < 0) return
-      if (this.#isOpen()) return this.#tellAfter(tell, span)
-      this.#tells.splice(at, 1)
-      tell()
+  #tellInTime (loss: HeldLoss): void {
+    this.#clock.after(MAX_JUDGE_TIME, () => {
+      if (!this.#losses.includes(loss)) return
+      if (this.#isOpen()) this.#tellInTime(loss)
+      else this.#settle((other) => other === loss)
     })
   }
 }
--- a/packages/reach/src/constants.ts
+++ b/packages/reach/src/constants.ts
@@ -24,6 +24,10 @@
 export const MAX_JUDGE_TIME = millis(600)
 /** Other endpoints that are probed when a call is lost. */
 export const PROBED_AT_LOSS = 2
+/** Losses held back at a time; the oldest goes for a new one. */
+export const MAX_HELD_LOSSES = 64
+/** Bytes that come sooner after a loss may have been on their way when a cut began. */
+export const MIN_HELD_TIME = millis(5)
 /** Time after a heal in which calls may still end that were lost before. */
 export const HEAL_GRACE = millis(500)
 /** Services that an instance tells its peers of. */
