--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -147,7 +147,7 @@
     return this.#isUsed
   }
 
-  /** Sets a listener that is called once: whether the connection opened and lasted, unless this side closed it first. */
+  /** Sets a listener that is called once: whether the connection opened and lasted for {@link SETTLE_TIME}; not if it was closed first. */
   onConnected (listener: (isOpen: boolean) => void): void {
     this.#state.onConnected = (isOpen) => { if (isOpen || this.#isLost || !this.#isClosed) listener(isOpen) }
   }
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,6 +1,6 @@
 export { AnswerBody } from './AnswerBody.js'
 export { boundedConnector } from './boundedConnector.js'
-export { OPEN_TIMEOUT } from './constants.js'
+export { OPEN_TIMEOUT, SETTLE_TIME } from './constants.js'
 export { EndpointSocket, newStopper, stopExchange } from './EndpointSocket.js'
 export type { AnswerListener, SocketAnswer, SocketFailure, SocketRequest, Stopper } from './EndpointSocket.js'
 export { headerOf, isFramed } from './headers.js'
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -12,7 +12,7 @@
   readonly profileOf: ProfileLookup
   /** Divides an endpoint's connection limit between the instances. */
   readonly partitioner: Pick<LimitPartitioner, 'shareOf' | 'forget'>
-  /** Called when a connection has opened, or could not be opened. */
+  /** Called when a connection has opened and lasted for {@link SETTLE_TIME}, or could not be opened. */
   readonly onConnected: (endpoint: Endpoint, isOpen: boolean) => void
 }
 
--- a/packages/reach/src/EndpointReach.test.ts
+++ b/packages/reach/src/EndpointReach.test.ts
@@ -209,13 +209,51 @@
       rig.set('hangs')
       await rig.traffic(4000)
       rig.set('open')
-      rig.reach.noteOpened(rig.endpoint(ORDERS, 0))
+      rig.reach.noteOpened(rig.endpoint(ORDERS, 0), rig.clock.now())
       await rig.clock.advance(millis(600))
       expect(rig.reached).toEqual([true, true, true])
       const endpoints = SERVICES.flatMap((service) => rig.directory.usable(service))
       expect(endpoints.every((endpoint) => rig.reach.reachesEndpoint(endpoint))).toBe(true)
     })
 
+    // Guards against connections from just before a cut that end the suspicion of it, so that it is never found.
+    it('is found though a connection that had opened before it is reported after it', async () => {
+      const rig = new ReachRig()
+      await rig.traffic(1000)
+      const before = rig.clock.now()
+      rig.set('refuses')
+      rig.reach.noteNoContact(rig.endpoint(SEARCH, 0))
+      for (let at = 0; at < 3; at++) {
+        await rig.clock.advance(millis(10))
+        rig.reach.noteOpened(rig.endpoint(ORDERS, at), millis(before - 1))
+      }
+      await rig.traffic(1500)
+      expect(rig.reached).toEqual([false, false, false])
+    })
+
+    it('is found once all endpoints have failed one after the other', async () => {
+      const rig = new ReachRig()
+      const failed = new Set<Endpoint>()
+      rig.set((endpoint) => failed.has(endpoint) ? 'refuses' : 'open')
+      for (const endpoint of SERVICES.flatMap((service) => rig.directory.usable(service))) {
+        failed.add(endpoint)
+        rig.call(endpoint)
+        await rig.clock.advance(millis(50))
+      }
+      await rig.clock.advance(millis(600))
+      expect(rig.reached).toEqual([false, false, false])
+    })
+
+    it('is not found where no endpoint is usable', async () => {
+      const rig = new ReachRig({ services: [ORDERS], endpoints: 1 })
+      const endpoint = rig.endpoint(ORDERS, 0)
+      rig.set('refuses')
+      rig.list([{ ...recordOf(ORDERS, 0), isDraining: true, sequence: 2 }])
+      rig.reach.noteNoContact(endpoint)
+      await rig.clock.advance(seconds(2))
+      expect(rig.reach.reaches(ORDERS)).toBe(true)
+    })
+
     it('is told once to the peers and logged with its evidence', async () => {
       const rig = new ReachRig()
       await rig.traffic(1000)
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -127,20 +127,28 @@
     else if (now - path.probedAt >= MIN_PROBE_SPACING) this.#prober.probe(path)
   }
 
-  /** A new connection to the endpoint opened. */
-  noteOpened (endpoint: Endpoint): void {
-    const now = this.#options.clock.now()
+  /** A new connection to the endpoint opened at this time and has lasted; one from before the first sign of trouble shows nothing. */
+  noteOpened (endpoint: Endpoint, openedAt: Millis): void {
     const path = this.#paths.of(endpoint)
+    if (openedAt < this.#troubleSince(path)) return
+    const now = this.#options.clock.now()
     path.contactAt = now
-    path.openedAt = now
+    path.openedAt = openedAt
     this.#lastContactAt = now
-    this.#doubts.clear()
+    for (const [doubted, since] of this.#doubts) if (since <= openedAt) this.#doubts.delete(doubted)
     if (path.isCut) forgetCut(path)
     path.lostAt = undefined
     this.#lost.delete(path)
     this.#endSuspicion(path)
     this.#endCut(path)
-    if (!this.#isCutOrHealing) this.#held.tellAll()
+    if (this.#isCutOrHealing) return
+    this.#held.tellBefore(openedAt)
+    if (this.#held.size > 0) this.#prober.probe(path)
+  }
+
+  /** When the first sign of the trouble came that a new connection on this path would end. */
+  #troubleSince (path: Path): Millis {
+    return millis(Math.max(this.#suspicion?.since ?? -Infinity, this.#cutAt ?? -Infinity, this.#doubts.get(path) ?? -Infinity))
   }
 
   noteNoContact (endpoint: Endpoint): void {
@@ -199,14 +207,15 @@
   }
 
   #receive (path: Path, result: ProbeResult, startedAt: Millis): void {
-    // A probe that failed during a cut shows nothing once that has ended.
-    if (result !== 'listening' && startedAt < this.#healedAt) return this.#prober.probe(path)
+    // A probe that began before the trouble shows nothing about it, and one that failed in a cut nothing once that has ended.
+    const isStale = startedAt < (result === 'listening' ? this.#troubleSince(path) : this.#healedAt)
+    if (isStale && !path.endpoint.isGone) return this.#prober.probe(path)
     if (!path.endpoint.isGone) this.#judge(path, result, startedAt)
     this.#settle(path)
   }
 
   #judge (path: Path, result: ProbeResult, startedAt: Millis): void {
-    if (result === 'listening') return this.noteOpened(path.endpoint)
+    if (result === 'listening') return this.noteOpened(path.endpoint, startedAt)
     if (path.openedAt > startedAt) return
     // An endpoint that is busy may accept no connection in time, but goes on with those that are open.
     if (result === 'unknown' && path.contactAt > startedAt) return this.#dismiss(path)
@@ -290,6 +299,7 @@
     const { clock } = this.#options
     const { since } = this.#suspicion!
     this.#suspicion = undefined
+    if (this.#allUsable().length === 0) return
     this.#cutAt = clock.now()
     this.#recovery = undefined
     this.#doubts.clear()
@@ -326,10 +336,9 @@
     this.#healedAt = this.#options.clock.now()
     for (const path of this.#allUsable()) if (path.isCut && path.lostAt === undefined) forgetCut(path)
     const unreached = [...this.#unreached].flatMap((service) => byLatestContact(this.#usable(service)).slice(0, MAX_PROBED_PER_SERVICE))
-    const awaited = [...new Set([...unreached, ...this.#lost])].filter((path) => path !== opened)
+    const awaited = [...new Set([opened, ...unreached, ...this.#lost])]
     this.#recovery = new Set(awaited)
     for (const path of awaited) this.#prober.probe(path)
-    if (awaited.length === 0) this.#endRecovery()
   }
 
   /** Services of which no endpoint has answered since the cut are down, for this instance as for the others. */
@@ -359,6 +368,7 @@
       for (const service of this.#unreached) this.#probeOldest(this.#usable(service), 1)
       return
     }
+    if (this.#choose().length === 0) this.#suspect()
     this.#probeOldest([...this.#lost], PROBED_LOST)
     if (this.#lost.size > 0) return
     this.#timer?.cancel()
--- a/packages/reach/src/HeldLosses.ts
+++ b/packages/reach/src/HeldLosses.ts
@@ -15,7 +15,7 @@
  *
  * @example
  * held.add(endpoint, () => noteCrash())
- * held.tellAll() // once an endpoint was reached
+ * held.tellBefore(now) // once an endpoint was reached
  */
 export class HeldLosses {
   readonly #clock: Clock
@@ -35,9 +35,13 @@
     this.#tellInTime(loss)
   }
 
-  /** This instance is not cut off. */
-  tellAll (): void {
-    this.#settle(() => true)
+  get size (): number {
+    return this.#losses.length
+  }
+
+  /** A connection opened at this time: this instance was not cut off before. */
+  tellBefore (openedAt: Millis): void {
+    this.#settle(({ at }) => at <= openedAt)
   }
 
   /** Bytes came from an endpoint: what others have lost before is their own. */
@@ -50,7 +54,7 @@
   /** A cut is over: what it had to do with is dropped, and the rest is told. */
   endCut (isAlive: (endpoint: Endpoint, since: Millis) => boolean): void {
     this.#losses = this.#losses.filter(({ endpoint, at }) => !isAlive(endpoint, at))
-    this.tellAll()
+    this.#settle(() => true)
   }
 
   #settle (isTold: (loss: HeldLoss) => boolean): void {
