--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -6,7 +6,7 @@
 import type { RequestLimits } from '@papayahill/limits'
 import type { PathEvidence } from '@papayahill/reach'
 import type { Result } from 'true-myth'
-import { LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE } from './constants.js'
+import { LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE, TIMER_SLACK } from './constants.js'
 import { EventScanner } from './EventScanner.js'
 import { applyNotices } from './applyNotices.js'
 import type { NoticeContext } from './applyNotices.js'
@@ -58,6 +58,7 @@
   #silenceTimer: Timer | undefined
   #deadlineTimer: Timer | undefined
   #probeTimer: Timer | undefined
+  #lastByteAt: Millis = millis(0)
   #stopCause: string | undefined
   /** Whether the call was given up because nothing came in time, which alone is no failure of the endpoint. */
   #isHung = false
@@ -84,7 +85,7 @@
     if (signal.aborted) onAbort()
     this.#setSilenceTimer(firstByteTimeout)
     this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('the deadline passed'))
-    this.#awaitBytes()
+    this.#watchPath()
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#silenceTimer?.cancel()
     this.#deadlineTimer.cancel()
@@ -120,8 +121,8 @@
 
   onData (data: Buffer): void {
     this.#recordFirstByte()
+    this.#lastByteAt = this.#options.clock.now()
     this.#options.paths.noteContact(this.#options.call.endpoint)
-    this.#awaitBytes()
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
     if (!this.#body.add(data)) this.#stop('the answer is too large')
   }
@@ -163,11 +164,13 @@
     this.#silenceTimer = this.#options.clock.after(span, () => this.#giveUp(`no data for ${Math.round(span)} ms`))
   }
 
-  /** Has the path probed for as long as no further byte comes. */
-  #awaitBytes (): void {
+  /** Reports each time in which no byte has come for long. */
+  #watchPath (): void {
     const { clock, paths, probedSilence, call } = this.#options
-    this.#probeTimer?.cancel()
-    this.#probeTimer = clock.every(probedSilence, () => paths.noteSilence(call.endpoint))
+    this.#lastByteAt = clock.now()
+    this.#probeTimer = clock.every(probedSilence, () => {
+      if (clock.now() - this.#lastByteAt >= probedSilence - TIMER_SLACK) paths.noteSilence(call.endpoint)
+    })
   }
 
   #giveUp (cause: string): void {
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -24,6 +24,8 @@
 export const STREAM_SILENCE = millis(1000)
 /** The same, as a multiple of the route's usual time, where that is longer. */
 export const USUAL_SILENCE_FACTOR = 1.2
+/** Time by which timers may fire early. */
+export const TIMER_SLACK = millis(2)
 /** Grace after a call's deadline, which its endpoint enforces itself, before its answer is no longer awaited. */
 export const LATE_ANSWER_GRACE = millis(400)
 /** A resumable stream is resumed at another endpoint after a pause of this many times the longest gap of its route. */
