--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -94,6 +94,21 @@
       expect(healthy()).toEqual(['a', 'b'])
     })
 
+    it('avoids an endpoint no longer whose failures were those of this instance\'s own paths', async () => {
+      const { clock, directory } = rig()
+      directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
+      const [a] = directory.usable(ROW_SERVICE)
+      for (let at = 0; at < 5; at++) {
+        a!.noteConnectionFailure(clock.now())
+        await clock.advance(millis(1000))
+      }
+      a!.noteConnectionFailure(clock.now())
+      expect(directory.healthy(ROW_SERVICE).length).toBe(1)
+      a!.forgetConnectionFailures()
+      expect(directory.healthy(ROW_SERVICE).length).toBe(2)
+      expect(a!.failShare).toBe(0)
+    })
+
     it('logs when an endpoint starts and stops being avoided', () => {
       const { clock, directory, log } = rig()
       directory.replaced([endpointRow('a'), endpointRow('b')], NO_OUTAGE)
--- a/packages/forwarding/src/CallMonitor.test.ts
+++ b/packages/forwarding/src/CallMonitor.test.ts
@@ -2,6 +2,7 @@
 import type { ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import { NO_JUDGE } from '@papayahill/reach'
+import type { LossJudge } from '@papayahill/reach'
 import { describe, expect, it } from 'vitest'
 import { CallMonitor } from './CallMonitor.js'
 import { endpointOfVersion } from './testing/endpointOfVersion.js'
@@ -15,11 +16,11 @@
 const LOST: CallEnd = { kind: 'lost', detail: 'reset', isConnectionLost: false }
 
 /** A monitor that has learned the usual time from one call to the old version. */
-const setUp = async () => {
+const setUp = async (losses = NO_JUDGE) => {
   const clock = new VirtualClock()
   const verdicts: string[] = []
   const calls = new CallMonitor({
-    losses: NO_JUDGE,
+    losses,
     clock,
     isOnTrial: ({ record }) => record.version === 'v2',
     onVerdict: ({ record }, _route, verdict) => verdicts.push(`${record.version} ${verdict}`)
@@ -72,6 +73,25 @@
     expect(verdicts).toEqual([])
   })
 
+  describe('calls that were lost or late while the instance was cut off', () => {
+    const CUT_OFF: LossJudge = { judgeLoss: () => {}, judgeWait: () => {} }
+
+    it('give no verdict on their endpoint\'s version', async () => {
+      const { clock, calls, verdicts, newEndpoint } = await setUp(CUT_OFF)
+      calls.track(newEndpoint, ROUTE).callEnded(LOST, false)
+      calls.track(newEndpoint, ROUTE)
+      await clock.advance(SLOW_TIME)
+      calls.tick()
+      expect(verdicts).toEqual([])
+    })
+
+    it('do not keep failures that endpoints answered from counting', async () => {
+      const { calls, verdicts, newEndpoint } = await setUp(CUT_OFF)
+      calls.track(newEndpoint, ROUTE).callEnded({ kind: 'answered', status: 500, headers: [], body: Buffer.alloc(0) }, false)
+      expect(verdicts).toEqual(['v2 bad'])
+    })
+  })
+
   it('judges a stream by its first byte, however long the whole stream takes', async () => {
     const { clock, calls, verdicts, newEndpoint } = await setUp()
     const call = calls.track(newEndpoint, ROUTE)
