--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -5,6 +5,8 @@
 import { UNLIMITED } from '@papayahill/limits'
 import { MemoryNetwork, PeerCore } from '@papayahill/peers'
 import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
+import { EndpointReach } from '@papayahill/reach'
+import type { ProbeResult } from '@papayahill/reach'
 import { Result } from 'true-myth'
 import { BacklogTracker } from '../BacklogTracker.js'
 import { groupsIn } from '../endpointGroups.js'
@@ -18,6 +20,9 @@
 
 /** Network delay in each direction. */
 const ONE_WAY_DELAY = millis(1)
+const CONNECT_TIMEOUT = millis(500)
+/** Time without an answer after which a call is reported as silent. */
+const SILENCE = millis(1000)
 
 interface HeldResult {
   /** The request for which it was made. */
@@ -55,6 +60,8 @@
   readonly #results = new Map<string, HeldResult>()
   readonly #lastCalls = new Map<string, Promise<unknown>>()
   readonly #ended = new Set<Incarnation>()
+  /** Instances of which no byte reaches an endpoint, and none comes back. */
+  readonly #cut = new Set<InstanceId>()
   #count = 0
 
   constructor (clock: VirtualClock, profile: BatchProfile) {
@@ -73,19 +80,58 @@
   }
 
   /** The calls of one process; once it has ended, it sends none. */
-  callerOf ({ id, incarnation }: PeerIdentity): BatchCaller {
+  callerOf ({ id, incarnation }: PeerIdentity, reach: EndpointReach): BatchCaller {
     const never = new Promise<never>(() => {})
     return {
-      call: (endpoint, pieces) => this.#ended.has(incarnation) ? never : this.#call(endpoint, pieces, id),
-      free: (endpoint, handles) => this.#ended.has(incarnation) ? never : this.#free(endpoint, handles)
+      call: (endpoint, pieces, timeout) => this.#ended.has(incarnation) ? never : this.#callOrLose(endpoint, pieces, id, timeout, reach),
+      free: (endpoint, handles) => this.#ended.has(incarnation) || this.#cut.has(id) ? never : this.#free(endpoint, handles)
     }
   }
 
+  /** An instance loses its paths to all endpoints: calls in progress and new ones get no answer. */
+  cut (id: InstanceId): void {
+    this.#cut.add(id)
+  }
+
+  /** The instance's paths are back. */
+  heal (id: InstanceId): void {
+    this.#cut.delete(id)
+  }
+
   /** A process has ended: it sends no further calls. */
   endCaller (incarnation: Incarnation): void {
     this.#ended.add(incarnation)
   }
 
+  /** A cut instance's connections hang. */
+  async probe (instance: InstanceId): Promise<ProbeResult> {
+    const isCut = this.#cut.has(instance)
+    await this.#clock.sleep(isCut ? CONNECT_TIMEOUT : ONE_WAY_DELAY)
+    return isCut ? 'unknown' : 'listening'
+  }
+
+  async #callOrLose (
+    endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId, timeout: Millis, reach: EndpointReach
+  ): Promise<BatchAnswer> {
+    const silence = this.#clock.every(SILENCE, () => reach.noteSilence(endpoint))
+    const gaveUp = new Promise<BatchAnswer>((resolve) => {
+      const giveUp = (isWithdrawn: boolean): void =>
+        resolve({ kind: 'lost', detail: 'no answer in time', isConnectionLost: false, isWithdrawn })
+      this.#clock.after(timeout, () => { if (this.#cut.has(instance)) giveUp(false) })
+      reach.onPathLost((lost) => { if (lost === endpoint) giveUp(true) })
+    })
+    const answer = await Promise.race([gaveUp, this.#answerTo(endpoint, pieces, instance)])
+    silence.cancel()
+    if (answer.kind === 'answered') reach.noteContact(endpoint)
+    return answer
+  }
+
+  async #answerTo (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId): Promise<BatchAnswer> {
+    if (this.#cut.has(instance)) return await new Promise<never>(() => {})
+    const answer = await this.#call(endpoint, pieces, instance)
+    return this.#cut.has(instance) ? await new Promise<never>(() => {}) : answer
+  }
+
   async #call (endpoint: Endpoint, pieces: readonly Piece[], instance: InstanceId): Promise<BatchAnswer> {
     await this.#clock.sleep(ONE_WAY_DELAY)
     this.calls.push({ endpoint: endpoint.id, instance, pieces: pieces.length })
@@ -170,6 +216,15 @@
     await this.clock.advance(seconds(3))
   }
 
+  /** Cuts an instance from all endpoints, but not from the other instances. */
+  cut (at: number): void {
+    this.endpoints.cut(this.instances[at]!.identity.id)
+  }
+
+  heal (at: number): void {
+    this.endpoints.heal(this.instances[at]!.identity.id)
+  }
+
   kill (at: number): void {
     this.network.kill(this.instances[at]!.identity)
     this.endpoints.endCaller(this.instances[at]!.identity.incarnation)
@@ -222,12 +277,24 @@
     directory.changed(this.#listed.map(([service, id]) => ({
       key: id, value: { record: stageRecord(id, service) }, revision: 1
     })), millis(0))
-    const roster = new CoordinatorRoster(clock, peers)
+    const reach = new EndpointReach({
+      clock, log: SILENT_LOG, directory, peers, probe: () => this.endpoints.probe(identity.id), hasIdle: () => false
+    })
+    const roster = new CoordinatorRoster(clock, peers, 1, reach)
     const profileOf = () => this.#profile
     const isOwn = (group: string): boolean => roster.coordinatorOf(group) === identity.id
     const coordinator = new BatchCoordinator({
-      clock, log: SILENT_LOG, caller: this.endpoints.callerOf(identity), directory, limits: UNLIMITED, profileOf, isOwn
+      clock,
+      log: SILENT_LOG,
+      caller: this.endpoints.callerOf(identity, reach),
+      directory,
+      limits: UNLIMITED,
+      profileOf,
+      isOwn,
+      mustLeave: (group) => roster.mustLeave(group),
+      reachesEndpoint: (endpoint) => reach.reachesEndpoint(endpoint)
     })
+    reach.onChange(() => coordinator.pumpAll())
     clock.every(millis(100), () => coordinator.pumpAll())
     const backlogs = new BacklogTracker(clock)
     const groups = groupsIn(directory)
