--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -1,8 +1,9 @@
 import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
-import { buildConnector, Client } from 'undici'
-import type { Dispatcher } from 'undici'
-import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OPEN_TIMEOUT, OVERHEAD_FACTOR } from './constants.js'
+import { Client } from 'undici'
+import type { buildConnector, Dispatcher } from 'undici'
+import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OVERHEAD_FACTOR } from './constants.js'
+import { TCP_DIALER } from './EndpointDialer.js'
 import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
 
@@ -71,8 +72,7 @@
  * Connects only once: a lost connection is never replaced silently, since the caller confirmed the endpoint on it. The
  * state is updated before the client handles the end, because the client accepts the bytes before a reset as a whole answer.
  */
-const connectOnce = (state: SocketState): buildConnector.connector => {
-  const connect = buildConnector({ timeout: OPEN_TIMEOUT })
+const connectOnce = (state: SocketState, connect: buildConnector.connector): buildConnector.connector => {
   let isUsed = false
   return (options, callback) => {
     if (isUsed) return callback(new Error('the connection was lost'), null)
@@ -116,9 +116,9 @@
   #onLost: () => void = () => {}
   #onClosed: () => void = () => {}
 
-  constructor (origin: string) {
+  constructor (origin: string, connect: buildConnector.connector = TCP_DIALER.connect) {
     this.#client = new Client(origin, {
-      connect: connectOnce(this.#state),
+      connect: connectOnce(this.#state, connect),
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT,
       keepAliveMaxTimeout: IDLE_TIMEOUT,
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,6 +1,8 @@
 export { AnswerBody } from './AnswerBody.js'
 export { boundedConnector } from './boundedConnector.js'
 export { OPEN_TIMEOUT } from './constants.js'
+export { TCP_DIALER } from './EndpointDialer.js'
+export type { EndpointDialer } from './EndpointDialer.js'
 export { EndpointSocket, newStopper, stopExchange } from './EndpointSocket.js'
 export type { AnswerListener, SocketAnswer, SocketFailure, SocketRequest, Stopper } from './EndpointSocket.js'
 export { headerOf, isFramed } from './headers.js'
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -1,6 +1,6 @@
 import type { EndpointId } from '@papayahill/common'
-import { EndpointSocket, probeListener } from '@papayahill/connections'
-import type { ListenerState } from '@papayahill/connections'
+import { EndpointSocket, TCP_DIALER } from '@papayahill/connections'
+import type { EndpointDialer, ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { isIPv6 } from 'node:net'
 import { CONNECTION_SHARE, MAX_IDLE_CONNECTIONS } from './constants.js'
@@ -12,6 +12,8 @@
   readonly profileOf: ProfileLookup
   /** Divides an endpoint's connection limit between the instances. */
   readonly partitioner: Pick<LimitPartitioner, 'shareOf' | 'forget'>
+  /** Opens the connections; over TCP if absent. */
+  readonly dialer?: EndpointDialer | undefined
 }
 
 interface EndpointConnections {
@@ -34,10 +36,12 @@
  */
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions
+  readonly #dialer: EndpointDialer
   readonly #connections = new Map<EndpointId, EndpointConnections>()
 
   constructor (options: ConnectionPoolOptions) {
     this.#options = options
+    this.#dialer = options.dialer ?? TCP_DIALER
     options.directory.onGone((endpoint) => this.#closeIdle(endpoint))
   }
 
@@ -56,7 +60,7 @@
     if (idle !== undefined) return idle
     if (connections.open >= this.#limitOf(endpoint)) return undefined
     connections.open++
-    const socket = new EndpointSocket(originOf(endpoint))
+    const socket = new EndpointSocket(originOf(endpoint), this.#dialer.connect)
     socket.onClosed(() => { connections.open-- })
     return socket
   }
@@ -73,7 +77,7 @@
 
   /** Whether something still listens at the endpoint's address. */
   async probe ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
-    return await probeListener(ip, port)
+    return await this.#dialer.probe(ip, port)
   }
 
   release (endpoint: Endpoint, socket: EndpointSocket): void {
