Detour: an instance that reaches no endpoint of a service hands requests over to a peer that does

Package detour: one hop over the links, the whole request, in two steps. A peer takes an offer without its body, so an offer without an answer has not run and may go to another peer; once the body is sent, the request may have run. Parts are numbered, confirmed and bounded. No tests yet.

--- /dev/null
+++ b/packages/detour/src/events.ts
@@ -0,0 +1,10 @@
+import { defineEvents } from '@papayahill/common'
+
+/** Log events of detours, 24xx. Both ends of a hand-over name the request's attempt. */
+export const DETOUR_EVENTS = defineEvents({
+  requestHandedOver: { number: 2401, level: 'info', text: 'A request was offered to a peer, since this instance reaches no endpoint of its service.' },
+  handOverEnded: { number: 2402, level: 'info', text: 'A request that was offered to a peer ended there, or was not taken.' },
+  handOverTaken: { number: 2403, level: 'info', text: 'A request of another instance was taken.' },
+  handOverDeclined: { number: 2404, level: 'info', text: 'A request of another instance was not taken; nothing of it has run here.' },
+  handOverServed: { number: 2405, level: 'info', text: 'A request of another instance ended here.' }
+})
--- /dev/null
+++ b/packages/detour/src/index.ts
@@ -0,0 +1,5 @@
+export { DetourRouter } from './DetourRouter.js'
+export type { DetourRouterOptions } from './DetourRouter.js'
+export { DETOUR_EVENTS } from './events.js'
+export { RequestResolver } from './RequestResolver.js'
+export type { RequestResolverOptions, ResolvedRequest } from './RequestResolver.js'
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -3,8 +3,10 @@
 import type { EndpointDirectory } from '@papayahill/directory'
 import type { SharedRateLimiter } from '@papayahill/limits'
 import type { QuarantineManager } from '@papayahill/quarantine'
+import type { PathEvidence, Reach } from '@papayahill/reach'
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
 import type { ConnectionPool } from './ConnectionPool.js'
+import type { Detour } from './Detour.js'
 import type { EngineTracker } from './EngineTracker.js'
 import type { CallQuarantine } from './CallQuarantine.js'
 import type { RouteTimes } from './newRouteTimes.js'
@@ -38,6 +40,8 @@
   readonly profileOf: ProfileLookup
   /** Reads what callers sent or closed while the event loop was blocked. */
   readonly arrivals: Pick<ArrivalReader, 'catchUp'>
+  readonly reach: Reach & PathEvidence
+  readonly detour: Detour
   /** Failure domain of this instance. */
   readonly domain: DomainId
 }
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -1,19 +1,21 @@
 import { leastStageTime, StageGraphRun } from '@papayahill/batching'
 import type { StageFailure, StageResult } from '@papayahill/batching'
 import { failure, millis, RunGuard } from '@papayahill/common'
-import type { DomainId, EndpointId, Failure, Millis, ServiceId } from '@papayahill/common'
+import type { DomainId, EndpointId, Failure, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
 import type { Quarantine } from '@papayahill/quarantine'
 import { Result } from 'true-myth'
 import {
-  FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
+  FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MAX_UNTAKEN, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
   RESUMED_STAGES_FACTOR, STOP_ANSWER_FACTOR, STOP_RETRY_AFTER
 } from './constants.js'
 import { EndpointCall } from './EndpointCall.js'
 import { FORWARDING_EVENTS } from './events.js'
+import type { HandOverEnd } from './Detour.js'
 import type { ForwardContext } from './ForwardContext.js'
+import { isCutOff } from './isCutOff.js'
 import { logQuarantined } from './logQuarantined.js'
 import type { CallCheck } from './CallQuarantine.js'
 import { RequestPlacement } from './RequestPlacement.js'
@@ -32,11 +34,21 @@
 
 type Step = RunEnd | 'again'
 
+export interface ForwardRunOptions {
+  readonly context: ForwardContext
+  readonly request: ForwardRequest
+  readonly service: ServiceId
+  readonly sink: CallerSink
+  readonly check: CallCheck
+  /** Whether the request counts towards the retry budgets. */
+  readonly isCounted: boolean
+}
+
 /**
  * Runs one admitted request: its stages first, then its calls, retried as far as route and retry budget allow.
  *
  * @example
- * const end = await new ForwardRun(context, request, service, sink).run()
+ * const end = await new ForwardRun({ context, request, service, sink, check, isCounted: true }).run()
  */
 export class ForwardRun {
   readonly #context: ForwardContext
@@ -60,21 +72,32 @@
   #crashCount = 0
   /** The call in progress. */
   #call: EndpointCall | undefined
-
-  constructor (context: ForwardContext, request: ForwardRequest, service: ServiceId, sink: CallerSink, check: CallCheck) {
+  readonly #isCounted: boolean
+  /** Whether the stages have run, or need not run. */
+  #isStaged = false
+  /** Peers that have not taken the request, or lost it. */
+  readonly #triedPeers = new Set<InstanceId>()
+  #untakenCount = 0
+  #isHandedOver = false
+  /** Time after which the last peer that was asked may take requests again. */
+  #peerRetryAfter: Millis | undefined
+
+  constructor ({ context, request, service, sink, check, isCounted }: ForwardRunOptions) {
     this.#context = context
     this.#request = request
     this.#service = service
     this.#sink = sink
     this.#check = check
+    this.#isCounted = isCounted
+    this.#runCount = request.detoured?.runs ?? 0
     this.#placement = new RequestPlacement(context, request, service, check)
     const isStream = request.route.kind === 'streaming'
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
   }
 
-  /** The request's end if the instance stops now; undefined during a call, whose own end decides. */
+  /** The request's end if the instance stops now; undefined during a call or a hand-over, whose own end decides. */
   endAtStop (): RunEnd | undefined {
-    return this.#call === undefined ? this.#stopped() : undefined
+    return this.#call === undefined && !this.#isHandedOver ? this.#stopped() : undefined
   }
 
   async run (): Promise<RunEnd> {
@@ -100,15 +123,21 @@
   }
 
   async #execute (): Promise<RunEnd> {
-    if (await this.#isAborted()) return this.#aborted()
-    const staged = await this.#runStages()
-    if (staged.isErr) return this.#stagesFailed(staged.error)
     for (;;) {
-      const step = await this.#attempt()
+      const step = isCutOff(this.#context, this.#request, this.#service) ? await this.#detour() : await this.#directStep()
       if (step !== 'again') return step
     }
   }
 
+  async #directStep (): Promise<Step> {
+    if (this.#isStaged) return await this.#attempt()
+    if (await this.#isAborted()) return this.#aborted()
+    const staged = await this.#runStages()
+    if (staged.isErr) return this.#stagesFailed(staged.error)
+    this.#isStaged = true
+    return 'again'
+  }
+
   /** Whether nobody waits for the request any more, including a caller's close that has not been read yet. */
   async #isAborted (): Promise<boolean> {
     await this.#context.arrivals.catchUp()
@@ -180,12 +209,85 @@
     return this.#refused('no-endpoint', `stage ${stage} failed: ${fault}`)
   }
 
-  async #attempt (): Promise<Step> {
+  /** The end of a request that must not be sent any more; undefined if it may be. */
+  async #endUnsent (): Promise<RunEnd | undefined> {
     if (await this.#isAborted()) return this.#aborted()
     if (!this.#canEndBeforeStop) return this.#retryDenied('the instance stops before an answer could be complete')
     if (this.#timeLeft < MIN_CALL_TIME) return this.#timedOut()
     const quarantine = this.#quarantine()
-    if (quarantine !== undefined) return this.#quarantined(quarantine)
+    return quarantine === undefined ? undefined : this.#quarantined(quarantine)
+  }
+
+  /** Hands the whole request over to a peer, with its stages. */
+  async #detour (): Promise<Step> {
+    const ended = await this.#endUnsent()
+    if (ended !== undefined) return ended
+    const { detour, stopTime } = this.#context
+    const to = this.#untakenCount < MAX_UNTAKEN ? detour.choose(this.#request, this.#service, this.#triedPeers) : undefined
+    if (to === undefined) return this.#noPath()
+    this.#triedPeers.add(to.id)
+    this.#graph?.cancel()
+    this.#inputs = []
+    this.#isStaged = false
+    this.#guard.dispatched()
+    this.#isHandedOver = true
+    const end = await detour.handOver({
+      request: this.#request,
+      service: this.#service,
+      to,
+      runs: this.#runCount,
+      isCounted: this.#isCounted,
+      endsAt: millis(Math.min(this.#request.deadline, stopTime.endsAt)),
+      relay: this.#relay
+    })
+    this.#isHandedOver = false
+    return this.#handOverEnded(end)
+  }
+
+  #handOverEnded (end: HandOverEnd): Step {
+    switch (end.kind) {
+      case 'streamed':
+        this.#relay?.end()
+        return { kind: 'answered', status: 200 }
+      case 'answered':
+        if (this.#relay?.isStarted === true) return this.#interrupted(`a peer answered ${end.status} instead of resuming the stream`)
+        this.#sink.answer(end.status, end.headers, end.body)
+        return { kind: 'answered', status: end.status }
+      case 'not-taken':
+        this.#undoDispatch()
+        this.#untakenCount++
+        this.#peerRetryAfter = end.retryAfter
+        return this.#request.signal.aborted ? this.#aborted() : this.#retry(end.detail)
+      case 'failed': return this.#failedAtPeer(end.failure)
+      case 'lost':
+        this.#runCount = Math.max(this.#runCount, end.runs)
+        if (this.#request.signal.aborted) return this.#aborted()
+        return this.#isRetryable && this.#tryTakeRetry() ? this.#retry(end.detail) : this.#interrupted(end.detail)
+    }
+  }
+
+  /** No call of this request has run: its refusal may say so. */
+  #undoDispatch (): void {
+    if (this.#runCount === 0) this.#guard = new RunGuard()
+  }
+
+  #failedAtPeer ({ kind, detail, run, retryAfter }: Failure): RunEnd {
+    if (run === 'not-run') this.#undoDispatch()
+    if (this.#request.signal.aborted) return this.#aborted()
+    if (this.#relay?.isStarted === true) return this.#interrupted(detail)
+    const options = retryAfter === undefined ? {} : { retryAfter }
+    if (run !== 'not-run') return { kind: 'failed', failure: failure(kind, detail, run, options) }
+    return { kind: 'failed', failure: this.#guard.refuse(kind, detail, options) }
+  }
+
+  #noPath (): RunEnd {
+    const detail = `no path to an endpoint of ${this.#service}, nor a peer that takes the request`
+    return this.#guard.isDispatched ? this.#interrupted(detail) : this.#refused('no-endpoint', detail)
+  }
+
+  async #attempt (): Promise<Step> {
+    const ended = await this.#endUnsent()
+    if (ended !== undefined) return ended
     const endpoint = await this.#place()
     if (endpoint === undefined) {
       const late = this.#quarantine()
@@ -216,6 +318,7 @@
       onInputsRead: () => this.#graph?.release()
     })
     context.unsent.delete(this.#service, request)
+    request.detoured?.onRun(this.#runCount + 1)
     this.#guard.dispatched()
     this.#call = call
     this.#usedSockets.add(socket)
@@ -249,7 +352,7 @@
   }
 
   #notRun (endpoint: Endpoint, { detail, isReceived }: Extract<CallEnd, { kind: 'not-run' }>): Step {
-    if (this.#runCount === 0) this.#guard = new RunGuard()
+    this.#undoDispatch()
     this.#exclude.add(endpoint.id)
     if (this.#request.signal.aborted) return this.#aborted()
     if (isReceived && !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
@@ -257,7 +360,7 @@
   }
 
   async #inputsGone (detail: string): Promise<Step> {
-    if (this.#runCount === 0) this.#guard = new RunGuard()
+    this.#undoDispatch()
     if (this.#recomputeCount++ > 0 || !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
     this.#graph?.cancel()
     const staged = await this.#runStages()
@@ -361,6 +464,7 @@
   #retryAfter (): Millis {
     const { limits, directory, clock, stopTime } = this.#context
     if (stopTime.isStopping) return STOP_RETRY_AFTER
+    if (this.#peerRetryAfter !== undefined) return this.#peerRetryAfter
     const availableIn = timeUntilAvailable(limits, directory.usable(this.#service), clock.now())
     return returnTimeOf(this.#context, this.#service, millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4, availableIn)))
   }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -9,6 +9,7 @@
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { ForwardRun } from './ForwardRun.js'
+import { isCutOff } from './isCutOff.js'
 import type { RunEnd } from './ForwardRun.js'
 import { logLimited } from './logLimited.js'
 import { logQuarantined } from './logQuarantined.js'
@@ -105,21 +106,28 @@
   }
 
   async #serve (request: ForwardRequest, pending: PendingRequest): Promise<RunEnd> {
-    const { random, clock, retries, directory, unsent } = this.#context
+    const { random, clock, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
     const check = this.#context.callQuarantine.check(request)
-    const refused = this.#checkQuarantine(request, service, check) ?? this.#admit(request, service)
+    const quarantined = this.#checkQuarantine(request, service, check)
+    if (quarantined !== undefined) return quarantined
+    const newRun = (isCounted: boolean): ForwardRun =>
+      new ForwardRun({ context: this.#context, request, service, sink: pending.sink, check, isCounted })
+    if (isCutOff(this.#context, request, service)) {
+      pending.run = newRun(false)
+      return await pending.run.run()
+    }
+    const refused = this.#admit(request, service)
     if (refused !== undefined) return refused
-    retries.countRequests(service)
-    for (const stage of request.route.stages) retries.countRequests(stage.service, request.pieceCounts[stage.index])
+    this.#countRequest(request, service)
     const now = clock.now()
     const available = directory.usable(service).filter((endpoint) => endpoint.isAvailable(now))
     const slots = available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
     unsent.add(service, request)
     try {
       return await this.#gate.run(service, slots, request.priority, () => {
-        pending.run = new ForwardRun(this.#context, request, service, pending.sink, check)
+        pending.run = newRun(true)
         return pending.run.run()
       })
     } finally {
@@ -127,6 +135,14 @@
     }
   }
 
+  /** Counts the request for the retry budgets, once for all instances that it passes. */
+  #countRequest ({ route, pieceCounts, detoured }: ForwardRequest, service: ServiceId): void {
+    const { retries } = this.#context
+    if (detoured?.isCounted === true) return
+    retries.countRequests(service)
+    for (const stage of route.stages) retries.countRequests(stage.service, pieceCounts[stage.index])
+  }
+
   /** The end of a request that no endpoint may get; undefined if one may. */
   #checkQuarantine (request: ForwardRequest, service: ServiceId, check: CallCheck): RunEnd | undefined {
     const quarantine = check.quarantineOf(this.#context.directory.usable(service))
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -8,6 +8,8 @@
 export const MAX_IDLE_CONNECTIONS = 16
 /** Share of an endpoint's connection limit that all instances together may use. */
 export const CONNECTION_SHARE = 0.8
+/** Peers that may turn a request down before it is refused to its caller. */
+export const MAX_UNTAKEN = 2
 /** No call is sent with less than this time left. */
 export const MIN_CALL_TIME = millis(15)
 /** Endpoints that may reject a request before it is refused to its caller. */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,5 +1,6 @@
 import type { DomainId, EndpointId, Failure, Millis, Tokens, WorkspaceId } from '@papayahill/common'
 import type { AnswerHeaders, HeaderList, RetryAfter, SocketAnswer } from '@papayahill/connections'
+import type { DetouredRequest } from './Detour.js'
 import type { DomainRule, Endpoint, EndpointDirectory, ReportedLoad, ServiceProfile, ServingRoute } from '@papayahill/directory'
 
 /** One part of a prompt, in prompt order; requests can have leading parts in common. */
@@ -45,6 +46,8 @@
   readonly pieceKey: string | undefined
   /** Aborted when the caller disconnects or the instance has stopped; its reason tells which. */
   readonly signal: AbortSignal
+  /** Set if a peer that does not reach the service handed the request over. */
+  readonly detoured?: DetouredRequest | undefined
 }
 
 /** Sends the answer to the caller. */
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -23,7 +23,8 @@
   table: 12,
   endpoint: 13,
   quota: 14,
-  quarantine: 15
+  quarantine: 15,
+  detour: 17
 }
 const TOPICS: ReadonlyMap<unknown, Topic> = new Map(Object.entries(TOPIC_NUMBERS).map(([topic, number]) => [number, topic as Topic]))
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
