--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 /** Allowed imports between the workspace's own packages: layers.json lists, for each, what lies below it. */
 const layers = JSON.parse(readFileSync(new URL('./layers.json', import.meta.url), 'utf8'))
 
-/** What tests of the entry instance's process may import besides. */
+/** What tests that play several instances may import besides. */
 const TEST_HELP = ['invariants', 'standins']
 
 /** Headers, paths and fields of the users' platform. */
@@ -51,6 +51,7 @@
       }]
     }
   },
+  layerRule(['detour', [...layers.detour, ...TEST_HELP]], ['packages/detour/src/**/*.test.ts', 'packages/detour/src/testing/**/*.ts']),
   layerRule(['papayahilld', [...layers.papayahilld, ...TEST_HELP]], ['apps/papayahilld/src/**/*.test.ts']),
   layerRule(['platform', [...layers.platform, ...TEST_HELP, 'explain']], ['platform/src/**/*.test.ts', 'platform/src/testing/**/*.ts'])
 ]
