--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -124,11 +124,15 @@
 
   async #execute (): Promise<RunEnd> {
     for (;;) {
-      const step = isCutOff(this.#context, this.#request, this.#service) ? await this.#detour() : await this.#directStep()
+      const step = this.#isCutOff ? await this.#detour() : await this.#directStep()
       if (step !== 'again') return step
     }
   }
 
+  get #isCutOff (): boolean {
+    return isCutOff(this.#context, this.#request, this.#service)
+  }
+
   async #directStep (): Promise<Step> {
     if (this.#isStaged) return await this.#attempt()
     if (await this.#isAborted()) return this.#aborted()
@@ -226,6 +230,7 @@
     const to = this.#untakenCount < MAX_UNTAKEN ? detour.choose(this.#request, this.#service, this.#triedPeers) : undefined
     if (to === undefined) return this.#noPath()
     this.#triedPeers.add(to.id)
+    this.#context.unsent.delete(this.#service, this.#request)
     this.#graph?.cancel()
     this.#inputs = []
     this.#isStaged = false
@@ -290,6 +295,7 @@
     if (ended !== undefined) return ended
     const endpoint = await this.#place()
     if (endpoint === undefined) {
+      if (this.#isCutOff) return 'again'
       const late = this.#quarantine()
       if (late !== undefined) return this.#quarantined(late)
       const cause = this.#placement.wasLimited ? 'limit' : undefined
@@ -411,7 +417,7 @@
   }
 
   #rejected (detail: string): Step {
-    if (++this.#rejections > MAX_REJECTIONS) return this.#retryDenied(detail)
+    if (++this.#rejections > MAX_REJECTIONS && !this.#isCutOff) return this.#retryDenied(detail)
     return this.#retry(detail)
   }
 
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -55,6 +55,8 @@
     context.quarantines.onQuarantine(() => {
       for (const { run } of this.#pending) run?.applyQuarantines()
     })
+    // Requests that go over peers need no slot here, and must not wait for calls to endpoints that are not reached.
+    context.reach.onChange((service, isReached) => { if (!isReached) this.#gate.open(service) })
   }
 
   /** Requests without a final answer. */
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -6,6 +6,7 @@
 import { chooseLeastLoaded } from './chooseLeastLoaded.js'
 import { PLACEMENT_RETRY_PERIOD } from './constants.js'
 import type { ForwardContext } from './ForwardContext.js'
+import { isCutOff } from './isCutOff.js'
 import { logLimited } from './logLimited.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { ForwardRequest, PlacementCriteria } from './types.js'
@@ -54,7 +55,7 @@
       const endpoint = this.choose(call)
       if (endpoint !== undefined) return endpoint
       const availableAt = clock.now() + timeUntilAvailable(limits, directory.usable(this.#service), clock.now())
-      if (availableAt >= until || this.#request.signal.aborted) return undefined
+      if (availableAt >= until || this.#request.signal.aborted || isCutOff(this.#context, this.#request, this.#service)) return undefined
       this.#requestToken(clock.now())
       await clock.sleep(PLACEMENT_RETRY_PERIOD)
     }
@@ -89,8 +90,9 @@
 
   /** The same, with those whose limit of requests leaves no token to this instance. */
   #accepting (now: Millis): readonly Endpoint[] {
-    const { directory, coldStarts } = this.#context
+    const { directory, coldStarts, reach } = this.#context
     return directory.healthy(this.#service)
+      .filter((endpoint) => reach.reachesEndpoint(endpoint))
       .filter((endpoint) => this.#request.isAllowedIn(endpoint.domain) && endpoint.canAccept(now) && coldStarts.canAccept(endpoint))
       .filter((endpoint) => this.#check.quarantineAt(endpoint) === undefined)
   }
--- a/packages/forwarding/src/ServiceGate.ts
+++ b/packages/forwarding/src/ServiceGate.ts
@@ -21,6 +21,11 @@
     return queue.add(work, { priority: -priority })
   }
 
+  /** Lets all queued requests of a service run. */
+  open (service: ServiceId): void {
+    this.#queueOf(service).concurrency = Infinity
+  }
+
   /** Queued requests of all services. */
   get waiting (): number {
     return [...this.#queues.values()].reduce((sum, queue) => sum + queue.size, 0)
