--- a/packages/bench/src/state/GatedPeers.ts
+++ b/packages/bench/src/state/GatedPeers.ts
@@ -37,8 +37,8 @@
     return this.#peers.neighbours()
   }
 
-  keepLinks (to: ReadonlySet<InstanceId>): void {
-    this.#peers.keepLinks(to)
+  keepLinks (to: ReadonlySet<InstanceId>, topic?: Topic): void {
+    this.#peers.keepLinks(to, topic)
   }
 
   send (to: InstanceId, topic: Topic, message: Json): void {
--- a/packages/detour/src/DetourRouter.ts
+++ b/packages/detour/src/DetourRouter.ts
@@ -1,11 +1,11 @@
-import { brand, millis } from '@papayahill/common'
+import { brand, byRendezvous, millis } from '@papayahill/common'
 import type { Clock, DomainId, EventLog, Failure, Incarnation, InstanceId, Json, LoopDelay, Millis, Random, ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import type { CallerSink, Detour, ForwardRequest, HandOver, HandOverEnd } from '@papayahill/forwarding'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import type { Reach } from '@papayahill/reach'
 import { choosePeer } from './choosePeer.js'
-import { BUSY_RETRY_AFTER, HAND_OVERS_PER_CORE, MAX_LOOP_DELAY, OTHER_DOMAIN_FACTOR } from './constants.js'
+import { BUSY_RETRY_AFTER, HAND_OVERS_PER_CORE, KEPT_LINKS, MAX_LOOP_DELAY, OTHER_DOMAIN_FACTOR } from './constants.js'
 import { packOfferAnswer, unpackMessage } from './detourMessages.js'
 import { DETOUR_EVENTS } from './events.js'
 import { HostedRequest } from './HostedRequest.js'
@@ -101,6 +101,14 @@
       (this.#outstandingAt(id) + 1) / capacity * (domain === own ? 1 : OTHER_DOMAIN_FACTOR))
   }
 
+  /** Keeps links open to a few peers for each of these services that is not reached, so that no offer waits for a dial. */
+  keepLinks (services: Iterable<ServiceId>): void {
+    const { peers, reach } = this.#options
+    const kept = [...services].filter((service) => !reach.reaches(service)).flatMap((service) =>
+      byRendezvous(peers.self, reach.peersReaching(service), ({ id }) => id).slice(0, KEPT_LINKS))
+    peers.keepLinks(new Set(kept.map(({ id }) => id)), 'detour')
+  }
+
   async handOver (given: HandOver): Promise<HandOverEnd> {
     const { clock, log, peers } = this.#options
     const { request, service, to, endsAt } = given
--- a/packages/detour/src/constants.ts
+++ b/packages/detour/src/constants.ts
@@ -6,7 +6,7 @@
 /** Interval at which each side checks that the other one is still there. */
 export const PRESENCE_CHECK_PERIOD = millis(100)
 /** A peer whose link was silent for this long is considered gone. */
-export const MAX_PEER_SILENCE = millis(1300)
+export const MAX_PEER_SILENCE = millis(1800)
 /** Time after a hand-over's deadline, in addition to the grace of late answers, after which it ends. */
 export const END_MARGIN = millis(200)
 /** Largest content of one message; encoded, it stays far below the largest frame. */
@@ -25,3 +25,5 @@
 export const BUSY_RETRY_AFTER = millis(300)
 /** Factor by which a peer in another failure domain counts as busier, since bytes between domains are paid for. */
 export const OTHER_DOMAIN_FACTOR = 1.5
+/** Links that are kept open for each service that is not reached, in addition to those that are open anyway. */
+export const KEPT_LINKS = 4
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -264,6 +264,21 @@
       await cluster.clock.advance(seconds(8))
       expect(core!.isConnected(peer)).toBe(true)
     })
+
+    // Guards against links that one part of an instance needs being closed when another part names its own.
+    it('are kept for each topic, until that topic names others', async () => {
+      const cluster = new PeerCluster(40)
+      await cluster.start()
+      const [core] = cluster.cores
+      const others = core!.members().map(({ id }) => id).filter((id) => !core!.isConnected(id))
+      core!.keepLinks(new Set([others[0]!]), 'stage')
+      core!.keepLinks(new Set([others[1]!]), 'detour')
+      await cluster.clock.advance(seconds(60))
+      expect(others.slice(0, 2).map((id) => core!.isConnected(id))).toEqual([true, true])
+      core!.keepLinks(new Set(), 'detour')
+      await cluster.clock.advance(seconds(60))
+      expect(others.slice(0, 2).map((id) => core!.isConnected(id))).toEqual([true, false])
+    })
   })
 
   describe('published entries', () => {
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -49,6 +49,8 @@
   readonly #pendingAsks: PendingAsks
   readonly #handlers = new Map<Topic, PeerHandler>()
   readonly #listeners = new Map<Topic, Array<(entry: GossipEntry) => void>>()
+  /** Peers whose links are kept open, for each topic that needs them. */
+  readonly #keptLinks = new Map<Topic, ReadonlySet<InstanceId>>()
   readonly #timers: Timer[] = []
   #address: PeerAddress | undefined
   #isListUnusable = false
@@ -147,8 +149,9 @@
     return this.#links.active().map((link) => link.peer.id)
   }
 
-  keepLinks (to: ReadonlySet<InstanceId>): void {
-    this.#links.keepOpen(to)
+  keepLinks (to: ReadonlySet<InstanceId>, topic: Topic = 'stage'): void {
+    this.#keptLinks.set(topic, to)
+    this.#links.keepOpen(new Set([...this.#keptLinks.values()].flatMap((ids) => [...ids])))
   }
 
   send (to: InstanceId, topic: Topic, message: Json): void {
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -61,8 +61,8 @@
   isConnected (id: InstanceId): boolean
   /** Peers that gossip is exchanged with directly: all others in a small cluster, a subset in a larger one. */
   neighbours (): readonly InstanceId[]
-  /** Keeps links to these peers open, so that messages need not wait for a dial; replaces the previous set. */
-  keepLinks (to: ReadonlySet<InstanceId>): void
+  /** Keeps links to these peers open, so that messages need not wait for a dial; replaces the previous set for the topic. */
+  keepLinks (to: ReadonlySet<InstanceId>, topic?: Topic): void
   send (to: InstanceId, topic: Topic, message: Json): void
   broadcast (topic: Topic, message: Json): void
   ask (to: InstanceId, topic: Topic, message: Json, timeout: Millis): Promise<Result<Json, PeerError>>
