--- a/packages/explain/src/explainRequest.test.ts
+++ b/packages/explain/src/explainRequest.test.ts
@@ -56,6 +56,30 @@
     })
   })
 
+  describe('handed over to a peer', () => {
+    const handedOver = (at: number, to: string): string => line(at, 'i1', 'requestHandedOver', { request: 'r1', to, service: 'orders', timeLeftMs: 900 })
+    const ended = (at: number, to: string, outcome: string, more: Fields = {}): string =>
+      line(at, 'i1', 'handOverEnded', { request: 'r1', to, outcome, ...more })
+
+    it('names the peers that it went to, and how that ended', () => {
+      const explanation = explainLines(
+        handedOver(0, 'i2'), ended(2, 'i2', 'not-taken', { detail: 'the peer is busy' }), handedOver(2, 'i3'),
+        line(4, 'i3', 'requestTaken', { request: 'r1', timeLeftMs: 890 }), line(30, 'i3', 'callEnded', { request: 'r1', endpoint: 'e1', tookMs: 20 }),
+        line(31, 'i3', 'requestAnswered', { request: 'r1', tookMs: 31 }), ended(33, 'i3', 'answered'),
+        line(33, 'i1', 'requestAnswered', { request: 'r1', tookMs: 33 }))
+      expect(explanation.cause).toBe('it took 33 ms: stages unknown ms, the last call 20 ms; i1 reached no endpoint of orders and handed it over to ' +
+        'i2 (not-taken: the peer is busy), then to i3 (answered)')
+    })
+
+    it('ends where its caller is, not at the peer', () => {
+      const explanation = explainLines(
+        handedOver(0, 'i2'), line(4, 'i2', 'requestTaken', { request: 'r1' }), ended(50, 'i2', 'lost', { detail: 'the peer is gone' }),
+        line(50, 'i1', 'requestFailed', { request: 'r1', detail: 'the peer is gone', run: 'unknown' }), line(60, 'i2', 'callerGone', { request: 'r1' }))
+      expect(explanation.fate).toBe('failed')
+      expect(explanation.cause).toContain('handed it over to i2 (lost: the peer is gone)')
+    })
+  })
+
   describe('failed or cut', () => {
     it('names the endpoint and how the call ended, with events about the endpoint at that time', () => {
       const placed = line(900, 'i1', 'requestPlaced', { request: 'r1', endpoint: 'e7' })
--- a/packages/explain/src/explainRequest.ts
+++ b/packages/explain/src/explainRequest.ts
@@ -101,6 +101,27 @@
   return limit === undefined ? '' : `; it was sent elsewhere because ${limit}`
 }
 
+/** Says to which peers a request was handed over, and how that ended; empty if it was not. */
+const detourOf = (own: readonly LogLine[]): string => {
+  const offers = own.filter(({ name }) => name === 'requestHandedOver')
+  const [first] = offers
+  if (first === undefined) return ''
+  const ends = own.filter(({ name }) => name === 'handOverEnded')
+  const describeOffer = ({ fields }: LogLine, at: number): string => {
+    const end = ends[at]
+    const detail = end?.fields.detail === undefined ? '' : `: ${fieldText(end, 'detail')}`
+    return `${String(fields.to)} (${end === undefined ? 'no end' : fieldText(end, 'outcome')}${detail})`
+  }
+  return `; ${first.instance} reached no endpoint of ${fieldText(first, 'service')} and handed it over to ` +
+    offers.map(describeOffer).join(', then to ')
+}
+
+/** The line that ended the request for its caller: where it was handed over, that of the instance that had received it. */
+const endingOf = (own: readonly LogLine[]): LogLine | undefined => {
+  const origin = own.find(({ name }) => name === 'requestHandedOver')?.instance
+  return own.findLast(({ name, instance }) => OUTCOME_OF_EVENT[name] !== undefined && (origin === undefined || instance === origin))
+}
+
 const CAUSES: Readonly<Record<RequestOutcome, DescribeCause>> = {
   answered: ({ own, end }) => {
     const stages = lastOf(own, 'stagesEnded')
@@ -150,9 +171,9 @@
 export const explainRequest = (lines: readonly LogLine[], id: string): RequestExplanation | undefined => {
   const own = lines.filter(({ request }) => request === id)
   if (own.length === 0) return undefined
-  const ending = own.findLast(({ name }) => OUTCOME_OF_EVENT[name] !== undefined)
+  const ending = endingOf(own)
   const end = ending ?? own.at(-1)!
   const fate = ending === undefined ? (hasInstanceEnded(own, lines) ? 'instance-ended' : 'open') : OUTCOME_OF_EVENT[ending.name]!
-  const cause = CAUSES[fate]({ own, all: lines, end })
+  const cause = CAUSES[fate]({ own, all: lines, end }) + detourOf(own)
   return { id, fate, cause, lines: own, evidence: evidenceFor(own, lines, end) }
 }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -216,7 +216,8 @@
     const { clock, log } = this.#context
     const took = millis(clock.now() - request.arrivedAt)
     const fields = { request: request.attempt, route: request.route.name, workspace: request.workspace, tookMs: took }
-    this.#observer.requestEnded(request, end, took)
+    // A request from a peer is counted where its caller is.
+    if (request.detoured === undefined) this.#observer.requestEnded(request, end, took)
     if (end.kind === 'answered') return log.emit(FORWARDING_EVENTS.requestAnswered, { ...fields, status: end.status })
     const isCallerGone = request.signal.aborted && request.signal.reason !== INSTANCE_STOPPED
     if (isCallerGone) return log.emit(FORWARDING_EVENTS.callerGone, fields)
