--- a/packages/detour/src/DetourRouter.ts
+++ b/packages/detour/src/DetourRouter.ts
@@ -154,9 +154,12 @@
   }
 
   #receiveOffer (from: Origin, id: HandOverId, offer: Offer): OfferAnswer {
-    const { clock, log, peers, resolver, serve } = this.#options
+    const { clock, log, peers, resolver, serve, loopDelay } = this.#options
+    // A copy of an offer that is still open is answered like the first.
+    if (this.#hostedOf(from, id) !== undefined) return { isTaken: true }
+    const receivedAt = millis(clock.now() - loopDelay.current)
     const fields = { request: offer.attempt, from: from.id, service: offer.service, config: offer.configVersion }
-    const isCurrent = this.#isNew(from, id) && isPeerPresent(peers, from.id, from.incarnation)
+    const isCurrent = offer.to === peers.incarnation && this.#isNew(from, id) && isPeerPresent(peers, from.id, from.incarnation)
     const resolved = isCurrent ? resolver.resolve(offer) : 'the offer came late'
     const declined = typeof resolved === 'string' ? { detail: resolved, retryAfter: undefined } : this.#decline(resolved.route)
     if (typeof resolved === 'string' || declined !== undefined) {
@@ -165,7 +168,7 @@
     }
     log.emit(DETOUR_EVENTS.handOverTaken, { ...fields, runs: offer.runs, timeLeftMs: offer.timeLeft })
     const isOpenElsewhere = (failure: Failure): boolean => failure.kind === 'draining' || !this.#reachesAll(resolved.route)
-    const hosted = new HostedRequest({ clock, log, peers, id, from, offer, resolved, serve, isOpenElsewhere })
+    const hosted = new HostedRequest({ clock, log, peers, id, from, offer, receivedAt, resolved, serve, isOpenElsewhere })
     this.#hosted.set(id, hosted)
     void hosted.run().finally(() => this.#hosted.delete(id)).catch(() => {})
     return { isTaken: true }
--- a/packages/detour/src/HostedRequest.ts
+++ b/packages/detour/src/HostedRequest.ts
@@ -26,6 +26,8 @@
   readonly id: HandOverId
   readonly from: Origin
   readonly offer: Offer
+  /** Monotonic time at which the offer came; a delayed event loop reads it later. */
+  readonly receivedAt: Millis
   readonly resolved: ResolvedRequest
   readonly serve: (request: ForwardRequest, sink: CallerSink) => Promise<void>
   readonly isOpenElsewhere: (failure: Failure) => boolean
@@ -49,13 +51,13 @@
   readonly #deadline: Millis
 
   constructor (options: HostedRequestOptions) {
-    const { clock, id, offer } = options
+    const { id, offer, receivedAt } = options
     this.#options = options
     this.#sender = new PartSender((number, part) => this.#send({ kind: 'part', id, number, part }))
     this.#receiver = new PartReceiver((count) => this.#send({ kind: 'confirm', id, count }))
     this.#received = new Promise((resolve) => { this.#settleReceived = resolve })
-    this.#arrivedAt = millis(clock.now() - offer.age)
-    this.#deadline = millis(clock.now() + offer.timeLeft)
+    this.#arrivedAt = millis(receivedAt - offer.age)
+    this.#deadline = millis(receivedAt + offer.timeLeft)
   }
 
   get from (): Origin {
--- a/packages/detour/src/OpenHandOver.ts
+++ b/packages/detour/src/OpenHandOver.ts
@@ -113,10 +113,14 @@
 
   /** Offers the request, and sends its body once the peer has taken it; the end if it has not. */
   async #offer (): Promise<HandOverEnd | undefined> {
-    const { peers, id } = this.#options
+    const { clock, peers, id } = this.#options
     const message = packMessage({ kind: 'offer', id, offer: this.#offerOf() })
-    const asked = peers.ask(this.to, 'detour', message, this.#takeTimeout)
+    const timeout = this.#takeTimeout
+    const asked = peers.ask(this.to, 'detour', message, timeout)
+    // The timeout of a question begins once there is a link; a dial may take longer.
+    const timer = clock.after(timeout, () => this.#lose('the peer did not answer in time'))
     const answer = await Promise.race([asked, this.#ended])
+    timer.cancel()
     if ('kind' in answer) return { kind: 'not-taken', detail: 'detail' in answer ? answer.detail : answer.kind }
     if (answer.isErr) return { kind: 'not-taken', detail: answer.error.detail }
     const { isTaken, ...declined } = unpackOfferAnswer(answer.value)
@@ -135,6 +139,7 @@
     const { attempt, method, path, headers, body, route, workspace, priority, configVersion, prompt, pieceCounts, pieceKey } = request
     const now = clock.now()
     return {
+      to: this.incarnation,
       attempt,
       method,
       path,
--- a/packages/detour/src/testing/DetourHarness.ts
+++ b/packages/detour/src/testing/DetourHarness.ts
@@ -15,7 +15,7 @@
 /** Serves a request that was handed over. */
 export type Serve = (request: ForwardRequest, sink: CallerSink) => Promise<void>
 
-/** Changes what an instance sends: returns the messages that go out instead of one. */
+/** Changes what an instance sends: returns the messages that go out instead of one; an offer goes out in any case. */
 export type Tamper = (message: DetourMessage | undefined, packed: Json) => readonly Json[]
 
 export interface HarnessInstance {
@@ -71,6 +71,12 @@
         for (const message of tamper()(unpackMessage(packed), packed)) node.send(to, topic, message)
       }
     }
+    if (name === 'ask') {
+      return (...given: Parameters<Peers['ask']>) => {
+        for (const copy of tamper()(unpackMessage(given[2]), given[2]).slice(1)) void node.ask(given[0], given[1], copy, given[3])
+        return node.ask(...given)
+      }
+    }
     const value = node[name]
     return typeof value === 'function' ? value.bind(node) : value
   }
--- a/packages/detour/src/types.ts
+++ b/packages/detour/src/types.ts
@@ -1,4 +1,4 @@
-import type { Brand, Failure, Millis, ServiceId, WorkspaceId } from '@papayahill/common'
+import type { Brand, Failure, Incarnation, Millis, ServiceId, WorkspaceId } from '@papayahill/common'
 import type { HeaderList } from '@papayahill/connections'
 import type { Prompt } from '@papayahill/forwarding'
 
@@ -7,6 +7,8 @@
 
 /** What a peer is told of a request before it takes it; the body follows once it has. */
 export interface Offer {
+  /** The process that is asked; its successor under the same id declines. */
+  readonly to: Incarnation
   readonly attempt: string
   readonly method: string
   readonly path: string
