--- a/packages/detour/src/DetourRouter.test.ts
+++ b/packages/detour/src/DetourRouter.test.ts
@@ -173,6 +173,14 @@
       expect(received).toMatchObject({ end: { kind: 'lost' }, streamed: eventsTo(4) })
     })
 
+    // Guards against an error at the peer that leaves its origin waiting, or the peer's place taken.
+    it('leaves a request that may have run if it ends in an error there', async () => {
+      const harness = new DetourHarness('i1', 'i2')
+      harness.of('i2').serve = () => Promise.reject(new Error('a fault'))
+      expect((await harness.endOf(SOON, 'i1', 'i2'))?.end.kind).toBe('lost')
+      expect(harness.of('i2').router.hosted).toBe(0)
+    })
+
     it('counts the calls that it told of', async () => {
       const harness = new DetourHarness('i1', 'i2')
       harness.of('i2').serve = async (request, sink) => {
--- a/packages/detour/src/DetourRouter.ts
+++ b/packages/detour/src/DetourRouter.ts
@@ -163,14 +163,14 @@
     const resolved = isCurrent ? resolver.resolve(offer) : 'the offer came late'
     const declined = typeof resolved === 'string' ? { detail: resolved, retryAfter: undefined } : this.#decline(resolved.route)
     if (typeof resolved === 'string' || declined !== undefined) {
-      log.emit(DETOUR_EVENTS.handOverDeclined, { ...fields, detail: declined?.detail })
+      log.emit(DETOUR_EVENTS.handOverDeclined, { ...fields, detail: declined?.detail, hosted: this.#hosted.size })
       return { isTaken: false, detail: '', retryAfter: undefined, ...declined }
     }
     log.emit(DETOUR_EVENTS.handOverTaken, { ...fields, runs: offer.runs, timeLeftMs: offer.timeLeft })
     const isOpenElsewhere = (failure: Failure): boolean => failure.kind === 'draining' || !this.#reachesAll(resolved.route)
     const hosted = new HostedRequest({ clock, log, peers, id, from, offer, receivedAt, resolved, serve, isOpenElsewhere })
     this.#hosted.set(id, hosted)
-    void hosted.run().finally(() => this.#hosted.delete(id)).catch(() => {})
+    void hosted.run().then(() => this.#hosted.delete(id))
     return { isTaken: true }
   }
 
--- a/packages/detour/src/HostedRequest.ts
+++ b/packages/detour/src/HostedRequest.ts
@@ -73,6 +73,9 @@
     const sink = new PeerSink(this.#sender, this.#controller, isOpenElsewhere)
     try {
       if (isComplete) await serve(this.#request(), sink)
+    } catch (err) {
+      const detail = err instanceof Error ? err.stack ?? err.message : String(err)
+      log.emit(DETOUR_EVENTS.handOverFaulty, { request: offer.attempt, from: from.id, detail })
     } finally {
       // An error ends this request alone; its origin must not take what it has for a whole answer.
       sink.cut()
--- a/packages/detour/src/events.ts
+++ b/packages/detour/src/events.ts
@@ -6,5 +6,6 @@
   handOverEnded: { number: 2402, level: 'info', text: 'A request that was offered to a peer ended there, or was not taken.' },
   handOverTaken: { number: 2403, level: 'info', text: 'A request of another instance was taken.' },
   handOverDeclined: { number: 2404, level: 'info', text: 'A request of another instance was not taken; nothing of it has run here.' },
-  handOverServed: { number: 2405, level: 'info', text: 'A request of another instance ended here.' }
+  handOverServed: { number: 2405, level: 'info', text: 'A request of another instance ended here.' },
+  handOverFaulty: { number: 2406, level: 'error', text: 'A request of another instance ended in an error of this one.' }
 })
