--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -1,6 +1,6 @@
 import type { EndpointId } from '@papayahill/common'
-import { EndpointSocket, probeListener, probePath } from '@papayahill/connections'
-import type { ListenerState } from '@papayahill/connections'
+import { EndpointSocket, TCP_DIALER } from '@papayahill/connections'
+import type { EndpointDialer, ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { isIPv6 } from 'node:net'
 import { CONNECTION_SHARE, MAX_IDLE_CONNECTIONS } from './constants.js'
@@ -14,6 +14,8 @@
   readonly partitioner: Pick<LimitPartitioner, 'shareOf' | 'forget'>
   /** Called when a connection has opened and lasted for {@link SETTLE_TIME}, or could not be opened. */
   readonly onConnected: (endpoint: Endpoint, isOpen: boolean) => void
+  /** Opens the connections; over TCP if absent. */
+  readonly dialer?: EndpointDialer | undefined
 }
 
 interface EndpointConnections {
@@ -36,10 +38,12 @@
  */
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions
+  readonly #dialer: EndpointDialer
   readonly #connections = new Map<EndpointId, EndpointConnections>()
 
   constructor (options: ConnectionPoolOptions) {
     this.#options = options
+    this.#dialer = options.dialer ?? TCP_DIALER
     options.directory.onGone((endpoint) => this.#closeIdle(endpoint))
   }
 
@@ -58,7 +62,7 @@
     if (idle !== undefined) return idle
     if (connections.open >= this.#limitOf(endpoint)) return undefined
     connections.open++
-    const socket = new EndpointSocket(originOf(endpoint))
+    const socket = new EndpointSocket(originOf(endpoint), this.#dialer.connect)
     socket.onClosed(() => { connections.open-- })
     socket.onConnected((isOpen) => this.#options.onConnected(endpoint, isOpen))
     return socket
@@ -81,12 +85,12 @@
 
   /** Whether something still listens at the endpoint's address. */
   async probe ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
-    return await probeListener(ip, port)
+    return await this.#dialer.probe(ip, port)
   }
 
   /** Whether new connections reach the endpoint. */
   async probePath ({ address: { ip, port } }: Endpoint): Promise<ListenerState> {
-    return await probePath(ip, port)
+    return await this.#dialer.probePath(ip, port)
   }
 
   release (endpoint: Endpoint, socket: EndpointSocket): void {
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -92,7 +92,7 @@
 
   #newExchange (): OpaqueExchange {
     const { context, request, endpoint, check, relay, inputs, canRetry } = this.#options
-    const { clock, log, wire, directory, limits, firstEvents, reach } = context
+    const { clock, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
     const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
@@ -102,7 +102,7 @@
       wire,
       directory,
       limits,
-      paths: reach,
+      paths,
       probedSilence: this.#probedSilence,
       isAllowed: () => !check.mustWithdraw(endpoint),
       relay: relay === undefined ? undefined : this.#watchFirstEvent(relay),
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -6,6 +6,7 @@
 import type { PathEvidence, Reach } from '@papayahill/reach'
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
 import type { ConnectionPool } from './ConnectionPool.js'
+import type { Detour } from './Detour.js'
 import type { EngineTracker } from './EngineTracker.js'
 import type { CallQuarantine } from './CallQuarantine.js'
 import type { RouteTimes } from './newRouteTimes.js'
@@ -38,9 +39,12 @@
   readonly versions: VersionGate
   readonly profileOf: ProfileLookup
   /** What this instance and its peers reach. */
-  readonly reach: Reach & PathEvidence
+  readonly reach: Reach
+  /** Receives what calls show about the paths to endpoints. */
+  readonly paths: PathEvidence
   /** Reads what callers sent or closed while the event loop was blocked. */
   readonly arrivals: Pick<ArrivalReader, 'catchUp'>
+  readonly detour: Detour
   /** Failure domain of this instance. */
   readonly domain: DomainId
 }
