--- a/packages/reach/src/EndpointReach.test.ts
+++ b/packages/reach/src/EndpointReach.test.ts
@@ -333,22 +333,47 @@
   })
 
   describe('a service of which all endpoints are down', () => {
-    it.each(['hangs', 'refuses'] as const)('is not taken for a cut while other services are reached, when they: %s', async (state) => {
+    it.each(['hangs', 'refuses'] as const)('is told as not reached, and no other service with it, when they: %s', async (state) => {
       const rig = new ReachRig()
       rig.set(({ service }) => service === ORDERS ? state : 'open')
       await rig.traffic(6000)
       for (let at = 0; at < 6; at++) rig.call(rig.endpoint(ORDERS, at))
       await rig.clock.advance(seconds(2))
-      expect(rig.changes).toEqual([])
+      expect(rig.changes).toEqual([[ORDERS, false]])
+      expect(rig.published).toEqual([[ORDERS]])
+      rig.set('open')
+      await rig.clock.advance(seconds(1))
+      expect(rig.reached).toEqual([true, true, true])
+      expect(rig.published.at(-1)).toEqual([])
     })
 
-    it('that goes down during a cut is not sought at the peers after the heal', async () => {
+    it('is reached again by an endpoint that is new on the list', async () => {
+      const rig = new ReachRig()
+      rig.set(({ service }) => service === ORDERS ? 'refuses' : 'open')
+      for (let at = 0; at < 6; at++) rig.call(rig.endpoint(ORDERS, at))
+      await rig.clock.advance(seconds(2))
+      expect(rig.reached).toEqual([false, true, true])
+      rig.list([recordOf(ORDERS, 7)])
+      await rig.clock.advance(seconds(1))
+      expect(rig.reached).toEqual([true, true, true])
+    })
+
+    // Guards against an instance that loses its paths to one service of several and goes on to try its endpoints in turn.
+    it('is told within two seconds in light traffic', async () => {
+      const rig = new ReachRig()
+      await rig.traffic(1000)
+      rig.set(({ service }) => service === ORDERS ? 'hangs' : 'open')
+      await rig.traffic(2000)
+      expect(rig.reached).toEqual([false, true, true])
+    })
+
+    it('that goes down during a cut stays unreached after the heal, as at the peers', async () => {
       const rig = new ReachRig()
       rig.set('hangs')
       await rig.traffic(3000)
       rig.set(({ service }) => service === ORDERS ? 'refuses' : 'open')
       await rig.clock.advance(seconds(2))
-      expect(rig.reached).toEqual([true, true, true])
+      expect(rig.reached).toEqual([false, true, true])
       expect(rig.reach.reachesEndpoint(rig.endpoint(ORDERS, 0))).toBe(false)
     })
   })
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -34,9 +34,10 @@
 type ReachListener = (service: ServiceId, isReached: boolean) => void
 
 /**
- * Tells "this endpoint is down" from "this instance reaches no endpoint". A path is lost when new connections fail. This
- * instance is cut off once several endpoints of all services accept none of its connections, and none has accepted one since
- * the first sign of it; a single connection that opens shows the contrary.
+ * Tells "this endpoint is down" from "this instance reaches no endpoint". A path is lost when new connections fail. A service is
+ * not reached once the paths to all of its endpoints are lost. This instance is cut off once several endpoints of all services
+ * accept none of its connections, and none has accepted one since the first sign of it; a single connection that opens shows
+ * the contrary.
  *
  * @example
  * reach.noteSilence(endpoint)
@@ -136,7 +137,7 @@
     path.openedAt = openedAt
     this.#lastContactAt = now
     for (const [doubted, since] of this.#doubts) if (since <= openedAt) this.#doubts.delete(doubted)
-    if (path.isCut) forgetCut(path)
+    if (path.isCut || !this.reaches(endpoint.service)) forgetCut(path)
     path.lostAt = undefined
     this.#lost.delete(path)
     this.#endSuspicion(path)
@@ -241,10 +242,21 @@
       if (this.#cutAt === undefined) endpoint.noteConnectionFailure(now)
       else path.isCut = true
       if (path.contactAt <= (since ?? now)) this.#tellLost(endpoint)
+      this.#checkService(endpoint.service)
     }
     if (since !== undefined && this.#lastContactAt <= since) this.#suspect()
   }
 
+  /** A path was lost: the service is lost with its last one; the other endpoints are probed unless they gave a sign of life just now. */
+  #checkService (service: ServiceId): void {
+    if (this.#cutAt !== undefined || !this.reaches(service)) return
+    const left = this.#candidates(service)
+    if (left.length === 0) return this.#loseServices([service])
+    const latest = this.#options.clock.now() - MIN_SILENCE_SPACING
+    const silent = left.filter(({ contactAt }) => contactAt < latest)
+    for (const path of byLatestContact(silent).slice(0, MAX_PROBED_PER_SERVICE)) this.#prober.probe(path)
+  }
+
   #tellLost (endpoint: Endpoint): void {
     for (const listener of this.#lostListeners) listener(endpoint)
   }
@@ -304,17 +316,17 @@
     this.#recovery = undefined
     this.#doubts.clear()
     this.#timer ??= clock.every(PROBE_PERIOD, () => this.#tick())
-    this.#loseServices()
+    this.#loseServices(this.#options.directory.services)
     for (const path of this.#allUsable()) {
       path.isCut = path.lostAt === undefined || path.lostAt >= since
       if (path.contactAt <= since) this.#tellLost(path.endpoint)
     }
   }
 
-  #loseServices (): void {
+  #loseServices (services: readonly ServiceId[]): void {
     const { clock, log, directory } = this.#options
     const now = clock.now()
-    const lost = directory.services.filter((service) => this.reaches(service) && directory.usable(service).length > 0)
+    const lost = services.filter((service) => this.reaches(service) && directory.usable(service).length > 0)
     for (const service of lost) {
       const paths = this.#usable(service)
       const contactAt = millis(Math.max(...paths.map((path) => path.contactAt)))
@@ -341,13 +353,19 @@
     for (const path of awaited) this.#prober.probe(path)
   }
 
-  /** Services of which no endpoint has answered since the cut are down, for this instance as for the others. */
+  /** A service that none of its endpoints accepts connections for, since the cut has ended, stays lost. */
   #endRecovery (): void {
     this.#recovery = undefined
-    this.#regain([...this.#unreached], undefined)
+    this.#regainChanged()
     this.#held.endCut((endpoint, since) => this.#paths.of(endpoint).openedAt >= since)
   }
 
+  /** Services that are lost no more, since the list has other endpoints now. */
+  #regainChanged (): void {
+    const changed = [...this.#unreached].filter((service) => this.#usable(service).length === 0 || this.#candidates(service).length > 0)
+    this.#regain(changed, undefined)
+  }
+
   #regain (services: readonly ServiceId[], endpoint: Endpoint | undefined): void {
     const regained = services.filter((service) => this.#unreached.delete(service))
     for (const service of regained) this.#options.log.emit(REACH_EVENTS.serviceReached, { service, endpoint: endpoint?.id })
@@ -364,13 +382,15 @@
   /** Probes what is not reached, in turn. */
   #tick (): void {
     if (this.#cutAt !== undefined) {
-      this.#loseServices()
+      this.#loseServices(this.#options.directory.services)
       for (const service of this.#unreached) this.#probeOldest(this.#usable(service), 1)
       return
     }
+    if (this.#recovery === undefined) this.#regainChanged()
     if (this.#choose().length === 0) this.#suspect()
+    for (const service of this.#unreached) this.#probeOldest(this.#usable(service), 1)
     this.#probeOldest([...this.#lost], PROBED_LOST)
-    if (this.#lost.size > 0) return
+    if (this.#lost.size + this.#unreached.size > 0) return
     this.#timer?.cancel()
     this.#timer = undefined
   }
