--- a/packages/reach/src/EndpointReach.test.ts
+++ b/packages/reach/src/EndpointReach.test.ts
@@ -289,6 +289,17 @@
       expect(rig.reach.reachesEndpoint(old)).toBe(true)
       expect(rig.reach.reachesEndpoint(rig.endpoint(ORDERS, 1))).toBe(false)
     })
+
+    // Guards against batches that are given up on connections that live on.
+    it('ends the calls in progress only once they are silent', async () => {
+      const rig = new ReachRig()
+      rig.set('refuses')
+      await rig.traffic(2000)
+      expect(rig.lostPaths).toEqual([])
+      const silent = rig.endpoint(ORDERS, 0)
+      rig.reach.noteSilence(silent)
+      expect(rig.lostPaths).toEqual([silent.id])
+    })
   })
 
   describe('an endpoint that is down', () => {
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -139,6 +139,7 @@
     for (const [doubted, since] of this.#doubts) if (since <= openedAt) this.#doubts.delete(doubted)
     if (path.isCut || !this.reaches(endpoint.service)) forgetCut(path)
     path.lostAt = undefined
+    path.isSilent = false
     this.#lost.delete(path)
     this.#endSuspicion(path)
     this.#endCut(path)
@@ -160,6 +161,7 @@
     const now = this.#options.clock.now()
     const path = this.#paths.of(endpoint)
     path.silentSince ??= now
+    if (path.lostAt !== undefined) this.#tellLost(path)
     if (now - path.contactAt >= RECENT_CONTACT && now - path.openedAt >= MIN_SILENCE_SPACING) this.#doubt(path)
   }
 
@@ -235,13 +237,15 @@
     const since = this.#doubts.get(path)
     if (path.lostAt === undefined) {
       path.lostAt = now
+      path.isSilent = result === 'unknown'
       this.#lost.add(path)
       this.#timer ??= clock.every(PROBE_PERIOD, () => this.#tick())
       const fields = { endpoint: endpoint.id, service: endpoint.service, result, contactAgeMs: ageOf(path.contactAt, now) }
       log.emit(REACH_EVENTS.pathLost, fields)
       if (this.#cutAt === undefined) endpoint.noteConnectionFailure(now)
       else path.isCut = true
-      if (path.contactAt <= (since ?? now)) this.#tellLost(endpoint)
+      // Where new connections are refused, those that are open may live on.
+      if (path.isSilent || path.silentSince !== undefined) this.#tellLost(path)
       this.#checkService(endpoint.service)
     }
     if (since !== undefined && this.#lastContactAt <= since) this.#suspect()
@@ -257,7 +261,9 @@
     for (const path of byLatestContact(silent).slice(0, MAX_PROBED_PER_SERVICE)) this.#prober.probe(path)
   }
 
-  #tellLost (endpoint: Endpoint): void {
+  /** Tells that calls on the path will not be answered, unless bytes have come since the first sign of its loss. */
+  #tellLost ({ endpoint, contactAt, silentSince, lostAt }: Path): void {
+    if (contactAt > (silentSince ?? lostAt ?? Infinity)) return
     for (const listener of this.#lostListeners) listener(endpoint)
   }
 
@@ -317,9 +323,11 @@
     this.#doubts.clear()
     this.#timer ??= clock.every(PROBE_PERIOD, () => this.#tick())
     this.#loseServices(this.#options.directory.services)
-    for (const path of this.#allUsable()) {
+    const paths = this.#allUsable()
+    const isSilent = paths.some((path) => path.isSilent)
+    for (const path of paths) {
       path.isCut = path.lostAt === undefined || path.lostAt >= since
-      if (path.contactAt <= since) this.#tellLost(path.endpoint)
+      if (isSilent && path.contactAt <= since && path.lostAt === undefined) this.#tellLost(path)
     }
   }
 
--- a/packages/reach/src/PathTable.ts
+++ b/packages/reach/src/PathTable.ts
@@ -15,6 +15,8 @@
   silentSince: Millis | undefined
   /** Since when new connections fail. */
   lostAt: Millis | undefined
+  /** Whether new connections get no answer, rather than a refusal: open ones are lost then, too. */
+  isSilent: boolean
   /** Whether this instance was cut off from it, so that its failures since then are not the endpoint's. */
   isCut: boolean
   probedAt: Millis
@@ -34,6 +36,7 @@
       openedAt: NEVER,
       silentSince: undefined,
       lostAt: undefined,
+      isSilent: false,
       isCut: false,
       probedAt: NEVER,
       isProbing: false
