What a quarantine manager tells others, and when, in a class of its own

QuarantineManager (421 lines) kept the random waits before telling others beside the judgement of crashes. They are QuarantineAnnouncer now; no change of behaviour: the 56 tests of the package and of deadly parts pass unchanged.

--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -1,16 +1,14 @@
-import { epochMillis, firstByRendezvous, millis } from '@papayahill/common'
+import { epochMillis, millis } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis, Random } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { LRUCache } from 'lru-cache'
 import { BegunParts } from './BegunParts.js'
-import {
-  FIRST_LAPSE, MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, MAX_SCOPES, MIN_CRASHES, MIN_ISOLATED_CRASHES, PUBLISH_FALLBACK,
-  REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE
-} from './constants.js'
+import { FIRST_LAPSE, MAX_SCOPES, MIN_CRASHES, MIN_ISOLATED_CRASHES } from './constants.js'
 import { CrashDetector } from './CrashDetector.js'
 import type { LostCalls } from './CrashDetector.js'
 import { QUARANTINE_EVENTS } from './events.js'
 import type { Finding, PartHistory } from './judgeCrashes.js'
+import { QuarantineAnnouncer } from './QuarantineAnnouncer.js'
 import { QuarantineGossip } from './QuarantineGossip.js'
 import type { BegunNotice, QuarantineMessage } from './quarantineMessages.js'
 import { isWhole } from './partIdOf.js'
@@ -52,11 +50,8 @@
   readonly #evidence = new LRUCache<ScopeId, ScopeEvidence>({ max: MAX_SCOPES })
   readonly #table = new QuarantineTable()
   readonly #gossip: QuarantineGossip
+  readonly #announcer: QuarantineAnnouncer
   readonly #listeners: Array<() => void> = []
-  /** Parts whose innocence this instance is about to tell, by scope. */
-  readonly #replies = new Map<ScopeId, Set<PartId>>()
-  /** Incarnations whose crash this instance is about to tell. */
-  readonly #reporting = new Set<string>()
   /** When operators last lifted each set of parts; later evidence counts again. */
   readonly #lifted = new LRUCache<string, number>({ max: MAX_SCOPES })
 
@@ -66,6 +61,8 @@
       receive: (message, from) => this.#receive(message, from),
       receiveMalformed: (from) => options.log.emit(QUARANTINE_EVENTS.quarantineMalformed, { from })
     })
+    const { clock, random, peers: { self }, instances } = options
+    this.#announcer = new QuarantineAnnouncer({ clock, random, self, instances, gossip: this.#gossip })
   }
 
   /** Number of quarantines. */
@@ -141,7 +138,7 @@
     const evidence = this.#evidenceOf(scope)
     const news = cleared.filter((part) => this.#isNearBlame(evidence, part))
     this.#clear(evidence, cleared, 'an answer at this instance')
-    if (news.length > 0) this.#publishBegun({ scope, parts: news })
+    if (news.length > 0) this.#announcer.begun({ scope, parts: news })
   }
 
   /** A whole request was lost that may be a bystander; others are told once it was lost with two incarnations. */
@@ -214,17 +211,12 @@
 
   /** Tells the others what they have not told each other until then. */
   #publishLater (report: CrashReport): void {
-    const { clock, random, instances, peers } = this.#options
-    const { scope, incarnation, requests } = report
-    if (this.#reporting.has(incarnation)) return
-    this.#reporting.add(incarnation)
-    const spread = Math.min(MAX_REPORT_SPREAD, instances().length * REPORT_SPREAD_PER_INSTANCE)
-    clock.after(millis(random.next() * spread), () => {
-      this.#reporting.delete(incarnation)
-      const own = this.#detector.requestsOf(incarnation) ?? requests
+    const { scope, incarnation } = report
+    this.#announcer.crashLater(incarnation, () => {
+      const own = this.#detector.requestsOf(incarnation) ?? report.requests
       const blamed = own.map((parts) => parts.filter((part) => !this.#begun.has(scope, part))).filter((parts) => parts.length > 0)
-      const untold = this.#evidenceOf(scope).untold(incarnation, peers.self, blamed)
-      if (untold !== undefined) this.#gossip.publish(incarnation, { kind: 'crash', report: { ...report, requests: untold } })
+      const requests = this.#evidenceOf(scope).untold(incarnation, this.#options.peers.self, blamed)
+      return requests === undefined ? undefined : { ...report, requests }
     })
   }
 
@@ -244,7 +236,7 @@
     const evidence = this.#evidenceOf(report.scope)
     const innocent = [...new Set(report.requests.flat())].filter((part) => this.#begun.has(report.scope, part))
     const endangered = innocent.filter((part) => evidence.crashesWith(part) >= MIN_CRASHES - 1)
-    if (endangered.length > 0) this.#replyLater(report.scope, endangered)
+    if (endangered.length > 0) this.#announcer.begunLater(report.scope, endangered)
   }
 
   /** Another instance suspects requests that were lost here with another incarnation. */
@@ -289,25 +281,14 @@
     this.#table.put(quarantine)
     if (known !== undefined && !isTrial) return
     this.#logQuarantine(quarantine)
-    this.#publishOnce(quarantine)
+    this.#announcer.quarantine(quarantine, () => this.#table.get(quarantine)?.source === 'own')
     if (known === undefined) this.#notify()
   }
 
-  /** One instance publishes the quarantine for those that join later; another does if it has not been published soon. */
-  #publishOnce (quarantine: Quarantine): void {
-    const { clock, random, instances, peers } = this.#options
-    const key = keyOf(quarantine)
-    const publish = (): void => this.#gossip.publish(key, { kind: 'quarantine', quarantine })
-    if (firstByRendezvous(key, instances(), (id) => id) === peers.self) return publish()
-    clock.after(millis(PUBLISH_FALLBACK * (1 + random.next())), () => {
-      if (this.#table.get(quarantine)?.source === 'own') publish()
-    })
-  }
-
   /** A quarantine that another instance has begun; parts that are known to be sound here are left out, and the others are told. */
   #receiveQuarantine (told: Quarantine): void {
     const innocent = told.parts.filter((part) => this.#begun.has(told.scope, part))
-    if (innocent.length > 0) this.#replyLater(told.scope, innocent)
+    if (innocent.length > 0) this.#announcer.begunLater(told.scope, innocent)
     const received = { ...told, parts: told.parts.filter((part) => !innocent.includes(part)) }
     if (received.parts.length > 0) this.#adopt(received)
   }
@@ -325,7 +306,7 @@
   #receiveBegun ({ scope, parts }: BegunNotice, from: InstanceId): void {
     for (const part of parts) {
       this.#begun.add(scope, part)
-      this.#replies.get(scope)?.delete(part)
+      this.#announcer.begunTold(scope, part)
     }
     this.#clear(this.#evidenceOf(scope), parts, from)
   }
@@ -353,22 +334,6 @@
     else this.#options.log.emit(QUARANTINE_EVENTS.quarantineLifted, { scope, parts: parts.join(' '), by })
   }
 
-  #replyLater (scope: ScopeId, parts: readonly PartId[]): void {
-    const { clock, random, instances } = this.#options
-    const pending = this.#replies.get(scope) ?? new Set()
-    this.#replies.set(scope, pending)
-    for (const part of parts) pending.add(part)
-    const spread = Math.min(MAX_REPLY_SPREAD, instances().length * REPLY_SPREAD_PER_INSTANCE)
-    clock.after(millis(random.next() * spread), () => {
-      const untold = parts.filter((part) => pending.delete(part))
-      if (untold.length > 0) this.#publishBegun({ scope, parts: untold })
-    })
-  }
-
-  #publishBegun (notice: BegunNotice): void {
-    this.#gossip.publish(keyOf(notice), { kind: 'begun', notice })
-  }
-
   #takeTrial (quarantine: Quarantine): boolean {
     const { clock, peers, instances, log } = this.#options
     // A version on which no answer has begun would crash whatever the parts are.
