Brittle endpoints get no more calls than their slots take, divided between all instances

Callers saw endpoints fall over and take all calls with them: endpoints that say `Server-Brittle: N` bear N rejections a second of all instances together and may let fewer requests wait, and nothing read the header, so every instance sent whatever its own view of the load allowed.

The number is now a named limit of rejections, learnt, told to the other instances and ended as the limit of requests is. While it is in force an instance has a share of the endpoint's slots, by rendezvous over all known instances; the shares add up to the slots, which the endpoint never gives up, whatever happens to its waiting room. A place is taken as the request is written and returned when its call ends; a call that ends without an answer counts for a time. A rejection shrinks the places at once to the calls that were let in, and they grow again by one at a time after answers. Endpoints of stages are called by one coordinator, whose calls stay within the slots.

--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -31,8 +31,12 @@
   load: ReportedLoad | undefined
   /** Limit of requests per second that it named, or withdrew. */
   limit: NamedLimit | undefined
+  /** Rejections per second, for want of room, that it bears; named while it is brittle. */
+  rejectionLimit: NamedLimit | undefined
   /** Calls of this instance in progress. */
   running = 0
+  /** Kinds of limits that its answers named in an unreadable way; each is logged once. */
+  readonly malformedLimits = new Set<string>()
   readonly #backoff = new BackoffPeriod()
   #suspectUntil: Millis = millis(0)
   #suspicion: Millis = MIN_SUSPICION
@@ -100,6 +104,11 @@
     return this.isListed && this.#backoff.canAccept(now, this.running)
   }
 
+  /** Whether it said that it falls over when it has to reject too many requests. */
+  get isBrittle (): boolean {
+    return this.rejectionLimit?.perSecond !== undefined
+  }
+
   isSuspect (now: Millis): boolean {
     return now < this.#suspectUntil
   }
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -1,5 +1,5 @@
 import { millis } from '@papayahill/common'
-import type { Clock, DomainId, EndpointId, EventLog, Millis, ServiceId } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, EventKind, EventLog, Millis, ServiceId } from '@papayahill/common'
 import { FAILURE_MARGIN, LAPSE_GRACE, LAPSE_OUTAGE, MAX_REMEMBERED_ENDPOINTS } from './constants.js'
 import { Endpoint, incarnationKeyOf } from './Endpoint.js'
 import { DIRECTORY_EVENTS } from './events.js'
@@ -15,6 +15,10 @@
   readonly isDomainOut: (domain: DomainId) => boolean
 }
 
+const LIMIT_EVENTS: Readonly<Record<LimitKind, EventKind>> = {
+  limit: DIRECTORY_EVENTS.endpointLimited, rejectionLimit: DIRECTORY_EVENTS.endpointBrittle
+}
+
 const medianOf = (values: readonly number[]): number =>
   [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0
 
@@ -22,14 +26,17 @@
 const compareRecords = (left: EndpointRecord, right: EndpointRecord): number =>
   (left.startedAt ?? 0) - (right.startedAt ?? 0) || left.sequence - right.sequence
 
-const ENDPOINT_STATES = ['usable', 'cold', 'limited', 'suspect', 'quiet', 'draining', 'domain-out'] as const
+const ENDPOINT_STATES = ['usable', 'cold', 'limited', 'brittle', 'suspect', 'quiet', 'draining', 'domain-out'] as const
 /** State of an endpoint as seen by this instance. */
 export type EndpointState = typeof ENDPOINT_STATES[number]
 
+/** The limits that an endpoint's answers name: of requests per second, and of rejections per second while it is brittle. */
+export type LimitKind = 'limit' | 'rejectionLimit'
+
 /** What an endpoint announced about itself, as one instance tells it to another. */
 export type EndpointAnnouncement =
   | { readonly kind: 'leaving', readonly endpoint: EndpointId, readonly incarnation: string }
-  | { readonly kind: 'limit', readonly endpoint: EndpointId, readonly incarnation: string, readonly notice: LimitNotice }
+  | { readonly kind: LimitKind, readonly endpoint: EndpointId, readonly incarnation: string, readonly notice: LimitNotice }
 
 /** A decoded list entry: a record, or the reason why it could not be read. */
 export type EndpointEntry = { readonly record: EndpointRecord } | { readonly malformed: string }
@@ -87,6 +94,7 @@
     if (this.#options.isDomainOut(endpoint.domain)) return 'domain-out'
     if (endpoint.backoffLeft(now) > 0) return 'quiet'
     if (endpoint.isSuspect(now)) return 'suspect'
+    if (endpoint.isBrittle) return 'brittle'
     if (endpoint.limit?.perSecond !== undefined) return 'limited'
     return endpoint.isCold(now) ? 'cold' : 'usable'
   }
@@ -192,6 +200,7 @@
     const announced = this.#announced.get(id, endpoint.incarnation)
     endpoint.isLeaving = announced?.isLeaving ?? false
     endpoint.limit = announced?.limit
+    endpoint.rejectionLimit = announced?.rejectionLimit
     this.#endpoints.set(id, endpoint)
     const siblings = this.#byService.get(service) ?? new Set()
     this.#byService.set(service, siblings.add(endpoint))
@@ -229,13 +238,13 @@
     this.#announce({ kind: 'leaving', endpoint: endpoint.id, incarnation: endpoint.incarnation })
   }
 
-  /** Records what an answer to this instance states about the endpoint's limit, also that it names none. */
-  noteLimit (endpoint: Endpoint, answer: AnsweredLimit): void {
-    const limit = limitAfterAnswer(endpoint.limit, answer, this.#options.clock.now())
-    const isChange = limit?.version !== endpoint.limit?.version
-    this.#setLimit(endpoint, limit)
+  /** Records what an answer to this instance states about a limit of the endpoint, also that it names none. */
+  noteLimit (endpoint: Endpoint, answer: AnsweredLimit, kind: LimitKind = 'limit'): void {
+    const limit = limitAfterAnswer(endpoint[kind], answer, this.#options.clock.now())
+    const isChange = limit?.version !== endpoint[kind]?.version
+    this.#setLimit(endpoint, kind, limit)
     if (!isChange || limit === undefined) return
-    this.#announce({ kind: 'limit', endpoint: endpoint.id, incarnation: endpoint.incarnation, notice: noticeOf(limit) })
+    this.#announce({ kind, endpoint: endpoint.id, incarnation: endpoint.incarnation, notice: noticeOf(limit) })
   }
 
   /** Records what an endpoint announced to another instance; the announcement may arrive before the endpoint's row. */
@@ -244,10 +253,14 @@
     const known = this.#endpoints.get(id)
     if (known === undefined) return this.#rememberAnnouncement(announcement)
     if (known.incarnation !== incarnation) return
-    if (announcement.kind === 'limit') return this.#setLimit(known, limitAfterNotice(known.limit, announcement.notice, this.#options.clock.now()))
+    if (announcement.kind !== 'leaving') return this.#receiveLimit(known, announcement.kind, announcement.notice)
     if (!known.isLeaving) this.#markLeaving(known, 'instance')
   }
 
+  #receiveLimit (endpoint: Endpoint, kind: LimitKind, notice: LimitNotice): void {
+    this.#setLimit(endpoint, kind, limitAfterNotice(endpoint[kind], notice, this.#options.clock.now()))
+  }
+
   #announce (announcement: EndpointAnnouncement): void {
     for (const listener of this.#announcementListeners) listener(announcement)
   }
@@ -255,8 +268,9 @@
   #rememberAnnouncement (announcement: EndpointAnnouncement): void {
     const { endpoint, incarnation } = announcement
     if (announcement.kind === 'leaving') return this.#announced.update(endpoint, incarnation, { isLeaving: true })
-    const known = this.#announced.get(endpoint, incarnation)?.limit
-    this.#announced.update(endpoint, incarnation, { limit: limitAfterNotice(known, announcement.notice, this.#options.clock.now()) })
+    const { kind, notice } = announcement
+    const known = this.#announced.get(endpoint, incarnation)?.[kind]
+    this.#announced.update(endpoint, incarnation, { [kind]: limitAfterNotice(known, notice, this.#options.clock.now()) })
   }
 
   #markLeaving (endpoint: Endpoint, source: 'answer' | 'instance'): void {
@@ -266,15 +280,15 @@
     this.#options.log.emit(DIRECTORY_EVENTS.endpointLeaving, { endpoint: id, born: record.startedAt, source })
   }
 
-  #setLimit (endpoint: Endpoint, limit: NamedLimit | undefined): void {
-    const previous = endpoint.limit
+  #setLimit (endpoint: Endpoint, kind: LimitKind, limit: NamedLimit | undefined): void {
+    const previous = endpoint[kind]
     if (limit === previous) return
-    endpoint.limit = limit
-    this.#announced.update(endpoint.id, endpoint.incarnation, { limit })
+    endpoint[kind] = limit
+    this.#announced.update(endpoint.id, endpoint.incarnation, { [kind]: limit })
     if (limit === undefined || limit.version === previous?.version) return
     const { id, record } = endpoint
     const { perSecond, version, source } = limit
-    this.#options.log.emit(DIRECTORY_EVENTS.endpointLimited, {
+    this.#options.log.emit(LIMIT_EVENTS[kind], {
       endpoint: id, born: record.startedAt, perSecond, before: previous?.perSecond, version, source
     })
   }
--- a/packages/directory/src/EndpointNotices.test.ts
+++ b/packages/directory/src/EndpointNotices.test.ts
@@ -79,6 +79,47 @@
     expect(second!.limit?.perSecond).toBe(first!.limit?.perSecond)
   })
 
+  describe('that an endpoint is brittle', () => {
+    const A = brand<EndpointId>('a')
+
+    it('reach all instances at once, once however many answers say so, beside its limit of requests', async () => {
+      const { clock, directories, show, publishedBy } = rig(3)
+      for (const directory of directories) show(directory, 'a')
+      const endpoints = directories.map((directory) => directory.get(A) ?? expect.fail('not known'))
+      directories[0]!.noteLimit(endpoints[0]!, { perSecond: 7, sentAt: clock.now() })
+      for (let answer = 0; answer < 100; answer++) {
+        directories[0]!.noteLimit(endpoints[0]!, { perSecond: 2, sentAt: clock.now() }, 'rejectionLimit')
+        await clock.advance(millis(20))
+      }
+      expect(endpoints.map(({ rejectionLimit, limit }) => [rejectionLimit?.perSecond, limit?.perSecond])).toEqual([[2, 7], [2, 7], [2, 7]])
+      expect(endpoints.map(({ isBrittle }) => isBrittle)).toEqual([true, true, true])
+      expect(directories[2]!.stateCounts().get('brittle')).toBe(1)
+      expect(publishedBy).toEqual([2, 0, 0])
+    })
+
+    it('end with an answer without it to a request that was sent after the last one that said so', async () => {
+      const { clock, directories, show } = rig(2)
+      for (const directory of directories) show(directory, 'a')
+      const [first, second] = directories.map((directory) => directory.get(A)!)
+      const sentEarly = clock.now()
+      await clock.advance(millis(20))
+      directories[0]!.noteLimit(first!, { perSecond: 2, sentAt: clock.now() }, 'rejectionLimit')
+      directories[0]!.noteLimit(first!, { perSecond: undefined, sentAt: sentEarly }, 'rejectionLimit')
+      expect([first!.isBrittle, second!.isBrittle]).toEqual([true, true])
+      await clock.advance(millis(600))
+      directories[0]!.noteLimit(first!, { perSecond: undefined, sentAt: clock.now() }, 'rejectionLimit')
+      expect([first!.isBrittle, second!.isBrittle]).toEqual([false, false])
+    })
+
+    it('do not apply to its next incarnation', () => {
+      const { clock, directories, show } = rig(2)
+      for (const directory of directories) show(directory, 'a')
+      directories[0]!.noteLimit(directories[0]!.get(A)!, { perSecond: 2, sentAt: clock.now() }, 'rejectionLimit')
+      for (const directory of directories) show(directory, 'a', STARTED_AT + 1)
+      expect(directories.map((directory) => directory.get(A)!.isBrittle)).toEqual([false, false])
+    })
+  })
+
   it.each<Json>([null, 'a', 7, [], { endpoint: 'a' }, { endpoint: 3, life: {} }])('ignore a malformed message (%j)', (value) => {
     const { directories, show, usableAt, publishToAll } = rig(1)
     show(directories[0]!, 'a')
--- a/packages/directory/src/EndpointNotices.ts
+++ b/packages/directory/src/EndpointNotices.ts
@@ -1,7 +1,7 @@
 import { brand, isJsonObject, millis } from '@papayahill/common'
 import type { Clock, EndpointId, Json } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import type { EndpointAnnouncement, EndpointDirectory } from './EndpointDirectory.js'
+import type { EndpointAnnouncement, EndpointDirectory, LimitKind } from './EndpointDirectory.js'
 import { decodeLimitNotice } from './NamedLimit.js'
 
 /** Notices that an instance publishes at a time; a new one replaces the oldest of another endpoint. */
@@ -16,23 +16,31 @@
   readonly peers: Pick<Peers, 'self' | 'publish' | 'onEntry'>
 }
 
-/** Messages by announcement. The fields of the two differ, because earlier versions take any `endpoint` for one that leaves. */
-const ENCODERS: {
-  readonly [Kind in EndpointAnnouncement['kind']]: (announcement: Extract<EndpointAnnouncement, { kind: Kind }>) => Json
-} = {
-  leaving: ({ endpoint, incarnation }) => ({ endpoint, life: incarnation }),
-  limit: ({ endpoint, incarnation, notice: { perSecond, version } }) => ({ limited: endpoint, life: incarnation, perSecond, version })
+type LimitAnnouncement = Extract<EndpointAnnouncement, { kind: LimitKind }>
+
+/** Fields that name the endpoint. They differ, because earlier versions take any `endpoint` for one that leaves. */
+const LIMIT_FIELDS: Readonly<Record<LimitKind, string>> = { limit: 'limited', rejectionLimit: 'brittle' }
+const LIMIT_KINDS = Object.keys(LIMIT_FIELDS) as readonly LimitKind[]
+
+const encodeAnnouncement = (announcement: EndpointAnnouncement): Json => {
+  const { endpoint, incarnation } = announcement
+  if (announcement.kind === 'leaving') return { endpoint, life: incarnation }
+  const { perSecond, version } = announcement.notice
+  return { [LIMIT_FIELDS[announcement.kind]]: endpoint, life: incarnation, perSecond, version }
 }
 
+const nameOf = ({ kind, endpoint }: EndpointAnnouncement): string => `${kind} ${endpoint}`
+
 /** Decodes a message; undefined if it is malformed. */
 const decodeAnnouncement = (value: Json): EndpointAnnouncement | undefined => {
   if (!isJsonObject(value)) return undefined
-  const { endpoint, limited, life: incarnation } = value
+  const { endpoint, life: incarnation } = value
   if (typeof incarnation !== 'string') return undefined
   if (typeof endpoint === 'string') return { kind: 'leaving', endpoint: brand<EndpointId>(endpoint), incarnation }
   const notice = decodeLimitNotice(value)
-  if (typeof limited !== 'string' || notice === undefined) return undefined
-  return { kind: 'limit', endpoint: brand<EndpointId>(limited), incarnation, notice }
+  const kind = LIMIT_KINDS.find((each) => typeof value[LIMIT_FIELDS[each]] === 'string')
+  if (kind === undefined || notice === undefined) return undefined
+  return { kind, endpoint: brand<EndpointId>(value[LIMIT_FIELDS[kind]] as string), incarnation, notice }
 }
 
 /**
@@ -47,7 +55,7 @@
   /** The published key of each announcement, oldest first. */
   readonly #keys = new Map<string, string>()
   /** Endpoints whose limit was published lately, with what has changed since. */
-  readonly #pendingLimits = new Map<EndpointId, EndpointAnnouncement | undefined>()
+  readonly #pendingLimits = new Map<string, LimitAnnouncement | undefined>()
 
   constructor (options: EndpointNoticesOptions) {
     this.#options = options
@@ -57,8 +65,8 @@
   listen (): void {
     const { directory, peers } = this.#options
     directory.onAnnouncement((announcement) => {
-      if (announcement.kind === 'limit') this.#publishLimit(announcement)
-      else this.#publish(announcement)
+      if (announcement.kind === 'leaving') this.#publish(announcement)
+      else this.#publishLimit(announcement)
     })
     peers.onEntry('endpoint', ({ owner, value }) => {
       const announcement = owner === peers.self ? undefined : decodeAnnouncement(value)
@@ -67,24 +75,23 @@
   }
 
   /** Publishes a limit at once, or the latest one when the period since the last notice is over. */
-  #publishLimit (announcement: EndpointAnnouncement): void {
-    const { endpoint } = announcement
-    if (this.#pendingLimits.has(endpoint)) {
-      this.#pendingLimits.set(endpoint, announcement)
+  #publishLimit (announcement: LimitAnnouncement): void {
+    const name = nameOf(announcement)
+    if (this.#pendingLimits.has(name)) {
+      this.#pendingLimits.set(name, announcement)
       return
     }
     this.#publish(announcement)
-    this.#pendingLimits.set(endpoint, undefined)
+    this.#pendingLimits.set(name, undefined)
     this.#options.clock.after(MIN_LIMIT_NOTICE_PERIOD, () => {
-      const latest = this.#pendingLimits.get(endpoint)
-      this.#pendingLimits.delete(endpoint)
+      const latest = this.#pendingLimits.get(name)
+      this.#pendingLimits.delete(name)
       if (latest !== undefined) this.#publishLimit(latest)
     })
   }
 
   #publish (announcement: EndpointAnnouncement): void {
-    const value = announcement.kind === 'leaving' ? ENCODERS.leaving(announcement) : ENCODERS.limit(announcement)
-    this.#options.peers.publish('endpoint', this.#keyOf(`${announcement.kind} ${announcement.endpoint}`), value)
+    this.#options.peers.publish('endpoint', this.#keyOf(nameOf(announcement)), encodeAnnouncement(announcement))
   }
 
   /** The key of an endpoint's previous announcement, else a free one, else that of the oldest. */
--- a/packages/directory/src/NoticeMemory.ts
+++ b/packages/directory/src/NoticeMemory.ts
@@ -6,6 +6,7 @@
   readonly incarnation: string
   readonly isLeaving: boolean
   readonly limit: NamedLimit | undefined
+  readonly rejectionLimit: NamedLimit | undefined
 }
 
 /**
@@ -31,7 +32,7 @@
   }
 
   update (id: EndpointId, incarnation: string, change: Partial<Omit<AnnouncedState, 'incarnation'>>): void {
-    const known = this.get(id, incarnation) ?? { incarnation, isLeaving: false, limit: undefined }
+    const known = this.get(id, incarnation) ?? { incarnation, isLeaving: false, limit: undefined, rejectionLimit: undefined }
     this.#states.delete(id)
     this.#states.set(id, { ...known, ...change })
     const [oldest] = this.#states.keys()
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -33,5 +33,11 @@
   },
   rowsRetained: { number: 1626, level: 'warn', text: 'Rows and removals that a restored table lacks stay in force.' },
   rowsReleased: { number: 1627, level: 'warn', text: 'Rows were not written again in time after a restore; the restored table is in force for them.' },
-  tablePollFailed: { number: 1628, level: 'error', text: 'A poll of a watched table failed because of a bug in the program; polling goes on.' }
+  tablePollFailed: { number: 1628, level: 'error', text: 'A poll of a watched table failed because of a bug in the program; polling goes on.' },
+  endpointBrittle: {
+    number: 1640, level: 'info', text: 'An endpoint said that it is brittle, how many rejections per second it bears, or that it no longer is.'
+  },
+  rejectionLimitMalformed: {
+    number: 1641, level: 'warn', text: 'The number of rejections that a brittle endpoint bears is not a positive decimal number; it was ignored or bounded.'
+  }
 })
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -3,7 +3,7 @@
 import { AnswerBody, isFramed, newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketFailure } from '@papayahill/connections'
 import type { ServingRoute } from '@papayahill/directory'
-import type { RequestLimits } from '@papayahill/limits'
+import type { CallEffect, RequestLimits } from '@papayahill/limits'
 import type { Result } from 'true-myth'
 import { LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE } from './constants.js'
 import { EventScanner } from './EventScanner.js'
@@ -17,7 +17,7 @@
   readonly log: EventLog
   readonly wire: CallWire
   readonly directory: NoticeContext['directory']
-  readonly limits: Pick<RequestLimits, 'trySend'>
+  readonly limits: Pick<RequestLimits, 'trySend' | 'callEnded'>
   /** Whether the request may still be sent, asked once the connection is open. */
   readonly isAllowed: () => boolean
   readonly call: OutboundCall
@@ -32,6 +32,7 @@
 }
 
 const STATUS_CONFLICT = 409
+const STATUS_UNAVAILABLE = 503
 
 /** Statuses by which an endpoint states that the request did not run; they count only together with its explicit notice. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -56,6 +57,8 @@
   #stopCause: string | undefined
   /** Whether the request was not sent because the endpoint or the request had become unusable, or a limit left no token. */
   #isWithheld = false
+  /** Whether the request was let out to be written. */
+  #isStarted = false
   /** Whether the connection carried an earlier request. */
   #isConnectionUsed = false
   /** Whether this instance withdrew the request, which says nothing about the endpoint. */
@@ -82,6 +85,8 @@
     this.#deadlineTimer.cancel()
     signal.removeEventListener('abort', onAbort)
     const end = this.#endOf(result)
+    const { clock, limits } = this.#options
+    if (this.#isStarted) limits.callEnded(call.endpoint, this.#effectOf(end), millis(clock.now() - this.#sentAt))
     this.#updateEndpointHealth(end)
     if (!this.#isConnectionReusable(end)) socket.close()
     return end
@@ -126,9 +131,16 @@
     const { call: { endpoint }, clock, limits } = this.#options
     this.#sentAt = clock.now()
     this.#isWithheld = !endpoint.isAvailable(this.#sentAt) || !this.#options.isAllowed() || !limits.trySend(endpoint)
+    this.#isStarted ||= !this.#isWithheld
     return !this.#isWithheld
   }
 
+  /** What the end shows about the place that the call had at its endpoint. */
+  #effectOf (end: CallEnd): CallEffect {
+    if (end.kind === 'lost' || (end.kind === 'not-run' && !end.isReceived)) return 'unknown'
+    return end.kind === 'not-run' && this.#status === STATUS_UNAVAILABLE ? 'rejected' : 'answered'
+  }
+
   #recordFirstByte (): void {
     if (this.firstByteAt !== undefined) return
     this.firstByteAt = this.#options.clock.now()
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -56,7 +56,7 @@
       const availableAt = clock.now() + timeUntilAvailable(limits, directory.usable(this.#service), clock.now())
       if (availableAt >= until || this.#request.signal.aborted) return undefined
       this.#requestToken(clock.now())
-      await clock.sleep(PLACEMENT_RETRY_PERIOD)
+      await limits.waitForPlace(this.#service, PLACEMENT_RETRY_PERIOD)
     }
   }
 
--- a/packages/forwarding/src/applyNotices.ts
+++ b/packages/forwarding/src/applyNotices.ts
@@ -1,7 +1,7 @@
-import type { Clock, EventLog, Millis } from '@papayahill/common'
+import type { Clock, EventKind, EventLog, Millis } from '@papayahill/common'
 import { DIRECTORY_EVENTS } from '@papayahill/directory'
-import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
-import type { AnswerNotices } from './types.js'
+import type { Endpoint, EndpointDirectory, LimitKind } from '@papayahill/directory'
+import type { AnswerNotices, LimitStatement } from './types.js'
 
 export interface NoticeContext {
   readonly clock: Clock
@@ -18,7 +18,7 @@
 }
 
 /** The part of an answer's notices that is about its endpoint rather than its request. */
-export type EndpointNotices = Pick<AnswerNotices, 'isOtherEndpoint' | 'load' | 'coldFor' | 'isLeaving' | 'retryAfter' | 'limit'>
+export type EndpointNotices = Pick<AnswerNotices, 'isOtherEndpoint' | 'load' | 'coldFor' | 'isLeaving' | 'retryAfter' | 'limit' | 'rejectionLimit'>
 
 /**
  * Updates the directory from the notices in an endpoint's answer, whichever request it is for. Notices of another
@@ -30,14 +30,29 @@
 export const applyNotices = (
   { clock, log, directory }: NoticeContext, endpoint: Endpoint, notices: EndpointNotices, call: AnsweredCall
 ): void => {
-  const { isOtherEndpoint, load, coldFor, isLeaving, retryAfter, limit } = notices
+  const { isOtherEndpoint, load, coldFor, isLeaving, retryAfter, limit, rejectionLimit } = notices
   if (isOtherEndpoint) return
   if (load !== undefined) endpoint.load = { ...load, at: clock.now() }
   if (coldFor !== undefined) directory.markCold(endpoint, coldFor)
   if (isLeaving) directory.noteLeaving(endpoint)
   if (retryAfter?.kind === 'span') directory.noteBackoff(endpoint, retryAfter.span)
   if (retryAfter?.kind === 'malformed') log.emit(DIRECTORY_EVENTS.noticeMalformed, { endpoint: endpoint.id, found: retryAfter.text })
-  const { perSecond, found, isReadable } = limit
-  if (found !== undefined) log.emit(DIRECTORY_EVENTS.limitMalformed, { endpoint: endpoint.id, found, perSecond })
-  if (call.isAuthentic && isReadable) directory.noteLimit(endpoint, { perSecond, sentAt: call.sentAt })
+  applyLimit({ log, directory }, endpoint, 'limit', limit, call)
+  applyLimit({ log, directory }, endpoint, 'rejectionLimit', rejectionLimit, call)
+}
+
+const MALFORMED_EVENTS: Readonly<Record<LimitKind, EventKind>> = {
+  limit: DIRECTORY_EVENTS.limitMalformed, rejectionLimit: DIRECTORY_EVENTS.rejectionLimitMalformed
+}
+
+const applyLimit = (
+  { log, directory }: Pick<NoticeContext, 'log' | 'directory'>, endpoint: Endpoint, kind: LimitKind, statement: LimitStatement,
+  call: AnsweredCall
+): void => {
+  const { perSecond, found, isReadable } = statement
+  if (found !== undefined && !endpoint.malformedLimits.has(kind)) {
+    endpoint.malformedLimits.add(kind)
+    log.emit(MALFORMED_EVENTS[kind], { endpoint: endpoint.id, found, perSecond })
+  }
+  if (call.isAuthentic && isReadable) directory.noteLimit(endpoint, { perSecond, sentAt: call.sentAt }, kind)
 }
--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -17,5 +17,8 @@
   moveClosed: { number: 1813, level: 'info', text: 'A move was completed or rolled back.' },
   requestUntimely: { number: 1814, level: 'info', text: 'A request was not admitted because its forecast exceeds its deadline.' },
   requestLimited: { number: 1815, level: 'info', text: 'A request could not be sent to an endpoint because its limit left no token.' },
-  requestQuarantined: { number: 1816, level: 'info', text: 'A request was refused because parts of its prompt crash endpoints.' }
+  requestQuarantined: { number: 1816, level: 'info', text: 'A request was refused because parts of its prompt crash endpoints.' },
+  endpointFull: {
+    number: 1840, level: 'info', text: 'A request could not be sent to a brittle endpoint because this instance\'s calls take all its places there.'
+  }
 })
--- a/packages/forwarding/src/logLimited.ts
+++ b/packages/forwarding/src/logLimited.ts
@@ -4,7 +4,8 @@
 import type { ForwardRequest } from './types.js'
 
 /**
- * Logs that a request could not be sent to an endpoint because of its limit, with this instance's part in it.
+ * Logs that a request could not be sent to an endpoint because of its limit, or because it is brittle and may be full, with
+ * this instance's part in it.
  *
  * @example
  * logLimited(context, request, endpoint)
@@ -12,6 +13,8 @@
 export const logLimited = (
   { limits, log }: Pick<ForwardContext, 'limits' | 'log'>, { attempt }: Pick<ForwardRequest, 'attempt'>, endpoint: Endpoint
 ): void => {
+  const room = limits.roomPartOf(endpoint)
+  if (room !== undefined) log.emit(FORWARDING_EVENTS.endpointFull, { request: attempt, endpoint: endpoint.id, ...room })
   const part = limits.partOf(endpoint)
   if (part === undefined) return
   log.emit(FORWARDING_EVENTS.requestLimited, {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -72,9 +72,9 @@
   readonly timeLeft: Millis
 }
 
-/** What an answer states about its endpoint's limit. */
+/** What an answer states about a limit of its endpoint. */
 export interface LimitStatement {
-  /** Requests per second from all instances together; undefined where the answer names no limit. */
+  /** Requests, or rejections, per second of all instances together; undefined where the answer names no limit. */
   readonly perSecond: number | undefined
   /** False if it names one that cannot be read, which says nothing. */
   readonly isReadable: boolean
@@ -99,6 +99,8 @@
   /** Backoff that an endpoint asks for when it rejects a call. */
   readonly retryAfter: RetryAfter | undefined
   readonly limit: LimitStatement
+  /** Rejections per second that the endpoint bears while it is brittle. */
+  readonly rejectionLimit: LimitStatement
   /** Headers that are passed on to the caller. */
   readonly headers: HeaderList
 }
--- /dev/null
+++ b/packages/limits/src/EndpointRoom.test.ts
@@ -0,0 +1,142 @@
+import { millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
+import type { Endpoint } from '@papayahill/directory'
+import { describe, expect, it } from 'vitest'
+import { MAX_REPORT_AGE, MIN_REJECTION_PAUSE } from './constants.js'
+import { EndpointRoom } from './EndpointRoom.js'
+import { limitedEndpoint } from './testing/limitedEndpoint.js'
+
+const TOOK = millis(100)
+
+const brittleEndpoint = (perSecond: number | undefined = 2): Endpoint => {
+  const endpoint = limitedEndpoint('e1')
+  endpoint.rejectionLimit = { perSecond, version: 1, source: 'answer', learnedAt: millis(0), confirmedAt: millis(0) }
+  return endpoint
+}
+
+interface TestedRoom {
+  readonly clock: VirtualClock
+  readonly endpoint: Endpoint
+  readonly room: EndpointRoom
+}
+
+const newRoom = (units: number, sharers = 3, endpoint = brittleEndpoint()): TestedRoom => {
+  const clock = new VirtualClock()
+  const room = new EndpointRoom({ clock, random: new SeededRandom(1), endpoint, units: () => units, sharers: () => sharers })
+  return { clock, endpoint, room }
+}
+
+/** Sends calls until no more fit; returns their number. */
+const fill = (room: EndpointRoom): number => {
+  let sent = 0
+  while (sent < 100 && room.trySend()) sent++
+  return sent
+}
+
+describe('the room of an endpoint', () => {
+  it('is not bounded while it is not brittle, and counts the calls that began before', () => {
+    const { endpoint, room } = newRoom(4)
+    endpoint.rejectionLimit = undefined
+    expect(fill(room)).toBe(100)
+    expect(room.availableIn()).toBe(0)
+    endpoint.rejectionLimit = brittleEndpoint().rejectionLimit
+    expect(room.canSend()).toBe(false)
+  })
+
+  it('has the places of this instance while it is brittle', () => {
+    const { room } = newRoom(4)
+    expect(fill(room)).toBe(4)
+    room.callEnded('answered', TOOK)
+    expect(fill(room)).toBe(1)
+  })
+
+  it('counts calls that are chosen and not written yet', () => {
+    const { room } = newRoom(4)
+    expect(room.canSend(3)).toBe(true)
+    expect(room.canSend(4)).toBe(false)
+  })
+
+  describe('after a rejection', () => {
+    it('has no more places than calls were let in, from the first one', () => {
+      const { room } = newRoom(8)
+      expect(fill(room)).toBe(8)
+      room.callEnded('rejected', TOOK)
+      room.callEnded('answered', TOOK)
+      expect(fill(room)).toBe(1)
+    })
+
+    it('grows by one at a time, after answers only', async () => {
+      const { clock, room } = newRoom(8)
+      fill(room)
+      room.callEnded('rejected', TOOK)
+      await clock.advance(millis(MIN_REJECTION_PAUSE * 2))
+      expect(fill(room)).toBe(0)
+      for (let call = 0; call < 3; call++) room.callEnded('answered', TOOK)
+      expect(fill(room)).toBe(4)
+    })
+
+    it('that left no call, has one place again after a pause', async () => {
+      const { clock, room } = newRoom(1)
+      expect(fill(room)).toBe(1)
+      room.callEnded('rejected', TOOK)
+      expect(fill(room)).toBe(0)
+      expect(room.availableIn()).toBeGreaterThan(0)
+      await clock.advance(seconds(2))
+      expect(fill(room)).toBe(1)
+    })
+
+    it.each([[3, 2], [60, 2], [420, 2], [420, 10], [3, 0.1]])(
+      'is tried so seldom that %i instances cause at most %i rejections per second', async (sharers, perSecond) => {
+        const { clock, room, endpoint } = newRoom(1, sharers, brittleEndpoint(perSecond))
+        let rejected = 0
+        const span = seconds(1000)
+        for (let now = 0; now < span; now += 250) {
+          if (room.trySend()) {
+            room.callEnded('rejected', millis(2))
+            rejected++
+          }
+          await clock.advance(millis(250))
+        }
+        expect(rejected).toBeGreaterThan(0)
+        expect(rejected * Math.min(sharers, endpoint.record.slots) / 1000).toBeLessThanOrEqual(perSecond)
+      })
+  })
+
+  describe('after a call without an answer', () => {
+    it('counts the call for a time, since it may still run', async () => {
+      const { clock, room } = newRoom(1)
+      fill(room)
+      room.callEnded('unknown', TOOK)
+      expect(fill(room)).toBe(0)
+      await clock.advance(seconds(1))
+      expect(fill(room)).toBe(1)
+    })
+  })
+
+  describe('at an endpoint where requests wait', () => {
+    it('has no place until the report is old', async () => {
+      const { clock, endpoint, room } = newRoom(4)
+      endpoint.load = { running: 4, waiting: 1, slots: 4, at: clock.now() }
+      expect(room.canSend()).toBe(false)
+      await clock.advance(MAX_REPORT_AGE)
+      expect(room.canSend()).toBe(true)
+    })
+  })
+
+  describe('without a place for this instance', () => {
+    it('is asked seldom whether it is still brittle, at hundreds of instances far below the rejections that it bears', async () => {
+      const sharers = 420
+      const { clock, room } = newRoom(0, sharers)
+      let sent = 0
+      const span = 10_000
+      for (let second = 0; second < span; second++) {
+        if (room.trySend()) {
+          sent++
+          room.callEnded('rejected', millis(2))
+        }
+        await clock.advance(seconds(1))
+      }
+      expect(sent).toBeGreaterThan(0)
+      expect(sent * sharers / span).toBeLessThan(0.5)
+    })
+  })
+})
--- a/packages/limits/src/ReturnSchedule.ts
+++ b/packages/limits/src/ReturnSchedule.ts
@@ -22,7 +22,8 @@
   /** Time after which the next refused caller should return, at the earliest after `availableIn`. */
   next (service: ServiceId, perSecond: number, availableIn: Millis): Millis {
     const now = this.#clock.now()
-    const next = (this.#lastReturns.get(service) ?? -Infinity) + MILLIS_PER_SECOND / perSecond
+    const last = this.#lastReturns.get(service)
+    const next = last === undefined ? now : last + MILLIS_PER_SECOND / perSecond
     const returnAt = Math.max(now + availableIn, next)
     if (returnAt > now + MAX_RETURN_TIME) return millis(MAX_RETURN_TIME * (1 + this.#random.next()) / 2)
     this.#lastReturns.set(service, millis(returnAt))
--- a/packages/limits/src/SharedRateLimiter.ts
+++ b/packages/limits/src/SharedRateLimiter.ts
@@ -4,13 +4,16 @@
 import type { Endpoint, EndpointDirectory, LimitNotice } from '@papayahill/directory'
 import type { Peers } from '@papayahill/peers'
 import { ASK_BURST, ASK_INTERVAL, ASK_TIMEOUT, MIN_PAUSE, NO_ANSWER_BACKOFF, PAUSE_CHECK_PERIOD } from './constants.js'
+import { divideUnits } from './divideUnits.js'
 import { EndpointQuota } from './EndpointQuota.js'
+import { EndpointRoom } from './EndpointRoom.js'
 import type { KnownInstances } from './KnownInstances.js'
+import { PlaceQueue } from './PlaceQueue.js'
 import { decodeTokenAnswer, decodeTokenRequest, encodeTokenAnswer, encodeTokenRequest } from './quotaMessages.js'
 import type { TokenOutcome } from './quotaMessages.js'
 import { ReturnSchedule } from './ReturnSchedule.js'
 import { ShareBucket } from './ShareBucket.js'
-import type { ActiveLimit, LimitPart, RequestLimits } from './types.js'
+import type { ActiveLimit, CallEffect, LimitPart, RequestLimits, RoomPart } from './types.js'
 
 export interface SharedRateLimiterOptions {
   readonly clock: Clock
@@ -18,6 +21,8 @@
   readonly directory: Pick<EndpointDirectory, 'get' | 'onGone' | 'receiveAnnouncement'>
   readonly peers: Pick<Peers, 'self' | 'ask' | 'handle'>
   readonly known: KnownInstances
+  /** Whether one instance at a time calls a service's endpoints for all others; none by default. */
+  readonly isCoordinated?: (service: ServiceId) => boolean
 }
 
 const NOT_LENT: TokenOutcome = { kind: 'denied', retryIn: NO_ANSWER_BACKOFF }
@@ -39,12 +44,16 @@
   readonly #returns: ReturnSchedule
   /** Bounds the traffic of questions to other instances. */
   readonly #asks = new ShareBucket()
+  /** Calls and places at each incarnation of an endpoint. */
+  readonly #rooms = new WeakMap<Endpoint, EndpointRoom>()
+  readonly #places: PlaceQueue
   #checkedAt: Millis
 
   constructor (options: SharedRateLimiterOptions) {
     const { clock, random, directory, peers } = options
     this.#options = options
     this.#returns = new ReturnSchedule(clock, random)
+    this.#places = new PlaceQueue(clock)
     this.#checkedAt = clock.now()
     this.#asks.restart({ interval: ASK_INTERVAL, burst: ASK_BURST }, millis(0), clock.now())
     clock.every(PAUSE_CHECK_PERIOD, () => this.#checkPause())
@@ -54,12 +63,22 @@
 
   canSend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined || this.#quotaOf(endpoint).canSend(limit)
+    return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#roomOf(endpoint).canSend(endpoint.running)
   }
 
   trySend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined || this.#quotaOf(endpoint).trySend(limit)
+    const room = this.#roomOf(endpoint)
+    return room.canSend() && (limit === undefined || this.#quotaOf(endpoint).trySend(limit)) && room.trySend()
+  }
+
+  callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void {
+    this.#roomOf(endpoint).callEnded(effect, took)
+    this.#places.wakeOne(endpoint.service)
+  }
+
+  waitForPlace (service: ServiceId, span: Millis): Promise<void> {
+    return this.#places.wait(service, span)
   }
 
   request (endpoint: Endpoint): void {
@@ -69,7 +88,8 @@
 
   availableIn (endpoint: Endpoint): Millis {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined ? millis(0) : this.#quotaOf(endpoint).availableIn(limit)
+    const tokenIn = limit === undefined ? 0 : this.#quotaOf(endpoint).availableIn(limit)
+    return millis(Math.max(tokenIn, this.#roomOf(endpoint).availableIn()))
   }
 
   isUnconfirmed (endpoint: Endpoint): boolean {
@@ -87,15 +107,25 @@
     return limit === undefined ? undefined : this.#quotaOf(endpoint).partOf(limit)
   }
 
-  /** Requests per second that each instance may send on average if all of the endpoints are limited; Infinity if one is not. */
+  /** This instance's places at the endpoint; undefined unless it is brittle. */
+  roomPartOf (endpoint: Endpoint): RoomPart | undefined {
+    return this.#roomOf(endpoint).part()
+  }
+
+  /** Requests per second that each instance may send on average if all of the endpoints have limits; Infinity if one has none. */
   fairShare (endpoints: readonly Endpoint[]): number {
-    const total = endpoints.reduce((sum, { limit }) => sum + (limit?.perSecond ?? Infinity), 0)
-    return total / this.#options.known.ids.length
+    const instances = this.#options.known.ids.length
+    return endpoints.reduce((sum, endpoint) => {
+      return sum + Math.min((endpoint.limit?.perSecond ?? Infinity) / instances, this.#roomOf(endpoint).perSecond)
+    }, 0)
   }
 
   /** Time after which the next caller should return that is refused because all of a service's endpoints are limited. */
   nextReturn (service: ServiceId, endpoints: readonly Endpoint[], availableIn: Millis): Millis {
-    return this.#returns.next(service, this.fairShare(endpoints), availableIn)
+    const perSecond = this.fairShare(endpoints)
+    const isFull = endpoints.some(({ isBrittle }) => isBrittle)
+    const soonest = isFull ? Math.max(availableIn, Math.min(MILLIS_PER_SECOND, MILLIS_PER_SECOND / perSecond)) : availableIn
+    return this.#returns.next(service, perSecond, millis(soonest))
   }
 
   #quotaOf (endpoint: Endpoint): EndpointQuota {
@@ -110,6 +140,24 @@
     return quota
   }
 
+  #roomOf (endpoint: Endpoint): EndpointRoom {
+    const known = this.#rooms.get(endpoint)
+    if (known !== undefined) return known
+    const { clock, random, known: instances } = this.#options
+    const room = new EndpointRoom({
+      clock, random, endpoint, units: () => this.#unitsOf(endpoint), sharers: () => instances.ids.length
+    })
+    this.#rooms.set(endpoint, room)
+    return room
+  }
+
+  /** Slots of the endpoint that this instance may use. */
+  #unitsOf ({ id, service, incarnation, record, load }: Endpoint): number {
+    const slots = Math.max(1, Math.min(record.slots, load?.slots ?? Infinity))
+    const { known, peers, isCoordinated } = this.#options
+    return isCoordinated?.(service) === true ? slots : divideUnits(`${id} ${incarnation} room`, slots, known.ids, peers.self)
+  }
+
   /** After a pause of this process nothing is left of what it had: others may have used it meanwhile. */
   #checkPause (): void {
     const now = this.#options.clock.now()
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -41,3 +41,19 @@
 export const MIN_PAUSE = millis(1000)
 /** Upper bound of the time after which refused callers are asked to return. */
 export const MAX_RETURN_TIME = seconds(10)
+/** Weight of the newest call in the usual time of a call, and the time assumed before there is one. */
+export const CALL_TIME_WEIGHT = 0.1
+export const DEFAULT_CALL_TIME = millis(250)
+/** Longest time for which a call that ended without an answer counts as still running at its endpoint. */
+export const MAX_UNCERTAIN_TIME = seconds(1)
+/** Age up to which a report of waiting requests keeps further ones away. */
+export const MAX_REPORT_AGE = millis(500)
+/** Bounds of the time after a rejection in which a brittle endpoint gets no more calls than it let in. */
+export const MIN_REJECTION_PAUSE = millis(1250)
+export const MAX_REJECTION_PAUSE = seconds(10)
+/**
+ * Least time after which an instance without a place sends a call to learn whether the endpoint is still brittle, and the
+ * least in the times that all instances need for one rejection each.
+ */
+export const MIN_CONFIRM_PERIOD = seconds(30)
+export const CONFIRM_INTERVALS = 4
--- a/packages/limits/src/testing/OwnBuckets.ts
+++ b/packages/limits/src/testing/OwnBuckets.ts
@@ -13,6 +13,8 @@
   readonly #buckets = new Map<string, ShareBucket>()
   readonly request = UNLIMITED.request
   readonly spacing = UNLIMITED.spacing
+  readonly callEnded = UNLIMITED.callEnded
+  readonly waitForPlace = UNLIMITED.waitForPlace
   readonly isUnconfirmed = UNLIMITED.isUnconfirmed
 
   constructor (clock: Clock, known: KnownInstances) {
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -1,4 +1,4 @@
-import type { Millis } from '@papayahill/common'
+import type { Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint, LimitSource, NamedLimit } from '@papayahill/directory'
 
 /** A limit that is in force. */
@@ -19,12 +19,28 @@
   readonly availableIn: Millis
 }
 
-/** Limits of requests per second that endpoints named, as all instances keep them together. */
+/** What the end of a call shows: an answer, a rejection for want of room, or nothing about where the call is now. */
+export type CallEffect = 'answered' | 'rejected' | 'unknown'
+
+/** This instance's places at a brittle endpoint, for logs. */
+export interface RoomPart {
+  /** Rejections per second that the endpoint bears, of all instances together. */
+  readonly rejectionsPerSecond: number
+  /** Its slots that are this instance's. */
+  readonly units: number
+  /** Calls that this instance may have there now, after what rejections have shown. */
+  readonly places: number
+  readonly taken: number
+}
+
+/** Limits that endpoints named, as all instances keep them together: of requests, and of rejections while they are brittle. */
 export interface RequestLimits {
   /** Whether a request may be sent to the endpoint now. */
   canSend (endpoint: Endpoint): boolean
   /** Takes a token if there is one; must be called as the request goes out. */
   trySend (endpoint: Endpoint): boolean
+  /** Records how a call ended that `trySend` let out, and how long it took. */
+  callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void
   /** Asks another instance for a token in the background, unless one is there or was asked for. */
   request (endpoint: Endpoint): void
   /** Time until a request may be sent; 0 without a limit. */
@@ -36,14 +52,18 @@
   isUnconfirmed (endpoint: Endpoint): boolean
   /** Least time between two requests of all instances together; 0 without a limit. */
   spacing (endpoint: Endpoint): Millis
+  /** Waits until a place at a brittle endpoint of the service may be free for one of those that wait, at most for `span`. */
+  waitForPlace (service: ServiceId, span: Millis): Promise<void>
 }
 
 /** No limits at all. */
 export const UNLIMITED: RequestLimits = {
   canSend: () => true,
   trySend: () => true,
+  callEnded: () => {},
   request: () => {},
   availableIn: () => 0 as Millis,
   isUnconfirmed: () => false,
-  spacing: () => 0 as Millis
+  spacing: () => 0 as Millis,
+  waitForPlace: () => Promise.resolve()
 }
