Places at brittle endpoints go to the instances that have requests for them

An instance now borrows a place from one that has a free one, asks wait at the lender for the next place that becomes free, and a borrowed place goes back when nothing uses it; a lease ends by itself where its return is lost.

--- a/packages/limits/src/EndpointRoom.test.ts
+++ b/packages/limits/src/EndpointRoom.test.ts
@@ -1,8 +1,10 @@
-import { millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
+import { brand, millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
+import type { InstanceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { describe, expect, it } from 'vitest'
-import { MAX_REPORT_AGE, MIN_REJECTION_PAUSE } from './constants.js'
+import { MAX_LEASE, MAX_REPORT_AGE, MIN_REJECTION_PAUSE } from './constants.js'
 import { EndpointRoom } from './EndpointRoom.js'
+import type { EndpointRoomOptions } from './EndpointRoom.js'
 import { limitedEndpoint } from './testing/limitedEndpoint.js'
 
 const TOOK = millis(100)
@@ -19,9 +21,22 @@
   readonly room: EndpointRoom
 }
 
-const newRoom = (units: number, sharers = 3, endpoint = brittleEndpoint()): TestedRoom => {
+const newRoom = (
+  units: number, sharers = 3, endpoint = brittleEndpoint(), more: Partial<EndpointRoomOptions> = {}
+): TestedRoom => {
   const clock = new VirtualClock()
-  const room = new EndpointRoom({ clock, random: new SeededRandom(1), endpoint, units: () => units, sharers: () => sharers })
+  const room = new EndpointRoom({
+    clock,
+    random: new SeededRandom(1),
+    endpoint,
+    units: () => units,
+    sharers: () => sharers,
+    lenders: () => new Map(),
+    ask: () => Promise.resolve(undefined),
+    giveBack: () => {},
+    wakeOne: () => false,
+    ...more
+  })
   return { clock, endpoint, room }
 }
 
@@ -50,9 +65,12 @@
   })
 
   it('counts calls that are chosen and not written yet', () => {
-    const { room } = newRoom(4)
-    expect(room.canSend(3)).toBe(true)
-    expect(room.canSend(4)).toBe(false)
+    const { endpoint, room } = newRoom(4)
+    endpoint.running = 3
+    expect(room.canChoose()).toBe(true)
+    endpoint.running = 4
+    expect(room.canChoose()).toBe(false)
+    expect(room.canSend()).toBe(true)
   })
 
   describe('after a rejection', () => {
@@ -139,4 +157,48 @@
       expect(sent * sharers / span).toBeLessThan(0.5)
     })
   })
+
+  describe('shared with other instances', () => {
+    it('lends a free place until it comes back, or for a time', async () => {
+      const { clock, room } = newRoom(1)
+      const loan = await room.lend() ?? expect.fail('not lent')
+      expect(fill(room)).toBe(0)
+      room.returned(loan.id)
+      expect(fill(room)).toBe(1)
+      room.callEnded('answered', TOOK)
+      await room.lend()
+      await clock.advance(MAX_LEASE)
+      expect(fill(room)).toBe(1)
+    })
+
+    it('lends a place that a call leaves to one that waits, and none if no call ends in time', async () => {
+      const { clock, room } = newRoom(1)
+      fill(room)
+      const first = room.lend()
+      room.callEnded('answered', TOOK)
+      expect(await first).toBeDefined()
+      const second = room.lend()
+      await clock.advance(seconds(1))
+      expect(await second).toBeUndefined()
+    })
+
+    it('gives a borrowed place back when nothing uses it', async () => {
+      const lender = brand<InstanceId>('i2')
+      const returned: number[] = []
+      const { clock, room } = newRoom(0, 3, brittleEndpoint(), {
+        lenders: () => new Map([[lender, 1]]),
+        ask: () => Promise.resolve({ id: 7, lentFor: seconds(5) }),
+        giveBack: ({ id }) => returned.push(id),
+        wakeOne: () => returned.length === 0
+      })
+      expect(room.canSend()).toBe(false)
+      room.request()
+      await clock.advance(millis(1))
+      expect(fill(room)).toBe(1)
+      room.callEnded('answered', TOOK)
+      await clock.advance(seconds(1))
+      expect(returned).toEqual([7])
+      expect(room.canSend()).toBe(false)
+    })
+  })
 })
--- a/packages/limits/src/PlaceQueue.ts
+++ b/packages/limits/src/PlaceQueue.ts
@@ -38,8 +38,10 @@
     })
   }
 
-  wakeOne (service: ServiceId): void {
+  /** Wakes the first one; returns whether there was one. */
+  wakeOne (service: ServiceId): boolean {
     const [first] = this.#waiters.get(service) ?? []
     first?.wake()
+    return first !== undefined
   }
 }
--- a/packages/limits/src/SharedRateLimiter.ts
+++ b/packages/limits/src/SharedRateLimiter.ts
@@ -4,14 +4,13 @@
 import type { Endpoint, EndpointDirectory, LimitNotice } from '@papayahill/directory'
 import type { Peers } from '@papayahill/peers'
 import { ASK_BURST, ASK_INTERVAL, ASK_TIMEOUT, MIN_PAUSE, NO_ANSWER_BACKOFF, PAUSE_CHECK_PERIOD } from './constants.js'
-import { divideUnits } from './divideUnits.js'
 import { EndpointQuota } from './EndpointQuota.js'
-import { EndpointRoom } from './EndpointRoom.js'
 import type { KnownInstances } from './KnownInstances.js'
-import { PlaceQueue } from './PlaceQueue.js'
+import { decodePlaceMessage } from './placeMessages.js'
 import { decodeTokenAnswer, decodeTokenRequest, encodeTokenAnswer, encodeTokenRequest } from './quotaMessages.js'
 import type { TokenOutcome } from './quotaMessages.js'
 import { ReturnSchedule } from './ReturnSchedule.js'
+import { SharedRooms } from './SharedRooms.js'
 import { ShareBucket } from './ShareBucket.js'
 import type { ActiveLimit, CallEffect, LimitPart, RequestLimits, RoomPart } from './types.js'
 
@@ -19,7 +18,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly directory: Pick<EndpointDirectory, 'get' | 'onGone' | 'receiveAnnouncement'>
-  readonly peers: Pick<Peers, 'self' | 'ask' | 'handle'>
+  readonly peers: Pick<Peers, 'self' | 'ask' | 'send' | 'handle'>
   readonly known: KnownInstances
   /** Whether one instance at a time calls a service's endpoints for all others; none by default. */
   readonly isCoordinated?: (service: ServiceId) => boolean
@@ -44,16 +43,14 @@
   readonly #returns: ReturnSchedule
   /** Bounds the traffic of questions to other instances. */
   readonly #asks = new ShareBucket()
-  /** Calls and places at each incarnation of an endpoint. */
-  readonly #rooms = new WeakMap<Endpoint, EndpointRoom>()
-  readonly #places: PlaceQueue
+  readonly #rooms: SharedRooms
   #checkedAt: Millis
 
   constructor (options: SharedRateLimiterOptions) {
-    const { clock, random, directory, peers } = options
+    const { clock, random, directory, peers, known, isCoordinated = () => false } = options
     this.#options = options
+    this.#rooms = new SharedRooms({ clock, random, directory, peers, known, isCoordinated })
     this.#returns = new ReturnSchedule(clock, random)
-    this.#places = new PlaceQueue(clock)
     this.#checkedAt = clock.now()
     this.#asks.restart({ interval: ASK_INTERVAL, burst: ASK_BURST }, millis(0), clock.now())
     clock.every(PAUSE_CHECK_PERIOD, () => this.#checkPause())
@@ -63,33 +60,35 @@
 
   canSend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
-    return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#roomOf(endpoint).canSend(endpoint.running)
+    return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#rooms.of(endpoint).canChoose()
   }
 
   trySend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
-    const room = this.#roomOf(endpoint)
+    const room = this.#rooms.of(endpoint)
     return room.canSend() && (limit === undefined || this.#quotaOf(endpoint).trySend(limit)) && room.trySend()
   }
 
   callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void {
-    this.#roomOf(endpoint).callEnded(effect, took)
-    this.#places.wakeOne(endpoint.service)
+    this.#rooms.of(endpoint).callEnded(effect, took)
   }
 
   waitForPlace (service: ServiceId, span: Millis): Promise<void> {
-    return this.#places.wait(service, span)
+    return this.#rooms.waitForPlace(service, span)
   }
 
   request (endpoint: Endpoint): void {
     const limit = activeLimitOf(endpoint)
-    if (limit !== undefined && this.#asks.availableIn(this.#options.clock.now()) === 0) this.#quotaOf(endpoint).request(limit)
+    const now = this.#options.clock.now()
+    if (limit !== undefined && this.#asks.availableIn(now) === 0) this.#quotaOf(endpoint).request(limit)
+    const room = this.#rooms.of(endpoint)
+    if (room.wantsPlace && this.#asks.tryTake(now)) room.request()
   }
 
   availableIn (endpoint: Endpoint): Millis {
     const limit = activeLimitOf(endpoint)
     const tokenIn = limit === undefined ? 0 : this.#quotaOf(endpoint).availableIn(limit)
-    return millis(Math.max(tokenIn, this.#roomOf(endpoint).availableIn()))
+    return millis(Math.max(tokenIn, this.#rooms.of(endpoint).availableIn()))
   }
 
   isUnconfirmed (endpoint: Endpoint): boolean {
@@ -109,14 +108,14 @@
 
   /** This instance's places at the endpoint; undefined unless it is brittle. */
   roomPartOf (endpoint: Endpoint): RoomPart | undefined {
-    return this.#roomOf(endpoint).part()
+    return this.#rooms.of(endpoint).part()
   }
 
   /** Requests per second that each instance may send on average if all of the endpoints have limits; Infinity if one has none. */
   fairShare (endpoints: readonly Endpoint[]): number {
     const instances = this.#options.known.ids.length
     return endpoints.reduce((sum, endpoint) => {
-      return sum + Math.min((endpoint.limit?.perSecond ?? Infinity) / instances, this.#roomOf(endpoint).perSecond)
+      return sum + Math.min((endpoint.limit?.perSecond ?? Infinity) / instances, this.#rooms.of(endpoint).perSecond)
     }, 0)
   }
 
@@ -140,24 +139,6 @@
     return quota
   }
 
-  #roomOf (endpoint: Endpoint): EndpointRoom {
-    const known = this.#rooms.get(endpoint)
-    if (known !== undefined) return known
-    const { clock, random, known: instances } = this.#options
-    const room = new EndpointRoom({
-      clock, random, endpoint, units: () => this.#unitsOf(endpoint), sharers: () => instances.ids.length
-    })
-    this.#rooms.set(endpoint, room)
-    return room
-  }
-
-  /** Slots of the endpoint that this instance may use. */
-  #unitsOf ({ id, service, incarnation, record, load }: Endpoint): number {
-    const slots = Math.max(1, Math.min(record.slots, load?.slots ?? Infinity))
-    const { known, peers, isCoordinated } = this.#options
-    return isCoordinated?.(service) === true ? slots : divideUnits(`${id} ${incarnation} room`, slots, known.ids, peers.self)
-  }
-
   /** After a pause of this process nothing is left of what it had: others may have used it meanwhile. */
   #checkPause (): void {
     const now = this.#options.clock.now()
@@ -177,7 +158,12 @@
     return answer
   }
 
-  #answer (from: InstanceId, message: Json): Json {
+  #answer (from: InstanceId, message: Json): Json | Promise<Json> {
+    const placeMessage = decodePlaceMessage(message)
+    return placeMessage === undefined ? this.#answerToken(from, message) : this.#rooms.receive(placeMessage)
+  }
+
+  #answerToken (from: InstanceId, message: Json): Json {
     const req = decodeTokenRequest(message)
     if (req !== undefined) this.#learn(req.endpoint, req.incarnation, req.limit)
     const endpoint = req === undefined ? undefined : this.#options.directory.get(req.endpoint)
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -51,6 +51,21 @@
 /** Bounds of the time after a rejection in which a brittle endpoint gets no more calls than it let in. */
 export const MIN_REJECTION_PAUSE = millis(1250)
 export const MAX_REJECTION_PAUSE = seconds(10)
+/** Bounds of the time for which a place is lent, and how many usual calls must fit in. */
+export const MIN_LEASE = seconds(5)
+export const MAX_LEASE = seconds(30)
+export const LEASE_CALLS = 4
+/** Longest time for which a lender keeps a request for a place, how many it keeps, and how long the borrower waits. */
+export const LEND_WAIT = millis(250)
+export const MAX_ASKERS = 16
+export const PLACE_ASK_TIMEOUT = millis(400)
+/** Time after which a borrowed place that is not used goes back. */
+export const IDLE_PLACE_TTL = millis(10)
+/** A call begins on a borrowed place only if this many usual calls still fit into the lease. */
+export const LEASE_MARGIN_CALLS = 2
+/** Bounds of the time for which an instance that lent no place is not asked again. */
+export const MIN_PLACE_BACKOFF = millis(250)
+export const MAX_PLACE_BACKOFF = millis(1500)
 /**
  * Least time after which an instance without a place sends a call to learn whether the endpoint is still brittle, and the
  * least in the times that all instances need for one rejection each.
--- a/packages/limits/src/divideUnits.test.ts
+++ b/packages/limits/src/divideUnits.test.ts
@@ -8,8 +8,10 @@
 describe('divideUnits', () => {
   it.each([[1, 4], [3, 4], [6, 24], [60, 24], [420, 3], [7, 0]])('gives parts to %i instances that add up to %i', (count, units) => {
     const instances = instancesOf(count)
-    const parts = instances.map((self) => divideUnits('e1', units, instances, self))
+    const division = divideUnits('e1', units, instances)
+    const parts = instances.map((id) => division.get(id) ?? 0)
     expect(parts.reduce((sum, part) => sum + part, 0)).toBe(units)
+    expect(division.size).toBe(parts.filter((part) => part > 0).length)
     expect(Math.max(...parts) - Math.min(...parts)).toBeLessThanOrEqual(1)
   })
 })
--- a/packages/limits/src/divideUnits.ts
+++ b/packages/limits/src/divideUnits.ts
@@ -1,19 +1,17 @@
-import { hash32 } from '@papayahill/common'
+import { byRendezvous } from '@papayahill/common'
 import type { InstanceId } from '@papayahill/common'
 
 /**
- * This instance's part of a number of units, so that the parts of all instances add up to it. The remainder goes to the first
- * instances in rendezvous order for the name; with more instances than units some get none.
+ * Divides a number of units between instances, so that their parts add up to it. The remainder goes to the first ones in
+ * rendezvous order for the name; instances without a unit are left out.
  *
  * @example
- * divideUnits('e1 1000 room', 4, ['i1', 'i2', 'i3'], 'i1') // 1 or 2
+ * divideUnits('e1 1000 room', 4, ['i1', 'i2', 'i3']) // two units for one of them, one for the others
  */
-export const divideUnits = (name: string, units: number, instances: readonly InstanceId[], self: InstanceId): number => {
+export const divideUnits = (name: string, units: number, instances: readonly InstanceId[]): ReadonlyMap<InstanceId, number> => {
   const even = Math.floor(units / instances.length)
   const remainder = Math.floor(units) - even * instances.length
-  if (remainder === 0) return even
-  const rankOf = (id: InstanceId): number => hash32(`${name} ${id}`)
-  const ownRank = rankOf(self)
-  const higherRanked = instances.filter((id) => rankOf(id) > ownRank).length
-  return even + (higherRanked < remainder ? 1 : 0)
+  const ranked = byRendezvous(name, instances, (id) => id)
+  const holders = even > 0 ? ranked : ranked.slice(0, remainder)
+  return new Map(holders.map((id, rank) => [id, even + (rank < remainder ? 1 : 0)]))
 }
--- a/packages/limits/src/testing/LimitHarness.ts
+++ b/packages/limits/src/testing/LimitHarness.ts
@@ -23,6 +23,14 @@
 /** How instances keep limits: together, not at all, or with a bucket each. */
 export type LimitPolicy = 'shared' | 'ignored' | 'own-buckets'
 
+/** An endpoint that requests of instances reach. */
+export interface HarnessServer {
+  readonly id: string
+  /** Slots in its row of the list; by default more than any test needs. */
+  readonly slots?: number
+  serve (instance: LimitInstance, endpoint: Endpoint): Promise<void>
+}
+
 export interface LimitHarnessOptions {
   readonly instances: number
   readonly endpoints: number
@@ -84,7 +92,7 @@
     const until = clock.now() + MAX_WAIT
     for (;;) {
       const endpoints = directory.healthy(LIMITED_SERVICE)
-      const sendable = endpoints.filter((endpoint) => limits.canSend(endpoint))
+      const sendable = endpoints.filter((endpoint) => limits.canSend(endpoint) && !endpoint.isSuspect(clock.now()))
       const unconfirmed = sendable.filter((endpoint) => limits.isUnconfirmed(endpoint))
       const open = unconfirmed.length > 0 ? unconfirmed : sendable
       const chosen = open[this.#random.below(Math.max(1, open.length))]
@@ -92,7 +100,8 @@
       if (clock.now() + timeUntilAvailable(limits, endpoints, clock.now()) >= until) return undefined
       const askable = endpoints.filter((endpoint) => limits.availableIn(endpoint) === 0)
       if (askable.length > 0) limits.request(askable[this.#random.below(askable.length)]!)
-      await clock.sleep(RETRY_PERIOD)
+      if (limits instanceof SharedRateLimiter) await limits.waitForPlace(LIMITED_SERVICE, RETRY_PERIOD)
+      else await clock.sleep(RETRY_PERIOD)
     }
   }
 
@@ -102,6 +111,8 @@
   }
 }
 
+const newLimitedServer = (clock: VirtualClock, id: string): LimitedServer => new LimitedServer(clock, id)
+
 /**
  * Instances that keep the limits of one service's endpoints together, over links in memory and in virtual time.
  *
@@ -111,17 +122,17 @@
  * harness.servers[0].name(1)
  * await harness.clock.advance(seconds(10))
  */
-export class LimitHarness {
+export class LimitHarness<Server extends HarnessServer = LimitedServer> {
   readonly clock = new VirtualClock()
   readonly network = new MemoryNetwork(this.clock)
-  readonly servers: readonly LimitedServer[]
+  readonly servers: readonly Server[]
   readonly instances: LimitInstance[] = []
   readonly #options: LimitHarnessOptions
   #incarnations = 0
 
-  constructor (options: LimitHarnessOptions) {
+  constructor (options: LimitHarnessOptions, newServer: (clock: VirtualClock, id: string) => Server = newLimitedServer as never) {
     this.#options = options
-    this.servers = Array.from({ length: options.endpoints }, (_none, at) => new LimitedServer(this.clock, `e${at}`))
+    this.servers = Array.from({ length: options.endpoints }, (_none, at) => newServer(this.clock, `e${at}`))
   }
 
   /** Starts all instances and, once their links are established, their callers. */
@@ -200,7 +211,7 @@
     const listed = (): readonly ListedPeer[] => this.instances.map(({ identity: { id, address } }) => ({ id, address }))
     const instance = new LimitInstance(this.network, identity, hash32(`${seed} ${this.#incarnations}`), policy, listed)
     this.instances[at] = instance
-    instance.directory.replaced(this.servers.map(({ id }) => endpointRow(id)), millis(0))
+    instance.directory.replaced(this.servers.map(({ id, slots }) => endpointRow(id, { slots })), millis(0))
     void instance.peers.start()
     return instance
   }
@@ -224,7 +235,7 @@
     await this.serverOf(endpoint.id).serve(instance, endpoint)
   }
 
-  serverOf (id: EndpointId): LimitedServer {
+  serverOf (id: EndpointId): Server {
     return this.servers.find((server) => server.id === id)!
   }
 }
--- a/packages/limits/src/testing/limitedEndpoint.ts
+++ b/packages/limits/src/testing/limitedEndpoint.ts
@@ -6,13 +6,20 @@
 /** Service of the endpoints in tests. */
 export const LIMITED_SERVICE = brand<ServiceId>('pool')
 
-const recordOf = (id: string, startedAt: number): EndpointRecord => ({
+const DEFAULT_SLOTS = 64
+
+interface RowFields {
+  readonly startedAt?: number
+  readonly slots?: number | undefined
+}
+
+const recordOf = (id: string, startedAt: number, slots = DEFAULT_SLOTS): EndpointRecord => ({
   id: brand<EndpointId>(id),
   service: LIMITED_SERVICE,
   address: { ip: '10.0.0.1', port: 8080 },
   domain: brand<DomainId>('hall-1'),
   version: 'v1',
-  slots: 64,
+  slots,
   isDraining: false,
   coldFor: millis(0),
   sequence: 1,
@@ -20,8 +27,8 @@
 })
 
 /** An endpoint's row in the platform's list. */
-export const endpointRow = (id: string, startedAt = 1000): TableRow<EndpointEntry> =>
-  ({ key: id, revision: startedAt, value: { record: recordOf(id, startedAt) } })
+export const endpointRow = (id: string, { startedAt = 1000, slots }: RowFields = {}): TableRow<EndpointEntry> =>
+  ({ key: id, revision: startedAt, value: { record: recordOf(id, startedAt, slots) } })
 
 /** An endpoint with a limit in force; none without `perSecond`. */
 export const limitedEndpoint = (id: string, perSecond?: number): Endpoint & { limit: NamedLimit } => {
