One module sets the keep-alive of every socket

Connections to endpoints and the store had the HTTP client's own idle time of 60 s before the first probe, and listeners and the links between instances had no keep-alive at all, so that a connection whose other end had gone without a word could stay open until a byte was written.

KEEP_ALIVE in common holds the options (first probe after 10 s; libuv adds a period of 1 s and 10 probes, as seen in the system calls of Node 20.19) and every server, connector and link uses it. A silent endpoint is still noticed by the call's own timeout (about 1.5 s).

--- a/apps/papayahill/src/OperatorClient.ts
+++ b/apps/papayahill/src/OperatorClient.ts
@@ -1,4 +1,4 @@
-import { isJsonObject } from '@papayahill/common'
+import { isJsonObject, KEEP_ALIVE } from '@papayahill/common'
 import type { Clock, Json, JsonObject } from '@papayahill/common'
 import { Agent } from 'undici'
 import { CliFailure } from './CliFailure.js'
@@ -34,7 +34,7 @@
  */
 export class OperatorClient {
   readonly #options: OperatorClientOptions
-  readonly #agent = new Agent()
+  readonly #agent = new Agent({ connect: KEEP_ALIVE })
 
   constructor (options: OperatorClientOptions) {
     this.#options = options
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -1,3 +1,4 @@
+import { KEEP_ALIVE } from '@papayahill/common'
 import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
 import { buildConnector, Client } from 'undici'
@@ -72,7 +73,7 @@
  * state is updated before the client handles the end, because the client accepts the bytes before a reset as a whole answer.
  */
 const connectOnce = (state: SocketState): buildConnector.connector => {
-  const connect = buildConnector({ timeout: OPEN_TIMEOUT })
+  const connect = buildConnector({ ...KEEP_ALIVE, timeout: OPEN_TIMEOUT })
   let isUsed = false
   return (options, callback) => {
     if (isUsed) return callback(new Error('the connection was lost'), null)
--- a/packages/connections/src/boundedConnector.ts
+++ b/packages/connections/src/boundedConnector.ts
@@ -1,3 +1,4 @@
+import { KEEP_ALIVE } from '@papayahill/common'
 import type { Bytes } from '@papayahill/common'
 import type { Socket } from 'node:net'
 import { buildConnector } from 'undici'
@@ -27,7 +28,7 @@
  * new Pool(origin, { connect: boundedConnector(MAX_ANSWER, { timeout: CONNECT_TIMEOUT }) })
  */
 export const boundedConnector = (maxAnswer: Bytes, options: buildConnector.BuildOptions = {}): buildConnector.connector => {
-  const connect = buildConnector(options)
+  const connect = buildConnector({ ...KEEP_ALIVE, ...options })
   return (target, callback) => connect(target, (...connected) => {
     // Declared as null after an error, but undefined.
     const socket: Socket | null | undefined = connected[1]
--- a/packages/connections/src/probeListener.ts
+++ b/packages/connections/src/probeListener.ts
@@ -1,3 +1,4 @@
+import { KEEP_ALIVE } from '@papayahill/common'
 import { connect } from 'node:net'
 import { OPEN_TIMEOUT } from './constants.js'
 
@@ -11,7 +12,7 @@
  * await probeListener('127.0.0.1', 9101) // 'refused'
  */
 export const probeListener = (ip: string, port: number): Promise<ListenerState> => new Promise((resolve) => {
-  const socket = connect({ host: ip, port, timeout: OPEN_TIMEOUT })
+  const socket = connect({ ...KEEP_ALIVE, host: ip, port, timeout: OPEN_TIMEOUT })
   const settle = (state: ListenerState): void => {
     socket.destroy()
     resolve(state)
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { bindServer, CallerConnections, ERROR_ANSWERS, failure, SystemClock } from '@papayahill/common'
+import { bindServer, CallerConnections, ERROR_ANSWERS, failure, KEEP_ALIVE, SystemClock } from '@papayahill/common'
 import type { ErrorKind, EventLog } from '@papayahill/common'
 import type { ListenAddress } from '@papayahill/settings'
 import type polka from 'polka'
@@ -117,6 +117,7 @@
     sendProblem(res, refuseAtEdge('too-many-connections', 'this instance has reached its connection limit', isKeyed), options.ids.next())
   }
   const server = createServer({
+    ...KEEP_ALIVE,
     maxHeaderSize: options.headerBytes,
     headersTimeout: HEADERS_TIMEOUT,
     requestTimeout: REQUEST_TIMEOUT,
--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,4 +1,6 @@
+import { KEEP_ALIVE_IDLE } from '@papayahill/common'
 import type { Clock, EventLog } from '@papayahill/common'
+import type { IncomingMessage } from 'node:http'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
 import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_BUFFERED_BYTES } from './constants.js'
@@ -22,6 +24,8 @@
 
 const OTHER_ROLE: Readonly<Record<HandshakeRole, HandshakeRole>> = { dials: 'accepts', accepts: 'dials' }
 
+const keepAlive = ({ socket }: IncomingMessage): void => { socket.setKeepAlive(true, KEEP_ALIVE_IDLE) }
+
 const bufferOf = (data: RawData): Buffer => {
   if (Buffer.isBuffer(data)) return data
   return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data)
@@ -43,7 +47,8 @@
     const { ip, port } = this.#options.listen
     const server = new WebSocketServer({ host: ip, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     this.#server = server
-    server.on('connection', (socket) => {
+    server.on('connection', (socket, req) => {
+      keepAlive(req)
       void this.#handshake(socket, 'accepts').then((link) => { if (link !== undefined) onLink(link) })
     })
     await new Promise<void>((resolve, reject) => {
@@ -60,6 +65,7 @@
     const socket = new WebSocket(`ws://${address.ip}:${address.port}`, {
       maxPayload: MAX_FRAME_BYTES, handshakeTimeout: HANDSHAKE_TIMEOUT, perMessageDeflate: false
     })
+    socket.once('upgrade', keepAlive)
     return await this.#handshake(socket, 'dials')
   }
 
