Instances without a place ask anew when an endpoint is brittle once more

The time of the seldom call by which an instance without a place learns whether an endpoint is still brittle was kept from one time in which it was brittle to the next, so that all of them could send one at its beginning. The time now belongs to the version of the limit; the new test failed before.

--- a/packages/limits/src/EndpointRoom.test.ts
+++ b/packages/limits/src/EndpointRoom.test.ts
@@ -158,6 +158,17 @@
     })
   })
 
+  describe('without a place, when the endpoint is brittle once more', () => {
+    it('is not asked at once for a time that began before', async () => {
+      const { clock, endpoint, room } = newRoom(0)
+      expect(room.canSend()).toBe(false)
+      endpoint.rejectionLimit = { ...endpoint.rejectionLimit!, perSecond: undefined, version: 2 }
+      await clock.advance(seconds(600))
+      endpoint.rejectionLimit = { ...endpoint.rejectionLimit, perSecond: 2, version: 3 }
+      expect(room.canSend()).toBe(false)
+    })
+  })
+
   describe('shared with other instances', () => {
     it('lends a free place until it comes back, or for a time', async () => {
       const { clock, room } = newRoom(1)
--- a/packages/limits/src/EndpointRoom.ts
+++ b/packages/limits/src/EndpointRoom.ts
@@ -48,6 +48,8 @@
   #pausedUntil = millis(-Infinity)
   /** When a call is next sent without a place, to learn whether the endpoint is still brittle. */
   #confirmAt: Millis | undefined
+  /** Version of the limit of rejections that this is about. */
+  #confirmedVersion: number | undefined
   readonly #leases = new PlaceLeases()
   readonly #askers: PlaceAskers
   /** Whether the next free place is for another instance, if one waits. */
@@ -267,6 +269,8 @@
     const { endpoint: { rejectionLimit }, sharers, random } = this.#options
     const interval = sharers() * MILLIS_PER_SECOND / (rejectionLimit?.perSecond ?? Infinity)
     const period = Math.max(MIN_CONFIRM_PERIOD, CONFIRM_INTERVALS * interval)
+    if (this.#confirmedVersion !== rejectionLimit?.version) this.#confirmAt = undefined
+    this.#confirmedVersion = rejectionLimit?.version
     this.#confirmAt ??= millis(now + period * (1 + random.next()))
     return now >= this.#confirmAt
   }
