Admission and returns at brittle endpoints count on an even share of the slots at least

An instance without a place of its own told its callers to return after 5 to 10 s, though it borrows places: its rate was taken as 0. It is now at least an even share of the slots.

--- a/packages/limits/src/EndpointRoom.test.ts
+++ b/packages/limits/src/EndpointRoom.test.ts
@@ -158,6 +158,13 @@
     })
   })
 
+  it('counts on an even share of the slots at least, for admission and returns', () => {
+    const { room, endpoint } = newRoom(0, 4 * brittleEndpoint().record.slots)
+    expect(room.perSecond).toBeCloseTo(1)
+    endpoint.rejectionLimit = undefined
+    expect(room.perSecond).toBe(Infinity)
+  })
+
   describe('without a place, when the endpoint is brittle once more', () => {
     it('is not asked at once for a time that began before', async () => {
       const { clock, endpoint, room } = newRoom(0)
--- a/packages/limits/src/EndpointRoom.ts
+++ b/packages/limits/src/EndpointRoom.ts
@@ -177,10 +177,12 @@
     }
   }
 
-  /** Calls per second that fit into the places; Infinity unless the endpoint is brittle. */
+  /** Calls per second that fit into the places, at least into an even share of all slots; Infinity unless the endpoint is brittle. */
   get perSecond (): number {
-    const { endpoint, clock } = this.#options
-    return endpoint.isBrittle ? this.#places(clock.now()) * MILLIS_PER_SECOND / this.#callTime : Infinity
+    const { endpoint, clock, sharers } = this.#options
+    if (!endpoint.isBrittle) return Infinity
+    const places = Math.max(this.#places(clock.now()), endpoint.record.slots / sharers())
+    return places * MILLIS_PER_SECOND / this.#callTime
   }
 
   part (): RoomPart | undefined {
