Releases of stage results need no place at a brittle endpoint

Releases were counted as calls that take a slot, so that while a batch ran at a brittle stage endpoint with one slot they were withheld and its memory stayed full: 190 results released under 1800 requests. They need a token of the limit of requests as before, and no place.

--- a/packages/limits/src/SharedRateLimiter.ts
+++ b/packages/limits/src/SharedRateLimiter.ts
@@ -63,10 +63,11 @@
     return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#rooms.of(endpoint).canChoose()
   }
 
-  trySend (endpoint: Endpoint): boolean {
+  trySend (endpoint: Endpoint, takesSlot = true): boolean {
     const limit = activeLimitOf(endpoint)
     const room = this.#rooms.of(endpoint)
-    return room.canSend() && (limit === undefined || this.#quotaOf(endpoint).trySend(limit)) && room.trySend()
+    if (takesSlot && !room.canSend()) return false
+    return (limit === undefined || this.#quotaOf(endpoint).trySend(limit)) && (!takesSlot || room.trySend())
   }
 
   callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void {
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -37,9 +37,12 @@
 export interface RequestLimits {
   /** Whether a request may be sent to the endpoint now. */
   canSend (endpoint: Endpoint): boolean
-  /** Takes a token if there is one; must be called as the request goes out. */
-  trySend (endpoint: Endpoint): boolean
-  /** Records how a call ended that `trySend` let out, and how long it took. */
+  /**
+   * Takes a token and a place if there are; must be called as the request goes out. A request that takes no slot, such as a
+   * release of results, needs no place.
+   */
+  trySend (endpoint: Endpoint, takesSlot?: boolean): boolean
+  /** Records how a call that takes a slot ended that `trySend` let out, and how long it took. */
   callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void
   /** Asks another instance for a token in the background, unless one is there or was asked for. */
   request (endpoint: Endpoint): void
