--- a/packages/connections/src/EndpointDialer.ts
+++ b/packages/connections/src/EndpointDialer.ts
@@ -1,3 +1,4 @@
+import { KEEP_ALIVE } from '@papayahill/common'
 import { buildConnector } from 'undici'
 import { OPEN_TIMEOUT } from './constants.js'
 import { probeListener } from './probeListener.js'
@@ -14,4 +15,6 @@
 }
 
 /** Opens TCP connections within {@link OPEN_TIMEOUT}. */
-export const TCP_DIALER: EndpointDialer = { connect: buildConnector({ timeout: OPEN_TIMEOUT }), probe: probeListener, probePath }
+export const TCP_DIALER: EndpointDialer = {
+  connect: buildConnector({ ...KEEP_ALIVE, timeout: OPEN_TIMEOUT }), probe: probeListener, probePath
+}
--- a/packages/connections/src/probePath.ts
+++ b/packages/connections/src/probePath.ts
@@ -1,3 +1,4 @@
+import { KEEP_ALIVE } from '@papayahill/common'
 import { connect } from 'node:net'
 import { OPEN_TIMEOUT, SETTLE_TIME } from './constants.js'
 import type { ListenerState } from './probeListener.js'
@@ -10,7 +11,7 @@
  * await probePath('127.0.0.1', 9101) // 'listening'
  */
 export const probePath = (ip: string, port: number): Promise<ListenerState> => new Promise((resolve) => {
-  const socket = connect({ host: ip, port, timeout: OPEN_TIMEOUT })
+  const socket = connect({ ...KEEP_ALIVE, host: ip, port, timeout: OPEN_TIMEOUT })
   const settle = (state: ListenerState): void => {
     socket.destroy()
     resolve(state)
--- a/packages/limits/src/SharedRateLimiter.ts
+++ b/packages/limits/src/SharedRateLimiter.ts
@@ -6,18 +6,22 @@
 import { ASK_BURST, ASK_INTERVAL, ASK_TIMEOUT, MIN_PAUSE, NO_ANSWER_BACKOFF, PAUSE_CHECK_PERIOD } from './constants.js'
 import { EndpointQuota } from './EndpointQuota.js'
 import type { KnownInstances } from './KnownInstances.js'
+import { decodePlaceMessage } from './placeMessages.js'
 import { decodeTokenAnswer, decodeTokenRequest, encodeTokenAnswer, encodeTokenRequest } from './quotaMessages.js'
 import type { TokenOutcome } from './quotaMessages.js'
 import { ReturnSchedule } from './ReturnSchedule.js'
+import { SharedRooms } from './SharedRooms.js'
 import { ShareBucket } from './ShareBucket.js'
-import type { ActiveLimit, LimitPart, RequestLimits } from './types.js'
+import type { ActiveLimit, CallEffect, LimitPart, RequestLimits, RoomPart } from './types.js'
 
 export interface SharedRateLimiterOptions {
   readonly clock: Clock
   readonly random: Random
   readonly directory: Pick<EndpointDirectory, 'get' | 'onGone' | 'receiveAnnouncement'>
-  readonly peers: Pick<Peers, 'self' | 'ask' | 'handle'>
+  readonly peers: Pick<Peers, 'self' | 'ask' | 'send' | 'handle'>
   readonly known: KnownInstances
+  /** Whether one instance at a time calls a service's endpoints for all others; none by default. */
+  readonly isCoordinated?: (service: ServiceId) => boolean
 }
 
 const NOT_LENT: TokenOutcome = { kind: 'denied', retryIn: NO_ANSWER_BACKOFF }
@@ -39,11 +43,13 @@
   readonly #returns: ReturnSchedule
   /** Bounds the traffic of questions to other instances. */
   readonly #asks = new ShareBucket()
+  readonly #rooms: SharedRooms
   #checkedAt: Millis
 
   constructor (options: SharedRateLimiterOptions) {
-    const { clock, random, directory, peers } = options
+    const { clock, random, directory, peers, known, isCoordinated = () => false } = options
     this.#options = options
+    this.#rooms = new SharedRooms({ clock, random, directory, peers, known, isCoordinated })
     this.#returns = new ReturnSchedule(clock, random)
     this.#checkedAt = clock.now()
     this.#asks.restart({ interval: ASK_INTERVAL, burst: ASK_BURST }, millis(0), clock.now())
@@ -54,22 +60,36 @@
 
   canSend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined || this.#quotaOf(endpoint).canSend(limit)
+    return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#rooms.of(endpoint).canChoose()
   }
 
-  trySend (endpoint: Endpoint): boolean {
+  trySend (endpoint: Endpoint, takesSlot = true): boolean {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined || this.#quotaOf(endpoint).trySend(limit)
+    const room = this.#rooms.of(endpoint)
+    if (takesSlot && !room.canSend()) return false
+    return (limit === undefined || this.#quotaOf(endpoint).trySend(limit)) && (!takesSlot || room.trySend())
+  }
+
+  callEnded (endpoint: Endpoint, effect: CallEffect, took: Millis): void {
+    this.#rooms.of(endpoint).callEnded(effect, took)
+  }
+
+  waitForPlace (service: ServiceId, span: Millis): Promise<void> {
+    return this.#rooms.waitForPlace(service, span)
   }
 
   request (endpoint: Endpoint): void {
     const limit = activeLimitOf(endpoint)
-    if (limit !== undefined && this.#asks.availableIn(this.#options.clock.now()) === 0) this.#quotaOf(endpoint).request(limit)
+    const now = this.#options.clock.now()
+    if (limit !== undefined && this.#asks.availableIn(now) === 0) this.#quotaOf(endpoint).request(limit)
+    const room = this.#rooms.of(endpoint)
+    if (room.wantsPlace && this.#asks.tryTake(now)) room.request()
   }
 
   availableIn (endpoint: Endpoint): Millis {
     const limit = activeLimitOf(endpoint)
-    return limit === undefined ? millis(0) : this.#quotaOf(endpoint).availableIn(limit)
+    const tokenIn = limit === undefined ? 0 : this.#quotaOf(endpoint).availableIn(limit)
+    return millis(Math.max(tokenIn, this.#rooms.of(endpoint).availableIn()))
   }
 
   isUnconfirmed (endpoint: Endpoint): boolean {
@@ -87,15 +107,25 @@
     return limit === undefined ? undefined : this.#quotaOf(endpoint).partOf(limit)
   }
 
-  /** Requests per second that each instance may send on average if all of the endpoints are limited; Infinity if one is not. */
+  /** This instance's places at the endpoint; undefined unless it is brittle. */
+  roomPartOf (endpoint: Endpoint): RoomPart | undefined {
+    return this.#rooms.of(endpoint).part()
+  }
+
+  /** Requests per second that each instance may send on average if all of the endpoints have limits; Infinity if one has none. */
   fairShare (endpoints: readonly Endpoint[]): number {
-    const total = endpoints.reduce((sum, { limit }) => sum + (limit?.perSecond ?? Infinity), 0)
-    return total / this.#options.known.ids.length
+    const instances = this.#options.known.ids.length
+    return endpoints.reduce((sum, endpoint) => {
+      return sum + Math.min((endpoint.limit?.perSecond ?? Infinity) / instances, this.#rooms.of(endpoint).perSecond)
+    }, 0)
   }
 
   /** Time after which the next caller should return that is refused because all of a service's endpoints are limited. */
   nextReturn (service: ServiceId, endpoints: readonly Endpoint[], availableIn: Millis): Millis {
-    return this.#returns.next(service, this.fairShare(endpoints), availableIn)
+    const perSecond = this.fairShare(endpoints)
+    const isFull = endpoints.some(({ isBrittle }) => isBrittle)
+    const soonest = isFull ? Math.max(availableIn, Math.min(MILLIS_PER_SECOND, MILLIS_PER_SECOND / perSecond)) : availableIn
+    return this.#returns.next(service, perSecond, millis(soonest))
   }
 
   #quotaOf (endpoint: Endpoint): EndpointQuota {
@@ -129,7 +159,12 @@
     return answer
   }
 
-  #answer (from: InstanceId, message: Json): Json {
+  #answer (from: InstanceId, message: Json): Json | Promise<Json> {
+    const placeMessage = decodePlaceMessage(message)
+    return placeMessage === undefined ? this.#answerToken(from, message) : this.#rooms.receive(placeMessage)
+  }
+
+  #answerToken (from: InstanceId, message: Json): Json {
     const req = decodeTokenRequest(message)
     if (req !== undefined) this.#learn(req.endpoint, req.incarnation, req.limit)
     const endpoint = req === undefined ? undefined : this.#options.directory.get(req.endpoint)
--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,4 +1,6 @@
+import { KEEP_ALIVE_IDLE } from '@papayahill/common'
 import type { Clock, EventLog } from '@papayahill/common'
+import type { IncomingMessage } from 'node:http'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
 import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_BUFFERED_BYTES } from './constants.js'
@@ -22,6 +24,8 @@
 
 const OTHER_ROLE: Readonly<Record<HandshakeRole, HandshakeRole>> = { dials: 'accepts', accepts: 'dials' }
 
+const keepAlive = ({ socket }: IncomingMessage): void => { socket.setKeepAlive(true, KEEP_ALIVE_IDLE) }
+
 const bufferOf = (data: RawData): Buffer => {
   if (Buffer.isBuffer(data)) return data
   return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data)
@@ -54,7 +58,8 @@
     const { ip, port } = this.#options.listen
     const server = await this.#openServer()
     this.#server = server
-    server.on('connection', (socket) => {
+    server.on('connection', (socket, req) => {
+      keepAlive(req)
       void this.#handshake(socket, 'accepts').then((link) => { if (link !== undefined) onLink(link) })
     })
     server.on('error', (err) => this.#options.log.emit(PEERS_EVENTS.listenerFailed, { detail: err.message }))
@@ -67,6 +72,7 @@
     const socket = new WebSocket(`ws://${address.ip}:${address.port}`, {
       maxPayload: MAX_FRAME_BYTES, handshakeTimeout: HANDSHAKE_TIMEOUT, perMessageDeflate: false
     })
+    socket.once('upgrade', keepAlive)
     return await this.#handshake(socket, 'dials')
   }
 
