A dial that meets an error is recorded as failed

Cause: the mark that a peer is being dialled was taken back only if the dial returned.

Evidence: 'does not keep the peer from being dialled again' failed before: 1 dial instead of 2. It passes now.

--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -116,9 +116,13 @@
     const known = this.#known.get(id)
     if (known === undefined || known.isDialling || this.#isClosed) return undefined
     known.isDialling = true
-    const link = await this.#options.transport.dial(known.address)
-    known.isDialling = false
-    this.#recordDial(known, link?.peer.id === id)
+    let link: Link | undefined
+    try {
+      link = await this.#options.transport.dial(known.address)
+    } finally {
+      known.isDialling = false
+      this.#recordDial(known, link?.peer.id === id)
+    }
     if (link === undefined) return undefined
     this.add(link, isTemporary)
     return this.#links.get(id)
