Instances with IPv6 addresses dial each other

Cause: the address was put into the URL without brackets, as it is not for endpoints.

Evidence: 'instances with IPv6 addresses can link to each other' failed before: SyntaxError: Invalid URL: ws://::1:44759. It passes now.

Why it works: an IPv6 address is written in brackets, as URLs require.

--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog } from '@papayahill/common'
+import { isIPv6 } from 'node:net'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
 import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_BUFFERED_BYTES } from './constants.js'
@@ -64,7 +65,8 @@
   }
 
   async dial (address: PeerAddress): Promise<Link | undefined> {
-    const socket = new WebSocket(`ws://${address.ip}:${address.port}`, {
+    const host = isIPv6(address.ip) ? `[${address.ip}]` : address.ip
+    const socket = new WebSocket(`ws://${host}:${address.port}`, {
       maxPayload: MAX_FRAME_BYTES, handshakeTimeout: HANDSHAKE_TIMEOUT, perMessageDeflate: false
     })
     return await this.#handshake(socket, 'dials')
