--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,6 +1,7 @@
 import { KEEP_ALIVE_IDLE } from '@papayahill/common'
 import type { Clock, EventLog } from '@papayahill/common'
 import type { IncomingMessage } from 'node:http'
+import { isIPv6 } from 'node:net'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
 import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_BUFFERED_BYTES } from './constants.js'
@@ -69,7 +70,8 @@
   }
 
   async dial (address: PeerAddress): Promise<Link | undefined> {
-    const socket = new WebSocket(`ws://${address.ip}:${address.port}`, {
+    const host = isIPv6(address.ip) ? `[${address.ip}]` : address.ip
+    const socket = new WebSocket(`ws://${host}:${address.port}`, {
       maxPayload: MAX_FRAME_BYTES, handshakeTimeout: HANDSHAKE_TIMEOUT, perMessageDeflate: false
     })
     socket.once('upgrade', keepAlive)
