Revert: an instance that may be cut off tells others of crashes at once again

Where all endpoints of all services had really crashed, what it held back was dropped, so that a later instance was not told (deadlyPart.test.ts, 502 instead of 503), and the wait let one more endpoint crash (deadlyRequest.test.ts, 10 for a bound of 9), in one run beside the tests of other folders.

--- a/packages/quarantine/src/QuarantineAnnouncer.ts
+++ b/packages/quarantine/src/QuarantineAnnouncer.ts
@@ -1,12 +1,12 @@
 import { firstByRendezvous, millis } from '@papayahill/common'
 import type { Clock, InstanceId, Millis, Random } from '@papayahill/common'
 import {
-  HOLD_PERIOD, MAX_HOLD, MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE
+  MAX_REPLY_SPREAD, MAX_REPORT_SPREAD, PUBLISH_FALLBACK, REPLY_SPREAD_PER_INSTANCE, REPORT_SPREAD_PER_INSTANCE
 } from './constants.js'
 import type { QuarantineGossip } from './QuarantineGossip.js'
 import type { BegunNotice } from './quarantineMessages.js'
 import { keyOf } from './QuarantineTable.js'
-import type { CrashReport, PartId, PathVerdict, Quarantine, ScopeId } from './types.js'
+import type { CrashReport, PartId, Quarantine, ScopeId } from './types.js'
 
 export interface QuarantineAnnouncerOptions {
   readonly clock: Clock
@@ -14,8 +14,6 @@
   readonly self: InstanceId
   readonly instances: () => readonly InstanceId[]
   readonly gossip: QuarantineGossip
-  /** Whether this instance has lost its paths to all endpoints, which looks as if all had crashed. */
-  readonly pathVerdict: () => PathVerdict
 }
 
 /**
@@ -42,10 +40,8 @@
     this.#reporting.add(incarnation)
     this.#afterSpread(REPORT_SPREAD_PER_INSTANCE, MAX_REPORT_SPREAD, () => {
       this.#reporting.delete(incarnation)
-      this.#unlessCutOff(() => {
-        const report = untold()
-        if (report !== undefined) this.#options.gossip.publish(incarnation, { kind: 'crash', report })
-      })
+      const report = untold()
+      if (report !== undefined) this.#options.gossip.publish(incarnation, { kind: 'crash', report })
     })
   }
 
@@ -74,19 +70,11 @@
   quarantine (quarantine: Quarantine, isUntold: () => boolean): void {
     const { clock, random, instances, self, gossip } = this.#options
     const key = keyOf(quarantine)
-    const publish = (): void => this.#unlessCutOff(() => gossip.publish(key, { kind: 'quarantine', quarantine }))
+    const publish = (): void => gossip.publish(key, { kind: 'quarantine', quarantine })
     if (firstByRendezvous(key, instances(), (id) => id) === self) return publish()
     clock.after(millis(PUBLISH_FALLBACK * (1 + random.next())), () => { if (isUntold()) publish() })
   }
 
-  /** Acts once it is known that this instance is not cut off; never if it is. */
-  #unlessCutOff (act: () => void, heldFor = 0): void {
-    const verdict = this.#options.pathVerdict()
-    if (verdict === 'cut-off') return
-    if (verdict === 'sound' || heldFor >= MAX_HOLD) return act()
-    this.#options.clock.after(HOLD_PERIOD, () => this.#unlessCutOff(act, heldFor + HOLD_PERIOD))
-  }
-
   #afterSpread (perInstance: Millis, most: Millis, act: () => void): void {
     const { clock, random, instances } = this.#options
     const spread = Math.min(most, instances().length * perInstance)
--- a/packages/quarantine/src/QuarantineManager.ts
+++ b/packages/quarantine/src/QuarantineManager.ts
@@ -17,7 +17,7 @@
 import { ScopeEvidence } from './ScopeEvidence.js'
 import { UntoldLosses } from './UntoldLosses.js'
 import type { RequestLoss } from './UntoldLosses.js'
-import type { CrashReport, PartId, PathVerdict, Quarantine, QuarantineOrder, RequestParts, ScopedIncarnation, ScopeId } from './types.js'
+import type { CrashReport, PartId, Quarantine, QuarantineOrder, RequestParts, ScopedIncarnation, ScopeId } from './types.js'
 
 /** Suspected parts and endpoints that one log line names. */
 const MAX_LOGGED = 8
@@ -31,8 +31,6 @@
   readonly peers: Pick<Peers, 'self' | 'publish' | 'onEntry'>
   /** All instances that may make a trial, this one included. */
   readonly instances: () => readonly InstanceId[]
-  /** Whether this instance may have lost its paths to all endpoints; others are not told of crashes then. Sound if absent. */
-  readonly pathVerdict?: () => PathVerdict
 }
 
 /**
@@ -63,8 +61,8 @@
       receive: (message, from) => this.#receive(message, from),
       receiveMalformed: (from) => options.log.emit(QUARANTINE_EVENTS.quarantineMalformed, { from })
     })
-    const { clock, random, peers: { self }, instances, pathVerdict = () => 'sound' } = options
-    this.#announcer = new QuarantineAnnouncer({ clock, random, self, instances, gossip: this.#gossip, pathVerdict })
+    const { clock, random, peers: { self }, instances } = options
+    this.#announcer = new QuarantineAnnouncer({ clock, random, self, instances, gossip: this.#gossip })
   }
 
   /** Number of quarantines. */
--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -42,8 +42,5 @@
 export const MAX_REPORT_SPREAD = millis(40)
 export const REPLY_SPREAD_PER_INSTANCE = millis(1)
 export const MAX_REPLY_SPREAD = millis(150)
-/** Period of asking again whether this instance may be cut off, and longest time for which what it saw is held back meanwhile. */
-export const HOLD_PERIOD = millis(25)
-export const MAX_HOLD = millis(600)
 /** Time until an instance publishes a quarantine that the one chosen to do so has not published. */
 export const PUBLISH_FALLBACK = millis(500)
--- a/packages/quarantine/src/types.ts
+++ b/packages/quarantine/src/types.ts
@@ -55,9 +55,6 @@
  */
 export type QuarantineSource = 'own' | 'peer' | 'other-version' | 'operator'
 
-/** Whether an instance reaches endpoints: `open` while that is being found out. */
-export type PathVerdict = 'sound' | 'open' | 'cut-off'
-
 /** What an operator orders about parts of a scope. */
 export interface QuarantineOrder {
   readonly action: 'lift' | 'pin'
--- a/packages/reach/src/EndpointReach.ts
+++ b/packages/reach/src/EndpointReach.ts
@@ -89,12 +89,6 @@
     return this.#unreached.size
   }
 
-  /** Whether this instance has lost its paths to all endpoints; `open` while that is being found out. */
-  get verdict (): 'sound' | 'open' | 'cut-off' {
-    if (this.#cutAt !== undefined) return 'cut-off'
-    return this.#isInDoubt ? 'open' : 'sound'
-  }
-
   reaches (service: ServiceId): boolean {
     return !this.#unreached.has(service)
   }
