--- a/packages/forwarding/src/detours.test.ts
+++ b/packages/forwarding/src/detours.test.ts
@@ -1,5 +1,5 @@
 import { brand, EventRecorder, failure, millis, refusal, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
-import type { DomainId, Failure, Incarnation, InstanceId, ServiceId } from '@papayahill/common'
+import type { DomainId, Failure, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import type { PeerMember } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
@@ -80,7 +80,12 @@
     stopTime: new StopTime(),
     stages: { router: { endBy: () => {} }, backlogs: {}, profileOf: () => undefined },
     arrivals: { catchUp: () => Promise.resolve() },
-    limits: { fairShare: () => Infinity, availableIn: () => 0, canSend: () => true },
+    limits: {
+      fairShare: () => Infinity,
+      availableIn: () => 0,
+      canSend: () => true,
+      waitForPlace: (_service: ServiceId, wait: Millis) => clock.sleep(wait)
+    },
     versions: { selectCandidates: () => [] },
     profileOf: () => undefined,
     reach: { reaches: () => false, onChange: () => {} },
