An error in the planned stop of papayahilld ends the process once its requests have ended

Cause: the promise of the stop was not handled; its rejection was logged as a failed task, and nothing ended the process.

Evidence: 'the daemon ends after SIGTERM though its planned stop meets an error' (real process, an error as connections are closed) failed before: still running 20 s after SIGTERM. It passes now: exit 1.

Why it works: whatever the stop meets, the process waits for running requests and ends with code 1.

--- a/apps/papayahilld/src/main.ts
+++ b/apps/papayahilld/src/main.ts
@@ -4,6 +4,7 @@
 import { StopSignals } from '@papayahill/shutdown'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { STOP_CHECK_PERIOD } from './constants.js'
 import { createLog } from './createLog.js'
 import { Daemon } from './Daemon.js'
 import { PAPAYAHILLD_EVENTS } from './events.js'
@@ -26,7 +27,13 @@
   log.emit(PAPAYAHILLD_EVENTS.starting, { domain: cfg.domain, callers: `${cfg.callers.ip}:${cfg.callers.port}` })
   const daemon = new Daemon(cfg, clock, log)
   const drain = async (): Promise<void> => {
-    await daemon.drain()
+    try {
+      await daemon.drain()
+    } catch (err) {
+      log.emit(PAPAYAHILLD_EVENTS.taskFailed, { detail: String(err) })
+      while (daemon.running > 0) await clock.sleep(STOP_CHECK_PERIOD)
+      return exit(EXIT_CODES.failed)
+    }
     log.emit(PAPAYAHILLD_EVENTS.stopped, {})
     exit(EXIT_CODES.stopped)
   }
