--- a/apps/papayahilld/src/Daemon.ts
+++ b/apps/papayahilld/src/Daemon.ts
@@ -86,8 +86,12 @@
     const { headerBytes } = limits
     const shared = { headerBytes, ids, log: this.#log }
     this.#listeners.push(...await Promise.all([
-      listenOn({ ...shared, app: createCallersApp({ ...common, limits }), address: callers, connections: limits.connections }),
-      listenOn({ ...shared, app: createOperatorsApp(common), address: operators, connections: OPERATOR_CONNECTIONS })
+      listenOn({
+        ...shared, listener: 'callers', app: createCallersApp({ ...common, limits }), address: callers, connections: limits.connections
+      }),
+      listenOn({
+        ...shared, listener: 'operators', app: createOperatorsApp(common), address: operators, connections: OPERATOR_CONNECTIONS
+      })
     ]))
   }
 }
--- a/packages/bench/src/processes/ProcessFleet.ts
+++ b/packages/bench/src/processes/ProcessFleet.ts
@@ -44,13 +44,15 @@
 /** Name of the events that tell the port of an open listener. */
 const LISTENING = 'listening'
 
-/** The ports in a process's log; undefined until all listeners are open. */
+/** The ports in a process's log, whichever listener opens first; undefined until all are open. */
 const portsIn = (lines: readonly string[]): Ports | undefined => {
-  const listening = lines.flatMap((line) => {
+  const ports = new Map<unknown, number>()
+  for (const line of lines) {
     const event = JSON.parse(line) as Json
-    return isJsonObject(event) && event['name'] === LISTENING ? [Number(event['port'])] : []
-  })
-  const [peers, callers, operators] = listening
+    // The event of the listener for peers names none.
+    if (isJsonObject(event) && event['name'] === LISTENING) ports.set(event['listener'] ?? 'peers', Number(event['port']))
+  }
+  const [peers, callers, operators] = ['peers', 'callers', 'operators'].map((name) => ports.get(name))
   return peers === undefined || callers === undefined || operators === undefined ? undefined : { peers, callers, operators }
 }
 
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -13,6 +13,8 @@
 
 export interface ListenOptions {
   readonly app: App
+  /** Whom it is for, as the log names it. */
+  readonly listener?: 'callers' | 'operators'
   readonly address: ListenAddress
   /** Maximum number of open connections. */
   readonly connections: number
@@ -108,7 +110,7 @@
  * above the limit and its margin are dropped.
  */
 export const listenOn = async (options: ListenOptions): Promise<EdgeListener> => {
-  const { address, connections, log } = options
+  const { address, connections, log, listener: name } = options
   let openConnections = 0
   const aboveLimit = new WeakSet<Socket>()
   const clock = new SystemClock()
@@ -135,9 +137,9 @@
     socket.on('close', () => { openConnections-- })
   })
   server.on('clientError', (err: Error, socket) => answerParserError(options, known, err, socket as Socket))
-  const report = (err: Error): void => log.emit(EDGE_EVENTS.listenerFailed, { ip: address.ip, detail: err.message })
+  const report = (err: Error): void => log.emit(EDGE_EVENTS.listenerFailed, { ip: address.ip, listener: name, detail: err.message })
   await openListener({ clock, open: () => bindServer(server, address, report), onBlocked: report, isClosed: () => false })
   const listener = new EdgeListener(server)
-  log.emit(EDGE_EVENTS.listening, { ip: address.ip, port: listener.port })
+  log.emit(EDGE_EVENTS.listening, { listener: name, ip: address.ip, port: listener.port })
   return listener
 }
