--- a/packages/forwarding/src/CallQuarantine.ts
+++ b/packages/forwarding/src/CallQuarantine.ts
@@ -3,7 +3,6 @@
 import type { ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import { partIdOf, scopeIdOf, wholeIdOf } from '@papayahill/quarantine'
-import type { LossJudge } from '@papayahill/reach'
 import type { Quarantine, QuarantineManager, RequestCheck, ScopedIncarnation } from '@papayahill/quarantine'
 import { SECOND_PROBE_DELAY } from './constants.js'
 import { fingerprintOf } from './fingerprintOf.js'
@@ -15,8 +14,6 @@
   readonly directory: Pick<EndpointDirectory, 'onGone'>
   /** Whether the endpoint's process still listens. */
   readonly probe: (endpoint: Endpoint) => Promise<ListenerState>
-  /** Tells refusals of an endpoint from those that all endpoints seem to make when this instance is cut off. */
-  readonly losses: LossJudge
 }
 
 /** How a call was lost: in the middle of its answer or, before it began, with the request to be sent on, or for good. */
@@ -75,8 +72,7 @@
 
   /** Nothing listens at the endpoint's address. */
   endpointRefused (endpoint: Endpoint): void {
-    if (endpoint.isLeaving || endpoint.record.isDraining) return
-    this.#options.losses.judgeLoss(endpoint, () => this.#options.quarantines.confirmCrash(incarnationOf(endpoint)))
+    if (!endpoint.isLeaving && !endpoint.record.isDraining) this.#options.quarantines.confirmCrash(incarnationOf(endpoint))
   }
 
   async #probe (endpoint: Endpoint): Promise<void> {
