--- /dev/null
+++ b/packages/duties/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.js'
--- a/packages/peers/src/frameCodec.ts
+++ b/packages/peers/src/frameCodec.ts
@@ -25,7 +25,10 @@
   quota: 14,
   quarantine: 15,
   reach: 16,
-  detour: 17
+  detour: 17,
+  duty: 18,
+  report: 19,
+  performance: 20
 }
 const TOPICS: ReadonlyMap<unknown, Topic> = new Map(Object.entries(TOPIC_NUMBERS).map(([topic, number]) => [number, topic as Topic]))
 const KINDS: readonly FrameKind[] = ['heartbeat', 'message', 'answer', 'entries', 'compare', 'differ', 'bye', 'use']
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -4,7 +4,7 @@
 /** Subject of a message; a closed list, so that traffic can be metered per topic. */
 export type Topic =
   | 'heartbeat' | 'gossip' | 'roster' | 'config' | 'latch' | 'load' | 'claim' | 'evidence' | 'cost' | 'order' | 'stage' | 'version'
-  | 'table' | 'endpoint' | 'quota' | 'quarantine' | 'reach' | 'detour'
+  | 'table' | 'endpoint' | 'quota' | 'quarantine' | 'reach' | 'detour' | 'duty' | 'report' | 'performance'
 
 /** A peer that is considered alive. */
 export interface PeerMember {
