--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -31,6 +31,8 @@
   readonly canRetry: boolean
   /** Called once the endpoint has read the inputs. */
   readonly onInputsRead: () => void
+  /** Called when the endpoint has begun to run the request. */
+  readonly onBegun: () => void
 }
 
 /**
@@ -84,6 +86,7 @@
     if (uncachedTokens !== undefined) engines.recordCallEnd(endpoint, uncachedTokens)
     connections.release(endpoint, socket)
     this.#versionCall.callEnded(end, request.signal.aborted || this.#isWithdrawn)
+    this.#noteRun(end)
     this.#noteTimes(end)
     this.#noteCrash(end)
     this.#logEnd(end)
@@ -134,6 +137,7 @@
   /** The first event shows that the engine has read its inputs, and that no part of the prompt has crashed it. */
   #watchFirstEvent (relay: StreamRelay): StreamRelay {
     relay.onFirstEvent = () => {
+      this.#options.onBegun()
       this.#options.onInputsRead()
       this.#answerBegan()
     }
@@ -157,6 +161,14 @@
     return millis(INPUT_READ_DELAY + size / INPUT_BYTES_PER_MILLI)
   }
 
+  /** A call that was lost may have run, unlike one that the endpoint says it did not run. */
+  #noteRun (end: CallEnd): void {
+    const { context: { clock, runs }, endpoint, relay } = this.#options
+    if (end.kind === 'not-run' || end.kind === 'inputs-gone') return
+    if (relay === undefined) this.#options.onBegun()
+    runs?.callEnded(endpoint, millis(clock.now() - this.#startedAt))
+  }
+
   #noteTimes (end: CallEnd): void {
     const { context: { clock, firstEvents, answerTimes }, request: { route } } = this.#options
     const { firstByteAt } = this.#exchange
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -12,7 +12,7 @@
 import type { RouteTimes } from './newRouteTimes.js'
 import type { SharedRetryBudget } from './SharedRetryBudget.js'
 import type { StopTime } from './StopTime.js'
-import type { CallWire, ProfileLookup } from './types.js'
+import type { CallWire, ProfileLookup, RunObserver } from './types.js'
 import type { UnsentRequests } from './UnsentRequests.js'
 import type { VersionGate } from './VersionGate.js'
 
@@ -45,6 +45,8 @@
   /** Reads what callers sent or closed while the event loop was blocked. */
   readonly arrivals: Pick<ArrivalReader, 'catchUp'>
   readonly detour: Detour
+  /** Counts what requests use; absent where the deployment asks for no such counts. */
+  readonly runs?: RunObserver | undefined
   /** Failure domain of this instance. */
   readonly domain: DomainId
 }
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -79,6 +79,8 @@
   readonly #triedPeers = new Set<InstanceId>()
   #untakenCount = 0
   #isHandedOver = false
+  /** Whether an endpoint has begun to run the request. */
+  #hasBegun = false
   /** Time after which the last peer that was asked may take requests again. */
   #peerRetryAfter: Millis | undefined
 
@@ -321,7 +323,8 @@
       inputs: this.#inputs,
       number: ++this.#sendCount,
       canRetry: this.#isRetryable && this.#runCount + 1 < request.route.maxAttempts,
-      onInputsRead: () => this.#graph?.release()
+      onInputsRead: () => this.#graph?.release(),
+      onBegun: () => this.#noteBegun()
     })
     context.unsent.delete(this.#service, request)
     request.detoured?.onRun(this.#runCount + 1)
@@ -333,6 +336,13 @@
     return await this.#handleEnd(endpoint, end)
   }
 
+  /** A request counts once, however many calls it takes. */
+  #noteBegun (): void {
+    if (this.#hasBegun) return
+    this.#hasBegun = true
+    this.#context.runs?.requestBegan(this.#request)
+  }
+
   async #handleEnd (endpoint: Endpoint, end: CallEnd): Promise<Step> {
     switch (end.kind) {
       case 'streamed':
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -223,6 +223,7 @@
     if (isCallerGone) return log.emit(FORWARDING_EVENTS.callerGone, fields)
     if (end.kind === 'cut') return log.emit(FORWARDING_EVENTS.requestCut, { ...fields, detail: end.detail })
     const { failure, cause } = end
+    if (failure.kind === 'over-capacity') for (const { service } of request.route.targets) this.#context.runs?.requestRefused(service)
     const event = failure.run === 'not-run' ? FORWARDING_EVENTS.requestRefused : FORWARDING_EVENTS.requestFailed
     log.emit(event, { ...fields, kind: failure.kind, run: failure.run, cause, detail: failure.detail, retryAfterMs: failure.retryAfter })
     sink.fail(failure)
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,4 +1,4 @@
-import type { DomainId, EndpointId, Failure, Millis, Tokens, WorkspaceId } from '@papayahill/common'
+import type { DomainId, EndpointId, Failure, Millis, ServiceId, Tokens, WorkspaceId } from '@papayahill/common'
 import type { AnswerHeaders, HeaderList, RetryAfter, SocketAnswer } from '@papayahill/connections'
 import type { DetouredRequest } from './Detour.js'
 import type { DomainRule, Endpoint, EndpointDirectory, ReportedLoad, ServiceProfile, ServingRoute } from '@papayahill/directory'
@@ -145,3 +145,13 @@
 export type EndpointView = Pick<EndpointDirectory, 'healthy' | 'usable' | 'markCold'>
 export type ProfileLookup = (service: ServingRoute['targets'][number]['service']) => ServiceProfile | undefined
 export type { AnswerHeaders }
+
+/** Observes what requests use, for the usage of workspaces and the load of services. */
+export interface RunObserver {
+  /** An endpoint began to run the request: a stream with its first event. At most once for each request on this instance. */
+  requestBegan (request: ForwardRequest): void
+  /** A call has ended that took a slot of the endpoint. */
+  callEnded (endpoint: Endpoint, took: Millis): void
+  /** A request was refused for want of room at the service. */
+  requestRefused (service: ServiceId): void
+}
