--- /dev/null
+++ b/packages/duties/src/LeaseGossip.ts
@@ -0,0 +1,68 @@
+import type { InstanceId, Json } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { rankCandidates } from './candidates.js'
+import { LEASE_KEY, MAX_CANDIDATE_SILENCE, TOLD_CANDIDATES } from './constants.js'
+import { encodeDatedLease, parseDatedLease } from './leaseRecord.js'
+import type { DatedLease } from './leaseRecord.js'
+import type { LeaseView } from './LeaseView.js'
+
+export interface LeaseGossipOptions {
+  readonly self: InstanceId
+  readonly peers: Pick<Peers, 'members' | 'publish' | 'entries' | 'onEntry' | 'send' | 'handle'>
+  /** Cores of this instance. */
+  readonly capacity?: number
+  readonly view: LeaseView
+}
+
+/** Tells other instances of the lease and hears of it from them, and ranks the candidates among the live members. */
+export class LeaseGossip {
+  readonly #options: LeaseGossipOptions
+
+  constructor (options: LeaseGossipOptions) {
+    this.#options = options
+  }
+
+  /** Place of this instance among the candidates; 0 is the first. */
+  get rank (): number {
+    return Math.max(0, this.ranked().indexOf(this.#options.self))
+  }
+
+  /** Calls the listener for each lease that is newer than what this instance knew of. */
+  start (onNewer: (lease: DatedLease) => void): void {
+    const { peers, view } = this.#options
+    const hear = (value: Json): void => {
+      const lease = parseDatedLease(value)
+      if (lease !== undefined && view.hear(lease)) onNewer(lease)
+    }
+    peers.onEntry('duty', ({ key, value }) => { if (key === LEASE_KEY) hear(value) })
+    peers.handle('duty', (_from, value) => {
+      hear(value)
+      return null
+    })
+    for (const { key, value } of peers.entries('duty')) if (key === LEASE_KEY) hear(value)
+  }
+
+  publish (): void {
+    const { peers, view: { seen } } = this.#options
+    if (seen !== undefined) peers.publish('duty', LEASE_KEY, encodeDatedLease(seen))
+  }
+
+  /** Publishes a change of the holder, and tells the next candidates directly. */
+  tell (): void {
+    this.publish()
+    const { peers, self, view: { seen } } = this.#options
+    if (seen === undefined) return
+    const others = this.ranked().filter((id) => id !== self)
+    for (const id of others.slice(0, TOLD_CANDIDATES)) peers.send(id, 'duty', encodeDatedLease(seen))
+  }
+
+  /** Candidates in order; another instance that released the lease or let it expire is none. */
+  ranked (): readonly InstanceId[] {
+    const { self, peers, capacity = 1, view } = this.#options
+    const last = view.seen?.record.holder
+    const others = peers.members()
+      .filter(({ id, silence }) => id !== self && id !== last && silence < MAX_CANDIDATE_SILENCE)
+      .map(({ id, capacity: theirs = 1 }) => ({ id, capacity: theirs }))
+    return rankCandidates([{ id: self, capacity }, ...others]).map(({ id }) => id)
+  }
+}
--- /dev/null
+++ b/packages/duties/src/candidates.ts
@@ -0,0 +1,19 @@
+import { byRendezvous } from '@papayahill/common'
+import type { InstanceId } from '@papayahill/common'
+import { LEASE_KEY, MIN_CANDIDATE_CAPACITY, MIN_CANDIDATES } from './constants.js'
+
+/** An instance that can take the lease. */
+export interface Candidate {
+  readonly id: InstanceId
+  /** In cores. */
+  readonly capacity: number
+}
+
+/** All candidates in the order in which they try: capable ones first, then the others, each by rendezvous order. */
+export const rankCandidates = (candidates: readonly Candidate[]): readonly Candidate[] => {
+  const ranked = byRendezvous(LEASE_KEY, candidates, ({ id }) => id)
+  const needed = Math.max(0, ...candidates.map(({ capacity }) => capacity)) * MIN_CANDIDATE_CAPACITY
+  const capable = ranked.filter(({ capacity }) => capacity >= needed)
+  if (capable.length < MIN_CANDIDATES) return ranked
+  return [...capable, ...ranked.filter(({ capacity }) => capacity < needed)]
+}
--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,3 +1,8 @@
+export { DutyLease } from './DutyLease.js'
+export type { DutyLeaseOptions } from './DutyLease.js'
+export { SystemElapsedClock } from './ElapsedClock.js'
+export type { ElapsedClock } from './ElapsedClock.js'
+export { DUTIES_EVENTS } from './events.js'
 export { FaultyDutyTable } from './testing/FaultyDutyTable.js'
 export type { DutyTableCopy, FaultyDutyTableOptions } from './testing/FaultyDutyTable.js'
 export type * from './types.js'
--- a/packages/duties/src/types.ts
+++ b/packages/duties/src/types.ts
@@ -1,4 +1,4 @@
-import type { Brand, Json, Millis } from '@papayahill/common'
+import type { Brand, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { TableError } from '@papayahill/directory'
 import type { Result } from 'true-myth'
 
@@ -61,3 +61,39 @@
   | { readonly kind: 'unsent', readonly detail: string }
   /** It may have been carried out. */
   | { readonly kind: 'unknown', readonly detail: string }
+
+/** Settings of the lease. */
+export interface LeaseTerms {
+  /** Time for which a holder may act after the start of its last successful write; setting `lease_ms`. */
+  readonly leaseTime: Millis
+}
+
+export interface LeaseHolder {
+  readonly id: InstanceId
+  readonly incarnation: Incarnation
+}
+
+/** What an instance knows of the lease after a change. */
+export interface LeaseChange {
+  /** Undefined if no holder is known. */
+  readonly holder: LeaseHolder | undefined
+  /** Whether this instance holds the lease. */
+  readonly isHeld: boolean
+}
+
+/** State of the lease at one instance, for operators. */
+export interface LeaseStatus extends LeaseChange {
+  /** Of the newest lease that this instance knows of; undefined if it knows of none. */
+  readonly token: FencingToken | undefined
+  readonly era: number | undefined
+  readonly renewal: number | undefined
+  /** Time left in which this instance may act. */
+  readonly remaining: Millis
+  /** Place of this instance among the candidates; 0 is the first. */
+  readonly rank: number
+  /** Counts since the start. */
+  readonly takes: number
+  readonly renewals: number
+  readonly failures: number
+  readonly storeCalls: number
+}
