--- /dev/null
+++ b/packages/reports/src/ReportSender.ts
@@ -0,0 +1,153 @@
+import { millis, MILLIS_PER_SECOND } from '@papayahill/common'
+import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
+import type { Peers } from '@papayahill/peers'
+import { HOLDER_CHANGE_SPREAD, MAX_REPLIES_PER_SECOND, PERIOD_INSTANCES, REPORT_PERIOD, REPORT_TIMEOUT } from './constants.js'
+import { REPORTS_EVENTS } from './events.js'
+import type { FleetClock } from './FleetClock.js'
+import type { ReportCollector } from './ReportCollector.js'
+import { decodeReply, encodeReport } from './reportMessages.js'
+import type { ReportReply } from './reportMessages.js'
+import type { ReportReceivers } from './ReportReceivers.js'
+import type { HolderView, ReportBody, Reporter, ReportSource } from './types.js'
+
+export interface ReportSenderOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly peers: Pick<Peers, 'self' | 'incarnation' | 'isConnected' | 'keepLinks' | 'ask' | 'send'>
+  readonly receivers: ReportReceivers
+  readonly holder: HolderView
+  /** Receives this instance's own reports where it is a receiver itself. */
+  readonly collector: ReportCollector
+  readonly fleetClock: FleetClock
+  readonly log: EventLog
+}
+
+/** Period of the reports in a deployment of so many instances. */
+export const reportPeriod = (instances: number): Millis =>
+  millis(REPORT_PERIOD * Math.max(1, instances / PERIOD_INSTANCES))
+
+/** Number of reports out of which one asks for a reply. */
+export const reportsPerReply = (instances: number): number =>
+  Math.ceil(instances * MILLIS_PER_SECOND / reportPeriod(instances) / MAX_REPLIES_PER_SECOND)
+
+/**
+ * Sends this instance's reports to the receivers. All sections go in one message. A report without a reply is no loss: the next
+ * one contains all that has not been confirmed.
+ *
+ * @example
+ * const sender = new ReportSender({ clock, random, peers, receivers, holder, collector, fleetClock, log })
+ * sender.addSource(usage)
+ * sender.start()
+ */
+export class ReportSender {
+  readonly #options: ReportSenderOptions
+  readonly #sources: ReportSource[] = []
+  /** Reports since the last one that asked for a reply, by receiver. */
+  readonly #sinceReply = new Map<Incarnation, number>()
+  /** Receivers whose reply is awaited. */
+  readonly #awaited = new Set<Incarnation>()
+  #kept: ReadonlySet<InstanceId> = new Set()
+  #timer: Timer | undefined
+  #due = millis(Infinity)
+  #isStopped = false
+
+  constructor (options: ReportSenderOptions) {
+    this.#options = options
+  }
+
+  addSource (source: ReportSource): void {
+    this.#sources.push(source)
+  }
+
+  /** Sends reports from now on, the first one at a random time within a period. */
+  start (): void {
+    const { random, holder, receivers } = this.#options
+    this.#schedule(millis(random.next() * reportPeriod(receivers.instances)))
+    holder.onChange(() => this.#schedule(millis(random.next() * HOLDER_CHANGE_SPREAD)))
+  }
+
+  /** Sends a last report, and resolves once it was confirmed or cannot be. */
+  async stop (): Promise<void> {
+    this.#isStopped = true
+    this.#timer?.cancel()
+    await Promise.all(this.#options.receivers.current().map((receiver) => this.#reportTo(receiver, true)))
+  }
+
+  /** Sends the next report after `delay`, unless one is due earlier. */
+  #schedule (delay: Millis): void {
+    const { clock } = this.#options
+    const due = millis(clock.now() + delay)
+    if (this.#isStopped || due >= this.#due) return
+    this.#due = due
+    this.#timer?.cancel()
+    this.#timer = clock.after(delay, () => this.#report())
+  }
+
+  #report (): void {
+    const { receivers } = this.#options
+    this.#due = millis(Infinity)
+    this.#schedule(reportPeriod(receivers.instances))
+    const current = receivers.current()
+    this.#keepLinks(current)
+    const every = reportsPerReply(receivers.instances)
+    for (const receiver of current) void this.#reportTo(receiver, this.#needsReply(receiver, every))
+  }
+
+  #needsReply ({ id, incarnation }: Reporter, every: number): boolean {
+    const since = (this.#sinceReply.get(incarnation) ?? every) + 1
+    const isDue = since > every || !this.#options.peers.isConnected(id)
+    this.#sinceReply.set(incarnation, isDue ? 1 : since)
+    return isDue && !this.#awaited.has(incarnation)
+  }
+
+  async #reportTo (receiver: Reporter, needsReply: boolean): Promise<void> {
+    const { clock, fleetClock } = this.#options
+    const parts = this.#sources.flatMap((source) => {
+      const part = source.next(receiver.incarnation)
+      return part === undefined ? [] : [{ name: source.name, part }]
+    })
+    if (parts.length === 0) return
+    const [wall, fleetTime] = [clock.wall(), fleetClock.now()]
+    const message = encodeReport({ wall, sections: parts.map(({ name, part }) => ({ name, body: part.body })) })
+    const reply = await this.#deliver(receiver, message, needsReply)
+    if (reply === undefined) return
+    this.#settle(receiver, reply, parts.map(({ part }) => part))
+    if (reply.ahead !== undefined) fleetClock.correct(millis(fleetTime - (wall - reply.ahead)))
+  }
+
+  /** The receiver's reply; undefined if there is none. */
+  async #deliver ({ id, incarnation }: Reporter, message: Json, needsReply: boolean): Promise<ReportReply | undefined> {
+    const { peers, collector, receivers, log } = this.#options
+    if (incarnation === peers.incarnation) return collector.receive({ id, incarnation }, message)
+    if (!needsReply) {
+      peers.send(id, 'report', message)
+      return undefined
+    }
+    this.#awaited.add(incarnation)
+    const answer = await peers.ask(id, 'report', message, REPORT_TIMEOUT)
+    this.#awaited.delete(incarnation)
+    if (answer.isOk) return decodeReply(answer.value)
+    receivers.suspect(incarnation)
+    log.emit(REPORTS_EVENTS.receiverSilent, { receiver: id, detail: answer.error.detail })
+    return undefined
+  }
+
+  #settle ({ id }: Reporter, { isStored }: ReportReply, parts: readonly ReportBody[]): void {
+    if (!isStored) this.#options.log.emit(REPORTS_EVENTS.reportRejected, { receiver: id })
+    for (const part of parts) {
+      if (isStored) part.confirm()
+      else part.reject?.()
+    }
+  }
+
+  #keepLinks (current: readonly Reporter[]): void {
+    const { peers, log } = this.#options
+    const ids = new Set(current.map(({ id }) => id).filter((id) => id !== peers.self))
+    const incarnations = new Set(current.map(({ incarnation }) => incarnation))
+    for (const known of this.#sinceReply.keys()) if (!incarnations.has(known)) this.#sinceReply.delete(known)
+    if (ids.size === this.#kept.size && [...ids].every((id) => this.#kept.has(id))) return
+    this.#kept = ids
+    peers.keepLinks(ids, 'report')
+    log.emit(REPORTS_EVENTS.receiversChanged, { receivers: current.map(({ id }) => id).join(' ') })
+  }
+}
--- /dev/null
+++ b/packages/reports/src/constants.ts
@@ -0,0 +1,40 @@
+import { millis, seconds } from '@papayahill/common'
+
+/** Period of the reports in deployments of up to `PERIOD_INSTANCES`; proportionally longer in larger ones. */
+export const REPORT_PERIOD = seconds(1)
+export const PERIOD_INSTANCES = 200
+/**
+ * Reports a second to which a receiver replies at most. A reply takes about 16 bytes, so that 200 replies a second would take all
+ * 3,072 bytes that an instance may send; beyond this rate, instances ask for a reply with every n-th report only.
+ */
+export const MAX_REPLIES_PER_SECOND = 60
+/** Wait for a reply, after which the receiver is replaced for `SUSPICION_PERIOD`. */
+export const REPORT_TIMEOUT = millis(1200)
+export const SUSPICION_PERIOD = seconds(4)
+/** A receiver whose link was silent for this long is not chosen. */
+export const MAX_RECEIVER_SILENCE = millis(2500)
+/** Reports to a new holder are spread over this time, so that they do not arrive all at once. */
+export const HOLDER_CHANGE_SPREAD = millis(400)
+/** Share of the largest capacity that a receiver should have, and the number of those below which all instances are candidates. */
+export const MIN_RECEIVER_CAPACITY = 0.5
+export const MIN_RECEIVERS = 3
+/** Instances, first in the order of receivers, that are asked for what they collected. The backup is one of the first few. */
+export const COLLECT_PEERS = 4
+export const COLLECT_TIMEOUT = millis(800)
+/** Wall clocks that must be known before they correct any other: with two, it is open which one is wrong. */
+export const MIN_WALL_CLOCKS = 3
+/** Age up to which a reported wall clock counts. */
+export const WALL_CLOCK_TTL = seconds(12)
+/** Time for which the computed median is used. */
+export const MEDIAN_TTL = millis(250)
+/**
+ * Share of the passed time by which the fleet clock is corrected. Three seconds then take a minute, and an error of the median
+ * that lasts for one report moves the clock by at most 50 ms.
+ */
+export const SLEW_RATE = 0.05
+/** Lead of the boot-time clock from which on the machine counts as having been suspended; `os.uptime()` has steps of 10 ms. */
+export const MIN_SUSPENSION = millis(50)
+/** A first correction above this is logged. */
+export const LOGGED_CORRECTION = millis(200)
+/** Shortest interval between two log lines about messages that could not be read. */
+export const MALFORMED_LOG_PERIOD = seconds(10)
