Ordered endpoints: load reports, the planner and the scaler that runs on the holder

Services with a scaling profile get as many endpoints in each failure domain as the holder of the duties orders.

--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -67,6 +67,14 @@
   readonly cacheTokens: number
 }
 
+/** Limits of the number of endpoints that a service has in each failure domain. */
+export interface ScalingProfile {
+  readonly min: number
+  readonly max: number
+  /** Time from an order until a new endpoint serves. */
+  readonly bootTime: Millis
+}
+
 export interface ServiceProfile {
   readonly id: ServiceId
   /** Connections that one endpoint accepts from all instances together. */
@@ -75,6 +83,8 @@
   readonly coldPerSecond: number
   readonly batch?: BatchProfile
   readonly engine?: EngineProfile
+  /** Set where the number of its endpoints is ordered by the instances. */
+  readonly scaling?: ScalingProfile
 }
 
 export interface Workspace {
--- a/packages/scaling/src/index.ts
+++ b/packages/scaling/src/index.ts
@@ -1,1 +1,12 @@
-export {}
+export { EndpointScaler } from './EndpointScaler.js'
+export type { EndpointScalerOptions, ScalingStatus } from './EndpointScaler.js'
+export { SCALING_EVENTS } from './events.js'
+export { LoadCollector } from './LoadCollector.js'
+export type { LoadCollectorOptions } from './LoadCollector.js'
+export { LoadCounter, LoadCounters } from './LoadCounters.js'
+export { LoadReporter } from './LoadReporter.js'
+export type { LoadReporterOptions } from './LoadReporter.js'
+export type { OrderCounts } from './OrderSender.js'
+export { EMPTY_HISTORY, planEndpoints } from './planEndpoints.js'
+export { SCALING_ROW } from './ScalingRow.js'
+export type * from './types.js'
