--- a/packages/scaling/src/EndpointScaler.ts
+++ b/packages/scaling/src/EndpointScaler.ts
@@ -1,54 +1,24 @@
-import type { Clock, DomainId, EventLog, Incarnation, Millis, ServiceId, Timer } from '@papayahill/common'
-import type { Endpoint, ScalingProfile, ServiceProfile } from '@papayahill/directory'
+import type { Timer } from '@papayahill/common'
 import type { DutyTable, FencingToken } from '@papayahill/duties'
-import { DEFAULT_COLD_TIME, MAX_SAMPLE_AGE, ORDER_SPAN, PLAN_PERIOD } from './constants.js'
-import { domainEndpointsOf } from './domainEndpointsOf.js'
+import type { Reporter, ReportSource } from '@papayahill/reports'
+import { ORDER_SPAN, PLAN_PERIOD } from './constants.js'
 import { SCALING_EVENTS } from './events.js'
-import type { LoadCollector } from './LoadCollector.js'
 import { OrderBook } from './OrderBook.js'
 import { OrderSender } from './OrderSender.js'
 import type { OrderCounts } from './OrderSender.js'
-import { EMPTY_HISTORY, planEndpoints } from './planEndpoints.js'
 import { ScalingRow } from './ScalingRow.js'
-import type {
-  DomainEndpoints, EndpointOrder, ScalingChannel, ScalingHistory, ScalingInput, ScalingLease, ScalingPlan, ScalingReason
-} from './types.js'
+import { changesOf, ordersOf, ServicePlanner } from './ServicePlanner.js'
+import type { PlannedService, ScalingStatus, ServicePlannerOptions } from './ServicePlanner.js'
+import type { EndpointOrder, ScalingChannel, ScalingLease } from './types.js'
 
-export interface EndpointScalerOptions {
-  readonly clock: Clock
-  readonly log: EventLog
+export interface EndpointScalerOptions extends ServicePlannerOptions {
   readonly lease: ScalingLease
   readonly table: DutyTable
   readonly channel: ScalingChannel
-  readonly loads: Pick<LoadCollector, 'samples' | 'heardWithin'>
-  /** Profiles of all services; those without `scaling` are never ordered. */
-  readonly services: () => Iterable<ServiceProfile>
-  /** All listed endpoints of a service, also those that drain or whose failure domain is out. */
-  readonly endpoints: (service: ServiceId) => Iterable<Endpoint>
-  readonly isDomainOut: (domain: DomainId) => boolean
-  /** Instances that are alive, this one included. */
-  readonly members: () => ReadonlySet<Incarnation>
-  /** Whether a move between versions of the service is under way. */
-  readonly isMoving: (service: ServiceId) => boolean
-  /** Calls that an endpoint takes well; its slots by default. */
-  readonly concurrencyOf?: (endpoint: Endpoint) => number
-  readonly coldTime?: Millis
+  /** This instance's own load; needed where its reports do not come to itself as well. */
+  readonly own?: { readonly reporter: Reporter, readonly source: ReportSource } | undefined
 }
 
-/** A service and its last plan, for operators. */
-export interface ScalingStatus extends Omit<ScalingPlan, 'history'> {
-  readonly service: ServiceId
-}
-
-interface PlannedService {
-  readonly service: ServiceId
-  readonly scaling: ScalingProfile
-  readonly input: ScalingInput
-  readonly plan: ScalingPlan
-}
-
-const HELD_REASONS: ReadonlySet<ScalingReason> = new Set<ScalingReason>(['samples', 'move', 'booting'])
-
 /**
  * Orders endpoints while this instance holds the lease of the duties: it plans once a second, writes changed orders to the
  * store, and then sends them. While the store or the platform does not answer, the last orders stand.
@@ -59,23 +29,23 @@
  */
 export class EndpointScaler {
   readonly #options: EndpointScalerOptions
+  readonly #planner: ServicePlanner
   readonly #row: ScalingRow
   readonly #sender: OrderSender
-  readonly #histories = new Map<ServiceId, ScalingHistory>()
-  readonly #plans = new Map<ServiceId, ScalingPlan>()
   /** Token under which the orders were taken over; undefined while another instance holds the lease. */
   #term: FencingToken | undefined
   /** Whether the last orders have been read in this term. */
   #isResumed = false
-  #isCalling = false
+  #isCallingStore = false
   #timer: Timer | undefined
 
   constructor (options: EndpointScalerOptions) {
     this.#options = options
-    const { clock, log, table, channel } = options
+    const { clock, log, table, channel, lease } = options
+    this.#planner = new ServicePlanner(options)
     this.#row = new ScalingRow({ clock, log, table })
     this.#sender = new OrderSender({ clock, log, channel, permit: () => this.#permit() })
-    options.lease.onChange(() => { this.#checkTerm() })
+    lease.onChange(() => { this.#checkTerm() })
   }
 
   /** Outcomes of orders since the start. */
@@ -101,7 +71,7 @@
 
   /** The last plan of each service; empty while another instance holds the lease. */
   status (): readonly ScalingStatus[] {
-    return [...this.#plans].map(([service, { history: _history, ...plan }]) => ({ service, ...plan }))
+    return this.#planner.status()
   }
 
   #permit (): FencingToken | undefined {
@@ -126,70 +96,24 @@
     this.#isResumed = false
     this.#row.forget()
     this.#sender.clear()
-    this.#histories.clear()
-    this.#plans.clear()
+    this.#planner.clear()
   }
 
   #tick (): void {
     if (!this.#checkTerm()) return
-    const planned = this.#planAll()
+    this.#receiveOwn()
+    const planned = this.#planner.plan(this.#row)
     if (this.#isResumed) this.#compareWithList(planned)
-    if (!this.#isCalling) void this.#apply(planned)
+    if (!this.#isCallingStore) void this.#apply(planned)
     if (this.#isResumed) this.#sender.send()
   }
 
-  #planAll (): readonly PlannedService[] {
-    const planned: PlannedService[] = []
-    for (const { id, scaling } of this.#options.services()) if (scaling !== undefined) planned.push(this.#plan(id, scaling))
-    const services = new Set(planned.map(({ service }) => service))
-    for (const service of this.#plans.keys()) {
-      if (!services.has(service)) this.#forgetService(service)
-    }
-    return planned
-  }
-
-  #forgetService (service: ServiceId): void {
-    this.#plans.delete(service)
-    this.#histories.delete(service)
-  }
-
-  #plan (service: ServiceId, scaling: ScalingProfile): PlannedService {
-    const { clock, loads, members, isMoving, coldTime = DEFAULT_COLD_TIME } = this.#options
-    const input = {
-      now: clock.now(),
-      profile: scaling,
-      coldTime,
-      domains: this.#domainsOf(service),
-      samples: loads.samples(service),
-      members: members(),
-      heard: loads.heardWithin(MAX_SAMPLE_AGE),
-      isMoving: isMoving(service),
-      history: this.#histories.get(service) ?? EMPTY_HISTORY
-    }
-    const plan = planEndpoints(input)
-    this.#histories.set(service, plan.history)
-    this.#noteHeld(service, plan)
-    this.#plans.set(service, plan)
-    return { service, scaling, input, plan }
-  }
-
-  #noteHeld (service: ServiceId, { reason, demand, needed }: ScalingPlan): void {
-    if (!HELD_REASONS.has(reason) || this.#plans.get(service)?.reason === reason) return
-    this.#options.log.emit(SCALING_EVENTS.scalingHeld, { service, reason, demand, needed })
-  }
-
-  #domainsOf (service: ServiceId): readonly DomainEndpoints[] {
-    const { clock, endpoints, isDomainOut, concurrencyOf } = this.#options
-    const { book, isOlder } = this.#row
-    return domainEndpointsOf({
-      now: clock.now(),
-      endpoints: endpoints(service),
-      isDomainOut,
-      concurrencyOf,
-      ordered: (domain) => book.get(service, domain),
-      orderedDomains: book.domains(service),
-      isOlder
-    })
+  #receiveOwn (): void {
+    const { clock, loads, own } = this.#options
+    const report = own?.source.next(own.reporter.incarnation)
+    if (own === undefined || report === undefined) return
+    loads.receive(own.reporter, report.body, clock.now())
+    report.confirm()
   }
 
   /** Orders that may be outdated are written anew before any is sent. */
@@ -202,24 +126,23 @@
         if (endpoints !== undefined) this.#sender.set({ service, domain, endpoints }, listed, scaling.bootTime)
       }
     }
-    const services = new Set(planned.map(({ service }) => service))
-    this.#sender.retain(book.only(services).orders())
+    this.#sender.retain(book.only(new Set(planned.map(({ service }) => service))).orders())
   }
 
-  /** Reads the row if it must be, writes the orders that differ from it, and sends them once they are in the store. */
+  /** Reads the row if it must be, or writes the orders that differ from it. */
   async #apply (planned: readonly PlannedService[]): Promise<void> {
     if (!this.#row.canCall) return
-    const term = this.#term
-    this.#isCalling = true
+    this.#isCallingStore = true
     try {
-      if (!this.#row.isRead) await this.#read(term)
-      else if (this.#isResumed) await this.#write(planned, term)
+      if (!this.#row.isRead) await this.#read()
+      else if (this.#isResumed) await this.#write(planned)
     } finally {
-      this.#isCalling = false
+      this.#isCallingStore = false
     }
   }
 
-  async #read (term: FencingToken | undefined): Promise<void> {
+  async #read (): Promise<void> {
+    const term = this.#term
     const isRead = await this.#row.read(this.#isResumed)
     if (this.#term !== term) return this.#row.forget()
     if (!isRead || this.#isResumed) return
@@ -228,12 +151,12 @@
   }
 
   /** Writes all wanted numbers if one differs from the orders in the store, and sends the ones that differ. */
-  async #write (planned: readonly PlannedService[], term: FencingToken | undefined): Promise<void> {
+  async #write (planned: readonly PlannedService[]): Promise<void> {
+    const term = this.#term
     const { book, isOlder } = this.#row
-    const wanted = planned.flatMap(({ service, plan }) => [...plan.endpoints].map(([domain, endpoints]) => ({ service, domain, endpoints })))
-    const changes = planned.flatMap((service) => this.#changesOf(service))
+    const changes = planned.flatMap((service) => changesOf(service, book))
     if (changes.length === 0 && !isOlder) return
-    const isWritten = await this.#row.write(new OrderBook(wanted))
+    const isWritten = await this.#row.write(new OrderBook(planned.flatMap(ordersOf)))
     if (this.#term !== term) return this.#row.forget()
     if (!isWritten) return
     for (const change of changes) {
@@ -243,14 +166,6 @@
     this.#sender.send()
   }
 
-  #changesOf ({ service, plan, input }: PlannedService): readonly EndpointOrder[] {
-    const { book } = this.#row
-    return input.domains.flatMap(({ domain, ordered }) => {
-      const endpoints = plan.endpoints.get(domain) ?? ordered
-      return endpoints === (book.get(service, domain) ?? ordered) ? [] : [{ service, domain, endpoints }]
-    })
-  }
-
   #noteOrder (order: EndpointOrder, before: OrderBook, planned: readonly PlannedService[]): void {
     const { plan, input } = planned.find(({ service }) => service === order.service)!
     const { listed, cold, ordered } = input.domains.find(({ domain }) => domain === order.domain)!
