--- /dev/null
+++ b/packages/bench/src/benches/endpoints-ordered.ts
@@ -0,0 +1,20 @@
+import { figuresOf, runSeeds } from '../scaling/measureScaling.js'
+import type { Bench } from '../types.js'
+
+export const bench: Bench = {
+  name: 'endpoints-ordered',
+  about: 'Endpoints ordered by the load of all instances, relative to a fleet at its maximum and to a planner that knows the load ahead',
+  seeds: 12,
+  ciSeeds: 4,
+  bounds: {
+    servedOfAtMax: { min: 0.98 },
+    endpointSecondsOfKnowing: { max: 1.15 }
+  },
+  baselinesMustMiss: { none: ['servedOfAtMax'], atMax: ['endpointSecondsOfKnowing'] },
+  run: async (options) => {
+    const results = await runSeeds(options)
+    const [none, atMax, utilisation, knowing] = (['none', 'atMax', 'utilisation', 'knowing'] as const)
+      .map((policy) => figuresOf(policy, results))
+    return { figures: figuresOf('papayahill', results), baselines: { none: none!, atMax: atMax!, utilisation: utilisation!, knowing: knowing! } }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scaling/ScaledFleet.ts
@@ -0,0 +1,236 @@
+import { brand, epochMillis, millis, SeededRandom } from '@papayahill/common'
+import type { DomainId, EndpointId, Millis, ServiceId } from '@papayahill/common'
+import { Endpoint } from '@papayahill/directory'
+import type { LoadCounters } from '@papayahill/scaling'
+import type { LoadScenario } from './LoadScenario.js'
+
+export const SERVICE = brand<ServiceId>('embed')
+export const SLOTS = 8
+/** Steps of the model. */
+export const STEP = millis(10)
+/** Latency target of the callers. */
+export const TARGET = millis(1500)
+/** Time that a call holds a slot at an idle endpoint, on average; half of it is the same for all calls. */
+export const MEAN_WORK = millis(300)
+/** How many times longer a call takes at a cold endpoint. */
+const COLD_FACTOR = 2
+/** A request that has waited for so long cannot be answered in time any more, and is refused. */
+const MAX_WAIT = millis(TARGET - MEAN_WORK)
+
+/** How many times longer a call takes when it begins at an endpoint with so many others. */
+export const slowdownAt = (running: number): number => 1 + (running / SLOTS) ** 2
+
+interface Call {
+  readonly arrivedAt: number
+  /** Time that it takes at an idle endpoint. */
+  readonly work: number
+  readonly instance: number
+}
+
+interface FleetEndpoint {
+  readonly endpoint: Endpoint
+  readonly readyAt: Millis
+  isDraining: boolean
+}
+
+interface RunningCall {
+  readonly call: Call
+  readonly server: FleetEndpoint
+  readonly begunAt: number
+}
+
+/** What became of the callers, and what the fleet cost. */
+export interface FleetResult {
+  readonly callers: number
+  readonly inTime: number
+  readonly endpointSeconds: number
+  readonly orders: number
+}
+
+/**
+ * Endpoints of one service in several failure domains, and their callers, in steps of time: a call goes to the less busy of
+ * two endpoints, and waits in one queue while all slots are taken. New endpoints boot, and are cold after it; ones that
+ * leave end their calls. An endpoint costs from its order until it has ended its last call.
+ *
+ * @example
+ * const fleet = new ScaledFleet(scenario, counters, 4)
+ * fleet.advance(seconds(1))
+ */
+export class ScaledFleet {
+  readonly #scenario: LoadScenario
+  readonly #counters: readonly LoadCounters[]
+  readonly #arrivals: SeededRandom
+  readonly #choices: SeededRandom
+  readonly #servers = new Set<FleetEndpoint>()
+  readonly #ends = new Map<number, RunningCall[]>()
+  #queue: Call[] = []
+  #serving: readonly FleetEndpoint[] = []
+  #step = 0
+  #created = 0
+  #callers = 0
+  #inTime = 0
+  #endpointSteps = 0
+  #orders = 0
+
+  constructor (scenario: LoadScenario, counters: readonly LoadCounters[], perDomain: number) {
+    this.#scenario = scenario
+    this.#counters = counters
+    this.#arrivals = new SeededRandom(scenario.seed)
+    this.#choices = new SeededRandom(scenario.seed + 1)
+    for (const domain of scenario.domains) for (let at = 0; at < perDomain; at++) this.#create(domain, millis(0))
+  }
+
+  get now (): Millis {
+    return millis(this.#step * STEP)
+  }
+
+  get result (): FleetResult {
+    return { callers: this.#callers, inTime: this.#inTime, endpointSeconds: this.#endpointSteps * STEP / 1000, orders: this.#orders }
+  }
+
+  /** The endpoints in the platform's list: those that have booted. */
+  listed (): readonly Endpoint[] {
+    return [...this.#servers].filter(({ readyAt }) => readyAt <= this.now).map(({ endpoint }) => endpoint)
+  }
+
+  /** Calls that run now. */
+  get running (): number {
+    return [...this.#servers].reduce((sum, { endpoint }) => sum + endpoint.running, 0)
+  }
+
+  /** Endpoints of a failure domain that boot or serve. */
+  countIn (domain: DomainId): number {
+    return this.#staying(domain).length
+  }
+
+  order (domain: DomainId, count: number): void {
+    const staying = this.#staying(domain)
+    if (staying.length !== count) this.#orders++
+    for (let at = staying.length; at < count; at++) this.#create(domain, millis(this.now + this.#scenario.bootTime))
+    for (let left = staying.length - count; left > 0; left--) this.#release(staying)
+  }
+
+  #staying (domain: DomainId): FleetEndpoint[] {
+    return [...this.#servers].filter(({ endpoint, isDraining }) => endpoint.domain === domain && !isDraining)
+  }
+
+  #create (domain: DomainId, readyAt: Millis): void {
+    const id = brand<EndpointId>(`${domain}-${this.#created++}`)
+    const endpoint = new Endpoint({
+      id,
+      service: SERVICE,
+      domain,
+      address: { ip: '10.0.0.1', port: this.#created },
+      version: '1',
+      slots: SLOTS,
+      isDraining: false,
+      coldFor: millis(0),
+      sequence: 1,
+      startedAt: epochMillis(readyAt)
+    })
+    if (readyAt > 0) endpoint.coldUntil = millis(readyAt + this.#scenario.coldTime)
+    this.#servers.add({ endpoint, readyAt, isDraining: false })
+  }
+
+  /** The platform picks any endpoint, ones that still boot as well. */
+  #release (staying: FleetEndpoint[]): void {
+    const [server] = staying.splice(this.#choices.below(staying.length), 1)
+    if (server === undefined) return
+    server.isDraining = true
+    server.endpoint.isLeaving = true
+  }
+
+  /** Advances the time; orders are given between two calls only. */
+  advance (span: Millis): void {
+    const end = this.#step + span / STEP
+    while (this.#step < end) {
+      this.#step++
+      this.#serving = this.#servingNow()
+      for (const running of this.#ends.get(this.#step) ?? []) this.#end(running)
+      this.#ends.delete(this.#step)
+      this.#serveQueue()
+      this.#arrive()
+      for (const server of this.#servers) {
+        if (server.isDraining && server.endpoint.running === 0) this.#servers.delete(server)
+      }
+      this.#endpointSteps += this.#servers.size
+    }
+  }
+
+  #servingNow (): readonly FleetEndpoint[] {
+    return [...this.#servers].filter(({ endpoint, readyAt, isDraining }) =>
+      !isDraining && readyAt <= this.now && !this.#scenario.isOut(endpoint.domain, this.now))
+  }
+
+  #arrive (): void {
+    const mean = this.#scenario.perSecond(this.now) * STEP / 1000
+    // Knuth's method: the number of arrivals of a Poisson process within a step.
+    for (let product = this.#arrivals.next(); product > Math.exp(-mean); product *= this.#arrivals.next()) this.#accept()
+  }
+
+  #accept (): void {
+    const variable = -Math.log(1 - this.#arrivals.next())
+    const instance = this.#arrivals.below(this.#counters.length)
+    const call = { arrivedAt: this.#step, work: MEAN_WORK * (1 + variable) / 2, instance }
+    this.#callers++
+    if (this.#queue.length === 0 && this.#begin(call)) return
+    this.#queue.push(call)
+    this.#waitingAt(call, 1)
+  }
+
+  /** A waiting request counts in the first failure domain: it has no endpoint yet. */
+  #waitingAt ({ instance }: Call, change: 1 | -1): void {
+    this.#counters[instance]!.of(SERVICE, this.#scenario.domains[0]!).waiting += change
+  }
+
+  #serveQueue (): void {
+    while (this.#queue.length > 0) {
+      const call = this.#queue[0]!
+      const isLate = (this.#step - call.arrivedAt) * STEP > MAX_WAIT
+      if (!isLate && !this.#begin(call)) return
+      this.#queue.shift()
+      this.#waitingAt(call, -1)
+      if (isLate) this.#counters[call.instance]!.of(SERVICE, this.#scenario.domains[0]!).refused++
+    }
+  }
+
+  #begin (call: Call): boolean {
+    const server = this.#choose()
+    if (server === undefined) return false
+    const { endpoint } = server
+    const isCold = endpoint.isCold(this.now)
+    const took = call.work * slowdownAt(endpoint.running) * (isCold ? COLD_FACTOR : 1)
+    endpoint.running++
+    this.#counters[call.instance]!.of(SERVICE, endpoint.domain).begin()
+    const endsAt = this.#step + Math.max(1, Math.round(took / STEP))
+    const ends = this.#ends.get(endsAt) ?? []
+    this.#ends.set(endsAt, ends)
+    ends.push({ call, server, begunAt: this.#step })
+    return true
+  }
+
+  #choose (): FleetEndpoint | undefined {
+    const two = [this.#pick(), this.#pick()]
+    const better = this.#leastBusy(two)
+    return better ?? this.#leastBusy(this.#serving)
+  }
+
+  #pick (): FleetEndpoint | undefined {
+    return this.#serving[this.#choices.below(this.#serving.length)]
+  }
+
+  #leastBusy (among: ReadonlyArray<FleetEndpoint | undefined>): FleetEndpoint | undefined {
+    let best: FleetEndpoint | undefined
+    for (const server of among) {
+      if (server === undefined || server.endpoint.running >= SLOTS) continue
+      if (best === undefined || server.endpoint.running < best.endpoint.running) best = server
+    }
+    return best
+  }
+
+  #end ({ call, server, begunAt }: RunningCall): void {
+    server.endpoint.running--
+    this.#counters[call.instance]!.of(SERVICE, server.endpoint.domain).end(millis((this.#step - begunAt) * STEP))
+    if ((this.#step - call.arrivedAt) * STEP <= TARGET) this.#inTime++
+  }
+}
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -27,6 +27,7 @@
   roster: () => import('./benches/roster.js'),
   'endpoint-limits': () => import('./benches/endpoint-limits.js'),
   'endpoint-limits-large': () => import('./benches/endpoint-limits-large.js'),
+  'endpoints-ordered': () => import('./benches/endpoints-ordered.js'),
   'deadly-work': () => import('./benches/deadly-work.js'),
   'deadly-work-large': () => import('./benches/deadly-work-large.js')
 }
