--- a/packages/usage/src/index.ts
+++ b/packages/usage/src/index.ts
@@ -1,1 +1,9 @@
-export {}
+export { DEFAULT_CALL_SPAN, DEFAULT_LATE, DEFAULT_WINDOW } from './constants.js'
+export { USAGE_EVENTS } from './events.js'
+export type * from './types.js'
+export { Usage } from './Usage.js'
+export type { UsageOptions } from './Usage.js'
+export { judgeReports } from './testing/judgeReports.js'
+export type { JudgedSpan, ReportJudgement } from './testing/judgeReports.js'
+export { UsageHarness } from './testing/UsageHarness.js'
+export type { UsageHarnessOptions, UsageInstance } from './testing/UsageHarness.js'
--- /dev/null
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -0,0 +1,190 @@
+import { brand, GatedClock, InstanceGate, millis, MILLIS_PER_SECOND, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import type { DomainId, EventLog, Incarnation, InstanceId, Millis, WorkspaceId } from '@papayahill/common'
+import { FaultyDutyTable } from '@papayahill/duties'
+import type { DutyTable } from '@papayahill/duties'
+import { MemoryNetwork, PeerCore } from '@papayahill/peers'
+import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
+import { Reports } from '@papayahill/reports'
+import { Result } from 'true-myth'
+import { DEFAULT_WINDOW } from '../constants.js'
+import type { UsageChannel } from '../types.js'
+import { Usage } from '../Usage.js'
+import { FakeLeases } from './FakeLeases.js'
+import { SkewedClock } from './SkewedClock.js'
+import { UsagePlatform } from './UsagePlatform.js'
+
+const DOMAINS = 6
+const FIRST_PORT = 30_000
+/** CPU shares of the instances, in cores, one after the other. */
+const CAPACITIES = [1.35, 0.243, 1, 0.5, 1.2, 0.8, 0.3]
+const LOAD_PERIOD = millis(20)
+const WAVE_PERIOD = seconds(17)
+
+export interface UsageHarnessOptions {
+  readonly instances: number
+  readonly seed: number
+  /** Requests per second of all instances together, and the workspaces that they belong to. */
+  readonly requestsPerSecond?: number
+  readonly workspaces?: number
+  /** How far the wall clock of an instance is ahead at its start. */
+  readonly skewOf?: (at: number) => Millis
+  /** Whether the store names its era. */
+  readonly namesEra?: boolean
+  readonly log?: EventLog
+}
+
+interface InstanceParts {
+  readonly identity: PeerIdentity
+  readonly capacity: number
+  readonly skew: Millis
+  readonly seed: number
+  readonly network: MemoryNetwork
+  readonly leases: FakeLeases
+  readonly table: DutyTable
+  readonly channel: (instance: UsageInstance) => UsageChannel
+  readonly listed: () => readonly ListedPeer[]
+  readonly log: EventLog
+}
+
+/** One instance with its links, its clock, its reports and its usage. */
+export class UsageInstance {
+  readonly identity: PeerIdentity
+  readonly gate = new InstanceGate()
+  readonly clock: SkewedClock
+  readonly peers: PeerCore
+  readonly reports: Reports
+  readonly usage: Usage
+  /** Dies when it is about to send its next report. */
+  diesBeforeSend = false
+
+  constructor ({ identity, capacity, skew, seed, network, leases, table, channel, listed, log }: InstanceParts) {
+    this.identity = identity
+    this.clock = new SkewedClock(new GatedClock(network.clock, this.gate), skew)
+    const { clock } = this
+    const { id: self, incarnation, domain } = identity
+    const random = new SeededRandom(seed)
+    this.peers = new PeerCore({
+      self,
+      incarnation,
+      domain,
+      capacity,
+      clock,
+      random: random.fork(),
+      transport: network.transport(identity),
+      list: { list: () => Promise.resolve(Result.ok({ instances: listed() })) }
+    })
+    const lease = leases.add({ id: self, incarnation })
+    this.reports = new Reports({ clock, random: random.fork(), peers: this.peers, domain, capacity, holder: lease, log })
+    this.usage = new Usage({ clock, peers: this.peers, reports: this.reports, lease, table, channel: channel(this), log })
+  }
+
+  start (): void {
+    void this.peers.start()
+    this.reports.start()
+    this.usage.start()
+  }
+
+  /** Bytes that it has sent on a topic. */
+  sentBytes (topic: string): number {
+    return this.peers.traffic().find((traffic) => traffic.topic === topic)?.sentBytes ?? 0
+  }
+}
+
+/**
+ * Instances that count and report usage, over links in memory and in virtual time, with the faults of machines, store, platform and
+ * clocks.
+ *
+ * @example
+ * const harness = new UsageHarness({ instances: 6, seed: 1 })
+ * await harness.start()
+ * await harness.clock.advance(seconds(60))
+ */
+export class UsageHarness {
+  readonly clock = new VirtualClock()
+  readonly network = new MemoryNetwork(this.clock)
+  readonly store = new FaultyDutyTable({ clock: this.clock })
+  readonly platform = new UsagePlatform(this.clock, DEFAULT_WINDOW)
+  readonly instances: UsageInstance[] = []
+  readonly #options: UsageHarnessOptions
+  readonly #random: SeededRandom
+  readonly #leases: FakeLeases
+  readonly #workspaces: readonly WorkspaceId[]
+  #incarnations = 0
+
+  constructor (options: UsageHarnessOptions) {
+    this.#options = options
+    this.#random = new SeededRandom(options.seed)
+    if (options.namesEra === false) this.store = new FaultyDutyTable({ clock: this.clock, namesEra: false })
+    this.#leases = new FakeLeases(this.clock, this.#random.fork(), this.store)
+    this.#workspaces = Array.from({ length: options.workspaces ?? 8 }, (_none, at) => brand<WorkspaceId>(`workspace-${at}`))
+  }
+
+  /** Starts all instances within about 300 ms, and their callers once links are established. */
+  async start (settle = seconds(6)): Promise<void> {
+    const { instances } = this.#options
+    for (let at = 0; at < instances; at++) {
+      this.add(at)
+      await this.clock.advance(millis(300 / instances))
+    }
+    await this.clock.advance(settle)
+    this.clock.every(LOAD_PERIOD, () => this.#run())
+  }
+
+  get alive (): readonly UsageInstance[] {
+    return this.instances.filter(({ gate }) => !gate.isDead)
+  }
+
+  /** The instance that holds the lease. */
+  get holder (): UsageInstance | undefined {
+    return this.alive.find(({ identity }) => identity.id === this.#leases.holder)
+  }
+
+  /** Starts an instance, or starts it anew under its id. */
+  add (at: number): UsageInstance {
+    const { seed, skewOf, log = SILENT_LOG } = this.#options
+    const id = brand<InstanceId>(`ph-${at}`)
+    const incarnation = brand<Incarnation>(`${id}@${String(this.#incarnations++).padStart(6, '0')}`)
+    const domain = brand<DomainId>(`hall-${at % DOMAINS}`)
+    const instance = new UsageInstance({
+      identity: { id, incarnation, domain, address: { ip: '10.0.0.1', port: FIRST_PORT + at } },
+      capacity: CAPACITIES[at % CAPACITIES.length]!,
+      skew: skewOf?.(at) ?? millis(0),
+      seed: seed * 1000 + this.#incarnations,
+      network: this.network,
+      leases: this.#leases,
+      table: this.store.viewFor(id),
+      channel: (sender) => this.platform.channel(() => { if (sender.diesBeforeSend) this.kill(sender) }),
+      listed: () => this.instances.map(({ identity }) => identity),
+      log
+    })
+    this.instances[at] = instance
+    instance.start()
+    return instance
+  }
+
+  /** Ends an instance abruptly, as if its process were killed. */
+  kill (instance: UsageInstance): void {
+    instance.gate.kill()
+    this.network.kill(instance.identity)
+    this.#leases.remove(instance.identity.incarnation)
+  }
+
+  /** Number of the window of this moment of true time. */
+  get window (): number {
+    return Math.floor(this.clock.wall() / DEFAULT_WINDOW)
+  }
+
+  /** Requests of this step, at random instances; the rate swings, so that windows differ. */
+  #run (): void {
+    const { requestsPerSecond = 400 } = this.#options
+    const { alive } = this
+    const wave = 1 + 0.6 * Math.sin(2 * Math.PI * this.clock.now() / WAVE_PERIOD)
+    const expected = requestsPerSecond * wave * LOAD_PERIOD / MILLIS_PER_SECOND
+    const requests = Math.floor(expected) + (this.#random.next() < expected % 1 ? 1 : 0)
+    for (let at = 0; at < requests && alive.length > 0; at++) {
+      const workspace = this.#workspaces[this.#random.below(this.#workspaces.length)]!
+      this.platform.noteRequest(workspace)
+      alive[this.#random.below(alive.length)]!.usage.count(workspace)
+    }
+  }
+}
