--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -109,6 +109,11 @@
     return this.#byService.get(service)?.size ?? 0
   }
 
+  /** Endpoints of a service that are listed or retained, whatever their state. */
+  all (service: ServiceId): readonly Endpoint[] {
+    return [...this.#byService.get(service) ?? []]
+  }
+
   /** Whether an endpoint can accept new work. */
   isUsable (endpoint: Endpoint): boolean {
     return endpoint.isListed && !this.#options.isDomainOut(endpoint.domain)
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -73,9 +73,10 @@
   }
 
   async run (socket: EndpointSocket): Promise<CallEnd> {
-    const { context: { clock, coldStarts, engines, log, connections }, request, endpoint, check } = this.#options
+    const { context: { clock, coldStarts, engines, log, connections, runs }, request, endpoint, check } = this.#options
     coldStarts.recordDispatch(endpoint)
     endpoint.running++
+    runs?.callBegan(endpoint)
     const uncachedTokens = request.prompt === undefined ? undefined : engines.recordDispatch(endpoint, request.prompt)
     log.emit(FORWARDING_EVENTS.requestPlaced, this.#placeFields(uncachedTokens))
     check.callSent()
@@ -164,9 +165,9 @@
   /** A call that was lost may have run, unlike one that the endpoint says it did not run. */
   #noteRun (end: CallEnd): void {
     const { context: { clock, runs }, endpoint, relay } = this.#options
-    if (end.kind === 'not-run' || end.kind === 'inputs-gone') return
-    if (relay === undefined) this.#options.onBegun()
-    runs?.callEnded(endpoint, millis(clock.now() - this.#startedAt))
+    const hasRun = end.kind !== 'not-run' && end.kind !== 'inputs-gone'
+    if (hasRun && relay === undefined) this.#options.onBegun()
+    runs?.callEnded(endpoint, hasRun ? millis(clock.now() - this.#startedAt) : undefined)
   }
 
   #noteTimes (end: CallEnd): void {
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -69,6 +69,11 @@
     return this.#gate.waiting
   }
 
+  /** Requests queued for one service. */
+  waitingFor (service: ServiceId): number {
+    return this.#gate.waitingFor(service)
+  }
+
   async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
     let pending: PendingRequest | undefined
     try {
--- a/packages/forwarding/src/MoveGate.ts
+++ b/packages/forwarding/src/MoveGate.ts
@@ -122,6 +122,11 @@
     this.#options.log.emit(FORWARDING_EVENTS.moveBegan, { service, to: order.to, withinMs: order.within })
   }
 
+  /** Whether a move of the service is under way. */
+  isMoving (service: ServiceId): boolean {
+    return this.#moves.get(service)?.state === 'moving'
+  }
+
   selectCandidates (service: ServiceId, route: ServingRoute, endpoints: readonly Endpoint[]): readonly Endpoint[] {
     const move = this.#moves.get(service)
     if (move === undefined) return endpoints
--- a/packages/forwarding/src/ServiceGate.ts
+++ b/packages/forwarding/src/ServiceGate.ts
@@ -31,6 +31,11 @@
     return [...this.#queues.values()].reduce((sum, queue) => sum + queue.size, 0)
   }
 
+  /** Queued requests of one service. */
+  waitingFor (service: ServiceId): number {
+    return this.#queues.get(service)?.size ?? 0
+  }
+
   #queueOf (service: ServiceId): PQueue {
     const known = this.#queues.get(service)
     if (known !== undefined) return known
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -150,8 +150,9 @@
 export interface RunObserver {
   /** An endpoint began to run the request: a stream with its first event. At most once for each request on this instance. */
   requestBegan (request: ForwardRequest): void
-  /** A call has ended that took a slot of the endpoint. */
-  callEnded (endpoint: Endpoint, took: Millis): void
+  callBegan (endpoint: Endpoint): void
+  /** A call has ended; `held` is the time for which it took a slot, undefined if the endpoint did not run it. */
+  callEnded (endpoint: Endpoint, held: Millis | undefined): void
   /** A request was refused for want of room at the service. */
   requestRefused (service: ServiceId): void
 }
