--- a/packages/duties/src/DutyLease.ts
+++ b/packages/duties/src/DutyLease.ts
@@ -1,5 +1,5 @@
 import { millis } from '@papayahill/common'
-import type { Clock, EventLog, Incarnation, InstanceId, Millis, Random, Timer } from '@papayahill/common'
+import type { Clock, EventLog, Incarnation, Millis, Random, Timer } from '@papayahill/common'
 import {
   CHECK_PERIOD, LEASE_TIME, MAX_CLOCK_DRIFT, MIN_BACKOFF, RANK_DELAY, RETRY_PERIOD, START_WAIT, TRANSIT_TIME
 } from './constants.js'
@@ -59,7 +59,7 @@
     const time = new ElapsedTime(clock, elapsed)
     const wait = millis(leaseTime * (1 + MAX_CLOCK_DRIFT) + TRANSIT_TIME)
     this.#options = options
-    this.#view = new LeaseView(clock)
+    this.#view = new LeaseView(clock, wait)
     this.#hold = new LeaseHold(clock, time, leaseTime)
     this.#row = new LeaseRow(table, clock, wait)
     this.#gossip = new LeaseGossip({ ...options, view: this.#view })
--- a/packages/duties/src/LeaseView.ts
+++ b/packages/duties/src/LeaseView.ts
@@ -12,11 +12,14 @@
 /** What an instance has heard of the lease, from others and from the store. */
 export class LeaseView {
   readonly #clock: Clock
+  readonly #fullWait: Millis
   #seen: SeenLease | undefined
   #highestToken = brand<FencingToken>(0)
 
-  constructor (clock: Clock) {
+  /** `fullWait` is the wait that covers any lease that another instance may still hold. */
+  constructor (clock: Clock, fullWait: Millis) {
     this.#clock = clock
+    this.#fullWait = fullWait
   }
 
   get seen (): SeenLease | undefined {
@@ -43,12 +46,16 @@
 
   /**
    * Records what the store holds, also if it is older than the known lease, as after a restore. Returns whether it is the
-   * known one, for which the wait has not begun anew.
+   * known one, for which the wait has not begun anew. A release may be a restored one, after which others have taken the
+   * lease; it counts only if this instance knows that it is newer than what it saw in the same era.
    */
   read (lease: DatedLease): boolean {
-    const { incarnation } = lease.record
-    if (this.#seen !== undefined && compareLeases(lease, this.#seen) === 0 && incarnation === this.#seen.record.incarnation) return true
-    this.#replace(lease)
+    const { era, record } = lease
+    const seen = this.#seen
+    const order = seen === undefined ? -1 : compareLeases(lease, seen)
+    if (order === 0 && record.incarnation === seen?.record.incarnation) return true
+    const isSuccessor = order > 0 && era === seen?.era
+    this.#replace(isSuccessor ? lease : { era, record: { ...record, wait: millis(Math.max(record.wait, this.#fullWait)) } })
     return false
   }
 
--- a/packages/duties/src/testing/DutyHarness.ts
+++ b/packages/duties/src/testing/DutyHarness.ts
@@ -12,6 +12,10 @@
 const LEASE_TIME = seconds(3)
 const SPREAD_TIME = millis(50)
 const DOMAINS = 6
+/** Time for which a process goes on after it has handed the lease over. */
+const STOP_TIME = seconds(1)
+/** Deviation of each machine's clocks from the true rate, in either direction; two machines differ by the drift that the lease allows. */
+const DRIFT = 0.05
 /** Capacities of the instances in turn, in cores. */
 const CAPACITIES = [1.35, 0.9, 0.6, 1.2, 0.243, 0.75]
 
@@ -109,6 +113,7 @@
   /** Stops as planned: hands the lease over, then ends the process. */
   async stop (instance: DutyInstance): Promise<void> {
     await instance.lease.stop()
+    await instance.machine.sleep(STOP_TIME)
     if (this.instances[instance.number] === instance) this.kill(instance)
   }
 
@@ -141,7 +146,7 @@
   }
 
   #machineOf (number: number): SimulatedMachine {
-    this.#machines[number] ??= new SimulatedMachine(this.clock)
+    this.#machines[number] ??= new SimulatedMachine(this.clock, 1 + (this.random.next() < 0.5 ? DRIFT : -DRIFT))
     return this.#machines[number]
   }
 
--- a/packages/duties/src/testing/DutySender.ts
+++ b/packages/duties/src/testing/DutySender.ts
@@ -39,7 +39,7 @@
   }
 
   start (): void {
-    this.#options.machine.every(CALL_PERIOD, () => void this.#call())
+    this.#options.machine.every(CALL_PERIOD, () => { void this.#call() })
   }
 
   async #call (): Promise<void> {
--- a/packages/duties/src/testing/SimulatedMachine.ts
+++ b/packages/duties/src/testing/SimulatedMachine.ts
@@ -7,17 +7,22 @@
 
 /** Resolution of the boot-time clock. */
 const BOOT_RESOLUTION = 10
+/** Error of times that were multiplied by the rate, in milliseconds. */
+const ROUNDING = 0.001
 
 /** The clocks and timers of one machine in virtual time, which can be frozen and whose wall clock can jump. */
 export class SimulatedMachine implements Clock, ElapsedClock {
   readonly #clock: Clock
+  /** Speed of its clocks. */
+  readonly #rate: number
   #gate = new InstanceGate()
   #wallOffset = 0
   #suspended = 0
   #suspendedAt: Millis | undefined
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, rate = 1) {
     this.#clock = clock
+    this.#rate = rate
   }
 
   /** Delays and drops callbacks of the process that runs now. */
@@ -26,15 +31,15 @@
   }
 
   now (): Millis {
-    return millis((this.#suspendedAt ?? this.#clock.now()) - this.#suspended)
+    return millis(((this.#suspendedAt ?? this.#clock.now()) - this.#suspended) * this.#rate)
   }
 
   wall (): EpochMillis {
-    return epochMillis(this.#clock.wall() + this.#wallOffset)
+    return epochMillis(this.#clock.wall() + this.#clock.now() * (this.#rate - 1) + this.#wallOffset)
   }
 
   boot (): Millis {
-    return millis(Math.floor(this.#clock.now() / BOOT_RESOLUTION) * BOOT_RESOLUTION)
+    return millis(Math.floor(this.#clock.now() * this.#rate / BOOT_RESOLUTION) * BOOT_RESOLUTION)
   }
 
   jump (by: Millis): void {
@@ -68,9 +73,9 @@
     const due = this.now() + Math.max(0, delay)
     let isCancelled = false
     const arm = (): void => {
-      this.#clock.after(millis(due - this.now()), () => gate.run(() => {
+      this.#clock.after(millis(Math.max(0, due - this.now()) / this.#rate), () => gate.run(() => {
         if (isCancelled) return
-        if (this.now() < due) arm()
+        if (due - this.now() > ROUNDING) arm()
         else callback()
       }))
     }
