--- a/packages/duties/src/LeaseView.ts
+++ b/packages/duties/src/LeaseView.ts
@@ -45,18 +45,17 @@
   }
 
   /**
-   * Records what the store holds, also if it is older than the known lease, as after a restore. Returns whether it is the
-   * known one, for which the wait has not begun anew. A release may be a restored one, after which others have taken the
-   * lease; it counts only if this instance knows that it is newer than what it saw in the same era.
+   * Records what the store holds, also if it is older than the known lease, as after a restore; the wait begins anew unless it
+   * is the known one. A release may be a restored one, after which others have taken the lease; it counts only if this
+   * instance knows that it is newer than what it saw in the same era.
    */
-  read (lease: DatedLease): boolean {
+  read (lease: DatedLease): void {
     const { era, record } = lease
     const seen = this.#seen
     const order = seen === undefined ? -1 : compareLeases(lease, seen)
-    if (order === 0 && record.incarnation === seen?.record.incarnation) return true
+    if (order === 0 && record.incarnation === seen?.record.incarnation) return
     const isSuccessor = order > 0 && era === seen?.era
     this.#replace(isSuccessor ? lease : { era, record: { ...record, wait: millis(Math.max(record.wait, this.#fullWait)) } })
-    return false
   }
 
   #replace (lease: DatedLease): void {
--- a/packages/duties/src/LeaseWriter.ts
+++ b/packages/duties/src/LeaseWriter.ts
@@ -14,7 +14,7 @@
 
 /**
  * What became of a try to take the lease.
- * - `heard`: the store holds another record than this instance knew of, or one whose wait is not over.
+ * - `heard`: the store holds a record whose wait is not over.
  * - `unknown`: the write had no answer, and may still be applied.
  */
 export type TakeOutcome = 'taken' | 'heard' | 'unknown' | 'conflict' | 'unreachable'
@@ -55,8 +55,8 @@
     const { view } = this.#options
     const read = await this.#read('take')
     if (read === undefined || read.era < (view.seen?.era ?? 0)) return 'unreachable'
-    const isKnown = view.read(read)
-    if (!this.isOwn(read) && (!isKnown || view.remainingWait > 0)) return 'heard'
+    view.read(read)
+    if (!this.isOwn(read) && view.remainingWait > 0) return 'heard'
     const written = await this.#write(this.#takenRecord(read), read)
     return written === 'written' ? 'taken' : written
   }
