--- a/packages/duties/src/testing/DutyNetwork.ts
+++ b/packages/duties/src/testing/DutyNetwork.ts
@@ -48,8 +48,14 @@
     this.#cut.add(id)
   }
 
+  /** Links an instance again; it and the others compare what they know. */
   heal (id: InstanceId): void {
-    this.#cut.delete(id)
+    const node = this.#nodes.get(id)
+    if (!this.#cut.delete(id) || node === undefined) return
+    for (const other of this.#linked(id)) {
+      for (const entry of other.entries.values()) this.#deliver(other, node, this.spreadTime, () => this.#accept(node, entry))
+      for (const entry of node.entries.values()) this.#deliver(node, other, this.spreadTime, () => this.#accept(other, entry))
+    }
   }
 
   /** Records that an instance answers again, or no longer. */
@@ -60,9 +66,12 @@
   }
 
   join (member: NetworkMember): DutyPeers {
-    const entries = new Map([...this.#nodes.values()].flatMap((other) => [...other.entries]))
-    const node: Node = { ...member, gate: member.machine.gate, listeners: [], entries, handler: undefined, silentSince: undefined }
+    const { gate } = member.machine
+    const node: Node = { ...member, gate, listeners: [], entries: new Map(), handler: undefined, silentSince: undefined }
     this.#nodes.set(member.id, node)
+    if (!this.#cut.has(member.id)) {
+      for (const other of this.#linked(member.id)) for (const entry of other.entries.values()) this.#accept(node, entry)
+    }
     this.#membersAt = millis(-Infinity)
     return {
       members: () => this.#cut.has(member.id) ? [] : this.#memberList(),
@@ -74,6 +83,10 @@
     }
   }
 
+  #linked (id: InstanceId): readonly Node[] {
+    return [...this.#nodes.values()].filter((node) => node.id !== id && !this.#cut.has(node.id))
+  }
+
   /** Includes the asking instance, which leaves itself out. */
   #memberList (): readonly PeerMember[] {
     const now = this.#clock.now()
