--- a/packages/duties/src/DutyLease.test.ts
+++ b/packages/duties/src/DutyLease.test.ts
@@ -190,6 +190,13 @@
     await expectOneActing()
   })
 
+  it('passes in time after a kill though the store has told no instance yet that its history is gone', async () => {
+    harness.store.forgetHistory()
+    harness.kill(first)
+    expect(await waitForNext(TAKEOVER_TIME)).toBeDefined()
+    await expectOneActing()
+  })
+
   it('is taken anew a whole lease time after its row was lost', async () => {
     harness.kill(first)
     harness.store.restore()
--- a/packages/duties/src/DutyLease.ts
+++ b/packages/duties/src/DutyLease.ts
@@ -1,14 +1,13 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, Millis, Random, Timer } from '@papayahill/common'
-import {
-  CHECK_PERIOD, LEASE_TIME, MAX_CLOCK_DRIFT, MIN_BACKOFF, RANK_DELAY, RETRY_PERIOD, START_WAIT, TRANSIT_TIME
-} from './constants.js'
+import { LEASE_TIME, MAX_CLOCK_DRIFT, RETRY_PERIOD, TRANSIT_TIME } from './constants.js'
 import type { ElapsedClock } from './ElapsedClock.js'
 import { ElapsedTime } from './ElapsedTime.js'
 import { DUTIES_EVENTS } from './events.js'
 import { LeaseGossip } from './LeaseGossip.js'
 import type { LeaseGossipOptions } from './LeaseGossip.js'
 import { LeaseHold } from './LeaseHold.js'
+import { LeasePlan } from './LeasePlan.js'
 import type { DatedLease } from './leaseRecord.js'
 import { LeaseRow } from './LeaseRow.js'
 import { LeaseView } from './LeaseView.js'
@@ -41,29 +40,34 @@
   readonly #row: LeaseRow
   readonly #gossip: LeaseGossip
   readonly #writer: LeaseWriter
+  readonly #plan: LeasePlan
   readonly #listeners: Array<(change: LeaseChange) => void> = []
   #working: Promise<void> | undefined
   #stopped: Promise<void> | undefined
   #timer: Timer | undefined
   #expiryTimer: Timer | undefined
-  #startedAt: Millis | undefined
-  /** Steady time before which no store call is made. */
-  #backoffUntil: Millis = millis(0)
+  #isStarted = false
   #announced = ''
   #takes = 0
   #renewals = 0
   #failures = 0
 
   constructor (options: DutyLeaseOptions) {
-    const { self, incarnation, clock, elapsed, table, log, terms: { leaseTime = LEASE_TIME } = {} } = options
+    const { self, incarnation, clock, random, elapsed, table, log, terms: { leaseTime = LEASE_TIME } = {} } = options
     const time = new ElapsedTime(clock, elapsed)
     const wait = millis(leaseTime * (1 + MAX_CLOCK_DRIFT) + TRANSIT_TIME)
     this.#options = options
-    this.#view = new LeaseView(clock, wait)
-    this.#hold = new LeaseHold(clock, time, leaseTime)
-    this.#row = new LeaseRow(table, clock, wait)
-    this.#gossip = new LeaseGossip({ ...options, view: this.#view })
-    this.#writer = new LeaseWriter({ self, incarnation, clock, time, row: this.#row, view: this.#view, hold: this.#hold, wait, log })
+    const view = new LeaseView(clock, wait)
+    const hold = new LeaseHold(clock, time, leaseTime)
+    const row = new LeaseRow(table, clock, wait)
+    const gossip = new LeaseGossip({ ...options, view })
+    const writer = new LeaseWriter({ self, incarnation, clock, time, row, view, hold, wait, log })
+    this.#view = view
+    this.#hold = hold
+    this.#row = row
+    this.#gossip = gossip
+    this.#writer = writer
+    this.#plan = new LeasePlan({ clock, random, view, hold, gossip, writer })
   }
 
   /** The holder as far as this instance knows; undefined if there is none, or if it has not renewed the lease in time. */
@@ -80,7 +84,8 @@
   }
 
   start (): void {
-    this.#startedAt = this.#options.clock.now()
+    this.#isStarted = true
+    this.#plan.start()
     this.#gossip.start((lease) => this.#hear(lease))
     this.#schedule()
   }
@@ -140,25 +145,17 @@
     const held = this.#hold.current
     if (held !== undefined && token > held.record.token) this.#drop('leaseLost')
     this.#notify()
-    if (this.#hold.current === undefined) this.#schedule()
+    if (this.#hold.current !== undefined) return
+    this.#plan.endBackoff()
+    this.#schedule()
   }
 
   /** Plans the next store call, of the holder or of a candidate. */
   #schedule (): void {
-    if (this.#startedAt === undefined || this.#stopped !== undefined || this.#working !== undefined) return
-    const { clock } = this.#options
-    const due = Math.max(this.#dueAt(), this.#backoffUntil) - clock.now()
+    if (!this.#isStarted || this.#stopped !== undefined || this.#working !== undefined) return
+    const { delay, isDue } = this.#plan.next()
     this.#timer?.cancel()
-    this.#timer = clock.after(millis(Math.min(Math.max(0, due), CHECK_PERIOD)), () => due > CHECK_PERIOD ? this.#schedule() : this.#begin())
-  }
-
-  #dueAt (): number {
-    const { clock } = this.#options
-    if (this.#hold.current !== undefined) return clock.now() + this.#hold.untilRenewal
-    const delay = this.#gossip.rank * RANK_DELAY
-    const { seen } = this.#view
-    if (seen === undefined) return this.#startedAt! + START_WAIT + delay
-    return (this.#writer.isOwn(seen) ? seen.at : seen.at + seen.record.wait) + delay
+    this.#timer = this.#options.clock.after(delay, () => isDue ? this.#begin() : this.#schedule())
   }
 
   #begin (): void {
@@ -175,14 +172,17 @@
     const outcome = await this.#writer.renew(held)
     if (outcome === 'renewed') return this.#renewed()
     if (outcome === 'lost') return this.#drop('leaseLost')
-    this.#retryAfter(RETRY_PERIOD)
+    this.#failures++
+    this.#plan.retryAfter(RETRY_PERIOD)
   }
 
   async #contend (): Promise<void> {
     const outcome = await this.#writer.take()
     if (outcome === 'taken') return this.#taken()
     if (outcome === 'heard') return this.#gossip.publish()
-    this.#retryAfter(outcome === 'unreachable' ? this.#backoff() : RETRY_PERIOD)
+    this.#failures++
+    if (outcome === 'unreachable') this.#plan.backOff()
+    else this.#plan.retryAfter(RETRY_PERIOD)
   }
 
   #taken (): void {
@@ -215,17 +215,6 @@
     this.#options.log.emit(DUTIES_EVENTS[event], { token: held.record.token, holder: this.holder?.id })
   }
 
-  #retryAfter (period: Millis): void {
-    this.#failures++
-    this.#backoffUntil = millis(this.#options.clock.now() + period)
-  }
-
-  /** Long enough for each other candidate to try in between, so that the rate of tries does not grow with the instances. */
-  #backoff (): Millis {
-    const { random } = this.#options
-    return millis(Math.max(MIN_BACKOFF, this.#gossip.ranked().length * RANK_DELAY) + random.next() * RANK_DELAY / 2)
-  }
-
   #notify (): void {
     const { holder, isHeld } = this
     const token = this.#hold.current?.record.token
--- a/packages/duties/src/LeaseRow.ts
+++ b/packages/duties/src/LeaseRow.ts
@@ -39,8 +39,11 @@
     return this.#calls
   }
 
+  /** Reads again if the store says that its history is gone, since other instances would be told the same. */
   async read (): Promise<Result<ReadLease, TableError>> {
-    const result = await this.#withTimeout(this.#table.read())
+    const first = await this.#withTimeout(this.#table.read())
+    const isHistoryGone = first.isErr && first.error.kind === 'history-gone'
+    const result = isHistoryGone ? await this.#withTimeout(this.#table.read()) : first
     if (result.isErr) return Result.err(result.error)
     const { era, rows } = result.value
     const row = rows.find(({ key }) => key === LEASE_KEY)
--- a/packages/duties/src/testing/DutySender.ts
+++ b/packages/duties/src/testing/DutySender.ts
@@ -1,5 +1,5 @@
 import { millis } from '@papayahill/common'
-import type { Clock, InstanceId, Millis, Random } from '@papayahill/common'
+import type { Clock, InstanceId, Millis, Random, Timer } from '@papayahill/common'
 import type { DutyLease } from '../DutyLease.js'
 import { ElapsedTime } from '../ElapsedTime.js'
 import type { FencingToken } from '../types.js'
@@ -32,6 +32,7 @@
 export class DutySender {
   readonly #options: DutySenderOptions
   readonly #time: ElapsedTime
+  #timer: Timer | undefined
 
   constructor (options: DutySenderOptions) {
     this.#options = options
@@ -39,7 +40,11 @@
   }
 
   start (): void {
-    this.#options.machine.every(CALL_PERIOD, () => { void this.#call() })
+    const { lease, machine } = this.#options
+    lease.onChange(({ isHeld }) => {
+      if (!isHeld) this.#timer?.cancel()
+      this.#timer = isHeld ? this.#timer ?? machine.every(CALL_PERIOD, () => { void this.#call() }) : undefined
+    })
   }
 
   async #call (): Promise<void> {
