--- a/packages/reports/src/ReportSender.ts
+++ b/packages/reports/src/ReportSender.ts
@@ -1,12 +1,14 @@
-import { millis, MILLIS_PER_SECOND } from '@papayahill/common'
+import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
-import { HOLDER_CHANGE_SPREAD, MAX_REPLIES_PER_SECOND, PERIOD_INSTANCES, REPORT_PERIOD, REPORT_TIMEOUT } from './constants.js'
+import { FRAME_BYTES, HOLDER_CHANGE_SPREAD, REPORT_TIMEOUT } from './constants.js'
 import { REPORTS_EVENTS } from './events.js'
 import type { FleetClock } from './FleetClock.js'
+import { messageSize } from './messageSize.js'
 import type { ReportCollector } from './ReportCollector.js'
 import { decodeReply, encodeReport } from './reportMessages.js'
 import type { ReportReply } from './reportMessages.js'
+import { ReportPace } from './ReportPace.js'
 import type { ReportReceivers } from './ReportReceivers.js'
 import type { HolderView, ReportBody, Reporter, ReportSource } from './types.js'
 
@@ -22,14 +24,6 @@
   readonly log: EventLog
 }
 
-/** Period of the reports in a deployment of so many instances. */
-export const reportPeriod = (instances: number): Millis =>
-  millis(REPORT_PERIOD * Math.max(1, instances / PERIOD_INSTANCES))
-
-/** Number of reports out of which one asks for a reply. */
-export const reportsPerReply = (instances: number): number =>
-  Math.ceil(instances * MILLIS_PER_SECOND / reportPeriod(instances) / MAX_REPLIES_PER_SECOND)
-
 /**
  * Sends this instance's reports to the receivers. All sections go in one message. A report without a reply is no loss: the next
  * one contains all that has not been confirmed.
@@ -42,6 +36,7 @@
 export class ReportSender {
   readonly #options: ReportSenderOptions
   readonly #sources: ReportSource[] = []
+  readonly #pace = new ReportPace()
   /** Reports since the last one that asked for a reply, by receiver. */
   readonly #sinceReply = new Map<Incarnation, number>()
   /** Receivers whose reply is awaited. */
@@ -62,7 +57,7 @@
   /** Sends reports from now on, the first one at a random time within a period. */
   start (): void {
     const { random, holder, receivers } = this.#options
-    this.#schedule(millis(random.next() * reportPeriod(receivers.instances)))
+    this.#schedule(millis(random.next() * this.#pace.period(receivers.instances)))
     holder.onChange(() => this.#schedule(millis(random.next() * HOLDER_CHANGE_SPREAD)))
   }
 
@@ -70,7 +65,7 @@
   async stop (): Promise<void> {
     this.#isStopped = true
     this.#timer?.cancel()
-    await Promise.all(this.#options.receivers.current().map((receiver) => this.#reportTo(receiver, true)))
+    await Promise.all(this.#options.receivers.current().map((receiver) => this.#reportTo(receiver, true).settled))
   }
 
   /** Sends the next report after `delay`, unless one is due earlier. */
@@ -86,11 +81,13 @@
   #report (): void {
     const { receivers } = this.#options
     this.#due = millis(Infinity)
-    this.#schedule(reportPeriod(receivers.instances))
+    this.#schedule(this.#pace.period(receivers.instances))
     const current = receivers.current()
     this.#keepLinks(current)
-    const every = reportsPerReply(receivers.instances)
-    for (const receiver of current) void this.#reportTo(receiver, this.#needsReply(receiver, every))
+    const every = this.#pace.reportsPerReply(receivers.instances)
+    let size = 0
+    for (const receiver of current) size += this.#reportTo(receiver, this.#needsReply(receiver, every)).size
+    this.#pace.note(size)
   }
 
   #needsReply ({ id, incarnation }: Reporter, every: number): boolean {
@@ -100,19 +97,22 @@
     return isDue && !this.#awaited.has(incarnation)
   }
 
-  async #reportTo (receiver: Reporter, needsReply: boolean): Promise<void> {
-    const { clock, fleetClock } = this.#options
+  /** Sends a report; returns its size in bytes, and a promise that resolves once it was confirmed or cannot be. */
+  #reportTo (receiver: Reporter, needsReply: boolean): { readonly size: number, readonly settled: Promise<void> } {
+    const { clock, fleetClock, peers } = this.#options
     const parts = this.#sources.flatMap((source) => {
       const part = source.next(receiver.incarnation)
       return part === undefined ? [] : [{ name: source.name, part }]
     })
-    if (parts.length === 0) return
+    if (parts.length === 0) return { size: 0, settled: Promise.resolve() }
     const [wall, fleetTime] = [clock.wall(), fleetClock.now()]
     const message = encodeReport({ wall, sections: parts.map(({ name, part }) => ({ name, body: part.body })) })
-    const reply = await this.#deliver(receiver, message, needsReply)
-    if (reply === undefined) return
-    this.#settle(receiver, reply, parts.map(({ part }) => part))
-    if (reply.ahead !== undefined) fleetClock.correct(millis(fleetTime - (wall - reply.ahead)))
+    const settled = this.#deliver(receiver, message, needsReply).then((reply) => {
+      if (reply === undefined) return
+      this.#settle(receiver, reply, parts.map(({ part }) => part))
+      if (reply.ahead !== undefined) fleetClock.correct(millis(fleetTime - (wall - reply.ahead)))
+    })
+    return { size: receiver.incarnation === peers.incarnation ? 0 : messageSize(message) + FRAME_BYTES, settled }
   }
 
   /** The receiver's reply; undefined if there is none. */
--- a/packages/reports/src/constants.ts
+++ b/packages/reports/src/constants.ts
@@ -1,8 +1,22 @@
 import { millis, seconds } from '@papayahill/common'
 
-/** Period of the reports in deployments of up to `PERIOD_INSTANCES`; proportionally longer in larger ones. */
+/** Period of the reports until their size is known. */
 export const REPORT_PERIOD = seconds(1)
-export const PERIOD_INSTANCES = 200
+/**
+ * Bounds of the period. What was not reported is lost with its instance: with a sixth of the instances lost at the end of a window,
+ * one second of unreported requests is a share of 0.033 of the window's, and more where few requests make it vary. The tolerance is
+ * 0.05. Beyond `MAX_PERIOD`, a window's counts would arrive too late for its report.
+ */
+export const MIN_PERIOD = millis(400)
+export const MAX_PERIOD = seconds(2.5)
+/** Reports a second at one receiver from which on the period grows with the number of instances. */
+export const REPORTS_PER_RECEIVER = 200
+/** Bytes a second that the period is chosen for, of the 400 that an instance may send on average; the rest is for replies and names. */
+export const REPORT_BYTES_PER_SECOND = 280
+/** Weight of the latest report in the mean size. */
+export const SIZE_WEIGHT = 0.1
+/** Bytes that a frame adds to a report. */
+export const FRAME_BYTES = 16
 /**
  * Reports a second to which a receiver replies at most. A reply takes about 16 bytes, so that 200 replies a second would take all
  * 3,072 bytes that an instance may send; beyond this rate, instances ask for a reply with every n-th report only.
