--- a/packages/reports/src/WallClocks.ts
+++ b/packages/reports/src/WallClocks.ts
@@ -1,11 +1,13 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EpochMillis, Incarnation, Millis } from '@papayahill/common'
-import { MEDIAN_TTL, MIN_WALL_CLOCKS, WALL_CLOCK_TTL } from './constants.js'
+import { JUMP_DISTRUST, JUMP_SIZE, MEDIAN_TTL, MIN_WALL_CLOCKS, WALL_CLOCK_TTL } from './constants.js'
 
 interface WallClock {
   /** Its time minus this instance's monotonic time. */
   readonly offset: number
   readonly at: Millis
+  /** Monotonic time until which it does not count, since it has jumped. */
+  readonly distrustedUntil: Millis
 }
 
 const medianOf = (values: readonly number[]): number => {
@@ -32,7 +34,11 @@
 
   note (incarnation: Incarnation, wall: EpochMillis): void {
     const at = this.#clock.now()
-    this.#clocks.set(incarnation, { offset: wall - at, at })
+    const offset = wall - at
+    const known = this.#clocks.get(incarnation)
+    const hasJumped = known !== undefined && Math.abs(offset - known.offset) > JUMP_SIZE
+    const distrustedUntil = hasJumped ? millis(at + JUMP_DISTRUST) : known?.distrustedUntil ?? millis(-Infinity)
+    this.#clocks.set(incarnation, { offset, at, distrustedUntil })
   }
 
   /** How far a clock is ahead of the median; undefined while most instances have not reported theirs. */
@@ -49,7 +55,14 @@
     this.note(this.#self, this.#clock.wall())
     for (const [incarnation, { at }] of this.#clocks) if (now - at > WALL_CLOCK_TTL) this.#clocks.delete(incarnation)
     const isEnough = this.#clocks.size >= Math.max(MIN_WALL_CLOCKS, this.#instances() / 2)
-    this.#median = isEnough ? medianOf([...this.#clocks.values()].map(({ offset }) => offset)) : undefined
+    this.#median = isEnough ? medianOf(this.#trusted(now).map(({ offset }) => offset)) : undefined
     return this.#median
   }
+
+  /** The clocks that have not jumped lately; all if most have, as after this instance was suspended. */
+  #trusted (now: Millis): readonly WallClock[] {
+    const all = [...this.#clocks.values()]
+    const trusted = all.filter(({ distrustedUntil }) => distrustedUntil <= now)
+    return trusted.length >= Math.max(MIN_WALL_CLOCKS, all.length / 2) ? trusted : all
+  }
 }
--- a/packages/reports/src/constants.ts
+++ b/packages/reports/src/constants.ts
@@ -39,6 +39,12 @@
 export const MIN_WALL_CLOCKS = 3
 /** Age up to which a reported wall clock counts. */
 export const WALL_CLOCK_TTL = seconds(12)
+/**
+ * A wall clock that moves by more than this against the monotonic one has jumped, and does not count for a while: with a third of
+ * the clocks off and another third jumping, the median was 1.6 s off. Late arrivals make a clock seem to move by less.
+ */
+export const JUMP_SIZE = millis(500)
+export const JUMP_DISTRUST = seconds(30)
 /** Time for which the computed median is used. */
 export const MEDIAN_TTL = millis(250)
 /**
--- a/packages/usage/src/CollectedWindow.ts
+++ b/packages/usage/src/CollectedWindow.ts
@@ -11,16 +11,14 @@
   /** Number of counts. */
   size = 0
 
-  /** Returns by how much the count has grown. */
-  add (incarnation: Incarnation, workspace: WorkspaceId, count: number): number {
-    if (this.#isSettled) return 0
+  add (incarnation: Incarnation, workspace: WorkspaceId, count: number): void {
+    if (this.#isSettled) return
     const counts = this.#byIncarnation.get(incarnation) ?? new Map<WorkspaceId, number>()
     if (counts.size === 0) this.#byIncarnation.set(incarnation, counts)
     const known = counts.get(workspace)
-    if (known !== undefined && known >= count) return 0
+    if (known !== undefined && known >= count) return
     if (known === undefined) this.size++
     counts.set(workspace, count)
-    return count - (known ?? 0)
   }
 
   /** Raises the totals to those of another collector that no longer knows the incarnations. */
--- a/packages/usage/src/Usage.ts
+++ b/packages/usage/src/Usage.ts
@@ -2,10 +2,10 @@
 import type { DutyTable } from '@papayahill/duties'
 import type { Peers } from '@papayahill/peers'
 import type { Reports } from '@papayahill/reports'
-import { DEFAULT_CALL_SPAN, DEFAULT_LATE, DEFAULT_WINDOW } from './constants.js'
+import { DEFAULT_CALL_SPAN, DEFAULT_LATE, DEFAULT_WINDOW, LATE_WINDOWS } from './constants.js'
 import { ReportDispatcher } from './ReportDispatcher.js'
 import { StoredReports } from './StoredReports.js'
-import type { UsageChannel, UsageLease, UsageStatus } from './types.js'
+import type { UsageChannel, UsageCounts, UsageLease, UsageStatus } from './types.js'
 import { UsageCollector } from './UsageCollector.js'
 import { UsageCounter } from './UsageCounter.js'
 import { UsageReporter } from './UsageReporter.js'
@@ -43,6 +43,7 @@
   readonly #dispatcher: ReportDispatcher
   readonly #reporter: UsageReporter
   readonly #lease: UsageLease
+  #lateRequests = 0
 
   constructor (options: UsageOptions) {
     const { clock, peers, reports, lease, table, channel, log } = options
@@ -50,7 +51,7 @@
     const { fleetClock } = reports
     this.#lease = lease
     this.#counter = new UsageCounter({ clock, fleetClock, window })
-    this.#collector = new UsageCollector(clock)
+    this.#collector = new UsageCollector(clock, (dropped, totals) => this.#noteLate(dropped, totals))
     this.#written = new WrittenReports({ peers, isHolder: () => lease.isHeld, onWritten: (newest) => this.#dropThrough(newest) })
     const written = this.#written
     const stored = new StoredReports({ table, written, log })
@@ -94,15 +95,22 @@
       newestWritten: this.#written.newest,
       newestAccepted: this.#written.accepted,
       openWindows: this.#collector.openWindows,
-      lateRequests: this.#collector.lateRequests,
+      lateRequests: this.#lateRequests,
       incompleteReports: this.#reporter.incompleteReports,
       acceptedReports: this.#dispatcher.acceptedReports,
       failedCalls: this.#dispatcher.failedCalls
     }
   }
 
+  /** Counts what arrived after a window's report was written; on the holder only, to which all instances report. */
+  #noteLate (window: number, totals: UsageCounts): void {
+    const report = this.#written.copies.find((copy) => copy.window === window)
+    if (!this.#lease.isHeld || report === undefined) return
+    for (const [workspace, count] of totals) this.#lateRequests += Math.max(0, count - (report.counts.get(workspace) ?? 0))
+  }
+
   #dropThrough (newest: number): void {
-    this.#counter.dropThrough(newest)
+    this.#counter.dropThrough(newest - LATE_WINDOWS)
     this.#collector.markWritten(newest)
   }
 }
--- a/packages/usage/src/UsageCollector.ts
+++ b/packages/usage/src/UsageCollector.ts
@@ -3,6 +3,7 @@
 import { CollectedWindow } from './CollectedWindow.js'
 import { LATE_WINDOWS, MAX_COLLECTED_ENTRIES, MAX_COLLECTED_WINDOWS, REPORTER_TTL } from './constants.js'
 import { decodeCollectedUsage, encodeCollectedUsage } from './exportedUsage.js'
+import type { UsageCounts } from './types.js'
 import { decodeSection } from './usageMessages.js'
 import type { UsageSection } from './usageMessages.js'
 
@@ -19,14 +20,15 @@
 export class UsageCollector implements ReportSink {
   readonly name = 'usage'
   readonly #clock: Clock
+  readonly #onDrop: (window: number, totals: UsageCounts) => void
   readonly #windows = new Map<number, CollectedWindow>()
   readonly #reporters = new Map<Incarnation, ReporterState>()
   #writtenThrough = -1
-  /** Requests that arrived after the report of their window was written. */
-  lateRequests = 0
 
-  constructor (clock: Clock) {
+  /** `onDrop` is called with the totals of each window that is dropped after its report was written. */
+  constructor (clock: Clock, onDrop: (window: number, totals: UsageCounts) => void = () => {}) {
     this.#clock = clock
+    this.#onDrop = onDrop
   }
 
   receive ({ incarnation }: Reporter, body: Json, at: Millis): void {
@@ -81,19 +83,21 @@
     return this.#windows.get(window)?.totals() ?? new Map()
   }
 
-  /** Drops windows whose reports are written; what still arrives for them is late. */
+  /** Notes that reports are written up to a window, and drops windows some time after. */
   markWritten (through: number): void {
     if (through <= this.#writtenThrough) return
     this.#writtenThrough = through
-    for (const window of this.#windows.keys()) if (window <= through - LATE_WINDOWS) this.#windows.delete(window)
+    for (const [window, collected] of this.#windows) {
+      if (window > through - LATE_WINDOWS) continue
+      this.#windows.delete(window)
+      this.#onDrop(window, collected.totals())
+    }
     const now = this.#clock.now()
     for (const [incarnation, { at }] of this.#reporters) if (now - at > REPORTER_TTL) this.#reporters.delete(incarnation)
   }
 
   #add (window: number, incarnation: Incarnation, workspace: WorkspaceId, count: number): void {
-    if (window <= this.#writtenThrough - LATE_WINDOWS) return
-    const increase = this.#windowOf(window).add(incarnation, workspace, count)
-    if (window <= this.#writtenThrough) this.lateRequests += increase
+    if (window > this.#writtenThrough - LATE_WINDOWS) this.#windowOf(window).add(incarnation, workspace, count)
   }
 
   #windowOf (window: number): CollectedWindow {
--- a/packages/usage/src/constants.ts
+++ b/packages/usage/src/constants.ts
@@ -38,7 +38,7 @@
 export const RECEIVER_TTL = seconds(60)
 /** Time after which an instance that no longer reports is forgotten; longer than `RECEIVER_TTL`, so that a sender forgets first. */
 export const REPORTER_TTL = seconds(180)
-/** Windows that are kept after their report was written, to tell late counts from repeated ones. */
+/** Windows that are kept after their report was written, by counters and receivers, so that late counts are noticed. */
 export const LATE_WINDOWS = 3
 /** Windows that a receiver keeps while none can be written: an hour. */
 export const MAX_COLLECTED_WINDOWS = 720
--- a/packages/usage/src/testing/UsageHarness.ts
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -9,6 +9,7 @@
 import { DEFAULT_WINDOW } from '../constants.js'
 import type { UsageChannel } from '../types.js'
 import { Usage } from '../Usage.js'
+import type { UsageOptions } from '../Usage.js'
 import { FakeLeases } from './FakeLeases.js'
 import { SkewedClock } from './SkewedClock.js'
 import { UsagePlatform } from './UsagePlatform.js'
@@ -31,6 +32,8 @@
   /** Whether the store names its era. */
   readonly namesEra?: boolean
   readonly log?: EventLog
+  /** Whether each instance has a table of its own and tells others neither what it has written nor what it has collected. */
+  readonly isAlone?: boolean
 }
 
 interface InstanceParts {
@@ -44,8 +47,22 @@
   readonly channel: (instance: UsageInstance) => UsageChannel
   readonly listed: () => readonly ListedPeer[]
   readonly log: EventLog
+  readonly isAlone: boolean
 }
 
+/** Links that publish nothing. */
+const silentPeers = (peers: PeerCore): UsageOptions['peers'] => ({
+  incarnation: peers.incarnation, members: () => peers.members(), entries: () => [], onEntry: () => {}, publish: () => {}
+})
+
+/** Reports without copies of written reports, and without what others have collected. */
+const silentReports = (reports: Reports): UsageOptions['reports'] => ({
+  fleetClock: reports.fleetClock,
+  addSource: (source) => { if (source.name === 'usage') reports.addSource(source) },
+  addSink: (sink) => { if (sink.name === 'usage') reports.addSink(sink) },
+  collect: () => Promise.resolve()
+})
+
 /** One instance with its links, its clock, its reports and its usage. */
 export class UsageInstance {
   readonly identity: PeerIdentity
@@ -54,10 +71,11 @@
   readonly peers: PeerCore
   readonly reports: Reports
   readonly usage: Usage
+  isStopping = false
   /** Dies when it is about to send its next report. */
   diesBeforeSend = false
 
-  constructor ({ identity, capacity, skew, seed, network, leases, table, channel, listed, log }: InstanceParts) {
+  constructor ({ identity, capacity, skew, seed, network, leases, table, channel, listed, log, isAlone }: InstanceParts) {
     this.identity = identity
     this.clock = new SkewedClock(new GatedClock(network.clock, this.gate), skew)
     const { clock } = this
@@ -75,7 +93,8 @@
     })
     const lease = leases.add({ id: self, incarnation })
     this.reports = new Reports({ clock, random: random.fork(), peers: this.peers, domain, capacity, holder: lease, log })
-    this.usage = new Usage({ clock, peers: this.peers, reports: this.reports, lease, table, channel: channel(this), log })
+    const [sharedPeers, sharedReports] = isAlone ? [silentPeers(this.peers), silentReports(this.reports)] : [this.peers, this.reports]
+    this.usage = new Usage({ clock, peers: sharedPeers, reports: sharedReports, lease, table, channel: channel(this), log })
   }
 
   start (): void {
@@ -141,7 +160,7 @@
 
   /** Starts an instance, or starts it anew under its id. */
   add (at: number): UsageInstance {
-    const { seed, skewOf, log = SILENT_LOG } = this.#options
+    const { seed, skewOf, log = SILENT_LOG, isAlone = false } = this.#options
     const id = brand<InstanceId>(`ph-${at}`)
     const incarnation = brand<Incarnation>(`${id}@${String(this.#incarnations++).padStart(6, '0')}`)
     const domain = brand<DomainId>(`hall-${at % DOMAINS}`)
@@ -152,10 +171,11 @@
       seed: seed * 1000 + this.#incarnations,
       network: this.network,
       leases: this.#leases,
-      table: this.store.viewFor(id),
+      table: (isAlone ? new FaultyDutyTable({ clock: this.clock }) : this.store).viewFor(id),
       channel: (sender) => this.platform.channel(() => { if (sender.diesBeforeSend) this.kill(sender) }),
       listed: () => this.instances.map(({ identity }) => identity),
-      log
+      log,
+      isAlone
     })
     this.instances[at] = instance
     instance.start()
@@ -169,6 +189,12 @@
     this.#leases.remove(instance.identity.incarnation)
   }
 
+  /** Ends an instance as planned: it sends a last report first, and gets no requests from now on. */
+  stop (instance: UsageInstance): void {
+    instance.isStopping = true
+    void instance.reports.stop().then(() => this.kill(instance))
+  }
+
   /** Number of the window of this moment of true time. */
   get window (): number {
     return Math.floor(this.clock.wall() / DEFAULT_WINDOW)
@@ -177,7 +203,7 @@
   /** Requests of this step, at random instances; the rate swings, so that windows differ. */
   #run (): void {
     const { requestsPerSecond = 400 } = this.#options
-    const { alive } = this
+    const alive = this.alive.filter(({ isStopping }) => !isStopping)
     const wave = 1 + 0.6 * Math.sin(2 * Math.PI * this.clock.now() / WAVE_PERIOD)
     const expected = requestsPerSecond * wave * LOAD_PERIOD / MILLIS_PER_SECOND
     const requests = Math.floor(expected) + (this.#random.next() < expected % 1 ? 1 : 0)
--- a/packages/usage/src/types.ts
+++ b/packages/usage/src/types.ts
@@ -31,7 +31,7 @@
   readonly newestAccepted: number | undefined
   /** Windows that have counts here and are not written yet. */
   readonly openWindows: number
-  /** Requests that arrived after their window's report was written, since the start. */
+  /** Requests that were counted too late for their window's report, since the start; known on the holder, three windows later. */
   readonly lateRequests: number
   /** Reports that this instance wrote before all live instances had reported, since the start. */
   readonly incompleteReports: number
