--- a/packages/usage/src/Usage.ts
+++ b/packages/usage/src/Usage.ts
@@ -38,6 +38,7 @@
  */
 export class Usage {
   readonly #counter: UsageCounter
+  readonly #source: UsageSource
   readonly #collector: UsageCollector
   readonly #written: WrittenReports
   readonly #dispatcher: ReportDispatcher
@@ -70,7 +71,8 @@
       late,
       log
     })
-    reports.addSource(new UsageSource(clock, this.#counter))
+    this.#source = new UsageSource(clock, this.#counter)
+    reports.addSource(this.#source)
     reports.addSource(written)
     reports.addSink(this.#collector)
     reports.addSink(written)
@@ -80,7 +82,9 @@
     this.#reporter.start()
   }
 
+  /** Nothing is counted from now on; to be called before the last report is sent. */
   stop (): void {
+    this.#source.finish()
     this.#reporter.stop()
   }
 
--- a/packages/usage/src/UsageCollector.ts
+++ b/packages/usage/src/UsageCollector.ts
@@ -14,6 +14,8 @@
   readonly current: number
   readonly since: number
   readonly at: Millis
+  /** Whether it has stopped as planned. */
+  readonly isFinished: boolean
 }
 
 /** Counts of all instances whose windows have no written report yet. */
@@ -36,7 +38,8 @@
     const reporter = this.#reporterOf(incarnation)
     const names = namesAfter(reporter, section)
     if (section.windows.some(({ counts }) => counts.some(([number]) => number >= names.length))) throw new Error('an unknown workspace')
-    this.#reporters.set(incarnation, { session: section.session, names, current: section.current, since: section.since, at })
+    const { session, current, since, isLast: isFinished } = section
+    this.#reporters.set(incarnation, { session, names, current, since, at, isFinished })
     for (const { window, counts } of section.windows) {
       for (const [number, count] of counts) this.#add(window, incarnation, names[number]!, count)
     }
@@ -69,6 +72,14 @@
     return true
   }
 
+  /** Whether an instance that reported in this window or the one before has not reported beyond its end: it may only be cut off. */
+  isAwaited (window: number): boolean {
+    for (const { current, isFinished } of this.#reporters.values()) {
+      if (!isFinished && current >= window - 1 && current <= window) return true
+    }
+    return false
+  }
+
   /** The first window of which anything is known; undefined if nothing is. */
   get earliest (): number | undefined {
     const earliest = Math.min(...[...this.#reporters.values()].map(({ since }) => since), ...this.#windows.keys())
@@ -107,7 +118,8 @@
   }
 
   #reporterOf (incarnation: Incarnation): ReporterState {
-    return this.#reporters.get(incarnation) ?? { session: -1, names: [], current: -1, since: Infinity, at: this.#clock.now() }
+    const unknown = { session: -1, names: [], current: -1, since: Infinity, at: this.#clock.now(), isFinished: false }
+    return this.#reporters.get(incarnation) ?? unknown
   }
 
   /** Bounds the memory while no report can be written. */
--- a/packages/usage/src/UsageReporter.ts
+++ b/packages/usage/src/UsageReporter.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, Millis, Timer } from '@papayahill/common'
 import type { FleetClock } from '@papayahill/reports'
-import { COLLECT_AFTER, COLLECT_PERIOD, STEP_PERIOD, STORE_RETRY } from './constants.js'
+import { COLLECT_AFTER, COLLECT_PERIOD_PER_INSTANCE, MIN_COLLECT_PERIOD, STEP_PERIOD, STORE_RETRY } from './constants.js'
 import { USAGE_EVENTS } from './events.js'
 import type { ReportDispatcher } from './ReportDispatcher.js'
 import type { StoredReports } from './StoredReports.js'
@@ -118,8 +118,10 @@
     const now = fleetClock.now()
     const heldFor = millis(clock.now() - (this.#heldSince ?? clock.now()))
     const isComplete = (window: number): boolean => usage.isComplete(window, live)
-    const windows = windowsToWrite({ now, length, late, heldFor, first, isComplete })
-    this.#collectMissing(first + windows.length, isComplete)
+    const isAwaited = (window: number): boolean => usage.isAwaited(window)
+    const windows = windowsToWrite({ now, length, late, heldFor, first, isComplete, isAwaited })
+    const next = first + windows.length
+    if (now >= windowEnd(next, length) + COLLECT_AFTER && (isAwaited(next) || !isComplete(next))) this.#collectMissing(live.length)
     return windows.map((window) => this.#draft(window, isComplete(window)))
   }
 
@@ -151,10 +153,10 @@
   }
 
   /** Instances that do not reach this one report to another receiver, whose reports are fetched. */
-  #collectMissing (window: number, isComplete: (window: number) => boolean): void {
-    const { clock, fleetClock, window: length, collect } = this.#options
-    const isOverdue = fleetClock.now() >= windowEnd(window, length) + COLLECT_AFTER && !isComplete(window)
-    if (!isOverdue || clock.now() - this.#collectedAt < COLLECT_PERIOD) return
+  #collectMissing (instances: number): void {
+    const { clock, collect } = this.#options
+    const period = Math.max(MIN_COLLECT_PERIOD, instances * COLLECT_PERIOD_PER_INSTANCE)
+    if (clock.now() - this.#collectedAt < period) return
     this.#collectedAt = clock.now()
     void collect()
   }
--- a/packages/usage/src/UsageSource.ts
+++ b/packages/usage/src/UsageSource.ts
@@ -17,6 +17,7 @@
   readonly name = 'usage'
   readonly #clock: Clock
   readonly #counter: UsageCounter
+  #isLast = false
   readonly #receivers = new Map<Incarnation, ReceiverState>()
 
   constructor (clock: Clock, counter: UsageCounter) {
@@ -24,17 +25,23 @@
     this.#counter = counter
   }
 
+  /** The next sections tell that nothing more is counted. */
+  finish (): void {
+    this.#isLast = true
+  }
+
   next (receiver: Incarnation): ReportBody | undefined {
     const { session, current, since } = this.#counter
     const state = this.#stateOf(receiver)
     const isKnown = state.session === session
     const confirmed = isKnown ? state.version : 0
     const windows = this.#counter.changesSince(confirmed)
-    if (windows.length === 0 && isKnown && state.current === current) return undefined
+    const isLast = this.#isLast
+    if (windows.length === 0 && isKnown && state.current === current && !isLast) return undefined
     const version = this.#counter.takeVersion()
     const { first: firstName, names } = this.#counter.namesSince(confirmed)
     return {
-      body: encodeSection({ session, current, since, firstName, names, windows }),
+      body: encodeSection({ session, current, since, firstName, names, windows, isLast }),
       confirm: () => { if (state.session !== session || state.version < version) Object.assign(state, { session, version, current }) },
       reject: () => { this.#receivers.delete(receiver) }
     }
--- a/packages/usage/src/constants.ts
+++ b/packages/usage/src/constants.ts
@@ -25,9 +25,16 @@
 export const TAKEOVER_GRACE = millis(1500)
 /** Time before a report is due at which it is written even if this holder is new; it covers a write and a call that is repeated. */
 export const LAST_MOMENT = millis(1500)
-/** Time after a window's end from which on missing reports are asked for at the other receivers, and how often at most. */
-export const COLLECT_AFTER = seconds(2)
-export const COLLECT_PERIOD = seconds(20)
+/** Share of the time within which a report is due for which instances that fell silent are waited for. */
+export const AWAITED_SHARE = 0.25
+/** Time after a window's end from which on missing reports are asked for at the other receivers. */
+export const COLLECT_AFTER = millis(1500)
+/**
+ * How often they are asked for at most. An answer grows with the number of instances, and what one of them has counted matters less
+ * the more there are.
+ */
+export const MIN_COLLECT_PERIOD = seconds(4)
+export const COLLECT_PERIOD_PER_INSTANCE = millis(100)
 
 /** Windows that a counter keeps, and the number of counts above which it drops the oldest ones. */
 export const MAX_COUNTER_WINDOWS = 60
--- a/packages/usage/src/testing/UsageHarness.ts
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -192,6 +192,7 @@
   /** Ends an instance as planned: it sends a last report first, and gets no requests from now on. */
   stop (instance: UsageInstance): void {
     instance.isStopping = true
+    instance.usage.stop()
     void instance.reports.stop().then(() => this.kill(instance))
   }
 
--- a/packages/usage/src/testing/usageFaults.ts
+++ b/packages/usage/src/testing/usageFaults.ts
@@ -22,7 +22,8 @@
 const LENGTH_MS = 5000
 const STORE_DOWN = seconds(27)
 const PLATFORM_DOWN = seconds(7)
-const CUT = seconds(9)
+const SHORT_CUT = seconds(2)
+const LONG_CUT = seconds(11)
 const RESTART_TIME = seconds(2)
 
 /** Waits for a moment within a window that depends on the seed. */
@@ -43,6 +44,18 @@
   for (const instance of instances) harness.kill(instance)
 }
 
+/** Cuts one instance that is not the holder from some of the others. */
+const cutOne = async (
+  harness: UsageHarness, seed: number, span: Millis, isCutFrom: (instance: UsageInstance) => boolean
+): Promise<void> => {
+  await reachPhase(harness, seed)
+  const cut = harness.alive.find((instance) => instance !== harness.holder)!
+  const others = harness.alive.filter((instance) => instance !== cut && isCutFrom(instance))
+  for (const { identity } of others) harness.network.partition(cut.identity, identity)
+  await harness.clock.advance(span)
+  for (const { identity } of others) harness.network.heal(cut.identity, identity)
+}
+
 export const USAGE_FAULTS = {
   none: {
     about: 'no fault',
@@ -143,16 +156,26 @@
       return undefined
     }
   },
-  cut: {
-    about: 'an instance with callers reaches no other for a while; what it counted arrives late',
+  cutFromHolder: {
+    about: 'an instance with callers does not reach the holder for a while, but others',
+    play: async (harness, seed) => {
+      const { holder } = harness
+      await cutOne(harness, seed, LONG_CUT, (instance) => instance === holder)
+      return undefined
+    }
+  },
+  shortCut: {
+    about: 'an instance with callers reaches no other for 2 s',
+    play: async (harness, seed) => {
+      await cutOne(harness, seed, SHORT_CUT, () => true)
+      return undefined
+    }
+  },
+  longCut: {
+    about: 'an instance with callers reaches no other for so long that what it counted arrives late',
     losesCounts: true,
     play: async (harness, seed) => {
-      await reachPhase(harness, seed)
-      const cut = harness.alive.find((instance) => instance !== harness.holder)!
-      const others = harness.alive.filter((instance) => instance !== cut)
-      for (const { identity } of others) harness.network.partition(cut.identity, identity)
-      await harness.clock.advance(CUT)
-      for (const { identity } of others) harness.network.heal(cut.identity, identity)
+      await cutOne(harness, seed, LONG_CUT, () => true)
       return undefined
     }
   },
--- a/packages/usage/src/usageMessages.ts
+++ b/packages/usage/src/usageMessages.ts
@@ -12,6 +12,8 @@
   readonly firstName: number
   readonly names: readonly WorkspaceId[]
   readonly windows: readonly ChangedWindow[]
+  /** Whether the sender stops and counts nothing more. */
+  readonly isLast: boolean
 }
 
 const isCount = (value: unknown): value is number => typeof value === 'number' && Number.isSafeInteger(value) && value >= 0
@@ -19,8 +21,8 @@
 const isText = (value: unknown): value is string => typeof value === 'string'
 
 /** Encodes a section as flat lists; windows are given as their distance from the current one. */
-export const encodeSection = ({ session, current, since, firstName, names, windows }: UsageSection): Json => [
-  session, current, current - since, names.length === 0 ? 0 : [firstName, ...names],
+export const encodeSection = ({ session, current, since, firstName, names, windows, isLast }: UsageSection): Json => [
+  session, current, current - since, names.length === 0 ? 0 : [firstName, ...names], isLast ? 1 : 0,
   ...windows.map(({ window, counts }) => [current - window, ...counts.flat()])
 ]
 
@@ -53,9 +55,10 @@
 /** Decodes a section; throws if it is malformed. */
 export const decodeSection = (body: Json): UsageSection => {
   if (!Array.isArray(body)) throw new Error('not a list')
-  const [session, current, age, names, ...windows] = body as readonly Json[]
-  if (!isCount(session) || !isCount(current) || !isCount(age)) throw new Error('malformed head')
-  return { session, current, since: current - age, ...decodeNames(names), windows: windows.map((packed) => decodeWindow(packed, current)) }
+  const [session, current, age, names, last, ...windows] = body as readonly Json[]
+  if (!isCount(session) || !isCount(current) || !isCount(age) || !isCount(last)) throw new Error('malformed head')
+  const changed = windows.map((packed) => decodeWindow(packed, current))
+  return { session, current, since: current - age, ...decodeNames(names), windows: changed, isLast: last === 1 }
 }
 
 /** Encodes counts by name as one list. */
