--- a/packages/usage/src/UsageCollector.ts
+++ b/packages/usage/src/UsageCollector.ts
@@ -3,6 +3,7 @@
 import { CollectedWindow } from './CollectedWindow.js'
 import { LATE_WINDOWS, MAX_COLLECTED_ENTRIES, MAX_COLLECTED_WINDOWS, REPORTER_TTL } from './constants.js'
 import { decodeCollectedUsage, encodeCollectedUsage } from './exportedUsage.js'
+import type { UsageCounts } from './types.js'
 import { decodeSection } from './usageMessages.js'
 import type { UsageSection } from './usageMessages.js'
 
@@ -13,20 +14,23 @@
   readonly current: number
   readonly since: number
   readonly at: Millis
+  /** Whether it has stopped as planned. */
+  readonly isFinished: boolean
 }
 
 /** Counts of all instances whose windows have no written report yet. */
 export class UsageCollector implements ReportSink {
   readonly name = 'usage'
   readonly #clock: Clock
+  readonly #onDrop: (window: number, totals: UsageCounts) => void
   readonly #windows = new Map<number, CollectedWindow>()
   readonly #reporters = new Map<Incarnation, ReporterState>()
   #writtenThrough = -1
-  /** Requests that arrived after the report of their window was written. */
-  lateRequests = 0
 
-  constructor (clock: Clock) {
+  /** `onDrop` is called with the totals of each window that is dropped after its report was written. */
+  constructor (clock: Clock, onDrop: (window: number, totals: UsageCounts) => void = () => {}) {
     this.#clock = clock
+    this.#onDrop = onDrop
   }
 
   receive ({ incarnation }: Reporter, body: Json, at: Millis): void {
@@ -34,7 +38,8 @@
     const reporter = this.#reporterOf(incarnation)
     const names = namesAfter(reporter, section)
     if (section.windows.some(({ counts }) => counts.some(([number]) => number >= names.length))) throw new Error('an unknown workspace')
-    this.#reporters.set(incarnation, { session: section.session, names, current: section.current, since: section.since, at })
+    const { session, current, since, isLast: isFinished } = section
+    this.#reporters.set(incarnation, { session, names, current, since, at, isFinished })
     for (const { window, counts } of section.windows) {
       for (const [number, count] of counts) this.#add(window, incarnation, names[number]!, count)
     }
@@ -67,6 +72,14 @@
     return true
   }
 
+  /** Whether an instance that reported in this window or the one before has not reported beyond its end: it may only be cut off. */
+  isAwaited (window: number): boolean {
+    for (const { current, isFinished } of this.#reporters.values()) {
+      if (!isFinished && current >= window - 1 && current <= window) return true
+    }
+    return false
+  }
+
   /** The first window of which anything is known; undefined if nothing is. */
   get earliest (): number | undefined {
     const earliest = Math.min(...[...this.#reporters.values()].map(({ since }) => since), ...this.#windows.keys())
@@ -81,19 +94,21 @@
     return this.#windows.get(window)?.totals() ?? new Map()
   }
 
-  /** Drops windows whose reports are written; what still arrives for them is late. */
+  /** Notes that reports are written up to a window, and drops windows some time after. */
   markWritten (through: number): void {
     if (through <= this.#writtenThrough) return
     this.#writtenThrough = through
-    for (const window of this.#windows.keys()) if (window <= through - LATE_WINDOWS) this.#windows.delete(window)
+    for (const [window, collected] of this.#windows) {
+      if (window > through - LATE_WINDOWS) continue
+      this.#windows.delete(window)
+      this.#onDrop(window, collected.totals())
+    }
     const now = this.#clock.now()
     for (const [incarnation, { at }] of this.#reporters) if (now - at > REPORTER_TTL) this.#reporters.delete(incarnation)
   }
 
   #add (window: number, incarnation: Incarnation, workspace: WorkspaceId, count: number): void {
-    if (window <= this.#writtenThrough - LATE_WINDOWS) return
-    const increase = this.#windowOf(window).add(incarnation, workspace, count)
-    if (window <= this.#writtenThrough) this.lateRequests += increase
+    if (window > this.#writtenThrough - LATE_WINDOWS) this.#windowOf(window).add(incarnation, workspace, count)
   }
 
   #windowOf (window: number): CollectedWindow {
@@ -103,7 +118,8 @@
   }
 
   #reporterOf (incarnation: Incarnation): ReporterState {
-    return this.#reporters.get(incarnation) ?? { session: -1, names: [], current: -1, since: Infinity, at: this.#clock.now() }
+    const unknown = { session: -1, names: [], current: -1, since: Infinity, at: this.#clock.now(), isFinished: false }
+    return this.#reporters.get(incarnation) ?? unknown
   }
 
   /** Bounds the memory while no report can be written. */
