--- a/packages/bench/src/scaling/measureScaling.ts
+++ b/packages/bench/src/scaling/measureScaling.ts
@@ -1,7 +1,7 @@
 import { LoadCounters } from '@papayahill/scaling'
 import type { BenchOptions, Figures } from '../types.js'
 import { LoadScenario, RUN_SPAN } from './LoadScenario.js'
-import { INSTANCES, knowing, papayahill, TICK, unchanged, utilisation } from './policies.js'
+import { INSTANCES, knowing, papayahill, TICK, prompt, unchanged, utilisation } from './policies.js'
 import type { PolicyFactory } from './policies.js'
 import { ScaledFleet } from './ScaledFleet.js'
 import type { FleetResult } from './ScaledFleet.js'
@@ -9,7 +9,7 @@
 /** Endpoints of each failure domain at the start, about what the mean of the load needs. */
 const INITIAL = 4
 
-const POLICIES = { papayahill, utilisation, none: unchanged, knowing } as const satisfies Readonly<Record<string, PolicyFactory>>
+const POLICIES = { papayahill, utilisation, none: unchanged, knowing, prompt } as const satisfies Readonly<Record<string, PolicyFactory>>
 export type PolicyName = keyof typeof POLICIES | 'atMax'
 
 const runPolicy = async (policy: PolicyName, scenario: LoadScenario): Promise<FleetResult> => {
@@ -30,7 +30,7 @@
   const results: SeedResults[] = []
   for (let each = seed; each < seed + seeds; each++) {
     const scenario = new LoadScenario(each)
-    const names: readonly PolicyName[] = ['papayahill', 'utilisation', 'none', 'knowing', 'atMax']
+    const names: readonly PolicyName[] = ['papayahill', 'utilisation', 'none', 'knowing', 'prompt', 'atMax']
     const entries: Array<readonly [PolicyName, FleetResult]> = []
     for (const name of names) entries.push([name, await runPolicy(name, scenario)])
     results.push(Object.fromEntries(entries) as SeedResults)
--- a/packages/scaling/src/ReporterLoad.ts
+++ b/packages/scaling/src/ReporterLoad.ts
@@ -10,6 +10,8 @@
   entry: LoadEntry
   begunPerSecond: number
   refusedPerSecond: number
+  arrivedPerSecond: number
+  newestPerSecond: number
 }
 
 /** The load of one incarnation of an instance, as it last reported it. */
@@ -47,20 +49,25 @@
 
   #add (entry: LoadEntry): void {
     if (entry.names === undefined || this.#states.has(entry.index)) return
-    this.#states.set(entry.index, { ...entry.names, entry, begunPerSecond: 0, refusedPerSecond: 0 })
+    const rates = { begunPerSecond: 0, refusedPerSecond: 0, arrivedPerSecond: 0, newestPerSecond: 0 }
+    this.#states.set(entry.index, { ...entry.names, ...rates, entry })
   }
 
   /** Rates are exponential means over the rate window, by the sender's own time, which a slow link does not distort. */
   #update (state: EntryState, entry: LoadEntry, since: Millis): void {
     const weight = 1 - Math.exp(-since / RATE_WINDOW)
-    const rateOf = (newer: number, older: number): number => Math.max(0, newer - older) * MILLIS_PER_SECOND / since
-    state.begunPerSecond += weight * (rateOf(entry.begun, state.entry.begun) - state.begunPerSecond)
-    state.refusedPerSecond += weight * (rateOf(entry.refused, state.entry.refused) - state.refusedPerSecond)
+    const { entry: older } = state
+    const rateOf = (change: number): number => Math.max(0, change) * MILLIS_PER_SECOND / since
+    const [begun, refused] = [entry.begun - older.begun, entry.refused - older.refused]
+    state.begunPerSecond += weight * (rateOf(begun) - state.begunPerSecond)
+    state.refusedPerSecond += weight * (rateOf(refused) - state.refusedPerSecond)
+    state.newestPerSecond = rateOf(begun + refused + entry.waiting - older.waiting)
+    state.arrivedPerSecond += weight * (state.newestPerSecond - state.arrivedPerSecond)
     state.entry = entry
   }
 
-  #sampleOf ({ domain, entry, begunPerSecond, refusedPerSecond }: EntryState, now: Millis): LoadSample {
+  #sampleOf ({ domain, entry, service: _service, ...rates }: EntryState, now: Millis): LoadSample {
     const { running, waiting, holdTime } = entry
-    return { from: this.#from, domain, age: this.age(now), running, waiting, begunPerSecond, refusedPerSecond, holdTime }
+    return { ...rates, from: this.#from, domain, age: this.age(now), running, waiting, holdTime }
   }
 }
--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -27,12 +27,19 @@
  * places taken (Halfin-Whitt), and those still have the slots beyond.
  */
 export const STAFFING_FACTOR = 2
-/** Largest share of the endpoints' comfortable concurrency that the demand may take: load is not divided evenly between them. */
-export const MAX_UTILISATION = 0.85
+/**
+ * Largest share of the endpoints' concurrency that is planned to be used. Without one of three failure domains, the others
+ * then have just enough slots.
+ */
+export const MAX_UTILISATION = 0.7
 /** Time for which a lower need must last before endpoints leave; ones that are wanted back cost a boot time. */
 export const FALL_WINDOW = seconds(8)
-/** Weight of each plan in the usual hold time. */
-export const HOLD_WEIGHT = 0.1
+/** Weight that a measured hold time keeps with each plan: half after 35 s. */
+export const HOLD_FIT_DECAY = 0.98
+/** Variance of the utilisation below which the hold time is not taken to depend on it. */
+export const MIN_UTILISATION_SPREAD = 0.002
+/** Most by which a hold time at another utilisation is taken to differ from the measured mean. */
+export const MAX_HOLD_CHANGE = 2
 /** Time after which an idle failure domain that is out keeps only its minimum. */
 export const OUT_PERIOD = seconds(10)
 /** Demand points kept, at one a plan. */
--- a/packages/scaling/src/estimateDemand.ts
+++ b/packages/scaling/src/estimateDemand.ts
@@ -1,55 +1,50 @@
 import { MILLIS_PER_SECOND, millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { HOLD_WEIGHT, RATE_WINDOW } from './constants.js'
+import { MAX_UTILISATION, RATE_WINDOW } from './constants.js'
+import { addHold, holdAt } from './holdFit.js'
+import type { HoldFit } from './holdFit.js'
 import type { LoadSample } from './types.js'
 
 export interface Demand {
-  /** Concurrency that callers need, in calls. */
+  /** Concurrency that callers need, in calls, at endpoints that are used as planned. */
   readonly calls: number
-  /** Requests that wait. */
-  readonly waiting: number
-  readonly refusedPerSecond: number
-  /** Hold time of a call while the endpoints are not crowded; 0 if unknown. */
-  readonly usualHold: Millis
+  /** Requests wait or are refused. */
+  readonly isCrowded: boolean
+  readonly holdFit: HoldFit
 }
 
 const sumOf = (samples: readonly LoadSample[], valueOf: (sample: LoadSample) => number): number =>
   samples.reduce((sum, sample) => sum + valueOf(sample), 0)
 
-/** Mean hold time of the samples' calls. */
-const meanHold = (samples: readonly LoadSample[]): number => {
+/** Mean hold time of the samples' calls; 0 if unknown. */
+const meanHold = (samples: readonly LoadSample[]): Millis => {
   const weightOf = (sample: LoadSample): number => sample.holdTime > 0 ? sample.begunPerSecond : 0
   const weight = sumOf(samples, weightOf)
-  return weight === 0 ? 0 : sumOf(samples, (sample) => weightOf(sample) * sample.holdTime) / weight
-}
-
-/** A crowded endpoint holds calls longer; that time must not count as demand, so it changes the usual one only while there is room. */
-const nextUsualHold = (usual: Millis, measured: number, isCrowded: boolean): Millis => {
-  if (measured === 0) return usual
-  if (usual === 0) return millis(measured)
-  return isCrowded && measured > usual ? usual : millis(usual + HOLD_WEIGHT * (measured - usual))
+  return millis(weight === 0 ? 0 : sumOf(samples, (sample) => weightOf(sample) * sample.holdTime) / weight)
 }
 
 /**
- * The concurrency that callers need, from two measures: the calls that run or wait now, and by Little's law the requests
- * that come in a second times the time that each holds a slot. The rates are averaged over a window, the present counts in
- * effect over the hold time; each measure is weighted by its time, since a longer one leaves less to chance.
+ * The concurrency that callers need, from two measures: the calls that run now, and by Little's law the requests that come
+ * in a second times the time that each holds a slot. The rates are averaged over a window, the present count in effect
+ * over the hold time; each measure is weighted by its time, since a longer one leaves less to chance. Where requests wait
+ * or are refused, the calls that run show what the endpoints take, and only the requests that come show what is needed.
+ * The newest of them count in full then, since each second until an order costs callers, and with the hold time as it is:
+ * crowded endpoints stay slow until there are enough for it.
  *
  * @example
- * const { calls } = estimateDemand(samples, usualHold, capacity)
+ * const { calls } = estimateDemand(samples, history.holdFit, capacity)
  */
-export const estimateDemand = (samples: readonly LoadSample[], usualHold: Millis, capacity: number): Demand => {
+export const estimateDemand = (samples: readonly LoadSample[], fit: HoldFit, capacity: number): Demand => {
   const running = sumOf(samples, (sample) => sample.running)
   const waiting = sumOf(samples, (sample) => sample.waiting)
-  const refusedPerSecond = sumOf(samples, (sample) => sample.refusedPerSecond)
-  const begunPerSecond = sumOf(samples, (sample) => sample.begunPerSecond)
-  const isCrowded = waiting > 0 || refusedPerSecond > 0 || running > capacity
+  const isCrowded = waiting > 0 || sumOf(samples, (sample) => sample.refusedPerSecond) >= 1
   const measured = meanHold(samples)
-  const usual = nextUsualHold(usualHold, measured, isCrowded)
-  const hold = isCrowded ? Math.min(measured, usual) : measured
-  const inflation = hold > 0 ? Math.max(1, measured / hold) : 1
-  const byRate = (begunPerSecond + refusedPerSecond) * hold / MILLIS_PER_SECOND
-  const byCount = running / inflation + waiting + refusedPerSecond * hold / MILLIS_PER_SECOND
-  const calls = hold === 0 ? byCount : (RATE_WINDOW * byRate + hold * byCount) / (RATE_WINDOW + hold)
-  return { calls, waiting, refusedPerSecond, usualHold: usual }
+  const holdFit = measured > 0 && capacity > 0 ? addHold(fit, running / capacity, measured) : fit
+  const hold = holdAt(holdFit, MAX_UTILISATION)
+  if (hold === undefined) return { calls: running + waiting, isCrowded, holdFit }
+  const byRate = sumOf(samples, (sample) => sample.arrivedPerSecond) * hold / MILLIS_PER_SECOND
+  const byCount = measured > 0 ? running * hold / measured : running
+  const mixed = (RATE_WINDOW * byRate + hold * byCount) / (RATE_WINDOW + hold)
+  const newest = sumOf(samples, (sample) => sample.newestPerSecond) * Math.max(hold, measured) / MILLIS_PER_SECOND
+  return { calls: isCrowded ? Math.max(newest, mixed) : mixed, isCrowded, holdFit }
 }
--- a/packages/scaling/src/forecastDemand.ts
+++ b/packages/scaling/src/forecastDemand.ts
@@ -23,6 +23,13 @@
   return { slope, deviation: Math.sqrt(errors / Math.max(1, points.length - 2) / spread) }
 }
 
+/** Whether a demand is so far above the ones before that it is a burst, not a trend. */
+export const isBurst = (points: readonly DemandPoint[], now: Millis, demand: number): boolean => {
+  const recent = points.filter(({ at }) => now - at <= LEVEL_WINDOW)
+  const mean = meanOf(recent.map((point) => point.demand))
+  return recent.length > 0 && demand > mean + BURST_DEVIATIONS * Math.sqrt(mean)
+}
+
 /** The present demand and the one after a time. */
 export interface DemandForecast {
   readonly level: number
@@ -31,17 +38,15 @@
 
 /**
  * Forecasts the demand by its trend. Only growth counts, and only as far as chance does not explain it: capacity that was
- * not needed costs little, and a fall is waited for. The newest point alone counts where it is far above the mean, so
- * that a burst is answered at once.
+ * not needed costs little, and a fall is waited for. A burst begins a new series of points: it is answered at once, and
+ * its step is not taken for a trend.
  *
  * @example
  * const { later } = forecastDemand(history.demands, now, bootTime)
  */
 export const forecastDemand = (points: readonly DemandPoint[], now: Millis, horizon: Millis): DemandForecast => {
   const recent = points.filter(({ at }) => now - at < LEVEL_WINDOW)
-  const mean = meanOf(recent.map(({ demand }) => demand))
-  const newest = points.at(-1)?.demand ?? 0
-  const level = newest > mean + BURST_DEVIATIONS * Math.sqrt(mean) ? newest : mean
+  const level = meanOf(recent.map(({ demand }) => demand))
   const fitted = points.filter(({ at }) => now - at <= TREND_WINDOW)
   if (fitted.length < MIN_TREND_POINTS) return { level, later: level }
   const { slope, deviation } = fitTrend(fitted)
--- a/packages/scaling/src/index.ts
+++ b/packages/scaling/src/index.ts
@@ -1,6 +1,7 @@
 export { EndpointScaler } from './EndpointScaler.js'
 export type { EndpointScalerOptions } from './EndpointScaler.js'
 export { SCALING_EVENTS } from './events.js'
+export type { HoldFit } from './holdFit.js'
 export { LoadCollector } from './LoadCollector.js'
 export type { LoadCollectorOptions } from './LoadCollector.js'
 export { LoadCounter, LoadCounters } from './LoadCounters.js'
--- a/packages/scaling/src/planEndpoints.ts
+++ b/packages/scaling/src/planEndpoints.ts
@@ -7,13 +7,14 @@
 import { divideEndpoints } from './divideEndpoints.js'
 import { estimateDemand } from './estimateDemand.js'
 import type { Demand } from './estimateDemand.js'
-import { forecastDemand } from './forecastDemand.js'
+import { forecastDemand, isBurst } from './forecastDemand.js'
 import type { DemandForecast } from './forecastDemand.js'
+import { EMPTY_HOLD_FIT } from './holdFit.js'
 import { limitFall } from './limitFall.js'
 import type { DomainEndpoints, LoadSample, ScalingHistory, ScalingInput, ScalingPlan, ScalingReason } from './types.js'
 
 export const EMPTY_HISTORY: ScalingHistory = {
-  demands: [], needs: [], heardSince: undefined, usualHold: millis(0), concurrency: 0, outSince: new Map()
+  demands: [], needs: [], heardSince: undefined, holdFit: EMPTY_HOLD_FIT, concurrency: 0, outSince: new Map()
 }
 
 const sumOf = (domains: readonly DomainEndpoints[], valueOf: (domain: DomainEndpoints) => number): number =>
@@ -58,11 +59,13 @@
   const listed = sumOf(live, (domain) => domain.listed)
   const capacity = sumOf(live, (domain) => domain.concurrency)
   const concurrency = listed > 0 && capacity > 0 ? capacity / listed : history.concurrency
-  const demand = estimateDemand(currentSamples(input), history.usualHold, capacity)
-  const demands = [...within(history.demands, now, TREND_WINDOW), { at: now, demand: demand.calls }]
+  const demand = estimateDemand(currentSamples(input), history.holdFit, capacity)
+  const known = isBurst(history.demands, now, demand.calls) ? [] : within(history.demands, now, TREND_WINDOW)
+  const demands = [...known, { at: now, demand: demand.calls }]
   const forecast = forecastDemand(demands, now, millis(profile.bootTime + coldTime))
   const ordered = sumOf(live, (domain) => domain.ordered)
-  const needed = concurrency > 0 ? endpointsFor(Math.max(forecast.level, forecast.later), concurrency) : ordered
+  const expected = Math.max(forecast.later, demand.isCrowded ? demand.calls : 0)
+  const needed = concurrency > 0 ? endpointsFor(expected, concurrency) : ordered
   const needs = [...within(history.needs, now, FALL_WINDOW), { at: now, endpoints: needed }]
   return {
     input,
@@ -72,7 +75,7 @@
     needed,
     lately: Math.max(...needs.map(({ endpoints }) => endpoints)),
     history: {
-      demands, needs, concurrency, heardSince: heardSince(input), usualHold: demand.usualHold, outSince: outSince(input)
+      demands, needs, concurrency, heardSince: heardSince(input), holdFit: demand.holdFit, outSince: outSince(input)
     }
   }
 }
@@ -86,7 +89,7 @@
 
 /** Why more endpoints are wanted. */
 const riseReason = ({ input, demand, forecast }: Assessment): ScalingReason => {
-  if (demand.waiting > 0 || demand.refusedPerSecond > 0) return 'waiting'
+  if (demand.isCrowded) return 'waiting'
   if (input.domains.some(({ isOut }) => isOut)) return 'domain-out'
   return forecast.later > forecast.level ? 'growth' : 'load'
 }
--- a/packages/scaling/src/types.ts
+++ b/packages/scaling/src/types.ts
@@ -1,6 +1,7 @@
 import type { DomainId, Incarnation, Millis, ServiceId } from '@papayahill/common'
 import type { ScalingProfile } from '@papayahill/directory'
 import type { DutyCallResult, FencingToken, Permit } from '@papayahill/duties'
+import type { HoldFit } from './holdFit.js'
 
 /** Load of one service at the endpoints of one failure domain, as one instance sees it. */
 export interface ServiceLoad {
@@ -28,6 +29,10 @@
   readonly waiting: number
   readonly begunPerSecond: number
   readonly refusedPerSecond: number
+  /** Requests that came: begun, refused, or still waiting. */
+  readonly arrivedPerSecond: number
+  /** The same between the last two reports alone. */
+  readonly newestPerSecond: number
   readonly holdTime: Millis
 }
 
@@ -63,8 +68,8 @@
   readonly needs: readonly NeedPoint[]
   /** Since when enough instances have been heard of without a break; undefined if they are not. */
   readonly heardSince: Millis | undefined
-  /** Hold time of a call while the endpoints are not crowded; 0 if unknown. */
-  readonly usualHold: Millis
+  /** How the hold time of a call depends on the utilisation of the endpoints. */
+  readonly holdFit: HoldFit
   /** Calls that one endpoint takes well, when last known; 0 if unknown. */
   readonly concurrency: number
   /** When each failure domain that is out went out. */
