--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -31,7 +31,7 @@
  * Largest share of the endpoints' concurrency that is planned to be used. Without one of three failure domains, the others
  * then have just enough slots.
  */
-export const MAX_UTILISATION = 0.7
+export const MAX_UTILISATION = 2 / 3
 /** Time for which a lower need must last before endpoints leave; ones that are wanted back cost a boot time. */
 export const FALL_WINDOW = seconds(8)
 /** Weight that a measured hold time keeps with each plan: half after 35 s. */
