--- a/packages/bench/src/scaling/policies.ts
+++ b/packages/bench/src/scaling/policies.ts
@@ -11,8 +11,9 @@
 export const TICK = seconds(1)
 /** Utilisation of the slots that the known-load planner and the plain target aim at. */
 const TARGET_UTILISATION = 0.7
-/** Deviation from the target up to which the plain utilisation target changes nothing. */
-const TOLERANCE = 0.1
+/** Periods over which the plain utilisation target means the use, and for which fewer endpoints must do before some leave. */
+const USE_PERIODS = 5
+const FALL_PERIODS = 8
 
 /** Orders endpoints once a second. */
 export interface ScalingPolicy {
@@ -52,15 +53,19 @@
 /** Knows the present load exactly and at once, but nothing ahead. */
 export const prompt = knowingAhead(() => millis(0))
 
-/** The usual rule: in proportion to the present utilisation, unless that is near its target. */
-export const utilisation: PolicyFactory = (scenario) => ({
-  tick: async (fleet) => {
-    const serving = fleet.listed().filter(({ domain, isListed }) => isListed && !scenario.isOut(domain, fleet.now))
-    const ratio = serving.reduce((sum, { running }) => sum + running, 0) / (serving.length * SLOTS) / TARGET_UTILISATION
-    if (Math.abs(ratio - 1) <= TOLERANCE) return
-    divide(fleet, scenario, Math.ceil(serving.length * ratio), (domain, at) => scenario.isOut(domain, at))
+/** The usual rule: so many endpoints that their slots are used as aimed at, by their mean use; fewer if that has lasted. */
+export const utilisation: PolicyFactory = (scenario) => {
+  const used: number[] = []
+  const wanted: number[] = []
+  return {
+    tick: async (fleet) => {
+      used.push(fleet.running)
+      const recent = used.slice(-USE_PERIODS)
+      wanted.push(Math.ceil(recent.reduce((sum, running) => sum + running, 0) / recent.length / (SLOTS * TARGET_UTILISATION)))
+      divide(fleet, scenario, Math.max(...wanted.slice(-FALL_PERIODS)), (domain, at) => scenario.isOut(domain, at))
+    }
   }
-})
+}
 
 /** Time at which the first holder of the duties ends and another instance takes over. */
 const TAKEOVER_AT = millis(RUN_SPAN / 2)
--- /dev/null
+++ b/packages/scaling/src/EndpointScaler.test.ts
@@ -0,0 +1,197 @@
+import { millis, seconds } from '@papayahill/common'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { SCALING_EVENTS } from './events.js'
+import { SCALING_ROW } from './ScalingRow.js'
+import { EAST, samplesOf, WEST } from './testing/planning.js'
+import { PLAIN, SCALED, ScalerHarness } from './testing/ScalerHarness.js'
+
+const ROW_OF = (endpoints: number, era = 0): { era: number, orders: Array<[string, string, number]> } =>
+  ({ era, orders: [[SCALED, EAST, endpoints], [SCALED, WEST, endpoints]] })
+
+let harness: ScalerHarness
+
+beforeEach(() => { harness = new ScalerHarness() })
+
+const resume = async (load = 20): Promise<void> => {
+  harness.samples = samplesOf(load)
+  harness.lease.give(1)
+  await harness.run(10)
+}
+
+describe('EndpointScaler', () => {
+  it('does nothing without the lease, and makes no call to the store', async () => {
+    harness.samples = samplesOf(100)
+    await harness.run(30)
+    expect(harness.received).toEqual([])
+    expect(harness.table.reads + harness.table.commits).toBe(0)
+  })
+
+  it('orders nothing for services whose configuration does not say so', async () => {
+    harness.services = harness.services.filter(({ id }) => id === PLAIN)
+    await resume(100)
+    expect(harness.received).toEqual([])
+    expect(harness.table.commits).toBe(0)
+  })
+
+  it('orders under its token, once in the store, with a log line for each order', async () => {
+    await resume(80)
+    expect(harness.received.map(({ domain }) => domain).sort()).toEqual([EAST, WEST])
+    for (const { domain, endpoints, token, row } of harness.received) {
+      expect(token).toBe(1)
+      expect(row).toMatchObject({ orders: expect.arrayContaining([[SCALED, domain, endpoints]]) })
+    }
+    expect(harness.eventCount(SCALING_EVENTS.endpointsOrdered)).toBe(2)
+    expect(harness.scaler.orderCounts.accepted).toBe(2)
+    expect(harness.scaler.status()[0]).toMatchObject({ service: SCALED, reason: 'steady' })
+  })
+
+  it('calls the store only when an order changes', async () => {
+    await resume(80)
+    const { storeCalls } = harness.scaler
+    await harness.run(120)
+    expect(harness.scaler.storeCalls).toBe(storeCalls)
+    expect(storeCalls).toBe(2)
+  })
+
+  it('stops with the lease, also what waits for a connection', async () => {
+    harness.connectTime = millis(1500)
+    harness.samples = samplesOf(80)
+    harness.lease.give(1)
+    await harness.run(2.2)
+    harness.lease.take()
+    await harness.run(20)
+    expect(harness.received).toEqual([])
+    expect(harness.scaler.orderCounts.unsent).toBeGreaterThan(0)
+  })
+
+  it('sends nothing while the lease is not certain to last for a call', async () => {
+    harness.samples = samplesOf(80)
+    harness.lease.give(1)
+    await harness.run(1.5)
+    harness.lease.timeLeft = 100
+    await harness.run(5)
+    expect(harness.received).toEqual([])
+  })
+
+  it('sends nothing of an earlier term in the next one, though both are its own', async () => {
+    harness.connectTime = millis(3000)
+    harness.samples = samplesOf(80)
+    harness.lease.give(1)
+    await harness.run(2.2)
+    harness.lease.give(3)
+    await harness.run(2)
+    expect(harness.received).toEqual([])
+    await harness.run(20)
+    expect(new Set(harness.received.map(({ token }) => token))).toEqual(new Set([3]))
+  })
+})
+
+describe('a new holder', () => {
+  it('goes on from the last orders, and sends those again that may not have arrived', async () => {
+    harness.table.put(SCALING_ROW, ROW_OF(3))
+    harness.counts.set(EAST, 3)
+    await resume(20)
+    expect(harness.received).toMatchObject([{ domain: WEST, endpoints: 3, token: 1 }])
+  })
+
+  it('releases nothing before it has heard of the instances for long enough', async () => {
+    harness.table.put(SCALING_ROW, ROW_OF(9))
+    for (const domain of [EAST, WEST]) harness.counts.set(domain, 9)
+    await resume(1)
+    expect(harness.received).toEqual([])
+    await harness.run(20)
+    expect(harness.counts.get(EAST)).toBe(1)
+  })
+
+  it('releases nothing because a restored store has older orders', async () => {
+    harness.table.put(SCALING_ROW, ROW_OF(2, 0))
+    harness.table.era = 1
+    for (const domain of [EAST, WEST]) harness.counts.set(domain, 9)
+    await resume(90)
+    expect(harness.received.map(({ endpoints }) => endpoints)).toEqual([9, 9])
+    expect(harness.table.get(SCALING_ROW)).toEqual(ROW_OF(9, 1))
+  })
+
+  it('begins with the listed endpoints where the row cannot be read as orders', async () => {
+    harness.table.put(SCALING_ROW, { era: 'x' })
+    await resume(20)
+    await harness.run(60)
+    expect(harness.counts.get(EAST)).toBe(2)
+  })
+})
+
+describe('a store that does not answer', () => {
+  it('leaves the last orders, until it answers again', async () => {
+    await resume(20)
+    harness.table.access = 'refuses'
+    harness.samples = samplesOf(80)
+    await harness.run(20)
+    expect(harness.received).toEqual([])
+    harness.samples = samplesOf(60)
+    harness.table.access = 'serves'
+    await harness.run(4)
+    const { endpoints } = harness.scaler.status()[0]!
+    expect(harness.counts).toEqual(endpoints)
+    expect(harness.received.length).toBeGreaterThan(0)
+  })
+
+  it('is asked again before anything is sent on a write whose outcome is open', async () => {
+    await resume(20)
+    harness.table.access = 'lost'
+    harness.samples = samplesOf(80)
+    await harness.run(2)
+    expect(harness.received).toEqual([])
+    harness.table.access = 'serves'
+    await harness.run(6)
+    expect(harness.received).toHaveLength(2)
+    expect(harness.received.every(({ row }) => JSON.stringify(row).includes('"east",'))).toBe(true)
+  })
+
+  it('may change the row behind its back: the row is read again, and the newest plan written', async () => {
+    await resume(20)
+    harness.table.put(SCALING_ROW, ROW_OF(1))
+    harness.samples = samplesOf(80)
+    await harness.run(6)
+    expect(harness.eventCount(SCALING_EVENTS.ordersConflicted)).toBe(1)
+    expect(harness.counts.get(EAST)).toBeGreaterThan(5)
+  })
+})
+
+describe('a platform that does not accept', () => {
+  it.each([
+    { kind: 'refused', status: 503 }, { kind: 'unknown', detail: 'reset' }, { kind: 'unsent', detail: 'connect' }
+  ] as const)('is asked again, with bounded waits: $kind', async (answer) => {
+    harness.answer = answer
+    await resume(80)
+    const tries = harness.received.length
+    expect(tries).toBeLessThanOrEqual(10)
+    harness.answer = { kind: 'accepted' }
+    await harness.run(5)
+    expect(harness.counts.get(EAST)).toBeGreaterThan(5)
+  })
+
+  it('gets the newest plan, not the one that failed', async () => {
+    harness.answer = { kind: 'unknown', detail: 'reset' }
+    await resume(40)
+    harness.samples = samplesOf(100)
+    harness.answer = { kind: 'accepted' }
+    await harness.run(6)
+    expect(harness.received.at(-1)!.endpoints * 2 * 8).toBeGreaterThan(100)
+  })
+
+  it('gets nothing for as long as it asked for on 429', async () => {
+    harness.answer = { kind: 'limited', retryAfter: seconds(5) }
+    await resume(80)
+    expect(harness.received.length).toBeLessThanOrEqual(4)
+  })
+
+  it('gets an accepted order again if the list shows for long that it was lost', async () => {
+    harness.carriesOut = false
+    await resume(80)
+    const first = harness.received.length
+    await harness.run(12)
+    expect(harness.received.length).toBe(first)
+    await harness.run(20)
+    expect(harness.received.length).toBeGreaterThan(first)
+  })
+})
--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -34,6 +34,12 @@
 export const MAX_UTILISATION = 2 / 3
 /** Time for which a lower need must last before endpoints leave; ones that are wanted back cost a boot time. */
 export const FALL_WINDOW = seconds(8)
+/**
+ * Parts of an endpoint by which the need must exceed the ordered number before it rises, and lie below a lower number
+ * before it falls: without them a steady need next to a whole number would change the order again and again.
+ */
+export const RISE_TOLERANCE = 0.1
+export const FALL_MARGIN = 0.2
 /** Weight that a measured hold time keeps with each plan: half after 35 s. */
 export const HOLD_FIT_DECAY = 0.98
 /** Variance of the utilisation below which the hold time is not taken to depend on it. */
--- a/packages/scaling/src/planEndpoints.test.ts
+++ b/packages/scaling/src/planEndpoints.test.ts
@@ -40,7 +40,8 @@
     it('counts requests that wait or are refused, which the calls that run do not show', () => {
       const run = new PlanRun(3)
       run.planFor(20)
-      const refused = samplesOf(48).map((sample) => ({ ...sample, waiting: 5, refusedPerSecond: 30, newestPerSecond: sample.begunPerSecond + 30 }))
+      const refused = samplesOf(48).map((sample) =>
+        ({ ...sample, waiting: 5, refusedPerSecond: 30, newestPerSecond: sample.begunPerSecond + 30 }))
       const plan = run.plan({ samples: refused })
       expect(plan.reason).toBe('waiting')
       expect(totalOf(plan)).toBeGreaterThan(48 / SLOTS * 2)
@@ -55,7 +56,7 @@
 
     it('plans for the concurrency that was learnt instead of the slots', () => {
       const planWith = (concurrency: number): number => totalOf(new PlanRun(4).planFor(12, () => ({
-        samples: samplesOf(40), domains: [domainOf(EAST, 4, { concurrency: 4 * concurrency }), domainOf(WEST, 4, { concurrency: 4 * concurrency })]
+        samples: samplesOf(40), domains: [EAST, WEST].map((domain) => domainOf(domain, 4, { concurrency: 4 * concurrency }))
       })))
       expect(planWith(4)).toBeGreaterThanOrEqual(planWith(8) * 1.8)
     })
@@ -66,8 +67,12 @@
       const run = new PlanRun(3)
       const random = new SeededRandom(5)
       run.planFor(300, () => noisyLoad(60, random))
-      const changes = run.totals.flatMap((total, at) => at > 60 && total !== run.totals[at - 1] ? [{ at, isUp: total > run.totals[at - 1]! }] : [])
-      const reversals = changes.filter(({ at, isUp }, index) => !isUp && index > 0 && changes[index - 1]!.isUp && at - changes[index - 1]!.at < 8)
+      const changes = run.totals.map((total, at) => ({ at, by: total - (run.totals[at - 1] ?? total) }))
+        .filter(({ at, by }) => at > 60 && by !== 0)
+      const reversals = changes.filter(({ at, by }, index) => {
+        const before = changes[index - 1]
+        return by < 0 && before !== undefined && before.by > 0 && at - before.at < 8
+      })
       expect(reversals).toEqual([])
       expect(changes.length).toBeLessThan(30)
     })
--- a/packages/scaling/src/planEndpoints.ts
+++ b/packages/scaling/src/planEndpoints.ts
@@ -1,8 +1,8 @@
 import { millis } from '@papayahill/common'
 import type { DomainId, Millis } from '@papayahill/common'
 import {
-  FALL_WINDOW, HEARD_MARGIN, MAX_POINTS, MAX_SAMPLE_AGE, MAX_UTILISATION, MIN_HEARD_SHARE, OUT_PERIOD, PLAN_PERIOD, STAFFING_FACTOR,
-  TREND_WINDOW
+  FALL_MARGIN, FALL_WINDOW, HEARD_MARGIN, MAX_POINTS, MAX_SAMPLE_AGE, MAX_UTILISATION, MIN_HEARD_SHARE, OUT_PERIOD, PLAN_PERIOD,
+  RISE_TOLERANCE, STAFFING_FACTOR, TREND_WINDOW
 } from './constants.js'
 import { divideEndpoints } from './divideEndpoints.js'
 import { estimateDemand } from './estimateDemand.js'
@@ -34,9 +34,9 @@
 const outSince = ({ now, domains, history }: ScalingInput): ReadonlyMap<DomainId, Millis> =>
   new Map(domains.filter(({ isOut }) => isOut).map(({ domain }) => [domain, history.outSince.get(domain) ?? now]))
 
-/** Endpoints for a demand: with spare capacity for its variation, and for load that is not divided evenly. */
+/** Endpoints for a demand, not rounded: with spare capacity for its variation, and for load that is not divided evenly. */
 const endpointsFor = (demand: number, concurrency: number): number =>
-  Math.ceil(Math.max(demand + STAFFING_FACTOR * Math.sqrt(demand), demand / MAX_UTILISATION) / concurrency)
+  Math.max(demand + STAFFING_FACTOR * Math.sqrt(demand), demand / MAX_UTILISATION) / concurrency
 
 /** Windows that a plan looks back over are a little shorter than a whole number of plans, whose timers are not exact. */
 const within = <Point extends { readonly at: Millis }>(points: readonly Point[], now: Millis, window: Millis): readonly Point[] =>
@@ -48,7 +48,7 @@
   readonly demand: Demand
   readonly forecast: DemandForecast
   readonly needed: number
-  /** The most that was needed within the fall window. */
+  /** The most that was needed within the fall window, and a margin. */
   readonly lately: number
   readonly history: ScalingHistory
 }
@@ -65,15 +65,16 @@
   const forecast = forecastDemand(demands, now, millis(profile.bootTime + coldTime))
   const ordered = sumOf(live, (domain) => domain.ordered)
   const expected = Math.max(forecast.later, demand.isCrowded ? demand.calls : 0)
-  const needed = concurrency > 0 ? endpointsFor(expected, concurrency) : ordered
-  const needs = [...within(history.needs, now, FALL_WINDOW), { at: now, endpoints: needed }]
+  const endpoints = concurrency > 0 ? endpointsFor(expected, concurrency) : ordered
+  const needs = [...within(history.needs, now, FALL_WINDOW), { at: now, endpoints }]
+  const needed = Math.ceil(endpoints - RISE_TOLERANCE)
   return {
     input,
     live,
     demand,
     forecast,
     needed,
-    lately: Math.max(...needs.map(({ endpoints }) => endpoints)),
+    lately: Math.ceil(Math.max(...needs.map((need) => need.endpoints)) + FALL_MARGIN),
     history: {
       demands, needs, concurrency, heardSince: heardSince(input), holdFit: demand.holdFit, outSince: outSince(input)
     }
--- a/packages/scaling/src/testing/planning.ts
+++ b/packages/scaling/src/testing/planning.ts
@@ -76,7 +76,9 @@
       ...fields
     })
     this.history = plan.history
-    for (const [domain, count] of plan.endpoints) if (count !== this.ordered(domain)) this.#orders.get(domain)!.push({ at: this.now, count })
+    for (const [domain, count] of plan.endpoints) {
+      if (count !== this.ordered(domain)) this.#orders.get(domain)!.push({ at: this.now, count })
+    }
     this.totals.push([...plan.endpoints.values()].reduce((sum, count) => sum + count, 0))
     return plan
   }
--- a/packages/scaling/src/types.ts
+++ b/packages/scaling/src/types.ts
@@ -56,7 +56,7 @@
   readonly demand: number
 }
 
-/** Endpoints that were needed in all failure domains together at one time. */
+/** Endpoints that were needed in all failure domains together at one time, not rounded. */
 export interface NeedPoint {
   readonly at: Millis
   readonly endpoints: number
