--- a/packages/duties/src/constants.ts
+++ b/packages/duties/src/constants.ts
@@ -37,3 +37,8 @@
 export const MAX_RELEASE_TRIES = 3
 /** Key of the lease's row, and of the published lease state. */
 export const LEASE_KEY = 'lease'
+/** Period of comparing the boot-time clock with the steady clock, and the difference above which they do not agree. */
+export const UPTIME_CHECK_PERIOD = millis(500)
+export const MAX_UPTIME_DIFFERENCE = millis(40)
+/** Checks without agreement after which the boot-time clock is not used. */
+export const MAX_UPTIME_MISMATCHES = 3
