--- a/packages/duties/src/DutyLease.ts
+++ b/packages/duties/src/DutyLease.ts
@@ -4,6 +4,7 @@
 import type { ElapsedClock } from './ElapsedClock.js'
 import { ElapsedTime } from './ElapsedTime.js'
 import { DUTIES_EVENTS } from './events.js'
+import { LeaseChanges } from './LeaseChanges.js'
 import { LeaseGossip } from './LeaseGossip.js'
 import type { LeaseGossipOptions } from './LeaseGossip.js'
 import { LeaseHold } from './LeaseHold.js'
@@ -41,13 +42,12 @@
   readonly #gossip: LeaseGossip
   readonly #writer: LeaseWriter
   readonly #plan: LeasePlan
-  readonly #listeners: Array<(change: LeaseChange) => void> = []
+  readonly #changes = new LeaseChanges()
   #working: Promise<void> | undefined
   #stopped: Promise<void> | undefined
   #timer: Timer | undefined
   #expiryTimer: Timer | undefined
   #isStarted = false
-  #announced = ''
   #takes = 0
   #renewals = 0
   #failures = 0
@@ -57,16 +57,11 @@
     const time = new ElapsedTime(clock, elapsed)
     const wait = millis(leaseTime * (1 + MAX_CLOCK_DRIFT) + TRANSIT_TIME)
     this.#options = options
-    const view = new LeaseView(clock, wait)
-    const hold = new LeaseHold(clock, time, leaseTime)
-    const row = new LeaseRow(table, clock, wait)
-    const gossip = new LeaseGossip({ ...options, view })
-    const writer = new LeaseWriter({ self, incarnation, clock, time, row, view, hold, wait, log })
-    this.#view = view
-    this.#hold = hold
-    this.#row = row
-    this.#gossip = gossip
-    this.#writer = writer
+    const view = this.#view = new LeaseView(clock, wait)
+    const hold = this.#hold = new LeaseHold(clock, time, leaseTime)
+    const row = this.#row = new LeaseRow(table, clock, wait)
+    const gossip = this.#gossip = new LeaseGossip({ ...options, view })
+    const writer = this.#writer = new LeaseWriter({ self, incarnation, clock, time, row, view, hold, wait, log })
     this.#plan = new LeasePlan({ clock, random, view, hold, gossip, writer })
   }
 
@@ -106,7 +101,7 @@
 
   /** Calls the listener whenever another instance holds the lease, or this one takes or loses it. */
   onChange (listener: (change: LeaseChange) => void): void {
-    this.#listeners.push(listener)
+    this.#changes.add(listener)
   }
 
   status (): LeaseStatus {
@@ -129,9 +124,9 @@
   async #stop (): Promise<void> {
     const { clock, log } = this.#options
     this.#timer?.cancel()
-    this.#expiryTimer?.cancel()
-    await this.#working
     this.#notify()
+    await this.#working
+    this.#expiryTimer?.cancel()
     const held = this.#hold.current
     if (held === undefined) return
     await clock.sleep(this.#hold.busy)
@@ -216,11 +211,6 @@
   }
 
   #notify (): void {
-    const { holder, isHeld } = this
-    const token = this.#hold.current?.record.token
-    const announced = `${holder?.incarnation} ${isHeld} ${token}`
-    if (announced === this.#announced) return
-    this.#announced = announced
-    for (const listener of this.#listeners) listener({ holder, isHeld })
+    this.#changes.tell(this, this.#hold.current?.record.token)
   }
 }
--- a/packages/duties/src/LeaseWriter.ts
+++ b/packages/duties/src/LeaseWriter.ts
@@ -133,7 +133,8 @@
     this.#era = era
     const result = await row.write(record, { era, revision })
     if (result.isErr) return this.#unanswered('write', result.error)
-    if (result.value.kind === 'conflict') return 'conflict'
+    // A higher token that was heard of meanwhile means that the store was restored and another instance has acted since.
+    if (result.value.kind === 'conflict' || view.highestToken > record.token) return 'conflict'
     hold.confirm({ era, record, revision: result.value.revision, writtenAt })
     view.hear({ era, record })
     return 'written'
