--- a/packages/duties/src/constants.ts
+++ b/packages/duties/src/constants.ts
@@ -36,6 +36,8 @@
 export const TOLD_CANDIDATES = 8
 /** Tokens of one era; each restore of the store from an older copy continues at the next multiple. */
 export const TOKENS_PER_ERA = 2 ** 20
+/** A record with a longer wait is not accepted, so that no malformed one keeps the duties from all. */
+export const MAX_WAIT = seconds(600)
 /** Tries to write the release before the others are left to wait for the end of the lease. */
 export const MAX_RELEASE_TRIES = 3
 /** Key of the lease's row, and of the published lease state. */
--- a/packages/duties/src/leaseRecord.test.ts
+++ b/packages/duties/src/leaseRecord.test.ts
@@ -36,6 +36,7 @@
     const sender = { id: brand<InstanceId>('ph-3'), incarnation: brand<Incarnation>('ph-3@1') }
     expect(parseDatedLease([0, 1, '2', 3500, false], sender)).toBeUndefined()
     expect(parseDatedLease([0, 1, 2, -1, false], sender)).toBeUndefined()
+    expect(parseDatedLease([0, 1, 2, 1e12, false], sender)).toBeUndefined()
     fc.assert(fc.property(fc.jsonValue(), (value) => parseLease(value as Json) === undefined), { numRuns: 300, seed: 3 })
   })
 
--- a/packages/duties/src/leaseRecord.ts
+++ b/packages/duties/src/leaseRecord.ts
@@ -1,6 +1,6 @@
 import { brand, isJsonObject, millis } from '@papayahill/common'
 import type { Incarnation, InstanceId, Json, JsonObject, Millis } from '@papayahill/common'
-import { TOKENS_PER_ERA } from './constants.js'
+import { MAX_WAIT, TOKENS_PER_ERA } from './constants.js'
 import type { FencingToken, LeaseHolder } from './types.js'
 
 /** The lease as it stands in the store. */
@@ -43,7 +43,8 @@
   if (!isJsonObject(value)) return undefined
   const { holder, incarnation, token, renewal, before, isReleased, wait } = value
   if (typeof holder !== 'string' || typeof incarnation !== 'string') return undefined
-  if (!Number.isSafeInteger(token) || !Number.isSafeInteger(renewal) || typeof wait !== 'number' || !(wait >= 0)) return undefined
+  if (!Number.isSafeInteger(token) || !Number.isSafeInteger(renewal)) return undefined
+  if (typeof wait !== 'number' || !(wait >= 0 && wait <= MAX_WAIT)) return undefined
   return {
     holder: brand<InstanceId>(holder),
     incarnation: brand<Incarnation>(incarnation),
