--- a/packages/usage/src/testing/UsageHarness.ts
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -107,6 +107,10 @@
   sentBytes (topic: string): number {
     return this.peers.traffic().find((traffic) => traffic.topic === topic)?.sentBytes ?? 0
   }
+
+  get allSentBytes (): number {
+    return this.peers.traffic().reduce((sum, { sentBytes }) => sum + sentBytes, 0)
+  }
 }
 
 /**
