Fleet clock: two replies to reports of one moment correct it once; tests of reports

The error of the second reply was measured before the first one had set the clock, so that the clock was slewed by it once more. Instances whose clock is not set yet report and ask for replies even if they have nothing to report.

--- a/packages/reports/src/FleetClock.test.ts
+++ b/packages/reports/src/FleetClock.test.ts
@@ -1,4 +1,4 @@
-import { EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
+import { epochMillis, EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { FleetClock } from './FleetClock.js'
 
@@ -53,10 +53,11 @@
     machine.jump = 3000
     const fleetClock = new FleetClock({ clock: machine, log })
     expect(errorOf(machine, fleetClock)).toBe(3000)
-    fleetClock.correct(millis(3000))
+    const median = (error: number) => epochMillis(fleetClock.now() - error)
+    fleetClock.correct(fleetClock.elapsed(), median(3000))
     expect(errorOf(machine, fleetClock)).toBe(0)
     expect(log.records.map(({ kind }) => kind.name)).toEqual(['clockSet'])
-    fleetClock.correct(millis(400))
+    fleetClock.correct(fleetClock.elapsed(), median(400))
     let last = fleetClock.now()
     for (let at = 0; at < 4; at++) {
       await machine.advance(seconds(1))
@@ -67,4 +68,16 @@
     await machine.advance(seconds(60))
     expect(errorOf(machine, fleetClock)).toBeCloseTo(-400)
   })
+
+  it('is not corrected twice by two replies to reports that were sent at the same moment', async () => {
+    const machine = new Machine()
+    machine.jump = 3000
+    const fleetClock = new FleetClock({ clock: machine })
+    const [elapsed, median] = [fleetClock.elapsed(), epochMillis(machine.wall() - 3000)]
+    fleetClock.correct(elapsed, median)
+    await machine.advance(millis(20))
+    fleetClock.correct(elapsed, median)
+    await machine.advance(seconds(10))
+    expect(errorOf(machine, fleetClock)).toBe(0)
+  })
 })
--- a/packages/reports/src/FleetClock.ts
+++ b/packages/reports/src/FleetClock.ts
@@ -39,7 +39,7 @@
   }
 
   now (): EpochMillis {
-    const elapsed = this.#elapsed()
+    const elapsed = this.elapsed()
     const limit = (elapsed - this.#lastElapsed) * SLEW_RATE
     const step = Math.max(-limit, Math.min(limit, this.#pending))
     this.#lastElapsed = elapsed
@@ -53,9 +53,13 @@
     return this.#isSet
   }
 
-  /** Corrects the clock, which is ahead of the median by `error`: at once the first time, slowly from then on. */
-  correct (error: Millis): void {
+  /**
+   * Corrects the clock by the time of day that the median of all showed when this clock had run for `elapsed`: at once the first
+   * time, slowly from then on. What was corrected since that moment is taken into account.
+   */
+  correct (elapsed: Millis, median: EpochMillis): void {
     this.now()
+    const error = this.#wallStart + elapsed + this.#correction - median
     if (this.#isSet) {
       this.#pending = -error
       return
@@ -65,13 +69,14 @@
     if (Math.abs(error) >= LOGGED_CORRECTION) (this.#options.log ?? SILENT_LOG).emit(REPORTS_EVENTS.clockSet, { error: Math.round(error) })
   }
 
-  #elapsed (): number {
+  /** Time for which the clock has run; it includes suspensions. */
+  elapsed (): Millis {
     const { clock, uptime } = this.#options
     const steady = clock.now() - this.#steadyStart
     if (uptime !== undefined) {
       const ahead = uptime() - this.#uptimeStart - steady
       if (ahead > this.#suspended + MIN_SUSPENSION) this.#suspended = ahead
     }
-    return steady + this.#suspended
+    return millis(steady + this.#suspended)
   }
 }
--- a/packages/reports/src/ReportSender.ts
+++ b/packages/reports/src/ReportSender.ts
@@ -1,4 +1,4 @@
-import { millis } from '@papayahill/common'
+import { epochMillis, millis } from '@papayahill/common'
 import type { Clock, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { FRAME_BYTES, HOLDER_CHANGE_SPREAD, REPORT_TIMEOUT } from './constants.js'
@@ -92,7 +92,8 @@
 
   #needsReply ({ id, incarnation }: Reporter, every: number): boolean {
     const since = (this.#sinceReply.get(incarnation) ?? every) + 1
-    const isDue = since > every || !this.#options.peers.isConnected(id)
+    const { peers, fleetClock } = this.#options
+    const isDue = since > every || !fleetClock.isSet || !peers.isConnected(id)
     this.#sinceReply.set(incarnation, isDue ? 1 : since)
     return isDue && !this.#awaited.has(incarnation)
   }
@@ -104,13 +105,14 @@
       const part = source.next(receiver.incarnation)
       return part === undefined ? [] : [{ name: source.name, part }]
     })
-    if (parts.length === 0) return { size: 0, settled: Promise.resolve() }
-    const [wall, fleetTime] = [clock.wall(), fleetClock.now()]
+    // A report without sections still brings a reply that sets the clock.
+    if (parts.length === 0 && fleetClock.isSet) return { size: 0, settled: Promise.resolve() }
+    const [wall, elapsed] = [clock.wall(), fleetClock.elapsed()]
     const message = encodeReport({ wall, sections: parts.map(({ name, part }) => ({ name, body: part.body })) })
     const settled = this.#deliver(receiver, message, needsReply).then((reply) => {
       if (reply === undefined) return
       this.#settle(receiver, reply, parts.map(({ part }) => part))
-      if (reply.ahead !== undefined) fleetClock.correct(millis(fleetTime - (wall - reply.ahead)))
+      if (reply.ahead !== undefined) fleetClock.correct(elapsed, epochMillis(wall - reply.ahead))
     })
     return { size: receiver.incarnation === peers.incarnation ? 0 : messageSize(message) + FRAME_BYTES, settled }
   }
