Usage harness on the lease of the package duties

The harness used a lease without a protocol, and an instance that was to die before it sends sent even so, since that lease was still valid. It now has a DutyLease for each instance, and no call of an instance that has ended goes on. Also mends the list of benches, which lacked a comma after the merge.

--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -30,6 +30,6 @@
   'deadly-work': () => import('./benches/deadly-work.js'),
   'deadly-work-large': () => import('./benches/deadly-work-large.js'),
   'usage-reports': () => import('./benches/usage-reports.js'),
-  'usage-reports-large': () => import('./benches/usage-reports-large.js')
+  'usage-reports-large': () => import('./benches/usage-reports-large.js'),
   duties: () => import('./benches/duties.js')
 }
--- a/packages/usage/src/testing/UsageHarness.ts
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -1,6 +1,6 @@
 import { brand, GatedClock, InstanceGate, millis, MILLIS_PER_SECOND, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, EventLog, Incarnation, InstanceId, Millis, WorkspaceId } from '@papayahill/common'
-import { FaultyDutyTable } from '@papayahill/duties'
+import { DutyLease, FaultyDutyTable } from '@papayahill/duties'
 import type { DutyTable } from '@papayahill/duties'
 import { MemoryNetwork, PeerCore } from '@papayahill/peers'
 import type { ListedPeer, PeerIdentity } from '@papayahill/peers'
@@ -10,7 +10,6 @@
 import type { UsageChannel } from '../types.js'
 import { Usage } from '../Usage.js'
 import type { UsageOptions } from '../Usage.js'
-import { FakeLeases } from './FakeLeases.js'
 import { SkewedClock } from './SkewedClock.js'
 import { UsagePlatform } from './UsagePlatform.js'
 
@@ -42,12 +41,12 @@
   readonly skew: Millis
   readonly seed: number
   readonly network: MemoryNetwork
-  readonly leases: FakeLeases
   readonly table: DutyTable
+  /** Table for reports where they are not shared. */
+  readonly ownTable: DutyTable | undefined
   readonly channel: (instance: UsageInstance) => UsageChannel
   readonly listed: () => readonly ListedPeer[]
   readonly log: EventLog
-  readonly isAlone: boolean
 }
 
 /** Links that publish nothing. */
@@ -71,11 +70,12 @@
   readonly peers: PeerCore
   readonly reports: Reports
   readonly usage: Usage
+  readonly lease: DutyLease
   isStopping = false
   /** Dies when it is about to send its next report. */
   diesBeforeSend = false
 
-  constructor ({ identity, capacity, skew, seed, network, leases, table, channel, listed, log, isAlone }: InstanceParts) {
+  constructor ({ identity, capacity, skew, seed, network, table, ownTable, channel, listed, log }: InstanceParts) {
     this.identity = identity
     this.clock = new SkewedClock(new GatedClock(network.clock, this.gate), skew)
     const { clock } = this
@@ -91,18 +91,37 @@
       transport: network.transport(identity),
       list: { list: () => Promise.resolve(Result.ok({ instances: listed() })) }
     })
-    const lease = leases.add({ id: self, incarnation })
+    const gatedTable = this.#gated(table)
+    const elapsed = { boot: () => clock.now(), wall: () => clock.wall() }
+    const lease = this.lease = new DutyLease({
+      self, incarnation, clock, elapsed, random: random.fork(), table: gatedTable, peers: this.peers, capacity, log
+    })
     this.reports = new Reports({ clock, random: random.fork(), peers: this.peers, domain, capacity, holder: lease, log })
-    const [sharedPeers, sharedReports] = isAlone ? [silentPeers(this.peers), silentReports(this.reports)] : [this.peers, this.reports]
-    this.usage = new Usage({ clock, peers: sharedPeers, reports: sharedReports, lease, table, channel: channel(this), log })
+    const shared = ownTable === undefined
+      ? { peers: this.peers, reports: this.reports, table: gatedTable }
+      : { peers: silentPeers(this.peers), reports: silentReports(this.reports), table: this.#gated(ownTable) }
+    this.usage = new Usage({ ...shared, clock, lease, channel: channel(this), log })
   }
 
   start (): void {
     void this.peers.start()
+    this.lease.start()
     this.reports.start()
     this.usage.start()
   }
 
+  /** Ends as planned: sends a last report and hands the lease over. */
+  async stop (): Promise<void> {
+    this.isStopping = true
+    this.usage.stop()
+    await Promise.all([this.reports.stop(), this.lease.stop()])
+  }
+
+  /** The table without answers to calls of a process that has ended. */
+  #gated (table: DutyTable): DutyTable {
+    return { read: () => this.gate.pass(table.read()), commit: (change) => this.gate.pass(table.commit(change)) }
+  }
+
   /** Bytes that it has sent on a topic. */
   sentBytes (topic: string): number {
     return this.peers.traffic().find((traffic) => traffic.topic === topic)?.sentBytes ?? 0
@@ -130,7 +149,6 @@
   readonly instances: UsageInstance[] = []
   readonly #options: UsageHarnessOptions
   readonly #random: SeededRandom
-  readonly #leases: FakeLeases
   readonly #workspaces: readonly WorkspaceId[]
   #incarnations = 0
 
@@ -138,7 +156,6 @@
     this.#options = options
     this.#random = new SeededRandom(options.seed)
     if (options.namesEra === false) this.store = new FaultyDutyTable({ clock: this.clock, namesEra: false })
-    this.#leases = new FakeLeases(this.clock, this.#random.fork(), this.store)
     this.#workspaces = Array.from({ length: options.workspaces ?? 8 }, (_none, at) => brand<WorkspaceId>(`workspace-${at}`))
   }
 
@@ -159,7 +176,7 @@
 
   /** The instance that holds the lease. */
   get holder (): UsageInstance | undefined {
-    return this.alive.find(({ identity }) => identity.id === this.#leases.holder)
+    return this.alive.find(({ lease }) => lease.isHeld)
   }
 
   /** Starts an instance, or starts it anew under its id. */
@@ -174,12 +191,16 @@
       skew: skewOf?.(at) ?? millis(0),
       seed: seed * 1000 + this.#incarnations,
       network: this.network,
-      leases: this.#leases,
-      table: (isAlone ? new FaultyDutyTable({ clock: this.clock }) : this.store).viewFor(id),
-      channel: (sender) => this.platform.channel(() => { if (sender.diesBeforeSend) this.kill(sender) }),
+      table: this.store.viewFor(id),
+      ownTable: isAlone ? new FaultyDutyTable({ clock: this.clock }).viewFor(id) : undefined,
+      channel: (sender) => ({
+        send: (report, permit) => {
+          if (sender.diesBeforeSend) this.kill(sender)
+          return sender.gate.isDead ? new Promise(() => {}) : sender.gate.pass(this.platform.send(report, permit))
+        }
+      }),
       listed: () => this.instances.map(({ identity }) => identity),
-      log,
-      isAlone
+      log
     })
     this.instances[at] = instance
     instance.start()
@@ -190,14 +211,11 @@
   kill (instance: UsageInstance): void {
     instance.gate.kill()
     this.network.kill(instance.identity)
-    this.#leases.remove(instance.identity.incarnation)
   }
 
-  /** Ends an instance as planned: it sends a last report first, and gets no requests from now on. */
+  /** Ends an instance as planned; it gets no requests from now on. */
   stop (instance: UsageInstance): void {
-    instance.isStopping = true
-    instance.usage.stop()
-    void instance.reports.stop().then(() => this.kill(instance))
+    void instance.stop().then(() => this.kill(instance))
   }
 
   /** Number of the window of this moment of true time. */
--- a/packages/usage/src/testing/UsagePlatform.ts
+++ b/packages/usage/src/testing/UsagePlatform.ts
@@ -16,7 +16,7 @@
   one.size === other.size && [...one].every(([workspace, count]) => other.get(workspace) === count)
 
 /** The platform's side of usage reports, and the truth that they are compared with. */
-export class UsagePlatform {
+export class UsagePlatform implements UsageChannel {
   readonly #clock: Clock
   readonly #length: Millis
   readonly accepted = new Map<number, AcceptedReport>()
@@ -42,17 +42,7 @@
     counts.set(workspace, (counts.get(workspace) ?? 0) + 1)
   }
 
-  /** The channel of one instance; `beforeSend` is called before the permit is checked. */
-  channel (beforeSend: () => void = () => {}): UsageChannel {
-    return {
-      send: (report, permit) => {
-        beforeSend()
-        return this.#send(report, permit)
-      }
-    }
-  }
-
-  async #send (report: UsageReport, permit: Permit): Promise<DutyCallResult> {
+  async send (report: UsageReport, permit: Permit): Promise<DutyCallResult> {
     if (permit() === undefined) return { kind: 'unsent', detail: 'the lease is about to end' }
     await this.#clock.sleep(ONE_WAY)
     const isLost = this.isDown || this.lostAnswers > 0
