--- a/packages/usage/src/testing/UsageHarness.ts
+++ b/packages/usage/src/testing/UsageHarness.ts
@@ -72,6 +72,7 @@
   readonly usage: Usage
   readonly lease: DutyLease
   isStopping = false
+  isFrozen = false
   /** Dies when it is about to send its next report. */
   diesBeforeSend = false
 
@@ -117,6 +118,16 @@
     await Promise.all([this.reports.stop(), this.lease.stop()])
   }
 
+  freeze (): void {
+    this.isFrozen = true
+    this.gate.pause()
+  }
+
+  thaw (): void {
+    this.isFrozen = false
+    this.gate.resume()
+  }
+
   /** The table without answers to calls of a process that has ended. */
   #gated (table: DutyTable): DutyTable {
     return { read: () => this.gate.pass(table.read()), commit: (change) => this.gate.pass(table.commit(change)) }
@@ -226,7 +237,7 @@
   /** Requests of this step, at random instances; the rate swings, so that windows differ. */
   #run (): void {
     const { requestsPerSecond = 400 } = this.#options
-    const alive = this.alive.filter(({ isStopping }) => !isStopping)
+    const alive = this.alive.filter(({ isStopping, isFrozen }) => !isStopping && !isFrozen)
     const wave = 1 + 0.6 * Math.sin(2 * Math.PI * this.clock.now() / WAVE_PERIOD)
     const expected = requestsPerSecond * wave * LOAD_PERIOD / MILLIS_PER_SECOND
     const requests = Math.floor(expected) + (this.#random.next() < expected % 1 ? 1 : 0)
--- a/packages/usage/src/testing/usageFaults.ts
+++ b/packages/usage/src/testing/usageFaults.ts
@@ -24,6 +24,7 @@
 const PLATFORM_DOWN = seconds(7)
 const SHORT_CUT = seconds(2)
 const LONG_CUT = seconds(11)
+const FREEZE = seconds(9)
 const RESTART_TIME = seconds(2)
 
 /** Waits for a moment within a window that depends on the seed. */
@@ -179,6 +180,32 @@
       return undefined
     }
   },
+  lateThenRestored: {
+    about: 'counts arrive late; then the store loses the reports that lack them, and the holder dies',
+    losesCounts: true,
+    play: async (harness, seed) => {
+      const copy = harness.store.copy()
+      await cutOne(harness, seed, LONG_CUT, () => true)
+      await harness.clock.advance(seconds(3))
+      harness.store.restore(copy)
+      if (harness.holder !== undefined) harness.kill(harness.holder)
+      return undefined
+    }
+  },
+  frozen: {
+    about: 'the holder is frozen beyond the end of its lease, and goes on later',
+    play: async (harness, seed) => {
+      await reachPhase(harness, seed)
+      const holder = harness.holder!
+      const others = harness.alive.filter((instance) => instance !== holder)
+      holder.freeze()
+      for (const { identity } of others) harness.network.partition(holder.identity, identity)
+      await harness.clock.advance(FREEZE)
+      for (const { identity } of others) harness.network.heal(holder.identity, identity)
+      holder.thaw()
+      return undefined
+    }
+  },
   rolling: {
     about: 'instances stop as planned and start again, one after the other',
     play: async (harness, seed) => {
