--- a/packages/usage/src/WrittenReports.ts
+++ b/packages/usage/src/WrittenReports.ts
@@ -86,7 +86,7 @@
 
   /** Tells all instances what is written and accepted. */
   publish (): void {
-    this.#options.peers.publish('report', GOSSIP_KEY, [this.#newest ?? -1, this.#accepted ?? -1])
+    this.#options.peers.publish('report', GOSSIP_KEY, this.#progress())
   }
 
   next (receiver: Incarnation): ReportBody | undefined {
@@ -109,16 +109,27 @@
   }
 
   exported (): Json {
-    return this.copies.map(encodeReport)
+    return [this.#progress(), this.copies.map(encodeReport)]
   }
 
   merge (exported: Json): void {
-    for (const report of decodeReports(exported)) this.addCopy(report)
+    if (!Array.isArray(exported)) throw new Error('not a list')
+    const [progress, reports] = exported as readonly Json[]
+    for (const report of decodeReports(reports ?? null)) this.addCopy(report)
+    this.#noteProgress(progress)
   }
 
   #receiveEntry ({ key, value }: GossipEntry): void {
-    if (key !== GOSSIP_KEY || !Array.isArray(value)) return
-    const [newest, accepted] = value as readonly Json[]
+    if (key === GOSSIP_KEY) this.#noteProgress(value)
+  }
+
+  #progress (): Json {
+    return [this.#newest ?? -1, this.#accepted ?? -1]
+  }
+
+  #noteProgress (progress: Json | undefined): void {
+    if (!Array.isArray(progress)) return
+    const [newest, accepted] = progress as readonly Json[]
     if (typeof accepted === 'number' && accepted >= 0) this.noteAccepted(accepted)
     if (typeof newest === 'number' && newest >= 0) this.noteWritten(newest)
   }
