--- a/packages/scaling/src/EndpointScaler.test.ts
+++ b/packages/scaling/src/EndpointScaler.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { SCALING_EVENTS } from './events.js'
 import { SCALING_ROW } from './ScalingRow.js'
-import { EAST, samplesOf, WEST } from './testing/planning.js'
+import { EAST, MEMBERS, samplesOf, WEST } from './testing/planning.js'
 import { PLAIN, SCALED, ScalerHarness } from './testing/ScalerHarness.js'
 
 const ROW_OF = (endpoints: number, era = 0): { era: number, orders: Array<[string, string, number]> } =>
@@ -53,6 +53,14 @@
     expect(storeCalls).toBe(2)
   })
 
+  it('counts its own load, which is not reported over a link', async () => {
+    await harness.run(5)
+    expect(harness.reporters).toEqual([])
+    await resume(20)
+    expect(harness.reporters).toEqual(Array.from({ length: 10 }, () => MEMBERS[0]))
+    expect(harness.confirmed).toBe(10)
+  })
+
   it('stops with the lease, also what waits for a connection', async () => {
     harness.connectTime = millis(1500)
     harness.samples = samplesOf(80)
--- a/packages/scaling/src/testing/ScalerHarness.ts
+++ b/packages/scaling/src/testing/ScalerHarness.ts
@@ -1,5 +1,5 @@
 import { brand, epochMillis, EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, EventKind, Incarnation, Json, Millis, ServiceId } from '@papayahill/common'
+import type { DomainId, EndpointId, EventKind, Incarnation, InstanceId, Json, Millis, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
 import type { ScalingProfile, ServiceProfile } from '@papayahill/directory'
 import type { DutyCallResult, FencingToken, Permit } from '@papayahill/duties'
@@ -39,6 +39,9 @@
   readonly scaler: EndpointScaler
   services: readonly ServiceProfile[] = [profileOf(SCALED, SCALING), profileOf(PLAIN)]
   samples: readonly LoadSample[] = samplesOf(20)
+  /** Instances whose reports were received from the scaler itself, and how many of those were confirmed. */
+  readonly reporters: Incarnation[] = []
+  confirmed = 0
   /** What the platform answers; it carries an order out only where it accepts it. */
   answer: DutyCallResult = { kind: 'accepted' }
   /** Time before an order is sent, as for a slow connection. */
@@ -57,7 +60,11 @@
       lease: this.lease,
       table,
       channel: this,
-      loads: { samples: () => this.samples, heardWithin: () => heard, receive: () => {} },
+      loads: { samples: () => this.samples, heardWithin: () => heard, receive: (from) => { this.reporters.push(from.incarnation) } },
+      own: {
+        reporter: { id: brand<InstanceId>('ph-1'), incarnation: MEMBERS[0]! },
+        source: { name: 'load', next: () => ({ body: [], confirm: () => { this.confirmed++ } }) }
+      },
       services: () => this.services,
       endpoints: () => this.#endpoints(),
       isDomainOut: () => false,
