--- a/packages/scaling/src/EndpointScaler.test.ts
+++ b/packages/scaling/src/EndpointScaler.test.ts
@@ -81,6 +81,38 @@
     expect(harness.received).toEqual([])
   })
 
+  it('sends nothing under a token that it has not taken over with', async () => {
+    harness.connectTime = millis(300)
+    harness.samples = samplesOf(80)
+    harness.lease.give(1)
+    await harness.run(2.1)
+    harness.lease.give(3, false)
+    await harness.run(0.5)
+    expect(harness.received).toEqual([])
+  })
+
+  it('sends nothing that was planned in an earlier term, before it has read the orders of others', async () => {
+    harness.table.delay = async () => { await harness.clock.sleep(millis(800)) }
+    harness.samples = samplesOf(80)
+    harness.lease.give(1)
+    await harness.run(2.5)
+    harness.lease.take()
+    harness.lease.give(3)
+    await harness.run(10)
+    expect(harness.received.length).toBeGreaterThan(0)
+    expect(harness.received.every(({ token, reads }) => token === 3 && reads === 2)).toBe(true)
+  })
+
+  it('does not send an order that was replaced while it waited', async () => {
+    harness.connectTime = millis(3000)
+    harness.samples = samplesOf(40)
+    harness.lease.give(1)
+    await harness.run(3)
+    harness.samples = samplesOf(100)
+    await harness.run(12)
+    expect(Math.min(...harness.received.map(({ endpoints }) => endpoints * 2 * 8))).toBeGreaterThan(100)
+  })
+
   it('sends nothing of an earlier term in the next one, though both are its own', async () => {
     harness.connectTime = millis(3000)
     harness.samples = samplesOf(80)
@@ -114,6 +146,7 @@
   it('releases nothing because a restored store has older orders', async () => {
     harness.table.put(SCALING_ROW, ROW_OF(2, 0))
     harness.table.era = 1
+    harness.table.delay = async () => { await harness.clock.sleep(millis(500)) }
     for (const domain of [EAST, WEST]) harness.counts.set(domain, 9)
     await resume(90)
     expect(harness.received.map(({ endpoints }) => endpoints)).toEqual([9, 9])
@@ -157,11 +190,12 @@
 
   it('may change the row behind its back: the row is read again, and the newest plan written', async () => {
     await resume(20)
-    harness.table.put(SCALING_ROW, ROW_OF(1))
+    harness.table.put(SCALING_ROW, ROW_OF(19))
     harness.samples = samplesOf(80)
     await harness.run(6)
     expect(harness.eventCount(SCALING_EVENTS.ordersConflicted)).toBe(1)
     expect(harness.counts.get(EAST)).toBeGreaterThan(5)
+    expect(Math.max(...harness.received.map(({ endpoints }) => endpoints))).toBeLessThan(12)
   })
 })
 
--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -16,7 +16,7 @@
 export const MIN_TREND_POINTS = 5
 /** Time over which the present demand is averaged. */
 export const LEVEL_WINDOW = seconds(3)
-/** A demand that exceeds the mean by more than this many square roots of it is a burst: counts of calls vary by about one. */
+/** A demand that exceeds the last ones by more than this many square roots of them is a burst: counts of calls vary by about one. */
 export const BURST_DEVIATIONS = 1.5
 /** Standard deviations of a trend that are taken off it, so that chance alone looks like no growth. */
 export const TREND_CAUTION = 1
--- a/packages/scaling/src/forecastDemand.ts
+++ b/packages/scaling/src/forecastDemand.ts
@@ -25,9 +25,9 @@
 
 /** Whether a demand is so far above the ones before that it is a burst, not a trend. */
 export const isBurst = (points: readonly DemandPoint[], now: Millis, demand: number): boolean => {
-  const recent = points.filter(({ at }) => now - at <= LEVEL_WINDOW)
-  const mean = meanOf(recent.map((point) => point.demand))
-  return recent.length > 0 && demand > mean + BURST_DEVIATIONS * Math.sqrt(mean)
+  const recent = points.filter(({ at }) => now - at <= LEVEL_WINDOW).map((point) => point.demand)
+  const highest = Math.max(...recent)
+  return recent.length > 0 && demand > highest + BURST_DEVIATIONS * Math.sqrt(highest)
 }
 
 /** The present demand and the one after a time. */
@@ -38,8 +38,8 @@
 
 /**
  * Forecasts the demand by its trend. Only growth counts, and only as far as chance does not explain it: capacity that was
- * not needed costs little, and a fall is waited for. A burst begins a new series of points: it is answered at once, and
- * its step is not taken for a trend.
+ * not needed costs little, and a fall is waited for. A burst, or a plan in which requests wait, begins a new series of
+ * points: it is answered at once, and its step is not taken for a trend.
  *
  * @example
  * const { later } = forecastDemand(history.demands, now, bootTime)
--- a/packages/scaling/src/planEndpoints.test.ts
+++ b/packages/scaling/src/planEndpoints.test.ts
@@ -30,6 +30,16 @@
       }
     })
 
+    it('follows steep growth by its trend: spare capacity alone does not last for a boot time', () => {
+      const run = new PlanRun(3)
+      const loadAt = (second: number): number => 20 + 4 * Math.max(0, second - 20)
+      for (let second = 0; second < 70; second++) {
+        run.plan({ samples: samplesOf(loadAt(second)) })
+        const hasCaughtUp = second >= 34
+        if (hasCaughtUp) expect((run.listed(EAST) + run.listed(WEST)) * SLOTS).toBeGreaterThan(loadAt(second) * 1.2)
+      }
+    })
+
     it('answers a burst with what it needs, and does not take its step for a trend', () => {
       const run = new PlanRun(3)
       run.planFor(30)
--- a/packages/scaling/src/planEndpoints.ts
+++ b/packages/scaling/src/planEndpoints.ts
@@ -60,7 +60,8 @@
   const capacity = sumOf(live, (domain) => domain.concurrency)
   const concurrency = listed > 0 && capacity > 0 ? capacity / listed : history.concurrency
   const demand = estimateDemand(currentSamples(input), history.holdFit, capacity)
-  const known = isBurst(history.demands, now, demand.calls) ? [] : within(history.demands, now, TREND_WINDOW)
+  const isNewSeries = demand.isCrowded || isBurst(history.demands, now, demand.calls)
+  const known = isNewSeries ? [] : within(history.demands, now, TREND_WINDOW)
   const demands = [...known, { at: now, demand: demand.calls }]
   const forecast = forecastDemand(demands, now, millis(profile.bootTime + coldTime))
   const ordered = sumOf(live, (domain) => domain.ordered)
--- a/packages/scaling/src/testing/FakeDutyTable.ts
+++ b/packages/scaling/src/testing/FakeDutyTable.ts
@@ -14,6 +14,8 @@
   #revision = 0
   era = 0
   access: TableAccess = 'serves'
+  /** Resolves when the store has received a call. */
+  delay: () => Promise<void> = async () => {}
   reads = 0
   commits = 0
 
@@ -26,12 +28,14 @@
   }
 
   async read (): Promise<Result<DutyRows, TableError>> {
+    await this.delay()
     this.reads++
     if (this.access !== 'serves') return Result.err(UNAVAILABLE)
     return Result.ok({ era: this.era, rows: [...this.#rows.values()] })
   }
 
   async commit ({ era, expected, writes }: DutyCommit): Promise<Result<DutyCommitted, TableError>> {
+    await this.delay()
     this.commits++
     if (this.access === 'refuses') return Result.err(UNAVAILABLE)
     const rows = expected.map(({ key }) => this.#rows.get(key) ?? { key, value: undefined, revision: 0 })
--- a/packages/scaling/src/testing/FakeLease.ts
+++ b/packages/scaling/src/testing/FakeLease.ts
@@ -27,9 +27,10 @@
     this.#listeners.push(listener)
   }
 
-  give (token: number): void {
+  /** Gives the lease under a token; the listeners may not have been called yet when it is used. */
+  give (token: number, notifies = true): void {
     this.#token = token
-    this.#notify()
+    if (notifies) this.#notify()
   }
 
   take (): void {
--- a/packages/scaling/src/testing/ScalerHarness.ts
+++ b/packages/scaling/src/testing/ScalerHarness.ts
@@ -19,8 +19,9 @@
 /** An order that the platform received. */
 export interface ReceivedOrder extends EndpointOrder {
   readonly token: FencingToken
-  /** The row of orders when it was received. */
+  /** The row of orders when it was received, and how often the table had been read. */
   readonly row: Json | undefined
+  readonly reads: number
 }
 
 /**
@@ -78,7 +79,7 @@
     await this.clock.sleep(this.connectTime)
     const token = permit()
     if (token === undefined) return { kind: 'unsent', detail: 'no permit' }
-    this.received.push({ ...order, token, row: this.table.get(SCALING_ROW) })
+    this.received.push({ ...order, token, row: this.table.get(SCALING_ROW), reads: this.table.reads })
     if (this.answer.kind === 'accepted' && this.carriesOut) this.counts.set(order.domain, order.endpoints)
     return this.answer
   }
