--- a/packages/scaling/src/LoadCollector.ts
+++ b/packages/scaling/src/LoadCollector.ts
@@ -49,13 +49,17 @@
   /** What instances last reported for a service, with its age. */
   samples (service: ServiceId): readonly LoadSample[] {
     const now = this.#options.clock.now()
-    return [...this.#reporters.values()].flatMap((reporter) => reporter.samples(service, now))
+    const samples: LoadSample[] = []
+    for (const reporter of this.#reporters.values()) reporter.addSamples(service, now, samples)
+    return samples
   }
 
   /** Instances that were heard of within `age`, including those without load. */
   heardWithin (age: Millis): ReadonlySet<Incarnation> {
     const now = this.#options.clock.now()
-    return new Set([...this.#reporters].filter(([, reporter]) => reporter.age(now) <= age).map(([incarnation]) => incarnation))
+    const heard = new Set<Incarnation>()
+    for (const [incarnation, reporter] of this.#reporters) if (reporter.age(now) <= age) heard.add(incarnation)
+    return heard
   }
 
   #dropSilent (now: Millis): void {
--- a/packages/scaling/src/ReporterLoad.ts
+++ b/packages/scaling/src/ReporterLoad.ts
@@ -18,6 +18,7 @@
 export class ReporterLoad {
   readonly #from: Incarnation
   readonly #states = new Map<number, EntryState>()
+  readonly #byService = new Map<ServiceId, EntryState[]>()
   /** The sender's time of its newest report. */
   #elapsed: Millis | undefined
   #heardAt: Millis
@@ -38,19 +39,26 @@
     const since = millis(elapsed - (this.#elapsed ?? elapsed))
     this.#elapsed = elapsed
     this.#heardAt = at
-    const byIndex = new Map(entries.map((entry) => [entry.index, entry]))
-    for (const [index, state] of this.#states) this.#update(state, byIndex.get(index) ?? state.entry, since)
+    for (const [index, state] of this.#states) this.#update(state, entries.find((entry) => entry.index === index) ?? state.entry, since)
     for (const entry of entries) this.#add(entry)
   }
 
-  samples (service: ServiceId, now: Millis): readonly LoadSample[] {
-    return [...this.#states.values()].filter((state) => state.service === service).map((state) => this.#sampleOf(state, now))
+  /** Adds its samples of a service to a list. */
+  addSamples (service: ServiceId, now: Millis, samples: LoadSample[]): void {
+    const states = this.#byService.get(service)
+    if (states === undefined) return
+    const age = this.age(now)
+    for (const state of states) samples.push(this.#sampleOf(state, age))
   }
 
   #add (entry: LoadEntry): void {
     if (entry.names === undefined || this.#states.has(entry.index)) return
     const rates = { begunPerSecond: 0, refusedPerSecond: 0, arrivedPerSecond: 0, newestPerSecond: 0 }
-    this.#states.set(entry.index, { ...entry.names, ...rates, entry })
+    const state = { ...entry.names, ...rates, entry }
+    this.#states.set(entry.index, state)
+    const siblings = this.#byService.get(state.service) ?? []
+    siblings.push(state)
+    this.#byService.set(state.service, siblings)
   }
 
   /** Rates are exponential means over the rate window, by the sender's own time, which a slow link does not distort. */
@@ -66,8 +74,11 @@
     state.entry = entry
   }
 
-  #sampleOf ({ domain, entry, service: _service, ...rates }: EntryState, now: Millis): LoadSample {
+  #sampleOf (state: EntryState, age: Millis): LoadSample {
+    const { domain, entry, begunPerSecond, refusedPerSecond, arrivedPerSecond, newestPerSecond } = state
     const { running, waiting, holdTime } = entry
-    return { ...rates, from: this.#from, domain, age: this.age(now), running, waiting, holdTime }
+    return {
+      from: this.#from, domain, age, running, waiting, begunPerSecond, refusedPerSecond, arrivedPerSecond, newestPerSecond, holdTime
+    }
   }
 }
--- a/packages/scaling/src/ServicePlanner.ts
+++ b/packages/scaling/src/ServicePlanner.ts
@@ -87,7 +87,10 @@
 
   plan (last: LastOrders): readonly PlannedService[] {
     const planned: PlannedService[] = []
-    for (const { id, scaling } of this.#options.services()) if (scaling !== undefined) planned.push(this.#planOne(id, scaling, last))
+    const heard = this.#options.loads.heardWithin(MAX_SAMPLE_AGE)
+    for (const { id, scaling } of this.#options.services()) {
+      if (scaling !== undefined) planned.push(this.#planOne(id, scaling, last, heard))
+    }
     const services = new Set(planned.map(({ service }) => service))
     for (const service of [...this.#plans.keys()]) if (!services.has(service)) this.#forget(service)
     return planned
@@ -98,7 +101,7 @@
     this.#histories.delete(service)
   }
 
-  #planOne (service: ServiceId, scaling: ScalingProfile, last: LastOrders): PlannedService {
+  #planOne (service: ServiceId, scaling: ScalingProfile, last: LastOrders, heard: ReadonlySet<Incarnation>): PlannedService {
     const { clock, loads, members, isMoving, coldTime = DEFAULT_COLD_TIME } = this.#options
     const input = {
       now: clock.now(),
@@ -107,7 +110,7 @@
       domains: this.#domainsOf(service, last),
       samples: loads.samples(service),
       members: members(),
-      heard: loads.heardWithin(MAX_SAMPLE_AGE),
+      heard,
       isMoving: isMoving(service),
       history: this.#histories.get(service) ?? EMPTY_HISTORY
     }
--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -10,6 +10,8 @@
 export const HEARD_MARGIN = seconds(3)
 /** Time over which rates of requests are averaged. */
 export const RATE_WINDOW = seconds(2)
+/** Refused requests a second from which endpoints count as crowded; the means of a rate never reach 0. */
+export const MIN_REFUSED_PER_SECOND = 1
 /** Time over which the demand's trend is fitted. */
 export const TREND_WINDOW = seconds(8)
 /** Plans within the trend's window without which no trend is assumed. */
--- a/packages/scaling/src/estimateDemand.ts
+++ b/packages/scaling/src/estimateDemand.ts
@@ -1,6 +1,6 @@
 import { MILLIS_PER_SECOND, millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { MAX_UTILISATION, RATE_WINDOW } from './constants.js'
+import { MAX_UTILISATION, MIN_REFUSED_PER_SECOND, RATE_WINDOW } from './constants.js'
 import { addHold, holdAt } from './holdFit.js'
 import type { HoldFit } from './holdFit.js'
 import type { LoadSample } from './types.js'
@@ -13,14 +13,32 @@
   readonly holdFit: HoldFit
 }
 
-const sumOf = (samples: readonly LoadSample[], valueOf: (sample: LoadSample) => number): number =>
-  samples.reduce((sum, sample) => sum + valueOf(sample), 0)
+/** Sums of all samples of a service. */
+interface LoadTotals {
+  readonly running: number
+  readonly waiting: number
+  readonly refusedPerSecond: number
+  readonly arrivedPerSecond: number
+  readonly newestPerSecond: number
+  /** Mean hold time of the calls; 0 if unknown. */
+  readonly holdTime: Millis
+}
 
-/** Mean hold time of the samples' calls; 0 if unknown. */
-const meanHold = (samples: readonly LoadSample[]): Millis => {
-  const weightOf = (sample: LoadSample): number => sample.holdTime > 0 ? sample.begunPerSecond : 0
-  const weight = sumOf(samples, weightOf)
-  return millis(weight === 0 ? 0 : sumOf(samples, (sample) => weightOf(sample) * sample.holdTime) / weight)
+/** Adds up the samples in one pass: there are several hundred in each plan of a large deployment. */
+const totalsOf = (samples: readonly LoadSample[]): LoadTotals => {
+  const totals = { running: 0, waiting: 0, refusedPerSecond: 0, arrivedPerSecond: 0, newestPerSecond: 0 }
+  let [weight, weighted] = [0, 0]
+  for (const sample of samples) {
+    totals.running += sample.running
+    totals.waiting += sample.waiting
+    totals.refusedPerSecond += sample.refusedPerSecond
+    totals.arrivedPerSecond += sample.arrivedPerSecond
+    totals.newestPerSecond += sample.newestPerSecond
+    if (sample.holdTime === 0) continue
+    weight += sample.begunPerSecond
+    weighted += sample.begunPerSecond * sample.holdTime
+  }
+  return { ...totals, holdTime: millis(weight === 0 ? 0 : weighted / weight) }
 }
 
 /**
@@ -35,16 +53,14 @@
  * const { calls } = estimateDemand(samples, history.holdFit, capacity)
  */
 export const estimateDemand = (samples: readonly LoadSample[], fit: HoldFit, capacity: number): Demand => {
-  const running = sumOf(samples, (sample) => sample.running)
-  const waiting = sumOf(samples, (sample) => sample.waiting)
-  const isCrowded = waiting > 0 || sumOf(samples, (sample) => sample.refusedPerSecond) >= 1
-  const measured = meanHold(samples)
-  const holdFit = measured > 0 && capacity > 0 ? addHold(fit, running / capacity, measured) : fit
+  const { running, waiting, refusedPerSecond, arrivedPerSecond, newestPerSecond, holdTime } = totalsOf(samples)
+  const isCrowded = waiting > 0 || refusedPerSecond >= MIN_REFUSED_PER_SECOND
+  const holdFit = holdTime > 0 && capacity > 0 ? addHold(fit, running / capacity, holdTime) : fit
   const hold = holdAt(holdFit, MAX_UTILISATION)
   if (hold === undefined) return { calls: running + waiting, isCrowded, holdFit }
-  const byRate = sumOf(samples, (sample) => sample.arrivedPerSecond) * hold / MILLIS_PER_SECOND
-  const byCount = measured > 0 ? running * hold / measured : running
+  const byRate = arrivedPerSecond * hold / MILLIS_PER_SECOND
+  const byCount = holdTime > 0 ? running * hold / holdTime : running
   const mixed = (RATE_WINDOW * byRate + hold * byCount) / (RATE_WINDOW + hold)
-  const newest = sumOf(samples, (sample) => sample.newestPerSecond) * Math.max(hold, measured) / MILLIS_PER_SECOND
+  const newest = newestPerSecond * Math.max(hold, holdTime) / MILLIS_PER_SECOND
   return { calls: isCrowded ? Math.max(newest, mixed) : mixed, isCrowded, holdFit }
 }
--- a/packages/scaling/src/planEndpoints.ts
+++ b/packages/scaling/src/planEndpoints.ts
@@ -25,7 +25,8 @@
   samples.filter(({ from, age }) => members.has(from) && age <= MAX_SAMPLE_AGE)
 
 const heardSince = ({ now, members, heard, history }: ScalingInput): Millis | undefined => {
-  const count = [...members].filter((member) => heard.has(member)).length
+  let count = 0
+  for (const member of members) if (heard.has(member)) count++
   const isEnough = members.size > 0 && count >= members.size * MIN_HEARD_SHARE
   return isEnough ? history.heardSince ?? now : undefined
 }
