--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -10,6 +10,11 @@
 export const HEARD_MARGIN = seconds(3)
 /** Time over which rates of requests are averaged. */
 export const RATE_WINDOW = seconds(2)
+/**
+ * Waiting requests, as a share of the running calls, and refused ones, as a share of all, up to which endpoints do not count
+ * as crowded: callers then wait for about 2% of a call, which leaves their answers in time.
+ */
+export const TOLERATED_SHARE = 0.02
 /** Refused requests a second from which endpoints count as crowded; the means of a rate never reach 0. */
 export const MIN_REFUSED_PER_SECOND = 1
 /** Time over which the demand's trend is fitted. */
--- a/packages/scaling/src/estimateDemand.ts
+++ b/packages/scaling/src/estimateDemand.ts
@@ -1,6 +1,6 @@
 import { MILLIS_PER_SECOND, millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { MAX_UTILISATION, MIN_REFUSED_PER_SECOND, RATE_WINDOW } from './constants.js'
+import { MAX_UTILISATION, MIN_REFUSED_PER_SECOND, RATE_WINDOW, TOLERATED_SHARE } from './constants.js'
 import { addHold, holdAt } from './holdFit.js'
 import type { HoldFit } from './holdFit.js'
 import type { LoadSample } from './types.js'
@@ -8,7 +8,7 @@
 export interface Demand {
   /** Concurrency that callers need, in calls, at endpoints that are used as planned. */
   readonly calls: number
-  /** Requests wait or are refused. */
+  /** More requests wait or are refused than chance explains. */
   readonly isCrowded: boolean
   readonly holdFit: HoldFit
 }
@@ -54,7 +54,8 @@
  */
 export const estimateDemand = (samples: readonly LoadSample[], fit: HoldFit, capacity: number): Demand => {
   const { running, waiting, refusedPerSecond, arrivedPerSecond, newestPerSecond, holdTime } = totalsOf(samples)
-  const isCrowded = waiting > 0 || refusedPerSecond >= MIN_REFUSED_PER_SECOND
+  const toleratedRefusals = Math.max(MIN_REFUSED_PER_SECOND, arrivedPerSecond * TOLERATED_SHARE)
+  const isCrowded = waiting > running * TOLERATED_SHARE || refusedPerSecond > toleratedRefusals
   const holdFit = holdTime > 0 && capacity > 0 ? addHold(fit, running / capacity, holdTime) : fit
   const hold = holdAt(holdFit, MAX_UTILISATION)
   if (hold === undefined) return { calls: running + waiting, isCrowded, holdFit }
