--- a/packages/bench/src/scaling/ScaledFleet.ts
+++ b/packages/bench/src/scaling/ScaledFleet.ts
@@ -1,11 +1,11 @@
-import { brand, epochMillis, millis, SeededRandom } from '@papayahill/common'
-import type { DomainId, EndpointId, Millis, ServiceId } from '@papayahill/common'
-import { Endpoint } from '@papayahill/directory'
+import { millis, SeededRandom } from '@papayahill/common'
+import type { DomainId, Millis } from '@papayahill/common'
+import type { Endpoint } from '@papayahill/directory'
 import type { LoadCounters } from '@papayahill/scaling'
+import { FleetEndpoints, SERVICE, SLOTS } from './FleetEndpoints.js'
+import type { FleetEndpoint } from './FleetEndpoints.js'
 import type { LoadScenario } from './LoadScenario.js'
 
-export const SERVICE = brand<ServiceId>('embed')
-export const SLOTS = 8
 /** Steps of the model. */
 export const STEP = millis(10)
 /** Latency target of the callers. */
@@ -27,12 +27,6 @@
   readonly instance: number
 }
 
-interface FleetEndpoint {
-  readonly endpoint: Endpoint
-  readonly readyAt: Millis
-  isDraining: boolean
-}
-
 interface RunningCall {
   readonly call: Call
   readonly server: FleetEndpoint
@@ -48,9 +42,9 @@
 }
 
 /**
- * Endpoints of one service in several failure domains, and their callers, in steps of time: a call goes to the less busy of
- * two endpoints, and waits in one queue while all slots are taken. New endpoints boot, and are cold after it; ones that
- * leave end their calls. An endpoint costs from its order until it has ended its last call.
+ * The callers of one service and its endpoints in several failure domains, in steps of time: a call goes to the less busy
+ * of two endpoints, and waits in one queue while all slots are taken. It takes longer at a busy endpoint and at a cold one.
+ * An endpoint costs from its order until it has ended its last call.
  *
  * @example
  * const fleet = new ScaledFleet(scenario, counters, 4)
@@ -61,12 +55,11 @@
   readonly #counters: readonly LoadCounters[]
   readonly #arrivals: SeededRandom
   readonly #choices: SeededRandom
-  readonly #servers = new Set<FleetEndpoint>()
+  readonly #endpoints: FleetEndpoints
   readonly #ends = new Map<number, RunningCall[]>()
   #queue: Call[] = []
   #serving: readonly FleetEndpoint[] = []
   #step = 0
-  #created = 0
   #callers = 0
   #inTime = 0
   #endpointSteps = 0
@@ -77,7 +70,7 @@
     this.#counters = counters
     this.#arrivals = new SeededRandom(scenario.seed)
     this.#choices = new SeededRandom(scenario.seed + 1)
-    for (const domain of scenario.domains) for (let at = 0; at < perDomain; at++) this.#create(domain, millis(0))
+    this.#endpoints = new FleetEndpoints(scenario, this.#choices, perDomain)
   }
 
   get now (): Millis {
@@ -90,54 +83,21 @@
 
   /** The endpoints in the platform's list: those that have booted. */
   listed (): readonly Endpoint[] {
-    return [...this.#servers].filter(({ readyAt }) => readyAt <= this.now).map(({ endpoint }) => endpoint)
+    return this.#endpoints.listed(this.now)
   }
 
   /** Calls that run now. */
   get running (): number {
-    return [...this.#servers].reduce((sum, { endpoint }) => sum + endpoint.running, 0)
+    return this.#endpoints.running
   }
 
   /** Endpoints of a failure domain that boot or serve. */
   countIn (domain: DomainId): number {
-    return this.#staying(domain).length
+    return this.#endpoints.staying(domain).length
   }
 
   order (domain: DomainId, count: number): void {
-    const staying = this.#staying(domain)
-    if (staying.length !== count) this.#orders++
-    for (let at = staying.length; at < count; at++) this.#create(domain, millis(this.now + this.#scenario.bootTime))
-    for (let left = staying.length - count; left > 0; left--) this.#release(staying)
-  }
-
-  #staying (domain: DomainId): FleetEndpoint[] {
-    return [...this.#servers].filter(({ endpoint, isDraining }) => endpoint.domain === domain && !isDraining)
-  }
-
-  #create (domain: DomainId, readyAt: Millis): void {
-    const id = brand<EndpointId>(`${domain}-${this.#created++}`)
-    const endpoint = new Endpoint({
-      id,
-      service: SERVICE,
-      domain,
-      address: { ip: '10.0.0.1', port: this.#created },
-      version: '1',
-      slots: SLOTS,
-      isDraining: false,
-      coldFor: millis(0),
-      sequence: 1,
-      startedAt: epochMillis(readyAt)
-    })
-    if (readyAt > 0) endpoint.coldUntil = millis(readyAt + this.#scenario.coldTime)
-    this.#servers.add({ endpoint, readyAt, isDraining: false })
-  }
-
-  /** The platform picks any endpoint, ones that still boot as well. */
-  #release (staying: FleetEndpoint[]): void {
-    const [server] = staying.splice(this.#choices.below(staying.length), 1)
-    if (server === undefined) return
-    server.isDraining = true
-    server.endpoint.isLeaving = true
+    if (this.#endpoints.order(domain, count, this.now)) this.#orders++
   }
 
   /** Advances the time; orders are given between two calls only. */
@@ -145,23 +105,16 @@
     const end = this.#step + span / STEP
     while (this.#step < end) {
       this.#step++
-      this.#serving = this.#servingNow()
+      this.#serving = this.#endpoints.serving(this.now)
       for (const running of this.#ends.get(this.#step) ?? []) this.#end(running)
       this.#ends.delete(this.#step)
       this.#serveQueue()
       this.#arrive()
-      for (const server of this.#servers) {
-        if (server.isDraining && server.endpoint.running === 0) this.#servers.delete(server)
-      }
-      this.#endpointSteps += this.#servers.size
+      this.#endpoints.removeDrained()
+      this.#endpointSteps += this.#endpoints.size
     }
   }
 
-  #servingNow (): readonly FleetEndpoint[] {
-    return [...this.#servers].filter(({ endpoint, readyAt, isDraining }) =>
-      !isDraining && readyAt <= this.now && !this.#scenario.isOut(endpoint.domain, this.now))
-  }
-
   #arrive (): void {
     const mean = this.#scenario.perSecond(this.now) * STEP / 1000
     // Knuth's method: the number of arrivals of a Poisson process within a step.
--- a/packages/bench/src/scaling/policies.ts
+++ b/packages/bench/src/scaling/policies.ts
@@ -1,10 +1,11 @@
 import { brand, millis, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { Incarnation, InstanceId, Millis } from '@papayahill/common'
 import { EndpointScaler, FakeDutyTable, FakeLease, LoadCollector, LoadCounters, LoadReporter } from '@papayahill/scaling'
-import { MEAN_WORK, SERVICE, SLOTS, slowdownAt } from './ScaledFleet.js'
-import type { ScaledFleet } from './ScaledFleet.js'
+import { SERVICE, SLOTS } from './FleetEndpoints.js'
 import { RUN_SPAN } from './LoadScenario.js'
 import type { LoadScenario } from './LoadScenario.js'
+import { MEAN_WORK, slowdownAt } from './ScaledFleet.js'
+import type { ScaledFleet } from './ScaledFleet.js'
 
 export const INSTANCES = 6
 /** Period of orders. */
--- a/packages/scaling/src/testing/ScalerHarness.ts
+++ b/packages/scaling/src/testing/ScalerHarness.ts
@@ -16,6 +16,9 @@
 
 const profileOf = (id: ServiceId, scaling?: ScalingProfile): ServiceProfile => ({ id, maxConnections: 0, coldPerSecond: 0, scaling })
 
+/** The row of orders with one number for all failure domains. */
+export const rowOf = (endpoints: number, era = 0): Json => ({ era, orders: [[SCALED, EAST, endpoints], [SCALED, WEST, endpoints]] })
+
 /** An order that the platform received. */
 export interface ReceivedOrder extends EndpointOrder {
   readonly token: FencingToken
