--- a/packages/scaling/src/constants.ts
+++ b/packages/scaling/src/constants.ts
@@ -10,13 +10,20 @@
 export const HEARD_MARGIN = seconds(3)
 /** Time over which rates of requests are averaged. */
 export const RATE_WINDOW = seconds(2)
+/**
+ * Waiting requests, as a share of the running calls, and refused ones, as a share of all, up to which endpoints do not count
+ * as crowded: callers then wait for about 2% of a call, which leaves their answers in time.
+ */
+export const TOLERATED_SHARE = 0.02
+/** Refused requests a second from which endpoints count as crowded; the means of a rate never reach 0. */
+export const MIN_REFUSED_PER_SECOND = 1
 /** Time over which the demand's trend is fitted. */
 export const TREND_WINDOW = seconds(8)
 /** Plans within the trend's window without which no trend is assumed. */
 export const MIN_TREND_POINTS = 5
 /** Time over which the present demand is averaged. */
 export const LEVEL_WINDOW = seconds(3)
-/** A demand that exceeds the mean by more than this many square roots of it is a burst: counts of calls vary by about one. */
+/** A demand that exceeds the last ones by more than this many square roots of them is a burst: counts of calls vary by about one. */
 export const BURST_DEVIATIONS = 1.5
 /** Standard deviations of a trend that are taken off it, so that chance alone looks like no growth. */
 export const TREND_CAUTION = 1
--- a/packages/scaling/src/planEndpoints.ts
+++ b/packages/scaling/src/planEndpoints.ts
@@ -25,7 +25,8 @@
   samples.filter(({ from, age }) => members.has(from) && age <= MAX_SAMPLE_AGE)
 
 const heardSince = ({ now, members, heard, history }: ScalingInput): Millis | undefined => {
-  const count = [...members].filter((member) => heard.has(member)).length
+  let count = 0
+  for (const member of members) if (heard.has(member)) count++
   const isEnough = members.size > 0 && count >= members.size * MIN_HEARD_SHARE
   return isEnough ? history.heardSince ?? now : undefined
 }
@@ -60,7 +61,8 @@
   const capacity = sumOf(live, (domain) => domain.concurrency)
   const concurrency = listed > 0 && capacity > 0 ? capacity / listed : history.concurrency
   const demand = estimateDemand(currentSamples(input), history.holdFit, capacity)
-  const known = isBurst(history.demands, now, demand.calls) ? [] : within(history.demands, now, TREND_WINDOW)
+  const isNewSeries = demand.isCrowded || isBurst(history.demands, now, demand.calls)
+  const known = isNewSeries ? [] : within(history.demands, now, TREND_WINDOW)
   const demands = [...known, { at: now, demand: demand.calls }]
   const forecast = forecastDemand(demands, now, millis(profile.bootTime + coldTime))
   const ordered = sumOf(live, (domain) => domain.ordered)
--- a/packages/scaling/src/testing/ScalerHarness.ts
+++ b/packages/scaling/src/testing/ScalerHarness.ts
@@ -1,5 +1,5 @@
 import { brand, epochMillis, EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, EventKind, Incarnation, Json, Millis, ServiceId } from '@papayahill/common'
+import type { DomainId, EndpointId, EventKind, Incarnation, InstanceId, Json, Millis, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
 import type { ScalingProfile, ServiceProfile } from '@papayahill/directory'
 import type { DutyCallResult, FencingToken, Permit } from '@papayahill/duties'
@@ -16,11 +16,15 @@
 
 const profileOf = (id: ServiceId, scaling?: ScalingProfile): ServiceProfile => ({ id, maxConnections: 0, coldPerSecond: 0, scaling })
 
+/** The row of orders with one number for all failure domains. */
+export const rowOf = (endpoints: number, era = 0): Json => ({ era, orders: [[SCALED, EAST, endpoints], [SCALED, WEST, endpoints]] })
+
 /** An order that the platform received. */
 export interface ReceivedOrder extends EndpointOrder {
   readonly token: FencingToken
-  /** The row of orders when it was received. */
+  /** The row of orders when it was received, and how often the table had been read. */
   readonly row: Json | undefined
+  readonly reads: number
 }
 
 /**
@@ -39,6 +43,9 @@
   readonly scaler: EndpointScaler
   services: readonly ServiceProfile[] = [profileOf(SCALED, SCALING), profileOf(PLAIN)]
   samples: readonly LoadSample[] = samplesOf(20)
+  /** Instances whose reports were received from the scaler itself, and how many of those were confirmed. */
+  readonly reporters: Incarnation[] = []
+  confirmed = 0
   /** What the platform answers; it carries an order out only where it accepts it. */
   answer: DutyCallResult = { kind: 'accepted' }
   /** Time before an order is sent, as for a slow connection. */
@@ -57,7 +64,11 @@
       lease: this.lease,
       table,
       channel: this,
-      loads: { samples: () => this.samples, heardWithin: () => heard, receive: () => {} },
+      loads: { samples: () => this.samples, heardWithin: () => heard, receive: (from) => { this.reporters.push(from.incarnation) } },
+      own: {
+        reporter: { id: brand<InstanceId>('ph-1'), incarnation: MEMBERS[0]! },
+        source: { name: 'load', next: () => ({ body: [], confirm: () => { this.confirmed++ } }) }
+      },
       services: () => this.services,
       endpoints: () => this.#endpoints(),
       isDomainOut: () => false,
@@ -71,7 +82,7 @@
     await this.clock.sleep(this.connectTime)
     const token = permit()
     if (token === undefined) return { kind: 'unsent', detail: 'no permit' }
-    this.received.push({ ...order, token, row: this.table.get(SCALING_ROW) })
+    this.received.push({ ...order, token, row: this.table.get(SCALING_ROW), reads: this.table.reads })
     if (this.answer.kind === 'accepted' && this.carriesOut) this.counts.set(order.domain, order.endpoints)
     return this.answer
   }
