Tokens are above the revision that a take replaces; the model's store compares revisions alone

The store does not make the era a condition of a write. A write of an earlier era that is applied late can replace a record of the new era; a candidate that had not heard of the replaced token took the same one again.

--- a/packages/duties/src/LeaseRow.ts
+++ b/packages/duties/src/LeaseRow.ts
@@ -3,7 +3,7 @@
 import { Result } from 'true-myth'
 import { LEASE_KEY, STORE_TIMEOUT } from './constants.js'
 import { absentLease, encodeLease, parseLease } from './leaseRecord.js'
-import type { DatedLease, LeaseRecord } from './leaseRecord.js'
+import type { DatedLease, LeasePosition, LeaseRecord } from './leaseRecord.js'
 import type { DutyTable } from './types.js'
 
 /** The lease's row as it was read. */
@@ -13,12 +13,6 @@
   readonly isUnreadable: boolean
 }
 
-/** A position at which the row is replaced. */
-export interface LeasePosition {
-  readonly era: number
-  readonly revision: number
-}
-
 export type WrittenLease = { readonly kind: 'written', readonly revision: number } | { readonly kind: 'conflict' }
 
 /** Reads and conditionally writes the lease's row, and counts the calls. */
--- a/packages/duties/src/LeaseWriter.ts
+++ b/packages/duties/src/LeaseWriter.ts
@@ -6,8 +6,8 @@
 import { DUTIES_EVENTS } from './events.js'
 import type { HeldLease, LeaseHold } from './LeaseHold.js'
 import { nextToken } from './leaseRecord.js'
-import type { LeaseRecord } from './leaseRecord.js'
-import type { LeasePosition, LeaseRow, ReadLease } from './LeaseRow.js'
+import type { LeasePosition, LeaseRecord } from './leaseRecord.js'
+import type { LeaseRow, ReadLease } from './LeaseRow.js'
 import type { LeaseView } from './LeaseView.js'
 
 type Written = 'written' | 'unknown' | 'conflict'
@@ -114,12 +114,13 @@
     return written === 'written' ? 'renewed' : 'failed'
   }
 
-  #takenRecord ({ era, record }: ReadLease): LeaseRecord {
+  #takenRecord (read: ReadLease): LeaseRecord {
+    const { record } = read
     const { self, incarnation, wait, view } = this.#options
     return {
       holder: self,
       incarnation,
-      token: nextToken(era, record.token, view.highestToken),
+      token: nextToken(read, record.token, view.highestToken),
       renewal: record.renewal + 1,
       before: record.incarnation === incarnation ? record.before : record.holder,
       isReleased: false,
--- a/packages/duties/src/leaseRecord.test.ts
+++ b/packages/duties/src/leaseRecord.test.ts
@@ -48,9 +48,16 @@
   })
 
   it('gets a token above all known ones and within the era, so that none goes back after a restore', () => {
-    expect(nextToken(0, brand<FencingToken>(0), brand<FencingToken>(0))).toBe(1)
-    expect(nextToken(0, brand<FencingToken>(4), brand<FencingToken>(9))).toBe(10)
-    expect(nextToken(3, brand<FencingToken>(4), brand<FencingToken>(9))).toBe(3 * TOKENS_PER_ERA)
-    expect(nextToken(1, brand<FencingToken>(TOKENS_PER_ERA + 5))).toBe(TOKENS_PER_ERA + 6)
+    const token = (value: number): FencingToken => brand<FencingToken>(value)
+    expect(nextToken({ era: 0, revision: 0 }, token(0), token(0))).toBe(1)
+    expect(nextToken({ era: 0, revision: 0 }, token(4), token(9))).toBe(10)
+    expect(nextToken({ era: 3, revision: 0 }, token(4), token(9))).toBe(3 * TOKENS_PER_ERA)
+    expect(nextToken({ era: 1, revision: 2 }, token(TOKENS_PER_ERA + 5))).toBe(TOKENS_PER_ERA + 6)
+  })
+
+  it('gets a token above that of a record which a late write of an earlier era has replaced, so that no two are the same', () => {
+    const replaced = nextToken({ era: 2, revision: 7 }, brand<FencingToken>(3))
+    const late = brand<FencingToken>(4)
+    expect(nextToken({ era: 2, revision: 9 }, late)).toBeGreaterThan(replaced)
   })
 })
--- a/packages/duties/src/leaseRecord.ts
+++ b/packages/duties/src/leaseRecord.ts
@@ -24,6 +24,12 @@
   readonly record: LeaseRecord
 }
 
+/** A position at which the row is replaced. */
+export interface LeasePosition {
+  readonly era: number
+  readonly revision: number
+}
+
 /** Stands for a row that does not exist or cannot be read: a holder may be acting all the same. */
 export const absentLease = (wait: Millis): LeaseRecord => ({
   holder: brand<InstanceId>(''),
@@ -77,6 +83,9 @@
 export const compareLeases = (left: DatedLease, right: DatedLease): number =>
   left.era - right.era || left.record.token - right.record.token || left.record.renewal - right.record.renewal
 
-/** The lowest token that is above all given ones and within the era. */
-export const nextToken = (era: number, ...tokens: readonly FencingToken[]): FencingToken =>
-  brand<FencingToken>(Math.max(era * TOKENS_PER_ERA, ...tokens.map((token) => token + 1), 1))
+/**
+ * A token that is above all given ones, and above those that were taken before in this era. The revision counts because a
+ * write of an earlier era, applied late, can replace a record whose token is then known to nobody; it raises the revision.
+ */
+export const nextToken = ({ era, revision }: LeasePosition, ...tokens: readonly FencingToken[]): FencingToken =>
+  brand<FencingToken>(Math.max(era * TOKENS_PER_ERA + revision, ...tokens.map((token) => token + 1), 1))
--- a/packages/duties/src/testing/DutyHarness.ts
+++ b/packages/duties/src/testing/DutyHarness.ts
@@ -64,7 +64,7 @@
     this.#size = size
     this.random = new SeededRandom(seed)
     this.#checksBeforeSend = checksBeforeSend
-    this.store = new FaultyDutyTable({ clock: this.clock, namesEra })
+    this.store = new FaultyDutyTable({ clock: this.clock, namesEra, checksEra: false })
     this.network = new DutyNetwork(this.clock, this.random.fork(), spreadTime)
   }
 
--- a/packages/duties/src/testing/FaultyDutyTable.ts
+++ b/packages/duties/src/testing/FaultyDutyTable.ts
@@ -17,6 +17,11 @@
   readonly clock: Clock
   /** Whether the store names its era in answers; without it, the era is always 0 and revisions are given out again. */
   readonly namesEra?: boolean
+  /**
+   * Whether the era is one of a commit's conditions. Without it, revisions alone are compared, and a write that was meant for
+   * another era may be made; its answer is an error, since it does not count as done.
+   */
+  readonly checksEra?: boolean
 }
 
 const unavailable = <Value>(detail: string): Result<Value, TableError> => Result.err({ kind: 'unavailable', detail })
@@ -46,6 +51,7 @@
   commits = 0
   readonly #clock: Clock
   readonly #namesEra: boolean
+  readonly #checksEra: boolean
   readonly #refused = new Set<InstanceId>()
   /** Instances that have not yet been told that the history is gone. */
   readonly #untold = new Set<InstanceId>()
@@ -54,9 +60,10 @@
   #revision = 0
   #era = 0
 
-  constructor ({ clock, namesEra = true }: FaultyDutyTableOptions) {
+  constructor ({ clock, namesEra = true, checksEra = true }: FaultyDutyTableOptions) {
     this.#clock = clock
     this.#namesEra = namesEra
+    this.#checksEra = checksEra
   }
 
   get era (): number {
@@ -102,7 +109,7 @@
       read: () => this.#call(id, () => this.#read(id)),
       commit: (change) => {
         this.commits++
-        return this.lateCommits > 0 ? this.#commitLate(id, change) : this.#call(id, () => Result.ok(this.#commit(change)))
+        return this.lateCommits > 0 ? this.#commitLate(id, change) : this.#call(id, () => this.#commit(change))
       }
     }
   }
@@ -137,12 +144,13 @@
     return Result.ok({ era: this.era, rows: this.rows })
   }
 
-  #commit ({ era, expected, writes, removals = [] }: DutyCommit): DutyCommitted {
-    const holds = era === this.era && expected.every(({ key, revision }) => this.row(key).revision === revision)
-    if (!holds) return { kind: 'conflict', rows: expected.map(({ key }) => this.row(key)) }
+  #commit ({ era, expected, writes, removals = [] }: DutyCommit): Result<DutyCommitted, TableError> {
+    const isOfEra = era === this.era
+    const holds = (isOfEra || !this.#checksEra) && expected.every(({ key, revision }) => this.row(key).revision === revision)
+    if (!holds) return Result.ok({ kind: 'conflict', rows: expected.map(({ key }) => this.row(key)) })
     const revision = ++this.#revision
     for (const { key, value } of writes) this.#rows.set(key, { key, value, revision })
     for (const key of removals) this.#rows.delete(key)
-    return { kind: 'committed', revision }
+    return isOfEra ? Result.ok({ kind: 'committed', revision }) : unavailable('the answer is of another era')
   }
 }
