--- a/packages/duties/src/leaseModel.test.ts
+++ b/packages/duties/src/leaseModel.test.ts
@@ -6,7 +6,7 @@
 
 /** Depth of the model: commands in one run, and runs. */
 const MAX_COMMANDS = 60
-const RUNS = 150
+const RUNS = 400
 const SEED = 20
 
 /** Runs the model until a rule is broken; returns the failure and the commands that led to it. */
