--- a/packages/duties/src/DutyLease.ts
+++ b/packages/duties/src/DutyLease.ts
@@ -195,7 +195,7 @@
 
   #expireLater (): void {
     this.#expiryTimer?.cancel()
-    this.#expiryTimer = this.#options.clock.after(this.#hold.remaining, () => {
+    this.#expiryTimer = this.#options.clock.after(millis(Math.ceil(this.#hold.remaining)), () => {
       if (this.#hold.remaining > 0) return this.#expireLater()
       this.#drop('leaseExpired')
       this.#notify()
