--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -1,6 +1,4 @@
-import createXxhash from 'xxhash-wasm'
-
-const xxhash = await createXxhash()
+import { xxhash } from './xxhash.js'
 
 /** A 32-bit hash of a string, for rendezvous order and sampling; not for secrets. */
 export const hash32 = (text: string, seed = 0): number => xxhash.h32(text, seed)
