Learn how long work takes at each endpoint, and decode the reported slowdown

Cause: endpoints of one service differ in speed, and some slow down before their slots are full; counts of calls show neither. Change: EndpointPerformance learns from response times a level for each incarnation and kind of work, and the concurrency beyond which an endpoint slows down. ReportedLoad gets an optional slowdown, the fourth figure of the load header. Nothing uses them yet.

--- a/packages/directory/src/Endpoint.ts
+++ b/packages/directory/src/Endpoint.ts
@@ -9,6 +9,10 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work takes at the moment, 1 as usual; absent where its endpoint does not report it. */
+  readonly slowdown?: number | undefined
+  /** Calls of this instance in progress there when the answer arrived; absent where nothing counts them. */
+  readonly own?: number | undefined
   readonly at: Millis
 }
 
--- a/packages/forwarding/src/applyNotices.ts
+++ b/packages/forwarding/src/applyNotices.ts
@@ -32,7 +32,7 @@
 ): void => {
   const { isOtherEndpoint, load, coldFor, isLeaving, retryAfter, limit, rejectionLimit } = notices
   if (isOtherEndpoint) return
-  if (load !== undefined) endpoint.load = { ...load, at: clock.now() }
+  if (load !== undefined) endpoint.load = { ...load, own: endpoint.running, at: clock.now() }
   if (coldFor !== undefined) directory.markCold(endpoint, coldFor)
   if (isLeaving) directory.noteLeaving(endpoint)
   if (retryAfter?.kind === 'span') directory.noteBackoff(endpoint, retryAfter.span)
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -95,7 +95,7 @@
   readonly attempt: string | undefined
   readonly isSigned: boolean
   readonly isEventStream: boolean
-  readonly load: Omit<ReportedLoad, 'at'> | undefined
+  readonly load: Omit<ReportedLoad, 'at' | 'own'> | undefined
   readonly coldFor: Millis | undefined
   /** The endpoint is shutting down. */
   readonly isLeaving: boolean
--- /dev/null
+++ b/packages/performance/src/EndpointPerformance.ts
@@ -0,0 +1,170 @@
+import { millis } from '@papayahill/common'
+import type { Clock, EventLog, Millis, ServiceId } from '@papayahill/common'
+import type { Endpoint } from '@papayahill/directory'
+import { EndpointModel } from './EndpointModel.js'
+import { ServiceUsual } from './ServiceUsual.js'
+import { SlowEndpoints } from './SlowEndpoints.js'
+import type { CallStart, SharedSpeed, Work, WorkKind } from './types.js'
+
+export interface EndpointPerformanceOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+}
+
+/** Called when a call has changed what is known of an endpoint. */
+export type LearntListener = (endpoint: Endpoint, kind: WorkKind) => void
+
+/**
+ * Learns how long work takes at each endpoint, and how many calls at once it takes well, from the times of its answers. It
+ * is used only for services whose endpoints report their momentary slowdown.
+ *
+ * @example
+ * const start = performance.begin(endpoint)
+ * performance.record(endpoint, start, { kind: 'plain', key: route, amount: 1 }, took)
+ * performance.expectedTime(endpoint, { kind: 'plain', key: route, amount: 1 })
+ */
+export class EndpointPerformance {
+  readonly #clock: Clock
+  readonly #models = new Map<Endpoint, EndpointModel>()
+  readonly #usual = new Map<ServiceId, ServiceUsual>()
+  readonly #slow: SlowEndpoints
+  readonly #listeners: LearntListener[] = []
+
+  constructor ({ clock, log }: EndpointPerformanceOptions) {
+    this.#clock = clock
+    this.#slow = new SlowEndpoints(clock, log)
+  }
+
+  /** Whether any of the endpoints reports its slowdown, so that what is learnt is used for them. */
+  isActive (endpoints: readonly Endpoint[]): boolean {
+    return endpoints.some(({ load }) => load?.slowdown !== undefined)
+  }
+
+  /** Calls the listener with each endpoint that a call has taught something about. */
+  onLearnt (listener: LearntListener): void {
+    this.#listeners.push(listener)
+  }
+
+  /** What is known when a call to the endpoint begins; undefined where the endpoint does not report its slowdown. */
+  begin (endpoint: Endpoint): CallStart | undefined {
+    if (endpoint.load?.slowdown === undefined) return undefined
+    const now = this.#clock.now()
+    const model = this.#modelOf(endpoint)
+    return { at: now, concurrency: model.load.at(endpoint, now) + 1, slowdown: model.slowdown.at(now), isCold: endpoint.isCold(now) }
+  }
+
+  /** Learns from a complete answer that took `took` since the start; `endpoint.running` must not count the call any more. */
+  record (endpoint: Endpoint, start: CallStart, work: Work, took: Millis): void {
+    const now = this.#clock.now()
+    const { isGone } = endpoint
+    if (isGone || start.isCold || endpoint.isCold(now) || took <= 0 || work.amount <= 0) return
+    const model = this.#modelOf(endpoint)
+    const usual = this.#usualOf(endpoint.service)
+    const { speed, curve } = model.kind(work.kind)
+    const concurrency = (start.concurrency + model.load.at(endpoint, now) + 1) / 2
+    const slowdown = Math.sqrt(start.slowdown * model.slowdown.at(now))
+    const served = took / work.amount / slowdown / model.queueFactor(start.concurrency) / curve.factor(concurrency)
+    const mean = usual.meanLevel(work.kind)
+    const ratio = Math.log(served / usual.timeOf(work, served / Math.exp(speed.level(now, mean))))
+    const deviation = speed.add({ ratio, startedAt: start.at, endedAt: millis(start.at + took) }, mean)
+    if (deviation === undefined) return
+    usual.learn(work, deviation)
+    usual.learnLevel(work.kind, speed.level(now, mean))
+    model.learnShape(work.kind, concurrency, deviation, now)
+    this.#slow.update(endpoint, speed.calls, speed.level(now, mean) - usual.meanLevel(work.kind))
+    for (const listener of this.#listeners) listener(endpoint, work.kind)
+  }
+
+  /** Expected time of work that begins now, or with `load` calls already there; undefined before the first call of its key. */
+  expectedTime (endpoint: Endpoint, work: Work, load?: number): Millis | undefined {
+    const usual = this.#usual.get(endpoint.service)?.usualTime(work)
+    return usual === undefined ? undefined : millis(usual * this.expectedFactor(endpoint, work.kind, load))
+  }
+
+  /** The same as a multiple of the service's usual time of such work. */
+  expectedFactor (endpoint: Endpoint, kind: WorkKind, load = this.load(endpoint)): number {
+    return this.slowness(endpoint, kind) * this.#modelOf(endpoint).factor(kind, load + 1)
+  }
+
+  /** Time of work at the endpoint while it has few calls, as a multiple of the service's usual, with its momentary slowness. */
+  slowness (endpoint: Endpoint, kind: WorkKind): number {
+    const now = this.#clock.now()
+    const model = this.#modelOf(endpoint)
+    const mean = this.#usualOf(endpoint.service).meanLevel(kind)
+    return Math.exp(model.kinds.get(kind)?.speed.level(now, mean) ?? mean) * model.slowdown.at(now)
+  }
+
+  /** Estimated calls at the endpoint, running or waiting. */
+  load (endpoint: Endpoint): number {
+    return this.#modelOf(endpoint).load.at(endpoint, this.#clock.now())
+  }
+
+  /** Concurrent calls beyond which the endpoint slows down; its slots where nothing else was learnt. */
+  comfortableConcurrency (endpoint: Endpoint, kind: WorkKind): number {
+    const model = this.#modelOf(endpoint)
+    return model.kinds.get(kind)?.curve.comfortable ?? model.slots
+  }
+
+  /** What was learnt of a kind of work, to be told to other instances; undefined where nothing was. */
+  learnt (endpoint: Endpoint, kind: WorkKind): SharedSpeed | undefined {
+    const known = this.#models.get(endpoint)?.kinds.get(kind)
+    const at = known?.speed.updatedAt
+    if (known === undefined || at === undefined) return undefined
+    const now = this.#clock.now()
+    const mean = this.#usualOf(endpoint.service).meanLevel(kind)
+    return { kind, level: known.speed.level(now, mean) - mean, concurrency: known.curve.comfortable, age: millis(now - at) }
+  }
+
+  /** Takes over what another instance has learnt, where it is newer than what this one has. */
+  adopt (endpoint: Endpoint, { kind, level, concurrency, age }: SharedSpeed, weight: number): void {
+    const { speed, curve } = this.#modelOf(endpoint).kind(kind)
+    const at = millis(this.#clock.now() - age)
+    if (speed.updatedAt !== undefined && speed.updatedAt >= at) return
+    speed.adopt(this.#usualOf(endpoint.service).meanLevel(kind) + level, weight, at)
+    curve.comfortable = concurrency
+  }
+
+  /** Forgets an incarnation that is gone. */
+  forget (endpoint: Endpoint): void {
+    this.#models.delete(endpoint)
+    this.#slow.forget(endpoint)
+  }
+
+  /** Endpoints that count as slow. */
+  get slowCount (): number {
+    return this.#slow.size
+  }
+
+  /** Ratio of the slowest to the fastest endpoint of each service and kind of work. */
+  spread (): ReadonlyMap<string, number> {
+    const now = this.#clock.now()
+    const levels = new Map<string, number[]>()
+    for (const [{ service }, model] of this.#models) {
+      for (const [kind, { speed }] of model.kinds) {
+        const key = `${service} ${kind}`
+        const known = levels.get(key) ?? []
+        known.push(speed.level(now, this.#usualOf(service).meanLevel(kind)))
+        levels.set(key, known)
+      }
+    }
+    return new Map([...levels].map(([key, found]) => [key, Math.exp(Math.max(...found) - Math.min(...found))]))
+  }
+
+  #modelOf (endpoint: Endpoint): EndpointModel {
+    let model = this.#models.get(endpoint)
+    if (model === undefined) {
+      model = new EndpointModel(endpoint)
+      if (!endpoint.isGone) this.#models.set(endpoint, model)
+    }
+    model.update()
+    return model
+  }
+
+  #usualOf (service: ServiceId): ServiceUsual {
+    const known = this.#usual.get(service)
+    if (known !== undefined) return known
+    const usual = new ServiceUsual()
+    this.#usual.set(service, usual)
+    return usual
+  }
+}
