Choose endpoints by expected finishing time where they report their slowdown

Cause: counts of calls treat endpoints alike that differ by 0.7 to 1.7 in speed. Change: plain services whose endpoints report the fourth figure of the load header are placed by chooseSoonest; engines by the learnt time of prompt tokens and steps; batches are planned with the learnt time of a call.

--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -1,6 +1,7 @@
 import type { Clock, EndpointId, EventLog } from '@papayahill/common'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
+import type { EndpointPerformance } from '@papayahill/performance'
 import { EndpointCalls } from './EndpointCalls.js'
 import { GroupBatcher } from './GroupBatcher.js'
 import type { BatchCaller, EndpointBacklog, GroupId, OrderListener, PieceOutcome, ProfileOf, StageOrder } from './types.js'
@@ -12,6 +13,8 @@
   readonly directory: EndpointDirectory
   readonly limits: RequestLimits
   readonly profileOf: ProfileOf
+  /** How long batches take at each endpoint; the calls' own estimate alone is used if absent. */
+  readonly performance?: EndpointPerformance
   /** Whether this instance coordinates the group. */
   readonly isOwn: (group: GroupId) => boolean
   /** Whether this instance leaves the group to another one, since it does not reach the endpoints; never, if absent. */
@@ -127,9 +130,16 @@
     if (known !== undefined) return known
     const endpoint = this.#options.directory.get(id)
     if (endpoint === undefined) return undefined
-    const { clock, log, caller, limits, profileOf } = this.#options
+    const { clock, log, caller, limits, profileOf, performance } = this.#options
     const calls = new EndpointCalls({
-      clock, log, caller, endpoint, limits, profile: () => profileOf(endpoint.service), onMemoryFreed: () => this.#pumpFor(id)
+      clock,
+      log,
+      caller,
+      endpoint,
+      limits,
+      performance,
+      profile: () => profileOf(endpoint.service),
+      onMemoryFreed: () => this.#pumpFor(id)
     })
     this.#calls.set(id, calls)
     return calls
--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -2,6 +2,7 @@
 import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
 import type { BatchProfile, Endpoint } from '@papayahill/directory'
 import type { RequestLimits } from '@papayahill/limits'
+import type { CallStart, EndpointPerformance } from '@papayahill/performance'
 import {
   CALLS_PER_FREE, FREE_PERIOD, FULL_MEMORY_PAUSE, LOSS_EXPECTED_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_SLOWDOWN,
   OVERDUE_MARGIN, READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, SLOWDOWN_HALF_LIFE, SLOWDOWN_WEIGHT, UNCONTENDED_FACTOR,
@@ -13,6 +14,9 @@
 import { ResultLedger } from './ResultLedger.js'
 import type { BatchAnswer, BatchCaller, CallOutcome, PieceFault } from './types.js'
 
+/** Work of batches, in milliseconds of the declared profile. */
+const BATCH_WORK = { kind: 'batch', key: 'profile' } as const
+
 export interface EndpointCallsOptions {
   readonly clock: Clock
   readonly log: EventLog
@@ -20,6 +24,8 @@
   readonly endpoint: Endpoint
   readonly limits: RequestLimits
   readonly profile: () => BatchProfile | undefined
+  /** Used while the endpoint reports its slowdown. */
+  readonly performance?: EndpointPerformance | undefined
   /** Called when results were freed, so that the endpoint may have memory for new ones. */
   readonly onMemoryFreed: () => void
 }
@@ -66,7 +72,19 @@
   }
 
   get #hasFreeSlot (): boolean {
-    return this.#openCalls.size < (this.#options.profile()?.slots ?? 0) && this.#callableAt <= this.#options.clock.now()
+    return this.#openCalls.size < this.#usableSlots && this.#callableAt <= this.#options.clock.now()
+  }
+
+  /** Slots as declared; where its speed is learnt, not more than the endpoint takes without slowing down. */
+  get #usableSlots (): number {
+    const slots = this.#options.profile()?.slots ?? 0
+    const learnt = this.#learntPerformance
+    return learnt === undefined ? slots : Math.min(slots, Math.max(1, Math.round(learnt.comfortableConcurrency(this.endpoint, 'batch'))))
+  }
+
+  get #learntPerformance (): EndpointPerformance | undefined {
+    const { performance, endpoint } = this.#options
+    return performance?.isActive([endpoint]) === true ? performance : undefined
   }
 
   /** Asks for a token of the endpoint's limit if nothing else prevents a call. */
@@ -116,6 +134,7 @@
     if (profile === undefined) return batch
     const profileTime = profile.callTime + batch.length * profile.pieceTime
     const call: OpenCall = { startedAt: clock.now(), forecast: millis(profileTime * this.#currentSlowdown(clock.now())) }
+    const start = this.#options.performance?.begin(endpoint, this.#openCalls.size)
     this.#openCalls.add(call)
     this.#logSent(call, batch, waiting)
     this.#scheduleInputsRead(call, batch)
@@ -126,13 +145,14 @@
     log.emit(BATCHING_EVENTS.batchEnded, { endpoint: endpoint.id, pieces: batch.length, outcome: answer.kind, tookMs: took })
     this.#isUncontended = answer.kind === 'answered' && took <= call.forecast * UNCONTENDED_FACTOR + UNCONTENDED_MARGIN
     this.#updateSlowdown(answer, took / profileTime)
+    if (start !== undefined && answer.kind === 'answered') this.#learn(start, profileTime, took)
     this.#logFaults(answer)
     return this.#settle(batch, answer, profile)
   }
 
   /** Time until a slot is free; an overdue call is expected to take as long again as it is overdue. */
   #timeUntilFreeSlot (now: Millis, profile: BatchProfile): Millis {
-    if (this.#openCalls.size < profile.slots) return millis(0)
+    if (this.#openCalls.size < this.#usableSlots) return millis(0)
     const ends = [...this.#openCalls].map(({ startedAt, forecast }) => {
       const left = startedAt + forecast - now
       return left >= 0 ? left : OVERDUE_MARGIN - left
@@ -140,8 +160,20 @@
     return millis(Math.min(...ends))
   }
 
-  /** The slowdown decays over time, so that an endpoint that was slow is tried again. */
+  /** Expected time of a call as a multiple of the profile's: as learnt, or longer where calls were lost. */
   #currentSlowdown (now: Millis): number {
+    const learnt = this.#learntPerformance
+    if (learnt === undefined) return this.#ownSlowdown(now)
+    const factor = learnt.expectedTime(this.endpoint, { ...BATCH_WORK, amount: 1 }, 0) ?? 1
+    return Math.min(MAX_SLOWDOWN, now < this.#lossesExpectedUntil ? Math.max(factor, this.#ownSlowdown(now)) : factor)
+  }
+
+  #learn (start: CallStart, profileTime: number, took: Millis): void {
+    this.#options.performance?.record(this.endpoint, start, { ...BATCH_WORK, amount: profileTime }, took)
+  }
+
+  /** The slowdown decays over time, so that an endpoint that was slow is tried again. */
+  #ownSlowdown (now: Millis): number {
     const age = now - this.#slowdownAt
     return 1 + (this.#lastSlowdown - 1) * 2 ** (-age / SLOWDOWN_HALF_LIFE)
   }
@@ -150,7 +182,7 @@
     const { kind } = answer
     if (kind === 'lost' && answer.isWithdrawn === true) return
     const now = this.#options.clock.now()
-    const slowdown = this.#currentSlowdown(now)
+    const slowdown = this.#ownSlowdown(now)
     if (kind === 'lost') this.#lossesExpectedUntil = millis(now + LOSS_EXPECTED_PERIOD)
     if (kind === 'answered') this.#lastSlowdown = slowdown + SLOWDOWN_WEIGHT * (Math.min(MAX_SLOWDOWN, measured) - slowdown)
     else if (kind === 'lost') this.#lastSlowdown = Math.min(MAX_SLOWDOWN, slowdown * 2)
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -3,6 +3,7 @@
 import type { Millis, Tokens } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
+import { CallTiming } from './CallTiming.js'
 import {
   HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT, PLAIN_SILENCE, STREAM_SILENCE,
   USUAL_SILENCE_FACTOR
@@ -45,6 +46,7 @@
   readonly #exchange: OpaqueExchange
   readonly #startedAt: Millis
   readonly #eventsBefore: number
+  readonly #timing: CallTiming
   #isBegun: boolean
   #isWithdrawn = false
 
@@ -55,6 +57,7 @@
     this.#eventsBefore = relay?.events ?? 0
     this.#isBegun = this.#eventsBefore > 0
     this.#versionCall = context.versions.recordCall(endpoint, request.route)
+    this.#timing = new CallTiming(context.performance, endpoint, request, this.#promptTokens)
     this.#exchange = this.#newExchange()
   }
 
@@ -85,6 +88,7 @@
     connections.release(endpoint, socket)
     this.#versionCall.callEnded(end, request.signal.aborted || this.#isWithdrawn)
     this.#noteTimes(end)
+    this.#learnPerformance(end)
     this.#noteCrash(end)
     this.#logEnd(end)
     return end
@@ -95,7 +99,7 @@
     const { clock, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
-    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
+    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)) * this.#slowness)
     return new OpaqueExchange({
       clock,
       log,
@@ -124,7 +128,14 @@
     const { context: { firstEvents, answerTimes }, request: { route } } = this.#options
     const isStream = route.kind === 'streaming'
     const usual = (isStream ? firstEvents : answerTimes).mean(route.name)
-    return millis(Math.max(isStream ? STREAM_SILENCE : PLAIN_SILENCE, USUAL_SILENCE_FACTOR * usual))
+    return millis(Math.max(isStream ? STREAM_SILENCE : PLAIN_SILENCE, USUAL_SILENCE_FACTOR * usual * this.#slowness))
+  }
+
+  /** How much longer than usual the answer may take at this endpoint; 1 where that is not learnt. */
+  get #slowness (): number {
+    const { context: { performance }, request: { prompt }, endpoint } = this.#options
+    const isActive = performance.isActive([endpoint])
+    return isActive ? Math.max(1, performance.expectedFactor(endpoint, prompt === undefined ? 'plain' : 'prompt')) : 1
   }
 
   get #timeLeft (): Millis {
@@ -165,6 +176,20 @@
     if (firstByteAt !== undefined && route.kind === 'streaming') firstEvents.record(route.name, millis(firstByteAt - this.#startedAt))
   }
 
+  /** Prompt tokens that the engine reads before it generates; undefined at a plain service. */
+  get #promptTokens (): number | undefined {
+    const { context: { engines }, request: { prompt }, endpoint } = this.#options
+    return prompt === undefined ? undefined : engines.pendingTokens(endpoint, prompt)
+  }
+
+  #learnPerformance (end: CallEnd): void {
+    const { context: { clock, engines }, endpoint, relay } = this.#options
+    const { sentAt, firstByteAt } = this.#exchange
+    const events = (relay?.events ?? 0) - this.#eventsBefore
+    this.#timing.ended(end, { sentAt, firstByteAt, endedAt: clock.now() }, events)
+    if (end.kind === 'streamed') engines.recordSteps(endpoint.service, events)
+  }
+
   #noteCrash (end: CallEnd): void {
     const { context: { callQuarantine }, check, endpoint, canRetry } = this.#options
     if (end.kind === 'not-run' && end.isRefused === true) callQuarantine.endpointRefused(endpoint)
--- a/packages/forwarding/src/EngineTracker.ts
+++ b/packages/forwarding/src/EngineTracker.ts
@@ -1,9 +1,12 @@
 import { CROSS_DOMAIN_MILLIS_PER_BYTE } from '@papayahill/batching'
 import { firstByRendezvous, millis, tokens } from '@papayahill/common'
-import type { EndpointId, Millis, Tokens } from '@papayahill/common'
+import type { EndpointId, Millis, Random, ServiceId, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
+import type { EndpointPerformance } from '@papayahill/performance'
 import { LRUCache } from 'lru-cache'
-import { AFFINITY_WEIGHT, MAX_CACHED_PARTS, PREFILL_TOKENS_PER_MILLI, RUNNING_REQUEST_COST } from './constants.js'
+import {
+  AFFINITY_WEIGHT, MAX_CACHED_PARTS, PREFILL_TOKENS_PER_MILLI, PROMPT_WORK_KEY, RUNNING_REQUEST_COST, STEP_COUNT_WEIGHT, STEP_WORK_KEY
+} from './constants.js'
 import type { PlacementCriteria, Prompt } from './types.js'
 
 interface EngineState {
@@ -15,22 +18,40 @@
 /** The prompt part that identifies a session for affinity; the last part is unique to the request. */
 const sessionPart = ({ parts }: Prompt): string | undefined => parts.at(-2)?.id ?? parts.at(-1)?.id
 
+/** One unit of an engine's work: a token of a prompt, and a step of a generation. */
+const PROMPT_TOKEN = { kind: 'prompt', key: PROMPT_WORK_KEY, amount: 1 } as const
+const STEP = { kind: 'step', key: STEP_WORK_KEY, amount: 1 } as const
+
+export interface EngineTrackerOptions {
+  readonly random: Random
+  readonly performance: EndpointPerformance
+}
+
 /**
  * Chooses engines by their pending prefill work and by the prompt prefixes in their cache.
  *
  * @example
+ * const tracker = new EngineTracker({ random, performance })
  * const engine = tracker.choose({ endpoints, exclude, prompt, domain, inputBytes, now })
  */
 export class EngineTracker {
+  readonly #options: EngineTrackerOptions
   readonly #states = new Map<EndpointId, EngineState>()
+  /** Usual number of steps of a service's streams. */
+  readonly #stepCounts = new Map<ServiceId, number>()
+
+  constructor (options: EngineTrackerOptions) {
+    this.#options = options
+  }
 
   choose (criteria: PlacementCriteria): Endpoint | undefined {
     let best: Endpoint | undefined
     let bestCost = Infinity
     const affinityEngine = this.#affinityEngine(criteria)
+    const isLearnt = this.#options.performance.isActive(criteria.endpoints)
     for (const endpoint of criteria.endpoints) {
       if (criteria.exclude.has(endpoint.id)) continue
-      const cost = this.#cost(endpoint, criteria, endpoint === affinityEngine)
+      const cost = this.#cost(endpoint, criteria, endpoint === affinityEngine, isLearnt)
       if (cost < bestCost) [best, bestCost] = [endpoint, cost]
     }
     return best
@@ -51,6 +72,18 @@
     state.pendingPrefillTokens = Math.max(0, state.pendingPrefillTokens - uncachedTokens)
   }
 
+  /** Prompt tokens that the engine reads before it generates the first event of a request sent now. */
+  pendingTokens (endpoint: Endpoint, prompt: Prompt): number {
+    const state = this.#stateOf(endpoint.id)
+    return state.pendingPrefillTokens + this.#uncachedTokens(state, prompt)
+  }
+
+  /** Records the number of events of a complete stream. */
+  recordSteps (service: ServiceId, events: number): void {
+    const usual = this.#stepCounts.get(service) ?? events
+    this.#stepCounts.set(service, usual + STEP_COUNT_WEIGHT * (events - usual))
+  }
+
   /** Drops the state of an engine that is gone, its cache included. */
   forget (endpoint: Endpoint): void {
     this.#states.delete(endpoint.id)
@@ -63,16 +96,30 @@
   }
 
   /** Estimated delay of the request at the engine; another failure domain or a cold engine adds 1 ms, as a tie-breaker. */
-  #cost (endpoint: Endpoint, { prompt, domain, inputBytes, now }: PlacementCriteria, hasAffinity: boolean): Millis {
+  #cost (
+    endpoint: Endpoint, { prompt, domain, inputBytes, now }: PlacementCriteria, hasAffinity: boolean, isLearnt: boolean
+  ): Millis {
     const state = this.#stateOf(endpoint.id)
     const ownTokens = prompt === undefined ? 0 : this.#uncachedTokens(state, prompt)
     const sharedTokens = prompt === undefined ? 0 : prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const prefillTime =
-      (state.pendingPrefillTokens + ownTokens - (hasAffinity ? AFFINITY_WEIGHT * sharedTokens : 0)) / PREFILL_TOKENS_PER_MILLI
+    const prefillTokens = state.pendingPrefillTokens + ownTokens - (hasAffinity ? AFFINITY_WEIGHT * sharedTokens : 0)
     let transferTime = domain === undefined || domain === endpoint.domain ? 0 : 1
     for (const [from, size] of inputBytes) if (from !== endpoint.domain) transferTime += size * CROSS_DOMAIN_MILLIS_PER_BYTE
     const coldPenalty = endpoint.isCold(now) ? 1 : 0
-    return millis(prefillTime + endpoint.running * RUNNING_REQUEST_COST + transferTime + coldPenalty)
+    const engineTime = isLearnt ? this.#learntTime(endpoint, prefillTokens) : assumedTime(endpoint, prefillTokens)
+    return millis(engineTime + transferTime + coldPenalty)
+  }
+
+  /** Time to read the tokens and to generate as many steps as usual, by the speed learnt of the engine and its load. */
+  #learntTime (endpoint: Endpoint, prefillTokens: number): number {
+    const { random, performance } = this.#options
+    const load = performance.load(endpoint) + random.next()
+    const tokenTime = performance.expectedTime(endpoint, PROMPT_TOKEN, 0) ?? 1 / PREFILL_TOKENS_PER_MILLI
+    const stepTime = performance.usualTime(endpoint.service, STEP)
+    const steps = this.#stepCounts.get(endpoint.service) ?? 0
+    const factor = performance.loadedFactor(endpoint, 'step', load)
+    const generation = stepTime === undefined ? RUNNING_REQUEST_COST * load : stepTime * steps * factor
+    return prefillTokens * tokenTime + generation
   }
 
   #uncachedTokens (state: EngineState, prompt: Prompt): Tokens {
@@ -92,3 +139,7 @@
     return state
   }
 }
+
+/** The same where nothing is learnt, by assumed speeds and this instance's own calls. */
+const assumedTime = ({ running }: Endpoint, prefillTokens: number): number =>
+  prefillTokens / PREFILL_TOKENS_PER_MILLI + running * RUNNING_REQUEST_COST
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -2,6 +2,7 @@
 import type { ArrivalReader, Clock, DomainId, EventLog, Random } from '@papayahill/common'
 import type { EndpointDirectory } from '@papayahill/directory'
 import type { SharedRateLimiter } from '@papayahill/limits'
+import type { EndpointPerformance } from '@papayahill/performance'
 import type { QuarantineManager } from '@papayahill/quarantine'
 import type { PathEvidence, Reach } from '@papayahill/reach'
 import type { ColdStartLimiter } from './ColdStartLimiter.js'
@@ -34,6 +35,8 @@
   /** Times from a call to the first event of its answer, and to its end. */
   readonly firstEvents: RouteTimes
   readonly answerTimes: RouteTimes
+  /** How long work takes at each endpoint; used for services whose endpoints report their slowdown. */
+  readonly performance: EndpointPerformance
   readonly stopTime: StopTime
   readonly stages: StageContext
   readonly versions: VersionGate
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -79,6 +79,11 @@
     this.#options = options
   }
 
+  /** Monotonic time at which the request began to be written. */
+  get sentAt (): Millis {
+    return this.#sentAt
+  }
+
   async run (socket: EndpointSocket): Promise<CallEnd> {
     const { call, wire, firstByteTimeout } = this.#options
     const { method, path, body, signal } = call.request
--- a/packages/forwarding/src/RequestPlacement.ts
+++ b/packages/forwarding/src/RequestPlacement.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
 import { chooseLeastLoaded } from './chooseLeastLoaded.js'
+import { chooseSoonest } from './chooseSoonest.js'
 import { PLACEMENT_RETRY_PERIOD } from './constants.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { isCutOff } from './isCutOff.js'
@@ -105,8 +106,9 @@
   }
 
   #best (criteria: PlacementCriteria): Endpoint | undefined {
-    const { engines, random, profileOf } = this.#context
-    const isEngine = profileOf(this.#service)?.engine !== undefined
-    return isEngine ? engines.choose(criteria) : chooseLeastLoaded(random, criteria)
+    const { engines, random, performance, profileOf } = this.#context
+    if (profileOf(this.#service)?.engine !== undefined) return engines.choose(criteria)
+    const isLearnt = performance.isActive(criteria.endpoints)
+    return isLearnt ? chooseSoonest(random, performance, criteria) : chooseLeastLoaded(random, criteria)
   }
 }
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -57,6 +57,17 @@
 export const AFFINITY_WEIGHT = 2
 /** Prompt parts remembered as cached for each engine. */
 export const MAX_CACHED_PARTS = 2048
+/** Candidates drawn among the endpoints of a plain service, at least, and the age up to which a report of load adds one. */
+export const MIN_CANDIDATES = 2
+export const FRESH_REPORT_AGE = millis(150)
+/** Keys of an engine's work, and the tokens that stand for the time of reading a prompt of none. */
+export const PROMPT_WORK_KEY = 'prompt'
+export const STEP_WORK_KEY = 'step'
+export const PROMPT_BASE_TOKENS = 600
+/** Steps of a stream from which their time is learnt; fewer are dominated by how the network groups them. */
+export const MIN_TIMED_STEPS = 5
+/** Weight of the newest stream in the usual number of steps. */
+export const STEP_COUNT_WEIGHT = 0.05
 /** Cost of calling a plain service in another failure domain, in concurrent requests. */
 export const CROSS_DOMAIN_COST = 0.4
 /** Weight of the newest sample in a route's mean time. */
--- a/packages/forwarding/src/detours.test.ts
+++ b/packages/forwarding/src/detours.test.ts
@@ -2,6 +2,7 @@
 import type { DomainId, Failure, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import type { PeerMember } from '@papayahill/peers'
+import { EndpointPerformance } from '@papayahill/performance'
 import { describe, expect, it } from 'vitest'
 import type { CallCheck } from './CallQuarantine.js'
 import type { HandOver, HandOverEnd } from './Detour.js'
@@ -77,6 +78,7 @@
     retries: new SharedRetryBudget(clock, () => ({ ratio: 0, window: seconds(10), slack }), () => 1),
     answerTimes: newRouteTimes(),
     firstEvents: newRouteTimes(),
+    performance: new EndpointPerformance({ clock, log: new EventRecorder(clock) }),
     stopTime: new StopTime(),
     stages: { router: { endBy: () => {} }, backlogs: {}, profileOf: () => undefined },
     arrivals: { catchUp: () => Promise.resolve() },
--- a/packages/performance/src/EndpointPerformance.ts
+++ b/packages/performance/src/EndpointPerformance.ts
@@ -1,6 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
+import { USE_WEIGHT } from './constants.js'
 import { EndpointModel } from './EndpointModel.js'
 import { ServiceUsual } from './ServiceUsual.js'
 import { SlowEndpoints } from './SlowEndpoints.js'
@@ -45,12 +46,21 @@
     this.#listeners.push(listener)
   }
 
-  /** What is known when a call to the endpoint begins; undefined where the endpoint does not report its slowdown. */
-  begin (endpoint: Endpoint): CallStart | undefined {
+  /**
+   * What is known when a call to the endpoint begins beside `load` others, which are estimated if not given; undefined where
+   * the endpoint does not report its slowdown.
+   */
+  begin (endpoint: Endpoint, load?: number): CallStart | undefined {
     if (endpoint.load?.slowdown === undefined) return undefined
     const now = this.#clock.now()
     const model = this.#modelOf(endpoint)
-    return { at: now, concurrency: model.load.at(endpoint, now) + 1, slowdown: model.slowdown.at(now), isCold: endpoint.isCold(now) }
+    return {
+      at: now,
+      concurrency: (load ?? model.load.at(endpoint, now)) + 1,
+      isLoadKnown: load !== undefined,
+      slowdown: model.slowdown.at(now),
+      isCold: endpoint.isCold(now)
+    }
   }
 
   /** Learns from a complete answer that took `took` since the start; `endpoint.running` must not count the call any more. */
@@ -61,7 +71,8 @@
     const model = this.#modelOf(endpoint)
     const usual = this.#usualOf(endpoint.service)
     const { speed, curve } = model.kind(work.kind)
-    const concurrency = (start.concurrency + model.load.at(endpoint, now) + 1) / 2
+    const endConcurrency = start.isLoadKnown ? start.concurrency : model.load.at(endpoint, now) + 1
+    const concurrency = (start.concurrency + endConcurrency) / 2
     const slowdown = Math.sqrt(start.slowdown * model.slowdown.at(now))
     const served = took / work.amount / slowdown / model.queueFactor(start.concurrency) / curve.factor(concurrency)
     const mean = usual.meanLevel(work.kind)
@@ -77,7 +88,7 @@
 
   /** Expected time of work that begins now, or with `load` calls already there; undefined before the first call of its key. */
   expectedTime (endpoint: Endpoint, work: Work, load?: number): Millis | undefined {
-    const usual = this.#usual.get(endpoint.service)?.usualTime(work)
+    const usual = this.usualTime(endpoint.service, work)
     return usual === undefined ? undefined : millis(usual * this.expectedFactor(endpoint, work.kind, load))
   }
 
@@ -86,6 +97,22 @@
     return this.slowness(endpoint, kind) * this.#modelOf(endpoint).factor(kind, load + 1)
   }
 
+  /**
+   * Cost of sending the endpoint one more call beside `load` others: the call's own expected time, and the use that it makes of
+   * what the endpoint takes well, as multiples of the usual time. With the time alone, the fastest endpoint would get all calls
+   * until it slows down, from all instances.
+   */
+  loadedFactor (endpoint: Endpoint, kind: WorkKind, load: number): number {
+    const use = (load + 1) / this.comfortableConcurrency(endpoint, kind)
+    return this.slowness(endpoint, kind) * (this.#modelOf(endpoint).factor(kind, load + 1) + USE_WEIGHT * use)
+  }
+
+  /** Usual time of such work at the service; undefined before its first call. */
+  usualTime (service: ServiceId, work: Work): Millis | undefined {
+    const usual = this.#usual.get(service)?.usualTime(work)
+    return usual === undefined ? undefined : millis(usual)
+  }
+
   /** Time of work at the endpoint while it has few calls, as a multiple of the service's usual, with its momentary slowness. */
   slowness (endpoint: Endpoint, kind: WorkKind): number {
     const now = this.#clock.now()
--- a/packages/performance/src/ReportedSlowdown.ts
+++ b/packages/performance/src/ReportedSlowdown.ts
@@ -20,7 +20,8 @@
   /** Records a report, 1 as usual. */
   report (slowdown: number, now: Millis): void {
     const value = Math.log(Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, slowdown)))
-    const span = this.#reportedAt === undefined ? 0 : now - this.#reportedAt
+    // A report speaks for one period at most, however long ago the one before it was.
+    const span = this.#reportedAt === undefined ? 0 : Math.min(SLOWDOWN_PERIOD, now - this.#reportedAt)
     this.#mean += (1 - Math.exp(-span / SLOWDOWN_MEAN_TIME_CONSTANT)) * (value - this.#mean)
     this.#latest = value
     this.#reportedAt = now
--- a/packages/performance/src/constants.ts
+++ b/packages/performance/src/constants.ts
@@ -49,6 +49,8 @@
 export const LOAD_HALF_LIFE = millis(150)
 /** Time constant of an endpoint's mean load. */
 export const LOAD_TIME_CONSTANT = seconds(2)
+/** Weight of the use of an endpoint against a call's own expected time, in the choice of an endpoint. */
+export const USE_WEIGHT = 3
 /** Multiples of the service's mean time from which an endpoint counts as slow, and below which it has recovered. */
 export const SLOW_FACTOR = 1.5
 export const RECOVERED_FACTOR = 1.25
--- a/packages/performance/src/types.ts
+++ b/packages/performance/src/types.ts
@@ -17,6 +17,8 @@
   readonly at: Millis
   /** Calls at the endpoint, this one included. */
   readonly concurrency: number
+  /** Whether the caller counts all calls at the endpoint; otherwise the concurrency is an estimate. */
+  readonly isLoadKnown: boolean
   /** Slowdown that the endpoint reported, faded to this time. */
   readonly slowdown: number
   readonly isCold: boolean
