Compare all endpoints of a plain service, and even out their use

Change: all endpoints are compared; the use of an endpoint is weighed apart from its speed. A call that may have waited for a slot counts only where a recent report tells for how long.

--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -57,9 +57,6 @@
 export const AFFINITY_WEIGHT = 2
 /** Prompt parts remembered as cached for each engine. */
 export const MAX_CACHED_PARTS = 2048
-/** Candidates drawn among the endpoints of a plain service, at least, and the age up to which a report of load adds one. */
-export const MIN_CANDIDATES = 2
-export const FRESH_REPORT_AGE = millis(150)
 /** Keys of an engine's work, and the tokens that stand for the time of reading a prompt of none. */
 export const PROMPT_WORK_KEY = 'prompt'
 export const STEP_WORK_KEY = 'step'
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 export { admit } from './admission.js'
 export type { Admission, Forecast } from './admission.js'
 export { chooseLeastLoaded } from './chooseLeastLoaded.js'
+export { chooseSoonest } from './chooseSoonest.js'
 export { ColdStartLimiter } from './ColdStartLimiter.js'
 export { ConnectionPool } from './ConnectionPool.js'
 export type { Detour, DetouredRequest, HandOver, HandOverEnd } from './Detour.js'
--- a/packages/performance/src/EndpointPerformance.ts
+++ b/packages/performance/src/EndpointPerformance.ts
@@ -1,20 +1,17 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
-import { USE_WEIGHT } from './constants.js'
+import { MIN_LOAD_CERTAINTY, QUEUE_MARGIN, USE_WEIGHT } from './constants.js'
 import { EndpointModel } from './EndpointModel.js'
 import { ServiceUsual } from './ServiceUsual.js'
 import { SlowEndpoints } from './SlowEndpoints.js'
-import type { CallStart, SharedSpeed, Work, WorkKind } from './types.js'
+import type { CallSample, CallStart, LearntSpeed, Work, WorkKind } from './types.js'
 
 export interface EndpointPerformanceOptions {
   readonly clock: Clock
   readonly log: EventLog
 }
 
-/** Called when a call has changed what is known of an endpoint. */
-export type LearntListener = (endpoint: Endpoint, kind: WorkKind) => void
-
 /**
  * Learns how long work takes at each endpoint, and how many calls at once it takes well, from the times of its answers. It
  * is used only for services whose endpoints report their momentary slowdown.
@@ -29,7 +26,6 @@
   readonly #models = new Map<Endpoint, EndpointModel>()
   readonly #usual = new Map<ServiceId, ServiceUsual>()
   readonly #slow: SlowEndpoints
-  readonly #listeners: LearntListener[] = []
 
   constructor ({ clock, log }: EndpointPerformanceOptions) {
     this.#clock = clock
@@ -41,11 +37,6 @@
     return endpoints.some(({ load }) => load?.slowdown !== undefined)
   }
 
-  /** Calls the listener with each endpoint that a call has taught something about. */
-  onLearnt (listener: LearntListener): void {
-    this.#listeners.push(listener)
-  }
-
   /**
    * What is known when a call to the endpoint begins beside `load` others, which are estimated if not given; undefined where
    * the endpoint does not report its slowdown.
@@ -58,6 +49,7 @@
       at: now,
       concurrency: (load ?? model.load.at(endpoint, now)) + 1,
       isLoadKnown: load !== undefined,
+      loadCertainty: load === undefined ? model.load.certainty(now) : 1,
       slowdown: model.slowdown.at(now),
       isCold: endpoint.isCold(now)
     }
@@ -71,19 +63,34 @@
     const model = this.#modelOf(endpoint)
     const usual = this.#usualOf(endpoint.service)
     const { speed, curve } = model.kind(work.kind)
+    const mean = usual.meanLevel(work.kind)
     const endConcurrency = start.isLoadKnown ? start.concurrency : model.load.at(endpoint, now) + 1
-    const concurrency = (start.concurrency + endConcurrency) / 2
+    // Without a recent report, a long wait for a slot cannot be told from slow work.
+    const mayHaveWaited = Math.max(start.concurrency, endConcurrency) > model.slots + QUEUE_MARGIN
+    if (mayHaveWaited && start.loadCertainty < MIN_LOAD_CERTAINTY) return
+    const concurrency = endConcurrency + start.loadCertainty / 2 * (start.concurrency - endConcurrency)
     const slowdown = Math.sqrt(start.slowdown * model.slowdown.at(now))
-    const served = took / work.amount / slowdown / model.queueFactor(start.concurrency) / curve.factor(concurrency)
-    const mean = usual.meanLevel(work.kind)
-    const ratio = Math.log(served / usual.timeOf(work, served / Math.exp(speed.level(now, mean))))
-    const deviation = speed.add({ ratio, startedAt: start.at, endedAt: millis(start.at + took) }, mean)
-    if (deviation === undefined) return
-    usual.learn(work, deviation)
-    usual.learnLevel(work.kind, speed.level(now, mean))
-    model.learnShape(work.kind, concurrency, deviation, now)
-    this.#slow.update(endpoint, speed.calls, speed.level(now, mean) - usual.meanLevel(work.kind))
-    for (const listener of this.#listeners) listener(endpoint, work.kind)
+    const served = took / work.amount / slowdown / model.queueFactor(start.concurrency)
+    const expected = usual.timeOf(work, served / Math.exp(speed.level(now, mean)) / curve.factor(concurrency))
+    const sample = { kind: work.kind, ratio: Math.log(served / expected) - mean, concurrency, startedAt: start.at, endedAt: now }
+    const deviation = this.#learn(endpoint, sample)
+    if (deviation !== undefined) usual.learn(work, deviation)
+  }
+
+  /** Learns from a call; returns its deviation from the expected, or undefined for an outlier. */
+  #learn (endpoint: Endpoint, { kind, ratio, concurrency, startedAt, endedAt }: CallSample): number | undefined {
+    const model = this.#modelOf(endpoint)
+    const usual = this.#usualOf(endpoint.service)
+    const { speed, curve } = model.kind(kind)
+    const mean = usual.meanLevel(kind)
+    const deviation = speed.add({ ratio: ratio + mean - Math.log(curve.factor(concurrency)), startedAt, endedAt }, mean)
+    if (deviation !== undefined) {
+      const level = speed.level(endedAt, mean)
+      usual.learnLevel(kind, level)
+      model.learnShape(kind, concurrency, deviation, endedAt)
+      this.#slow.update(endpoint, speed.calls, level - usual.meanLevel(kind))
+    }
+    return deviation
   }
 
   /** Expected time of work that begins now, or with `load` calls already there; undefined before the first call of its key. */
@@ -104,7 +111,7 @@
    */
   loadedFactor (endpoint: Endpoint, kind: WorkKind, load: number): number {
     const use = (load + 1) / this.comfortableConcurrency(endpoint, kind)
-    return this.slowness(endpoint, kind) * (this.#modelOf(endpoint).factor(kind, load + 1) + USE_WEIGHT * use)
+    return this.slowness(endpoint, kind) * this.#modelOf(endpoint).factor(kind, load + 1) + USE_WEIGHT * use
   }
 
   /** Usual time of such work at the service; undefined before its first call. */
@@ -132,8 +139,8 @@
     return model.kinds.get(kind)?.curve.comfortable ?? model.slots
   }
 
-  /** What was learnt of a kind of work, to be told to other instances; undefined where nothing was. */
-  learnt (endpoint: Endpoint, kind: WorkKind): SharedSpeed | undefined {
+  /** What was learnt of a kind of work; undefined where nothing was. */
+  learnt (endpoint: Endpoint, kind: WorkKind): LearntSpeed | undefined {
     const known = this.#models.get(endpoint)?.kinds.get(kind)
     const at = known?.speed.updatedAt
     if (known === undefined || at === undefined) return undefined
@@ -142,15 +149,6 @@
     return { kind, level: known.speed.level(now, mean) - mean, concurrency: known.curve.comfortable, age: millis(now - at) }
   }
 
-  /** Takes over what another instance has learnt, where it is newer than what this one has. */
-  adopt (endpoint: Endpoint, { kind, level, concurrency, age }: SharedSpeed, weight: number): void {
-    const { speed, curve } = this.#modelOf(endpoint).kind(kind)
-    const at = millis(this.#clock.now() - age)
-    if (speed.updatedAt !== undefined && speed.updatedAt >= at) return
-    speed.adopt(this.#usualOf(endpoint.service).meanLevel(kind) + level, weight, at)
-    curve.comfortable = concurrency
-  }
-
   /** Forgets an incarnation that is gone. */
   forget (endpoint: Endpoint): void {
     this.#models.delete(endpoint)
--- a/packages/performance/src/LoadEstimate.ts
+++ b/packages/performance/src/LoadEstimate.ts
@@ -15,10 +15,15 @@
     this.#seen = load
   }
 
+  /** Weight of the newest report, 1 if it has just come. */
+  certainty (now: Millis): number {
+    return this.#seen === undefined ? 0 : 0.5 ** ((now - this.#seen.at) / LOAD_HALF_LIFE)
+  }
+
   /** Estimated calls at the endpoint, running or waiting. */
   at ({ running }: Endpoint, now: Millis): number {
     if (this.#seen === undefined) return running
-    const weight = 0.5 ** ((now - this.#seen.at) / LOAD_HALF_LIFE)
+    const weight = this.certainty(now)
     return running + this.#meanOthers + weight * (othersOf(this.#seen) - this.#meanOthers)
   }
 }
--- a/packages/performance/src/SpeedEstimate.ts
+++ b/packages/performance/src/SpeedEstimate.ts
@@ -81,15 +81,6 @@
     this.#level += change
   }
 
-  /** Takes over what another instance learnt, as if from `weight` calls at `at`. */
-  adopt (level: number, weight: number, at: Millis): void {
-    const own = this.#updatedAt === undefined ? 0 : this.#weight * Math.exp(-Math.max(0, at - this.#updatedAt) / SPEED_TIME_CONSTANT)
-    this.#level += weight / (own + weight) * (level - this.#level)
-    this.#weight = Math.max(MIN_SPEED_WEIGHT, own + weight)
-    if (this.#updatedAt === undefined || at > this.#updatedAt) this.#updatedAt = at
-    this.#calls++
-  }
-
   #forget (now: Millis, isChange: boolean): void {
     const kept = this.#weight * Math.exp(-Math.max(0, now - (this.#updatedAt ?? now)) / SPEED_TIME_CONSTANT)
     if (isChange) this.#weight = 0
--- a/packages/performance/src/constants.ts
+++ b/packages/performance/src/constants.ts
@@ -40,11 +40,15 @@
 export const SHAPE_FIT_MARGIN = 2
 /** Span over which a reported slowdown fades: a spell of slowness lasts about this long, and it may end at any time. */
 export const SLOWDOWN_PERIOD = millis(600)
-/** Time constant of the mean of the reported slowdowns, to which a report fades. */
-export const SLOWDOWN_MEAN_TIME_CONSTANT = seconds(5)
+/** Time constant of the mean of the reported slowdowns, to which a report fades; several spells of slowness apart. */
+export const SLOWDOWN_MEAN_TIME_CONSTANT = seconds(10)
 /** Bounds of a reported slowdown that is believed. */
 export const MIN_SLOWDOWN = 0.1
 export const MAX_SLOWDOWN = 20
+/** Calls beyond the slots up to which a call still shows the speed: estimates of the load are not exact. */
+export const QUEUE_MARGIN = 0.5
+/** Weight of the last report from which a call's wait for a slot is estimated well enough. */
+export const MIN_LOAD_CERTAINTY = 0.5
 /** Age at which the reported load counts half; the rest is the endpoint's mean load. */
 export const LOAD_HALF_LIFE = millis(150)
 /** Time constant of an endpoint's mean load. */
--- a/packages/performance/src/types.ts
+++ b/packages/performance/src/types.ts
@@ -19,13 +19,25 @@
   readonly concurrency: number
   /** Whether the caller counts all calls at the endpoint; otherwise the concurrency is an estimate. */
   readonly isLoadKnown: boolean
+  /** How recent the report was that the estimate is from, 1 if it has just come. */
+  readonly loadCertainty: number
   /** Slowdown that the endpoint reported, faded to this time. */
   readonly slowdown: number
   readonly isCold: boolean
 }
 
-/** A learnt speed, as one instance tells it to another. */
-export interface SharedSpeed {
+/** One call, compared with the usual. */
+export interface CallSample {
+  readonly kind: WorkKind
+  /** Its time as a multiple of the usual time at the service's mean, with the effect of concurrency; natural logarithm. */
+  readonly ratio: number
+  readonly concurrency: number
+  readonly startedAt: Millis
+  readonly endedAt: Millis
+}
+
+/** What was learnt of one kind of work at an endpoint. */
+export interface LearntSpeed {
   readonly kind: WorkKind
   /** Time that work takes at the endpoint, as a multiple of the service's mean; natural logarithm. */
   readonly level: number
