--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -28,5 +28,6 @@
   'endpoint-limits': () => import('./benches/endpoint-limits.js'),
   'endpoint-limits-large': () => import('./benches/endpoint-limits-large.js'),
   'deadly-work': () => import('./benches/deadly-work.js'),
-  'deadly-work-large': () => import('./benches/deadly-work-large.js')
+  'deadly-work-large': () => import('./benches/deadly-work-large.js'),
+  uneven: () => import('./benches/uneven.js')
 }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -5,6 +5,7 @@
 import { timeUntilAvailable } from '@papayahill/limits'
 import { admit } from './admission.js'
 import type { Admission } from './admission.js'
+import { answerTimeOf } from './answerTimeOf.js'
 import { STOP_RETRY_AFTER } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -155,7 +156,7 @@
 
   /** The end of a request that is not admitted; undefined if it is. */
   #admit (request: ForwardRequest, service: ServiceId): RunEnd | undefined {
-    const { clock, log, directory, limits, unsent, firstEvents, stages, stopTime } = this.#context
+    const { clock, log, directory, limits, unsent, stages, stopTime } = this.#context
     const { route, attempt, priority, configVersion, pieceCounts } = request
     const now = clock.now()
     const endpoints = directory.usable(service)
@@ -166,7 +167,7 @@
       timeUntilAvailable: timeUntilAvailable(limits, endpoints, now),
       tokensPerSecond: endpoints.length === 0 ? Infinity : limits.fairShare(endpoints),
       unsent: unsent.count(service),
-      answerTime: route.kind === 'streaming' ? firstEvents.mean(route.name) : millis(0)
+      answerTime: answerTimeOf(this.#context, request, endpoints)
     }
     const admission = admit(inputs)
     const fields = {
--- a/packages/forwarding/src/learntPlacement.test.ts
+++ b/packages/forwarding/src/learntPlacement.test.ts
@@ -4,10 +4,12 @@
 import { EndpointPerformance } from '@papayahill/performance'
 import type { Work } from '@papayahill/performance'
 import { describe, expect, it } from 'vitest'
+import { answerTimeOf } from './answerTimeOf.js'
 import { chooseLeastLoaded } from './chooseLeastLoaded.js'
 import { PROMPT_WORK_KEY } from './constants.js'
 import { EngineTracker } from './EngineTracker.js'
 import type { ForwardContext } from './ForwardContext.js'
+import { newRouteTimes } from './newRouteTimes.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { ForwardRequest, PlacementCriteria, Prompt } from './types.js'
@@ -117,6 +119,29 @@
   })
 })
 
+describe('the forecast at admission', () => {
+  const answerTime = ({ performance, endpoints }: ReturnType<typeof setUp>): number => {
+    const request = { route: { name: 'order', kind: 'unsafe' }, prompt: undefined } as unknown as ForwardRequest
+    return answerTimeOf({ firstEvents: newRouteTimes(), performance }, request, endpoints)
+  }
+
+  it('counts the time of the answer at the endpoint that answers soonest, so that a request without enough time is not run', async () => {
+    const rig = setUp(true)
+    await rig.teach([70, 100, 170])
+    expect(answerTime(rig)).toBeGreaterThan(60)
+    expect(answerTime(rig)).toBeLessThan(85)
+    for (const endpoint of rig.endpoints) rig.report(endpoint, 24)
+    expect(answerTime(rig)).toBeGreaterThan(150)
+  })
+
+  it('counts none before the first answer, and none where endpoints report no slowdown', async () => {
+    expect(answerTime(setUp(true))).toBe(0)
+    const rig = setUp(false)
+    await rig.teach([70, 100, 170])
+    expect(answerTime(rig)).toBe(0)
+  })
+})
+
 describe('an engine that reports its slowdown', () => {
   it('gets fewer prompts if it reads them slowly', async () => {
     const rig = setUp(true)
--- a/packages/performance/src/EndpointModel.ts
+++ b/packages/performance/src/EndpointModel.ts
@@ -65,6 +65,6 @@
   learnShape (kind: WorkKind, concurrency: number, deviation: number, now: Millis): void {
     const { speed, curve } = this.kind(kind)
     curve.add(concurrency, deviation + Math.log(curve.factor(concurrency)), now)
-    if (speed.calls % CALLS_PER_SHAPE_FIT === 0) speed.shift(curve.fit(speed.deviation))
+    if (speed.calls % CALLS_PER_SHAPE_FIT === 0) speed.shift(curve.fit())
   }
 }
--- a/packages/performance/src/EndpointPerformance.ts
+++ b/packages/performance/src/EndpointPerformance.ts
@@ -83,14 +83,16 @@
     const usual = this.#usualOf(endpoint.service)
     const { speed, curve } = model.kind(kind)
     const mean = usual.meanLevel(kind)
-    const deviation = speed.add({ ratio: ratio + mean - Math.log(curve.factor(concurrency)), startedAt, endedAt }, mean)
-    if (deviation !== undefined) {
+    const { bounded, rest, isChange } = speed.add({ ratio: ratio + mean - Math.log(curve.factor(concurrency)), startedAt, endedAt }, mean)
+    // Outliers count for the shape, bounded: beyond a concurrency that is not known yet, calls are outliers.
+    if (isChange) curve.clear()
+    else model.learnShape(kind, concurrency, bounded, endedAt)
+    if (rest !== undefined) {
       const level = speed.level(endedAt, mean)
       usual.learnLevel(kind, level)
-      model.learnShape(kind, concurrency, deviation, endedAt)
       this.#slow.update(endpoint, speed.calls, level - usual.meanLevel(kind))
     }
-    return deviation
+    return rest
   }
 
   /** Expected time of work that begins now, or with `load` calls already there; undefined before the first call of its key. */
--- a/packages/performance/src/SpeedEstimate.ts
+++ b/packages/performance/src/SpeedEstimate.ts
@@ -14,6 +14,16 @@
   readonly endedAt: Millis
 }
 
+/** By how much a call deviates from what was expected, as a logarithm. */
+export interface SpeedDeviation {
+  /** Before the call was learnt from, bounded for outliers. */
+  readonly bounded: number
+  /** After it was learnt from; undefined for an outlier. */
+  readonly rest: number | undefined
+  /** Whether outliers have shown that the speed has changed. */
+  readonly isChange: boolean
+}
+
 /**
  * The time that work takes at one endpoint, as a multiple of the usual, learnt from calls with exponential forgetting. It
  * follows a change within 1 to 2 s and limits the effect of outliers: single ones, and several that one pause or one cut path
@@ -57,23 +67,23 @@
     return mean + (this.#level - mean) * 0.5 ** (Math.max(0, now - this.#updatedAt) / SPEED_HALF_LIFE)
   }
 
-  /** Records a call; returns its deviation from the level, or undefined if it says nothing. */
-  add ({ ratio, startedAt, endedAt }: SpeedSample, mean: number): number | undefined {
+  /** Records a call; returns by how much it deviates from what was expected. */
+  add ({ ratio, startedAt, endedAt }: SpeedSample, mean: number): SpeedDeviation {
     const level = this.level(endedAt, mean)
     const error = Math.max(-MAX_TIME_FACTOR, Math.min(MAX_TIME_FACTOR, ratio - level))
     const outlierFrom = Math.min(MAX_OUTLIER, Math.max(MIN_OUTLIER, OUTLIER_DEVIATIONS * this.#deviation))
     const isOutlier = Math.abs(error) > outlierFrom
-    if (isOutlier && !this.#countOutlier(error, startedAt, endedAt)) return undefined
+    const bounded = Math.sign(error) * Math.min(outlierFrom, Math.abs(error))
+    if (isOutlier && !this.#countOutlier(error, startedAt, endedAt)) return { bounded, rest: undefined, isChange: false }
     if (!isOutlier) this.#outliers = 0
     const isChange = this.#outliers >= OUTLIERS_OF_CHANGE
     this.#forget(endedAt, isChange)
     this.#weight++
-    const bounded = isChange ? error : Math.sign(error) * Math.min(outlierFrom, Math.abs(error))
-    this.#level = level + bounded / this.#weight
-    this.#deviation += DEVIATION_WEIGHT * (Math.abs(bounded) * Math.sqrt(Math.PI / 2) - this.#deviation)
+    this.#level = level + (isChange ? error : bounded) / this.#weight
+    this.#deviation += DEVIATION_WEIGHT * (Math.abs(isChange ? error : bounded) * Math.sqrt(Math.PI / 2) - this.#deviation)
     this.#updatedAt = endedAt
     this.#calls++
-    return isOutlier ? undefined : ratio - this.#level
+    return { bounded, rest: isOutlier ? undefined : ratio - this.#level, isChange }
   }
 
   /** Moves the level without a call, as when the shape over concurrency is estimated anew. */
--- a/packages/performance/src/constants.ts
+++ b/packages/performance/src/constants.ts
@@ -31,13 +31,14 @@
 /** Half-life of what is known of an endpoint without calls: it returns to the service's mean, so that it is tried again. */
 export const SPEED_HALF_LIFE = seconds(10)
 /** Time constant of the shape of times over concurrency; it needs calls at several numbers of concurrent calls. */
-export const SHAPE_TIME_CONSTANT = seconds(4)
+export const SHAPE_TIME_CONSTANT = seconds(12)
 /** Classes of concurrency, and candidates for the concurrency beyond which an endpoint slows down. */
 export const SHAPE_BINS = 8
 /** Calls between two estimates of that concurrency. */
-export const CALLS_PER_SHAPE_FIT = 8
-/** A candidate replaces the present value if its squared error is smaller by this many squared deviations. */
-export const SHAPE_FIT_MARGIN = 2
+export const CALLS_PER_SHAPE_FIT = 4
+/** Twice the logarithm of the likelihood ratio from which a candidate replaces the present value; the other avoids a division by 0. */
+export const SHAPE_FIT_MARGIN = 6
+export const MIN_SHAPE_ERROR = 1e-3
 /** Span over which a reported slowdown fades: a spell of slowness lasts about this long, and it may end at any time. */
 export const SLOWDOWN_PERIOD = millis(600)
 /** Time constant of the mean of the reported slowdowns, to which a report fades; several spells of slowness apart. */
@@ -54,7 +55,7 @@
 /** Time constant of an endpoint's mean load. */
 export const LOAD_TIME_CONSTANT = seconds(2)
 /** Weight of the use of an endpoint against a call's own expected time, in the choice of an endpoint. */
-export const USE_WEIGHT = 3
+export const USE_WEIGHT = 10
 /** Multiples of the service's mean time from which an endpoint counts as slow, and below which it has recovered. */
 export const SLOW_FACTOR = 1.5
 export const RECOVERED_FACTOR = 1.25
