Bound the time-outs that grow with learnt slowness; tests of events and of both readings of the reported slowdown

Cause: a long queue at an endpoint made the silence that is probed as long as its factor, without bound. Change: the factor is at most 3.

--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -3,6 +3,7 @@
 import type { Millis, Tokens } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
+import { allowedSlowness } from './allowedSlowness.js'
 import { CallTiming } from './CallTiming.js'
 import {
   HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT, PLAIN_SILENCE, STREAM_SILENCE,
@@ -134,8 +135,7 @@
   /** How much longer than usual the answer may take at this endpoint; 1 where that is not learnt. */
   get #slowness (): number {
     const { context: { performance }, request: { prompt }, endpoint } = this.#options
-    const isActive = performance.isActive([endpoint])
-    return isActive ? Math.max(1, performance.expectedFactor(endpoint, prompt === undefined ? 'plain' : 'prompt')) : 1
+    return allowedSlowness(performance, endpoint, prompt === undefined ? 'plain' : 'prompt')
   }
 
   get #timeLeft (): Millis {
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -57,6 +57,8 @@
 export const AFFINITY_WEIGHT = 2
 /** Prompt parts remembered as cached for each engine. */
 export const MAX_CACHED_PARTS = 2048
+/** Upper bound of the factor by which a call's time-outs grow at an endpoint that is known to be slow. */
+export const MAX_ALLOWED_SLOWNESS = 3
 /** Keys of an engine's work, and the tokens that stand for the time of reading a prompt of none. */
 export const PROMPT_WORK_KEY = 'prompt'
 export const STEP_WORK_KEY = 'step'
--- a/packages/forwarding/src/learntPlacement.test.ts
+++ b/packages/forwarding/src/learntPlacement.test.ts
@@ -4,6 +4,7 @@
 import { EndpointPerformance } from '@papayahill/performance'
 import type { Work } from '@papayahill/performance'
 import { describe, expect, it } from 'vitest'
+import { allowedSlowness } from './allowedSlowness.js'
 import { answerTimeOf } from './answerTimeOf.js'
 import { chooseLeastLoaded } from './chooseLeastLoaded.js'
 import { PROMPT_WORK_KEY } from './constants.js'
@@ -142,6 +143,24 @@
   })
 })
 
+describe('the time-outs of a call', () => {
+  it('grow at an endpoint that is known to be slow, so that its answer is not given up, but not without bound', async () => {
+    const rig = setUp(true)
+    await rig.teach([70, 100, 190])
+    const [fast, , slow] = rig.endpoints as [Endpoint, Endpoint, Endpoint]
+    expect(allowedSlowness(rig.performance, fast, 'plain')).toBe(1)
+    expect(allowedSlowness(rig.performance, slow, 'plain')).toBeGreaterThan(1.4)
+    rig.report(slow, 500)
+    expect(allowedSlowness(rig.performance, slow, 'plain')).toBe(3)
+  })
+
+  it('stay as they are where endpoints report no slowdown', async () => {
+    const rig = setUp(false)
+    await rig.teach([70, 100, 190])
+    for (const endpoint of rig.endpoints) expect(allowedSlowness(rig.performance, endpoint, 'plain')).toBe(1)
+  })
+})
+
 describe('an engine that reports its slowdown', () => {
   it('gets fewer prompts if it reads them slowly', async () => {
     const rig = setUp(true)
--- a/packages/performance/src/EndpointPerformance.test.ts
+++ b/packages/performance/src/EndpointPerformance.test.ts
@@ -1,6 +1,7 @@
-import { millis, seconds } from '@papayahill/common'
+import { EventRecorder, millis, seconds, VirtualClock } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { PERFORMANCE_EVENTS } from './events.js'
+import { SlowEndpoints } from './SlowEndpoints.js'
 import { newEndpoint, PerformanceHarness, USUAL_TIME, WORK } from './testing/PerformanceHarness.js'
 
 /** Two endpoints of equal speed that are known well. */
@@ -11,6 +12,28 @@
   return { harness, first, second, performance: harness.performance }
 }
 
+describe('SlowEndpoints', () => {
+  it('logs a bounded number of events when many endpoints become slow and recover again and again', async () => {
+    const clock = new VirtualClock()
+    const log = new EventRecorder(clock)
+    const slow = new SlowEndpoints(clock, log)
+    const endpoints = Array.from({ length: 40 }, (_none, at) => newEndpoint(`e${at}`))
+    for (let round = 0; round < 50; round++) {
+      for (const endpoint of endpoints) slow.update(endpoint, 10, round % 2 === 0 ? 1 : 0)
+      await clock.advance(millis(100))
+    }
+    expect(slow.size).toBe(0)
+    expect(log.records.length).toBeLessThanOrEqual(10)
+  })
+
+  it('counts nothing as slow before it was called some times', () => {
+    const clock = new VirtualClock()
+    const slow = new SlowEndpoints(clock, new EventRecorder(clock))
+    slow.update(newEndpoint('e1'), 2, 1)
+    expect(slow.size).toBe(0)
+  })
+})
+
 describe('EndpointPerformance', () => {
   it('learns the speeds of endpoints whose slots would make them look equal', async () => {
     const harness = new PerformanceHarness()
@@ -104,6 +127,20 @@
     expect(harness.ratio(first, second)).toBeLessThan(1.2)
   })
 
+  it('expects the same of a slow endpoint whether or not its reports contain its lasting slowness', async () => {
+    const harness = new PerformanceHarness()
+    const usual = harness.add('e1')
+    const [told, untold] = [harness.add('e2', { momentary: 1.7 }), harness.add('e3', { slowness: 1.7 })]
+    await harness.call(15, seconds(20))
+    for (const wait of [0, 2000]) {
+      await harness.clock.advance(millis(wait))
+      for (const slow of [told, untold]) {
+        expect(harness.ratio(slow, usual)).toBeGreaterThan(1.45)
+        expect(harness.ratio(slow, usual)).toBeLessThan(1.95)
+      }
+    }
+  })
+
   it('does not take a reported spell of slowness for lasting slowness', async () => {
     const { harness, first, second } = await settled()
     first.momentary = 2.5
