--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -34,4 +34,5 @@
   'usage-reports': () => import('./benches/usage-reports.js'),
   'usage-reports-large': () => import('./benches/usage-reports-large.js'),
   duties: () => import('./benches/duties.js')
+  uneven: () => import('./benches/uneven.js')
 }
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -3,6 +3,8 @@
 import type { Millis, Tokens } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
+import { allowedSlowness } from './allowedSlowness.js'
+import { CallTiming } from './CallTiming.js'
 import {
   HANG_TIMEOUT_TARGETS, INPUT_BYTES_PER_MILLI, INPUT_READ_DELAY, MAX_LOGGED_PARTS, MIN_HANG_TIMEOUT, PLAIN_SILENCE, STREAM_SILENCE,
   USUAL_SILENCE_FACTOR
@@ -47,6 +49,7 @@
   readonly #exchange: OpaqueExchange
   readonly #startedAt: Millis
   readonly #eventsBefore: number
+  readonly #timing: CallTiming
   #isBegun: boolean
   #isWithdrawn = false
 
@@ -57,6 +60,7 @@
     this.#eventsBefore = relay?.events ?? 0
     this.#isBegun = this.#eventsBefore > 0
     this.#versionCall = context.versions.recordCall(endpoint, request.route)
+    this.#timing = new CallTiming(context.performance, endpoint, request, this.#promptTokens)
     this.#exchange = this.#newExchange()
   }
 
@@ -89,6 +93,7 @@
     this.#versionCall.callEnded(end, request.signal.aborted || this.#isWithdrawn)
     this.#noteRun(end)
     this.#noteTimes(end)
+    this.#learnPerformance(end)
     this.#noteCrash(end)
     this.#logEnd(end)
     return end
@@ -99,7 +104,7 @@
     const { clock, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
-    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)))
+    const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)) * this.#slowness)
     return new OpaqueExchange({
       clock,
       log,
@@ -128,7 +133,13 @@
     const { context: { firstEvents, answerTimes }, request: { route } } = this.#options
     const isStream = route.kind === 'streaming'
     const usual = (isStream ? firstEvents : answerTimes).mean(route.name)
-    return millis(Math.max(isStream ? STREAM_SILENCE : PLAIN_SILENCE, USUAL_SILENCE_FACTOR * usual))
+    return millis(Math.max(isStream ? STREAM_SILENCE : PLAIN_SILENCE, USUAL_SILENCE_FACTOR * usual * this.#slowness))
+  }
+
+  /** How much longer than usual the answer may take at this endpoint; 1 where that is not learnt. */
+  get #slowness (): number {
+    const { context: { performance }, request: { prompt }, endpoint } = this.#options
+    return allowedSlowness(performance, endpoint, prompt === undefined ? 'plain' : 'prompt')
   }
 
   get #timeLeft (): Millis {
@@ -178,6 +189,20 @@
     if (firstByteAt !== undefined && route.kind === 'streaming') firstEvents.record(route.name, millis(firstByteAt - this.#startedAt))
   }
 
+  /** Prompt tokens that the engine reads before it generates; undefined at a plain service. */
+  get #promptTokens (): number | undefined {
+    const { context: { engines }, request: { prompt }, endpoint } = this.#options
+    return prompt === undefined ? undefined : engines.pendingTokens(endpoint, prompt)
+  }
+
+  #learnPerformance (end: CallEnd): void {
+    const { context: { clock, engines }, endpoint, relay } = this.#options
+    const { sentAt, firstByteAt } = this.#exchange
+    const events = (relay?.events ?? 0) - this.#eventsBefore
+    this.#timing.ended(end, { sentAt, firstByteAt, endedAt: clock.now() }, events)
+    if (end.kind === 'streamed') engines.recordSteps(endpoint.service, events)
+  }
+
   #noteCrash (end: CallEnd): void {
     const { context: { callQuarantine }, check, endpoint, canRetry } = this.#options
     if (end.kind === 'not-run' && end.isRefused === true) callQuarantine.endpointRefused(endpoint)
