--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -33,6 +33,6 @@
   'deadly-work-large': () => import('./benches/deadly-work-large.js'),
   'usage-reports': () => import('./benches/usage-reports.js'),
   'usage-reports-large': () => import('./benches/usage-reports-large.js'),
-  duties: () => import('./benches/duties.js')
+  duties: () => import('./benches/duties.js'),
   uneven: () => import('./benches/uneven.js')
 }
