--- a/packages/usage/src/testing/playFault.ts
+++ b/packages/usage/src/testing/playFault.ts
@@ -5,7 +5,8 @@
 import { USAGE_FAULTS } from './usageFaults.js'
 import type { UsageFault, UsageFaultName } from './usageFaults.js'
 import { UsageHarness } from './UsageHarness.js'
-import type { UsageHarnessOptions, UsageInstance } from './UsageHarness.js'
+import type { UsageHarnessOptions } from './UsageHarness.js'
+import type { UsageInstance } from './UsageInstance.js'
 
 /** Time after a fault in which all its windows become due, and more windows follow. */
 const AFTERWARDS = seconds(25)
--- a/packages/usage/src/testing/usageFaults.ts
+++ b/packages/usage/src/testing/usageFaults.ts
@@ -1,6 +1,7 @@
 import { millis, seconds } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import type { UsageHarness, UsageInstance } from './UsageHarness.js'
+import { cutOne, killAll, reachPhase, sixthOf } from './faultSteps.js'
+import type { UsageHarness } from './UsageHarness.js'
 
 /** A fault that is played while instances count. */
 export interface UsageFault {
@@ -19,7 +20,6 @@
   readonly through: number
 }
 
-const LENGTH_MS = 5000
 const STORE_DOWN = seconds(27)
 const PLATFORM_DOWN = seconds(7)
 const SHORT_CUT = seconds(2)
@@ -27,36 +27,6 @@
 const FREEZE = seconds(9)
 const RESTART_TIME = seconds(2)
 
-/** Waits for a moment within a window that depends on the seed. */
-const reachPhase = async (harness: UsageHarness, seed: number): Promise<void> => {
-  await harness.clock.advance(millis(LENGTH_MS * 2 + seed * 1379 % LENGTH_MS))
-}
-
-/** A sixth of the instances, the holder included. */
-const sixthOf = ({ alive, holder }: UsageHarness, seed: number): readonly UsageInstance[] => {
-  const count = Math.max(1, Math.floor(alive.length / 6))
-  const others = alive.filter((instance) => instance !== holder)
-  const stride = Math.max(1, Math.floor(others.length / count))
-  const chosen = others.filter((_instance, at) => at % stride === seed % stride).slice(0, count - 1)
-  return holder === undefined ? chosen : [holder, ...chosen]
-}
-
-const killAll = (harness: UsageHarness, instances: readonly UsageInstance[]): void => {
-  for (const instance of instances) harness.kill(instance)
-}
-
-/** Cuts one instance that is not the holder from some of the others. */
-const cutOne = async (
-  harness: UsageHarness, seed: number, span: Millis, isCutFrom: (instance: UsageInstance) => boolean
-): Promise<void> => {
-  await reachPhase(harness, seed)
-  const cut = harness.alive.find((instance) => instance !== harness.holder)!
-  const others = harness.alive.filter((instance) => instance !== cut && isCutFrom(instance))
-  for (const { identity } of others) harness.network.partition(cut.identity, identity)
-  await harness.clock.advance(span)
-  for (const { identity } of others) harness.network.heal(cut.identity, identity)
-}
-
 export const USAGE_FAULTS = {
   none: {
     about: 'no fault',
