--- a/review/common/program.mjs
+++ b/review/common/program.mjs
@@ -5,6 +5,7 @@
 import { createServer } from 'node:net'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { render } from './render.mjs'
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 const DEPLOY = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')
@@ -46,6 +47,9 @@
   'listen.frontend': `${ip}:${ports.callers}`,
   'listen.readiness': `${ip}:${ports.health}`,
   'internalPortRange.0': ports.peers,
+  'internalPortRange.1': ports.peers,
+  'limits.memoryMb': 400,
+  'limits.maxFds': 4096,
   'platform.address': store,
   'bounds.graceS': graceS,
   'bounds.retryBudgetRatio': 0.2,
@@ -54,11 +58,6 @@
   'bounds.exposureShare': 0.1
 })
 
-const render = (fields) => TEMPLATE
-  .replace(/{{#zones}}([^]*?){{\/zones}}/, (_all, line) => Object.entries(fields.zones)
-    .map(([zone, region]) => line.replace('{{@}}', zone).replace('{{.|json}}', JSON.stringify(region))).join(''))
-  .replace(/{{([\w.]+)(\|json)?}}/g, (_all, name, json) => json === undefined ? String(fields[name]) : JSON.stringify(fields[name]))
-
 const statusOf = (ip, port, path) => new Promise((resolve) => {
   const req = get({ host: ip, port, path, agent: false, timeout: 500 }, (res) => {
     res.resume()
@@ -91,7 +90,7 @@
 
   start () {
     const file = join(this.#folder, `${this.id}.toml`)
-    writeFileSync(file, render(fieldsOf(this.#fields)))
+    writeFileSync(file, render(TEMPLATE, fieldsOf(this.#fields)))
     const { PATH, HOME, LANG = 'C.UTF-8' } = process.env
     this.#child = spawn(COMMAND, ARGS, {
       cwd: ROOT, env: { PATH, HOME, LANG, PAPAYAHILL_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe']
