--- a/packages/backends/src/HttpEndpointAccess.test.ts
+++ b/packages/backends/src/HttpEndpointAccess.test.ts
@@ -146,6 +146,26 @@
     })
   })
 
+  // Guards against an answer with an invalid status that is taken for the endpoint's own error, which says that the call has ended there.
+  describe('an answer with a status that there is not', () => {
+    it.each([
+      ['600', {}], ['999', {}], ['600', { kind: 'engine', isStreamed: true }], ['999', { kind: 'engine', isStreamed: true }]
+    ] as const)('is cut: %s %o', async (status, more) => {
+      const connection = await connect((socket, call) => socket.write(answerOf(`${status} Odd`, outputOf(call))))
+      expect(outcomeOf(await send(connection, callOf(1, more)))).toBe('cut')
+    })
+
+    it('confirms no incarnation', async () => {
+      const server = createServer((socket) => {
+        socket.on('error', () => {}).on('data', () => socket.write(answerOf('600 Odd', '{"incarnation":"i1"}')))
+      })
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+      const access = new HttpEndpointAccess({ self: brand<InstanceId>('i1'), clock, log: SILENT_LOG })
+      closing.push(() => access.close(), () => { server.close() })
+      expect((await access.open(endpointAt(server))).isErr).toBe(true)
+    })
+  })
+
   describe('the look-up of a key', () => {
     it('is not answered by what the endpoint writes again of an earlier one', async () => {
       const { access, endpoint } = await accessTo((socket, key, turn) => {
