A status outside 100 to 599 is no answer of an endpoint

It went to the caller as it came. The connection is now ended with the reason, and the call counts as lost: 502, or another try where the request allows it, and a failure of the endpoint. The check is in EndpointSocket, which both serving paths use; isEndless of a failed exchange is now isNoAnswer, since it covers both causes.

--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -26,8 +26,8 @@
   readonly isSent: boolean
   /** Whether nothing listens at the address. */
   readonly isRefused: boolean
-  /** Whether this instance ended the connection, since the endpoint sent bytes without end that were no answer. */
-  readonly isEndless: boolean
+  /** Whether this instance ended the connection, since what the endpoint sent was no answer: bytes without end, or an invalid status. */
+  readonly isNoAnswer: boolean
   readonly detail: string
 }
 
@@ -196,6 +196,10 @@
 
 /** Statuses below this one belong to interim answers, which a final answer follows. */
 const FINAL_STATUS = 200
+/** HTTP has no class of statuses above; callers' clients treat them in different ways. */
+const MAX_STATUS = 599
+
+const ENDLESS = 'the endpoint sends bytes that are no answer'
 
 const isRefusal = (err: NodeJS.ErrnoException): boolean => err.code === 'ECONNREFUSED'
 
@@ -209,7 +213,7 @@
   #bytesBefore = 0
   #contentBytes = 0
   #interimAnswers = 0
-  #isEndless = false
+  #isNoAnswer = false
 
   constructor (state: SocketState, listener: AnswerListener, stopper: Stopper, resolve: (result: Result<void, SocketFailure>) => void) {
     this.#state = state
@@ -229,6 +233,7 @@
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
     if (status < FINAL_STATUS) return this.#countInterim(controller)
+    if (status > MAX_STATUS) return this.#endAsNoAnswer(controller, `the endpoint answered with the invalid status ${status}`)
     this.#endsWithConnection = !isFramed(headers)
     this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
   }
@@ -243,28 +248,28 @@
     const { isEnded, isBroken } = this.#state
     const isComplete = !isEnded || (this.#endsWithConnection && !isBroken)
     if (isComplete) this.#settle(Result.ok(undefined))
-    else this.#settle(Result.err({ isSent: true, isRefused: false, isEndless: false, detail: 'the connection ended before the answer was complete' }))
+    else this.#settle(Result.err({ isSent: true, isRefused: false, isNoAnswer: false, detail: 'the connection ended before the answer was complete' }))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
-    this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), isEndless: this.#isEndless, detail: err.message }))
+    this.#settle(Result.err({ isSent: this.#isSent, isRefused: isRefusal(err), isNoAnswer: this.#isNoAnswer, detail: err.message }))
   }
 
   /** Interim answers are not passed on. They are short, so that a limit in bytes alone would let thousands of them be parsed. */
   #countInterim (controller: Dispatcher.DispatchController): void {
     this.#interimAnswers++
-    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#endAsEndless(controller)
+    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#endAsNoAnswer(controller, ENDLESS)
   }
 
   /** The parser reads some parts of an answer without a limit, and passes nothing of them on. */
   #checkOverhead (controller: Dispatcher.DispatchController): void {
     const overhead = this.#state.bytesRead - this.#bytesBefore - this.#contentBytes
-    if (overhead > MAX_ANSWER_OVERHEAD + OVERHEAD_FACTOR * this.#contentBytes) this.#endAsEndless(controller)
+    if (overhead > MAX_ANSWER_OVERHEAD + OVERHEAD_FACTOR * this.#contentBytes) this.#endAsNoAnswer(controller, ENDLESS)
   }
 
-  #endAsEndless (controller: Dispatcher.DispatchController): void {
-    this.#isEndless = true
-    controller.abort(new Error('the endpoint sends bytes that are no answer'))
+  #endAsNoAnswer (controller: Dispatcher.DispatchController, detail: string): void {
+    this.#isNoAnswer = true
+    controller.abort(new Error(detail))
   }
 
   #settle (result: Result<void, SocketFailure>): void {
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -223,7 +223,7 @@
   #endOfFailure (error: SocketFailure): CallEnd {
     const detail = this.#stopCause ?? error.detail
     if (!error.isSent) return { kind: 'not-run', detail, isReceived: false, isRefused: error.isRefused }
-    return { kind: 'lost', detail, isConnectionLost: this.#stopCause === undefined && !error.isEndless }
+    return { kind: 'lost', detail, isConnectionLost: this.#stopCause === undefined && !error.isNoAnswer }
   }
 
   #isConnectionReusable (end: CallEnd): boolean {
