--- a/packages/backends/src/HttpEndpointAccess.test.ts
+++ b/packages/backends/src/HttpEndpointAccess.test.ts
@@ -146,6 +146,63 @@
     })
   })
 
+  // Guards against a part of an answer that counts as a complete one, since the reset of its connection is taken for its end. The
+  // parts are whole as JSON and as streams, so that only the reset shows that more might have come.
+  describe('an answer before the reset of its connection', () => {
+    const LARGE = 'x'.repeat(3_900_000)
+    const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
+    const streamOf = (call: string): string => [{ text: 'a' }, { text: '' }]
+      .map((choice) => `data: ${JSON.stringify({ id: call, choices: [choice] })}\n\n`).join('') + 'data: [DONE]\n\n'
+
+    const FORMS: ReadonlyArray<readonly [form: string, write: (status: string, part: string) => string]> = [
+      ['without a length', (status, part) => ['HTTP/1.1 ' + status, '', part].join(CRLF)],
+      ['with a length', (status, part) => [`HTTP/1.1 ${status}`, `Content-Length: ${part.length + 1}`, '', part].join(CRLF)],
+      ['in chunks', (status, part) => [`HTTP/1.1 ${status}`, 'Transfer-Encoding: chunked', '', chunk(part)].join(CRLF)],
+      ['in chunks, without the end of its trailers', (status, part) =>
+        [`HTTP/1.1 ${status}`, 'Transfer-Encoding: chunked', 'Trailer: X-Sum', '', `${chunk(part)}0`, 'X-Sum: 1', ''].join(CRLF)]
+    ]
+    const MOMENTS: ReadonlyArray<readonly [moment: string, body: string, awaited: number, pause: number | undefined]> = [
+      ['before the upload is read', LARGE, 1, undefined],
+      ['a moment later, before the upload is read', LARGE, 1, PAUSE],
+      ['in the middle of the upload', LARGE, LARGE.length / 2, undefined],
+      ['after the last byte of the upload', LARGE, LARGE.length, undefined],
+      ['a moment later, after the last byte of the upload', LARGE, LARGE.length, PAUSE],
+      ['after the last byte of a short upload', 'input', 1, undefined],
+      ['a moment later, after the last byte of a short upload', 'input', 1, PAUSE]
+    ]
+
+    /** Answers a call once so many bytes of it have arrived, and resets the connection. */
+    const resetsAfter = (awaited: number, pause: number | undefined, bytes: (call: string) => string): RawBehaviour => {
+      let call = ''
+      let isAnswered = false
+      const answer = (socket: Socket): void => {
+        socket.pause()
+        socket.write(bytes(call))
+        if (pause === undefined) socket.resetAndDestroy()
+        else setTimeout(() => socket.resetAndDestroy(), pause)
+      }
+      return (socket, id) => {
+        call ||= id
+        if (isAnswered || socket.bytesRead < awaited) return
+        isAnswered = true
+        // The head counts as well, so that the last bytes of a whole body arrive a moment after these.
+        if (awaited < LARGE.length) answer(socket)
+        else setTimeout(() => answer(socket), PAUSE)
+      }
+    }
+
+    describe.each(FORMS)('%s', (_form, write) => {
+      it.each(MOMENTS)('is cut: %s', async (_moment, body, awaited, pause) => {
+        for (const status of ['200 OK', '201 Created']) {
+          const plain = await connect(resetsAfter(awaited, pause, (call) => write(status, outputOf(call))))
+          expect(outcomeOf(await send(plain, callOf(1, { body })))).toBe('cut')
+          const stream = await connect(resetsAfter(awaited, pause, (call) => write(status, streamOf(call))))
+          expect(outcomeOf(await send(stream, callOf(1, { body, kind: 'engine', isStreamed: true })))).toBe('cut')
+        }
+      })
+    })
+  })
+
   // Guards against an answer with an invalid status that is taken for the endpoint's own error, which says that the call has ended there.
   describe('an answer with a status that there is not', () => {
     it.each([
