--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,7 @@
 export { ArrivalReader } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
+export { ConnectionGuard } from './ConnectionGuard.js'
+export type { ConnectionGuardOptions } from './ConnectionGuard.js'
 export { bindServer } from './bindServer.js'
 export { CallerConnections } from './CallerConnections.js'
 export type { SocketAddress } from './bindServer.js'
--- a/packages/connections/src/AnswerBody.ts
+++ b/packages/connections/src/AnswerBody.ts
@@ -24,8 +24,11 @@
     return true
   }
 
+  /** The body so far, in one piece; the parts are not kept beside it. */
   bytes (): Buffer {
-    return Buffer.concat(this.#parts)
+    const whole = Buffer.concat(this.#parts)
+    this.#parts.splice(0, this.#parts.length, whole)
+    return whole
   }
 
   text (): string {
--- a/packages/peers/src/PeerLinks.ts
+++ b/packages/peers/src/PeerLinks.ts
@@ -9,6 +9,8 @@
   readonly secret: string
   /** Port 0 picks a free port, for tests. */
   readonly listen: ListenRange
+  /** Maximum number of accepted connections. */
+  readonly maxSockets?: number
 }
 
 /**
@@ -21,9 +23,9 @@
  */
 export class PeerLinks extends PeerCore {
   constructor (options: PeerLinksOptions) {
-    const { self: id, incarnation, domain, secret, listen, clock } = options
+    const { self: id, incarnation, domain, secret, listen, clock, maxSockets } = options
     const log = options.log ?? SILENT_LOG
     const identity = (address: PeerAddress) => ({ id, incarnation, domain, address })
-    super({ ...options, transport: new WsTransport({ identity, secret, listen, clock, log }) })
+    super({ ...options, transport: new WsTransport({ identity, secret, listen, clock, log, maxSockets }) })
   }
 }
--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,10 +1,14 @@
-import { KEEP_ALIVE_IDLE } from '@papayahill/common'
+import { ConnectionGuard, KEEP_ALIVE_IDLE } from '@papayahill/common'
 import type { Clock, EventLog } from '@papayahill/common'
-import type { IncomingMessage } from 'node:http'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { isIPv6 } from 'node:net'
+import type { Socket } from 'node:net'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
-import { HANDSHAKE_TIMEOUT, MAX_FRAME_BYTES, MAX_BUFFERED_BYTES } from './constants.js'
+import {
+  HANDSHAKE_TIMEOUT, MAX_ACCEPTED_SOCKETS, MAX_BUFFERED_BYTES, MAX_FRAME_BYTES, MAX_HANDSHAKE_BYTES, MAX_UPGRADE_BYTES, UPGRADE_CHECK_PERIOD
+} from './constants.js'
 import { PEERS_EVENTS } from './events.js'
 import { decodeFrame, encodeFrame } from './frameCodec.js'
 import type { Frame } from './frames.js'
@@ -21,6 +25,8 @@
   readonly listen: ListenRange
   readonly clock: Clock
   readonly log: EventLog
+  /** Maximum number of accepted connections. */
+  readonly maxSockets?: number | undefined
 }
 
 const OTHER_ROLE: Readonly<Record<HandshakeRole, HandshakeRole>> = { dials: 'accepts', accepts: 'dials' }
@@ -32,22 +38,44 @@
   return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data)
 }
 
+const STATUS_UPGRADE_REQUIRED = 426
+
+/** Answers what is no upgrade; such a connection is of no further use. */
+const refuseRequest = (_req: IncomingMessage, res: ServerResponse): void => {
+  res.writeHead(STATUS_UPGRADE_REQUIRED, { connection: 'close' }).end()
+}
+
 /** Resolves once the server listens; rejects if the address cannot be bound. */
-const openServerOn = async ({ ip, port }: PeerAddress): Promise<WebSocketServer> => {
-  const server = new WebSocketServer({ host: ip, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+const openServerOn = async ({ ip, port }: PeerAddress): Promise<Server> => {
+  const server = createServer({
+    maxHeaderSize: MAX_UPGRADE_BYTES,
+    headersTimeout: HANDSHAKE_TIMEOUT,
+    requestTimeout: HANDSHAKE_TIMEOUT,
+    connectionsCheckingInterval: UPGRADE_CHECK_PERIOD
+  }, refuseRequest)
   await new Promise<void>((resolve, reject) => {
     server.once('listening', resolve)
     server.once('error', reject)
+    server.listen(port, ip)
   })
   server.removeAllListeners('error')
   return server
 }
 
+/** Ends a connection that sends more than a handshake takes, until it is authenticated; the function that lifts the bound. */
+const boundHandshake = ({ socket }: IncomingMessage): () => void => {
+  const onData = (): void => { if (socket.bytesRead > MAX_HANDSHAKE_BYTES) socket.destroy() }
+  socket.on('data', onData)
+  return () => socket.off('data', onData)
+}
+
 /** Links over WebSockets; each side proves knowledge of the secret by an HMAC over the other's nonce. */
 export class WsTransport implements Transport {
   readonly #options: WsTransportOptions
   readonly #sockets = new Set<WebSocket>()
-  #server: WebSocketServer | undefined
+  /** Accepted connections that are authenticated. */
+  readonly #linked = new WeakSet<Socket>()
+  #server: Server | undefined
   #address: PeerAddress
 
   constructor (options: WsTransportOptions) {
@@ -59,9 +87,18 @@
     const { ip, port } = this.#options.listen
     const server = await this.#openServer()
     this.#server = server
-    server.on('connection', (socket, req) => {
+    this.#guard().watch(server)
+    const links = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    links.on('error', () => { /* The server's own listener reports it. */ })
+    links.on('connection', (socket, req) => {
       keepAlive(req)
-      void this.#handshake(socket, 'accepts').then((link) => { if (link !== undefined) onLink(link) })
+      const lift = boundHandshake(req)
+      void this.#handshake(socket, 'accepts').then((link) => {
+        lift()
+        if (link === undefined) return
+        this.#linked.add(req.socket)
+        onLink(link)
+      })
     })
     server.on('error', (err) => this.#options.log.emit(PEERS_EVENTS.listenerFailed, { detail: err.message }))
     const bound = server.address()
@@ -83,11 +120,23 @@
     await new Promise<void>((resolve) => {
       if (this.#server === undefined) resolve()
       else this.#server.close(() => resolve())
+      this.#server?.closeIdleConnections()
+    })
+  }
+
+  #guard (): ConnectionGuard {
+    const { clock, log, maxSockets = MAX_ACCEPTED_SOCKETS } = this.#options
+    return new ConnectionGuard({
+      clock,
+      max: maxSockets,
+      maxPerSource: maxSockets,
+      isBusy: (socket) => this.#linked.has(socket),
+      onClosed: (count) => log.emit(PEERS_EVENTS.connectionsClosed, { count })
     })
   }
 
   /** Opens the server on the first port of the range that can be bound; rejects if there is none. */
-  async #openServer (): Promise<WebSocketServer> {
+  async #openServer (): Promise<Server> {
     const { ip, port, lastPort = port } = this.#options.listen
     for (let next = port; ; next++) {
       try {
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -49,6 +49,13 @@
 export const MAX_BUFFERED_BYTES = 4_194_304
 /** Timeout for opening and authenticating a link. */
 export const HANDSHAKE_TIMEOUT = seconds(2)
+/** Largest head of a request to open a link, and period of checking for connections that do not send one in time. */
+export const MAX_UPGRADE_BYTES = 8192
+export const UPGRADE_CHECK_PERIOD = millis(500)
+/** Bytes that may arrive on a connection until it is authenticated: the handshake, and what one read may hold of the frames behind it. */
+export const MAX_HANDSHAKE_BYTES = 98_304
+/** Accepted connections, unless the options name another maximum; more than all instances of the largest deployment open. */
+export const MAX_ACCEPTED_SOCKETS = 1024
 /** Time of failed dials after which a known peer no longer counts towards the cluster size, and after which it is forgotten. */
 export const UNREACHABLE_AFTER = seconds(60)
 export const FORGET_PEER_AFTER = seconds(600)
--- a/packages/peers/src/events.ts
+++ b/packages/peers/src/events.ts
@@ -13,5 +13,8 @@
   listEmpty: { number: 2009, level: 'warn', text: 'The platform\'s instance list contains no instances; known peers are kept.' },
   frameFaulty: { number: 2010, level: 'error', text: 'A message from a peer could not be handled; the link was closed.' },
   listenerFailed: { number: 2011, level: 'error', text: 'The open listener for peers reported an error, such as a link that could not be accepted; it stays open.' },
+  connectionsClosed: {
+    number: 2032, level: 'warn', text: 'The listener for peers had as many connections as it may have; those that were silent for longest were closed.'
+  },
   listenerBlocked: { number: 2031, level: 'warn', text: 'No address for peers can be bound, for a cause that may pass; it is tried again, and links are dialled meanwhile.' }
 })
