--- a/review/common/program.mjs
+++ b/review/common/program.mjs
@@ -50,6 +50,8 @@
   'internalPortRange.1': ports.peers,
   'limits.memoryMb': 400,
   'limits.maxFds': 4096,
+  // The deployment of the cases has no duties.
+  'cloudApi.address': ''
   'platform.address': store,
   'bounds.graceS': graceS,
   'bounds.retryBudgetRatio': 0.2,
