--- a/review/common/program.mjs
+++ b/review/common/program.mjs
@@ -51,7 +51,7 @@
   'limits.memoryMb': 400,
   'limits.maxFds': 4096,
   // The deployment of the cases has no duties.
-  'cloudApi.address': ''
+  'cloudApi.address': '',
   'platform.address': store,
   'bounds.graceS': graceS,
   'bounds.retryBudgetRatio': 0.2,
