The bundle holds undici's calls as well as its clients

Cause: undici's index adds request and the others to the clients' prototype, which the bundle of the clients alone left out: no call to the store was made and no process became ready.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -39,7 +39,11 @@
 const undiciClients = {
   name: 'undici-clients',
   setup: (bundler) => {
+    // undici's index adds the calls to its clients' prototype.
     const contents = `
+      import Dispatcher from 'undici/lib/dispatcher/dispatcher.js'
+      import api from 'undici/lib/api/index.js'
+      Object.assign(Dispatcher.prototype, api)
       export { default as Client } from 'undici/lib/dispatcher/client.js'
       export { default as Pool } from 'undici/lib/dispatcher/pool.js'
       export { default as buildConnector } from 'undici/lib/core/connect.js'`
