One choice of capable instances for coordinators, candidates of the lease and receivers of reports

The share of the largest capacity and the least number of capable instances were computed three times: in batching, duties and reports. Now capableOf and capableFirst in common; shares and numbers are unchanged.

--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -1,4 +1,4 @@
-import { firstByRendezvous, millis } from '@papayahill/common'
+import { capableOf, firstByRendezvous, millis } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import type { Reach } from '@papayahill/reach'
@@ -20,12 +20,7 @@
   readonly capacity: number
 }
 
-/** The candidates with enough capacity to coordinate for all instances; all candidates where there are too few of those. */
-const strongCandidates = (candidates: readonly CoordinatorCandidate[]): readonly CoordinatorCandidate[] => {
-  const largest = Math.max(0, ...candidates.map(({ capacity }) => capacity))
-  const strong = candidates.filter(({ capacity }) => capacity >= largest * MIN_COORDINATOR_CAPACITY)
-  return strong.length >= MIN_COORDINATORS ? strong : candidates
-}
+const CAPABLE = { share: MIN_COORDINATOR_CAPACITY, least: MIN_COORDINATORS }
 
 /**
  * Finds the instance that coordinates batches for a group of endpoints, by rendezvous hashing over the strong reachable
@@ -127,7 +122,7 @@
     const isHandingOver = this.#isLeaving && others.length > 0
     const candidates = isHandingOver ? others : [...others, { id: this.#peers.self, capacity: this.#capacity }]
     const reaching = candidates.filter(({ id }) => this.#isReachedBy(id, serviceOf(group)))
-    const strong = strongCandidates(reaching.length > 0 ? reaching : candidates)
+    const strong = capableOf(reaching.length > 0 ? reaching : candidates, CAPABLE)
     return firstByRendezvous(group, strong, ({ id }) => id)?.id ?? this.#peers.self
   }
 
--- a/packages/duties/src/candidates.ts
+++ b/packages/duties/src/candidates.ts
@@ -1,4 +1,4 @@
-import { byRendezvous } from '@papayahill/common'
+import { byRendezvous, capableFirst } from '@papayahill/common'
 import type { InstanceId } from '@papayahill/common'
 import { LEASE_KEY, MIN_CANDIDATE_CAPACITY, MIN_CANDIDATES } from './constants.js'
 
@@ -10,10 +10,5 @@
 }
 
 /** All candidates in the order in which they try: capable ones first, then the others, each by rendezvous order. */
-export const rankCandidates = (candidates: readonly Candidate[]): readonly Candidate[] => {
-  const ranked = byRendezvous(LEASE_KEY, candidates, ({ id }) => id)
-  const needed = Math.max(0, ...candidates.map(({ capacity }) => capacity)) * MIN_CANDIDATE_CAPACITY
-  const capable = ranked.filter(({ capacity }) => capacity >= needed)
-  if (capable.length < MIN_CANDIDATES) return ranked
-  return [...capable, ...ranked.filter(({ capacity }) => capacity < needed)]
-}
+export const rankCandidates = (candidates: readonly Candidate[]): readonly Candidate[] =>
+  capableFirst(byRendezvous(LEASE_KEY, candidates, ({ id }) => id), { share: MIN_CANDIDATE_CAPACITY, least: MIN_CANDIDATES })
--- a/packages/reports/src/ReportReceivers.ts
+++ b/packages/reports/src/ReportReceivers.ts
@@ -1,4 +1,4 @@
-import { byRendezvous, millis } from '@papayahill/common'
+import { byRendezvous, capableFirst, millis } from '@papayahill/common'
 import type { Clock, DomainId, Incarnation, Millis } from '@papayahill/common'
 import type { Peers } from '@papayahill/peers'
 import { MAX_RECEIVER_SILENCE, MIN_RECEIVER_CAPACITY, MIN_RECEIVERS, SUSPICION_PERIOD } from './constants.js'
@@ -22,13 +22,8 @@
 const RENDEZVOUS_NAME = 'report'
 
 /** Candidates in rendezvous order, those with enough capacity first. */
-const inOrder = (candidates: readonly Candidate[]): readonly Candidate[] => {
-  const ordered = byRendezvous(RENDEZVOUS_NAME, candidates, ({ id }) => id)
-  const largest = Math.max(0, ...ordered.map(({ capacity }) => capacity))
-  const isStrong = ({ capacity }: Candidate): boolean => capacity >= largest * MIN_RECEIVER_CAPACITY
-  const strong = ordered.filter(isStrong)
-  return strong.length >= MIN_RECEIVERS ? [...strong, ...ordered.filter((candidate) => !isStrong(candidate))] : ordered
-}
+const inOrder = (candidates: readonly Candidate[]): readonly Candidate[] =>
+  capableFirst(byRendezvous(RENDEZVOUS_NAME, candidates, ({ id }) => id), { share: MIN_RECEIVER_CAPACITY, least: MIN_RECEIVERS })
 
 /**
  * Chooses the instances that receive the reports: the holder of the duties, and a backup in another failure domain, so that the
