--- a/packages/directory/src/TableCopy.ts
+++ b/packages/directory/src/TableCopy.ts
@@ -51,6 +51,11 @@
     return this.#position
   }
 
+  /** Number of changes that are kept. */
+  get recentCount (): number {
+    return this.#recent.length
+  }
+
   get rows (): ReadonlyMap<string, TableRow<Json>> {
     return this.#rows
   }
--- a/packages/directory/src/TableView.ts
+++ b/packages/directory/src/TableView.ts
@@ -57,6 +57,11 @@
     return this.#retained.size
   }
 
+  /** Number of rows that are kept: those of the copy, its newest changes, and the last values of removed rows. */
+  get keptCount (): number {
+    return this.#copy.rows.size + this.#copy.recentCount + this.#removed.size
+  }
+
   /** When the first retained row is due to be released. */
   get nextRelease (): Millis | undefined {
     return this.#retained.nextRelease
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -103,6 +103,11 @@
     return this.#view.retainedCount
   }
 
+  /** Number of rows that are kept. */
+  get keptCount (): number {
+    return this.#view.keptCount
+  }
+
   start (): void {
     void this.#pollLoop()
     if (this.#options.relay !== undefined) void this.#publishStatus()
--- a/packages/forwarding/src/SharedRetryBudget.ts
+++ b/packages/forwarding/src/SharedRetryBudget.ts
@@ -40,6 +40,11 @@
     this.#instances = instances
   }
 
+  /** Number of times that are kept. */
+  get size (): number {
+    return [...this.#counts.values()].reduce((sum, { requests, retries }) => sum + requests.length + retries.length, 0)
+  }
+
   /** Counts requests of the service, or pieces if it runs stages. */
   countRequests (service: ServiceId, count = 1): void {
     const { requests } = this.#countsOf(service)
--- a/packages/logging/src/createLineLog.test.ts
+++ b/packages/logging/src/createLineLog.test.ts
@@ -13,11 +13,11 @@
 
 const createTestLog = () => {
   const lines: Array<Record<string, unknown>> = []
+  let now = 0
   const writer = new LineWriter((data, done) => {
     for (const line of data.toString().trim().split('\n')) lines.push(JSON.parse(line) as Record<string, unknown>)
     done(null, data.length)
-  })
-  let now = 0
+  }, () => now)
   const log = createLineLog({ level: 'info', common: { instance: 'i1' }, writer, now: () => now })
   const advance = (span: number): void => { now += span }
   return { lines, writer, log, advance }
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -134,6 +134,11 @@
     return this.close()
   }
 
+  /** Number of gossip entries that are kept. */
+  get entryCount (): number {
+    return this.#store.size
+  }
+
   members (): readonly PeerMember[] {
     const now = this.#options.clock.now()
     if (now < this.#membersCachedUntil) return this.#members
