The body of an answer that comes in parts of a few bytes takes the memory of its bytes, not of its parts

What callers saw: four requests to an endpoint that sends its body in chunks of a byte end the process out of heap, with the requests of all other callers. Cause: the body is bounded to 2 MiB, but each part was kept as it came, and a Buffer costs hundreds of bytes of heap, so that 2 MiB of parts need more than the heap.

--- a/packages/connections/src/AnswerBody.ts
+++ b/packages/connections/src/AnswerBody.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from '@papayahill/common'
 import type { Bytes } from '@papayahill/common'
 
 /**
@@ -9,26 +10,23 @@
  */
 export class AnswerBody {
   readonly #maxSize: Bytes
-  readonly #parts: Buffer[] = []
-  #size = 0
+  readonly #collector = new ByteCollector()
+  #isTooLarge = false
 
   constructor (maxSize: Bytes) {
     this.#maxSize = maxSize
   }
 
-  /** Adds a part; false if the body has become too large, so that the part was dropped. */
+  /** Adds a part; false if the body has become too large, so that the part was dropped, and so are all later ones. */
   add (part: Buffer): boolean {
-    this.#size += part.length
-    if (this.#size > this.#maxSize) return false
-    this.#parts.push(part)
-    return true
+    this.#isTooLarge ||= this.#collector.size + part.length > this.#maxSize
+    if (!this.#isTooLarge) this.#collector.add(part)
+    return !this.#isTooLarge
   }
 
-  /** The body so far, in one piece; the parts are not kept beside it. */
+  /** The body so far, in one piece. */
   bytes (): Buffer {
-    const whole = Buffer.concat(this.#parts)
-    this.#parts.splice(0, this.#parts.length, whole)
-    return whole
+    return this.#collector.bytes
   }
 
   text (): string {
