Events of a few bytes take the memory of their bytes until their caller has taken them

What callers saw: an endpoint that streams blank lines, comments or events of a few bytes ends the process out of heap within 3 s, also where its callers read what they get; processes end one after the other as callers come back. Cause: each event was a piece and a write of its own, at 380 bytes of heap (trial: 99 MB for 262,144 events of 2 bytes that were not taken), while the limits of what callers have not taken count 2 to 10 bytes of each. The tests of the scanner and the relay check the same events and bytes through the new calls.

--- a/packages/detour/src/OpenHandOver.ts
+++ b/packages/detour/src/OpenHandOver.ts
@@ -180,7 +180,7 @@
       if (!body.add(bytes)) this.#lose('the answer is too large')
       return
     }
-    for (const event of scanner.feed(bytes)) relay?.event(event)
+    relay?.forward(scanner, bytes)
     if (scanner.isOversized) this.#lose('a stream event is too large')
   }
 
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -167,12 +167,11 @@
 
   #relay (scanner: EventScanner, data: Buffer): void {
     const { canSwitchEndpoint, call, relay } = this.#options
-    const events = scanner.feed(data)
-    this.#hasEvents ||= events.length > 0
+    const events = relay?.forward(scanner, data) ?? 0
+    this.#hasEvents ||= events > 0
     // Only complete events reset the silence timer: bytes of an incomplete one do not show that the stream goes on.
-    if (events.length > 0 && canSwitchEndpoint) this.#setSilenceTimer(silenceTimeoutOf(call.request.route))
+    if (events > 0 && canSwitchEndpoint) this.#setSilenceTimer(silenceTimeoutOf(call.request.route))
     if (!canSwitchEndpoint) this.#silenceTimer?.cancel()
-    for (const event of events) relay?.event(event)
     if (scanner.isOversized) this.#stop('a stream event is too large')
   }
 
--- a/packages/forwarding/src/StreamRelay.ts
+++ b/packages/forwarding/src/StreamRelay.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis } from '@papayahill/common'
 import type { HeaderList } from '@papayahill/connections'
-import type { StreamEvent } from './EventScanner.js'
+import type { EventScanner } from './EventScanner.js'
 import type { CallerSink } from './types.js'
 
 interface StreamHead {
@@ -13,7 +13,7 @@
  *
  * @example
  * relay.start(200, headers)
- * relay.event(event)
+ * relay.forward(scanner, chunk)
  */
 export class StreamRelay {
   readonly #clock: Clock
@@ -61,14 +61,26 @@
     this.#sink.end()
   }
 
-  event ({ bytes, id }: StreamEvent): void {
-    if (this.#isDuplicate(id)) return
+  /** Relays the events that the chunk completes; returns their number, with those that the caller already has. */
+  forward (scanner: EventScanner, chunk: Buffer): number {
+    let count = 0
+    const pieces = scanner.feed(chunk, (id) => {
+      count++
+      return this.#accepts(id)
+    })
+    for (const piece of pieces) this.#sink.write(piece)
+    return count
+  }
+
+  /** Whether the caller does not have the event yet; it is counted then. */
+  #accepts (id: string | undefined): boolean {
+    if (this.#isDuplicate(id)) return false
     this.#sendHead()
     if (this.firstEventAt === undefined) this.onFirstEvent()
     this.firstEventAt ??= this.#clock.now()
     this.#events++
     this.#lastId = id ?? this.#lastId
-    this.#sink.write(bytes)
+    return true
   }
 
   #sendHead (): void {
--- a/packages/forwarding/src/detours.test.ts
+++ b/packages/forwarding/src/detours.test.ts
@@ -4,6 +4,7 @@
 import type { PeerMember } from '@papayahill/peers'
 import { EndpointPerformance } from '@papayahill/performance'
 import { describe, expect, it } from 'vitest'
+import { EventScanner } from './EventScanner.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { HandOver, HandOverEnd } from './Detour.js'
 import type { ForwardContext } from './ForwardContext.js'
@@ -130,7 +131,8 @@
 /** A peer that streams the events up to `last` after the last one that the caller has, and then ends as given. */
 const streamsTo = (last: number, end: HandOverEnd) => ({ relay }: HandOver): Promise<HandOverEnd> => {
   relay!.start(200, [])
-  for (let id = Number(relay!.resumeAfter ?? 0) + 1; id <= last; id++) relay!.event({ bytes: Buffer.from(`id: ${id}\n\n`), id: String(id) })
+  const scanner = new EventScanner()
+  for (let id = Number(relay!.resumeAfter ?? 0) + 1; id <= last; id++) relay!.forward(scanner, Buffer.from(`id: ${id}\n\n`))
   return Promise.resolve(end)
 }
 
