A copy of a table keeps the newest change of each row and not every content that a row ever had

What callers would see: a process that runs out of heap after some hundred changes of a large configuration. Each of the 400 changes that are kept for fetches of neighbours was a whole row, such as `op/config` with all routes.

Cause: TableCopy bounded its changes by their number; an earlier content of a row is of no use to a neighbour, which gets the newest one as well.

Why it works: a row's change replaces its earlier one, so that what is kept beyond the table itself are at most 400 removals.

--- a/packages/directory/src/TableCopy.ts
+++ b/packages/directory/src/TableCopy.ts
@@ -39,8 +39,8 @@
  */
 export class TableCopy {
   readonly #rows = new Map<string, TableRow<Json>>()
-  /** Newest changes, oldest first; complete after revision `#recentAfter`. */
-  #recent: Array<TableRow<Json>> = []
+  /** The newest change of each row, oldest first; complete after revision `#recentAfter`. */
+  readonly #recent = new Map<string, TableRow<Json>>()
   #recentAfter = 0
   #position: StorePosition | undefined
   #lower = 0
@@ -53,7 +53,7 @@
 
   /** Number of changes that are kept. */
   get recentCount (): number {
-    return this.#recent.length
+    return this.#recent.size
   }
 
   get rows (): ReadonlyMap<string, TableRow<Json>> {
@@ -75,8 +75,10 @@
     const newRows = rows.filter((row) => row.revision > known.revision)
     this.#position = { era, revision: Math.max(known.revision, revision) }
     if (newRows.length === 0) return { kind: 'known' }
-    for (const row of newRows) this.#put(row)
-    this.#recent.push(...newRows)
+    for (const row of newRows) {
+      this.#put(row)
+      this.#noteRecent(row)
+    }
     this.#trimRecent()
     return { kind: 'changed', rows: newRows }
   }
@@ -91,14 +93,15 @@
     return 'equal'
   }
 
-  /** The changes after a position, or the whole table where changes are no longer kept that far back or of another era. */
+  /** The newest change of each row after a position; the whole table if it is of another era or older than the kept changes. */
   since (after: StorePosition | undefined): TableChanges | undefined {
     const known = this.#position
     if (known === undefined) return undefined
     if (after === undefined || after.era !== known.era || after.revision < this.#recentAfter) {
       return { ...known, after: undefined, rows: [...this.#rows.values()] }
     }
-    return { ...known, after: after.revision, rows: this.#recent.filter((row) => row.revision > after.revision) }
+    const rows = [...this.#recent.values()].filter((row) => row.revision > after.revision)
+    return { ...known, after: after.revision, rows }
   }
 
   #replace (rows: ReadonlyArray<TableRow<Json>>, position: StorePosition): ApplyResult {
@@ -108,7 +111,7 @@
     this.#lower = 0
     this.#upper = 0
     this.#position = position
-    this.#recent = []
+    this.#recent.clear()
     this.#recentAfter = position.revision
     for (const row of rows) this.#put(row)
     return { kind: 'replaced', rows }
@@ -132,10 +135,17 @@
     this.#upper = (this.#upper ^ hash32(name, 1) >>> (32 - UPPER_BITS)) >>> 0
   }
 
+  /** Replaces the row's earlier change, which nobody needs any more: a large row may change often. */
+  #noteRecent (row: TableRow<Json>): void {
+    this.#recent.delete(row.key)
+    this.#recent.set(row.key, row)
+  }
+
   #trimRecent (): void {
-    const surplus = this.#recent.length - RECENT_ROWS
-    if (surplus <= 0) return
-    this.#recentAfter = this.#recent[surplus - 1]!.revision
-    this.#recent = this.#recent.slice(surplus)
+    for (const [key, { revision }] of this.#recent) {
+      if (this.#recent.size <= RECENT_ROWS) return
+      this.#recentAfter = Math.max(this.#recentAfter, revision)
+      this.#recent.delete(key)
+    }
   }
 }
