The engine tracker keeps hashes of prompt parts, not the headers in which their ids came

What callers saw: with long headers of prompt parts, processes that run out of heap after some ten thousand requests while nothing else is wrong. The cache of 2048 parts per engine was bounded in parts, and one part could weigh as much as a whole header.

Cause: an id of 13 characters or more is a slice of its header in V8 and keeps all of it in memory; an id itself can be as long as the limit of headers allows.

Evidence: two new tests failed before (38 MB for 2000 parts in headers of 20 kB; with ids of 20 kB the same).

Why it works: an entry is a hash of 16 characters, computed once per prompt, whatever the caller sends.

--- /dev/null
+++ b/packages/forwarding/src/EngineTracker.test.ts
@@ -0,0 +1,72 @@
+import { brand, millis, SeededRandom, SILENT_LOG, tokens, VirtualClock } from '@papayahill/common'
+import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
+import { Endpoint } from '@papayahill/directory'
+import { EndpointPerformance } from '@papayahill/performance'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { describe, expect, it } from 'vitest'
+import { EngineTracker } from './EngineTracker.js'
+import type { Prompt } from './types.js'
+
+const BYTES_PER_MEGABYTE = 1_048_576
+
+setFlagsFromString('--expose-gc')
+const collectGarbage = runInNewContext('gc') as () => void
+
+const usedMegabytes = (): number => {
+  collectGarbage()
+  return process.memoryUsage().heapUsed / BYTES_PER_MEGABYTE
+}
+
+const engineOf = (id: string): Endpoint => new Endpoint({
+  id: brand<EndpointId>(id),
+  service: brand<ServiceId>('guide'),
+  address: { ip: '10.0.0.1', port: 1 },
+  domain: brand<DomainId>('hall'),
+  version: 'v1',
+  slots: 8,
+  isDraining: false,
+  coldFor: millis(0),
+  sequence: 1,
+  startedAt: undefined
+})
+
+const newTracker = (): EngineTracker => {
+  const performance = new EndpointPerformance({ clock: new VirtualClock(), log: SILENT_LOG })
+  return new EngineTracker({ random: new SeededRandom(5), performance })
+}
+
+const promptOf = (...ids: readonly string[]): Prompt => ({
+  model: 'm', tokensIn: tokens(100 * ids.length), maxTokensOut: tokens(10), parts: ids.map((id) => ({ id, tokens: tokens(100) }))
+})
+
+describe('EngineTracker', () => {
+  it('knows which parts of a prompt an engine has read', () => {
+    const tracker = newTracker()
+    const engine = engineOf('e1')
+    tracker.recordDispatch(engine, promptOf('system', 'first'))
+    expect(tracker.recordDispatch(engine, promptOf('system', 'second'))).toBe(100)
+    expect(tracker.recordDispatch(engine, promptOf('other', 'second'))).toBe(200)
+  })
+
+  it('does not keep the headers in which the ids of parts came', () => {
+    const tracker = newTracker()
+    const engine = engineOf('e1')
+    const before = usedMegabytes()
+    for (let request = 0; request < 2000; request++) {
+      const header = Buffer.alloc(20_000, `id-of-the-part-of-request-${request}:100,`).toString('latin1')
+      tracker.recordDispatch(engine, promptOf(header.split(':')[0]!))
+    }
+    expect(usedMegabytes() - before).toBeLessThan(8)
+  })
+
+  it('does not keep ids of any length', () => {
+    const tracker = newTracker()
+    const engine = engineOf('e1')
+    const before = usedMegabytes()
+    for (let request = 0; request < 2000; request++) {
+      tracker.recordDispatch(engine, promptOf(Buffer.alloc(20_000, `request ${request} `).toString('latin1')))
+    }
+    expect(usedMegabytes() - before).toBeLessThan(8)
+  })
+})
--- a/packages/forwarding/src/EngineTracker.ts
+++ b/packages/forwarding/src/EngineTracker.ts
@@ -1,5 +1,5 @@
 import { CROSS_DOMAIN_MILLIS_PER_BYTE } from '@papayahill/batching'
-import { firstByRendezvous, millis, tokens } from '@papayahill/common'
+import { firstByRendezvous, hash64, millis, tokens } from '@papayahill/common'
 import type { EndpointId, Millis, Random, ServiceId, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import type { EndpointPerformance } from '@papayahill/performance'
@@ -12,9 +12,15 @@
 interface EngineState {
   /** Uncached prompt tokens of running calls. */
   pendingPrefillTokens: number
+  /** Hashes of the prompt parts in its cache. */
   readonly parts: LRUCache<string, true>
 }
 
+interface HashedPart {
+  readonly hash: string
+  readonly size: Tokens
+}
+
 /** The prompt part that identifies a session for affinity; the last part is unique to the request. */
 const sessionPart = ({ parts }: Prompt): string | undefined => parts.at(-2)?.id ?? parts.at(-1)?.id
 
@@ -37,6 +43,8 @@
 export class EngineTracker {
   readonly #options: EngineTrackerOptions
   readonly #states = new Map<EndpointId, EngineState>()
+  /** Callers choose the ids of parts, and an id may be a slice that keeps its whole header in memory: only hashes are kept. */
+  readonly #hashed = new WeakMap<Prompt, readonly HashedPart[]>()
   /** Usual number of steps of a service's streams. */
   readonly #stepCounts = new Map<ServiceId, number>()
 
@@ -62,7 +70,7 @@
     const state = this.#stateOf(endpoint.id)
     const uncachedTokens = this.#uncachedTokens(state, prompt)
     state.pendingPrefillTokens += uncachedTokens
-    for (const { id } of prompt.parts) state.parts.set(id, true)
+    for (const { hash } of this.#partsOf(prompt)) state.parts.set(hash, true)
     return uncachedTokens
   }
 
@@ -124,13 +132,21 @@
 
   #uncachedTokens (state: EngineState, prompt: Prompt): Tokens {
     let cached = 0
-    for (const { id, tokens: size } of prompt.parts) {
-      if (!state.parts.has(id)) break
+    for (const { hash, size } of this.#partsOf(prompt)) {
+      if (!state.parts.has(hash)) break
       cached += size
     }
     return tokens(Math.max(0, prompt.tokensIn - cached))
   }
 
+  #partsOf (prompt: Prompt): readonly HashedPart[] {
+    const known = this.#hashed.get(prompt)
+    if (known !== undefined) return known
+    const parts = prompt.parts.map(({ id, tokens: size }) => ({ hash: hash64(id), size }))
+    this.#hashed.set(prompt, parts)
+    return parts
+  }
+
   #stateOf (id: EndpointId): EngineState {
     const known = this.#states.get(id)
     if (known !== undefined) return known
