The engine tracker keeps its state by incarnation, not by id

What callers would see: each engine that is gone while calls run leaves 33 kB behind for as long as the process lives, since the end of such a call made its state anew. With an engine that restarts under its id, the end of an earlier incarnation's call took its tokens off the pending work of the new one, which then got more prompts than it should.

Cause: states were kept by id and dropped when the engine was gone, which is before the ends of its last calls.

Evidence: both new tests failed before, with the engine forgotten as Process did (13 MB for 400 engines; 0 pending tokens, not 200).

Why it works: a state belongs to the incarnation's Endpoint object in a WeakMap, and goes with it.

--- a/packages/forwarding/src/EngineTracker.test.ts
+++ b/packages/forwarding/src/EngineTracker.test.ts
@@ -69,4 +69,26 @@
     }
     expect(usedMegabytes() - before).toBeLessThan(8)
   })
+
+  it('does not keep the state of an engine whose calls end after it is gone', () => {
+    const tracker = newTracker()
+    const before = usedMegabytes()
+    for (let at = 0; at < 400; at++) {
+      const engine = engineOf(`e${at}`)
+      const uncached = tracker.recordDispatch(engine, promptOf('system'))
+      engine.isGone = true
+      tracker.recordCallEnd(engine, uncached)
+    }
+    expect(usedMegabytes() - before).toBeLessThan(2)
+  })
+
+  it('does not take the end of a call of an earlier incarnation for one of its successor', () => {
+    const tracker = newTracker()
+    const engine = engineOf('e1')
+    const successor = engineOf('e1')
+    const uncached = tracker.recordDispatch(engine, promptOf('system', 'first'))
+    tracker.recordDispatch(successor, promptOf('system', 'second'))
+    tracker.recordCallEnd(engine, uncached)
+    expect(tracker.pendingTokens(successor, promptOf('system'))).toBe(200)
+  })
 })
--- a/packages/forwarding/src/EngineTracker.ts
+++ b/packages/forwarding/src/EngineTracker.ts
@@ -1,6 +1,6 @@
 import { CROSS_DOMAIN_MILLIS_PER_BYTE } from '@papayahill/batching'
 import { firstByRendezvous, hash64, millis, tokens } from '@papayahill/common'
-import type { EndpointId, Millis, Random, ServiceId, Tokens } from '@papayahill/common'
+import type { Millis, Random, ServiceId, Tokens } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import type { EndpointPerformance } from '@papayahill/performance'
 import { LRUCache } from 'lru-cache'
@@ -42,7 +42,8 @@
  */
 export class EngineTracker {
   readonly #options: EngineTrackerOptions
-  readonly #states = new Map<EndpointId, EngineState>()
+  /** By incarnation: calls that end after their engine is gone must not change the state of its successor, nor keep their own. */
+  readonly #states = new WeakMap<Endpoint, EngineState>()
   /** Callers choose the ids of parts, and an id may be a slice that keeps its whole header in memory: only hashes are kept. */
   readonly #hashed = new WeakMap<Prompt, readonly HashedPart[]>()
   /** Usual number of steps of a service's streams. */
@@ -67,7 +68,7 @@
 
   /** Records a request sent to the engine and returns the prompt tokens that are not in its cache. */
   recordDispatch (endpoint: Endpoint, prompt: Prompt): Tokens {
-    const state = this.#stateOf(endpoint.id)
+    const state = this.#stateOf(endpoint)
     const uncachedTokens = this.#uncachedTokens(state, prompt)
     state.pendingPrefillTokens += uncachedTokens
     for (const { hash } of this.#partsOf(prompt)) state.parts.set(hash, true)
@@ -76,13 +77,13 @@
 
   /** Removes a prompt's uncached tokens from the pending work when its call has ended. */
   recordCallEnd (endpoint: Endpoint, uncachedTokens: Tokens): void {
-    const state = this.#stateOf(endpoint.id)
+    const state = this.#stateOf(endpoint)
     state.pendingPrefillTokens = Math.max(0, state.pendingPrefillTokens - uncachedTokens)
   }
 
   /** Prompt tokens that the engine reads before it generates the first event of a request sent now. */
   pendingTokens (endpoint: Endpoint, prompt: Prompt): number {
-    const state = this.#stateOf(endpoint.id)
+    const state = this.#stateOf(endpoint)
     return state.pendingPrefillTokens + this.#uncachedTokens(state, prompt)
   }
 
@@ -92,11 +93,6 @@
     this.#stepCounts.set(service, usual + STEP_COUNT_WEIGHT * (events - usual))
   }
 
-  /** Drops the state of an engine that is gone, its cache included. */
-  forget (endpoint: Endpoint): void {
-    this.#states.delete(endpoint.id)
-  }
-
   /** The session's engine by rendezvous hashing, so that all instances prefer the same one. */
   #affinityEngine ({ endpoints, prompt }: PlacementCriteria): Endpoint | undefined {
     const part = prompt === undefined ? undefined : sessionPart(prompt)
@@ -107,7 +103,7 @@
   #cost (
     endpoint: Endpoint, { prompt, domain, inputBytes, now }: PlacementCriteria, hasAffinity: boolean, isLearnt: boolean
   ): Millis {
-    const state = this.#stateOf(endpoint.id)
+    const state = this.#stateOf(endpoint)
     const ownTokens = prompt === undefined ? 0 : this.#uncachedTokens(state, prompt)
     const sharedTokens = prompt === undefined ? 0 : prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
     const prefillTokens = state.pendingPrefillTokens + ownTokens - (hasAffinity ? AFFINITY_WEIGHT * sharedTokens : 0)
@@ -147,11 +143,11 @@
     return parts
   }
 
-  #stateOf (id: EndpointId): EngineState {
-    const known = this.#states.get(id)
+  #stateOf (endpoint: Endpoint): EngineState {
+    const known = this.#states.get(endpoint)
     if (known !== undefined) return known
     const state: EngineState = { pendingPrefillTokens: 0, parts: new LRUCache({ max: MAX_CACHED_PARTS }) }
-    this.#states.set(id, state)
+    this.#states.set(endpoint, state)
     return state
   }
 }
