One list of inputs serves all pieces of a stage, so that it does not grow with the square of their number

What callers saw: a request with thousands of pieces in two stages, which the door admits (up to 4096 each), could end the process out of heap, with all other requests on it. Cause: each piece of a later stage carried a list of its own of all results before it, so that one turn of the event loop allocated 4096 lists of 4096 entries. The test failed before: 12 lists for 12 pieces, where 1 was expected. Why it works: the pieces of an order differ in their index alone, so that all else, the list of inputs included, is made once. Results are also added to the lists by which they are freed instead of a copy for each one.

--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
 
 const CHAIN = chainOf(5, 'cut', 'scan', 'note')
@@ -54,6 +54,18 @@
     expect(countInTime(took)).toBeGreaterThanOrEqual(50)
   })
 
+  // Guards against lists of inputs that grow with the square of a request's pieces, and fill the heap in one turn.
+  it('keeps one list of inputs for all pieces of a stage', async () => {
+    const harness = await startHarness(1)
+    const run = vi.spyOn(harness.instances[0]!.context.router, 'run')
+    const served = harness.serve(0, workOf(harness, 'r1', chainOf(0, 'cut', 'scan'), [12, 12], TIMEOUT, TIMEOUT))
+    await harness.clock.advance(TIMEOUT)
+    expect(await served).toBeDefined()
+    const [, second] = run.mock.calls.map(([{ pieces }]) => pieces)
+    expect(second!.map(({ inputs }) => inputs.length)).toEqual(Array.from({ length: 12 }, () => 12))
+    expect(new Set(second!.map(({ inputs }) => inputs)).size).toBe(1)
+  })
+
   describe('a piece that ends each call that it is in', () => {
     it('takes the pieces of others with it once or twice, and never their requests', async () => {
       const harness = await startHarness(1)
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -110,15 +110,18 @@
     this.#freeAllBut([])
   }
 
-  #freeAllBut (kept: readonly StageResult[]): void {
-    this.#free([...this.#heldResults].filter((result) => !kept.includes(result)))
+  #freeAllBut (results: readonly StageResult[]): void {
+    const kept = new Set(results)
+    this.#free([...this.#heldResults].filter((result) => !kept.has(result)))
   }
 
   #free (results: readonly StageResult[]): void {
     const byEndpoint = new Map<EndpointId, string[]>()
     for (const result of results) {
       if (!this.#heldResults.delete(result)) continue
-      byEndpoint.set(result.endpoint, [...byEndpoint.get(result.endpoint) ?? [], result.handle])
+      const handles = byEndpoint.get(result.endpoint) ?? []
+      byEndpoint.set(result.endpoint, handles)
+      handles.push(result.handle)
     }
     for (const [endpoint, handles] of byEndpoint) this.#context.router.free(endpoint, handles)
   }
@@ -233,7 +236,8 @@
     stage: StageNode, { missing, inputs, losses }: MissingPieces, results: Array<StageResult | undefined>, exclude: Set<EndpointId>
   ): Promise<PieceFault | undefined> {
     if (this.#isCancelled) return 'unplaced'
-    const pieces = missing.map((index) => this.#piece(stage, index, inputs, losses))
+    const shared = this.#sharedPiece(stage, inputs, losses)
+    const pieces = missing.map((index) => ({ ...shared, index }))
     const order = this.#order(stage, pieces, inputs, exclude)
     if (order === undefined) return 'unplaced'
     this.#orderedGroups.add(order.group)
@@ -294,6 +298,8 @@
     let fault: PieceFault | undefined
     const { clock, profileOf } = this.#context
     const expiresAt = millis(clock.now() + RESULT_TTL_SHARE * (profileOf(stage.service)?.resultTtl ?? 0))
+    const held = this.#heldByStage.get(stage.index) ?? []
+    this.#heldByStage.set(stage.index, held)
     missing.forEach((index, at) => {
       const outcome = outcomes[at] ?? { fault: 'failed', endpoint: undefined }
       if ('fault' in outcome) {
@@ -305,20 +311,20 @@
       const result: StageResult = { handle, endpoint, resultBytes: stage.resultBytes, expiresAt }
       results[index] = result
       this.#heldResults.add(result)
-      this.#heldByStage.set(stage.index, [...this.#heldByStage.get(stage.index) ?? [], result])
+      held.push(result)
     })
     if (this.#isCancelled) this.#freeAllBut([])
     return fault
   }
 
-  #piece (stage: StageNode, index: number, inputs: readonly StageResult[], losses: number): Piece {
+  /** What the pieces of an order have in common; a list of all inputs for each of them would grow with the square of their number. */
+  #sharedPiece (stage: StageNode, inputs: readonly StageResult[], losses: number): Omit<Piece, 'index'> {
     const { request, key, priority, due, deadline, answerTime, stages } = this.#work
     const { profileOf } = this.#context
     const stagesAfter = followingStageTime(stages, stage, profileOf, shortCallTime)
     return {
       request,
       stage: stage.index,
-      index,
       key: stage.after.length === 0 ? key : undefined,
       inputs: inputs.map((input) => input.handle),
       losses,
