The body of a request that a peer hands over is bounded

What operators could see: an instance whose heap fills, while a peer sends parts of a body without a last one. Cause: the parts were collected without a bound, in a list that also grew with parts of no bytes. Evidence: the test failed before, as a body above the largest that a caller may send ran. Why it works: the body is collected like an answer, up to the largest body of this instance's configuration, and the hand-over is cancelled beyond it.

--- a/packages/detour/src/DetourRouter.test.ts
+++ b/packages/detour/src/DetourRouter.test.ts
@@ -3,7 +3,7 @@
 import type { CallerSink, ForwardRequest } from '@papayahill/forwarding'
 import { INSTANCE_STOPPED } from '@papayahill/forwarding'
 import { describe, expect, it } from 'vitest'
-import { DetourHarness, kilobytes, routeOf, SERVICE } from './testing/DetourHarness.js'
+import { DetourHarness, kilobytes, MAX_BODY, routeOf, SERVICE } from './testing/DetourHarness.js'
 import type { Serve } from './testing/DetourHarness.js'
 
 const SOON = millis(100)
@@ -297,6 +297,14 @@
       expect(harness.of('i2').router.hosted).toBe(0)
     })
 
+    // Guards against a peer that fills the memory of an instance with a body that no caller may send.
+    it('runs no request whose body is larger than bodies may be', async () => {
+      const harness = new DetourHarness('i1', 'i2')
+      await harness.endOf(seconds(1), 'i1', 'i2', harness.requestOf({ body: Buffer.alloc(MAX_BODY + 1) }))
+      expect(harness.of('i2').runs).toEqual([])
+      expect(harness.of('i2').router.hosted).toBe(0)
+    })
+
     it('bounds what waits at the peer while its parts are not confirmed', async () => {
       const harness = new DetourHarness('i1', 'i2')
       harness.of('i1').tamper = (message, packed) => message?.kind === 'confirm' ? [] : [packed]
--- a/packages/detour/src/HostedRequest.ts
+++ b/packages/detour/src/HostedRequest.ts
@@ -1,5 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Failure, Incarnation, InstanceId, Millis } from '@papayahill/common'
+import { AnswerBody } from '@papayahill/connections'
 import { LATE_ANSWER_GRACE } from '@papayahill/forwarding'
 import type { CallerSink, ForwardRequest } from '@papayahill/forwarding'
 import type { Peers } from '@papayahill/peers'
@@ -44,7 +45,7 @@
   readonly #sender: PartSender
   readonly #receiver: PartReceiver
   readonly #controller = new AbortController()
-  readonly #body: Buffer[] = []
+  readonly #body: AnswerBody
   readonly #received: Promise<boolean>
   #settleReceived: (isComplete: boolean) => void = () => {}
   readonly #arrivedAt: Millis
@@ -53,6 +54,7 @@
   constructor (options: HostedRequestOptions) {
     const { id, offer, receivedAt } = options
     this.#options = options
+    this.#body = new AnswerBody(options.resolved.maxBody)
     this.#sender = new PartSender((number, part) => this.#send({ kind: 'part', id, number, part }))
     this.#receiver = new PartReceiver((count) => this.#send({ kind: 'confirm', id, count }))
     this.#received = new Promise((resolve) => { this.#settleReceived = resolve })
@@ -91,7 +93,7 @@
     const order = this.#receiver.take(number)
     if (order === 'gap') return this.cancel()
     if (order === 'copy' || part.kind !== 'body') return
-    this.#body.push(part.bytes)
+    if (!this.#body.add(part.bytes)) return this.cancel()
     if (part.isLast) this.#settleReceived(true)
   }
 
@@ -118,7 +120,7 @@
       method: offer.method,
       path: offer.path,
       headers: offer.headers,
-      body: offer.hasBody ? Buffer.concat(this.#body) : undefined,
+      body: offer.hasBody ? this.#body.bytes() : undefined,
       route: resolved.route,
       workspace: offer.workspace,
       priority: offer.priority,
--- a/packages/detour/src/RequestResolver.ts
+++ b/packages/detour/src/RequestResolver.ts
@@ -1,4 +1,4 @@
-import type { DomainId, RegionId } from '@papayahill/common'
+import type { Bytes, DomainId, RegionId } from '@papayahill/common'
 import { domainRuleOf } from '@papayahill/directory'
 import type { ActiveConfig, DomainRule, ServingRoute } from '@papayahill/directory'
 import type { Offer } from './types.js'
@@ -8,6 +8,8 @@
   readonly route: ServingRoute
   readonly isAllowedIn: DomainRule
   readonly configVersion: number
+  /** Largest body that a request may have. */
+  readonly maxBody: Bytes
 }
 
 export interface RequestResolverOptions {
@@ -37,6 +39,6 @@
     if (route === undefined) return `no route ${name} in configuration ${version}`
     const workspace = id === undefined ? undefined : [...routes.config.workspaces?.values() ?? []].find((one) => one.id === id)
     if (id !== undefined && workspace === undefined) return `no workspace ${id} in configuration ${version}`
-    return { route, isAllowedIn: domainRuleOf(route, workspace, regionOf), configVersion: version }
+    return { route, isAllowedIn: domainRuleOf(route, workspace, regionOf), configVersion: version, maxBody: routes.config.limits.bodyBytes }
   }
 }
--- a/packages/detour/src/testing/DetourHarness.ts
+++ b/packages/detour/src/testing/DetourHarness.ts
@@ -1,4 +1,4 @@
-import { brand, millis, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
+import { brand, bytes, millis, seconds, SeededRandom, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, InstanceId, Json, Millis, ServiceId } from '@papayahill/common'
 import type { ServingRoute } from '@papayahill/directory'
 import { StreamRelay } from '@papayahill/forwarding'
@@ -12,6 +12,9 @@
 
 export const SERVICE = brand<ServiceId>('orders')
 
+/** Largest body that the instances take. */
+export const MAX_BODY = bytes(2_000_000)
+
 /** Serves a request that was handed over. */
 export type Serve = (request: ForwardRequest, sink: CallerSink) => Promise<void>
 
@@ -122,7 +125,7 @@
       resolver: {
         resolve: ({ configVersion }) => configVersion > instance.configVersion
           ? 'older'
-          : { route: routeOf('unsafe'), isAllowedIn: () => true, configVersion: instance.configVersion }
+          : { route: routeOf('unsafe'), isAllowedIn: () => true, configVersion: instance.configVersion, maxBody: MAX_BODY }
       },
       domain: node.domain,
       capacity: 0.1,
