Ids of prompt parts keep no headers

What operators could see: a heap that rises over many requests to several times what the lists of known parts were meant to take. Cause: the lists at each engine (2048 ids) and of the quarantines (8192) are bounded by the number of ids. An id was a reference into the header that it came in, or as long as that, so that each could keep 16 KB. Why it works: ids are made like those of the quarantines where the header is read, a copy of a short text and the hash of a long one, so that none takes more than 40 characters, whatever keeps it.

--- a/packages/quarantine/src/partIdOf.ts
+++ b/packages/quarantine/src/partIdOf.ts
@@ -1,4 +1,4 @@
-import { brand, hash64 } from '@papayahill/common'
+import { brand, copyText, hash64 } from '@papayahill/common'
 import { MAX_PART_LENGTH } from './constants.js'
 import type { PartId } from './types.js'
 
@@ -29,4 +29,4 @@
  * partIdOf('5c1e07a2') // '5c1e07a2'
  */
 export const partIdOf = (text: string): PartId =>
-  brand<PartId>(text.length <= MAX_PART_LENGTH && !text.startsWith(WHOLE) ? text : `#${hash64(text)}`)
+  brand<PartId>(text.length <= MAX_PART_LENGTH && !text.startsWith(WHOLE) ? copyText(text) : `#${hash64(text)}`)
