Metrics of routes that are requested no more are removed

What callers would see: processes that run out of heap in one turn when their metrics are read, after enough configurations with new route names.

Cause: the counters and histograms by route kept every name that was ever requested. Each takes about 1 kB, and reading them several times as much in one turn.

Evidence: the new test failed before (4001 series of 2001 routes).

Why it works: beyond 1000 routes the series of the one that was requested least recently are removed. Routes in use keep theirs.

--- a/packages/forwarding/src/ForwardMetrics.test.ts
+++ b/packages/forwarding/src/ForwardMetrics.test.ts
@@ -1,9 +1,10 @@
 import { BATCHING_EVENTS } from '@papayahill/batching'
 import { EventRecorder, millis, VirtualClock } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
-import { MAX_WORKSPACE_LABELS } from './constants.js'
+import { MAX_ROUTE_LABELS, MAX_WORKSPACE_LABELS } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
+import type { RunEnd } from './ForwardRun.js'
 import type { ForwardRequest } from './types.js'
 
 const requestOf = (workspace: string): ForwardRequest => ({ route: { name: 'guide' }, workspace }) as ForwardRequest
@@ -37,6 +38,24 @@
     expect(text.match(/papayahill_workspace_requests_total\{/g)).toHaveLength(MAX_WORKSPACE_LABELS + 1)
   })
 
+  it('does not keep the routes of all configurations that were ever in force', async () => {
+    const metrics = new ForwardMetrics()
+    const end = (route: string, kind: 'cut' | 'answered'): void => {
+      metrics.requestEnded({ route: { name: route }, workspace: 'w1' } as ForwardRequest, { kind, detail: '', status: 200 } as RunEnd, millis(1))
+    }
+    end('lasting', 'cut')
+    for (let at = 0; at < 2 * MAX_ROUTE_LABELS; at++) {
+      end(`route-${at}`, 'cut')
+      end(`route-${at}`, 'answered')
+      if (at % 100 === 0) end('lasting', 'cut')
+    }
+    const text = await metrics.text()
+    expect(text.match(/papayahill_requests_total\{/g)!.length).toBeLessThanOrEqual(2 * MAX_ROUTE_LABELS)
+    expect(text.match(/papayahill_request_seconds_count\{/g)).toHaveLength(MAX_ROUTE_LABELS)
+    expect(text).toContain('papayahill_requests_total{route="lasting",outcome="cut"} 21')
+    expect(text).toContain(`papayahill_requests_total{route="route-${2 * MAX_ROUTE_LABELS - 1}",outcome="answered"} 1`)
+  })
+
   it('reads gauges at collection', async () => {
     const metrics = new ForwardMetrics()
     let usable = 3
--- a/packages/forwarding/src/ForwardMetrics.ts
+++ b/packages/forwarding/src/ForwardMetrics.ts
@@ -1,8 +1,9 @@
 import { BATCHING_EVENTS } from '@papayahill/batching'
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { EventFields, EventKind, EventLog, Millis } from '@papayahill/common'
+import { LRUCache } from 'lru-cache'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import { MAX_WORKSPACE_LABELS } from './constants.js'
+import { MAX_ROUTE_LABELS, MAX_WORKSPACE_LABELS } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardObserver } from './Forwarder.js'
 import type { RunEnd } from './ForwardRun.js'
@@ -29,6 +30,11 @@
   readonly #registry = new Registry()
   readonly #registers = [this.#registry]
   readonly #workspaces = new Set<string>()
+  /** Outcomes that are counted of each route; configurations may name new routes again and again. */
+  readonly #outcomes = new LRUCache<string, Set<string>>({
+    max: MAX_ROUTE_LABELS, dispose: (outcomes, route) => this.#removeRoute(route, outcomes)
+  })
+
   readonly #requests = new Counter({
     name: 'papayahill_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers: this.#registers
   })
@@ -88,6 +94,7 @@
 
   requestEnded ({ route, workspace }: ForwardRequest, end: RunEnd, took: Millis): void {
     const outcome = end.kind === 'failed' ? `${end.failure.kind}:${end.failure.run}` : end.kind
+    this.#outcomesOf(route.name).add(outcome)
     this.#requests.inc({ route: route.name, outcome })
     this.#byWorkspace.inc({ workspace: this.#labelOf(workspace), outcome: end.kind })
     this.#latency.observe({ route: route.name }, took / MILLIS_PER_SECOND)
@@ -113,6 +120,19 @@
     return await this.#registry.metrics()
   }
 
+  #outcomesOf (route: string): Set<string> {
+    const known = this.#outcomes.get(route)
+    if (known !== undefined) return known
+    const outcomes = new Set<string>()
+    this.#outcomes.set(route, outcomes)
+    return outcomes
+  }
+
+  #removeRoute (route: string, outcomes: ReadonlySet<string>): void {
+    for (const outcome of outcomes) this.#requests.remove({ route, outcome })
+    this.#latency.remove({ route })
+  }
+
   #labelOf (workspace: string | undefined): string {
     if (workspace === undefined) return OTHER_WORKSPACES
     if (this.#workspaces.size < MAX_WORKSPACE_LABELS) this.#workspaces.add(workspace)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -100,6 +100,11 @@
 export const RESUMED_STAGES_FACTOR = 2
 /** Workspaces with a metric label of their own; the others are counted together. */
 export const MAX_WORKSPACE_LABELS = 100
+/**
+ * Routes with metrics; those of the route that was requested least recently are removed for a new one. Each takes about 1 kB, and
+ * several times as much while the metrics are read.
+ */
+export const MAX_ROUTE_LABELS = 1000
 /** Parts of a prompt that one log line names. */
 export const MAX_LOGGED_PARTS = 16
 /** Calls of one endpoint whose connections are lost within this time are lost for one cause. */
