The directory keeps no services whose endpoints are all gone

What callers would see: nothing at first; reach and its ticks went through every service that had ever had an endpoint, so that each new service name cost memory and time for as long as the process lived.

Evidence: the new test failed before (101 services listed, one with an endpoint). Why it works: the set of a service goes with its last endpoint; all readers take a service that is not listed for one without endpoints.

--- a/packages/directory/src/EndpointDirectory.test.ts
+++ b/packages/directory/src/EndpointDirectory.test.ts
@@ -1,5 +1,5 @@
 import { brand, epochMillis, EventRecorder, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId } from '@papayahill/common'
+import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointEntry } from './EndpointDirectory.js'
@@ -39,6 +39,17 @@
     })
   })
 
+  // Guards against a directory that goes through all services that configurations have ever named.
+  it('does not keep services whose endpoints are all gone', () => {
+    const { directory } = rig()
+    for (let at = 0; at < 100; at++) {
+      directory.changed([endpointRow(`e${at}`, { service: brand<ServiceId>(`orders-${at}`) })], NO_OUTAGE)
+      directory.changed([gone(`e${at}`)], NO_OUTAGE)
+    }
+    directory.changed([endpointRow('a')], NO_OUTAGE)
+    expect(directory.services).toEqual([ROW_SERVICE])
+  })
+
   describe('records of one endpoint', () => {
     it('ignores an older record of the same incarnation, so that a leaving endpoint does not return', () => {
       const { directory, usable } = rig()
--- a/packages/directory/src/EndpointDirectory.ts
+++ b/packages/directory/src/EndpointDirectory.ts
@@ -99,7 +99,7 @@
     return endpoint.isCold(now) ? 'cold' : 'usable'
   }
 
-  /** Services that have or had endpoints. */
+  /** Services that have endpoints. */
   get services (): readonly ServiceId[] {
     return [...this.#byService.keys()]
   }
@@ -315,7 +315,8 @@
     endpoint.isGone = true
     this.#missing.delete(endpoint)
     this.#endpoints.delete(endpoint.id)
-    this.#byService.get(endpoint.service)?.delete(endpoint)
+    const siblings = this.#byService.get(endpoint.service)
+    if (siblings?.delete(endpoint) === true && siblings.size === 0) this.#byService.delete(endpoint.service)
     this.#options.log.emit(DIRECTORY_EVENTS.endpointGone, { endpoint: endpoint.id, detail })
     for (const listener of this.#goneListeners) listener(endpoint, isRestart)
   }
