Backlogs of endpoints that are gone are not kept

Cause: BacklogTracker kept the latest report of every endpoint id that was ever ordered from, though a report counts for one second. Evidence: the new test failed without the pruning (100 reports of 100 endpoints kept). Why it works: reports are in the order of their times, and each new one removes those that no longer count.

--- a/packages/batching/src/BacklogTracker.test.ts
+++ b/packages/batching/src/BacklogTracker.test.ts
@@ -1,5 +1,5 @@
 import { brand, millis, VirtualClock } from '@papayahill/common'
-import type { DomainId } from '@papayahill/common'
+import type { DomainId, EndpointId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { BacklogTracker, chooseEndpoint, choosePreferredDomain } from './BacklogTracker.js'
 import { stageEndpoint } from './testing/stageEndpoint.js'
@@ -9,6 +9,19 @@
 const near = stageEndpoint('near', 'encode', 'hall-1')
 const far = stageEndpoint('far', 'encode', 'hall-2')
 
+describe('BacklogTracker', () => {
+  it('does not keep reports of endpoints that are gone', async () => {
+    const clock = new VirtualClock()
+    const backlogs = new BacklogTracker(clock)
+    for (let at = 0; at < 100; at++) {
+      backlogs.record(brand<EndpointId>(`e${at}`), millis(50))
+      await clock.advance(millis(200))
+    }
+    expect(backlogs.size).toBeLessThan(10)
+    expect(backlogs.backlog(brand<EndpointId>('e99'))).toBe(0)
+  })
+})
+
 describe('chooseEndpoint', () => {
   const query = { endpoints: [near, far], inputBytes: new Map(), outputBytes: 0, preferredDomain: undefined, request: 'r1' }
 
--- a/packages/batching/src/BacklogTracker.ts
+++ b/packages/batching/src/BacklogTracker.ts
@@ -11,14 +11,26 @@
 /** The latest reported backlog of each stage endpoint. */
 export class BacklogTracker {
   readonly #clock: Clock
+  /** The one that was reported least recently is first. */
   readonly #reports = new Map<EndpointId, BacklogReport>()
 
   constructor (clock: Clock) {
     this.#clock = clock
   }
 
+  /** Number of reports that are kept. */
+  get size (): number {
+    return this.#reports.size
+  }
+
   record (endpoint: EndpointId, backlog: Millis): void {
-    this.#reports.set(endpoint, { backlog, at: this.#clock.now() })
+    const now = this.#clock.now()
+    this.#reports.delete(endpoint)
+    this.#reports.set(endpoint, { backlog, at: now })
+    for (const [oldest, { at }] of this.#reports) {
+      if (now - at <= BACKLOG_TTL) return
+      this.#reports.delete(oldest)
+    }
   }
 
   /** Expected wait of a piece that arrives now; 0 where there is no recent report. */
