The batch coordinator keeps no groups that have nothing queued or in progress

What callers would see: a process that takes more and more time for each tick. Every group of every service that was ever ordered from was planned again, its coordinator looked up, at every tick.

Why it works: an idle group has no state that its next order needs; groups with batches in progress stay, since their pieces may be queued again.

--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -45,6 +45,11 @@
     return [...this.#batchers.values()].reduce((sum, batcher) => sum + batcher.size, 0)
   }
 
+  /** Number of groups that are planned. */
+  get groupCount (): number {
+    return this.#batchers.size
+  }
+
   /** Queues an order's pieces; returns the current backlogs of its endpoints. */
   accept (order: StageOrder, listener: OrderListener, onDone: (outcomes: readonly PieceOutcome[]) => void): readonly EndpointBacklog[] {
     const batcher = this.#batcherOf(order.group)
@@ -85,9 +90,16 @@
     for (const [group, batcher] of this.#batchers) {
       if (this.#hasLostGroup(group) || this.#options.mustLeave?.(group) === true) batcher.handBack()
       batcher.pump()
+      if (batcher.isIdle) this.#forget(group)
     }
   }
 
+  /** An idle group has nothing to plan; services and their groups come and go as long as the process lives. */
+  #forget (group: GroupId): void {
+    this.#batchers.delete(group)
+    this.#ownGroups.delete(group)
+  }
+
   /** Whether another instance has become the group's coordinator since the last check. */
   #hasLostGroup (group: GroupId): boolean {
     const isOwn = this.#options.isOwn(group)
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -27,6 +27,8 @@
 export class GroupBatcher {
   readonly #options: GroupBatcherOptions
   #waiting: WaitingPiece[] = []
+  /** Batches that are in progress; their pieces may be queued again. */
+  #openBatches = 0
   /** When each endpoint could begin a piece queued behind all others, as of the last plan. */
   #freeAt: ReadonlyMap<EndpointId, Millis> = new Map()
   #plannedAt: Millis | undefined
@@ -41,6 +43,11 @@
     return this.#waiting.length
   }
 
+  /** Whether there is nothing queued or in progress. */
+  get isIdle (): boolean {
+    return this.#waiting.length === 0 && this.#openBatches === 0
+  }
+
   add (waiting: WaitingPiece): void {
     this.#waiting.push(waiting)
   }
@@ -129,7 +136,9 @@
   }
 
   async #send (endpoint: EndpointId, batch: readonly WaitingPiece[]): Promise<void> {
+    this.#openBatches++
     const retried = await this.#options.callsOf(endpoint)?.send(batch, this.#waiting.length)
+    this.#openBatches--
     this.#waiting.push(...retried ?? batch)
     this.pump()
   }
