Connections belong to an incarnation, and are not brought back by calls that end after it is gone

What callers would see: nothing at first; each endpoint that goes while its last calls run left an entry for as long as the process lives. With a restart under the same id, the end of an earlier incarnation's call was counted at its successor.

Evidence: both new tests failed before (50 entries of 50 endpoints that were gone; a connection of the successor was closed with its predecessor). Why it works: the entry belongs to the Endpoint object, and only those of endpoints that are not gone are listed.

--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -1,4 +1,3 @@
-import type { EndpointId } from '@papayahill/common'
 import { EndpointSocket, TCP_DIALER } from '@papayahill/connections'
 import type { EndpointDialer, ListenerState } from '@papayahill/connections'
 import type { Endpoint, EndpointDirectory } from '@papayahill/directory'
@@ -39,7 +38,9 @@
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions
   readonly #dialer: EndpointDialer
-  readonly #connections = new Map<EndpointId, EndpointConnections>()
+  readonly #connections = new WeakMap<Endpoint, EndpointConnections>()
+  /** Those of endpoints that are not gone; calls that end later must not bring them back. */
+  readonly #current = new Set<EndpointConnections>()
 
   constructor (options: ConnectionPoolOptions) {
     this.#options = options
@@ -47,9 +48,14 @@
     options.directory.onGone((endpoint) => this.#closeIdle(endpoint))
   }
 
+  /** Number of endpoints with connections. */
+  get endpointCount (): number {
+    return this.#current.size
+  }
+
   /** Connections that are open or opening. */
   get size (): number {
-    return [...this.#connections.values()].reduce((sum, { open }) => sum + open, 0)
+    return [...this.#current].reduce((sum, { open }) => sum + open, 0)
   }
 
   /**
@@ -80,7 +86,7 @@
 
   /** Whether a connection to the endpoint is open and carries no request. */
   hasIdle (endpoint: Endpoint): boolean {
-    return this.#connections.get(endpoint.id)?.idle.some((socket) => socket.isUsable) === true
+    return this.#connections.get(endpoint)?.idle.some((socket) => socket.isUsable) === true
   }
 
   /** Whether something still listens at the endpoint's address. */
@@ -101,21 +107,23 @@
   }
 
   close (): void {
-    for (const { idle } of this.#connections.values()) for (const socket of idle.splice(0)) socket.close()
+    for (const { idle } of this.#current) for (const socket of idle.splice(0)) socket.close()
   }
 
   #closeIdle (endpoint: Endpoint): void {
-    for (const socket of this.#connectionsOf(endpoint).idle.splice(0)) socket.close()
+    const connections = this.#connectionsOf(endpoint)
+    for (const socket of connections.idle.splice(0)) socket.close()
     if (!endpoint.isGone) return
-    this.#connections.delete(endpoint.id)
+    this.#current.delete(connections)
     this.#options.partitioner.forget(limitName(endpoint))
   }
 
   #connectionsOf (endpoint: Endpoint): EndpointConnections {
-    const known = this.#connections.get(endpoint.id)
+    const known = this.#connections.get(endpoint)
     if (known !== undefined) return known
     const connections: EndpointConnections = { idle: [], open: 0 }
-    this.#connections.set(endpoint.id, connections)
+    this.#connections.set(endpoint, connections)
+    if (!endpoint.isGone) this.#current.add(connections)
     return connections
   }
 
