Cold starts are counted by incarnation, not by endpoint id

What callers would see: the dispatch times of each endpoint that is gone before it is warm stay for as long as the process lives, and an endpoint that restarts under its id is refused requests because of those to its predecessor.

Why it works: the times belong to the Endpoint object and go with it.

--- a/packages/forwarding/src/ColdStartLimiter.ts
+++ b/packages/forwarding/src/ColdStartLimiter.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointId, Millis } from '@papayahill/common'
+import type { Clock, Millis } from '@papayahill/common'
 import { MILLIS_PER_SECOND } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { COLD_SHARE } from './constants.js'
@@ -15,7 +15,7 @@
   readonly #clock: Clock
   readonly #profileOf: ProfileLookup
   readonly #partitioner: Pick<LimitPartitioner, 'shareOf'>
-  readonly #dispatchTimes = new Map<EndpointId, Millis[]>()
+  readonly #dispatchTimes = new WeakMap<Endpoint, Millis[]>()
 
   constructor (clock: Clock, profileOf: ProfileLookup, partitioner: Pick<LimitPartitioner, 'shareOf'>) {
     this.#clock = clock
@@ -32,13 +32,13 @@
   recordDispatch (endpoint: Endpoint): void {
     const now = this.#clock.now()
     if (endpoint.isCold(now)) this.#recentDispatches(endpoint).push(now)
-    else this.#dispatchTimes.delete(endpoint.id)
+    else this.#dispatchTimes.delete(endpoint)
   }
 
   #recentDispatches (endpoint: Endpoint): Millis[] {
     const since = this.#clock.now() - MILLIS_PER_SECOND
-    const recent = (this.#dispatchTimes.get(endpoint.id) ?? []).filter((at) => at > since)
-    this.#dispatchTimes.set(endpoint.id, recent)
+    const recent = (this.#dispatchTimes.get(endpoint) ?? []).filter((at) => at > since)
+    this.#dispatchTimes.set(endpoint, recent)
     return recent
   }
 }
