Shares of limits that nobody asks for any more are not kept

Cause: a share is valid for one second and was only forgotten for the connections of endpoints that are gone, not for their cold starts. Evidence: the new test failed without the pruning (100 shares of 100 endpoints kept). Why it works: shares are in the order of their times, and each new one removes those that are over; they are computed anew when they are asked for.

--- a/packages/forwarding/src/LimitPartitioner.test.ts
+++ b/packages/forwarding/src/LimitPartitioner.test.ts
@@ -65,4 +65,14 @@
       expect(sent.length).toBeGreaterThan(18)
     })
   })
+
+  it('does not keep the shares of endpoints that are gone', async () => {
+    const clock = new VirtualClock()
+    const [partitioner] = partitionersOf(6, clock)
+    for (let at = 0; at < 100; at++) {
+      partitioner!.shareOf(`e${at} cold`, 12)
+      await clock.advance(millis(300))
+    }
+    expect(partitioner!.size).toBeLessThan(10)
+  })
 })
--- a/packages/forwarding/src/LimitPartitioner.ts
+++ b/packages/forwarding/src/LimitPartitioner.ts
@@ -25,22 +25,38 @@
  */
 export class LimitPartitioner {
   readonly #options: LimitPartitionerOptions
+  /** The one that was computed least recently is first. */
   readonly #shares = new Map<string, Share>()
 
   constructor (options: LimitPartitionerOptions) {
     this.#options = options
   }
 
+  /** Number of shares that are kept. */
+  get size (): number {
+    return this.#shares.size
+  }
+
   /** This instance's share of a limit. */
   shareOf (name: string, limit: number): number {
     const now = this.#options.clock.now()
     const known = this.#shares.get(name)
     if (known !== undefined && known.limit === limit && now < known.validUntil) return known.share
     const share = this.#computeShare(name, Math.max(0, Math.floor(limit)))
+    this.#shares.delete(name)
     this.#shares.set(name, { limit, share, validUntil: millis(now + SHARE_TTL) })
+    this.#dropExpired(now)
     return share
   }
 
+  /** Limits have names of endpoints, which come and go. */
+  #dropExpired (now: Millis): void {
+    for (const [name, { validUntil }] of this.#shares) {
+      if (now < validUntil) return
+      this.#shares.delete(name)
+    }
+  }
+
   forget (name: string): void {
     this.#shares.delete(name)
   }
