Means by route are kept of the latest routes only

What callers would see: nothing at first; each new route name of a configuration left a mean in five maps (first events, answer times, usual times of the call monitor, and of each service and kind of work) for as long as the process lives.

Routes in use keep their means; the call monitor uses MovingMeans now, with the same weight.

--- a/packages/forwarding/src/CallMonitor.ts
+++ b/packages/forwarding/src/CallMonitor.ts
@@ -1,8 +1,8 @@
-import { millis } from '@papayahill/common'
+import { millis, MovingMeans } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
 import type { Endpoint, ServingRoute } from '@papayahill/directory'
 import type { LossJudge } from '@papayahill/reach'
-import { SAME_LOSS_SPAN, SLOW_FACTOR, SLOW_MARGIN, USUAL_TIME_WEIGHT } from './constants.js'
+import { DEFAULT_ROUTE_TIME, SAME_LOSS_SPAN, SLOW_FACTOR, SLOW_MARGIN, USUAL_TIME_WEIGHT } from './constants.js'
 import type { CallEnd } from './types.js'
 import type { VersionCall } from './VersionGate.js'
 
@@ -41,7 +41,7 @@
   /** When each endpoint last lost a call with its connection. */
   readonly #lastLossAt = new WeakMap<Endpoint, Millis>()
   /** Usual time to the first byte of an answer, by route. */
-  readonly #usualTimes = new Map<string, number>()
+  readonly #usualTimes = new MovingMeans<string>({ weight: USUAL_TIME_WEIGHT, initial: DEFAULT_ROUTE_TIME })
 
   constructor (options: CallMonitorOptions) {
     this.#options = options
@@ -90,7 +90,7 @@
   #checkWait (call: MonitoredCall): void {
     const { clock } = this.#options
     if (call.firstByteAt !== undefined || call.hasVerdict) return
-    const usual = this.#usualTimes.get(call.route.name)
+    const usual = this.#usualTimes.known(call.route.name)
     const isSlow = usual !== undefined && clock.now() - call.sentAt > SLOW_FACTOR * usual + SLOW_MARGIN
     if (!isSlow) return
     if (call.endpoint.isCold(clock.now())) call.hasVerdict = true
@@ -113,8 +113,6 @@
   #updateUsualTime ({ endpoint, route, sentAt, firstByteAt }: MonitoredCall): void {
     const { clock, isOnTrial } = this.#options
     if (isOnTrial(endpoint)) return
-    const took = millis((firstByteAt ?? clock.now()) - sentAt)
-    const usual = this.#usualTimes.get(route.name) ?? took
-    this.#usualTimes.set(route.name, usual + USUAL_TIME_WEIGHT * (took - usual))
+    this.#usualTimes.record(route.name, millis((firstByteAt ?? clock.now()) - sentAt))
   }
 }
--- a/packages/performance/src/constants.ts
+++ b/packages/performance/src/constants.ts
@@ -64,3 +64,5 @@
 /** Least time between two events of one endpoint, and most events of all endpoints in that time. */
 export const EVENT_PERIOD = seconds(5)
 export const MAX_EVENTS_PER_PERIOD = 10
+/** Keys of work whose usual times are kept of each service. */
+export const MAX_WORK_KEYS = 500
