Services without requests have no queue

What callers would see: nothing at first; each service that was ever requested left a queue (0.3 kB and more) and a set, and the gauges of waiting requests went through all of them.

Why it works: a queue removes itself when it is idle; the next request makes a new one with the concurrency of that moment, as each request set it before.

--- a/packages/forwarding/src/ServiceGate.ts
+++ b/packages/forwarding/src/ServiceGate.ts
@@ -14,16 +14,22 @@
 export class ServiceGate {
   readonly #queues = new Map<ServiceId, PQueue>()
 
-  run<Value> (service: ServiceId, slots: number, priority: number, work: () => Promise<Value>): Promise<Value> {
+  /** Number of services with requests. */
+  get size (): number {
+    return this.#queues.size
+  }
+
+  async run<Value> (service: ServiceId, slots: number, priority: number, work: () => Promise<Value>): Promise<Value> {
     const queue = this.#queueOf(service)
     const concurrency = Math.max(MIN_CONCURRENCY, slots * OVERCOMMIT)
     if (queue.concurrency !== concurrency) queue.concurrency = concurrency
-    return queue.add(work, { priority: -priority })
+    return await queue.add(work, { priority: -priority })
   }
 
   /** Lets all queued requests of a service run. */
   open (service: ServiceId): void {
-    this.#queueOf(service).concurrency = Infinity
+    const queue = this.#queues.get(service)
+    if (queue !== undefined) queue.concurrency = Infinity
   }
 
   /** Queued requests of all services. */
@@ -41,6 +47,8 @@
     if (known !== undefined) return known
     const queue = new PQueue({ concurrency: MIN_CONCURRENCY })
     this.#queues.set(service, queue)
+    // Configurations may name new services as long as the process lives.
+    queue.on('idle', () => this.#queues.delete(service))
     return queue
   }
 }
--- a/packages/forwarding/src/UnsentRequests.ts
+++ b/packages/forwarding/src/UnsentRequests.ts
@@ -21,6 +21,7 @@
   }
 
   delete (service: ServiceId, request: ForwardRequest): void {
-    this.#byService.get(service)?.delete(request)
+    const requests = this.#byService.get(service)
+    if (requests?.delete(request) === true && requests.size === 0) this.#byService.delete(service)
   }
 }
