A stage's pieces share one list of inputs

Callers saw a reset connection, and all requests of the process were lost: a request with `chunk-count: 4096,4096` ended the process out of heap.

Cause: each piece of a stage had a list of its own with the handles of all results that the stage reads. Memory grew with pieces times inputs, in the one turn of the event loop in which the last batch of the stage before was answered: 4096 lists of 4096 handles take 134 MB, and the heap is 160 MB. The number of pieces is bounded per stage (MAX_PIECES), not the product of two stages. A caller that repeats its request at another instance ends that one as well.

Why it works: the pieces of an order differ only in their index, so that the other fields are made once for an order. Memory grows with pieces plus inputs.

--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -1,7 +1,10 @@
-import { millis } from '@papayahill/common'
-import type { Millis } from '@papayahill/common'
+import { brand, millis } from '@papayahill/common'
+import type { EndpointId, Millis } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
+import { StageGraphRun } from './StageGraphRun.js'
+import type { StageContext } from './StageGraphRun.js'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
+import type { StageOrder } from './types.js'
 
 const CHAIN = chainOf(5, 'cut', 'scan', 'note')
 /** Stages whose results nearly fill the memory of their endpoints. */
@@ -84,6 +87,23 @@
     expect(noteCalls.map(({ pieces }) => pieces)).toEqual([4, 1, 1])
   })
 
+  // Guards against a list for each piece: 4096 pieces that read 4096 results took 134 MB in one turn of the event loop.
+  it('gives all pieces of a stage one list of inputs', async () => {
+    const harness = new StageHarness(1, ENDPOINTS)
+    const orders: StageOrder[] = []
+    const run = async (order: StageOrder): ReturnType<StageContext['router']['run']> => {
+      orders.push(order)
+      return order.pieces.map(({ stage, index }) => ({ handle: `${stage}/${index}`, endpoint: brand<EndpointId>('cut-0') }))
+    }
+    const router = { run, free: () => {}, cancel: () => {} } as unknown as StageContext['router']
+    const context = { ...harness.instances[0]!.context, router }
+    const results = await new StageGraphRun(context, workOf(harness, 'r', CHAIN, [40, 30, 20], TARGET, TIMEOUT)).run()
+    expect(results.isOk).toBe(true)
+    expect(orders.map(({ pieces }) => pieces.map(({ index }) => index))).toEqual([40, 30, 20].map((count) => [...Array(count).keys()]))
+    expect(orders.map(({ pieces }) => pieces[0]!.inputs.length)).toEqual([0, 40, 30])
+    expect(orders.map(({ pieces }) => new Set(pieces.map(({ inputs }) => inputs)).size)).toEqual([1, 1, 1])
+  })
+
   describe('when coordinators change', () => {
     it('serves the requests whose coordinator is killed', async () => {
       const harness = await startHarness()
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -233,7 +233,8 @@
     stage: StageNode, { missing, inputs, losses }: MissingPieces, results: Array<StageResult | undefined>, exclude: Set<EndpointId>
   ): Promise<PieceFault | undefined> {
     if (this.#isCancelled) return 'unplaced'
-    const pieces = missing.map((index) => this.#piece(stage, index, inputs, losses))
+    const shared = this.#sharedFields(stage, inputs, losses)
+    const pieces = missing.map((index): Piece => ({ ...shared, index }))
     const order = this.#order(stage, pieces, inputs, exclude)
     if (order === undefined) return 'unplaced'
     this.#orderedGroups.add(order.group)
@@ -311,14 +312,14 @@
     return fault
   }
 
-  #piece (stage: StageNode, index: number, inputs: readonly StageResult[], losses: number): Piece {
+  /** What all pieces of a stage have in common; one list of inputs for each piece would take pieces times inputs of memory. */
+  #sharedFields (stage: StageNode, inputs: readonly StageResult[], losses: number): Omit<Piece, 'index'> {
     const { request, key, priority, due, deadline, answerTime, stages } = this.#work
     const { profileOf } = this.#context
     const stagesAfter = followingStageTime(stages, stage, profileOf, shortCallTime)
     return {
       request,
       stage: stage.index,
-      index,
       key: stage.after.length === 0 ? key : undefined,
       inputs: inputs.map((input) => input.handle),
       losses,
