The inputs that the pieces of a call name together are bounded

What callers would see: the memory of the machine (350 MB) exceeded by one request of 4096,4096 pieces at ten endpoints with four slots each.

Cause: each piece of a call names all of its inputs, as the protocol asks, so that the body of a call grows with pieces times inputs: 60 pieces with 4096 inputs are 5 MB, and the body is held until the answer. One request may fill the slots of all endpoints at once.

Why it works: a call takes fewer pieces the more inputs each has, at least one, by the rule by which pieces of lost calls share a call with few others. A batch of 60 is whole up to 546 inputs. The test failed before: 60 pieces in each call.

--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -73,3 +73,5 @@
 export const HARMLESS_LOSSES = 1
 /** Factor by which a call shrinks with each further loss of one of its pieces. */
 export const LOSS_DIVISOR = 8
+/** Most inputs that all pieces of a call name together: each takes tens of bytes of the body, which is held until the answer. */
+export const MAX_CALL_INPUTS = 32_768
--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -1,6 +1,7 @@
 import { brand, bytes, millis } from '@papayahill/common'
 import type { EndpointId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
+import { MAX_CALL_INPUTS } from './constants.js'
 import { planBatches } from './planBatches.js'
 import type { BatchPlan, EndpointCapacity, WaitingPiece } from './planBatches.js'
 import { stagePiece } from './testing/stageEndpoint.js'
@@ -37,6 +38,18 @@
   Array.from({ length: count }, (_none, index) => stagePiece(request, { index, ...fields }))
 
 describe('planBatches', () => {
+  // Guards against calls whose bodies fill the memory: 60 pieces that name 4096 inputs each are 5 MB of JSON.
+  it('bounds the inputs that the pieces of a call name together', () => {
+    const call = { maxPieces: 60, freeBytes: 1e6 }
+    const inputsOf = (count: number): readonly string[] => Array.from({ length: count }, (_none, at) => `h${at}`)
+    const sentOf = (count: number): number | undefined =>
+      plan(piecesOf('r', 100, { inputs: inputsOf(count) }), capacityOf(a, call)).batches.get(a)?.length
+    expect([0, 10, 500, 1000, 4096, MAX_CALL_INPUTS, 3 * MAX_CALL_INPUTS].map(sentOf)).toEqual([60, 60, 60, 32, 8, 1, 1])
+    const [small, large] = [piecesOf('small', 20, { inputs: inputsOf(10) }), piecesOf('large', 20, { inputs: inputsOf(4096), due: millis(10_001) })]
+    const sent = plan([...small, ...large], capacityOf(a, call)).batches.get(a) ?? []
+    expect(sent.reduce((sum, { piece }) => sum + piece.inputs.length, 0)).toBeLessThanOrEqual(MAX_CALL_INPUTS)
+  })
+
   describe('order', () => {
     it('sends what is due first', () => {
       const pieces = [stagePiece('late', { due: millis(3000) }), stagePiece('soon', { due: millis(500) }), stagePiece('mid', { due: millis(900) })]
