The stages of a request are walked once each, not once for each chain

What callers would see: no answer and no readiness check while the event loop is blocked, at each request of a route whose stages have many chains.

Cause: the time before and after a stage, the wait of the stages and the stages to run again were computed by recursion along every chain, at each admission and each order. Layers of three stages that read all of the layer before have 3 ** depth chains.

Why it works: a stage's time is computed once and kept for the computation (longestChain), and ancestors are collected in a set.

The tests failed before, by the bound on the steps that they count: more than 50,000 steps for 60 stages.

--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -1,10 +1,12 @@
-import { brand, millis } from '@papayahill/common'
-import type { EndpointId, Millis } from '@papayahill/common'
+import { brand, bytes, millis } from '@papayahill/common'
+import type { EndpointId, Millis, ServiceId } from '@papayahill/common'
+import type { StageNode } from '@papayahill/directory'
 import { describe, expect, it } from 'vitest'
-import { StageGraphRun } from './StageGraphRun.js'
+import { leastStageTime, StageGraphRun } from './StageGraphRun.js'
 import type { StageContext } from './StageGraphRun.js'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
-import type { StageOrder } from './types.js'
+import { TEST_PROFILE } from './testing/stageEndpoint.js'
+import type { PieceFault, PieceOutcome, ProfileOf, StageOrder } from './types.js'
 
 const CHAIN = chainOf(5, 'cut', 'scan', 'note')
 /** Stages whose results nearly fill the memory of their endpoints. */
@@ -87,6 +89,45 @@
     expect(noteCalls.map(({ pieces }) => pieces)).toEqual([4, 1, 1])
   })
 
+  describe('a graph with exponentially many chains', () => {
+    /** Three stages in each layer, all of which read all of the layer before: 3 ** 20 chains. */
+    const LAYERS: readonly StageNode[] = Array.from({ length: 60 }, (_none, index) => {
+      const first = index - index % 3 - 3
+      return { index, service: brand<ServiceId>('cut'), after: first < 0 ? [] : [first, first + 1, first + 2], resultBytes: bytes(1) }
+    })
+    const COUNTS = LAYERS.map(() => 1)
+    /** Far more steps than there are pairs of stages. */
+    const MAX_STEPS = 50_000
+
+    /** Throws instead of going on for ever. */
+    const countedProfile = (): ProfileOf => {
+      let steps = 0
+      return () => {
+        if (++steps > MAX_STEPS) throw new Error(`more than ${MAX_STEPS} steps`)
+        return TEST_PROFILE
+      }
+    }
+
+    it('has its time forecast in few steps', () => {
+      const { callTime, pieceTime } = TEST_PROFILE
+      expect(leastStageTime(LAYERS, COUNTS, countedProfile())).toBe(20 * (callTime + pieceTime))
+    })
+
+    it.each([['once', []], ['again after its inputs were gone', ['gone']]] as const)('is run in few steps, %s', async (_name, faults) => {
+      const left: PieceFault[] = [...faults]
+      const run = async ({ pieces }: StageOrder): Promise<readonly PieceOutcome[]> => pieces.map(({ stage, index }) => {
+        const fault = stage === 59 ? left.pop() : undefined
+        const endpoint = brand<EndpointId>('cut-0')
+        return fault === undefined ? { handle: `${stage}/${index}`, endpoint } : { fault, endpoint }
+      })
+      const harness = new StageHarness(1, ENDPOINTS)
+      const router = { run, free: () => {}, cancel: () => {} } as unknown as StageContext['router']
+      const context = { ...harness.instances[0]!.context, router, profileOf: countedProfile() }
+      const results = await new StageGraphRun(context, workOf(harness, 'r', LAYERS, COUNTS, TARGET, millis(60_000))).run()
+      expect(results.isOk).toBe(true)
+    })
+  })
+
   // Guards against a list for each piece: 4096 pieces that read 4096 results took 134 MB in one turn of the event loop.
   it('gives all pieces of a stage one list of inputs', async () => {
     const harness = new StageHarness(1, ENDPOINTS)
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -8,6 +8,7 @@
 import { MAX_PIECE_LOSSES, MAX_PIECE_RETRIES, RESULT_TTL_SHARE } from './constants.js'
 import type { GroupLookup } from './endpointGroups.js'
 import { BATCHING_EVENTS } from './events.js'
+import { longestChain } from './longestChain.js'
 import type { StageOrderRouter } from './StageOrderRouter.js'
 import type { GroupId, Piece, PieceFault, PieceOutcome, ProfileOf, StageOrder, StageResult } from './types.js'
 
@@ -211,8 +212,10 @@
 
   /** All stages whose results a stage needs, directly or indirectly. */
   #ancestors (stage: StageNode): ReadonlySet<number> {
-    const direct = stage.after.map((index) => this.#work.stages[index]!)
-    return new Set(direct.flatMap((before) => [before.index, ...this.#ancestors(before)]))
+    const found = new Set(stage.after)
+    // The loop goes over what it adds, too, and over each stage once.
+    for (const index of found) for (const before of this.#work.stages[index]!.after) found.add(before)
+    return found
   }
 
   #canRetry (stage: StageNode, fault: PieceFault, pieces: number): boolean {
@@ -345,20 +348,20 @@
 const followingStageTime = (
   stages: readonly StageNode[], stage: StageNode, profileOf: ProfileOf, timeOf: (profile: BatchProfile) => number
 ): number => {
-  const followers = stages.filter((other) => other.after.includes(stage.index))
-  return Math.max(0, ...followers.map((next) => {
-    const profile = profileOf(next.service)
-    return (profile === undefined ? 0 : timeOf(profile)) + followingStageTime(stages, next, profileOf, timeOf)
-  }))
+  const followersOf = ({ index }: StageNode): readonly StageNode[] => stages.filter((other) => other.after.includes(index))
+  const chainTime = longestChain(followersOf, ({ service }) => {
+    const profile = profileOf(service)
+    return profile === undefined ? 0 : timeOf(profile)
+  })
+  return Math.max(0, ...followersOf(stage).map(chainTime))
 }
 
 /** Time that a request's stages take at least, without any queueing. */
 export const leastStageTime = (stages: readonly StageNode[], counts: readonly number[], profileOf: ProfileOf): Millis => {
-  const timeOf = (stage: StageNode): number => {
-    const count = counts[stage.index] ?? 0
-    const profile = profileOf(stage.service)
-    const before = Math.max(0, ...stage.after.map((index) => timeOf(stages[index]!)))
-    return before + (count === 0 || profile === undefined ? 0 : profile.callTime + Math.min(count, profile.size) * profile.pieceTime)
-  }
-  return millis(Math.max(0, ...stages.map(timeOf)))
+  const chainTime = longestChain<StageNode>(({ after }) => after.map((index) => stages[index]!), ({ index, service }) => {
+    const count = counts[index] ?? 0
+    const profile = profileOf(service)
+    return count === 0 || profile === undefined ? 0 : profile.callTime + Math.min(count, profile.size) * profile.pieceTime
+  })
+  return millis(Math.max(0, ...stages.map(chainTime)))
 }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,7 +1,7 @@
-import { leastStageTime } from '@papayahill/batching'
+import { leastStageTime, longestChain } from '@papayahill/batching'
 import { millis, refusal } from '@papayahill/common'
 import type { Failure, Millis, ServiceId } from '@papayahill/common'
-import type { Endpoint } from '@papayahill/directory'
+import type { Endpoint, StageNode } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
 import { admit } from './admission.js'
 import type { Admission } from './admission.js'
@@ -214,8 +214,8 @@
       const endpoints = directory.healthy(stage.service)
       return (pieceCounts[stage.index] ?? 0) === 0 || endpoints.length === 0 ? 0 : backlogs.leastBacklog(endpoints)
     })
-    const chain = (index: number): number => waits[index]! + Math.max(0, ...route.stages[index]!.after.map(chain))
-    return millis(Math.max(0, ...route.stages.map((stage) => chain(stage.index))))
+    const chainTime = longestChain<StageNode>(({ after }) => after.map((index) => route.stages[index]!), ({ index }) => waits[index]!)
+    return millis(Math.max(0, ...route.stages.map(chainTime)))
   }
 
   #finish (request: ForwardRequest, sink: CallerSink, end: RunEnd): void {
