The send buffer of a link counts its frames, not their bytes alone

What operators could see: an instance whose heap grows far beyond the 4 MiB that a link may hold, while a peer keeps its link alive and reads nothing of it. Cause: the bound counted the bytes of frames that are not sent; a frame of two bytes makes entries of a write queue, Buffers and a callback beside them, and half a million such frames are within the bound. Why it works: each frame that the system has not taken counts 512 bytes (ITEM_COST in packages/common, for all bounds of this kind) beside its own, so that a link holds at most 8,192 frames. Frames beyond are dropped, as before, and gossip repairs what they carried.

--- a/packages/peers/src/WsTransport.ts
+++ b/packages/peers/src/WsTransport.ts
@@ -1,4 +1,4 @@
-import { ConnectionGuard, KEEP_ALIVE_IDLE } from '@papayahill/common'
+import { ConnectionGuard, ITEM_COST, KEEP_ALIVE_IDLE } from '@papayahill/common'
 import type { Clock, EventLog } from '@papayahill/common'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
@@ -198,6 +198,9 @@
   readonly isDialled: boolean
   readonly #socket: WebSocket
   readonly #log: EventLog
+  /** Frames that the system has not taken to send. */
+  #unsentFrames = 0
+  readonly #onSent = (): void => { this.#unsentFrames-- }
   #buffered: Array<{ readonly frame: Frame, readonly size: number }> = []
   #listener: ((frame: Frame, size: number) => void) | undefined
 
@@ -210,13 +213,15 @@
   }
 
   send (frame: Frame): number {
-    if (this.#socket.readyState !== WebSocket.OPEN || this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) return 0
+    const held = this.#socket.bufferedAmount + this.#unsentFrames * ITEM_COST
+    if (this.#socket.readyState !== WebSocket.OPEN || held > MAX_BUFFERED_BYTES) return 0
     const data = encodeFrame(frame)
     if (data.length > MAX_FRAME_BYTES) {
       this.#log.emit(PEERS_EVENTS.frameTooLarge, { peer: this.peer.id, kind: frame.kind, bytes: data.length })
       return 0
     }
-    this.#socket.send(data)
+    this.#unsentFrames++
+    this.#socket.send(data, this.#onSent)
     return data.length + HEADER_BYTES
   }
 
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -45,7 +45,7 @@
 export const MAX_REDIAL_DELAY = seconds(5)
 /** Largest frame in bytes. */
 export const MAX_FRAME_BYTES = 262_144
-/** Send buffer of a link, in bytes, beyond which frames on it are dropped. */
+/** Send buffer of a link, in bytes with the cost of its frames, beyond which frames on it are dropped. */
 export const MAX_BUFFERED_BYTES = 4_194_304
 /** Timeout for opening and authenticating a link. */
 export const HANDSHAKE_TIMEOUT = seconds(2)
