A streamed answer of tiny chunks without end is cut

What operators could see: an instance whose heap rises for as long as an engine streams chunks of one character. Cause: a stream was bounded by the bytes since its last chunk alone, and its text grows by several objects for each chunk, until the timeout of the call. Why it works: the text and 512 bytes for each chunk (ITEM_COST) count towards 32 MiB, which some 65,000 chunks reach, and the call is then cut like one that sends too many bytes without a chunk.

--- a/packages/backends/src/CompletionStream.ts
+++ b/packages/backends/src/CompletionStream.ts
@@ -1,9 +1,10 @@
-import { isJsonObject, millis, parseJson, tokens } from '@papayahill/common'
+import { isJsonObject, ITEM_COST, millis, parseJson, tokens } from '@papayahill/common'
 import type { JsonObject, Millis, StageUsage, Tokens } from '@papayahill/common'
 import type { StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { EventSourceMessage } from 'eventsource-parser'
 import { choiceText, completionAnswer } from './adapters.js'
 import { parseCallId } from './callId.js'
+import { MAX_STREAM } from './constants.js'
 import { EventReader } from './EventReader.js'
 
 const END_MARKER = '[DONE]'
@@ -23,6 +24,8 @@
   readonly #reader: EventReader
   readonly #onChunk: (chunk: StageChunk) => void
   #index: number
+  /** Chunks so far, with those that a resumed stream begins after. */
+  #chunks: number
   #text: string
   #tokens = 0
   #lastEvent: JsonObject | undefined
@@ -31,13 +34,14 @@
   constructor (call: StageCall, onChunk: (chunk: StageChunk) => void) {
     this.#onChunk = onChunk
     this.#index = call.resume?.chunks ?? 0
+    this.#chunks = this.#index
     this.#text = call.resume?.text ?? ''
     this.#reader = new EventReader((event) => this.#handleEvent(event))
   }
 
-  /** Parses a part of the stream; false once there have been too many bytes without a chunk. */
+  /** Parses a part of the stream; false once there have been too many bytes without a chunk, or too much in all. */
   feed (data: Buffer): boolean {
-    return this.#reader.feed(data)
+    return this.#reader.feed(data) && this.#text.length + this.#chunks * ITEM_COST <= MAX_STREAM
   }
 
   /** Usage of the chunks received so far, for a stream that broke. */
@@ -71,6 +75,7 @@
     const count: Tokens = tokens(typeof body.tokens === 'number' ? body.tokens : TOKENS_PER_CHUNK)
     const index = id === undefined ? this.#index : Number(id)
     this.#index = index + 1
+    this.#chunks++
     this.#text += text
     this.#tokens += count
     if (body.usage !== undefined) this.#lastEvent = body
