Answers of stores are kept in one piece of memory, not part by part

What callers saw: a process whose store answers in chunks of a byte could end out of heap, with all requests on it. Cause: the answer was bounded by its bytes on the connection (4 MiB, six calls at a time; 16 MiB at the product's own store), and each chunk was kept as a Buffer of its own until the last.

--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -1,4 +1,4 @@
-import { parseJson } from '@papayahill/common'
+import { parseJson, readText } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, IdempotencyKey, InstanceId, Json } from '@papayahill/common'
 import { boundedConnector } from '@papayahill/connections'
 import type {
@@ -110,7 +110,7 @@
       const { statusCode, body } = await this.#agent.request({
         origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal, reset: closesConnection
       })
-      const text = await body.text()
+      const text = await readText(body)
       return statusCode === 200 ? Result.ok(parseJson(text) ?? null) : Result.err(queryError(`the endpoint answered ${statusCode}`))
     } catch (err) {
       return Result.err(queryError(err instanceof Error ? err.message : String(err)))
--- a/packages/stores/src/HttpExchange.ts
+++ b/packages/stores/src/HttpExchange.ts
@@ -1,3 +1,4 @@
+import { readText } from '@papayahill/common'
 import type { Clock, EventLog, Json, Millis } from '@papayahill/common'
 import { boundedConnector } from '@papayahill/connections'
 import { Result } from 'true-myth'
@@ -104,7 +105,7 @@
       body: hasBody ? JSON.stringify(req.body) : null,
       signal
     })
-    const text = await body.text()
+    const text = await readText(body)
     return { status: statusCode, etag: headerOf(headers.etag), retryAfter: headerOf(headers['retry-after']), text }
   }
 
