--- a/packages/common/src/ByteCollector.ts
+++ b/packages/common/src/ByteCollector.ts
@@ -23,10 +23,10 @@
     return this.#memory.subarray(0, this.#size)
   }
 
-  add (part: Buffer): void {
+  add (part: Uint8Array): void {
     const size = this.#size + part.length
     if (size > this.#memory.length) this.#grow(size)
-    part.copy(this.#memory, this.#size)
+    this.#memory.set(part, this.#size)
     this.#size = size
   }
 
