--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -73,3 +73,5 @@
 export const HARMLESS_LOSSES = 1
 /** Factor by which a call shrinks with each further loss of one of its pieces. */
 export const LOSS_DIVISOR = 8
+/** Handles of inputs that one call lists for all its pieces; each piece lists all of its stage's inputs. */
+export const MAX_CALL_INPUTS = 16_384
--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -113,6 +113,16 @@
     })
   })
 
+  // Guards against calls whose lists of inputs, one for each piece, take more memory than an instance has.
+  it('puts few pieces with very many inputs into one call, and as many as fit of those with a usual number', () => {
+    const callOf = (inputs: number): readonly WaitingPiece[] | undefined => {
+      const shared = Array.from({ length: inputs }, (_none, at) => `h${at}`)
+      return plan(piecesOf('p', 52, { inputs: shared }), capacityOf(a, { maxPieces: 52, freeBytes: 1e6, totalBytes: 1e6 })).batches.get(a)
+    }
+    expect(callOf(4096)).toHaveLength(4)
+    expect(callOf(52)).toHaveLength(52)
+  })
+
   describe('deadlines', () => {
     it('returns pieces at once that would end after their deadline behind the others', () => {
       const pieces = ['p', 'q', 'r', 's'].map((name, at) => stagePiece(name, { due: millis(100 + at), deadline: millis(400) }))
