--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -44,7 +44,7 @@
     const inputsOf = (count: number): readonly string[] => Array.from({ length: count }, (_none, at) => `h${at}`)
     const sentOf = (count: number): number | undefined =>
       plan(piecesOf('r', 100, { inputs: inputsOf(count) }), capacityOf(a, call)).batches.get(a)?.length
-    expect([0, 10, 500, 1000, 4096, MAX_CALL_INPUTS, 3 * MAX_CALL_INPUTS].map(sentOf)).toEqual([60, 60, 60, 32, 8, 1, 1])
+    expect([0, 10, 500, 1000, 4096, MAX_CALL_INPUTS, 3 * MAX_CALL_INPUTS].map(sentOf)).toEqual([60, 60, 32, 16, 4, 1, 1])
     const [small, large] = [piecesOf('small', 20, { inputs: inputsOf(10) }), piecesOf('large', 20, { inputs: inputsOf(4096), due: millis(10_001) })]
     const sent = plan([...small, ...large], capacityOf(a, call)).batches.get(a) ?? []
     expect(sent.reduce((sum, { piece }) => sum + piece.inputs.length, 0)).toBeLessThanOrEqual(MAX_CALL_INPUTS)
@@ -126,6 +126,16 @@
     })
   })
 
+  // Guards against calls whose lists of inputs, one for each piece, take more memory than an instance has.
+  it('puts few pieces with very many inputs into one call, and as many as fit of those with a usual number', () => {
+    const callOf = (inputs: number): readonly WaitingPiece[] | undefined => {
+      const shared = Array.from({ length: inputs }, (_none, at) => `h${at}`)
+      return plan(piecesOf('p', 52, { inputs: shared }), capacityOf(a, { maxPieces: 52, freeBytes: 1e6, totalBytes: 1e6 })).batches.get(a)
+    }
+    expect(callOf(4096)).toHaveLength(4)
+    expect(callOf(52)).toHaveLength(52)
+  })
+
   describe('deadlines', () => {
     it('returns pieces at once that would end after their deadline behind the others', () => {
       const pieces = ['p', 'q', 'r', 's'].map((name, at) => stagePiece(name, { due: millis(100 + at), deadline: millis(400) }))
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -150,8 +150,8 @@
   }
 
   /**
-   * A piece that was lost with several calls shares its next one with few others, so that it takes few with it again. So does one
-   * with thousands of inputs, since each piece of a call names all of its own.
+   * A piece that was lost with several calls shares its next one with few others, so that it takes few with it again. One with very
+   * many inputs does, too, since a call that lists them for each of its pieces takes more memory than an instance has.
    */
   #limitFor ({ piece: { losses, inputs } }: WaitingPiece): number {
     const byLosses = this.capacity.maxPieces / LOSS_DIVISOR ** Math.max(0, losses - HARMLESS_LOSSES)
