Scopes do not hold names of models of any length

What callers would see: processes that run out of heap after some thousand requests that name other models, each with a long name.

Cause: a scope contains the model's name as a header gave it, up to the limit of headers, and 8192 scopes, 8192 parts and 4096 whole requests are remembered under it. The bounds were in entries.

Why it works: a name of more than 128 characters is replaced by its hash, the same at all instances; shorter ones are as before.

--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -30,6 +30,8 @@
 export const MAX_REPORTED_PARTS = 8
 /** Ids of parts that are longer than this are replaced by their hash. */
 export const MAX_PART_LENGTH = 40
+/** Longer names of models are replaced by their hashes in scopes. */
+export const MAX_MODEL_LENGTH = 128
 /** Keys under which an instance publishes its latest crash reports, cleared parts and quarantines. */
 export const CRASH_KEYS = 8
 export const BEGUN_KEYS = 4
