The coordinator roster does not keep exclusions that are over

Cause: suspicions, refusals and announced stops were kept for every instance, incarnation and service that ever had one, though the first two count for one period and the last one until its incarnation has ended.

Evidence: the new test failed without the pruning (9000 exclusions kept). Why it works: a new exclusion drops those whose period is over, and the 2000 latest stops are remembered, many more than instances can stop at a time.

--- a/packages/batching/src/CoordinatorRoster.test.ts
+++ b/packages/batching/src/CoordinatorRoster.test.ts
@@ -50,6 +50,19 @@
     expect(coordinatorsOf(roster)).toContain(idOf('b'))
   })
 
+  it('does not keep the exclusions of all incarnations that there ever were', async () => {
+    const clock = new VirtualClock()
+    const roster = rosterOf('a', [memberOf('b')], clock)
+    for (let at = 0; at < 3000; at++) {
+      const { id, incarnation } = memberOf(`b${at}`, at)
+      roster.suspect(id)
+      roster.markUnreached(incarnation, 'encode/0')
+      roster.markLeaving(incarnation)
+      await clock.advance(millis(100))
+    }
+    expect(roster.exclusionCount).toBeLessThan(2100)
+  })
+
   it('chooses only strong instances if there are enough of them, and any otherwise', () => {
     const strong = ['a', 'b', 'c', 'd'].map((name) => ({ ...memberOf(name), capacity: 1.35 }))
     const weak = ['e', 'f', 'g', 'h', 'i'].map((name) => ({ ...memberOf(name), capacity: 0.3 }))
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -2,7 +2,7 @@
 import type { Clock, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import type { Reach } from '@papayahill/reach'
-import { MAX_COORDINATOR_SILENCE, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
+import { MAX_COORDINATOR_SILENCE, MAX_LEAVING_INCARNATIONS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
 import { serviceOf } from './endpointGroups.js'
 import type { OrderSender } from './types.js'
 
@@ -20,6 +20,16 @@
   readonly capacity: number
 }
 
+/** Excludes a name for the suspicion period, and drops those whose period is over: the first ones, since all periods are equal. */
+const exclude = <Name extends string>(until: Map<Name, Millis>, name: Name, now: Millis): void => {
+  until.delete(name)
+  until.set(name, millis(now + SUSPICION_PERIOD))
+  for (const [first, end] of until) {
+    if (end > now) return
+    until.delete(first)
+  }
+}
+
 const CAPABLE = { share: MIN_COORDINATOR_CAPACITY, least: MIN_COORDINATORS }
 
 /**
@@ -65,21 +75,28 @@
     return this.#isLeaving && this.#reachablePeers().length > 0
   }
 
+  /** Number of exclusions that are kept. */
+  get exclusionCount (): number {
+    return this.#suspectedUntil.size + this.#unreachedUntil.size + this.#leavingIncarnations.size
+  }
+
   /** Excludes an instance for the suspicion period, since it did not accept an order in time. */
   suspect (id: InstanceId): void {
-    this.#suspectedUntil.set(id, millis(this.#clock.now() + SUSPICION_PERIOD))
+    exclude(this.#suspectedUntil, id, this.#clock.now())
     this.#coordinators.clear()
   }
 
   /** Excludes an incarnation that announced that it stops; the next one under its id is a candidate again. */
   markLeaving (incarnation: Incarnation): void {
     this.#leavingIncarnations.add(incarnation)
+    const [oldest] = this.#leavingIncarnations
+    if (this.#leavingIncarnations.size > MAX_LEAVING_INCARNATIONS) this.#leavingIncarnations.delete(oldest!)
     this.#coordinators.clear()
   }
 
   /** Excludes an incarnation from the groups of a service until it has had time to tell that it does not reach them. */
   markUnreached (incarnation: Incarnation, group: string): void {
-    this.#unreachedUntil.set(`${incarnation} ${serviceOf(group)}`, millis(this.#clock.now() + SUSPICION_PERIOD))
+    exclude(this.#unreachedUntil, `${incarnation} ${serviceOf(group)}`, this.#clock.now())
     this.#coordinators.clear()
   }
 
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -8,6 +8,8 @@
 export const REORDER_PERIOD = millis(50)
 /** An instance whose link was silent for this long is not chosen as coordinator. */
 export const MAX_COORDINATOR_SILENCE = millis(1300)
+/** Incarnations that stop and are remembered; many more than can stop at a time. */
+export const MAX_LEAVING_INCARNATIONS = 2000
 /** Time after which other instances' results are assumed to be read and freed. */
 export const FOREIGN_RESULT_TTL = millis(800)
 /** A call counts as lost after its forecast times this factor, plus the margin. */
