Limits of endpoints that are asked for after they are gone are not kept

Cause: the rate limiter made a new quota for an endpoint that was gone when a last call asked for it, and kept it under its id for as long as the process lived; that quota also began anew.

Why it works: a quota belongs to the Endpoint object, and only those of endpoints that are not gone are listed.

--- a/packages/limits/src/EndpointQuota.ts
+++ b/packages/limits/src/EndpointQuota.ts
@@ -42,10 +42,6 @@
     this.#options = options
   }
 
-  get endpoint (): Endpoint {
-    return this.#options.endpoint
-  }
-
   /** Drops all tokens, after a pause of this process. */
   restart (): void {
     this.#perSecond = undefined
--- a/packages/limits/src/SharedRateLimiter.ts
+++ b/packages/limits/src/SharedRateLimiter.ts
@@ -39,7 +39,9 @@
  */
 export class SharedRateLimiter implements RequestLimits {
   readonly #options: SharedRateLimiterOptions
-  readonly #quotas = new Map<EndpointId, EndpointQuota>()
+  readonly #quotas = new WeakMap<Endpoint, EndpointQuota>()
+  /** Those of endpoints that are not gone; calls that end later must not bring them back. */
+  readonly #current = new Set<EndpointQuota>()
   readonly #returns: ReturnSchedule
   /** Bounds the traffic of questions to other instances. */
   readonly #asks = new ShareBucket()
@@ -54,10 +56,18 @@
     this.#checkedAt = clock.now()
     this.#asks.restart({ interval: ASK_INTERVAL, burst: ASK_BURST }, millis(0), clock.now())
     clock.every(PAUSE_CHECK_PERIOD, () => this.#checkPause())
-    directory.onGone(({ id }) => this.#quotas.delete(id))
+    directory.onGone((endpoint) => {
+      const quota = this.#quotas.get(endpoint)
+      if (quota !== undefined) this.#current.delete(quota)
+    })
     peers.handle('quota', (from, message) => this.#answer(from, message))
   }
 
+  /** Number of endpoints whose limits are kept. */
+  get quotaCount (): number {
+    return this.#current.size
+  }
+
   canSend (endpoint: Endpoint): boolean {
     const limit = activeLimitOf(endpoint)
     return (limit === undefined || this.#quotaOf(endpoint).canSend(limit)) && this.#rooms.of(endpoint).canChoose()
@@ -130,13 +140,14 @@
 
   #quotaOf (endpoint: Endpoint): EndpointQuota {
     this.#checkPause()
-    const known = this.#quotas.get(endpoint.id)
-    if (known?.endpoint === endpoint) return known
+    const known = this.#quotas.get(endpoint)
+    if (known !== undefined) return known
     const { clock, random, peers, known: instances } = this.#options
     const quota = new EndpointQuota({
       clock, random, endpoint, self: peers.self, known: instances, ask: (holder) => this.#ask(holder, endpoint)
     })
-    this.#quotas.set(endpoint.id, quota)
+    this.#quotas.set(endpoint, quota)
+    if (!endpoint.isGone) this.#current.add(quota)
     return quota
   }
 
@@ -145,7 +156,7 @@
     const now = this.#options.clock.now()
     const isPaused = now - this.#checkedAt > MIN_PAUSE
     this.#checkedAt = now
-    if (isPaused) for (const quota of this.#quotas.values()) quota.restart()
+    if (isPaused) for (const quota of this.#current) quota.restart()
   }
 
   /** Asks a holder for a token; both tell each other the limit that they know. */
