Removed rows are remembered by their size as well as by their number

What callers would see: a process that runs out of heap after removals of large rows from the operators' table. The last values of 2000 removed rows were kept, of whatever size.

Evidence: the new test failed before (200 rows of 50000 characters kept). Why it works: the values kept have at most 2 million characters of JSON altogether; 2000 rows of endpoints have about a fifth of that, so that nothing changes for them.

--- a/packages/directory/src/TableView.test.ts
+++ b/packages/directory/src/TableView.test.ts
@@ -75,6 +75,19 @@
     })
   })
 
+  // Guards against thousands of removed rows of any size that fill the memory.
+  it('remembers less of removed rows where they are large', () => {
+    const { view, restore } = rig()
+    const before = view.keptCount
+    const text = 'x'.repeat(50_000)
+    const rows = Array.from({ length: 200 }, (_none, at) => row(`large-${at}`, text, 11 + at))
+    view.apply({ era: 1, after: 10, revision: 210, rows })
+    view.apply({ era: 1, after: undefined, revision: 500, rows: [] })
+    expect(view.keptCount - before).toBeLessThan(50)
+    expect(view.keptCount).toBeGreaterThan(30)
+    expect(restore(row('large-199', text, 4), row('other', 1, 5))).toEqual(new Map([['other', 1]]))
+  })
+
   describe('what it retains', () => {
     it('yields to what the writer writes again, but not to an older state', () => {
       const { view, restore, changed } = rig(row('a', 3, 9), row('b', 'new', 9))
--- a/packages/directory/src/TableView.ts
+++ b/packages/directory/src/TableView.ts
@@ -1,6 +1,6 @@
 import type { Json, Millis } from '@papayahill/common'
 import { LRUCache } from 'lru-cache'
-import { MAX_REMOVED_ROWS } from './constants.js'
+import { MAX_REMOVED_CHARACTERS, MAX_REMOVED_ROWS } from './constants.js'
 import { RetainedRows } from './RetainedRows.js'
 import type { RetainedRowsOptions } from './RetainedRows.js'
 import { TableCopy } from './TableCopy.js'
@@ -28,7 +28,10 @@
   readonly #copy = new TableCopy()
   readonly #retained: RetainedRows
   /** Last values of removed rows. */
-  readonly #removed = new LRUCache<string, { readonly value: Json }>({ max: MAX_REMOVED_ROWS })
+  readonly #removed = new LRUCache<string, { readonly value: Json }>({
+    max: MAX_REMOVED_ROWS, maxSize: MAX_REMOVED_CHARACTERS, sizeCalculation: ({ value }, key) => key.length + JSON.stringify(value).length
+  })
+
   /** Whether this instance knew the table before the last restore; if not, it asks the others what they retain. */
   #knewEarlierEra = false
   /** Digests of other instances' retained rows that have been asked for. */
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -34,6 +34,8 @@
 export const RECENT_ROWS = 400
 /** Removed rows whose last values are remembered, so that a restored store does not bring them back. */
 export const MAX_REMOVED_ROWS = 2000
+/** Length of their JSON altogether, in characters: rows of operators may be large. */
+export const MAX_REMOVED_CHARACTERS = 2_000_000
 /** Time for which a row that a restored store brings back stays removed; a dead endpoint's row expires in it. */
 export const REMOVAL_RETENTION = seconds(30)
 /** Time that operators have to write again what a restored store has lost. */
