--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,6 +1,7 @@
 import { brand, millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
-import type { Peers } from '@papayahill/peers'
+import type { PeerError, Peers } from '@papayahill/peers'
+import type { Result } from 'true-myth'
 import type { BacklogTracker } from './BacklogTracker.js'
 import { ACCEPT_TIMEOUT, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -51,21 +52,33 @@
     options.peers.handle('stage', (from, body, incarnation) => this.#receive(from, body, incarnation))
   }
 
-  /** Runs an order's pieces; all of them fail with `failed` if the coordinator becomes unreachable. */
+  /**
+   * Runs an order's pieces; all of them fail with `failed` if the coordinator becomes unreachable. Pieces that no instance has
+   * kept are ordered again; each instance gets them once in {@link REORDER_PERIOD} at the most, so that they cannot go around
+   * without end between instances that refuse at once.
+   */
   async run (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const outcomes = await this.#runOnce(order, listener)
-    const moved = order.pieces.filter((_piece, at) => isMoved(outcomes[at]))
-    if (moved.length === 0) return outcomes
-    const retried = [...await this.run({ ...order, pieces: moved }, listener)]
-    return outcomes.map((outcome) => isMoved(outcome) ? retried.shift() ?? outcome : outcome)
+    const { clock, roster } = this.#options
+    const outcomes = new Map<Piece, PieceOutcome>()
+    const notBefore = new Map<InstanceId, Millis>()
+    for (let left = order.pieces; left.length > 0; left = left.filter((piece) => isMoved(outcomes.get(piece)))) {
+      const wait = (notBefore.get(roster.coordinatorOf(order.group)) ?? 0) - clock.now()
+      if (wait > 0) await clock.sleep(millis(wait))
+      const to = roster.coordinatorOf(order.group)
+      const isLate = notBefore.size > 0 && left[0]!.deadline <= clock.now()
+      notBefore.set(to, millis(clock.now() + REORDER_PERIOD))
+      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce(to, { ...order, pieces: left }, listener)
+      left.forEach((piece, at) => outcomes.set(piece, found[at] ?? { fault: 'failed', endpoint: undefined }))
+    }
+    return order.pieces.map((piece) => outcomes.get(piece)!)
   }
 
-  #runOnce (given: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { roster, peers, log, clock } = this.#options
+  /** Runs the pieces at an instance; those that it has not kept fail with `moved`. */
+  #runOnce (to: InstanceId, given: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    const { peers, log, clock } = this.#options
     const order = this.#boundByStop(given)
-    const to = roster.coordinatorOf(order.group)
     const first = order.pieces[0]!
-    if (this.#endsAt !== Infinity && first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order, 'late'))
+    if (this.#endsAt !== Infinity && first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order.pieces, 'late'))
     log.emit(BATCHING_EVENTS.piecesOrdered, {
       request: first.request, stage: first.stage, pieces: order.pieces.length, group: order.group, gatherer: to
     })
@@ -130,40 +143,33 @@
   }
 
   async #runRemotely (to: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { clock, peers, roster, log } = this.#options
+    const { clock, peers } = this.#options
     const id = this.#nextId()
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
     const accepted = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), ACCEPT_TIMEOUT)
-    if (accepted.isErr) {
-      this.#openOrders.delete(id)
-      roster.suspect(to)
-      log.emit(BATCHING_EVENTS.gathererSuspected, { gatherer: to, request: order.pieces[0]!.request, detail: accepted.error.detail })
-      return await this.run(order, listener)
-    }
-    if (accepted.value === LEAVING) {
+    if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
       this.#openOrders.delete(id)
-      const incarnation = roster.incarnationOf(to)
-      if (incarnation !== undefined) roster.markLeaving(incarnation)
-      return await this.run(order, listener)
-    }
-    if (accepted.value === UNREACHED) {
-      this.#openOrders.delete(id)
-      return await this.#runAtReaching(to, order, listener)
+      this.#noteNotKept(to, order, accepted)
+      return failAllPieces(order.pieces, 'moved')
     }
     this.#recordBacklogs(unpackBacklogs(accepted.value))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
-  /** Orders again from an instance that reaches the endpoints; waits a little where none is known to. */
-  async #runAtReaching (refusedBy: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { clock, roster } = this.#options
-    const incarnation = roster.incarnationOf(refusedBy)
-    if (incarnation !== undefined) roster.markUnreached(incarnation, order.group)
-    if (roster.coordinatorOf(order.group) === refusedBy) await clock.sleep(REORDER_PERIOD)
-    if (order.pieces[0]!.deadline <= clock.now()) return failAllPieces(order, 'late')
-    return await this.run(order, listener)
+  /** Excludes an instance that has not accepted an order, for as long as the cause may last. */
+  #noteNotKept (to: InstanceId, { group, pieces }: StageOrder, answer: Result<Json, PeerError>): void {
+    const { roster, log } = this.#options
+    if (answer.isErr) {
+      roster.suspect(to)
+      log.emit(BATCHING_EVENTS.gathererSuspected, { gatherer: to, request: pieces[0]!.request, detail: answer.error.detail })
+      return
+    }
+    const incarnation = roster.incarnationOf(to)
+    if (incarnation === undefined) return
+    if (answer.value === LEAVING) roster.markLeaving(incarnation)
+    else roster.markUnreached(incarnation, group)
   }
 
   #nextId (): OrderId {
@@ -179,7 +185,7 @@
     const acceptedBy = roster.incarnationOf(to)
     const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
       const isLost = !roster.isPresent(to) || acceptedBy === undefined || roster.hasRestarted({ id: to, incarnation: acceptedBy })
-      if (isLost || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order, 'failed'))
+      if (isLost || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, 'failed'))
     })
     const outcomes = await ended
     timer.cancel()
@@ -210,7 +216,7 @@
       this.#acceptedOrders.delete(accepted)
       if (!accepted.isOrphaned && !roster.hasRestarted(from)) return this.#sendBack(from, { kind: 'done', id, outcomes })
       this.#freeResults(outcomes)
-      this.#sendBack(from, { kind: 'done', id, outcomes: failAllPieces(order, 'moved') })
+      this.#sendBack(from, { kind: 'done', id, outcomes: failAllPieces(order.pieces, 'moved') })
     }))
   }
 
@@ -247,5 +253,5 @@
 const isMoved = (outcome: PieceOutcome | undefined): boolean =>
   outcome !== undefined && 'fault' in outcome && outcome.fault === 'moved'
 
-const failAllPieces = (order: StageOrder, fault: PieceFault): readonly PieceOutcome[] =>
-  order.pieces.map(() => ({ fault, endpoint: undefined }))
+const failAllPieces = (pieces: readonly Piece[], fault: PieceFault): readonly PieceOutcome[] =>
+  pieces.map(() => ({ fault, endpoint: undefined }))
