Plans and results of many pieces allocate in proportion to the pieces

No fault that callers saw: garbage of one turn, which the collector frees.

Cause: the rest of a request's pieces was copied for each call that the plan places, the results of a stage for each new result, and the handles of an endpoint for each that is freed, so that all three allocated with the square of the pieces.

Plans are the same; the tests of batching pass.

--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -119,7 +119,9 @@
     const byEndpoint = new Map<EndpointId, string[]>()
     for (const result of results) {
       if (!this.#heldResults.delete(result)) continue
-      byEndpoint.set(result.endpoint, [...byEndpoint.get(result.endpoint) ?? [], result.handle])
+      const handles = byEndpoint.get(result.endpoint) ?? []
+      byEndpoint.set(result.endpoint, handles)
+      handles.push(result.handle)
     }
     for (const [endpoint, handles] of byEndpoint) this.#context.router.free(endpoint, handles)
   }
@@ -298,6 +300,8 @@
     let fault: PieceFault | undefined
     const { clock, profileOf } = this.#context
     const expiresAt = millis(clock.now() + RESULT_TTL_SHARE * (profileOf(stage.service)?.resultTtl ?? 0))
+    const held = this.#heldByStage.get(stage.index) ?? []
+    this.#heldByStage.set(stage.index, held)
     missing.forEach((index, at) => {
       const outcome = outcomes[at] ?? { fault: 'failed', endpoint: undefined }
       if ('fault' in outcome) {
@@ -309,7 +313,7 @@
       const result: StageResult = { handle, endpoint, resultBytes: stage.resultBytes, expiresAt }
       results[index] = result
       this.#heldResults.add(result)
-      this.#heldByStage.set(stage.index, [...this.#heldByStage.get(stage.index) ?? [], result])
+      held.push(result)
     })
     if (this.#isCancelled) this.#freeAllBut([])
     return fault
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -180,7 +180,7 @@
   }
 
   place (group: PieceGroup): void {
-    let rest: readonly WaitingPiece[] = group
+    const rest = [...group]
     while (rest.length > 0) {
       const calls = this.#soonestCalls(rest)
       if (calls === undefined) {
@@ -191,7 +191,7 @@
         this.late.push(...rest)
         return
       }
-      rest = rest.slice(calls.add(rest))
+      rest.splice(0, calls.add(rest))
     }
   }
 
