Queues of services with more than four slots limit their requests again

What callers saw: requests of such a service all ran at once instead of waiting in order of their priority, and the gauge of waiting requests stayed at 0. Cause: a change of a queue's concurrency makes p-queue emit 'idle' where the queue is empty, so that a new queue was removed from the gate before its first request was added.

Evidence: the new test failed before, with 25 requests running and none waiting at 10 slots, where 20 and 5 are expected. The tests there used one slot, whose concurrency is the one that a queue began with.

Why it works: a queue is made with the concurrency that it needs, so that it is not changed while it is empty.

--- a/packages/forwarding/src/ServiceGate.test.ts
+++ b/packages/forwarding/src/ServiceGate.test.ts
@@ -18,6 +18,24 @@
     expect(gate.size).toBe(0)
   })
 
+  it('limits the requests of a service with more slots than a queue begins with', async () => {
+    const gate = new ServiceGate()
+    let running = 0
+    const ends: Array<() => void> = []
+    const work = async (): Promise<void> => {
+      running++
+      await new Promise<void>((resolve) => { ends.push(resolve) })
+    }
+    const all = Array.from({ length: 25 }, () => gate.run(SERVICE, 10, 1, work))
+    await Promise.resolve()
+    expect([running, gate.waitingFor(SERVICE)]).toEqual([20, 5])
+    gate.open(SERVICE)
+    await Promise.resolve()
+    for (const end of ends) end()
+    await Promise.all(all)
+    expect(gate.size).toBe(0)
+  })
+
   it('limits the requests of a service that come after it was idle', async () => {
     const gate = new ServiceGate()
     let running = 0
--- a/packages/forwarding/src/ServiceGate.ts
+++ b/packages/forwarding/src/ServiceGate.ts
@@ -20,8 +20,8 @@
   }
 
   async run<Value> (service: ServiceId, slots: number, priority: number, work: () => Promise<Value>): Promise<Value> {
-    const queue = this.#queueOf(service)
     const concurrency = Math.max(MIN_CONCURRENCY, slots * OVERCOMMIT)
+    const queue = this.#queueOf(service, concurrency)
     if (queue.concurrency !== concurrency) queue.concurrency = concurrency
     return await queue.add(work, { priority: -priority })
   }
@@ -42,10 +42,11 @@
     return this.#queues.get(service)?.size ?? 0
   }
 
-  #queueOf (service: ServiceId): PQueue {
+  /** A new queue begins with its concurrency: a change of it would make the empty queue idle, and an idle queue is removed. */
+  #queueOf (service: ServiceId, concurrency: number): PQueue {
     const known = this.#queues.get(service)
     if (known !== undefined) return known
-    const queue = new PQueue({ concurrency: MIN_CONCURRENCY })
+    const queue = new PQueue({ concurrency })
     this.#queues.set(service, queue)
     // Configurations may name new services as long as the process lives.
     queue.on('idle', () => this.#queues.delete(service))
