A group that had been idle is handed back when it moves to another instance

What callers saw: none at first; the pieces that an instance had queued for a group stayed there after another instance had become its coordinator, so that both formed batches for the same endpoints until that queue was empty. Cause: since an idle group is forgotten together with the note that this instance owned it, and the check for lost groups compares with that note. An order that came between two checks was not seen as one of a group of this instance.

Why it works: whether the group is its own is noted when its first order makes it anew.

--- a/packages/batching/src/BatchCoordinator.ts
+++ b/packages/batching/src/BatchCoordinator.ts
@@ -112,7 +112,9 @@
   #batcherOf (group: GroupId): GroupBatcher {
     const known = this.#batchers.get(group)
     if (known !== undefined) return known
-    const { clock, log } = this.#options
+    const { clock, log, isOwn } = this.#options
+    // An idle group was forgotten; it may move to another instance before the next check.
+    if (isOwn(group)) this.#ownGroups.add(group)
     const batcher = new GroupBatcher({ clock, log, callsOf: (endpoint) => this.#usableCallsOf(endpoint) })
     this.#batchers.set(group, batcher)
     return batcher
