An answer whose head has very many short fields is no answer

What operators could see: a heap that rises with the open streams of one endpoint far beyond what the streams buffer. Cause: a head was bounded by its bytes alone (16 KB), and each of its fields is kept as two Buffers, two texts and an entry of the fields by name while its answer lasts. The test failed before, as the answer was taken. Why it works: more than 256 fields end the exchange like an invalid status does, before anything of the answer is used.

--- a/packages/connections/src/EndpointSocket.test.ts
+++ b/packages/connections/src/EndpointSocket.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
-import { MAX_INTERIM_ANSWERS } from './constants.js'
+import { MAX_ANSWER_FIELDS, MAX_INTERIM_ANSWERS } from './constants.js'
 import { EndpointSocket, newStopper } from './EndpointSocket.js'
 import type { SocketAnswer } from './EndpointSocket.js'
 
@@ -66,6 +66,24 @@
     })
   })
 
+  describe('an answer with many short fields in its head', () => {
+    const answerWith = (count: number) => (socket: Socket): void => {
+      const fields = Array.from({ length: count - 1 }, (_none, at) => `${at.toString(36)}:`)
+      socket.end(['HTTP/1.1 200 OK', 'Content-Length: 2', ...fields, '', 'ok'].join('\r\n'))
+    }
+
+    it('is whole with as many as an answer may have', async () => {
+      expect(await answered(answerWith(MAX_ANSWER_FIELDS))).toEqual({ isOk: true, body: 'ok' })
+    })
+
+    // Guards against heads within their limit in bytes that take many times as much for as long as their answers last.
+    it('is no answer with more', async () => {
+      let hasStarted = false
+      const end = await answered(answerWith(MAX_ANSWER_FIELDS + 1), () => { hasStarted = true })
+      expect([end.isOk, hasStarted]).toEqual([false, false])
+    })
+  })
+
   describe('an answer in chunks', () => {
     it('is not complete when its connection ends before its last chunk', async () => {
       const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n'
--- a/packages/connections/src/EndpointSocket.ts
+++ b/packages/connections/src/EndpointSocket.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { Client } from 'undici'
 import type { buildConnector, Dispatcher } from 'undici'
-import { IDLE_TIMEOUT, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OVERHEAD_FACTOR, SETTLE_TIME } from './constants.js'
+import { IDLE_TIMEOUT, MAX_ANSWER_FIELDS, MAX_ANSWER_OVERHEAD, MAX_INTERIM_ANSWERS, OVERHEAD_FACTOR, SETTLE_TIME } from './constants.js'
 import { TCP_DIALER } from './EndpointDialer.js'
 import { isFramed } from './headers.js'
 import type { AnswerHeaders, HeaderList } from './headers.js'
@@ -234,8 +234,10 @@
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
     if (status < FINAL_STATUS) return this.#countInterim(controller)
     if (status > MAX_STATUS) return this.#endAsNoAnswer(controller, `the endpoint answered with the invalid status ${status}`)
+    const rawHeaders = rawHeadersOf(controller.rawHeaders)
+    if (rawHeaders.length > 2 * MAX_ANSWER_FIELDS) return this.#endAsNoAnswer(controller, `the head of the answer has more than ${MAX_ANSWER_FIELDS} fields`)
     this.#endsWithConnection = !isFramed(headers)
-    this.#listener.onStart({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders) })
+    this.#listener.onStart({ status, headers, rawHeaders })
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/connections/src/constants.ts
+++ b/packages/connections/src/constants.ts
@@ -14,3 +14,5 @@
 export const OVERHEAD_FACTOR = 8
 /** Interim answers (1xx) that may come before the final one. */
 export const MAX_INTERIM_ANSWERS = 32
+/** Fields of an answer's head. A short one takes some 300 bytes of memory for as long as the answer lasts. */
+export const MAX_ANSWER_FIELDS = 256
