A comparison of stores is answered for no more buckets than one has

What operators could see: an instance whose heap jumps while a peer sends frames of comparisons. Cause: the answer holds the entries and digests of each bucket that a frame names, and a frame of 262,144 bytes can name some ten thousand, or one of them as often; senders name eight. Why it works: the buckets beyond those of one comparison are left out; the next comparison finds what they miss.

--- a/packages/peers/src/GossipSpreader.ts
+++ b/packages/peers/src/GossipSpreader.ts
@@ -127,11 +127,13 @@
   #answerDiffer (frame: Extract<Frame, { readonly kind: 'differ' }>, from: GossipLink): void {
     const { store } = this.#options
     if (!frame.isReply && this.#catchUpRounds.has(from)) this.#differingLinks.add(from)
-    const missing = frame.buckets.flatMap((bucket) => store.missingIn(bucket))
+    // A peer that names more would get an answer of many times the size of its frame.
+    const buckets = frame.buckets.slice(0, MAX_COMPARED_BUCKETS)
+    const missing = buckets.flatMap((bucket) => store.missingIn(bucket))
     for (let start = 0; start < missing.length; start += MAX_FRAME_ENTRIES) {
       from.send({ kind: 'entries', entries: missing.slice(start, start + MAX_FRAME_ENTRIES) })
     }
-    if (!frame.isReply) from.send({ kind: 'differ', buckets: frame.buckets.map(({ bucket }) => store.bucket(bucket)), isReply: true })
+    if (!frame.isReply) from.send({ kind: 'differ', buckets: buckets.map(({ bucket }) => store.bucket(bucket)), isReply: true })
   }
 
   #sendHashes (link: GossipLink): void {
