The gossip store does not keep when owners without entries were last heard

Cause: the time of each owner's last entry stayed when its entries had expired. Why it works: a time goes under the same condition as the entries of its owner.

--- a/packages/peers/src/GossipStore.test.ts
+++ b/packages/peers/src/GossipStore.test.ts
@@ -25,6 +25,19 @@
   store.all().map((entry) => `${entry.topic} ${entry.owner} ${entry.key} ${JSON.stringify(entry.value)}`).sort()
 
 describe('GossipStore', () => {
+  it('does not keep the owners of entries that have expired', async () => {
+    const clock = new VirtualClock()
+    const store = storeOf('l', clock)
+    for (let at = 0; at < 100; at++) {
+      const owner = brand<InstanceId>(`x${at}`)
+      store.accept({ topic: 'cost', key: 'a', owner, incarnation: brand<Incarnation>('#1'), sequence: 1, value: at })
+      await clock.advance(seconds(600))
+      store.expire(() => false)
+    }
+    expect(store.size).toBeLessThan(10)
+    expect(store.ownerCount).toBe(store.size)
+  })
+
   it('converges to the same entries and hashes in any order of arrival', () => {
     fc.assert(fc.property(fc.array(entryArbitrary), fc.array(fc.nat()), (entries, order) => {
       const [left, right] = [storeOf('l'), storeOf('r')]
--- a/packages/peers/src/GossipStore.ts
+++ b/packages/peers/src/GossipStore.ts
@@ -62,6 +62,11 @@
     return this.#entries.size
   }
 
+  /** Number of owners of which something is kept. */
+  get ownerCount (): number {
+    return this.#receivedAt.size
+  }
+
   /** Creates and stores a new entry owned by this instance. */
   publish (topic: Topic, key: string, value: Json): GossipEntry {
     const { self, incarnation } = this.#options
@@ -133,6 +138,7 @@
       }
       if (now - (this.#receivedAt.get(entry.owner) ?? millis(0)) >= GOSSIP_RETENTION) this.#delete(entry)
     }
+    for (const [owner, at] of this.#receivedAt) if (now - at >= GOSSIP_RETENTION) this.#receivedAt.delete(owner)
   }
 
   #outranksOwn (entry: GossipEntry): boolean {
