--- a/packages/forwarding/src/ColdStartLimiter.test.ts
+++ b/packages/forwarding/src/ColdStartLimiter.test.ts
@@ -1,8 +1,6 @@
-import { brand, millis, VirtualClock } from '@papayahill/common'
+import { brand, heldHeap, millis, VirtualClock } from '@papayahill/common'
 import type { EndpointId, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { describe, expect, it } from 'vitest'
 import { ColdStartLimiter } from './ColdStartLimiter.js'
 
@@ -11,13 +9,7 @@
 const PROFILE = { id: SERVICE, maxConnections: 1300, coldPerSecond: 12 }
 const SHARE = 4
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-const usedMegabytes = (): number => {
-  collectGarbage()
-  return process.memoryUsage().heapUsed / BYTES_PER_MEGABYTE
-}
+const usedMegabytes = (): number => heldHeap() / BYTES_PER_MEGABYTE
 
 const coldEndpoint = (id: string): Endpoint => {
   const endpoint = new Endpoint({
--- a/packages/forwarding/src/EngineTracker.test.ts
+++ b/packages/forwarding/src/EngineTracker.test.ts
@@ -1,22 +1,14 @@
-import { brand, millis, SeededRandom, SILENT_LOG, tokens, VirtualClock } from '@papayahill/common'
+import { brand, heldHeap, millis, SeededRandom, SILENT_LOG, tokens, VirtualClock } from '@papayahill/common'
 import type { DomainId, EndpointId, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
 import { EndpointPerformance } from '@papayahill/performance'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { describe, expect, it } from 'vitest'
 import { EngineTracker } from './EngineTracker.js'
 import type { Prompt } from './types.js'
 
 const BYTES_PER_MEGABYTE = 1_048_576
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-const usedMegabytes = (): number => {
-  collectGarbage()
-  return process.memoryUsage().heapUsed / BYTES_PER_MEGABYTE
-}
+const usedMegabytes = (): number => heldHeap() / BYTES_PER_MEGABYTE
 
 const engineOf = (id: string): Endpoint => new Endpoint({
   id: brand<EndpointId>(id),
--- a/packages/quarantine/src/partIdOf.test.ts
+++ b/packages/quarantine/src/partIdOf.test.ts
@@ -1,17 +1,10 @@
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
+import { heldHeap } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
 import { isWhole, partIdOf } from './partIdOf.js'
 
 const BYTES_PER_MEGABYTE = 1_048_576
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-const usedMegabytes = (): number => {
-  collectGarbage()
-  return process.memoryUsage().heapUsed / BYTES_PER_MEGABYTE
-}
+const usedMegabytes = (): number => heldHeap() / BYTES_PER_MEGABYTE
 
 describe('partIdOf', () => {
   it('is the text, or its hash where that is long or like the id of a whole request', () => {
