A long stream of small chunks is not cut, nor is the call that resumes it

What callers saw: a streamed answer of more than 65,536 chunks failed, however little text it had. It was cut, the call that resumes it was cut at its first bytes, and each endpoint in turn was blamed and a retry spent on it.

Cause: each chunk counted 512 bytes towards 32 MiB, with the chunks that a resumed call begins after.

Why it works: the text is joined after each 1024 parts, at the call and at the relay of the caller, so that a chunk keeps its characters and nothing else; the characters alone count towards the 32 MiB.

--- a/packages/backends/src/CompletionStream.ts
+++ b/packages/backends/src/CompletionStream.ts
@@ -1,4 +1,4 @@
-import { isJsonObject, ITEM_COST, millis, parseJson, tokens } from '@papayahill/common'
+import { isJsonObject, millis, parseJson, TextCollector, tokens } from '@papayahill/common'
 import type { JsonObject, Millis, StageUsage, Tokens } from '@papayahill/common'
 import type { StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { EventSourceMessage } from 'eventsource-parser'
@@ -24,9 +24,8 @@
   readonly #reader: EventReader
   readonly #onChunk: (chunk: StageChunk) => void
   #index: number
-  /** Chunks so far, with those that a resumed stream begins after. */
-  #chunks: number
-  #text: string
+  /** Text so far, with that of the chunks that a resumed stream begins after. */
+  readonly #text: TextCollector
   #tokens = 0
   #lastEvent: JsonObject | undefined
   #isEnded = false
@@ -34,14 +33,13 @@
   constructor (call: StageCall, onChunk: (chunk: StageChunk) => void) {
     this.#onChunk = onChunk
     this.#index = call.resume?.chunks ?? 0
-    this.#chunks = this.#index
-    this.#text = call.resume?.text ?? ''
+    this.#text = new TextCollector(call.resume?.text)
     this.#reader = new EventReader((event) => this.#handleEvent(event))
   }
 
-  /** Parses a part of the stream; false once there have been too many bytes without a chunk, or too much in all. */
+  /** Parses a part of the stream; false once there have been too many bytes without a chunk, or too much text in all. */
   feed (data: Buffer): boolean {
-    return this.#reader.feed(data) && this.#text.length + this.#chunks * ITEM_COST <= MAX_STREAM
+    return this.#reader.feed(data) && this.#text.length <= MAX_STREAM
   }
 
   /** Usage of the chunks received so far, for a stream that broke. */
@@ -52,7 +50,7 @@
   answer (took: Millis): StageAnswer | undefined {
     const call = parseCallId(this.#lastEvent?.id)
     if (!this.#isEnded || this.#lastEvent === undefined || call === undefined) return undefined
-    return completionAnswer(call, this.#lastEvent, this.#text, took)
+    return completionAnswer(call, this.#lastEvent, this.#text.text(), took)
   }
 
   /** Whether the event could be used: one without text is not, as an endpoint could repeat it without end. */
@@ -75,8 +73,7 @@
     const count: Tokens = tokens(typeof body.tokens === 'number' ? body.tokens : TOKENS_PER_CHUNK)
     const index = id === undefined ? this.#index : Number(id)
     this.#index = index + 1
-    this.#chunks++
-    this.#text += text
+    this.#text.add(text)
     this.#tokens += count
     if (body.usage !== undefined) this.#lastEvent = body
     this.#onChunk({ call, index, text, tokens: count })
--- a/packages/backends/src/constants.ts
+++ b/packages/backends/src/constants.ts
@@ -14,7 +14,7 @@
 export const QUERY_CONNECTIONS = 2
 /** Largest answer of a call that is not streamed. */
 export const MAX_ANSWER = bytes(2_097_152)
-/** Largest streamed answer, with the cost of its chunks: some ten thousands of them. */
+/** Most text of a streamed answer. */
 export const MAX_STREAM = bytes(33_554_432)
 /** Largest answer that names an endpoint's incarnation, its load or the state of a key. */
 export const MAX_QUERY_ANSWER = bytes(262_144)
--- a/packages/pipeline/src/ChunkRelay.ts
+++ b/packages/pipeline/src/ChunkRelay.ts
@@ -1,4 +1,4 @@
-import { isSameCall, millis } from '@papayahill/common'
+import { isSameCall, millis, TextCollector } from '@papayahill/common'
 import type { CallId, Clock, Millis } from '@papayahill/common'
 import type { ResumePoint, StageChunk } from '@papayahill/endpoints'
 import { MAX_BUFFERED_BYTES } from './constants.js'
@@ -28,7 +28,7 @@
   readonly #clock: Clock
   readonly #sink: AnswerSink
   #call: CallId | undefined
-  #text = ''
+  readonly #text = new TextCollector()
   #nextIndex = 0
   #buffer: string[] = []
   #bufferedBytes = 0
@@ -60,7 +60,7 @@
   }
 
   get resumePoint (): ResumePoint | undefined {
-    return this.#nextIndex === 0 ? undefined : { chunks: this.#nextIndex, text: this.#text }
+    return this.#nextIndex === 0 ? undefined : { chunks: this.#nextIndex, text: this.#text.text() }
   }
 
   /** Whether a dropped chunk with another call's id may have replaced the next chunk of this call. */
@@ -110,7 +110,7 @@
     if (this.#isBlocked && this.#bufferedBytes + size > MAX_BUFFERED_BYTES) return 'overflow'
     this.#nextIndex++
     this.#hasPossibleGap = false
-    this.#text += text
+    this.#text.add(text)
     this.#recordTime()
     if (this.#isBlocked) this.#enqueue(text, size)
     else this.#send(text)
