Calls to stage endpoints are bounded in the length of their bodies, too

What callers saw: none reported; a review measured a call of 903,603 characters for 60 first-stage pieces with 15 KB of id and key.

Cause: MAX_CALL_INPUTS bounds the number of inputs that a call lists, not their length, and takes no account of ids and keys, which every piece of a call repeats.

Why it works: a call takes at most MAX_CALL_CHARACTERS (1,048,576) of ids, keys and handles, with quotes and escapes, beside the bound on inputs; a single piece is always sent. The call of the review stays whole, as it is shorter than the bound. The length is computed once per order.

--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -5,6 +5,7 @@
 import { chooseEndpoint, choosePreferredDomain, crossDomainDelay } from './BacklogTracker.js'
 import type { BacklogTracker } from './BacklogTracker.js'
 import { bytesByDomain } from './bytesByDomain.js'
+import { callCharactersOf } from './callCharacters.js'
 import { MAX_PIECE_LOSSES, MAX_PIECE_RETRIES, RESULT_TTL_SHARE } from './constants.js'
 import type { GroupLookup } from './endpointGroups.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -325,11 +326,11 @@
     const { request, key, priority, due, deadline, answerTime, stages } = this.#work
     const { profileOf } = this.#context
     const stagesAfter = followingStageTime(stages, stage, profileOf, shortCallTime)
+    const listed = { request, key: stage.after.length === 0 ? key : undefined, inputs: inputs.map((input) => input.handle) }
     return {
-      request,
+      ...listed,
+      callCharacters: callCharactersOf(listed),
       stage: stage.index,
-      key: stage.after.length === 0 ? key : undefined,
-      inputs: inputs.map((input) => input.handle),
       losses,
       inputBytes: bytes(inputs.reduce((sum, input) => sum + input.resultBytes, 0)),
       resultBytes: stage.resultBytes,
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -77,3 +77,5 @@
 export const LOSS_DIVISOR = 8
 /** Handles of inputs that one call lists for all its pieces; each piece lists all of its stage's inputs. */
 export const MAX_CALL_INPUTS = 16_384
+/** Characters of ids, keys and handles that one call lists for all its pieces; each piece repeats those of its request. */
+export const MAX_CALL_CHARACTERS = 1_048_576
--- a/packages/batching/src/orderMessages.ts
+++ b/packages/batching/src/orderMessages.ts
@@ -1,5 +1,6 @@
 import { bytes, isJsonObject, millis } from '@papayahill/common'
 import type { EndpointId, Json, Millis } from '@papayahill/common'
+import { callCharactersOf } from './callCharacters.js'
 import type { EndpointBacklog, GroupId, OrderId, Piece, PieceFault, PieceOutcome, StageOrder } from './types.js'
 
 /** Messages between instances about stages. Times are sent relative to now, since each instance has its own monotonic clock. */
@@ -82,12 +83,13 @@
 }
 
 const unpackOrder = (packed: PackedOrder, now: Millis): StageOrder => {
+  const listed = { request: packed.request, key: packed.key ?? undefined, inputs: packed.inputs }
+  const callCharacters = callCharactersOf(listed)
   const pieceOf = (index: number): Piece => ({
-    request: packed.request,
+    ...listed,
+    callCharacters,
     stage: packed.stage,
     index,
-    key: packed.key ?? undefined,
-    inputs: packed.inputs,
     inputBytes: bytes(packed.inputBytes),
     resultBytes: bytes(packed.resultBytes),
     priority: packed.priority,
--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -1,7 +1,7 @@
 import { brand, bytes, millis } from '@papayahill/common'
 import type { EndpointId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
-import { MAX_CALL_INPUTS } from './constants.js'
+import { MAX_CALL_CHARACTERS, MAX_CALL_INPUTS } from './constants.js'
 import { planBatches } from './planBatches.js'
 import type { BatchPlan, EndpointCapacity, WaitingPiece } from './planBatches.js'
 import { stagePiece } from './testing/stageEndpoint.js'
@@ -50,6 +50,31 @@
     expect(sent.reduce((sum, { piece }) => sum + piece.inputs.length, 0)).toBeLessThanOrEqual(MAX_CALL_INPUTS)
   })
 
+  // Guards against calls whose bodies fill the memory, although their pieces name few inputs: each repeats its id, key and handles.
+  describe('bounds the characters that the pieces of a call list together', () => {
+    const call = { maxPieces: 60, freeBytes: 1e6 }
+    const sentOf = (pieces: readonly Piece[]): readonly WaitingPiece[] => plan(pieces, capacityOf(a, call)).batches.get(a) ?? []
+    const listedBy = (sent: readonly WaitingPiece[]): number =>
+      JSON.stringify(sent.map(({ piece: { request, key, inputs } }) => [request, key, inputs])).length
+
+    it.each([
+      ['ids', (length: number) => piecesOf('r'.repeat(length), 60)],
+      ['keys', (length: number) => piecesOf('r', 60, { key: 'k'.repeat(length) })],
+      ['keys with escapes', (length: number) => piecesOf('r', 60, { key: '"'.repeat(length / 2) })],
+      ['handles', (length: number) => piecesOf('r', 60, { inputs: Array.from({ length: 64 }, () => 'h'.repeat(length / 64)) })]
+    ])('of long %s', (_name, piecesWith) => {
+      expect([128, 16_000, 64_000, 3 * MAX_CALL_CHARACTERS].map((length) => sentOf(piecesWith(length)).length)).toEqual([60, 60, 16, 1])
+    })
+
+    it('of requests with long and short ids', () => {
+      const small = piecesOf('small', 20)
+      const large = piecesOf('r'.repeat(64_000), 40, { due: millis(10_001) })
+      expect(listedBy(sentOf([...small, ...large]))).toBeLessThanOrEqual(MAX_CALL_CHARACTERS)
+      const largeFirst = large.map((piece) => ({ ...piece, due: millis(9000) }))
+      expect(listedBy(sentOf([...largeFirst, ...small]))).toBeLessThanOrEqual(MAX_CALL_CHARACTERS)
+    })
+  })
+
   describe('order', () => {
     it('sends what is due first', () => {
       const pieces = [stagePiece('late', { due: millis(3000) }), stagePiece('soon', { due: millis(500) }), stagePiece('mid', { due: millis(900) })]
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { EndpointId, Millis } from '@papayahill/common'
-import { DUE_MARGIN, HARMLESS_LOSSES, LOSS_DIVISOR, MAX_CALL_INPUTS, PRIORITY_STEP } from './constants.js'
+import { DUE_MARGIN, HARMLESS_LOSSES, LOSS_DIVISOR, MAX_CALL_CHARACTERS, MAX_CALL_INPUTS, PRIORITY_STEP } from './constants.js'
 import type { Piece, PieceOutcome, Place } from './types.js'
 
 /** A piece in the queue. */
@@ -151,11 +151,13 @@
 
   /**
    * A piece that was lost with several calls shares its next one with few others, so that it takes few with it again. One with very
-   * many inputs does, too, since a call that lists them for each of its pieces takes more memory than an instance has.
+   * many inputs, or a long id, key or handles, does, too, since a call that lists them for each of its pieces takes more memory
+   * than an instance has.
    */
-  #limitFor ({ piece: { losses, inputs } }: WaitingPiece): number {
+  #limitFor ({ piece: { losses, inputs, callCharacters } }: WaitingPiece): number {
     const byLosses = this.capacity.maxPieces / LOSS_DIVISOR ** Math.max(0, losses - HARMLESS_LOSSES)
-    return Math.max(1, Math.floor(Math.min(byLosses, MAX_CALL_INPUTS / Math.max(1, inputs.length))))
+    const bySize = Math.min(MAX_CALL_INPUTS / Math.max(1, inputs.length), MAX_CALL_CHARACTERS / callCharacters)
+    return Math.max(1, Math.floor(Math.min(byLosses, bySize)))
   }
 }
 
--- a/packages/batching/src/testing/stageEndpoint.ts
+++ b/packages/batching/src/testing/stageEndpoint.ts
@@ -2,6 +2,7 @@
 import type { Bytes, DomainId, EndpointId, ServiceId } from '@papayahill/common'
 import { Endpoint } from '@papayahill/directory'
 import type { BatchProfile, EndpointRecord } from '@papayahill/directory'
+import { callCharactersOf } from '../callCharacters.js'
 import type { Piece } from '../types.js'
 
 /** Batch profile of the stage endpoints in tests. */
@@ -32,6 +33,7 @@
   index: 0,
   key: 'k',
   inputs: [],
+  callCharacters: callCharactersOf({ request, key: 'k', inputs: [], ...fields }),
   inputBytes: bytes(0),
   losses: 0,
   resultBytes: 10 as Bytes,
--- a/packages/batching/src/types.ts
+++ b/packages/batching/src/types.ts
@@ -12,6 +12,8 @@
   readonly key: string | undefined
   /** Handles of all results of the preceding stages. */
   readonly inputs: readonly string[]
+  /** Length of its id, key and inputs in the body of a call. */
+  readonly callCharacters: number
   /** Calls that were lost with the piece because their connection ended: it may be what ends them. */
   readonly losses: number
   /** Total size of the inputs. */
