A group is not kept for good after a call that throws an error

What operators could see: nothing yet; found in review. A call that throws left its batch counted as in progress, so that the group of its endpoints never was idle and was never forgotten. Evidence: the new test failed before (isIdle stayed false after the error was reported). Why it works: the count goes down in any case; the error is reported as before, by the process. Not changed: the pieces of such a call stay unsettled until their requests end, and EndpointCalls counts the call as open.

--- a/packages/batching/src/GroupBatcher.test.ts
+++ b/packages/batching/src/GroupBatcher.test.ts
@@ -60,6 +60,18 @@
   return { clock, caller, batcher, calls, outcomes, read, add, first: endpoints[0]!.id }
 }
 
+/** The next error that nobody catches, as the process logs it; it does not fail the test run meanwhile. */
+const nextUnhandledRejection = (): Promise<unknown> => {
+  const others = process.listeners('unhandledRejection')
+  process.removeAllListeners('unhandledRejection')
+  return new Promise((resolve) => {
+    process.once('unhandledRejection', (err) => {
+      for (const listener of others) process.on('unhandledRejection', listener)
+      resolve(err)
+    })
+  })
+}
+
 describe('GroupBatcher', () => {
   it('sends the first piece at once, and the pieces that arrive meanwhile in one call', async () => {
     const { clock, caller, outcomes, add } = createBatcher()
@@ -116,6 +128,18 @@
     expect(outcomes.get('b')).toEqual({ fault: 'unplaced', endpoint: first })
   })
 
+  // Guards against a group that is kept for good, since it never counts as idle again.
+  it('has no batch in progress once a call has thrown an error, which is reported', async () => {
+    const { caller, clock, batcher, add } = createBatcher()
+    const failure = new Error('thrown by the test')
+    caller.call = async () => { throw failure }
+    const reported = nextUnhandledRejection()
+    add('a')
+    expect(await reported).toBe(failure)
+    await clock.advance(millis(1))
+    expect(batcher.isIdle).toBe(true)
+  })
+
   it('sends nothing to an endpoint that is no longer usable', () => {
     const { caller, calls, outcomes, add } = createBatcher()
     calls.clear()
--- a/packages/batching/src/GroupBatcher.ts
+++ b/packages/batching/src/GroupBatcher.ts
@@ -137,9 +137,12 @@
 
   async #send (endpoint: EndpointId, batch: readonly WaitingPiece[]): Promise<void> {
     this.#openBatches++
-    const retried = await this.#options.callsOf(endpoint)?.send(batch, this.#waiting.length)
-    this.#openBatches--
-    this.#waiting.push(...retried ?? batch)
+    try {
+      const retried = await this.#options.callsOf(endpoint)?.send(batch, this.#waiting.length)
+      this.#waiting.push(...retried ?? batch)
+    } finally {
+      this.#openBatches--
+    }
     this.pump()
   }
 
