JSON of callers and endpoints is parsed only within a bound of items

Cause: bodies, answers, reports and events had a bound in bytes alone. Why it works: they are read with parseBoundedJson, which counts items before it parses, also by the stream of a completion and the answers to queries. A body beyond it is refused as a bad request, and an answer counts as one with an unexpected body.

--- a/packages/backends/src/CallExchange.ts
+++ b/packages/backends/src/CallExchange.ts
@@ -1,4 +1,4 @@
-import { formatCallId, isJsonObject, millis, parseJson } from '@papayahill/common'
+import { formatCallId, isJsonObject, millis, parseBoundedJson } from '@papayahill/common'
 import type { Clock, EventLog, InstanceId, Millis } from '@papayahill/common'
 import { AnswerBody, headerOf, newStopper, retryAfterOf, stopExchange } from '@papayahill/connections'
 import type { SocketAnswer, SocketFailure, SocketRequest, Stopper } from '@papayahill/connections'
@@ -135,13 +135,13 @@
   }
 
   #decodeBody (): StageAnswer | undefined {
-    const body = parseJson(this.#body.text())
+    const body = parseBoundedJson(this.#body.text())
     return isJsonObject(body) ? this.#adapter.decode(body, this.#elapsed()) : undefined
   }
 
   #statusError (answer: SocketAnswer): CallError {
     const outcome = REFUSED_STATUSES.has(answer.status) ? 'refused' : 'failed'
-    const json = parseJson(this.#body.text())
+    const json = parseBoundedJson(this.#body.text())
     const body = isJsonObject(json) ? json : {}
     const retryAfter = retryAfterOf(answer.headers)
     return {
--- a/packages/backends/src/CompletionStream.ts
+++ b/packages/backends/src/CompletionStream.ts
@@ -1,4 +1,4 @@
-import { isJsonObject, millis, parseJson, TextCollector, tokens } from '@papayahill/common'
+import { isJsonObject, millis, parseBoundedJson, TextCollector, tokens } from '@papayahill/common'
 import type { JsonObject, Millis, StageUsage, Tokens } from '@papayahill/common'
 import type { StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { EventSourceMessage } from 'eventsource-parser'
@@ -59,7 +59,7 @@
       this.#isEnded = true
       return false
     }
-    const body = parseJson(event.data)
+    const body = parseBoundedJson(event.data)
     if (!isJsonObject(body)) return false
     const text = choiceText(body)
     if (text !== '') return this.#emitChunk(body, text, event.id)
--- a/packages/backends/src/EndpointFeed.ts
+++ b/packages/backends/src/EndpointFeed.ts
@@ -1,4 +1,4 @@
-import { parseJson } from '@papayahill/common'
+import { parseBoundedJson } from '@papayahill/common'
 import type { Clock, Timer } from '@papayahill/common'
 import { EndpointSocket, newStopper, stopExchange } from '@papayahill/connections'
 import type { Stopper } from '@papayahill/connections'
@@ -68,7 +68,7 @@
 
   /** Whether the event could be used. */
   #handleEvent (event: EventSourceMessage): boolean {
-    const data = parseJson(event.data) ?? null
+    const data = parseBoundedJson(event.data) ?? null
     const report = event.event === 'report' ? readReport(data) : undefined
     if (report !== undefined) this.#options.onReport(report)
     const cacheEvent = event.event === 'cache' ? readCacheEvent(data) : undefined
--- a/packages/backends/src/HttpEndpointAccess.test.ts
+++ b/packages/backends/src/HttpEndpointAccess.test.ts
@@ -1,4 +1,4 @@
-import { brand, EndlessSender, millis, seconds, SILENT_LOG, SystemClock } from '@papayahill/common'
+import { brand, EndlessSender, MAX_JSON_ITEMS, millis, seconds, SILENT_LOG, SystemClock } from '@papayahill/common'
 import type { CallOutcome, EndpointId, IdempotencyKey, InstanceId, RequestId, StageId } from '@papayahill/common'
 import type { CallError, EndpointConnection, StageAnswer, StageCall, StageChunk } from '@papayahill/endpoints'
 import type { ListedEndpoint } from '@papayahill/stores'
@@ -110,6 +110,13 @@
     })
   })
 
+  // Guards against answers that take more than twenty times their bytes once they are parsed.
+  it('a whole answer of very many short items has failed', async () => {
+    const output = '{},'.repeat(MAX_JSON_ITEMS)
+    const connection = await connect((socket, call) => socket.write(answerOf('200 OK', `{"id":"${call}","output":[${output}{}]}`)))
+    expect(outcomeOf(await send(connection, callOf(1)))).toBe('failed')
+  })
+
   describe('an answer that is cut short', () => {
     const whole = answerOf('200 OK', outputOf('r/s/1'))
     const cuts = Array.from({ length: Math.floor(whole.length / 7) }, (_each, at) => at * 7 + 1)
--- a/packages/backends/src/HttpEndpointAccess.ts
+++ b/packages/backends/src/HttpEndpointAccess.ts
@@ -1,4 +1,4 @@
-import { parseJson, readText } from '@papayahill/common'
+import { parseBoundedJson, readText } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, IdempotencyKey, InstanceId, Json } from '@papayahill/common'
 import { boundedConnector } from '@papayahill/connections'
 import type {
@@ -111,7 +111,7 @@
         origin: originOf(endpoint.address), path, method: 'GET', signal: abort.signal, reset: closesConnection
       })
       const text = await readText(body)
-      return statusCode === 200 ? Result.ok(parseJson(text) ?? null) : Result.err(queryError(`the endpoint answered ${statusCode}`))
+      return statusCode === 200 ? Result.ok(parseBoundedJson(text) ?? null) : Result.err(queryError(`the endpoint answered ${statusCode}`))
     } catch (err) {
       return Result.err(queryError(err instanceof Error ? err.message : String(err)))
     } finally {
--- a/packages/backends/src/openSocket.ts
+++ b/packages/backends/src/openSocket.ts
@@ -1,4 +1,4 @@
-import { brand, isJsonObject, parseJson } from '@papayahill/common'
+import { brand, isJsonObject, parseBoundedJson } from '@papayahill/common'
 import type { Clock, EndpointIncarnation } from '@papayahill/common'
 import { Result } from 'true-myth'
 import { AnswerBody, EndpointSocket, newStopper, OPEN_TIMEOUT, stopExchange } from '@papayahill/connections'
@@ -18,7 +18,7 @@
 }
 
 const parseIncarnation = (text: string): EndpointIncarnation | undefined => {
-  const body = parseJson(text)
+  const body = parseBoundedJson(text)
   return isJsonObject(body) && typeof body.incarnation === 'string' ? brand<EndpointIncarnation>(body.incarnation) : undefined
 }
 
--- a/packages/edge/src/readBody.test.ts
+++ b/packages/edge/src/readBody.test.ts
@@ -1,4 +1,4 @@
-import { heldHeap } from '@papayahill/common'
+import { heldHeap, MAX_JSON_ITEMS } from '@papayahill/common'
 import { EventEmitter } from 'node:events'
 import type { IncomingMessage } from 'node:http'
 import { describe, expect, it } from 'vitest'
@@ -24,6 +24,16 @@
     expect((await body).map(({ json }) => json).unwrapOr(null)).toBe('x'.repeat(PARTS))
   })
 
+  // Guards against a body that takes more than twenty times its bytes once it is parsed.
+  it('refuses a body of very many short items', async () => {
+    const req = newRequest()
+    const text = `[${'{},'.repeat(MAX_JSON_ITEMS)}{}]`
+    const body = readBody(req, text.length)
+    req.emit('data', Buffer.from(text))
+    req.emit('end')
+    expect((await body).match({ Ok: () => 'taken', Err: ({ kind }) => kind })).toBe('bad-request')
+  })
+
   it('keeps nothing beyond the limit', async () => {
     const req = newRequest()
     const body = readBody(req, 3)
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http'
-import { ByteCollector } from '@papayahill/common'
+import { ByteCollector, parseBoundedJson } from '@papayahill/common'
 import type { ErrorKind, Json } from '@papayahill/common'
 import { Result } from 'true-myth'
 
@@ -31,11 +31,9 @@
 })
 
 const parse = (bytes: Buffer): Result<Body, BodyFault> => {
-  try {
-    return Result.ok({ bytes, json: JSON.parse(bytes.toString('utf8')) as Json })
-  } catch {
-    return Result.err({ kind: 'bad-request', detail: 'the body is not valid JSON' })
-  }
+  const json = parseBoundedJson(bytes.toString('utf8'))
+  if (json !== undefined) return Result.ok({ bytes, json })
+  return Result.err({ kind: 'bad-request', detail: 'the body is not valid JSON, or has too many or too deeply nested items' })
 }
 
 /** Reads a JSON body of at most `limit` bytes; bytes above the limit are not kept. */
