--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -118,7 +118,12 @@
 
   /** Whether an instance has sent anything recently. */
   isPresent (id: InstanceId): boolean {
-    return this.#peers.members().some((member) => member.id === id && member.silence < MAX_COORDINATOR_SILENCE)
+    return (this.silenceOf(id) ?? Infinity) < MAX_COORDINATOR_SILENCE
+  }
+
+  /** Time since an instance has sent anything; undefined if it is not reachable. */
+  silenceOf (id: InstanceId): Millis | undefined {
+    return this.#peers.members().find((member) => member.id === id)?.silence
   }
 
   coordinatorOf (group: string): InstanceId {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -162,8 +162,9 @@
   #noteNotKept (to: InstanceId, { group, pieces }: StageOrder, answer: Result<Json, PeerError>): void {
     const { roster, log } = this.#options
     if (answer.isErr) {
+      const fields = { gatherer: to, request: pieces[0]!.request, detail: answer.error.detail, silenceMs: roster.silenceOf(to) }
       roster.suspect(to)
-      log.emit(BATCHING_EVENTS.gathererSuspected, { gatherer: to, request: pieces[0]!.request, detail: answer.error.detail })
+      log.emit(BATCHING_EVENTS.gathererSuspected, fields)
       return
     }
     const incarnation = roster.incarnationOf(to)
--- a/packages/logging/src/constants.ts
+++ b/packages/logging/src/constants.ts
@@ -1,4 +1,4 @@
-import { bytes, millis } from '@papayahill/common'
+import { bytes, millis, seconds } from '@papayahill/common'
 
 /** Bytes of lines that are buffered while the reader of the output is slow or has stopped. */
 export const MAX_BUFFERED_BYTES = bytes(1_048_576)
@@ -15,3 +15,6 @@
 export const LOGGED_HEAP_SHARES = [0.5, 0.65, 0.8, 0.9]
 /** How far below such a share the use falls before the share is logged again. */
 export const HEAP_SHARE_MARGIN = 0.1
+/** Event loop delay that is logged, and time without one after which the loop counts as on time again. */
+export const LOGGED_LOOP_DELAY = millis(200)
+export const LOOP_RECOVERY_TIME = seconds(1)
--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -6,6 +6,7 @@
 import { isFullMesh, planLinks } from './PartialView.js'
 import type { TrafficMeter } from './TrafficMeter.js'
 import type { Link, PeerAddress, Transport } from './transport.js'
+import type { LinkCloseReason } from './types.js'
 
 interface KnownPeer {
   address: PeerAddress
@@ -24,7 +25,7 @@
   readonly transport: Transport
   readonly meter: TrafficMeter
   readonly onOpen: (link: OpenLink) => void
-  readonly onClose: (link: OpenLink, isAnnounced: boolean) => void
+  readonly onClose: (link: OpenLink, reason: LinkCloseReason) => void
   readonly onFrame: (link: OpenLink, frame: Parameters<Parameters<OpenLink['onFrame']>[0]>[0]) => void
 }
 
@@ -33,7 +34,8 @@
   readonly #options: LinkTableOptions
   readonly #links = new Map<InstanceId, OpenLink>()
   readonly #known = new LRUCache<InstanceId, KnownPeer>({ max: MAX_KNOWN_PEERS })
-  readonly #announcedCloses = new Set<OpenLink>()
+  /** Why a link that is being closed is closed. */
+  readonly #closeReasons = new Map<OpenLink, LinkCloseReason>()
   /** Peers to which links are kept open in addition to the gossip links. */
   #keptOpen: ReadonlySet<InstanceId> = new Set()
   #isClosed = false
@@ -91,7 +93,7 @@
       ? { dial: known.filter((id) => !active.includes(id)), drop: [] }
       : planLinks(random, known, active)
     for (const id of plan.dial) void this.open(id, false)
-    for (const id of plan.drop) this.#closeAnnounced(id)
+    for (const id of plan.drop) this.#closeAnnounced(id, 'surplus')
     this.#dialKeptOpen(now)
     this.#closeIdle()
   }
@@ -137,10 +139,10 @@
     const opened = new OpenLink({ clock, meter, link, isTemporary: isTemporary && existing?.isTemporary !== false })
     this.#links.set(id, opened)
     this.addAddress(id, link.peer.address)
-    if (existing !== undefined) this.#announcedCloses.add(existing)
+    if (existing !== undefined) this.#closeReasons.set(existing, 'replaced')
     existing?.close()
     opened.onFrame((frame) => {
-      if (frame.kind === 'bye') this.#announcedCloses.add(opened)
+      if (frame.kind === 'bye') this.#closeReasons.set(opened, 'peer')
       if (frame.kind === 'use') opened.isTemporary = !frame.isGossip
       onFrame(opened, frame)
     })
@@ -156,13 +158,14 @@
   }
 
   /** Closes a link whose peer is silent or whose frame could not be handled. */
-  terminate (link: OpenLink): void {
+  terminate (link: OpenLink, reason: 'silent' | 'faulty'): void {
+    this.#closeReasons.set(link, reason)
     link.terminate()
   }
 
   close (): void {
     this.#isClosed = true
-    for (const link of this.all()) this.#closeAnnounced(link.peer.id)
+    for (const link of this.all()) this.#closeAnnounced(link.peer.id, 'stop')
   }
 
   #canDial (id: InstanceId, now: Millis): boolean {
@@ -199,25 +202,26 @@
     return link.isDialled === (this.#options.self < link.peer.id) && existing.isDialled !== link.isDialled
   }
 
-  #closeAnnounced (id: InstanceId): void {
+  #closeAnnounced (id: InstanceId, reason: LinkCloseReason): void {
     const link = this.#links.get(id)
     if (link === undefined) return
     link.send({ kind: 'bye' })
-    this.#announcedCloses.add(link)
+    this.#closeReasons.set(link, reason)
     link.close()
   }
 
   #handleClose (link: OpenLink): void {
-    const isAnnounced = this.#announcedCloses.delete(link)
+    const reason = this.#closeReasons.get(link) ?? 'lost'
+    this.#closeReasons.delete(link)
     if (this.#links.get(link.peer.id) !== link) return
     this.#links.delete(link.peer.id)
-    this.#options.onClose(link, isAnnounced)
+    this.#options.onClose(link, reason)
   }
 
   #closeIdle (): void {
     for (const link of this.all()) {
       const isIdle = link.isTemporary && link.isDialled && link.idle > IDLE_LINK_TIMEOUT
-      if (isIdle && !this.#keptOpen.has(link.peer.id)) this.#closeAnnounced(link.peer.id)
+      if (isIdle && !this.#keptOpen.has(link.peer.id)) this.#closeAnnounced(link.peer.id, 'idle')
     }
   }
 }
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -15,7 +15,7 @@
 import { PendingAsks } from './PendingAsks.js'
 import { TrafficMeter } from './TrafficMeter.js'
 import type { PeerAddress, PeerList, Transport } from './transport.js'
-import type { GossipEntry, PeerError, PeerHandler, PeerMember, Peers, Topic, TopicTraffic } from './types.js'
+import type { GossipEntry, LinkCloseReason, PeerError, PeerHandler, PeerMember, Peers, Topic, TopicTraffic } from './types.js'
 
 export interface PeerCoreOptions {
   readonly self: InstanceId
@@ -32,6 +32,9 @@
 
 const NO_ANSWER = Symbol('no answer')
 
+/** Reasons that say something about the peer. */
+const LOSS_REASONS: ReadonlySet<LinkCloseReason> = new Set(['silent', 'faulty', 'lost'])
+
 /**
  * Membership, messages and gossip over any transport, so that all of it can run in virtual time.
  * The platform's instance list is only a seed: known peers are kept while the list is stale, wrong or empty.
@@ -73,7 +76,7 @@
       transport,
       meter: this.#meter,
       onOpen: (link) => this.#handleOpen(link),
-      onClose: (link, isAnnounced) => this.#handleClose(link, isAnnounced),
+      onClose: (link, reason) => this.#handleClose(link, reason),
       onFrame: (link, frame) => this.#receiveGuarded(link, frame)
     })
     this.#spreader = new GossipSpreader({
@@ -247,7 +250,7 @@
     for (const link of this.#links.all()) {
       if (link.silence < timeout) continue
       this.#log.emit(PEERS_EVENTS.peerSilent, { peer: link.peer.id, silence: link.silence })
-      this.#links.terminate(link)
+      this.#links.terminate(link, 'silent')
     }
     this.#links.tick()
     this.#spreader.continueCatchUps()
@@ -279,9 +282,10 @@
     this.#spreader.catchUp(link)
   }
 
-  #handleClose (link: OpenLink, isAnnounced: boolean): void {
+  #handleClose (link: OpenLink, reason: LinkCloseReason): void {
     this.#membersCachedUntil = millis(0)
-    this.#log.emit(PEERS_EVENTS.linkClosed, { peer: link.peer.id, announced: isAnnounced })
+    const isAnnounced = !LOSS_REASONS.has(reason)
+    this.#log.emit(PEERS_EVENTS.linkClosed, { peer: link.peer.id, announced: isAnnounced, reason })
     this.#pendingAsks.failFor(link.peer.id)
     if (!isAnnounced && !link.isTemporary && !this.#links.isMesh) this.#memberTable.reportLost(link.peer)
   }
@@ -302,7 +306,7 @@
     } catch (err) {
       const detail = err instanceof Error ? err.message : String(err)
       this.#log.emit(PEERS_EVENTS.frameFaulty, { peer: link.peer.id, kind: frame.kind, detail })
-      this.#links.terminate(link)
+      this.#links.terminate(link, 'faulty')
     }
   }
 
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -17,6 +17,9 @@
   readonly silence: Millis
 }
 
+/** Why a link was closed: `surplus` to `stop` by this instance on purpose, `peer` by the peer on purpose. */
+export type LinkCloseReason = 'surplus' | 'idle' | 'replaced' | 'stop' | 'peer' | 'silent' | 'faulty' | 'lost'
+
 export type PeerError =
   | { readonly kind: 'unreachable', readonly detail: string }
   | { readonly kind: 'timeout', readonly detail: string }
