--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -77,6 +77,53 @@
     })
   })
 
+  describe('a coordinator that is slow to read', () => {
+    /** Orders of all other instances while the coordinator of all endpoints reads 400 ms late; the share that was served. */
+    const serveBySlow = async (instances: number) => {
+      const harness = new StageHarness(instances, endpointsOf('encode', 4))
+      await harness.start()
+      await harness.clock.advance(seconds(10))
+      const { roster, context } = harness.instances[0]!
+      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
+      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      harness.slowDown(coordinator, millis(400))
+      return { calls: harness.endpoints.calls, id, served: await servedByOthers(harness, coordinator, 6000) }
+    }
+
+    // Guards against several coordinators of one group, each of which sends small calls to the same endpoints.
+    it.each([3, 40])('is not replaced: it alone sends calls, with %i instances', async (instances) => {
+      const { calls, id, served } = await serveBySlow(instances)
+      expect(served).toBe(1)
+      expect([...new Set(calls.map(({ instance }) => instance))]).toEqual([id])
+    })
+
+    // Guards against pieces that run twice, since an order was given to a second coordinator while the first one had it.
+    it.each([3, 40])('has each piece run once, with %i instances', async (instances) => {
+      const { calls } = await serveBySlow(instances)
+      expect(calls.reduce((sum, { pieces }) => sum + pieces, 0)).toBe(60)
+    })
+  })
+
+  describe('a coordinator that falls silent', () => {
+    // Guards against orders that wait for a dead machine until their deadline.
+    it.each([3, 40])('is replaced before most callers have left, with %i instances', async (instances) => {
+      const harness = new StageHarness(instances, endpointsOf('encode', 4))
+      await harness.start()
+      await harness.clock.advance(seconds(10))
+      const { roster, context } = harness.instances[0]!
+      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
+      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      await servedByOthers(harness, coordinator, 2000)
+      for (const { identity } of harness.instances) if (identity.id !== id) harness.network.partition(identity, harness.instances[coordinator]!.identity)
+      harness.cut(coordinator)
+      await harness.clock.advance(millis(100))
+      const others = harness.instances.map((_instance, at) => at).filter((at) => at !== coordinator)
+      const served = others.map(async (at) => await harness.serve(at, workOf(harness, `after ${at}`, STAGES, [1], seconds(2), seconds(4))))
+      await harness.clock.advance(seconds(6))
+      expect((await Promise.all(served)).every((took) => took !== undefined)).toBe(true)
+    })
+  })
+
   describe('an instance that restarts under its id while its orders run', () => {
     // Guards against outcomes of the ended process's orders that are taken for those of its successor's.
     it.each([1, 2])('never takes results that were made for an earlier incarnation, after %i restarts', async (restarts) => {
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -225,6 +225,11 @@
     this.endpoints.heal(this.instances[at]!.identity.id)
   }
 
+  /** An instance's event loop is late: it reads what other instances send that much later. */
+  slowDown (at: number, readDelay: Millis): void {
+    this.network.slowDown(this.instances[at]!.identity, readDelay)
+  }
+
   kill (at: number): void {
     this.network.kill(this.instances[at]!.identity)
     this.endpoints.endCaller(this.instances[at]!.identity.incarnation)
--- a/packages/peers/src/MemoryNetwork.ts
+++ b/packages/peers/src/MemoryNetwork.ts
@@ -1,5 +1,5 @@
 import { millis } from '@papayahill/common'
-import type { Clock } from '@papayahill/common'
+import type { Clock, InstanceId, Millis } from '@papayahill/common'
 import { decodeFrame, encodeFrame } from './frameCodec.js'
 import type { Frame } from './frames.js'
 import type { Link, PeerAddress, PeerIdentity, Transport } from './transport.js'
@@ -22,6 +22,7 @@
   readonly #links = new Set<MemoryLink>()
   readonly #partitions = new Set<string>()
   readonly #killed = new Set<string>()
+  readonly #readDelays = new Map<InstanceId, Millis>()
 
   constructor (clock: Clock) {
     this.clock = clock
@@ -60,6 +61,16 @@
     this.#partitions.delete(`${right.id} ${left.id}`)
   }
 
+  /** An instance's event loop is late: it reads each frame that much later. */
+  slowDown ({ id }: PeerIdentity, readDelay: Millis): void {
+    this.#readDelays.set(id, readDelay)
+  }
+
+  /** Time from sending a frame until its receiver reads it. */
+  timeToRead ({ id }: PeerIdentity): Millis {
+    return millis(this.delay + (this.#readDelays.get(id) ?? 0))
+  }
+
   isPartitioned (left: PeerIdentity, right: PeerIdentity): boolean {
     return this.#partitions.has(`${left.id} ${right.id}`)
   }
@@ -112,7 +123,7 @@
     const data = encodeFrame(frame)
     const size = data.length + FRAME_OVERHEAD
     if (!this.#network.isPartitioned(this.owner, this.peer)) {
-      this.#network.clock.after(this.#network.delay, () => this.#remote?.receive(decodeFrame(data)!, size))
+      this.#network.clock.after(this.#network.timeToRead(this.peer), () => this.#remote?.receive(decodeFrame(data)!, size))
     }
     return size
   }
@@ -138,6 +149,6 @@
     this.#isOpen = false
     this.#network.removeLink(this)
     for (const listener of this.#closeListeners) listener()
-    this.#network.clock.after(this.#network.delay, () => this.#remote?.close())
+    this.#network.clock.after(this.#network.timeToRead(this.peer), () => this.#remote?.close())
   }
 }
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -218,6 +218,37 @@
     })
   })
 
+  describe('messages to a peer without a link', () => {
+    const startLarge = async () => {
+      const cluster = await startCluster(40)
+      await cluster.clock.advance(seconds(10))
+      const busy = identity(7)
+      cluster.cores[7]!.handle('stage', () => 'here')
+      const far = cluster.cores.filter((core) => core.self !== busy.id && !core.isConnected(busy.id))
+      return { cluster, busy, far }
+    }
+
+    // Guards against a peer that counts as unreachable while the link to it is being opened.
+    it('wait for the dial that is in progress', async () => {
+      const { cluster, busy, far: [first] } = await startLarge()
+      const asked = [1, 2, 3].map(async () => await first!.ask(busy.id, 'stage', {}, seconds(1)))
+      await cluster.clock.advance(seconds(1))
+      expect((await Promise.all(asked)).map((answer) => answer.unwrapOr(null))).toEqual(['here', 'here', 'here'])
+    })
+
+    // Guards against a slow instance that closes links on which it is asked, since many were opened at once.
+    it('are answered though many instances open links to it at once while it is slow', async () => {
+      const { cluster, busy, far } = await startLarge()
+      cluster.network.slowDown(busy, millis(400))
+      const asked = far.map(async (core, at) => {
+        await cluster.clock.sleep(millis(20 * at))
+        return await core.ask(busy.id, 'stage', {}, seconds(3))
+      })
+      await cluster.clock.advance(seconds(5))
+      expect((await Promise.all(asked)).filter((answer) => answer.isErr).length).toBe(0)
+    })
+  })
+
   describe('a frame that cannot be handled', () => {
     it('closes only the link it came over', async () => {
       const cluster = new PeerCluster(3)
