--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -114,10 +114,11 @@
       const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
       const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
       await servedByOthers(harness, coordinator, 2000)
-      for (const { identity } of harness.instances) if (identity.id !== id) harness.network.partition(identity, harness.instances[coordinator]!.identity)
+      const others = harness.instances.map((_instance, at) => at).filter((at) => at !== coordinator)
+      const { identity: silent } = harness.instances[coordinator]!
+      for (const at of others) harness.network.partition(harness.instances[at]!.identity, silent)
       harness.cut(coordinator)
       await harness.clock.advance(millis(100))
-      const others = harness.instances.map((_instance, at) => at).filter((at) => at !== coordinator)
       const served = others.map(async (at) => await harness.serve(at, workOf(harness, `after ${at}`, STAGES, [1], seconds(2), seconds(4))))
       await harness.clock.advance(seconds(6))
       expect((await Promise.all(served)).every((took) => took !== undefined)).toBe(true)
--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -13,7 +13,8 @@
   /** Earliest time of the next dial. */
   notBefore: Millis
   redialDelay: Millis
-  isDialling: boolean
+  /** The dial in progress. */
+  dial: Promise<OpenLink | undefined> | undefined
   /** Time of the first failed dial in a row; undefined if the last one succeeded. */
   failingSince: Millis | undefined
 }
@@ -71,7 +72,7 @@
       known.address = address
       return
     }
-    this.#known.set(id, { address, notBefore: millis(0), redialDelay: MIN_REDIAL_DELAY, isDialling: false, failingSince: undefined })
+    this.#known.set(id, { address, notBefore: millis(0), redialDelay: MIN_REDIAL_DELAY, dial: undefined, failingSince: undefined })
     this.#reachable++
   }
 
@@ -116,17 +117,22 @@
       return existing
     }
     const known = this.#known.get(id)
-    if (known === undefined || known.isDialling || this.#isClosed) return undefined
-    known.isDialling = true
+    if (known === undefined || this.#isClosed) return undefined
+    known.dial ??= this.#dial(id, known, isTemporary)
+    const opened = await known.dial
+    if (opened?.isTemporary === true && !isTemporary) this.#announceUse(opened, true)
+    return opened
+  }
+
+  async #dial (id: InstanceId, known: KnownPeer, isTemporary: boolean): Promise<OpenLink | undefined> {
     let link: Link | undefined
     try {
       link = await this.#options.transport.dial(known.address)
     } finally {
-      known.isDialling = false
+      known.dial = undefined
       this.#recordDial(known, link?.peer.id === id)
     }
-    if (link === undefined) return undefined
-    this.add(link, isTemporary)
+    if (link !== undefined) this.add(link, isTemporary)
     return this.#links.get(id)
   }
 
@@ -170,7 +176,7 @@
 
   #canDial (id: InstanceId, now: Millis): boolean {
     const known = this.#known.peek(id)
-    return known !== undefined && !known.isDialling && known.notBefore <= now
+    return known !== undefined && known.dial === undefined && known.notBefore <= now
   }
 
   #forgetUnreachable (now: Millis): void {
