--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, InstanceId, Millis, Random } from '@papayahill/common'
 import { LRUCache } from 'lru-cache'
-import { FORGET_PEER_AFTER, IDLE_LINK_TIMEOUT, MAX_KNOWN_PEERS, MAX_REDIAL_DELAY, MIN_REDIAL_DELAY, UNREACHABLE_AFTER } from './constants.js'
+import { FORGET_PEER_AFTER, IDLE_LINK_TIMEOUT, LINK_SETTLE_TIME, MAX_KNOWN_PEERS, MAX_REDIAL_DELAY, MIN_REDIAL_DELAY, UNREACHABLE_AFTER } from './constants.js'
 import { OpenLink } from './OpenLink.js'
 import { isFullMesh, planLinks } from './PartialView.js'
 import type { TrafficMeter } from './TrafficMeter.js'
@@ -89,12 +89,14 @@
     this.#forgetUnreachable(now)
     this.#countReachable()
     const known = [...this.#known.keys()].filter((id) => this.#links.has(id) || this.#canDial(id, now))
-    const active = this.active().map((link) => link.peer.id)
+    const active = this.active()
+    const linked = active.map((link) => link.peer.id)
+    const settled = active.filter((link) => link.age >= LINK_SETTLE_TIME).map((link) => link.peer.id)
     const plan = this.isMesh
-      ? { dial: known.filter((id) => !active.includes(id)), drop: [] }
-      : planLinks(random, known, active)
+      ? { dial: known.filter((id) => !linked.includes(id)), drop: [] }
+      : planLinks(random, known, linked, settled)
     for (const id of plan.dial) void this.open(id, false)
-    for (const id of plan.drop) this.#closeAnnounced(id, 'surplus')
+    for (const id of plan.drop) this.#dropSurplus(id)
     this.#dialKeptOpen(now)
     this.#closeIdle()
   }
@@ -224,6 +226,14 @@
     this.#options.onClose(link, reason)
   }
 
+  /** A surplus link carries no more gossip; it stays open while messages need it. */
+  #dropSurplus (id: InstanceId): void {
+    const link = this.#links.get(id)
+    if (link === undefined) return
+    if (this.#keptOpen.has(id) || link.isUsed) this.#announceUse(link, false)
+    else this.#closeAnnounced(id, 'surplus')
+  }
+
   #closeIdle (): void {
     for (const link of this.all()) {
       const isIdle = link.isTemporary && link.isDialled && link.idle > IDLE_LINK_TIMEOUT
--- a/packages/peers/src/OpenLink.ts
+++ b/packages/peers/src/OpenLink.ts
@@ -1,5 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Clock, Millis } from '@papayahill/common'
+import { IDLE_LINK_TIMEOUT } from './constants.js'
 import { topicOf } from './frames.js'
 import type { Frame } from './frames.js'
 import type { TrafficMeter } from './TrafficMeter.js'
@@ -19,38 +20,49 @@
   readonly isDialled: boolean
   isTemporary: boolean
   readonly #options: OpenLinkOptions
+  readonly #openedAt: Millis
   #receivedAt: Millis
-  #usedAt: Millis
+  /** Time of the last frame of kind `message`, in either direction. */
+  #messageAt: Millis | undefined
 
   constructor (options: OpenLinkOptions) {
     this.#options = options
     this.peer = options.link.peer
     this.isDialled = options.link.isDialled
     this.isTemporary = options.isTemporary
-    this.#receivedAt = options.clock.now()
-    this.#usedAt = options.clock.now()
+    this.#openedAt = options.clock.now()
+    this.#receivedAt = this.#openedAt
+  }
+
+  get age (): Millis {
+    return millis(this.#options.clock.now() - this.#openedAt)
   }
 
   get silence (): Millis {
     return millis(this.#options.clock.now() - this.#receivedAt)
   }
 
-  /** Time since the last frame of kind `message`, in either direction. */
+  /** Time since the last message, in either direction, or since the link was opened. */
   get idle (): Millis {
-    return millis(this.#options.clock.now() - this.#usedAt)
+    return millis(this.#options.clock.now() - (this.#messageAt ?? this.#openedAt))
+  }
+
+  /** Whether it has carried messages recently. */
+  get isUsed (): boolean {
+    return this.#messageAt !== undefined && this.idle <= IDLE_LINK_TIMEOUT
   }
 
   send (frame: Frame): number {
     const size = this.#options.link.send(frame)
     if (size > 0) this.#options.meter.sent(topicOf(frame), size)
-    if (frame.kind === 'message') this.#usedAt = this.#options.clock.now()
+    if (frame.kind === 'message') this.#messageAt = this.#options.clock.now()
     return size
   }
 
   onFrame (listener: (frame: Frame) => void): void {
     this.#options.link.onFrame((frame, size) => {
       this.#receivedAt = this.#options.clock.now()
-      if (frame.kind === 'message') this.#usedAt = this.#receivedAt
+      if (frame.kind === 'message') this.#messageAt = this.#receivedAt
       this.#options.meter.received(topicOf(frame), size)
       listener(frame)
     })
--- a/packages/peers/src/PartialView.ts
+++ b/packages/peers/src/PartialView.ts
@@ -23,19 +23,22 @@
 
 /**
  * Plans the links of one instance: a full mesh in a small cluster, a small random subset of peers in a larger
- * one, like the active view of HyParView. Links are symmetric, so closing one is announced to the peer.
+ * one, like the active view of HyParView. Links are symmetric, so closing one is announced to the peer. Only settled links
+ * are surplus: of one just accepted it is not known yet whether the peer wants it for gossip.
  *
  * @example
- * planLinks(random, known, linked) // { dial: ['i7'], drop: [] }
+ * planLinks(random, known, linked, settled) // { dial: ['i7'], drop: [] }
  */
-export const planLinks = (random: Random, known: readonly InstanceId[], linked: readonly InstanceId[]): ViewChange => {
+export const planLinks = (
+  random: Random, known: readonly InstanceId[], linked: readonly InstanceId[], settled: readonly InstanceId[]
+): ViewChange => {
   const others = known.filter((id) => !linked.includes(id))
   if (isFullMesh(known.length)) return { dial: others, drop: [] }
   const missing = Math.max(0, ACTIVE_LINKS - linked.length)
-  const surplus = Math.max(0, linked.length - MAX_ACTIVE_LINKS)
+  const surplus = Math.max(0, settled.length - MAX_ACTIVE_LINKS)
   return {
     dial: missing === 0 ? [] : shuffled(random, others).slice(0, missing),
-    drop: surplus === 0 ? [] : shuffled(random, linked).slice(0, surplus)
+    drop: surplus === 0 ? [] : shuffled(random, settled).slice(0, surplus)
   }
 }
 
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -40,6 +40,8 @@
 export const LINK_PERIOD = millis(500)
 /** Idle time after which a link opened for messages only is closed. */
 export const IDLE_LINK_TIMEOUT = seconds(30)
+/** Age from which a link counts as surplus; its peer has told by then what it is used for. */
+export const LINK_SETTLE_TIME = seconds(2)
 /** Bounds of the delay before an unreachable peer is dialled again. */
 export const MIN_REDIAL_DELAY = millis(200)
 export const MAX_REDIAL_DELAY = seconds(5)
