--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -218,6 +218,19 @@
     })
   })
 
+  describe('messages whose link is replaced by a newer one', () => {
+    // Guards against an instance that waits for an answer until its timeout, though none can come.
+    it('end as unanswered at once', async () => {
+      const cluster = await startCluster(2)
+      cluster.cores[1]!.handle('stage', () => new Promise<never>(() => {}))
+      const asked = cluster.cores[0]!.ask(identity(1).id, 'stage', {}, seconds(60))
+      void cluster.add(1, 2).start()
+      await cluster.clock.advance(seconds(5))
+      const ended = await Promise.race([asked, Promise.resolve('waits')])
+      expect(ended).toMatchObject({ error: { kind: 'unreachable' } })
+    })
+  })
+
   describe('messages to a peer without a link', () => {
     const startLarge = async () => {
       const cluster = await startCluster(40)
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -277,6 +277,8 @@
 
   #handleOpen (link: OpenLink): void {
     this.#membersCachedUntil = millis(0)
+    // What was asked over an earlier link, which this one replaces, gets no answer.
+    this.#pendingAsks.failFor(link.peer.id)
     this.#log.emit(PEERS_EVENTS.linkOpened, { peer: link.peer.id, incarnation: link.peer.incarnation })
     link.send({ kind: 'heartbeat' })
     this.#spreader.catchUp(link)
