--- a/packages/peers/src/PeerLinks.test.ts
+++ b/packages/peers/src/PeerLinks.test.ts
@@ -1,4 +1,4 @@
-import { brand, EventRecorder, millis, SeededRandom, SystemClock } from '@papayahill/common'
+import { brand, EventRecorder, millis, SeededRandom, SystemClock, seconds } from '@papayahill/common'
 import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
 import { Result } from 'true-myth'
 import { afterEach, describe, expect, it, vi } from 'vitest'
@@ -84,4 +84,12 @@
     const answer = await first.links.ask(second.links.self, 'claim', {}, millis(5000))
     expect(answer.unwrapOr(null)).toBe('still here')
   })
+
+  // Guards against an instance that waits for the answer to what was never sent.
+  it('ends what is asked by such a message at once', async () => {
+    const { first, second } = await pairOf()
+    await until(() => first.links.members().length === 1)
+    const answer = await first.links.ask(second.links.self, 'cost', 'x'.repeat(MAX_FRAME_BYTES + 1), seconds(60))
+    expect(answer.isErr && answer.error.kind).toBe('unreachable')
+  })
 })
--- a/packages/peers/src/PendingAsks.ts
+++ b/packages/peers/src/PendingAsks.ts
@@ -17,8 +17,8 @@
     this.#clock = clock
   }
 
-  /** Assigns a number to a request, calls `send` with it and waits for the answer. */
-  ask (to: InstanceId, timeout: Millis, send: (ask: number) => void): Promise<Result<Json, PeerError>> {
+  /** Assigns a number to a request, calls `send` with it and waits for the answer; `send` returns 0 if it dropped the request. */
+  ask (to: InstanceId, timeout: Millis, send: (ask: number) => number): Promise<Result<Json, PeerError>> {
     const ask = ++this.#lastAsk
     return new Promise((resolve) => {
       const settle = (answer: Result<Json, PeerError>): void => {
@@ -30,7 +30,7 @@
         settle(Result.err({ kind: 'timeout', detail: `${to} did not answer in ${timeout} ms` }))
       })
       this.#pending.set(ask, { to, settle })
-      send(ask)
+      if (send(ask) === 0) settle(Result.err({ kind: 'unreachable', detail: `the message to ${to} could not be sent` }))
     })
   }
 
