--- a/packages/batching/src/AcceptedOrders.ts
+++ b/packages/batching/src/AcceptedOrders.ts
@@ -1,7 +1,7 @@
 import { millis } from '@papayahill/common'
 import type { Clock, EventLog, Millis } from '@papayahill/common'
 import type { BatchCoordinator } from './BatchCoordinator.js'
-import { MAX_COORDINATOR_SILENCE, PRESENCE_CHECK_PERIOD } from './constants.js'
+import { MAX_SENDER_SILENCE, PRESENCE_CHECK_PERIOD } from './constants.js'
 import type { CoordinatorRoster } from './CoordinatorRoster.js'
 import { BATCHING_EVENTS } from './events.js'
 import type { OrderSender, StageOrder } from './types.js'
@@ -64,7 +64,7 @@
 
   #hasEnded ({ from, presentAt }: AcceptedOrder): boolean {
     const { roster, clock } = this.#options
-    return roster.hasRestarted(from) || millis(clock.now() - presentAt) > MAX_COORDINATOR_SILENCE
+    return roster.hasRestarted(from) || millis(clock.now() - presentAt) > MAX_SENDER_SILENCE
   }
 
   #drop (orphaned: readonly AcceptedOrder[]): void {
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -2,7 +2,9 @@
 import type { Clock, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import type { Reach } from '@papayahill/reach'
-import { MAX_COORDINATOR_SILENCE, MAX_LEAVING_INCARNATIONS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
+import {
+  DEFAULT_HEARTBEAT_PERIOD, MAX_LEAVING_INCARNATIONS, MAX_SILENT_HEARTBEATS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD
+} from './constants.js'
 import { serviceOf } from './endpointGroups.js'
 import type { OrderSender } from './types.js'
 
@@ -30,12 +32,15 @@
   }
 }
 
+const isSilent = ({ silence, heartbeatPeriod = DEFAULT_HEARTBEAT_PERIOD }: PeerMember): boolean =>
+  silence >= MAX_SILENT_HEARTBEATS * heartbeatPeriod
+
 const CAPABLE = { share: MIN_COORDINATOR_CAPACITY, least: MIN_COORDINATORS }
 
 /**
  * Finds the instance that coordinates batches for a group of endpoints, by rendezvous hashing over the strong reachable
- * ones that reach the group's endpoints themselves. If two instances coordinate one group at the same time, batches are
- * less full but nothing breaks.
+ * ones that reach the group's endpoints themselves. If two instances coordinate one group at the same time, nothing breaks, but
+ * their calls queue behind each other at the endpoints: one that is only slow is not replaced.
  *
  * @example
  * roster.coordinatorOf(group) === self
@@ -80,7 +85,7 @@
     return this.#suspectedUntil.size + this.#unreachedUntil.size + this.#leavingIncarnations.size
   }
 
-  /** Excludes an instance for the suspicion period, since it did not accept an order in time. */
+  /** Excludes an instance for the suspicion period, since it cannot be reached or has sent nothing since it was given an order. */
   suspect (id: InstanceId): void {
     exclude(this.#suspectedUntil, id, this.#clock.now())
     this.#coordinators.clear()
@@ -107,7 +112,7 @@
 
   /** The incarnation under which an instance is reachable; undefined if it is not. */
   incarnationOf (id: InstanceId): Incarnation | undefined {
-    return this.#peers.members().find((member) => member.id === id)?.incarnation
+    return this.#memberOf(id)?.incarnation
   }
 
   /** Whether a newer process runs under the id of this one, which has ended then; gossip may also name an older one for a while. */
@@ -118,12 +123,17 @@
 
   /** Whether an instance has sent anything recently. */
   isPresent (id: InstanceId): boolean {
-    return (this.silenceOf(id) ?? Infinity) < MAX_COORDINATOR_SILENCE
+    const member = this.#memberOf(id)
+    return member !== undefined && !isSilent(member)
   }
 
   /** Time since an instance has sent anything; undefined if it is not reachable. */
   silenceOf (id: InstanceId): Millis | undefined {
-    return this.#peers.members().find((member) => member.id === id)?.silence
+    return this.#memberOf(id)?.silence
+  }
+
+  #memberOf (id: InstanceId): PeerMember | undefined {
+    return this.#peers.members().find((member) => member.id === id)
   }
 
   coordinatorOf (group: string): InstanceId {
@@ -157,7 +167,7 @@
   #reachablePeers (): readonly CoordinatorCandidate[] {
     const now = this.#clock.now()
     return this.#peers.members()
-      .filter(({ silence, incarnation }) => silence < MAX_COORDINATOR_SILENCE && !this.#leavingIncarnations.has(incarnation))
+      .filter((member) => !isSilent(member) && !this.#leavingIncarnations.has(member.incarnation))
       .filter(({ id }) => (this.#suspectedUntil.get(id) ?? 0) <= now)
       .map(({ id, capacity = 1 }) => ({ id, capacity }))
   }
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,9 +1,9 @@
 import { brand, millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { PeerError, Peers } from '@papayahill/peers'
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import type { BacklogTracker } from './BacklogTracker.js'
-import { ACCEPT_TIMEOUT, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
+import { MAX_ACCEPT_SILENCE, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { AcceptedOrders } from './AcceptedOrders.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
@@ -28,6 +28,13 @@
 /** Answer to an order from an instance that has not learned yet that this one does not reach the endpoints. */
 const UNREACHED = 'unreached'
 
+/** One try to have an order accepted. */
+interface Offer {
+  readonly to: InstanceId
+  /** Whether the instance may have accepted the order before, unheard. */
+  readonly isRepeated: boolean
+}
+
 interface OpenOrder {
   readonly to: InstanceId
   readonly order: StageOrder
@@ -66,32 +73,32 @@
       if (wait > 0) await clock.sleep(millis(wait))
       const to = roster.coordinatorOf(order.group)
       const isLate = notBefore.size > 0 && left[0]!.deadline <= clock.now()
+      const isRepeated = notBefore.has(to)
       notBefore.set(to, millis(clock.now() + REORDER_PERIOD))
-      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce(to, { ...order, pieces: left }, listener)
+      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce({ to, isRepeated }, { ...order, pieces: left }, listener)
       left.forEach((piece, at) => outcomes.set(piece, found[at] ?? { fault: 'failed', endpoint: undefined }))
     }
     return order.pieces.map((piece) => outcomes.get(piece)!)
   }
 
   /** Runs the pieces at an instance; those that it has not kept fail with `moved`. */
-  #runOnce (to: InstanceId, given: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+  #runOnce (offer: Offer, given: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     const { peers, log, clock } = this.#options
+    const { to } = offer
     const order = this.#boundByStop(given)
     const first = order.pieces[0]!
     if (this.#endsAt !== Infinity && first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order.pieces, 'late'))
     log.emit(BATCHING_EVENTS.piecesOrdered, {
       request: first.request, stage: first.stage, pieces: order.pieces.length, group: order.group, gatherer: to
     })
-    return to === peers.self ? this.#runLocally(order, listener) : this.#runRemotely(to, order, listener)
+    return to === peers.self ? this.#runLocally(order, listener) : this.#runRemotely(offer, order, listener)
   }
 
   /** All requests must be answered by this time: pieces that are still queued are ordered again, with no more time than that. */
   endBy (endsAt: Millis): void {
     this.#endsAt = endsAt
     for (const { group, pieces } of this.#localOrders) this.#options.coordinator.drop(group, pieces[0]!.request)
-    for (const { to, order: { group, pieces } } of this.#openOrders.values()) {
-      this.#send(to, { kind: 'recall', group, request: pieces[0]!.request })
-    }
+    for (const { to, order } of this.#openOrders.values()) this.#recall(to, order)
   }
 
   #boundByStop (order: StageOrder): StageOrder {
@@ -142,35 +149,78 @@
     return outcomes
   }
 
-  async #runRemotely (to: InstanceId, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { clock, peers } = this.#options
+  async #runRemotely (offer: Offer, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
+    const { to } = offer
     const id = this.#nextId()
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
-    const accepted = await peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, clock.now()), ACCEPT_TIMEOUT)
+    if (offer.isRepeated) this.#recall(to, order)
+    const accepted = await this.#offer(to, id, order)
     if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
       this.#openOrders.delete(id)
-      this.#noteNotKept(to, order, accepted)
+      this.#noteNotKept(offer, order, accepted)
       return failAllPieces(order.pieces, 'moved')
     }
     this.#recordBacklogs(unpackBacklogs(accepted.value))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
-  /** Excludes an instance that has not accepted an order, for as long as the cause may last. */
-  #noteNotKept (to: InstanceId, { group, pieces }: StageOrder, answer: Result<Json, PeerError>): void {
-    const { roster, log } = this.#options
+  /**
+   * Offers an order to an instance and waits for as long as that sends anything: a slow one accepts it, too, and the pieces
+   * would run twice if another one got them.
+   */
+  async #offer (to: InstanceId, id: OrderId, order: StageOrder): Promise<Result<Json, PeerError>> {
+    const { clock, peers } = this.#options
+    const offeredAt = clock.now()
+    const timeout = millis(Math.max(MAX_ACCEPT_SILENCE, order.pieces[0]!.deadline - offeredAt))
+    return await new Promise((resolve) => {
+      const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
+        const silence = this.#silenceSince(offeredAt, to)
+        if (silence >= MAX_ACCEPT_SILENCE) end(Result.err({ kind: 'timeout', detail: `${to} has sent nothing for ${silence} ms` }))
+      })
+      const end = (answer: Result<Json, PeerError>): void => {
+        timer.cancel()
+        resolve(answer)
+      }
+      void peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, offeredAt), timeout).then(end)
+    })
+  }
+
+  /** Time since an instance has sent anything, at most that since the given time. */
+  #silenceSince (since: Millis, id: InstanceId): Millis {
+    const { clock, peers, roster } = this.#options
+    const elapsed = clock.now() - since
+    return millis(peers.isConnected(id) ? Math.min(elapsed, roster.silenceOf(id) ?? Infinity) : elapsed)
+  }
+
+  /**
+   * Excludes an instance that has not accepted an order, for as long as the cause may last. A link may be closed while the
+   * instance is well, so it is suspected only if the order cannot be given to it once more.
+   */
+  #noteNotKept ({ to, isRepeated }: Offer, order: StageOrder, answer: Result<Json, PeerError>): void {
+    const { roster } = this.#options
     if (answer.isErr) {
-      const fields = { gatherer: to, request: pieces[0]!.request, detail: answer.error.detail, silenceMs: roster.silenceOf(to) }
-      roster.suspect(to)
-      log.emit(BATCHING_EVENTS.gathererSuspected, fields)
+      if (isRepeated || answer.error.kind === 'timeout') this.#suspect(to, order, answer.error)
       return
     }
     const incarnation = roster.incarnationOf(to)
     if (incarnation === undefined) return
     if (answer.value === LEAVING) roster.markLeaving(incarnation)
-    else roster.markUnreached(incarnation, group)
+    else roster.markUnreached(incarnation, order.group)
+  }
+
+  #suspect (to: InstanceId, order: StageOrder, { detail }: PeerError): void {
+    const { roster, log } = this.#options
+    const fields = { gatherer: to, request: order.pieces[0]!.request, detail, silenceMs: roster.silenceOf(to) }
+    roster.suspect(to)
+    log.emit(BATCHING_EVENTS.gathererSuspected, fields)
+    if (this.#options.peers.isConnected(to)) this.#recall(to, order)
+  }
+
+  /** Has an instance give back what it may have queued of an order that is given once more. */
+  #recall (to: InstanceId, { group, pieces }: StageOrder): void {
+    this.#send(to, { kind: 'recall', group, request: pieces[0]!.request })
   }
 
   #nextId (): OrderId {
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -1,13 +1,16 @@
 import { millis } from '@papayahill/common'
 
-/** Max wait for another instance to accept an order; a live one answers at once. */
-export const ACCEPT_TIMEOUT = millis(250)
+/** Time without a frame from an instance after which an order that it has not accepted is given to another; a live one may be slow. */
+export const MAX_ACCEPT_SILENCE = millis(1300)
 /** Time for which an instance that did not accept an order is not chosen as coordinator here. */
 export const SUSPICION_PERIOD = millis(1500)
 /** Wait before an order goes once more to an instance that has refused it, where no other is known. */
 export const REORDER_PERIOD = millis(50)
-/** An instance whose link was silent for this long is not chosen as coordinator. */
-export const MAX_COORDINATOR_SILENCE = millis(1300)
+/** An instance whose link was silent for this many heartbeats is not chosen as coordinator. */
+export const MAX_SILENT_HEARTBEATS = 2.6
+export const DEFAULT_HEARTBEAT_PERIOD = millis(500)
+/** Time for which an instance was not reachable after which its orders are dropped. */
+export const MAX_SENDER_SILENCE = millis(1300)
 /** Incarnations that stop and are remembered; many more than can stop at a time. */
 export const MAX_LEAVING_INCARNATIONS = 2000
 /** Time after which other instances' results are assumed to be read and freed. */
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -158,7 +158,8 @@
       incarnation: link.peer.incarnation,
       domain: link.peer.domain,
       capacity: this.#memberTable.get(link.peer.id)?.capacity ?? 1,
-      silence: link.silence
+      silence: link.silence,
+      heartbeatPeriod: this.#heartbeatPeriod
     }))
     if (isMesh) return linked
     const direct = new Set(linked.map((member) => member.id))
@@ -240,9 +241,11 @@
     const { clock } = this.#options
     for (const link of this.#links.all()) link.send({ kind: 'heartbeat' })
     // The timer of the heartbeats is the last one that `start` added.
-    this.#timers[this.#timers.length - 1] = clock.after(
-      this.#links.isMesh ? HEARTBEAT_PERIOD : SPARSE_HEARTBEAT_PERIOD, () => this.#sendHeartbeats()
-    )
+    this.#timers[this.#timers.length - 1] = clock.after(this.#heartbeatPeriod, () => this.#sendHeartbeats())
+  }
+
+  get #heartbeatPeriod (): Millis {
+    return this.#links.isMesh ? HEARTBEAT_PERIOD : SPARSE_HEARTBEAT_PERIOD
   }
 
   #checkLinks (): void {
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -15,6 +15,8 @@
   readonly capacity?: number
   /** Time since the last frame from it; 0 for a peer known by gossip only. */
   readonly silence: Millis
+  /** Longest time between two frames from it while it is alive and on time; 500 ms if absent. */
+  readonly heartbeatPeriod?: Millis
 }
 
 /** Why a link was closed: `surplus` to `stop` by this instance on purpose, `peer` by the peer on purpose. */
