--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -1,11 +1,16 @@
 import { brand, millis, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
 import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
 import type { PeerHandler, PeerMember, Peers } from '@papayahill/peers'
+import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
+import { BacklogTracker } from './BacklogTracker.js'
+import type { BatchCoordinator } from './BatchCoordinator.js'
 import { CoordinatorRoster } from './CoordinatorRoster.js'
 import { StageOrderRouter } from './StageOrderRouter.js'
 import type { StageOrderRouterOptions } from './StageOrderRouter.js'
+import { stagePiece } from './testing/stageEndpoint.js'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
+import type { GroupId } from './types.js'
 
 const PIECES = 6
 const STAGES = chainOf(1, 'encode')
@@ -125,6 +130,34 @@
     })
   })
 
+  describe('an order whose coordinator falls silent', () => {
+    // Guards against pieces that a coordinator runs when it wakes up, though another one has run them meanwhile.
+    it.each(['before it accepts', 'after it has accepted'] as const)('is recalled from it, %s', async (when) => {
+      const clock = new VirtualClock()
+      const member = { id: brand<InstanceId>('b'), incarnation: brand<Incarnation>('b@1'), domain: brand<DomainId>('d1') }
+      const sent: unknown[] = []
+      const peers = {
+        self: brand<InstanceId>('a'),
+        incarnation: brand<Incarnation>('a@1'),
+        members: () => [{ ...member, silence: clock.now() }],
+        isConnected: () => true,
+        handle: () => {},
+        send: (to: InstanceId, _topic: string, message: unknown) => { sent.push([to, message]) },
+        ask: () => when === 'before it accepts' ? new Promise(() => {}) : Promise.resolve(Result.ok({}))
+      } as unknown as Peers
+      const coordinator = { accept: () => [] } as unknown as BatchCoordinator
+      const roster = new CoordinatorRoster(clock, peers)
+      const groups = { groupOf: () => undefined }
+      const options = { clock, log: SILENT_LOG, peers, coordinator, roster, groups, backlogs: new BacklogTracker(clock) }
+      const router = new StageOrderRouter(options)
+      const names = Array.from({ length: 20 }, (_none, at) => brand<GroupId>(`encode/${at}`))
+      const group = names.find((each) => roster.coordinatorOf(each) === member.id)!
+      void router.run({ group, places: [], pieces: [stagePiece('r', { deadline: millis(60_000) })] }, { onInputsRead: () => {} })
+      await clock.advance(seconds(2))
+      expect(sent).toEqual([['b', { kind: 'recall', group, request: 'r' }]])
+    })
+  })
+
   describe('an instance that restarts under its id while its orders run', () => {
     // Guards against outcomes of the ended process's orders that are taken for those of its successor's.
     it.each([1, 2])('never takes results that were made for an earlier incarnation, after %i restarts', async (restarts) => {
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -236,7 +236,9 @@
     const acceptedBy = roster.incarnationOf(to)
     const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
       const isLost = !roster.isPresent(to) || acceptedBy === undefined || roster.hasRestarted({ id: to, incarnation: acceptedBy })
-      if (isLost || clock.now() > deadline) this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, 'failed'))
+      if (!isLost && clock.now() <= deadline) return
+      if (this.#options.peers.isConnected(to)) this.#recall(to, order)
+      this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, 'failed'))
     })
     const outcomes = await ended
     timer.cancel()
--- a/packages/batching/src/loops.test.ts
+++ b/packages/batching/src/loops.test.ts
@@ -99,6 +99,7 @@
           incarnation: brand<Incarnation>('self#1'),
           members: () => members,
           handle: (_topic: string, handler: typeof receive) => { receive = handler },
+          isConnected: (id: InstanceId) => members.some((member) => member.id === id),
           send: () => {},
           ask: async (to: InstanceId, _topic: string, body: { readonly id: string }) => {
             guard.count()
