--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -157,6 +157,22 @@
     expect(orders.map(({ pieces }) => new Set(pieces.map(({ inputs }) => inputs)).size)).toEqual([1, 1, 1])
   })
 
+  // Guards against a message for each group and request to coordinators that have little time as it is.
+  it('cancels only the orders that have not ended', async () => {
+    const harness = new StageHarness(1, ENDPOINTS)
+    const cancelled: string[] = []
+    const run = async ({ group, pieces }: StageOrder): ReturnType<StageContext['router']['run']> => {
+      if (pieces[0]!.stage > 0) await new Promise(() => {})
+      return pieces.map(({ index }) => ({ handle: `${group}/${index}`, endpoint: brand<EndpointId>('cut-0') }))
+    }
+    const router = { run, free: () => {}, cancel: (group: string) => { cancelled.push(group) } } as unknown as StageContext['router']
+    const graph = new StageGraphRun({ ...harness.instances[0]!.context, router }, workOf(harness, 'r', CHAIN, [1, 1, 1], TARGET, TIMEOUT))
+    void graph.run()
+    await harness.clock.advance(millis(10))
+    graph.cancel()
+    expect(cancelled).toEqual([`${CHAIN[1]!.service}/0`])
+  })
+
   describe('when coordinators change', () => {
     it('serves the requests whose coordinator is killed', async () => {
       const harness = await startHarness()
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -74,7 +74,8 @@
   /** Stages that no longer need their inputs. */
   readonly #readStages = new Set<number>()
   readonly #readPieceCounts = new Map<number, number>()
-  readonly #orderedGroups = new Set<GroupId>()
+  /** Orders that have not ended, by group. */
+  readonly #openOrders = new Map<GroupId, number>()
   #chosenDomain: DomainId | undefined
   #isCancelled = false
 
@@ -103,7 +104,7 @@
   cancel (): void {
     if (this.#isCancelled) return
     this.#isCancelled = true
-    for (const group of this.#orderedGroups) this.#context.router.cancel(group, this.#work.request)
+    for (const group of this.#openOrders.keys()) this.#context.router.cancel(group, this.#work.request)
     this.#freeAllBut([])
   }
 
@@ -244,12 +245,19 @@
     const pieces = missing.map((index): Piece => ({ ...shared, index }))
     const order = this.#order(stage, pieces, inputs, exclude)
     if (order === undefined) return 'unplaced'
-    this.#orderedGroups.add(order.group)
     const onInputsRead = (): void => this.#countReadPieces(stage, missing.length)
+    this.#countOpenOrders(order.group, 1)
     const outcomes = await this.#context.router.run(order, { onInputsRead })
+    this.#countOpenOrders(order.group, -1)
     return this.#recordOutcomes(stage, missing, outcomes, results, exclude)
   }
 
+  #countOpenOrders (group: GroupId, change: number): void {
+    const count = (this.#openOrders.get(group) ?? 0) + change
+    if (count === 0) this.#openOrders.delete(group)
+    else this.#openOrders.set(group, count)
+  }
+
   /** The order for the group of the best endpoint; undefined where no endpoint can run the pieces. */
   #order (
     stage: StageNode, pieces: readonly Piece[], inputs: readonly StageResult[], exclude: ReadonlySet<EndpointId>
