--- a/packages/batching/src/planBatches.test.ts
+++ b/packages/batching/src/planBatches.test.ts
@@ -152,6 +152,20 @@
   })
 
   // Guards against calls whose lists of inputs, one for each piece, take more memory than an instance has.
+  // Guards against a coordinator that is slower the longer its queue is, until it has no time for anything else.
+  it('compares requests with each other, not all their pieces', () => {
+    let reads = 0
+    const counted = (piece: Piece): Piece => Object.defineProperty({ ...piece }, 'due', {
+      get: () => {
+        reads++
+        return piece.due
+      }
+    })
+    const pieces = Array.from({ length: 50 }, (_none, at) => piecesOf(`r${at}`, 40, { due: millis(10_000 - 7 * at) })).flat()
+    plan(pieces.map(counted), capacityOf(a, { maxPieces: 60, freeBytes: 1e6, totalBytes: 1e6 }))
+    expect(reads).toBeLessThan(pieces.length)
+  })
+
   it('puts few pieces with very many inputs into one call, and as many as fit of those with a usual number', () => {
     const callOf = (inputs: number): readonly WaitingPiece[] | undefined => {
       const shared = Array.from({ length: inputs }, (_none, at) => `h${at}`)
--- a/packages/batching/src/planBatches.ts
+++ b/packages/batching/src/planBatches.ts
@@ -44,7 +44,7 @@
 }
 
 /** Earliest due time first, adjusted by the requests' priority. */
-const byDueTime = ({ piece: left }: WaitingPiece, { piece: right }: WaitingPiece): number =>
+const byDueTime = ([{ piece: left }]: PieceGroup, [{ piece: right }]: PieceGroup): number =>
   left.due - right.due + (left.priority - right.priority) * PRIORITY_STEP
 
 /** Latest due time first, adjusted by the requests' priority. */
@@ -57,14 +57,23 @@
 /** Pieces of one stage of one request. */
 type PieceGroup = readonly [WaitingPiece, ...WaitingPiece[]]
 
-/** Groups pieces by stage and request, in the order of each group's first piece. */
+const isOfGroup = ([{ piece: first }]: PieceGroup, { piece }: WaitingPiece): boolean =>
+  first.stage === piece.stage && first.request === piece.request
+
+/** Groups pieces by stage and request, in the order of each group's first piece. Those of one order mostly wait side by side. */
 const groupsOf = (waiting: readonly WaitingPiece[]): readonly PieceGroup[] => {
   const groups = new Map<string, [WaitingPiece, ...WaitingPiece[]]>()
+  let last: [WaitingPiece, ...WaitingPiece[]] | undefined
   for (const waitingPiece of waiting) {
+    if (last !== undefined && isOfGroup(last, waitingPiece)) {
+      last.push(waitingPiece)
+      continue
+    }
     const key = `${waitingPiece.piece.stage} ${waitingPiece.piece.request}`
-    const group = groups.get(key)
-    if (group === undefined) groups.set(key, [waitingPiece])
-    else group.push(waitingPiece)
+    const known = groups.get(key)
+    last = known ?? [waitingPiece]
+    if (known === undefined) groups.set(key, last)
+    else known.push(waitingPiece)
   }
   return [...groups.values()]
 }
@@ -137,7 +146,7 @@
     this.#limit = Math.min(this.#limit, this.#limitFor(pieces[0]!))
     if (this.#isFirst) this.firstBatch.push(...added)
     this.#filled += fitting
-    this.#freeBytes -= added.reduce((sum, { piece }) => sum + piece.resultBytes, 0)
+    this.#freeBytes -= fitting * pieces[0]!.piece.resultBytes
     return fitting
   }
 
@@ -233,7 +242,7 @@
  * const { batches, late } = planBatches(waiting, capacities)
  */
 export const planBatches = (waiting: readonly WaitingPiece[], capacities: readonly EndpointCapacity[]): BatchPlan => {
-  const groups = groupsOf([...waiting].sort(byDueTime))
+  const groups = groupsOf(waiting).toSorted(byDueTime)
   const idlePlanner = new Planner(capacities)
   let planner = new Planner(capacities)
   let deferred = placeInTime(planner, groups)
