--- a/packages/batching/src/CoordinatorRoster.test.ts
+++ b/packages/batching/src/CoordinatorRoster.test.ts
@@ -32,6 +32,14 @@
     expect(after).not.toContain(idOf('c'))
   })
 
+  // Guards against a coordinator that is replaced for a few hundred ms of lateness where heartbeats come once a second.
+  it('measures silence in the heartbeats of each instance', () => {
+    const often = rosterOf('a', [memberOf('b', 1, 1800)])
+    const seldom = rosterOf('a', [{ ...memberOf('b', 1, 1800), heartbeatPeriod: millis(1000) }])
+    expect([often.isPresent(idOf('b')), seldom.isPresent(idOf('b'))]).toEqual([false, true])
+    expect(coordinatorsOf(seldom)).toContain(idOf('b'))
+  })
+
   it('excludes an instance that stops, but not its next incarnation', () => {
     const members = [memberOf('b')]
     const roster = rosterOf('a', members)
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -1,10 +1,9 @@
 import { capableOf, firstByRendezvous, millis } from '@papayahill/common'
 import type { Clock, Incarnation, InstanceId, Millis, ServiceId } from '@papayahill/common'
+import { silentHeartbeats } from '@papayahill/peers'
 import type { PeerMember, Peers } from '@papayahill/peers'
 import type { Reach } from '@papayahill/reach'
-import {
-  DEFAULT_HEARTBEAT_PERIOD, MAX_LEAVING_INCARNATIONS, MAX_SILENT_HEARTBEATS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD
-} from './constants.js'
+import { MAX_LEAVING_INCARNATIONS, MAX_SILENT_HEARTBEATS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
 import { serviceOf } from './endpointGroups.js'
 import type { OrderSender } from './types.js'
 
@@ -32,8 +31,7 @@
   }
 }
 
-const isSilent = ({ silence, heartbeatPeriod = DEFAULT_HEARTBEAT_PERIOD }: PeerMember): boolean =>
-  silence >= MAX_SILENT_HEARTBEATS * heartbeatPeriod
+const isSilent = (member: PeerMember): boolean => silentHeartbeats(member) >= MAX_SILENT_HEARTBEATS
 
 const CAPABLE = { share: MIN_COORDINATOR_CAPACITY, least: MIN_COORDINATORS }
 
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -8,7 +8,6 @@
 export const REORDER_PERIOD = millis(50)
 /** An instance whose link was silent for this many heartbeats is not chosen as coordinator. */
 export const MAX_SILENT_HEARTBEATS = 2.6
-export const DEFAULT_HEARTBEAT_PERIOD = millis(500)
 /** Time for which an instance was not reachable after which its orders are dropped. */
 export const MAX_SENDER_SILENCE = millis(1300)
 /** Incarnations that stop and are remembered; many more than can stop at a time. */
--- a/packages/detour/src/constants.ts
+++ b/packages/detour/src/constants.ts
@@ -5,8 +5,8 @@
 export const TAKE_TIME_SHARE = 1 / 3
 /** Interval at which each side checks that the other one is still there. */
 export const PRESENCE_CHECK_PERIOD = millis(100)
-/** A peer whose link was silent for this long is considered gone. */
-export const MAX_PEER_SILENCE = millis(1800)
+/** A peer whose link was silent for this many heartbeats is considered gone. */
+export const MAX_SILENT_HEARTBEATS = 3.6
 /** Time after a hand-over's deadline, in addition to the grace of late answers, after which it ends. */
 export const END_MARGIN = millis(200)
 /** Largest content of one message; encoded, it stays far below the largest frame. */
--- a/packages/duties/src/LeaseGossip.ts
+++ b/packages/duties/src/LeaseGossip.ts
@@ -1,7 +1,8 @@
 import type { Incarnation, InstanceId, Json } from '@papayahill/common'
+import { silentHeartbeats } from '@papayahill/peers'
 import type { GossipEntry, Peers } from '@papayahill/peers'
 import { rankCandidates } from './candidates.js'
-import { LEASE_KEY, MAX_CANDIDATE_SILENCE, TOLD_CANDIDATES } from './constants.js'
+import { LEASE_KEY, MAX_SILENT_HEARTBEATS, TOLD_CANDIDATES } from './constants.js'
 import { encodeDatedLease, parseDatedLease } from './leaseRecord.js'
 import type { DatedLease } from './leaseRecord.js'
 import type { LeaseView } from './LeaseView.js'
@@ -77,7 +78,7 @@
     const { self, peers, capacity = 1, view } = this.#options
     const last = view.seen?.record.holder
     const others = peers.members()
-      .filter(({ id, silence }) => id !== self && id !== last && silence < MAX_CANDIDATE_SILENCE)
+      .filter((member) => member.id !== self && member.id !== last && silentHeartbeats(member) < MAX_SILENT_HEARTBEATS)
       .map(({ id, capacity: theirs = 1 }) => ({ id, capacity: theirs }))
     return rankCandidates([{ id: self, capacity }, ...others]).map(({ id }) => id)
   }
--- a/packages/duties/src/constants.ts
+++ b/packages/duties/src/constants.ts
@@ -23,8 +23,8 @@
 export const START_WAIT = seconds(1)
 /** Longest time between two checks of a candidate, so that its rank follows the members. */
 export const CHECK_PERIOD = seconds(1)
-/** An instance whose link was silent for this long is no candidate. */
-export const MAX_CANDIDATE_SILENCE = millis(1300)
+/** An instance whose link was silent for this many heartbeats is no candidate. */
+export const MAX_SILENT_HEARTBEATS = 2.6
 /** Candidates come first if they have at least this share of the largest instance's capacity, where enough instances do. */
 export const MIN_CANDIDATE_CAPACITY = 0.5
 /** Minimum number of such instances; with fewer, all candidates are ranked alike. */
--- a/packages/peers/src/PeerCore.test.ts
+++ b/packages/peers/src/PeerCore.test.ts
@@ -118,6 +118,12 @@
       }
     })
 
+    it.each([[4, 500], [40, 1000]])('tells how often linked members send heartbeats, in a cluster of %i', async (size, period) => {
+      const cluster = await startCluster(size)
+      const linked = cluster.cores[0]!.members().filter(({ id }) => cluster.cores[0]!.isConnected(id))
+      expect([...new Set(linked.map(({ heartbeatPeriod }) => heartbeatPeriod))]).toEqual([period])
+    })
+
     it('keeps a bounded number of links in a large cluster, and knows all live members', async () => {
       const cluster = await startCluster(40)
       await cluster.clock.advance(seconds(20))
