--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -1,6 +1,6 @@
 import { bytes, millis } from '@papayahill/common'
 import type { Clock, DomainId, EndpointId, EventLog, Millis } from '@papayahill/common'
-import type { BatchProfile, DomainRule, Endpoint, EndpointDirectory, StageNode } from '@papayahill/directory'
+import type { DomainRule, Endpoint, EndpointDirectory, StageNode } from '@papayahill/directory'
 import { Result } from 'true-myth'
 import { chooseEndpoint, choosePreferredDomain, crossDomainDelay } from './BacklogTracker.js'
 import type { BacklogTracker } from './BacklogTracker.js'
@@ -9,7 +9,7 @@
 import { MAX_PIECE_LOSSES, MAX_PIECE_RETRIES, RESULT_TTL_SHARE } from './constants.js'
 import type { GroupLookup } from './endpointGroups.js'
 import { BATCHING_EVENTS } from './events.js'
-import { longestChain } from './longestChain.js'
+import { followingStageTime, fullCallTime, shortCallTime } from './stageTimes.js'
 import type { StageOrderRouter } from './StageOrderRouter.js'
 import type { GroupId, Piece, PieceFault, PieceOutcome, ProfileOf, StageOrder, StageResult } from './types.js'
 
@@ -352,31 +352,3 @@
     }
   }
 }
-
-/** Time of a call with the maximum number of pieces, as a busy endpoint has. */
-const fullCallTime = ({ callTime, size, pieceTime }: BatchProfile): number => callTime + size * pieceTime
-
-/** Time of a call with a single piece. */
-const shortCallTime = ({ callTime, pieceTime }: BatchProfile): number => callTime + pieceTime
-
-/** Time of the calls on the longest chain of stages after this one. */
-const followingStageTime = (
-  stages: readonly StageNode[], stage: StageNode, profileOf: ProfileOf, timeOf: (profile: BatchProfile) => number
-): number => {
-  const followersOf = ({ index }: StageNode): readonly StageNode[] => stages.filter((other) => other.after.includes(index))
-  const chainTime = longestChain(followersOf, ({ service }) => {
-    const profile = profileOf(service)
-    return profile === undefined ? 0 : timeOf(profile)
-  })
-  return Math.max(0, ...followersOf(stage).map(chainTime))
-}
-
-/** Time that a request's stages take at least, without any queueing. */
-export const leastStageTime = (stages: readonly StageNode[], counts: readonly number[], profileOf: ProfileOf): Millis => {
-  const chainTime = longestChain<StageNode>(({ after }) => after.map((index) => stages[index]!), ({ index, service }) => {
-    const count = counts[index] ?? 0
-    const profile = profileOf(service)
-    return count === 0 || profile === undefined ? 0 : profile.callTime + Math.min(count, profile.size) * profile.pieceTime
-  })
-  return millis(Math.max(0, ...stages.map(chainTime)))
-}
