--- a/packages/batching/src/ResultLedger.ts
+++ b/packages/batching/src/ResultLedger.ts
@@ -6,25 +6,31 @@
   readonly expiresAt: Millis
 }
 
-/** Results that one endpoint holds from this instance's calls. */
+/** Results that one endpoint holds from this instance's calls; asking for their size costs nothing for those that are kept. */
 export class ResultLedger {
+  /** In the order in which they were made, which is that in which they expire. */
   readonly #results = new Map<string, HeldResult>()
+  #used = 0
 
   add (handle: string, size: Bytes, now: Millis, ttl: Millis): void {
+    this.free(handle)
     this.#results.set(handle, { size, expiresAt: millis(now + ttl) })
+    this.#used += size
   }
 
   free (handle: string): void {
+    const result = this.#results.get(handle)
+    if (result === undefined) return
     this.#results.delete(handle)
+    this.#used -= result.size
   }
 
   /** Bytes held at `now`; drops expired results. */
   usedBytes (now: Millis): Bytes {
-    let used = 0
-    for (const [handle, { size, expiresAt }] of this.#results) {
-      if (expiresAt <= now) this.#results.delete(handle)
-      else used += size
+    for (const [handle, { expiresAt }] of this.#results) {
+      if (expiresAt > now) break
+      this.free(handle)
     }
-    return bytes(used)
+    return bytes(this.#used)
   }
 }
