--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -102,6 +102,20 @@
       expect([...new Set(calls.map(({ instance }) => instance))]).toEqual([id])
     })
 
+    // Guards against requests that are taken though their coordinators leave them no time.
+    it('makes those who order from it expect its lateness as a wait', async () => {
+      const harness = new StageHarness(3, endpointsOf('encode', 1))
+      await harness.start()
+      const { roster, context } = harness.instances[0]!
+      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
+      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      const orderer = (coordinator + 1) % 3
+      harness.slowDown(coordinator, millis(400))
+      void harness.serve(orderer, workFor(harness, 'first'))
+      await harness.clock.advance(millis(410))
+      expect(harness.instances[orderer]!.context.backlogs.backlog(brand('encode-0'))).toBeGreaterThan(390)
+    })
+
     // Guards against pieces that run twice, since an order was given to a second coordinator while the first one had it.
     it.each([3, 40])('has each piece run once, with %i instances', async (instances) => {
       const { calls } = await serveBySlow(instances)
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -143,7 +143,7 @@
   async #runLocally (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     this.#localOrders.add(order)
     const outcomes = await new Promise<readonly PieceOutcome[]>((resolve) => {
-      this.#recordBacklogs(this.#options.coordinator.accept(order, listener, resolve))
+      this.#recordBacklogs(this.#options.coordinator.accept(order, listener, resolve), millis(0))
     })
     this.#localOrders.delete(order)
     return outcomes
@@ -156,13 +156,14 @@
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
     if (offer.isRepeated) this.#recall(to, order)
+    const offeredAt = this.#options.clock.now()
     const accepted = await this.#offer(to, id, order)
     if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
       this.#openOrders.delete(id)
       this.#noteNotKept(offer, order, accepted)
       return failAllPieces(order.pieces, 'moved')
     }
-    this.#recordBacklogs(unpackBacklogs(accepted.value))
+    this.#recordBacklogs(unpackBacklogs(accepted.value), millis(this.#options.clock.now() - offeredAt))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
@@ -294,8 +295,9 @@
     for (const outcome of outcomes) if ('handle' in outcome) this.free(outcome.endpoint, [outcome.handle])
   }
 
-  #recordBacklogs (backlogs: readonly EndpointBacklog[]): void {
-    for (const { endpoint, backlog } of backlogs) this.#options.backlogs.record(endpoint, backlog)
+  /** An order waits for its coordinator first, then for the endpoint. */
+  #recordBacklogs (backlogs: readonly EndpointBacklog[], acceptTime: Millis): void {
+    for (const { endpoint, backlog } of backlogs) this.#options.backlogs.record(endpoint, millis(acceptTime + backlog))
   }
 
   #send (to: InstanceId, message: StageMessage): void {
