--- a/packages/batching/src/EndpointCalls.ts
+++ b/packages/batching/src/EndpointCalls.ts
@@ -6,7 +6,7 @@
 import {
   CALLS_PER_FREE, FREE_PERIOD, FULL_MEMORY_PAUSE, LOSS_EXPECTED_PERIOD, LOST_FACTOR, LOST_MARGIN, MAX_SLOWDOWN,
   OVERDUE_MARGIN, READ_BYTES_PER_MILLI, READ_DELAY, REFUSED_PAUSE, SLOWDOWN_HALF_LIFE, SLOWDOWN_WEIGHT, UNCONTENDED_FACTOR,
-  UNCONTENDED_MARGIN, USABLE_MEMORY_SHARE
+  UNCONTENDED_MARGIN, URGENT_FREE_PERIOD, URGENT_FREE_SHARE, USABLE_MEMORY_SHARE
 } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { ForeignResults } from './ForeignResults.js'
@@ -120,10 +120,12 @@
   /** Releases results; their memory counts as used until the endpoint has answered. */
   free (handles: readonly string[]): void {
     this.#pendingFrees.push(...handles)
-    const { clock, limits, profile } = this.#options
+    const { clock, limits } = this.#options
     const now = clock.now()
-    const limitedPeriod = Math.min(limits.spacing(this.endpoint) * CALLS_PER_FREE, (profile()?.resultTtl ?? 0) / 2)
-    const span = millis(Math.max(FREE_PERIOD, this.endpoint.backoffLeft(now), limitedPeriod))
+    const profile = this.#options.profile()
+    const limitedPeriod = Math.min(limits.spacing(this.endpoint) * CALLS_PER_FREE, (profile?.resultTtl ?? 0) / 2)
+    const isUrgent = this.#ownResults.usedBytes(now) > URGENT_FREE_SHARE * (profile?.resultCapacity ?? 0)
+    const span = millis(Math.max(isUrgent ? URGENT_FREE_PERIOD : FREE_PERIOD, this.endpoint.backoffLeft(now), limitedPeriod))
     this.#freeTimer ??= clock.after(span, () => { void this.#flushFrees() })
   }
 
--- a/packages/batching/src/GroupBatcher.test.ts
+++ b/packages/batching/src/GroupBatcher.test.ts
@@ -17,6 +17,7 @@
   next: BatchAnswer | undefined
   /** Milliseconds that a call waits at the endpoint before it runs. */
   delay = 0
+  freeCalls = 0
   readonly #clock: VirtualClock
 
   constructor (clock: VirtualClock) {
@@ -33,6 +34,7 @@
   }
 
   async free (_endpoint: Endpoint, handles: readonly string[]): Promise<void> {
+    this.freeCalls++
     await this.#clock.sleep(millis(5))
     this.freed.push(...handles)
   }
@@ -107,6 +109,20 @@
     expect(caller.batches).toEqual([['a'], ['b']])
   })
 
+  // Guards against a coordinator that spends more time on releasing results than on the calls that made them.
+  it('releases the results of several requests in one call while there is memory to spare', async () => {
+    const { clock, caller, calls, add, first } = createBatcher()
+    for (const request of ['a', 'b', 'c']) add(request)
+    await clock.advance(millis(500))
+    for (const request of ['a', 'b', 'c']) {
+      calls.get(first)!.free([`${request}/0`])
+      await clock.advance(millis(30))
+    }
+    await clock.advance(millis(100))
+    expect(caller.freed).toEqual(['a/0', 'b/0', 'c/0'])
+    expect(caller.freeCalls).toBe(1)
+  })
+
   it('sends a refused batch again and fails none of its pieces', async () => {
     const { clock, caller, outcomes, add } = createBatcher()
     caller.next = { kind: 'refused', detail: 'full' }
