--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -53,7 +53,7 @@
 /** Delay added to a domain's cost for each stage that has no endpoint there. */
 export const MISSING_STAGE_PENALTY = millis(150)
 /** Endpoints of a service in one group: few groups need few links, and still share the work between instances. */
-export const ENDPOINTS_PER_GROUP = 16
+export const ENDPOINTS_PER_GROUP = 8
 /** Coordinators have at least this share of the largest instance's capacity, where enough instances do. */
 export const MIN_COORDINATOR_CAPACITY = 0.5
 /** Minimum number of such instances; with fewer, all instances can coordinate. */
--- a/packages/batching/src/endpointGroups.test.ts
+++ b/packages/batching/src/endpointGroups.test.ts
@@ -1,5 +1,7 @@
-import { bytes, exponential, millis, seconds, SeededRandom } from '@papayahill/common'
+import { brand, bytes, exponential, millis, seconds, SeededRandom } from '@papayahill/common'
+import type { EndpointId, ServiceId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
+import { groupOf } from './endpointGroups.js'
 import { TEST_PROFILE } from './testing/stageEndpoint.js'
 import { chainOf, endpointsOf, StageHarness, workOf } from './testing/StageHarness.js'
 
@@ -16,6 +18,13 @@
   (TEST_PROFILE.callTime + TEST_PROFILE.size * TEST_PROFILE.pieceTime) / Math.max(...COUNTS)
 
 describe('groups of endpoints', () => {
+  // Guards against one instance that all pieces of a service pass through.
+  it.each([[4, 1], [8, 1], [13, 2], [40, 5]])('share the %i endpoints of a service among %i groups', (endpoints, groups) => {
+    const ids = endpointsOf('cut', endpoints).map(([, id]) => id)
+    const found = new Set(ids.map((id) => groupOf(brand<ServiceId>('cut'), brand<EndpointId>(id), endpoints)))
+    expect(found.size).toBe(groups)
+  })
+
   describe('100 instances that each send few requests', () => {
     it('keep all endpoints busy: at 0.85 of their capacity nearly all requests meet their target', { timeout: 60_000 }, async () => {
       const endpoints = SERVICES.flatMap((service) => endpointsOf(service, ENDPOINTS_PER_SERVICE))
