--- a/packages/peers/src/LinkTable.ts
+++ b/packages/peers/src/LinkTable.ts
@@ -4,6 +4,7 @@
 import { FORGET_PEER_AFTER, IDLE_LINK_TIMEOUT, LINK_SETTLE_TIME, MAX_KNOWN_PEERS, MAX_REDIAL_DELAY, MIN_REDIAL_DELAY, UNREACHABLE_AFTER } from './constants.js'
 import { OpenLink } from './OpenLink.js'
 import { isFullMesh, planLinks } from './PartialView.js'
+import type { ReadWatch } from './ReadWatch.js'
 import type { TrafficMeter } from './TrafficMeter.js'
 import type { Link, PeerAddress, Transport } from './transport.js'
 import type { LinkCloseReason } from './types.js'
@@ -25,6 +26,7 @@
   readonly random: Random
   readonly transport: Transport
   readonly meter: TrafficMeter
+  readonly reads: Pick<ReadWatch, 'readUntil'>
   readonly onOpen: (link: OpenLink) => void
   readonly onClose: (link: OpenLink, reason: LinkCloseReason) => void
   readonly onFrame: (link: OpenLink, frame: Parameters<Parameters<OpenLink['onFrame']>[0]>[0]) => void
@@ -140,11 +142,11 @@
 
   /** Adds a new link in place of a less preferred one to the same peer; otherwise closes it. */
   add (link: Link, isTemporary: boolean): void {
-    const { self, clock, meter, onOpen, onFrame } = this.#options
+    const { self, clock, meter, reads, onOpen, onFrame } = this.#options
     const { id } = link.peer
     const existing = this.#links.get(id)
     if (id === self || this.#isClosed || (existing !== undefined && !this.#isPreferred(link, existing))) return link.close()
-    const opened = new OpenLink({ clock, meter, link, isTemporary: isTemporary && existing?.isTemporary !== false })
+    const opened = new OpenLink({ clock, meter, reads, link, isTemporary: isTemporary && existing?.isTemporary !== false })
     this.#links.set(id, opened)
     this.addAddress(id, link.peer.address)
     if (existing !== undefined) this.#closeReasons.set(existing, 'replaced')
--- a/packages/peers/src/OpenLink.ts
+++ b/packages/peers/src/OpenLink.ts
@@ -3,6 +3,7 @@
 import { IDLE_LINK_TIMEOUT } from './constants.js'
 import { topicOf } from './frames.js'
 import type { Frame } from './frames.js'
+import type { ReadWatch } from './ReadWatch.js'
 import type { TrafficMeter } from './TrafficMeter.js'
 import type { Link, PeerIdentity } from './transport.js'
 
@@ -10,6 +11,7 @@
   readonly clock: Clock
   readonly meter: TrafficMeter
   readonly link: Link
+  readonly reads: Pick<ReadWatch, 'readUntil'>
   /** Opened for messages only: it carries no gossip and is closed when idle. */
   readonly isTemporary: boolean
 }
@@ -38,8 +40,9 @@
     return millis(this.#options.clock.now() - this.#openedAt)
   }
 
+  /** Time for which nothing has come, as far as this process has read. */
   get silence (): Millis {
-    return millis(this.#options.clock.now() - this.#receivedAt)
+    return millis(Math.max(0, this.#options.reads.readUntil - this.#receivedAt))
   }
 
   /** Time since the last message, in either direction, or since the link was opened. */
--- a/packages/peers/src/PeerCore.ts
+++ b/packages/peers/src/PeerCore.ts
@@ -2,8 +2,8 @@
 import type { Clock, DomainId, EventLog, Incarnation, InstanceId, Json, Millis, Random, Timer } from '@papayahill/common'
 import { Result } from 'true-myth'
 import {
-  COMPARE_PERIOD, GOSSIP_PERIOD, HEARTBEAT_PERIOD, HEARTBEAT_TIMEOUT, LINK_PERIOD, LIST_PERIOD, MEMBERS_CACHE_TTL, SPARSE_HEARTBEAT_PERIOD,
-  SPARSE_HEARTBEAT_TIMEOUT
+  COMPARE_PERIOD, GOSSIP_PERIOD, HEARTBEAT_PERIOD, HEARTBEAT_TIMEOUT, LINK_PERIOD, LIST_PERIOD, MEMBERS_CACHE_TTL, READ_PERIOD,
+  SPARSE_HEARTBEAT_PERIOD, SPARSE_HEARTBEAT_TIMEOUT
 } from './constants.js'
 import { PEERS_EVENTS } from './events.js'
 import type { Frame } from './frames.js'
@@ -13,6 +13,7 @@
 import { MemberTable, readMember } from './MemberTable.js'
 import type { OpenLink } from './OpenLink.js'
 import { PendingAsks } from './PendingAsks.js'
+import { ReadWatch } from './ReadWatch.js'
 import { TrafficMeter } from './TrafficMeter.js'
 import type { PeerAddress, PeerList, Transport } from './transport.js'
 import type { GossipEntry, LinkCloseReason, PeerError, PeerHandler, PeerMember, Peers, Topic, TopicTraffic } from './types.js'
@@ -45,6 +46,7 @@
   readonly #options: PeerCoreOptions
   readonly #log: EventLog
   readonly #meter = new TrafficMeter()
+  readonly #reads: ReadWatch
   readonly #store: GossipStore
   readonly #spreader: GossipSpreader
   readonly #links: LinkTable
@@ -69,12 +71,14 @@
     this.#options = options
     this.#log = options.log ?? SILENT_LOG
     this.#store = new GossipStore({ self, incarnation, clock })
+    this.#reads = new ReadWatch(clock)
     this.#links = new LinkTable({
       self,
       clock,
       random,
       transport,
       meter: this.#meter,
+      reads: this.#reads,
       onOpen: (link) => this.#handleOpen(link),
       onClose: (link, reason) => this.#handleClose(link, reason),
       onFrame: (link, frame) => this.#receiveGuarded(link, frame)
@@ -126,6 +130,7 @@
     const { clock, random } = this.#options
     await this.#readList()
     this.#links.tick()
+    this.#repeat(READ_PERIOD, () => this.#reads.tick())
     this.#repeat(LIST_PERIOD, () => { void this.#readList() })
     this.#repeat(LINK_PERIOD, () => this.#checkLinks())
     this.#repeat(GOSSIP_PERIOD, () => this.#spreader.flush())
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -4,6 +4,8 @@
 export const GOSSIP_RETENTION = seconds(3600)
 /** Interval between heartbeats on each link. */
 export const HEARTBEAT_PERIOD = millis(500)
+/** Interval at which an instance notes that it has read what had arrived. */
+export const READ_PERIOD = millis(100)
 /** Silence after which a peer is considered lost. */
 export const HEARTBEAT_TIMEOUT = seconds(2)
 /** Largest cluster, in instances, in which every instance keeps a link to every other. */
--- a/packages/peers/src/failedDial.test.ts
+++ b/packages/peers/src/failedDial.test.ts
@@ -1,4 +1,4 @@
-import { brand, SeededRandom, SILENT_LOG, SystemClock } from '@papayahill/common'
+import { brand, millis, SeededRandom, SILENT_LOG, SystemClock } from '@papayahill/common'
 import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
 import { afterEach, describe, expect, it } from 'vitest'
 import { LinkTable } from './LinkTable.js'
@@ -20,6 +20,7 @@
       random: new SeededRandom(1),
       transport,
       meter: new TrafficMeter(),
+      reads: { readUntil: millis(0) },
       onOpen: () => {},
       onClose: () => {},
       onFrame: () => {}
