--- a/packages/batching/src/ResultLedger.ts
+++ b/packages/batching/src/ResultLedger.ts
@@ -6,7 +6,7 @@
   readonly expiresAt: Millis
 }
 
-/** Results that one endpoint holds from this instance's calls; asking for their size costs nothing for those that are kept. */
+/** Results that one endpoint holds from this instance's calls, and the sum of their sizes. */
 export class ResultLedger {
   /** In the order in which they were made, which is that in which they expire. */
   readonly #results = new Map<string, HeldResult>()
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -1,5 +1,5 @@
 import { brand, millis, seconds, SILENT_LOG, VirtualClock } from '@papayahill/common'
-import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
+import type { DomainId, Incarnation, InstanceId, Millis } from '@papayahill/common'
 import type { PeerHandler, PeerMember, Peers } from '@papayahill/peers'
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
@@ -144,20 +144,23 @@
     })
   })
 
-  describe('an order whose coordinator falls silent', () => {
-    // Guards against pieces that a coordinator runs when it wakes up, though another one has run them meanwhile.
-    it.each(['before it accepts', 'after it has accepted'] as const)('is recalled from it, %s', async (when) => {
+  describe('a recall', () => {
+    type Ask = (body: { readonly id: string }) => Promise<unknown>
+
+    /** A router that orders from one other instance, whose answers and silence the test sets. */
+    const startRouter = (ask: Ask, silenceOf: (clock: VirtualClock) => Millis = () => millis(0)) => {
       const clock = new VirtualClock()
       const member = { id: brand<InstanceId>('b'), incarnation: brand<Incarnation>('b@1'), domain: brand<DomainId>('d1') }
       const sent: unknown[] = []
+      const handlers: PeerHandler[] = []
       const peers = {
         self: brand<InstanceId>('a'),
         incarnation: brand<Incarnation>('a@1'),
-        members: () => [{ ...member, silence: clock.now() }],
+        members: () => [{ ...member, silence: silenceOf(clock) }],
         isConnected: () => true,
-        handle: () => {},
-        send: (to: InstanceId, _topic: string, message: unknown) => { sent.push([to, message]) },
-        ask: () => when === 'before it accepts' ? new Promise(() => {}) : Promise.resolve(Result.ok({}))
+        handle: (_topic: string, handler: PeerHandler) => { handlers.push(handler) },
+        send: (_to: InstanceId, _topic: string, message: unknown) => { sent.push(message) },
+        ask: (_to: InstanceId, _topic: string, body: { readonly id: string }) => ask(body)
       } as unknown as Peers
       const coordinator = { accept: () => [] } as unknown as BatchCoordinator
       const roster = new CoordinatorRoster(clock, peers)
@@ -166,9 +169,41 @@
       const router = new StageOrderRouter(options)
       const names = Array.from({ length: 20 }, (_none, at) => brand<GroupId>(`encode/${at}`))
       const group = names.find((each) => roster.coordinatorOf(each) === member.id)!
-      void router.run({ group, places: [], pieces: [stagePiece('r', { deadline: millis(60_000) })] }, { onInputsRead: () => {} })
+      const order = { group, places: [], pieces: [stagePiece('r', { deadline: millis(60_000) })] }
+      void router.run(order, { onInputsRead: () => {} })
+      return { clock, sent, recall: { kind: 'recall', group, request: 'r' }, receive: handlers[0]!, member }
+    }
+
+    // Guards against pieces that a coordinator runs when it wakes up, though another one has run them meanwhile.
+    it.each(['before it accepts', 'after it has accepted'] as const)('is sent to a coordinator that falls silent %s', async (when) => {
+      const ask: Ask = () => when === 'before it accepts' ? new Promise(() => {}) : Promise.resolve(Result.ok({}))
+      const { clock, sent, recall } = startRouter(ask, (each) => each.now())
       await clock.advance(seconds(2))
-      expect(sent).toEqual([['b', { kind: 'recall', group, request: 'r' }]])
+      expect(sent).toEqual([recall])
+    })
+
+    it('comes before an order that is given once more, since its link was closed', async () => {
+      let asked = 0
+      const ask: Ask = async () => ++asked === 1 ? Result.err({ kind: 'unreachable', detail: 'the link was closed' }) : Result.ok({})
+      const { clock, sent, recall } = startRouter(ask)
+      await clock.advance(millis(200))
+      expect(asked).toBe(2)
+      expect(sent).toEqual([recall])
+    })
+
+    // Guards against two orders of one request that recall each other without end.
+    it('is not sent for pieces that the coordinator has given back itself', async () => {
+      const ids: string[] = []
+      const ask: Ask = async ({ id }) => {
+        ids.push(id)
+        return Result.ok({})
+      }
+      const { clock, sent, receive, member } = startRouter(ask)
+      await clock.advance(millis(10))
+      await receive(member.id, { kind: 'done', id: ids[0]!, endpoints: [], outcomes: [[5, -1]] }, member.incarnation)
+      await clock.advance(millis(200))
+      expect(ids.length).toBe(2)
+      expect(sent).toEqual([])
     })
   })
 
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -31,8 +31,8 @@
 /** One try to have an order accepted. */
 interface Offer {
   readonly to: InstanceId
-  /** Whether the instance may have accepted the order before, unheard. */
-  readonly isRepeated: boolean
+  /** Instances that may have accepted the order, though no answer of theirs has come. */
+  readonly unheard: Set<InstanceId>
 }
 
 interface OpenOrder {
@@ -68,14 +68,14 @@
     const { clock, roster } = this.#options
     const outcomes = new Map<Piece, PieceOutcome>()
     const notBefore = new Map<InstanceId, Millis>()
+    const unheard = new Set<InstanceId>()
     for (let left = order.pieces; left.length > 0; left = left.filter((piece) => isMoved(outcomes.get(piece)))) {
       const wait = (notBefore.get(roster.coordinatorOf(order.group)) ?? 0) - clock.now()
       if (wait > 0) await clock.sleep(millis(wait))
       const to = roster.coordinatorOf(order.group)
       const isLate = notBefore.size > 0 && left[0]!.deadline <= clock.now()
-      const isRepeated = notBefore.has(to)
       notBefore.set(to, millis(clock.now() + REORDER_PERIOD))
-      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce({ to, isRepeated }, { ...order, pieces: left }, listener)
+      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce({ to, unheard }, { ...order, pieces: left }, listener)
       left.forEach((piece, at) => outcomes.set(piece, found[at] ?? { fault: 'failed', endpoint: undefined }))
     }
     return order.pieces.map((piece) => outcomes.get(piece)!)
@@ -150,12 +150,12 @@
   }
 
   async #runRemotely (offer: Offer, order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
-    const { to } = offer
+    const { to, unheard } = offer
     const id = this.#nextId()
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
-    if (offer.isRepeated) this.#recall(to, order)
+    if (unheard.has(to)) this.#recall(to, order)
     const offeredAt = this.#options.clock.now()
     const accepted = await this.#offer(to, id, order)
     if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
@@ -163,6 +163,7 @@
       this.#noteNotKept(offer, order, accepted)
       return failAllPieces(order.pieces, 'moved')
     }
+    unheard.delete(to)
     this.#recordBacklogs(unpackBacklogs(accepted.value), millis(this.#options.clock.now() - offeredAt))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
@@ -199,10 +200,11 @@
    * Excludes an instance that has not accepted an order, for as long as the cause may last. A link may be closed while the
    * instance is well, so it is suspected only if the order cannot be given to it once more.
    */
-  #noteNotKept ({ to, isRepeated }: Offer, order: StageOrder, answer: Result<Json, PeerError>): void {
+  #noteNotKept ({ to, unheard }: Offer, order: StageOrder, answer: Result<Json, PeerError>): void {
     const { roster } = this.#options
     if (answer.isErr) {
-      if (isRepeated || answer.error.kind === 'timeout') this.#suspect(to, order, answer.error)
+      if (unheard.has(to) || answer.error.kind === 'timeout') this.#suspect(to, order, answer.error)
+      unheard.add(to)
       return
     }
     const incarnation = roster.incarnationOf(to)
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -31,9 +31,9 @@
 export const FULL_MEMORY_PAUSE = millis(80)
 /** Share of an endpoint's memory that is used, since declared result sizes are approximate. */
 export const USABLE_MEMORY_SHARE = 0.95
-/** Released results are collected for this long and sent to their endpoint in one call, */
+/** Released results are collected for this long and sent to their endpoint in one call. */
 export const FREE_PERIOD = millis(100)
-/** or for this long from a share of its memory in use, since others wait for it. */
+/** The same where more than a share of the endpoint's memory is in use. */
 export const URGENT_FREE_PERIOD = millis(10)
 export const URGENT_FREE_SHARE = 0.5
 /** At an endpoint with a limit of requests, results are released once in the time of this many requests. */
