Tests of stage orders find the coordinator in one place

Five tests looked up the coordinator of a group by the same lines. No assertion and no production code changes; batching's 105 tests pass before and after.

--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -15,13 +15,18 @@
 const PIECES = 6
 const STAGES = chainOf(1, 'encode')
 
+/** The instance that coordinates the service's endpoints, with its index. */
+const coordinatorIn = ({ instances }: StageHarness): { readonly coordinator: number, readonly id: InstanceId } => {
+  const { roster, context } = instances[0]!
+  const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
+  return { id, coordinator: instances.findIndex(({ identity }) => identity.id === id) }
+}
+
 /** Two instances, one of which coordinates the only stage endpoint and the other one orders from it. */
 const startPair = async (): Promise<{ readonly harness: StageHarness, readonly coordinator: number, readonly orderer: number }> => {
   const harness = new StageHarness(2, endpointsOf('encode', 1))
   await harness.start()
-  const { roster, context } = harness.instances[0]!
-  const group = context.groups.groupOf(brand('encode-0'))!
-  const coordinator = harness.instances.findIndex(({ identity }) => identity.id === roster.coordinatorOf(group))
+  const { coordinator } = coordinatorIn(harness)
   return { harness, coordinator, orderer: 1 - coordinator }
 }
 
@@ -48,9 +53,7 @@
     it.each([3, 60])('is replaced while it reaches none, with %i instances', async (instances) => {
       const harness = new StageHarness(instances, endpointsOf('encode', 4))
       await harness.start()
-      const { roster, context } = harness.instances[0]!
-      const group = context.groups.groupOf(brand('encode-0'))!
-      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === roster.coordinatorOf(group))
+      const { coordinator } = coordinatorIn(harness)
       harness.cut(coordinator)
       await servedByOthers(harness, coordinator, 2000)
       expect(await servedByOthers(harness, coordinator, 4000)).toBe(1)
@@ -88,9 +91,7 @@
       const harness = new StageHarness(instances, endpointsOf('encode', 4))
       await harness.start()
       await harness.clock.advance(seconds(10))
-      const { roster, context } = harness.instances[0]!
-      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
-      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      const { coordinator, id } = coordinatorIn(harness)
       harness.slowDown(coordinator, millis(400))
       return { calls: harness.endpoints.calls, id, served: await servedByOthers(harness, coordinator, 6000) }
     }
@@ -106,9 +107,7 @@
     it('makes those who order from it expect its lateness as a wait', async () => {
       const harness = new StageHarness(3, endpointsOf('encode', 1))
       await harness.start()
-      const { roster, context } = harness.instances[0]!
-      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
-      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      const { coordinator } = coordinatorIn(harness)
       const orderer = (coordinator + 1) % 3
       harness.slowDown(coordinator, millis(400))
       void harness.serve(orderer, workFor(harness, 'first'))
@@ -129,9 +128,7 @@
       const harness = new StageHarness(instances, endpointsOf('encode', 4))
       await harness.start()
       await harness.clock.advance(seconds(10))
-      const { roster, context } = harness.instances[0]!
-      const id = roster.coordinatorOf(context.groups.groupOf(brand('encode-0'))!)
-      const coordinator = harness.instances.findIndex(({ identity }) => identity.id === id)
+      const { coordinator } = coordinatorIn(harness)
       await servedByOthers(harness, coordinator, 2000)
       const others = harness.instances.map((_instance, at) => at).filter((at) => at !== coordinator)
       const { identity: silent } = harness.instances[coordinator]!
