--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -6,6 +6,7 @@
 import { BacklogTracker } from './BacklogTracker.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
 import { CoordinatorRoster } from './CoordinatorRoster.js'
+import { CoordinatorWaits } from './CoordinatorWaits.js'
 import { StageOrderRouter } from './StageOrderRouter.js'
 import type { StageOrderRouterOptions } from './StageOrderRouter.js'
 import { stagePiece } from './testing/stageEndpoint.js'
@@ -162,7 +163,9 @@
       const coordinator = { accept: () => [] } as unknown as BatchCoordinator
       const roster = new CoordinatorRoster(clock, peers)
       const groups = { groupOf: () => undefined }
-      const options = { clock, log: SILENT_LOG, peers, coordinator, roster, groups, backlogs: new BacklogTracker(clock) }
+      const backlogs = new BacklogTracker(clock)
+      const waits = new CoordinatorWaits(clock)
+      const options = { clock, log: SILENT_LOG, peers, coordinator, roster, groups, backlogs, waits }
       const router = new StageOrderRouter(options)
       const names = Array.from({ length: 20 }, (_none, at) => brand<GroupId>(`encode/${at}`))
       const group = names.find((each) => roster.coordinatorOf(each) === member.id)!
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -3,11 +3,12 @@
 import type { PeerError, Peers } from '@papayahill/peers'
 import { Result } from 'true-myth'
 import type { BacklogTracker } from './BacklogTracker.js'
-import { MAX_ACCEPT_SILENCE, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
+import { LOGGED_ACCEPT_WAIT, MAX_ACCEPT_SILENCE, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { AcceptedOrders } from './AcceptedOrders.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
 import type { CoordinatorRoster } from './CoordinatorRoster.js'
+import type { CoordinatorWaits, OfferedOrder } from './CoordinatorWaits.js'
 import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
 import type { GroupLookup } from './endpointGroups.js'
@@ -21,6 +22,7 @@
   readonly roster: CoordinatorRoster
   readonly groups: GroupLookup
   readonly backlogs: BacklogTracker
+  readonly waits: CoordinatorWaits
 }
 
 /** Answer to an order from an instance that missed the message that this one stops, as after its own restart. */
@@ -156,18 +158,29 @@
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
     if (unheard.has(to)) this.#recall(to, order)
-    const offeredAt = this.#options.clock.now()
+    const offered = this.#options.waits.begin(to)
     const accepted = await this.#offer(to, id, order)
+    this.#options.waits.end(offered)
     if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
       this.#openOrders.delete(id)
       this.#noteNotKept(offer, order, accepted)
       return failAllPieces(order.pieces, 'moved')
     }
     unheard.delete(to)
-    this.#recordBacklogs(unpackBacklogs(accepted.value), millis(this.#options.clock.now() - offeredAt))
+    this.#recordBacklogs(unpackBacklogs(accepted.value), this.#noteAccepted(offered, order))
     return await this.#awaitOutcomes(id, to, ended, order)
   }
 
+  /** The time that it took to have an order accepted. */
+  #noteAccepted (offered: OfferedOrder, order: StageOrder): Millis {
+    const { waits, log } = this.#options
+    const waitMs = waits.accepted(offered)
+    const { request, stage } = order.pieces[0]!
+    const fields = { request, stage, group: order.group, gatherer: offered.to, waitMs }
+    if (waitMs >= LOGGED_ACCEPT_WAIT) log.emit(BATCHING_EVENTS.orderAcceptedLate, fields)
+    return waitMs
+  }
+
   /**
    * Offers an order to an instance and waits for as long as that sends anything: a slow one accepts it, too, and the pieces
    * would run twice if another one got them.
--- a/packages/batching/src/constants.ts
+++ b/packages/batching/src/constants.ts
@@ -72,6 +72,10 @@
 export const SLOWDOWN_HALF_LIFE = millis(1500)
 /** Upper bound of an endpoint's slowdown, as a multiple of the forecast. */
 export const MAX_SLOWDOWN = 12
+/** Time for which the wait of the latest order that a coordinator has accepted is expected of the next one. */
+export const ACCEPT_WAIT_TTL = millis(1000)
+/** Time to accept an order from which it is logged. */
+export const LOGGED_ACCEPT_WAIT = millis(500)
 /** Period of the check whether the instance that accepted an order is still reachable. */
 export const PRESENCE_CHECK_PERIOD = millis(200)
 /** Calls that a piece may be lost with before its request fails. */
--- a/packages/batching/src/events.ts
+++ b/packages/batching/src/events.ts
@@ -10,5 +10,6 @@
   piecesDropped: { number: 1706, level: 'info', text: 'Pieces were dropped, since their request can no longer be answered in time.' },
   stagesAgain: { number: 1708, level: 'info', text: 'A request\'s stages are run again, since inputs were gone before they were read.' },
   ordersOrphaned: { number: 1709, level: 'info', text: 'An instance whose orders run here has ended; what is queued for it is dropped.' },
+  orderAcceptedLate: { number: 1710, level: 'info', text: 'An order waited long until its coordinator had read and accepted it.' },
   piecesFaulty: { number: 1707, level: 'info', text: 'A stage endpoint returned no result for some pieces of a batch.' }
 })
--- a/packages/batching/src/loops.test.ts
+++ b/packages/batching/src/loops.test.ts
@@ -8,6 +8,7 @@
 import { BacklogTracker } from './BacklogTracker.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
 import { CoordinatorRoster } from './CoordinatorRoster.js'
+import { CoordinatorWaits } from './CoordinatorWaits.js'
 import { EndpointCalls } from './EndpointCalls.js'
 import { GroupBatcher } from './GroupBatcher.js'
 import { planBatches } from './planBatches.js'
@@ -119,7 +120,14 @@
         const roster = new CoordinatorRoster(clock, peers, 1, reach)
         if (isLeaving) roster.leave()
         const router = new StageOrderRouter({
-          clock, log: SILENT_LOG, peers, coordinator, roster, groups: { groupOf: () => undefined }, backlogs: new BacklogTracker(clock)
+          clock,
+          log: SILENT_LOG,
+          peers,
+          coordinator,
+          roster,
+          groups: { groupOf: () => undefined },
+          backlogs: new BacklogTracker(clock),
+          waits: new CoordinatorWaits(clock)
         })
         void router.run({ group: brand<GroupId>('encode/0'), places: [], pieces: PIECES }, { onInputsRead: () => {} }).catch(() => {})
         await clock.advance(millis(1000))
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -12,6 +12,7 @@
 import { groupsIn } from '../endpointGroups.js'
 import { BatchCoordinator } from '../BatchCoordinator.js'
 import { CoordinatorRoster } from '../CoordinatorRoster.js'
+import { CoordinatorWaits } from '../CoordinatorWaits.js'
 import { StageGraphRun } from '../StageGraphRun.js'
 import type { StageFailure, StageWork } from '../StageGraphRun.js'
 import { StageOrderRouter } from '../StageOrderRouter.js'
@@ -310,7 +311,8 @@
       coordinator,
       roster,
       groups,
-      backlogs
+      backlogs,
+      waits: new CoordinatorWaits(clock)
     })
     const context = { clock, log: SILENT_LOG, directory, backlogs, router, groups, profileOf, takeRetry: () => true }
     return { identity, peers, coordinator, roster, router, context }
