--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -231,6 +231,11 @@
     this.network.slowDown(this.instances[at]!.identity, readDelay)
   }
 
+  /** Each message takes an instance processor time, so that it falls behind when it gets many. */
+  limitProcessor (at: number, messageCost: Millis): void {
+    this.network.limitProcessor(this.instances[at]!.identity, messageCost)
+  }
+
   kill (at: number): void {
     this.network.kill(this.instances[at]!.identity)
     this.endpoints.endCaller(this.instances[at]!.identity.incarnation)
--- a/packages/peers/src/MemoryNetwork.ts
+++ b/packages/peers/src/MemoryNetwork.ts
@@ -23,6 +23,9 @@
   readonly #partitions = new Set<string>()
   readonly #killed = new Set<string>()
   readonly #readDelays = new Map<InstanceId, Millis>()
+  /** Processor time that each frame takes its receiver, and until when its processor is busy. */
+  readonly #frameCosts = new Map<InstanceId, Millis>()
+  readonly #busyUntil = new Map<InstanceId, Millis>()
 
   constructor (clock: Clock) {
     this.clock = clock
@@ -66,9 +69,20 @@
     this.#readDelays.set(id, readDelay)
   }
 
-  /** Time from sending a frame until its receiver reads it. */
+  /** Each frame takes an instance processor time: it reads them one after the other, later the more there are. */
+  limitProcessor ({ id }: PeerIdentity, frameCost: Millis): void {
+    this.#frameCosts.set(id, frameCost)
+  }
+
+  /** Time from sending a frame until its receiver has read it. */
   timeToRead ({ id }: PeerIdentity): Millis {
-    return millis(this.delay + (this.#readDelays.get(id) ?? 0))
+    const now = this.clock.now()
+    const arrivesAt = now + this.delay + (this.#readDelays.get(id) ?? 0)
+    const frameCost = this.#frameCosts.get(id) ?? 0
+    if (frameCost === 0) return millis(arrivesAt - now)
+    const readAt = millis(Math.max(arrivesAt, this.#busyUntil.get(id) ?? 0) + frameCost)
+    this.#busyUntil.set(id, readAt)
+    return millis(readAt - now)
   }
 
   isPartitioned (left: PeerIdentity, right: PeerIdentity): boolean {
