--- a/packages/batching/src/CoordinatorRoster.test.ts
+++ b/packages/batching/src/CoordinatorRoster.test.ts
@@ -3,6 +3,7 @@
 import type { PeerMember } from '@papayahill/peers'
 import { describe, expect, it } from 'vitest'
 import { CoordinatorRoster } from './CoordinatorRoster.js'
+import type { GroupId } from './types.js'
 
 const idOf = (name: string): InstanceId => brand<InstanceId>(name)
 
@@ -11,7 +12,7 @@
 })
 
 const rosterOf = (self: string, members: readonly PeerMember[], clock = new VirtualClock()): CoordinatorRoster =>
-  new CoordinatorRoster(clock, { self: idOf(self), members: () => [...members] })
+  new CoordinatorRoster({ clock, peers: { self: idOf(self), members: () => [...members] } })
 
 const ENDPOINTS = Array.from({ length: 30 }, (_none, at) => brand<EndpointId>(`e${at}`))
 const coordinatorsOf = (roster: CoordinatorRoster): readonly InstanceId[] => ENDPOINTS.map((endpoint) => roster.coordinatorOf(endpoint))
@@ -76,12 +77,39 @@
     const weak = ['e', 'f', 'g', 'h', 'i'].map((name) => ({ ...memberOf(name), capacity: 0.3 }))
     const self = brand<InstanceId>('z')
     const clock = new VirtualClock()
-    const roster = (members: readonly PeerMember[]) => new CoordinatorRoster(clock, { self, members: () => [...members] }, 0.3)
+    const roster = (members: readonly PeerMember[]) =>
+      new CoordinatorRoster({ clock, peers: { self, members: () => [...members] }, capacity: 0.3 })
     const names = strong.map(({ id }) => id)
     expect(coordinatorsOf(roster([...strong, ...weak])).every((id) => names.includes(id))).toBe(true)
     expect(coordinatorsOf(roster([...strong.slice(1), ...weak])).some((id) => !names.includes(id))).toBe(true)
   })
 
+  describe('groups that are shared out', () => {
+    const GROUPS = Array.from({ length: 7 }, (_none, at) => brand<GroupId>(`encode/${at}`))
+    const members = Array.from({ length: 9 }, (_none, at) => memberOf(`m${at}`))
+
+    const startRoster = (): CoordinatorRoster =>
+      new CoordinatorRoster({ clock: new VirtualClock(), peers: { self: idOf('a'), members: () => members }, groups: () => GROUPS })
+    const chosenBy = (roster: CoordinatorRoster): readonly InstanceId[] => GROUPS.map((group) => roster.coordinatorOf(group))
+
+    it('leave no instance with a second group while another one has none', () => {
+      expect(new Set(chosenBy(startRoster())).size).toBe(GROUPS.length)
+    })
+
+    // Guards against instances that disagree about all groups because one of them suspects one coordinator.
+    it.each(['suspects', 'knows to be leaving'] as const)('move only from the instance that another one %s, to one that has none', (cause) => {
+      const before = chosenBy(startRoster())
+      const excluded = members.find(({ id }) => id === before.find((each) => each !== idOf('a')))!
+      const roster = startRoster()
+      if (cause === 'suspects') roster.suspect(excluded.id)
+      else roster.markLeaving(excluded.incarnation)
+      const after = chosenBy(roster)
+      before.forEach((id, at) => { if (id !== excluded.id) expect(after[at]).toBe(id) })
+      expect(new Set(after).size).toBe(GROUPS.length)
+      expect(after).not.toContain(excluded.id)
+    })
+  })
+
   describe('instances that do not reach the endpoints of a service', () => {
     const SERVICE = 'encode'
     const GROUPS = Array.from({ length: 30 }, (_none, at) => `${SERVICE}/${at}`)
@@ -94,7 +122,7 @@
         reaches: (service: ServiceId) => isReachedBy(idOf('a'), service),
         isReachedBy
       }
-      return new CoordinatorRoster(clock, { self: idOf('a'), members: () => members }, 1, reach)
+      return new CoordinatorRoster({ clock, peers: { self: idOf('a'), members: () => members }, reach })
     }
     const chosenBy = (roster: CoordinatorRoster, groups = GROUPS): ReadonlySet<string> =>
       new Set(groups.map((group) => roster.coordinatorOf(group)))
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -5,7 +5,8 @@
 import type { Reach } from '@papayahill/reach'
 import { MAX_LEAVING_INCARNATIONS, MAX_SILENT_HEARTBEATS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
 import { serviceOf } from './endpointGroups.js'
-import type { OrderSender } from './types.js'
+import { GroupShares } from './GroupShares.js'
+import type { GroupId, OrderSender } from './types.js'
 
 /** Which instances reach the endpoints of a service, as far as they have told; `version` changes with the answers. */
 export interface RosterReach extends Pick<Reach, 'reaches' | 'isReachedBy'> {
@@ -35,10 +36,22 @@
 
 const CAPABLE = { share: MIN_COORDINATOR_CAPACITY, least: MIN_COORDINATORS }
 
+export interface CoordinatorRosterOptions {
+  readonly clock: Clock
+  readonly peers: Pick<Peers, 'self' | 'members'>
+  /** Capacity of this instance, in cores. */
+  readonly capacity?: number
+  /** All instances reach all endpoints if absent. */
+  readonly reach?: RosterReach
+  /** The groups that are shared out evenly; each group is placed by itself if absent. */
+  readonly groups?: () => readonly GroupId[]
+}
+
 /**
- * Finds the instance that coordinates batches for a group of endpoints, by rendezvous hashing over the strong reachable
- * ones that reach the group's endpoints themselves. If two instances coordinate one group at the same time, nothing breaks, but
- * their calls queue behind each other at the endpoints: one that is only slow is not replaced.
+ * Finds the instance that coordinates batches for a group of endpoints: groups are shared out evenly among the strong instances,
+ * and a group whose instance is excluded goes to a reachable one with the fewest groups that reaches the endpoints itself. If two
+ * instances coordinate one group at the same time, nothing breaks, but their calls queue behind each other at the endpoints: one
+ * that is only slow is not replaced.
  *
  * @example
  * roster.coordinatorOf(group) === self
@@ -48,6 +61,7 @@
   readonly #peers: Pick<Peers, 'self' | 'members'>
   readonly #capacity: number
   readonly #reach: RosterReach
+  readonly #groups: () => readonly GroupId[]
   readonly #suspectedUntil = new Map<InstanceId, Millis>()
   /** Incarnations that have refused orders for endpoints that they do not reach, by service. */
   readonly #unreachedUntil = new Map<string, Millis>()
@@ -58,13 +72,21 @@
   /** The member list is replaced on each change. */
   #cachedMembers: readonly PeerMember[] | undefined
   #cachedReach = 0
+  /**
+   * The even shares of all known instances, whether or not this one excludes them: an exclusion that only this instance knows of
+   * must move no group but those of the excluded one.
+   */
+  readonly #shares = new GroupShares()
+  /** Whether the shares were checked against the current members. */
+  #areSharesCurrent = false
   #isLeaving = false
 
-  constructor (clock: Clock, peers: Pick<Peers, 'self' | 'members'>, capacity = 1, reach = FULL_REACH) {
+  constructor ({ clock, peers, capacity = 1, reach = FULL_REACH, groups = () => [] }: CoordinatorRosterOptions) {
     this.#clock = clock
     this.#peers = peers
     this.#capacity = capacity
     this.#reach = reach
+    this.#groups = groups
   }
 
   /** This instance is stopping and coordinates no groups while another instance is reachable. */
@@ -138,6 +160,7 @@
     const members = this.#peers.members()
     const { version } = this.#reach
     if (members !== this.#cachedMembers || version !== this.#cachedReach) this.#coordinators.clear()
+    if (members !== this.#cachedMembers) this.#areSharesCurrent = false
     this.#cachedMembers = members
     this.#cachedReach = version
     const known = this.#coordinators.get(group)
@@ -153,7 +176,19 @@
     const candidates = isHandingOver ? others : [...others, { id: this.#peers.self, capacity: this.#capacity }]
     const reaching = candidates.filter(({ id }) => this.#isReachedBy(id, serviceOf(group)))
     const strong = capableOf(reaching.length > 0 ? reaching : candidates, CAPABLE)
-    return firstByRendezvous(group, strong, ({ id }) => id)?.id ?? this.#peers.self
+    if (!this.#areSharesCurrent) this.#updateShares()
+    const shared = this.#shares.coordinatorOf(group)
+    if (shared !== undefined && strong.some(({ id }) => id === shared)) return shared
+    const groupsOf = ({ id }: CoordinatorCandidate): number => shared === undefined ? 0 : this.#shares.countOf(id)
+    const fewest = Math.min(...strong.map(groupsOf))
+    return firstByRendezvous(group, strong.filter((each) => groupsOf(each) === fewest), ({ id }) => id)?.id ?? this.#peers.self
+  }
+
+  #updateShares (): void {
+    this.#areSharesCurrent = true
+    const known = this.#peers.members().map(({ id, capacity = 1 }) => ({ id, capacity }))
+    const capable = capableOf([...known, { id: this.#peers.self, capacity: this.#capacity }], CAPABLE)
+    this.#shares.update(this.#groups(), capable.map(({ id }) => id))
   }
 
   #isReachedBy (id: InstanceId, service: ServiceId): boolean {
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -161,7 +161,7 @@
         ask: (_to: InstanceId, _topic: string, body: { readonly id: string }) => ask(body)
       } as unknown as Peers
       const coordinator = { accept: () => [] } as unknown as BatchCoordinator
-      const roster = new CoordinatorRoster(clock, peers)
+      const roster = new CoordinatorRoster({ clock, peers })
       const groups = { groupOf: () => undefined }
       const backlogs = new BacklogTracker(clock)
       const waits = new CoordinatorWaits(clock)
@@ -307,7 +307,7 @@
       const peers: Pick<Peers, 'self' | 'members' | 'handle'> = {
         self: brand<InstanceId>('a'), members: () => [next], handle: (_topic, handler) => { handlers.push(handler) }
       }
-      const roster = new CoordinatorRoster(clock, peers)
+      const roster = new CoordinatorRoster({ clock, peers })
       // eslint-disable-next-line no-new -- the router registers its handler
       new StageOrderRouter({ clock, log: SILENT_LOG, peers, roster } as unknown as StageOrderRouterOptions)
       const groups = Array.from({ length: 20 }, (_none, at) => `group ${at}`)
--- a/packages/batching/src/endpointGroups.ts
+++ b/packages/batching/src/endpointGroups.ts
@@ -2,7 +2,11 @@
 import type { EndpointId, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { ENDPOINTS_PER_GROUP } from './constants.js'
-import type { GroupId } from './types.js'
+import type { GroupId, ProfileOf } from './types.js'
+
+const groupCountOf = (endpoints: number): number => Math.max(1, Math.ceil(endpoints / ENDPOINTS_PER_GROUP))
+
+const groupIdOf = (service: ServiceId, group: number): GroupId => brand<GroupId>(`${service}/${group}`)
 
 /**
  * Assigns an endpoint to a group of its service. A service with few endpoints is one group, whose coordinator sees
@@ -12,9 +16,9 @@
  * groupOf(endpoint.service, endpoint.id, directory.count(endpoint.service))
  */
 export const groupOf = (service: ServiceId, endpoint: EndpointId, known: number): GroupId => {
-  const groups = Math.max(1, Math.ceil(known / ENDPOINTS_PER_GROUP))
+  const groups = groupCountOf(known)
   const group = groups === 1 ? 0 : firstByRendezvous(endpoint, Array(groups).keys(), (each) => each) ?? 0
-  return brand<GroupId>(`${service}/${group}`)
+  return groupIdOf(service, group)
 }
 
 /**
@@ -28,13 +32,15 @@
   return brand<ServiceId>(end < 0 ? group : group.slice(0, end))
 }
 
-/** Looks up the group of an endpoint; undefined where the endpoint is no longer known. */
+/** The groups of all endpoints. */
 export interface GroupLookup {
+  /** The group of an endpoint; undefined where the endpoint is no longer known. */
   groupOf (endpoint: EndpointId): GroupId | undefined
 }
 
 /** The part of the endpoint directory that grouping needs. */
 export interface KnownEndpoints {
+  readonly services: readonly ServiceId[]
   get (id: EndpointId): Endpoint | undefined
   count (service: ServiceId): number
 }
@@ -46,3 +52,14 @@
     return endpoint === undefined ? undefined : groupOf(endpoint.service, id, directory.count(endpoint.service))
   }
 })
+
+/**
+ * The groups of all services that run batches.
+ *
+ * @example
+ * allGroups(directory, profileOf) // ['encode/0', 'encode/1', 'scan/0']
+ */
+export const allGroups = (directory: Pick<KnownEndpoints, 'services' | 'count'>, profileOf: ProfileOf): readonly GroupId[] =>
+  directory.services.filter((service) => profileOf(service) !== undefined)
+    .flatMap((service) => Array.from({ length: groupCountOf(directory.count(service)) }, (_none, group) => groupIdOf(service, group)))
+    .sort()
--- a/packages/batching/src/index.ts
+++ b/packages/batching/src/index.ts
@@ -1,7 +1,7 @@
 export { BacklogTracker, chooseEndpoint } from './BacklogTracker.js'
 export { bytesByDomain } from './bytesByDomain.js'
 export { CROSS_DOMAIN_MILLIS_PER_BYTE } from './constants.js'
-export { groupsIn } from './endpointGroups.js'
+export { allGroups, groupsIn } from './endpointGroups.js'
 export type { GroupLookup } from './endpointGroups.js'
 export { BATCHING_EVENTS } from './events.js'
 export { BatchCoordinator } from './BatchCoordinator.js'
--- a/packages/batching/src/loops.test.ts
+++ b/packages/batching/src/loops.test.ts
@@ -117,7 +117,7 @@
             return []
           }
         } as unknown as BatchCoordinator
-        const roster = new CoordinatorRoster(clock, peers, 1, reach)
+        const roster = new CoordinatorRoster({ clock, peers, reach })
         if (isLeaving) roster.leave()
         const router = new StageOrderRouter({
           clock,
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -9,7 +9,7 @@
 import type { ProbeResult } from '@papayahill/reach'
 import { Result } from 'true-myth'
 import { BacklogTracker } from '../BacklogTracker.js'
-import { groupsIn } from '../endpointGroups.js'
+import { allGroups, groupsIn } from '../endpointGroups.js'
 import { BatchCoordinator } from '../BatchCoordinator.js'
 import { CoordinatorRoster } from '../CoordinatorRoster.js'
 import { CoordinatorWaits } from '../CoordinatorWaits.js'
@@ -291,8 +291,8 @@
     const reach = new EndpointReach({
       clock, log: SILENT_LOG, directory, peers, probe: () => this.endpoints.probe(identity.id), hasIdle: () => false
     })
-    const roster = new CoordinatorRoster(clock, peers, 1, reach)
     const profileOf = () => this.#profile
+    const roster = new CoordinatorRoster({ clock, peers, reach, groups: () => allGroups(directory, profileOf) })
     const isOwn = (group: string): boolean => roster.coordinatorOf(group) === identity.id
     const coordinator = new BatchCoordinator({
       clock,
--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -18,6 +18,14 @@
 /** A 64-bit hash of a string as 16 hexadecimal digits. */
 export const hash64 = (text: string): string => xxhash.h64ToString(text)
 
+/**
+ * Rank of a candidate for a name in rendezvous hashing; the highest is the first.
+ *
+ * @example
+ * rendezvousRank('orders/0', 'ph-1') > rendezvousRank('orders/0', 'ph-2')
+ */
+export const rendezvousRank = (name: string, id: string | number): number => hash32(`${name} ${id}`)
+
 /**
  * The first candidate for a name by rendezvous hashing: every instance with the same candidates gets the same one, and
  * if a candidate leaves, only its own names are reassigned. Undefined if there are no candidates.
@@ -31,7 +39,7 @@
   let first: Candidate | undefined
   let highest = -1
   for (const candidate of candidates) {
-    const rank = hash32(`${name} ${idOf(candidate)}`)
+    const rank = rendezvousRank(name, idOf(candidate))
     if (rank > highest) [first, highest] = [candidate, rank]
   }
   return first
@@ -46,6 +54,6 @@
 export const byRendezvous = <Candidate>(
   name: string, candidates: Iterable<Candidate>, idOf: (candidate: Candidate) => string | number
 ): readonly Candidate[] => [...candidates]
-    .map((candidate) => ({ candidate, rank: hash32(`${name} ${idOf(candidate)}`) }))
+    .map((candidate) => ({ candidate, rank: rendezvousRank(name, idOf(candidate)) }))
     .sort((left, right) => right.rank - left.rank)
     .map(({ candidate }) => candidate)
