--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -35,12 +35,12 @@
   workOf(harness, request, STAGES, [PIECES], seconds(10), seconds(20))
 
 /** Requests at all instances but one in turn, one every 100 ms; resolves with the share of them that were served. */
-const servedByOthers = async (harness: StageHarness, except: number, span: number): Promise<number> => {
+const servedByOthers = async (harness: StageHarness, except: number, span: number, timeout = seconds(2)): Promise<number> => {
   const others = harness.instances.map((_instance, index) => index).filter((index) => index !== except)
   const tries: Array<Promise<unknown>> = []
   for (let at = 0; at < span; at += 100) {
     const index = others[tries.length % others.length]!
-    tries.push(harness.serve(index, workOf(harness, `${index} at ${harness.clock.now()}`, STAGES, [1], seconds(2), seconds(2))))
+    tries.push(harness.serve(index, workOf(harness, `${index} at ${harness.clock.now()}`, STAGES, [1], timeout, timeout)))
     await harness.clock.advance(millis(100))
   }
   await harness.clock.advance(seconds(3))
@@ -104,6 +104,19 @@
       expect([...new Set(calls.map(({ instance }) => instance))]).toEqual([id])
     })
 
+    // Guards against a coordinator that is replaced, though it sends heartbeats, because the order had little time left.
+    it.each([3, 8])('is not replaced for orders whose time is up before it has read them, with %i instances', async (instances) => {
+      const harness = new StageHarness(instances, endpointsOf('encode', 4))
+      await harness.start()
+      await harness.clock.advance(seconds(10))
+      const { coordinator, id } = coordinatorIn(harness)
+      harness.slowDown(coordinator, millis(1600))
+      await servedByOthers(harness, coordinator, 6000, millis(1000))
+      expect(harness.endpoints.calls.filter(({ instance }) => instance !== id)).toEqual([])
+      const group = harness.instances[0]!.context.groups.groupOf(brand('encode-0'))!
+      expect(new Set(harness.instances.map(({ roster }) => roster.coordinatorOf(group)))).toEqual(new Set([id]))
+    })
+
     // Guards against requests that are taken though their coordinators leave them no time.
     it('makes those who order from it expect its lateness as a wait', async () => {
       const harness = new StageHarness(3, endpointsOf('encode', 1))
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,7 +1,7 @@
 import { brand, millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
 import type { PeerError, Peers } from '@papayahill/peers'
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import type { BacklogTracker } from './BacklogTracker.js'
 import { LOGGED_ACCEPT_WAIT, MAX_ACCEPT_SILENCE, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
@@ -30,6 +30,18 @@
 /** Answer to an order from an instance that has not learned yet that this one does not reach the endpoints. */
 const UNREACHED = 'unreached'
 
+/** How an instance has answered an offered order. */
+type OfferAnswer =
+  | { readonly kind: 'accepted', readonly backlogs: Json }
+  /** The instance leaves the group to another one. */
+  | { readonly kind: typeof LEAVING | typeof UNREACHED }
+  /** It may have accepted the order: it has sent nothing since, or its link was closed. */
+  | { readonly kind: 'silent' | 'unreachable', readonly detail: string }
+  /** The pieces can no longer end in time. */
+  | { readonly kind: 'late' }
+
+type NotKept = Exclude<OfferAnswer, { readonly kind: 'accepted' | 'late' }>
+
 /** One try to have an order accepted. */
 interface Offer {
   readonly to: InstanceId
@@ -75,9 +87,8 @@
       const wait = (notBefore.get(roster.coordinatorOf(order.group)) ?? 0) - clock.now()
       if (wait > 0) await clock.sleep(millis(wait))
       const to = roster.coordinatorOf(order.group)
-      const isLate = notBefore.size > 0 && left[0]!.deadline <= clock.now()
       notBefore.set(to, millis(clock.now() + REORDER_PERIOD))
-      const found = isLate ? failAllPieces(left, 'late') : await this.#runOnce({ to, unheard }, { ...order, pieces: left }, listener)
+      const found = await this.#runOnce({ to, unheard }, { ...order, pieces: left }, listener)
       left.forEach((piece, at) => outcomes.set(piece, found[at] ?? { fault: 'failed', endpoint: undefined }))
     }
     return order.pieces.map((piece) => outcomes.get(piece)!)
@@ -89,7 +100,7 @@
     const { to } = offer
     const order = this.#boundByStop(given)
     const first = order.pieces[0]!
-    if (this.#endsAt !== Infinity && first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order.pieces, 'late'))
+    if (first.deadline <= clock.now()) return Promise.resolve(failAllPieces(order.pieces, 'late'))
     log.emit(BATCHING_EVENTS.piecesOrdered, {
       request: first.request, stage: first.stage, pieces: order.pieces.length, group: order.group, gatherer: to
     })
@@ -159,16 +170,17 @@
     })
     if (unheard.has(to)) this.#recall(to, order)
     const offered = this.#options.waits.begin(to)
-    const accepted = await this.#offer(to, id, order)
+    const answer = await this.#offer(to, id, order)
     this.#options.waits.end(offered)
-    if (accepted.isErr || accepted.value === LEAVING || accepted.value === UNREACHED) {
-      this.#openOrders.delete(id)
-      this.#noteNotKept(offer, order, accepted)
-      return failAllPieces(order.pieces, 'moved')
+    if (answer.kind === 'accepted') {
+      unheard.delete(to)
+      this.#recordBacklogs(unpackBacklogs(answer.backlogs), this.#noteAccepted(offered, order))
+      return await this.#awaitOutcomes(id, to, ended, order)
     }
-    unheard.delete(to)
-    this.#recordBacklogs(unpackBacklogs(accepted.value), this.#noteAccepted(offered, order))
-    return await this.#awaitOutcomes(id, to, ended, order)
+    this.#openOrders.delete(id)
+    if (answer.kind === 'late') this.#recall(to, order)
+    else this.#noteNotKept(offer, order, answer)
+    return failAllPieces(order.pieces, answer.kind === 'late' ? 'late' : 'moved')
   }
 
   /** The time that it took to have an order accepted. */
@@ -182,23 +194,23 @@
   }
 
   /**
-   * Offers an order to an instance and waits for as long as that sends anything: a slow one accepts it, too, and the pieces
-   * would run twice if another one got them.
+   * Offers an order to an instance and waits for as long as that sends anything and the pieces have time: a slow one accepts it,
+   * too, and the pieces would run twice if another one got them.
    */
-  async #offer (to: InstanceId, id: OrderId, order: StageOrder): Promise<Result<Json, PeerError>> {
+  async #offer (to: InstanceId, id: OrderId, order: StageOrder): Promise<OfferAnswer> {
     const { clock, peers } = this.#options
     const offeredAt = clock.now()
-    const timeout = millis(Math.max(MAX_ACCEPT_SILENCE, order.pieces[0]!.deadline - offeredAt))
+    const timeout = millis(order.pieces[0]!.deadline - offeredAt)
     return await new Promise((resolve) => {
       const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
         const silence = this.#silenceSince(offeredAt, to)
-        if (silence >= MAX_ACCEPT_SILENCE) end(Result.err({ kind: 'timeout', detail: `${to} has sent nothing for ${silence} ms` }))
+        if (silence >= MAX_ACCEPT_SILENCE) end({ kind: 'silent', detail: `${to} has sent nothing for ${silence} ms` })
       })
-      const end = (answer: Result<Json, PeerError>): void => {
+      const end = (answer: OfferAnswer): void => {
         timer.cancel()
         resolve(answer)
       }
-      void peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, offeredAt), timeout).then(end)
+      void peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, offeredAt), timeout).then((asked) => end(answerOf(asked)))
     })
   }
 
@@ -213,20 +225,20 @@
    * Excludes an instance that has not accepted an order, for as long as the cause may last. A link may be closed while the
    * instance is well, so it is suspected only if the order cannot be given to it once more.
    */
-  #noteNotKept ({ to, unheard }: Offer, order: StageOrder, answer: Result<Json, PeerError>): void {
+  #noteNotKept ({ to, unheard }: Offer, order: StageOrder, answer: NotKept): void {
     const { roster } = this.#options
-    if (answer.isErr) {
-      if (unheard.has(to) || answer.error.kind === 'timeout') this.#suspect(to, order, answer.error)
+    if (answer.kind === 'silent' || answer.kind === 'unreachable') {
+      if (unheard.has(to) || answer.kind === 'silent') this.#suspect(to, order, answer.detail)
       unheard.add(to)
       return
     }
     const incarnation = roster.incarnationOf(to)
     if (incarnation === undefined) return
-    if (answer.value === LEAVING) roster.markLeaving(incarnation)
+    if (answer.kind === LEAVING) roster.markLeaving(incarnation)
     else roster.markUnreached(incarnation, order.group)
   }
 
-  #suspect (to: InstanceId, order: StageOrder, { detail }: PeerError): void {
+  #suspect (to: InstanceId, order: StageOrder, detail: string): void {
     const { roster, log } = this.#options
     const fields = { gatherer: to, request: order.pieces[0]!.request, detail, silenceMs: roster.silenceOf(to) }
     roster.suspect(to)
@@ -254,7 +266,7 @@
       const isLost = !roster.isPresent(to) || acceptedBy === undefined || roster.hasRestarted({ id: to, incarnation: acceptedBy })
       if (!isLost && clock.now() <= deadline) return
       if (this.#options.peers.isConnected(to)) this.#recall(to, order)
-      this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, 'failed'))
+      this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, isLost ? 'failed' : 'late'))
     })
     const outcomes = await ended
     timer.cancel()
@@ -320,6 +332,12 @@
   }
 }
 
+const answerOf = (asked: Result<Json, PeerError>): OfferAnswer => {
+  if (asked.isErr) return asked.error.kind === 'timeout' ? { kind: 'late' } : { kind: 'unreachable', detail: asked.error.detail }
+  const { value } = asked
+  return value === LEAVING || value === UNREACHED ? { kind: value } : { kind: 'accepted', backlogs: value }
+}
+
 const isMoved = (outcome: PieceOutcome | undefined): boolean =>
   outcome !== undefined && 'fault' in outcome && outcome.fault === 'moved'
 
