--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -104,6 +104,16 @@
       expect([...new Set(calls.map(({ instance }) => instance))]).toEqual([id])
     })
 
+    // Guards against endpoints that work for callers who have gone, because an order was unread for as long as it had time.
+    it('does not run orders whose time is up when it reads them', async () => {
+      const harness = new StageHarness(3, endpointsOf('encode', 4))
+      await harness.start()
+      const { coordinator } = coordinatorIn(harness)
+      harness.slowDown(coordinator, millis(1600))
+      await servedByOthers(harness, coordinator, 3000, millis(1000))
+      expect(harness.endpoints.calls).toEqual([])
+    })
+
     // Guards against a coordinator that is replaced, though it sends heartbeats, because the order had little time left.
     it.each([3, 8])('is not replaced for orders whose time is up before it has read them, with %i instances', async (instances) => {
       const harness = new StageHarness(instances, endpointsOf('encode', 4))
@@ -178,7 +188,8 @@
       const groups = { groupOf: () => undefined }
       const backlogs = new BacklogTracker(clock)
       const waits = new CoordinatorWaits(clock)
-      const options = { clock, log: SILENT_LOG, peers, coordinator, roster, groups, backlogs, waits }
+      const loopDelay = { current: millis(0) }
+      const options = { clock, log: SILENT_LOG, peers, coordinator, roster, groups, backlogs, waits, loopDelay }
       const router = new StageOrderRouter(options)
       const names = Array.from({ length: 20 }, (_none, at) => brand<GroupId>(`encode/${at}`))
       const group = names.find((each) => roster.coordinatorOf(each) === member.id)!
@@ -321,8 +332,9 @@
         self: brand<InstanceId>('a'), members: () => [next], handle: (_topic, handler) => { handlers.push(handler) }
       }
       const roster = new CoordinatorRoster({ clock, peers })
+      const loopDelay = { current: millis(0) }
       // eslint-disable-next-line no-new -- the router registers its handler
-      new StageOrderRouter({ clock, log: SILENT_LOG, peers, roster } as unknown as StageOrderRouterOptions)
+      new StageOrderRouter({ clock, log: SILENT_LOG, peers, roster, loopDelay } as unknown as StageOrderRouterOptions)
       const groups = Array.from({ length: 20 }, (_none, at) => `group ${at}`)
       const before = groups.map((group) => roster.coordinatorOf(group))
       await handlers[0]!(next.id, { kind: 'leaving' }, brand<Incarnation>('b@1'))
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,5 +1,5 @@
 import { brand, millis } from '@papayahill/common'
-import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, Millis } from '@papayahill/common'
+import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, LoopDelay, Millis } from '@papayahill/common'
 import type { PeerError, Peers } from '@papayahill/peers'
 import type { Result } from 'true-myth'
 import type { BacklogTracker } from './BacklogTracker.js'
@@ -23,6 +23,7 @@
   readonly groups: GroupLookup
   readonly backlogs: BacklogTracker
   readonly waits: CoordinatorWaits
+  readonly loopDelay: Pick<LoopDelay, 'current'>
 }
 
 /** Answer to an order from an instance that missed the message that this one stops, as after its own restart. */
@@ -275,8 +276,9 @@
   }
 
   #receive (from: InstanceId, body: Json, incarnation: Incarnation): Json {
-    const { clock, coordinator, roster } = this.#options
-    const message = unpackMessage(body, clock.now())
+    const { clock, coordinator, loopDelay, roster } = this.#options
+    // The time for which a message was unread must not be given to its order once more.
+    const message = unpackMessage(body, millis(clock.now() - loopDelay.current))
     if (message?.kind === 'order') return this.#acceptOrder({ id: from, incarnation }, message.id, message.order)
     if (message?.kind === 'read') this.#handleRead(from, message.id)
     if (message?.kind === 'done') this.#handleDone(from, message)
--- a/packages/batching/src/loops.test.ts
+++ b/packages/batching/src/loops.test.ts
@@ -127,7 +127,8 @@
           roster,
           groups: { groupOf: () => undefined },
           backlogs: new BacklogTracker(clock),
-          waits: new CoordinatorWaits(clock)
+          waits: new CoordinatorWaits(clock),
+          loopDelay: { current: millis(0) }
         })
         void router.run({ group: brand<GroupId>('encode/0'), places: [], pieces: PIECES }, { onInputsRead: () => {} }).catch(() => {})
         await clock.advance(millis(1000))
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -309,6 +309,8 @@
     clock.every(millis(100), () => coordinator.pumpAll())
     const backlogs = new BacklogTracker(clock)
     const groups = groupsIn(directory)
+    const { network } = this
+    const loopDelay = { get current () { return network.readDelayOf(identity) } }
     const router = new StageOrderRouter({
       clock,
       log: SILENT_LOG,
@@ -317,7 +319,8 @@
       roster,
       groups,
       backlogs,
-      waits: new CoordinatorWaits(clock)
+      waits: new CoordinatorWaits(clock),
+      loopDelay
     })
     const context = { clock, log: SILENT_LOG, directory, backlogs, router, groups, profileOf, takeRetry: () => true }
     return { identity, peers, coordinator, roster, router, context }
--- a/packages/peers/src/MemoryNetwork.ts
+++ b/packages/peers/src/MemoryNetwork.ts
@@ -85,6 +85,12 @@
     return millis(readAt - now)
   }
 
+  /** Time that a frame which an instance reads now has waited for it, about. */
+  readDelayOf ({ id }: PeerIdentity): Millis {
+    const backlog = Math.max(0, (this.#busyUntil.get(id) ?? 0) - this.clock.now())
+    return millis((this.#readDelays.get(id) ?? 0) + backlog)
+  }
+
   isPartitioned (left: PeerIdentity, right: PeerIdentity): boolean {
     return this.#partitions.has(`${left.id} ${right.id}`)
   }
