--- a/packages/batching/src/BacklogTracker.ts
+++ b/packages/batching/src/BacklogTracker.ts
@@ -8,14 +8,27 @@
   readonly at: Millis
 }
 
-/** The latest reported backlog of each stage endpoint. */
+/** How long an order for an endpoint waits before it is in the endpoint's queue. */
+export type OrderWaitOf = (endpoint: EndpointId) => Millis
+
+const NO_WAIT = millis(0)
+
+/**
+ * The latest reported backlog of each stage endpoint, and the wait for its coordinator.
+ *
+ * @example
+ * const backlogs = new BacklogTracker(clock, (endpoint) => waits.of(coordinatorOf(endpoint)))
+ * backlogs.backlog(endpoint)
+ */
 export class BacklogTracker {
   readonly #clock: Clock
+  readonly #orderWaitOf: OrderWaitOf
   /** The one that was reported least recently is first. */
   readonly #reports = new Map<EndpointId, BacklogReport>()
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, orderWaitOf: OrderWaitOf = () => NO_WAIT) {
     this.#clock = clock
+    this.#orderWaitOf = orderWaitOf
   }
 
   /** Number of reports that are kept. */
@@ -33,8 +46,13 @@
     }
   }
 
-  /** Expected wait of a piece that arrives now; 0 where there is no recent report. */
+  /** Expected wait of a piece that is ordered now: for the endpoint's coordinator, and then in the endpoint's queue. */
   backlog (endpoint: EndpointId): Millis {
+    return millis(this.#orderWaitOf(endpoint) + this.#queueWait(endpoint))
+  }
+
+  /** Expected wait at the endpoint; 0 where there is no recent report. */
+  #queueWait (endpoint: EndpointId): Millis {
     const report = this.#reports.get(endpoint)
     if (report === undefined) return millis(0)
     const age = this.#clock.now() - report.at
--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -156,6 +156,7 @@
     return this.#peers.members().find((member) => member.id === id)
   }
 
+  /** The instance that coordinates a group of endpoints. */
   coordinatorOf (group: string): InstanceId {
     const members = this.#peers.members()
     const { version } = this.#reach
--- a/packages/batching/src/CoordinatorWaits.ts
+++ b/packages/batching/src/CoordinatorWaits.ts
@@ -1,6 +1,8 @@
 import { millis } from '@papayahill/common'
-import type { Clock, InstanceId, Millis } from '@papayahill/common'
+import type { Clock, EndpointId, InstanceId, LoopDelay, Millis } from '@papayahill/common'
 import { ACCEPT_WAIT_TTL } from './constants.js'
+import type { CoordinatorRoster } from './CoordinatorRoster.js'
+import type { GroupLookup } from './endpointGroups.js'
 
 /** An order that its coordinator has not answered yet. */
 export interface OfferedOrder {
@@ -77,3 +79,25 @@
     return millis(Math.max(lastWait, oldest === undefined ? 0 : now - oldest.offeredAt))
   }
 }
+
+/** What tells how late the coordinators of endpoints are. */
+export interface OrderWaitLookup {
+  readonly self: InstanceId
+  readonly groups: GroupLookup
+  readonly roster: Pick<CoordinatorRoster, 'coordinatorOf'>
+  readonly waits: Pick<CoordinatorWaits, 'of'>
+  readonly loopDelay: Pick<LoopDelay, 'current'>
+}
+
+/**
+ * The wait until an order for an endpoint is accepted: by its coordinator, or by this instance's own event loop.
+ *
+ * @example
+ * new BacklogTracker(clock, (endpoint) => orderWaitOf({ self, groups, roster, waits, loopDelay }, endpoint))
+ */
+export const orderWaitOf = ({ self, groups, roster, waits, loopDelay }: OrderWaitLookup, endpoint: EndpointId): Millis => {
+  const group = groups.groupOf(endpoint)
+  if (group === undefined) return millis(0)
+  const coordinator = roster.coordinatorOf(group)
+  return coordinator === self ? loopDelay.current : waits.of(coordinator)
+}
--- a/packages/batching/src/StageOrderRouter.test.ts
+++ b/packages/batching/src/StageOrderRouter.test.ts
@@ -139,6 +139,18 @@
       expect(harness.instances[orderer]!.context.backlogs.backlog(brand('encode-0'))).toBeGreaterThan(390)
     })
 
+    // Guards against a door that opens because a coordinator is too late to tell that it is late.
+    it('makes them expect its lateness also before it has answered', async () => {
+      const harness = new StageHarness(3, endpointsOf('encode', 1))
+      await harness.start()
+      const { coordinator } = coordinatorIn(harness)
+      const orderer = (coordinator + 1) % 3
+      harness.slowDown(coordinator, millis(3000))
+      void harness.serve(orderer, workFor(harness, 'first'))
+      await harness.clock.advance(millis(2500))
+      expect(harness.instances[orderer]!.context.backlogs.backlog(brand('encode-0'))).toBeGreaterThan(2400)
+    })
+
     // Guards against pieces that run twice, since an order was given to a second coordinator while the first one had it.
     it.each([3, 40])('has each piece run once, with %i instances', async (instances) => {
       const { calls } = await serveBySlow(instances)
--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -157,7 +157,7 @@
   async #runLocally (order: StageOrder, listener: OrderListener): Promise<readonly PieceOutcome[]> {
     this.#localOrders.add(order)
     const outcomes = await new Promise<readonly PieceOutcome[]>((resolve) => {
-      this.#recordBacklogs(this.#options.coordinator.accept(order, listener, resolve), millis(0))
+      this.#recordBacklogs(this.#options.coordinator.accept(order, listener, resolve))
     })
     this.#localOrders.delete(order)
     return outcomes
@@ -175,7 +175,8 @@
     this.#options.waits.end(offered)
     if (answer.kind === 'accepted') {
       unheard.delete(to)
-      this.#recordBacklogs(unpackBacklogs(answer.backlogs), this.#noteAccepted(offered, order))
+      this.#noteAccepted(offered, order)
+      this.#recordBacklogs(unpackBacklogs(answer.backlogs))
       return await this.#awaitOutcomes(id, to, ended, order)
     }
     this.#openOrders.delete(id)
@@ -184,14 +185,12 @@
     return failAllPieces(order.pieces, answer.kind === 'late' ? 'late' : 'moved')
   }
 
-  /** The time that it took to have an order accepted. */
-  #noteAccepted (offered: OfferedOrder, order: StageOrder): Millis {
+  #noteAccepted (offered: OfferedOrder, order: StageOrder): void {
     const { waits, log } = this.#options
     const waitMs = waits.accepted(offered)
     const { request, stage } = order.pieces[0]!
     const fields = { request, stage, group: order.group, gatherer: offered.to, waitMs }
     if (waitMs >= LOGGED_ACCEPT_WAIT) log.emit(BATCHING_EVENTS.orderAcceptedLate, fields)
-    return waitMs
   }
 
   /**
@@ -324,9 +323,8 @@
     for (const outcome of outcomes) if ('handle' in outcome) this.free(outcome.endpoint, [outcome.handle])
   }
 
-  /** An order waits for its coordinator first, then for the endpoint. */
-  #recordBacklogs (backlogs: readonly EndpointBacklog[], acceptTime: Millis): void {
-    for (const { endpoint, backlog } of backlogs) this.#options.backlogs.record(endpoint, millis(acceptTime + backlog))
+  #recordBacklogs (backlogs: readonly EndpointBacklog[]): void {
+    for (const { endpoint, backlog } of backlogs) this.#options.backlogs.record(endpoint, backlog)
   }
 
   #send (to: InstanceId, message: StageMessage): void {
--- a/packages/batching/src/endpointGroups.ts
+++ b/packages/batching/src/endpointGroups.ts
@@ -45,13 +45,28 @@
   count (service: ServiceId): number
 }
 
-/** Looks groups up in the current endpoint directory. */
-export const groupsIn = (directory: KnownEndpoints): GroupLookup => ({
-  groupOf: (id) => {
-    const endpoint = directory.get(id)
-    return endpoint === undefined ? undefined : groupOf(endpoint.service, id, directory.count(endpoint.service))
+/** The group that an endpoint had when its service had so many endpoints. */
+interface KnownGroup {
+  readonly known: number
+  readonly group: GroupId
+}
+
+/** Looks groups up in the current endpoint directory, and remembers them: each lookup hashes a name for every group. */
+export const groupsIn = (directory: KnownEndpoints): GroupLookup => {
+  const remembered = new WeakMap<Endpoint, KnownGroup>()
+  return {
+    groupOf: (id) => {
+      const endpoint = directory.get(id)
+      if (endpoint === undefined) return undefined
+      const known = directory.count(endpoint.service)
+      const last = remembered.get(endpoint)
+      if (last?.known === known) return last.group
+      const group = groupOf(endpoint.service, id, known)
+      remembered.set(endpoint, { known, group })
+      return group
+    }
   }
-})
+}
 
 /**
  * The groups of all services that run batches.
--- a/packages/batching/src/testing/StageHarness.ts
+++ b/packages/batching/src/testing/StageHarness.ts
@@ -12,7 +12,7 @@
 import { allGroups, groupsIn } from '../endpointGroups.js'
 import { BatchCoordinator } from '../BatchCoordinator.js'
 import { CoordinatorRoster } from '../CoordinatorRoster.js'
-import { CoordinatorWaits } from '../CoordinatorWaits.js'
+import { CoordinatorWaits, orderWaitOf } from '../CoordinatorWaits.js'
 import { StageGraphRun } from '../StageGraphRun.js'
 import type { StageFailure, StageWork } from '../StageGraphRun.js'
 import { StageOrderRouter } from '../StageOrderRouter.js'
@@ -307,10 +307,12 @@
     })
     reach.onChange(() => coordinator.pumpAll())
     clock.every(millis(100), () => coordinator.pumpAll())
-    const backlogs = new BacklogTracker(clock)
     const groups = groupsIn(directory)
     const { network } = this
     const loopDelay = { get current () { return network.readDelayOf(identity) } }
+    const waits = new CoordinatorWaits(clock)
+    const lookup = { self: identity.id, groups, roster, waits, loopDelay }
+    const backlogs = new BacklogTracker(clock, (endpoint) => orderWaitOf(lookup, endpoint))
     const router = new StageOrderRouter({
       clock,
       log: SILENT_LOG,
@@ -319,7 +321,7 @@
       roster,
       groups,
       backlogs,
-      waits: new CoordinatorWaits(clock),
+      waits,
       loopDelay
     })
     const context = { clock, log: SILENT_LOG, directory, backlogs, router, groups, profileOf, takeRetry: () => true }
