--- a/packages/batching/src/CoordinatorRoster.ts
+++ b/packages/batching/src/CoordinatorRoster.ts
@@ -5,7 +5,7 @@
 import type { Reach } from '@papayahill/reach'
 import { MAX_LEAVING_INCARNATIONS, MAX_SILENT_HEARTBEATS, MIN_COORDINATOR_CAPACITY, MIN_COORDINATORS, SUSPICION_PERIOD } from './constants.js'
 import { serviceOf } from './endpointGroups.js'
-import { GroupShares } from './GroupShares.js'
+import { EvenShares } from './EvenShares.js'
 import type { GroupId, OrderSender } from './types.js'
 
 /** Which instances reach the endpoints of a service, as far as they have told; `version` changes with the answers. */
@@ -76,7 +76,7 @@
    * The even shares of all known instances, whether or not this one excludes them: an exclusion that only this instance knows of
    * must move no group but those of the excluded one.
    */
-  readonly #shares = new GroupShares()
+  readonly #shares = new EvenShares<GroupId, InstanceId>()
   /** Whether the shares were checked against the current members. */
   #areSharesCurrent = false
   #isLeaving = false
@@ -178,7 +178,7 @@
     const reaching = candidates.filter(({ id }) => this.#isReachedBy(id, serviceOf(group)))
     const strong = capableOf(reaching.length > 0 ? reaching : candidates, CAPABLE)
     if (!this.#areSharesCurrent) this.#updateShares()
-    const shared = this.#shares.coordinatorOf(group)
+    const shared = this.#shares.ownerOf(group)
     if (shared !== undefined && strong.some(({ id }) => id === shared)) return shared
     const groupsOf = ({ id }: CoordinatorCandidate): number => shared === undefined ? 0 : this.#shares.countOf(id)
     const fewest = Math.min(...strong.map(groupsOf))
--- a/packages/batching/src/GroupShares.test.ts
+++ b/packages/batching/src/EvenShares.test.ts
@@ -2,19 +2,19 @@
 import type { InstanceId } from '@papayahill/common'
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { GroupShares } from './GroupShares.js'
+import { EvenShares } from './EvenShares.js'
 
 const groupsOf = (count: number): readonly string[] => Array.from({ length: count }, (_none, at) => `encode/${at}`)
 const idsOf = (count: number): readonly InstanceId[] => Array.from({ length: count }, (_none, at) => brand<InstanceId>(`i${at}`))
 
 const sharesOf = (groups: readonly string[], candidates: readonly InstanceId[]): ReadonlyMap<string, InstanceId | undefined> => {
-  const shares = new GroupShares()
+  const shares = new EvenShares<string, InstanceId>()
   shares.update(groups, candidates)
-  return new Map(groups.map((group) => [group, shares.coordinatorOf(group)]))
+  return new Map(groups.map((group) => [group, shares.ownerOf(group)]))
 }
 
-describe('GroupShares', () => {
-  it('gives every group to one candidate, and none more than an even share', () => {
+describe('EvenShares', () => {
+  it('gives every item to one owner, and none more than an even share', () => {
     fc.assert(fc.property(fc.integer({ min: 0, max: 60 }), fc.integer({ min: 1, max: 40 }), (groups, candidates) => {
       const found = [...sharesOf(groupsOf(groups), idsOf(candidates)).values()]
       const counts = idsOf(candidates).map((id) => found.filter((each) => each === id).length)
@@ -23,13 +23,13 @@
     }), { seed: 1 })
   })
 
-  it('finds the same shares whatever the order in which groups and candidates are known', () => {
+  it('finds the same shares whatever the order in which items and owners are known', () => {
     const groups = groupsOf(7)
     const ids = idsOf(10)
-    expect(sharesOf(groups.toReversed(), ids.toReversed())).toEqual(new Map([...sharesOf(groups, ids)].reverse()))
+    expect(sharesOf(groups.toReversed(), ids.toReversed())).toEqual(sharesOf(groups, ids))
   })
 
-  it('moves few groups that a candidate did not have when it leaves', () => {
+  it('moves few items that an owner did not have when it leaves', () => {
     const groups = groupsOf(7)
     const ids = idsOf(20)
     const before = sharesOf(groups, ids)
--- a/packages/batching/src/endpointGroups.ts
+++ b/packages/batching/src/endpointGroups.ts
@@ -1,25 +1,16 @@
-import { brand, firstByRendezvous } from '@papayahill/common'
+import { brand } from '@papayahill/common'
 import type { EndpointId, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
 import { ENDPOINTS_PER_GROUP } from './constants.js'
+import { EvenShares } from './EvenShares.js'
 import type { GroupId, ProfileOf } from './types.js'
 
-const groupCountOf = (endpoints: number): number => Math.max(1, Math.ceil(endpoints / ENDPOINTS_PER_GROUP))
-
-const groupIdOf = (service: ServiceId, group: number): GroupId => brand<GroupId>(`${service}/${group}`)
-
 /**
- * Assigns an endpoint to a group of its service. A service with few endpoints is one group, whose coordinator sees
- * all of them; a large one is split, so that no instance coordinates all of it.
- *
- * @example
- * groupOf(endpoint.service, endpoint.id, directory.count(endpoint.service))
+ * The groups of a service with so many endpoints: one for a service with few, whose coordinator sees all of them; a large one is
+ * split, so that no instance coordinates all of it.
  */
-export const groupOf = (service: ServiceId, endpoint: EndpointId, known: number): GroupId => {
-  const groups = groupCountOf(known)
-  const group = groups === 1 ? 0 : firstByRendezvous(endpoint, Array(groups).keys(), (each) => each) ?? 0
-  return groupIdOf(service, group)
-}
+const groupIdsOf = (service: ServiceId, endpoints: number): readonly GroupId[] =>
+  Array.from({ length: Math.max(1, Math.ceil(endpoints / ENDPOINTS_PER_GROUP)) }, (_none, group) => brand<GroupId>(`${service}/${group}`))
 
 /**
  * The service of a group.
@@ -43,27 +34,50 @@
   readonly services: readonly ServiceId[]
   get (id: EndpointId): Endpoint | undefined
   count (service: ServiceId): number
+  all (service: ServiceId): readonly Endpoint[]
+  onGone (listener: (endpoint: Endpoint) => void): void
 }
 
-/** The group that an endpoint had when its service had so many endpoints. */
-interface KnownGroup {
-  readonly known: number
-  readonly group: GroupId
+/** Shares the endpoints of one service out among its groups. */
+class ServiceGroups {
+  readonly #shares = new EvenShares<EndpointId, GroupId>()
+  /** Number of endpoints that are shared out; none after one was gone. */
+  #shared = 0
+
+  forget (): void {
+    this.#shared = 0
+  }
+
+  groupOf (endpoint: Endpoint, directory: KnownEndpoints): GroupId | undefined {
+    const { service } = endpoint
+    const known = directory.count(service)
+    if (known !== this.#shared) this.#shares.update(directory.all(service).map(({ id }) => id), groupIdsOf(service, known))
+    this.#shared = known
+    return this.#shares.ownerOf(endpoint.id)
+  }
 }
 
-/** Looks groups up in the current endpoint directory, and remembers them: each lookup hashes a name for every group. */
+/**
+ * Looks groups up in the current endpoint directory.
+ *
+ * @example
+ * groupsIn(directory).groupOf(endpoint.id)
+ */
 export const groupsIn = (directory: KnownEndpoints): GroupLookup => {
-  const remembered = new WeakMap<Endpoint, KnownGroup>()
+  const byService = new Map<ServiceId, ServiceGroups>()
+  directory.onGone(({ service }) => {
+    if (directory.count(service) === 0) byService.delete(service)
+    byService.get(service)?.forget()
+  })
+  const groupsOf = (service: ServiceId): ServiceGroups => {
+    const known = byService.get(service) ?? new ServiceGroups()
+    byService.set(service, known)
+    return known
+  }
   return {
     groupOf: (id) => {
       const endpoint = directory.get(id)
-      if (endpoint === undefined) return undefined
-      const known = directory.count(endpoint.service)
-      const last = remembered.get(endpoint)
-      if (last?.known === known) return last.group
-      const group = groupOf(endpoint.service, id, known)
-      remembered.set(endpoint, { known, group })
-      return group
+      return endpoint === undefined ? undefined : groupsOf(endpoint.service).groupOf(endpoint, directory)
     }
   }
 }
@@ -76,5 +90,4 @@
  */
 export const allGroups = (directory: Pick<KnownEndpoints, 'services' | 'count'>, profileOf: ProfileOf): readonly GroupId[] =>
   directory.services.filter((service) => profileOf(service) !== undefined)
-    .flatMap((service) => Array.from({ length: groupCountOf(directory.count(service)) }, (_none, group) => groupIdOf(service, group)))
-    .sort()
+    .flatMap((service) => groupIdsOf(service, directory.count(service)))
