--- a/packages/batching/src/StageOrderRouter.ts
+++ b/packages/batching/src/StageOrderRouter.ts
@@ -1,14 +1,15 @@
 import { brand, millis } from '@papayahill/common'
 import type { Clock, EndpointId, EventLog, Incarnation, InstanceId, Json, LoopDelay, Millis } from '@papayahill/common'
-import type { PeerError, Peers } from '@papayahill/peers'
-import type { Result } from 'true-myth'
+import type { Peers } from '@papayahill/peers'
 import type { BacklogTracker } from './BacklogTracker.js'
-import { LOGGED_ACCEPT_WAIT, MAX_ACCEPT_SILENCE, PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
+import { PRESENCE_CHECK_PERIOD, REORDER_PERIOD } from './constants.js'
 import { BATCHING_EVENTS } from './events.js'
 import { AcceptedOrders } from './AcceptedOrders.js'
 import type { BatchCoordinator } from './BatchCoordinator.js'
 import type { CoordinatorRoster } from './CoordinatorRoster.js'
-import type { CoordinatorWaits, OfferedOrder } from './CoordinatorWaits.js'
+import type { CoordinatorWaits } from './CoordinatorWaits.js'
+import { LEAVING, OrderOffers, UNREACHED } from './OrderOffers.js'
+import type { Offer } from './OrderOffers.js'
 import { packBacklogs, packMessage, unpackBacklogs, unpackMessage } from './orderMessages.js'
 import type { StageMessage } from './orderMessages.js'
 import type { GroupLookup } from './endpointGroups.js'
@@ -26,30 +27,6 @@
   readonly loopDelay: Pick<LoopDelay, 'current'>
 }
 
-/** Answer to an order from an instance that missed the message that this one stops, as after its own restart. */
-const LEAVING = 'leaving'
-/** Answer to an order from an instance that has not learned yet that this one does not reach the endpoints. */
-const UNREACHED = 'unreached'
-
-/** How an instance has answered an offered order. */
-type OfferAnswer =
-  | { readonly kind: 'accepted', readonly backlogs: Json }
-  /** The instance leaves the group to another one. */
-  | { readonly kind: typeof LEAVING | typeof UNREACHED }
-  /** It may have accepted the order: it has sent nothing since, or its link was closed. */
-  | { readonly kind: 'silent' | 'unreachable', readonly detail: string }
-  /** The pieces can no longer end in time. */
-  | { readonly kind: 'late' }
-
-type NotKept = Exclude<OfferAnswer, { readonly kind: 'accepted' | 'late' }>
-
-/** One try to have an order accepted. */
-interface Offer {
-  readonly to: InstanceId
-  /** Instances that may have accepted the order, though no answer of theirs has come. */
-  readonly unheard: Set<InstanceId>
-}
-
 interface OpenOrder {
   readonly to: InstanceId
   readonly order: StageOrder
@@ -61,6 +38,7 @@
 export class StageOrderRouter {
   readonly #options: StageOrderRouterOptions
   readonly #openOrders = new Map<OrderId, OpenOrder>()
+  readonly #offers: OrderOffers
   readonly #acceptedOrders: AcceptedOrders
   /** Orders that run here. */
   readonly #localOrders = new Set<StageOrder>()
@@ -70,6 +48,7 @@
 
   constructor (options: StageOrderRouterOptions) {
     this.#options = options
+    this.#offers = new OrderOffers(options)
     this.#acceptedOrders = new AcceptedOrders(options)
     options.peers.handle('stage', (from, body, incarnation) => this.#receive(from, body, incarnation))
   }
@@ -112,7 +91,7 @@
   endBy (endsAt: Millis): void {
     this.#endsAt = endsAt
     for (const { group, pieces } of this.#localOrders) this.#options.coordinator.drop(group, pieces[0]!.request)
-    for (const { to, order } of this.#openOrders.values()) this.#recall(to, order)
+    for (const { to, order } of this.#openOrders.values()) this.#offers.recall(to, order)
   }
 
   #boundByStop (order: StageOrder): StageOrder {
@@ -169,88 +148,19 @@
     const ended = new Promise<readonly PieceOutcome[]>((resolve) => {
       this.#openOrders.set(id, { to, order, listener, resolve })
     })
-    if (unheard.has(to)) this.#recall(to, order)
-    const offered = this.#options.waits.begin(to)
-    const answer = await this.#offer(to, id, order)
-    this.#options.waits.end(offered)
+    if (unheard.has(to)) this.#offers.recall(to, order)
+    const answer = await this.#offers.offer(to, id, order)
     if (answer.kind === 'accepted') {
       unheard.delete(to)
-      this.#noteAccepted(offered, order)
       this.#recordBacklogs(unpackBacklogs(answer.backlogs))
       return await this.#awaitOutcomes(id, to, ended, order)
     }
     this.#openOrders.delete(id)
-    if (answer.kind === 'late') this.#recall(to, order)
-    else this.#noteNotKept(offer, order, answer)
+    if (answer.kind === 'late') this.#offers.recall(to, order)
+    else this.#offers.noteNotKept(offer, order, answer)
     return failAllPieces(order.pieces, answer.kind === 'late' ? 'late' : 'moved')
   }
 
-  #noteAccepted (offered: OfferedOrder, order: StageOrder): void {
-    const { waits, log } = this.#options
-    const waitMs = waits.accepted(offered)
-    const { request, stage } = order.pieces[0]!
-    const fields = { request, stage, group: order.group, gatherer: offered.to, waitMs }
-    if (waitMs >= LOGGED_ACCEPT_WAIT) log.emit(BATCHING_EVENTS.orderAcceptedLate, fields)
-  }
-
-  /**
-   * Offers an order to an instance and waits for as long as that sends anything and the pieces have time: a slow one accepts it,
-   * too, and the pieces would run twice if another one got them.
-   */
-  async #offer (to: InstanceId, id: OrderId, order: StageOrder): Promise<OfferAnswer> {
-    const { clock, peers } = this.#options
-    const offeredAt = clock.now()
-    const timeout = millis(order.pieces[0]!.deadline - offeredAt)
-    return await new Promise((resolve) => {
-      const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
-        const silence = this.#silenceSince(offeredAt, to)
-        if (silence >= MAX_ACCEPT_SILENCE) end({ kind: 'silent', detail: `${to} has sent nothing for ${silence} ms` })
-      })
-      const end = (answer: OfferAnswer): void => {
-        timer.cancel()
-        resolve(answer)
-      }
-      void peers.ask(to, 'stage', packMessage({ kind: 'order', id, order }, offeredAt), timeout).then((asked) => end(answerOf(asked)))
-    })
-  }
-
-  /** Time since an instance has sent anything, at most that since the given time. */
-  #silenceSince (since: Millis, id: InstanceId): Millis {
-    const { clock, peers, roster } = this.#options
-    const elapsed = clock.now() - since
-    return millis(peers.isConnected(id) ? Math.min(elapsed, roster.silenceOf(id) ?? Infinity) : elapsed)
-  }
-
-  /**
-   * Excludes an instance that has not accepted an order, for as long as the cause may last. A link may be closed while the
-   * instance is well, so it is suspected only if the order cannot be given to it once more.
-   */
-  #noteNotKept ({ to, unheard }: Offer, order: StageOrder, answer: NotKept): void {
-    const { roster } = this.#options
-    if (answer.kind === 'silent' || answer.kind === 'unreachable') {
-      if (unheard.has(to) || answer.kind === 'silent') this.#suspect(to, order, answer.detail)
-      unheard.add(to)
-      return
-    }
-    const incarnation = roster.incarnationOf(to)
-    if (incarnation === undefined) return
-    if (answer.kind === LEAVING) roster.markLeaving(incarnation)
-    else roster.markUnreached(incarnation, order.group)
-  }
-
-  #suspect (to: InstanceId, order: StageOrder, detail: string): void {
-    const { roster, log } = this.#options
-    const fields = { gatherer: to, request: order.pieces[0]!.request, detail, silenceMs: roster.silenceOf(to) }
-    roster.suspect(to)
-    log.emit(BATCHING_EVENTS.gathererSuspected, fields)
-    if (this.#options.peers.isConnected(to)) this.#recall(to, order)
-  }
-
-  /** Has an instance give back what it may have queued of an order that is given once more. */
-  #recall (to: InstanceId, { group, pieces }: StageOrder): void {
-    this.#send(to, { kind: 'recall', group, request: pieces[0]!.request })
-  }
-
   #nextId (): OrderId {
     return brand<OrderId>(`${this.#options.peers.incarnation}/${++this.#orderCount}`)
   }
@@ -265,7 +175,7 @@
     const timer = clock.every(PRESENCE_CHECK_PERIOD, () => {
       const isLost = !roster.isPresent(to) || acceptedBy === undefined || roster.hasRestarted({ id: to, incarnation: acceptedBy })
       if (!isLost && clock.now() <= deadline) return
-      if (this.#options.peers.isConnected(to)) this.#recall(to, order)
+      if (this.#options.peers.isConnected(to)) this.#offers.recall(to, order)
       this.#openOrders.get(id)?.resolve(failAllPieces(order.pieces, isLost ? 'failed' : 'late'))
     })
     const outcomes = await ended
@@ -332,12 +242,6 @@
   }
 }
 
-const answerOf = (asked: Result<Json, PeerError>): OfferAnswer => {
-  if (asked.isErr) return asked.error.kind === 'timeout' ? { kind: 'late' } : { kind: 'unreachable', detail: asked.error.detail }
-  const { value } = asked
-  return value === LEAVING || value === UNREACHED ? { kind: value } : { kind: 'accepted', backlogs: value }
-}
-
 const isMoved = (outcome: PieceOutcome | undefined): boolean =>
   outcome !== undefined && 'fault' in outcome && outcome.fault === 'moved'
 
