--- a/packages/batching/src/EvenShares.test.ts
+++ b/packages/batching/src/EvenShares.test.ts
@@ -14,12 +14,14 @@
 }
 
 describe('EvenShares', () => {
-  it('gives every item to one owner, and none more than an even share', () => {
+  // Guards against owners that get nothing while others get two.
+  it('gives every item to one owner, and no owner two more than another one', () => {
     fc.assert(fc.property(fc.integer({ min: 0, max: 60 }), fc.integer({ min: 1, max: 40 }), (groups, candidates) => {
       const found = [...sharesOf(groupsOf(groups), idsOf(candidates)).values()]
       const counts = idsOf(candidates).map((id) => found.filter((each) => each === id).length)
       expect(found).not.toContain(undefined)
-      expect(Math.max(...counts)).toBeLessThanOrEqual(Math.ceil(groups / candidates))
+      expect(Math.max(...counts)).toBe(Math.ceil(groups / candidates))
+      expect(Math.min(...counts)).toBe(Math.floor(groups / candidates))
     }), { seed: 1 })
   })
 
--- a/packages/batching/src/EvenShares.ts
+++ b/packages/batching/src/EvenShares.ts
@@ -13,7 +13,7 @@
   right.rank - left.rank || (nameOf(left) < nameOf(right) ? -1 : 1)
 
 /**
- * Shares items out among owners by rendezvous hashing with bounded loads: none gets more than an even share, rounded up. All who
+ * Shares items out among owners by rendezvous hashing with bounded loads: each gets an even share, rounded up or down. All who
  * know the same items and owners find the same shares, and few other items move when an owner or an item comes or goes.
  *
  * @example
@@ -36,11 +36,15 @@
   }
 
   #share (items: readonly Item[], owners: readonly Owner[]): void {
-    const evenShare = Math.ceil(items.length / owners.length)
+    const least = Math.floor(items.length / owners.length)
+    /** Owners that may still get one item more than the least. */
+    let withOneMore = items.length % owners.length
     const pairs = items.flatMap((item) => owners.map((owner) => ({ item, owner, rank: rendezvousRank(item, owner) })))
     for (const { item, owner } of pairs.sort(byRank)) {
       const count = this.countOf(owner)
-      if (this.#owners.has(item) || count >= evenShare) continue
+      const isFull = count > least || (count === least && withOneMore === 0)
+      if (this.#owners.has(item) || isFull) continue
+      if (count === least) withOneMore--
       this.#owners.set(item, owner)
       this.#counts.set(owner, count + 1)
     }
