--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -235,6 +235,8 @@
       outcome: end.kind,
       status: 'status' in end ? end.status : undefined,
       detail: 'detail' in end ? end.detail : undefined,
+      stop: this.#exchange.stop,
+      silentMs: this.#exchange.silence,
       events: (relay?.events ?? 0) - this.#eventsBefore,
       parts: end.kind === 'lost' && !this.#isBegun ? this.#loggedParts() : undefined,
       fingerprint: end.kind === 'lost' ? fingerprintOf(request) : undefined,
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -219,19 +219,22 @@
   }
 
   #finish (request: ForwardRequest, sink: CallerSink, end: RunEnd): void {
-    const { clock, log } = this.#context
+    const { clock, log, stopTime } = this.#context
     const took = millis(clock.now() - request.arrivedAt)
+    const stopLeftMs = stopTime.isStopping ? millis(stopTime.endsAt - clock.now()) : undefined
     const fields = { request: request.attempt, route: request.route.name, workspace: request.workspace, tookMs: took }
     // A request from a peer is counted where its caller is.
     if (request.detoured === undefined) this.#observer.requestEnded(request, end, took)
     if (end.kind === 'answered') return log.emit(FORWARDING_EVENTS.requestAnswered, { ...fields, status: end.status })
     const isCallerGone = request.signal.aborted && request.signal.reason !== INSTANCE_STOPPED
     if (isCallerGone) return log.emit(FORWARDING_EVENTS.callerGone, fields)
-    if (end.kind === 'cut') return log.emit(FORWARDING_EVENTS.requestCut, { ...fields, detail: end.detail })
+    if (end.kind === 'cut') return log.emit(FORWARDING_EVENTS.requestCut, { ...fields, detail: end.detail, stopLeftMs })
     const { failure, cause } = end
     if (failure.kind === 'over-capacity') for (const { service } of request.route.targets) this.#context.runs?.requestRefused(service)
     const event = failure.run === 'not-run' ? FORWARDING_EVENTS.requestRefused : FORWARDING_EVENTS.requestFailed
-    log.emit(event, { ...fields, kind: failure.kind, run: failure.run, cause, detail: failure.detail, retryAfterMs: failure.retryAfter })
+    log.emit(event, {
+      ...fields, kind: failure.kind, run: failure.run, cause, detail: failure.detail, retryAfterMs: failure.retryAfter, stopLeftMs
+    })
     sink.fail(failure)
   }
 }
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -11,7 +11,7 @@
 import { applyNotices } from './applyNotices.js'
 import type { NoticeContext } from './applyNotices.js'
 import type { StreamRelay } from './StreamRelay.js'
-import type { AnswerNotices, CallEnd, CallWire, OutboundCall } from './types.js'
+import type { AnswerNotices, CallEnd, CallStop, CallWire, OutboundCall } from './types.js'
 
 export interface OpaqueExchangeOptions {
   readonly clock: Clock
@@ -61,6 +61,7 @@
   #probeTimer: Timer | undefined
   #lastByteAt: Millis = millis(0)
   #stopCause: string | undefined
+  #stop: CallStop | undefined
   /** Whether the call was given up because nothing came in time, which alone is no failure of the endpoint. */
   #isHung = false
   /** Whether the request was not sent because the endpoint or the request had become unusable, or a limit left no token. */
@@ -84,15 +85,25 @@
     return this.#sentAt
   }
 
+  /** Why this instance ended the call; undefined if the endpoint did, or it goes on. */
+  get stop (): CallStop | undefined {
+    return this.#stop
+  }
+
+  /** Time since the last byte of the answer, or since the call began. */
+  get silence (): Millis {
+    return millis(this.#options.clock.now() - this.#lastByteAt)
+  }
+
   async run (socket: EndpointSocket): Promise<CallEnd> {
     const { call, wire, firstByteTimeout } = this.#options
     const { method, path, body, signal } = call.request
     this.#isConnectionUsed = socket.isUsed
-    const onAbort = (): void => this.#stop('the request was cancelled')
+    const onAbort = (): void => this.#end('cancelled', 'the request was cancelled')
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
     this.#setSilenceTimer(firstByteTimeout)
-    this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('the deadline passed'))
+    this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('deadline', 'the deadline passed'))
     this.#watchPath()
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#silenceTimer?.cancel()
@@ -110,7 +121,7 @@
   /** Stops the call on behalf of this instance. */
   withdraw (cause: string): void {
     this.#isWithdrawn = true
-    this.#stop(cause)
+    this.#end('quarantine', cause)
   }
 
   onStart (answer: SocketAnswer): void {
@@ -122,7 +133,7 @@
     const isOther = isOtherAttempt(notices, call.request.attempt, this.#isConnectionUsed)
     const isAuthentic = !isOther && (notices.isSigned || notices.isNotRun)
     applyNotices(this.#options, call.endpoint, notices, { sentAt: this.#sentAt, isAuthentic })
-    if (isOther) return this.#stop('the answer belongs to another request')
+    if (isOther) return this.#end('foreign-answer', 'the answer belongs to another request')
     const isStream = relay !== undefined && answer.status === 200 && notices.isEventStream && notices.isSigned
     if (isStream) this.#scanner = new EventScanner()
     this.#isFramed = isFramed(answer.headers)
@@ -134,7 +145,7 @@
     this.#lastByteAt = this.#options.clock.now()
     this.#options.paths.noteContact(this.#options.call.endpoint)
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
-    if (!this.#body.add(data)) this.#stop('the answer is too large')
+    if (!this.#body.add(data)) this.#end('too-large', 'the answer is too large')
   }
 
   /** A call that cannot be written ends in a failure with `isSent` false: nothing was sent. */
@@ -172,12 +183,12 @@
     // Only complete events reset the silence timer: bytes of an incomplete one do not show that the stream goes on.
     if (events > 0 && canSwitchEndpoint) this.#setSilenceTimer(silenceTimeoutOf(call.request.route))
     if (!canSwitchEndpoint) this.#silenceTimer?.cancel()
-    if (scanner.isOversized) this.#stop('a stream event is too large')
+    if (scanner.isOversized) this.#end('too-large', 'a stream event is too large')
   }
 
   #setSilenceTimer (span: Millis): void {
     this.#silenceTimer?.cancel()
-    this.#silenceTimer = this.#options.clock.after(span, () => this.#giveUp(`no data for ${Math.round(span)} ms`))
+    this.#silenceTimer = this.#options.clock.after(span, () => this.#giveUp('silence', `no data for ${Math.round(span)} ms`))
   }
 
   /** Reports each time in which no byte has come for long. */
@@ -189,12 +200,13 @@
     })
   }
 
-  #giveUp (cause: string): void {
+  #giveUp (stop: CallStop, cause: string): void {
     this.#isHung = this.#stopCause === undefined
-    this.#stop(cause)
+    this.#end(stop, cause)
   }
 
-  #stop (cause: string): void {
+  #end (stop: CallStop, cause: string): void {
+    this.#stop ??= stop
     this.#stopCause ??= cause
     stopExchange(this.#stopper)
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -117,6 +117,18 @@
 /** Why a request failed, where operators' tools tell it apart: a stage was late, limits left no token, or a quarantine held it. */
 export type FailureCause = 'late-stage' | 'limit' | 'quarantine'
 
+/** Why this instance ended a call whose endpoint may have been at work; only `silence` is a guess. */
+export type CallStop =
+  /** Nothing came for long. */
+  | 'silence'
+  | 'deadline'
+  /** The caller left, or the instance has stopped. */
+  | 'cancelled'
+  | 'quarantine'
+  /** The answer, or an event of it, is larger than what an instance holds. */
+  | 'too-large'
+  | 'foreign-answer'
+
 /** How one call ended. */
 export type CallEnd =
   | { readonly kind: 'answered', readonly status: number, readonly headers: HeaderList, readonly body: Buffer }
