--- a/packages/detour/src/OpenHandOver.ts
+++ b/packages/detour/src/OpenHandOver.ts
@@ -79,12 +79,10 @@
   }
 
   async run (): Promise<HandOverEnd> {
-    const { id, given: { request: { signal }, relay } } = this.#options
+    const { id, given: { request: { signal } } } = this.#options
     const onAbort = (): void => this.#lose('the request was cancelled')
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
-    // An earlier call of this instance must not take events from the peer for its own.
-    if (relay !== undefined) relay.onFirstEvent = () => {}
     const end = await this.#offer() ?? await this.#watch()
     this.#isEnded = true
     signal.removeEventListener('abort', onAbort)
--- a/packages/forwarding/src/ConnectionPool.ts
+++ b/packages/forwarding/src/ConnectionPool.ts
@@ -74,6 +74,12 @@
     return socket
   }
 
+  /** Whether {@link acquire} would give a connection now. */
+  canAcquire (endpoint: Endpoint, avoided: ReadonlySet<EndpointSocket> = NO_SOCKETS): boolean {
+    const { idle, open } = this.#connectionsOf(endpoint)
+    return open < this.#limitOf(endpoint) || idle.some((socket) => socket.isUsable && !avoided.has(socket))
+  }
+
   #takeIdle ({ idle }: EndpointConnections, avoided: ReadonlySet<EndpointSocket>): EndpointSocket | undefined {
     for (let at = idle.length - 1; at >= 0; at--) {
       const socket = idle[at]!
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -12,7 +12,7 @@
 import { FORWARDING_EVENTS } from './events.js'
 import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardContext } from './ForwardContext.js'
-import { firstByteTimeoutOf, OpaqueExchange } from './OpaqueExchange.js'
+import { OpaqueExchange } from './OpaqueExchange.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { StreamRelay } from './StreamRelay.js'
 import type { CallEnd, ForwardRequest } from './types.js'
@@ -31,6 +31,12 @@
   readonly number: number
   /** Whether the request may be sent to another endpoint if this call is lost. */
   readonly canRetry: boolean
+  /** Called when the endpoint has taken the request: its answer begins. */
+  readonly onAnswerBegan: () => void
+  /** Called when the endpoint has sent nothing for long, and again and again while that lasts; only if the request may be sent again. */
+  readonly onSilence: () => void
+  /** Called when the endpoint sends again after a silence. */
+  readonly onHeard: () => void
   /** Called once the endpoint has read the inputs. */
   readonly onInputsRead: () => void
   /** Called when the endpoint has begun to run the request. */
@@ -73,7 +79,18 @@
     const { check, endpoint } = this.#options
     if (this.#isBegun || !check.mustWithdraw(endpoint)) return
     this.#isWithdrawn = true
-    this.#exchange.withdraw('the request or a part of it is under quarantine')
+    this.#exchange.withdraw('quarantine', 'the request or a part of it is under quarantine')
+  }
+
+  /** Ends the call, since the one that it was to replace goes on. */
+  cancel (): void {
+    this.#isWithdrawn = true
+    this.#exchange.withdraw('superseded', 'the call before it goes on')
+  }
+
+  /** Ends the silent call, since another one takes its place. */
+  replace (): void {
+    this.#exchange.replace()
   }
 
   async run (socket: EndpointSocket): Promise<CallEnd> {
@@ -100,7 +117,7 @@
   }
 
   #newExchange (): OpaqueExchange {
-    const { context, request, endpoint, check, relay, inputs, canRetry } = this.#options
+    const { context, request, endpoint, check, relay, inputs, canRetry, onAnswerBegan, onSilence, onHeard } = this.#options
     const { clock, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
@@ -114,10 +131,14 @@
       paths,
       probedSilence: this.#probedSilence,
       isAllowed: () => !check.mustWithdraw(endpoint),
-      relay: relay === undefined ? undefined : this.#watchFirstEvent(relay),
-      firstByteTimeout: firstByteTimeoutOf(this.#timeLeft, hangTimeout, canRetry),
-      canSwitchEndpoint: canRetry,
+      relay,
+      hangTimeout,
+      canBeReplaced: canRetry,
+      onAnswerBegan,
       onFirstByte: () => this.#answerBytesBegan(),
+      onFirstEvent: () => this.#noteFirstEvent(),
+      onSilence,
+      onHeard,
       call: {
         request,
         endpoint,
@@ -147,13 +168,10 @@
   }
 
   /** The first event shows that the engine has read its inputs, and that no part of the prompt has crashed it. */
-  #watchFirstEvent (relay: StreamRelay): StreamRelay {
-    relay.onFirstEvent = () => {
-      this.#options.onBegun()
-      this.#options.onInputsRead()
-      this.#answerBegan()
-    }
-    return relay
+  #noteFirstEvent (): void {
+    this.#options.onBegun()
+    this.#options.onInputsRead()
+    this.#answerBegan()
   }
 
   #answerBytesBegan (): void {
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -1,15 +1,14 @@
-import { leastStageTime, StageGraphRun } from '@papayahill/batching'
-import type { StageFailure, StageResult } from '@papayahill/batching'
+import type { StageFailure } from '@papayahill/batching'
 import { failure, millis, RunGuard } from '@papayahill/common'
-import type { DomainId, EndpointId, Failure, InstanceId, Millis, ServiceId } from '@papayahill/common'
+import type { EndpointId, Failure, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
 import { timeUntilAvailable } from '@papayahill/limits'
 import type { Quarantine } from '@papayahill/quarantine'
-import { Result } from 'true-myth'
+import { CallReplacement } from './CallReplacement.js'
 import {
   FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MAX_UNTAKEN, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
-  RESUMED_STAGES_FACTOR, STOP_ANSWER_FACTOR, STOP_RETRY_AFTER
+  STOP_ANSWER_FACTOR, STOP_RETRY_AFTER
 } from './constants.js'
 import { EndpointCall } from './EndpointCall.js'
 import { FORWARDING_EVENTS } from './events.js'
@@ -20,10 +19,13 @@
 import type { CallCheck } from './CallQuarantine.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallPlacement } from './RequestPlacement.js'
+import { RequestStages } from './RequestStages.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { INSTANCE_STOPPED } from './StopTime.js'
 import { StreamRelay } from './StreamRelay.js'
-import type { CallEnd, CallerSink, FailureCause, ForwardRequest } from './types.js'
+import { mayHaveRun, SuccessorCall } from './SuccessorCall.js'
+import type { OngoingCall } from './SuccessorCall.js'
+import type { CallEnd, CallerSink, FailureCause, ForwardRequest, ReplacementDenial } from './types.js'
 
 /** How a request ended for its caller. */
 export type RunEnd =
@@ -61,17 +63,18 @@
   readonly #check: CallCheck
   /** Connections that have carried this request. */
   readonly #usedSockets = new Set<EndpointSocket>()
+  readonly #stages: RequestStages
   #guard = new RunGuard()
-  #graph: StageGraphRun | undefined
-  #inputs: readonly StageResult[] = []
   #sendCount = 0
   #runCount = 0
   #rejections = 0
   #recomputeCount = 0
   /** Endpoints that this request may have crashed. */
   #crashCount = 0
-  /** The call in progress. */
-  #call: EndpointCall | undefined
+  /** The call in progress, which another one may be about to replace. */
+  #ongoing: OngoingCall | undefined
+  /** Whether the next call was permitted before the last one was ended. */
+  #isPermitted = false
   readonly #isCounted: boolean
   /** Whether the stages have run, or need not run. */
   #isStaged = false
@@ -95,28 +98,36 @@
     this.#placement = new RequestPlacement(context, request, service, check)
     const isStream = request.route.kind === 'streaming'
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
+    this.#stages = new RequestStages({
+      context,
+      request,
+      answerTime: () => this.#stopAnswerTime,
+      isResumed: () => this.#relay?.isStarted === true,
+      preferredDomain: () => this.#placement.choose(this.#callPlacement)?.domain
+    })
   }
 
   /** The request's end if the instance stops now; undefined during a call or a hand-over, whose own end decides. */
   endAtStop (): RunEnd | undefined {
-    return this.#call === undefined && !this.#isHandedOver ? this.#stopped() : undefined
+    return this.#ongoing === undefined && !this.#isHandedOver ? this.#stopped() : undefined
   }
 
   async run (): Promise<RunEnd> {
-    const onAbort = (): void => this.#graph?.cancel()
+    const onAbort = (): void => this.#stages.cancel()
     this.#request.signal.addEventListener('abort', onAbort, { once: true })
     try {
       return await this.#execute()
     } finally {
       this.#request.signal.removeEventListener('abort', onAbort)
-      this.#graph?.cancel()
+      this.#stages.cancel()
     }
   }
 
   /** A quarantine has begun: stops whatever goes on for the request if it falls under it. */
   applyQuarantines (): void {
-    if (this.#call !== undefined) this.#call.withdrawIfQuarantined()
-    else if (this.#quarantine() !== undefined) this.#graph?.cancel()
+    this.#ongoing?.replacement.successor?.ongoing.call.withdrawIfQuarantined()
+    if (this.#ongoing !== undefined) this.#ongoing.call.withdrawIfQuarantined()
+    else if (this.#quarantine() !== undefined) this.#stages.cancel()
   }
 
   /** The quarantine that keeps the request from all endpoints of its service. */
@@ -138,7 +149,7 @@
   async #directStep (): Promise<Step> {
     if (this.#isStaged) return await this.#attempt()
     if (await this.#isAborted()) return this.#aborted()
-    const staged = await this.#runStages()
+    const staged = await this.#stages.run()
     if (staged.isErr) return this.#stagesFailed(staged.error)
     this.#isStaged = true
     return 'again'
@@ -155,9 +166,10 @@
     return millis(STOP_ANSWER_FACTOR * this.#context.answerTimes.mean(this.#request.route.name))
   }
 
-  get #canEndBeforeStop (): boolean {
+  /** Whether an answer to a call that is sent after a delay could be complete before the end of a planned stop. */
+  #canEndBeforeStop (delay = millis(0)): boolean {
     const { clock, stopTime } = this.#context
-    return clock.now() + this.#stopAnswerTime <= stopTime.endsAt
+    return clock.now() + delay + this.#stopAnswerTime <= stopTime.endsAt
   }
 
   /** Whether a call may be repeated after one that may have run. */
@@ -170,44 +182,6 @@
     return millis(this.#request.deadline - this.#context.clock.now())
   }
 
-  async #runStages (): Promise<Result<void, StageFailure>> {
-    const { route, pieceCounts, attempt, pieceKey, priority, arrivedAt, deadline } = this.#request
-    if (route.stages.length === 0 || pieceCounts.every((count) => count === 0)) return Result.ok(undefined)
-    const { stages, clock, log, firstEvents } = this.#context
-    const answerTime = firstEvents.mean(route.name)
-    this.#graph = new StageGraphRun(stages, {
-      request: attempt,
-      stages: route.stages,
-      counts: pieceCounts,
-      key: pieceKey,
-      priority,
-      due: this.#relay?.isStarted === true ? this.#resumedDue() : millis(arrivedAt + route.target - answerTime),
-      deadline: millis(deadline - MIN_CALL_TIME),
-      answerTime: this.#stopAnswerTime,
-      engineDomain: this.#preferredDomain(),
-      isAllowedIn: this.#request.isAllowedIn
-    })
-    const begunAt = clock.now()
-    const results = await this.#graph.run()
-    const outcome = results.isOk ? 'made' : results.error.fault
-    log.emit(FORWARDING_EVENTS.stagesEnded, { request: attempt, outcome, tookMs: millis(clock.now() - begunAt) })
-    if (results.isErr) return Result.err(results.error)
-    this.#inputs = results.value
-    return Result.ok(undefined)
-  }
-
-  /** The caller of an interrupted stream soon disconnects, so its stages are due as if they did not have to queue. */
-  #resumedDue (): Millis {
-    const { clock, stages } = this.#context
-    const { route, pieceCounts } = this.#request
-    return millis(clock.now() + RESUMED_STAGES_FACTOR * leastStageTime(route.stages, pieceCounts, stages.profileOf))
-  }
-
-  /** Failure domain of the engine that fits the request best, so that stages run close to it. */
-  #preferredDomain (): DomainId | undefined {
-    return this.#placement.choose(this.#callPlacement)?.domain
-  }
-
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#quarantined(quarantine)
@@ -218,7 +192,8 @@
   /** The end of a request that must not be sent any more; undefined if it may be. */
   async #endUnsent (): Promise<RunEnd | undefined> {
     if (await this.#isAborted()) return this.#aborted()
-    if (!this.#canEndBeforeStop) return this.#retryDenied('the instance stops before an answer could be complete')
+    if (this.#isPermitted) return undefined
+    if (!this.#canEndBeforeStop()) return this.#retryDenied('the instance stops before an answer could be complete')
     if (this.#timeLeft < MIN_CALL_TIME) return this.#timedOut()
     const quarantine = this.#quarantine()
     return quarantine === undefined ? undefined : this.#quarantined(quarantine)
@@ -233,11 +208,11 @@
     if (to === undefined) return this.#noPath()
     this.#triedPeers.add(to.id)
     this.#context.unsent.delete(this.#service, this.#request)
-    this.#graph?.cancel()
-    this.#inputs = []
+    this.#stages.reset()
     this.#isStaged = false
     this.#guard.dispatched()
     this.#isHandedOver = true
+    this.#isPermitted = false
     const end = await detour.handOver({
       request: this.#request,
       service: this.#service,
@@ -308,32 +283,111 @@
       this.#exclude.add(endpoint.id)
       return this.#rejected('the endpoint has no free connection')
     }
-    return await this.#send(endpoint, socket)
+    return await this.#finish(this.#begin(endpoint, socket, this.#runCount))
   }
 
-  async #send (endpoint: Endpoint, socket: EndpointSocket): Promise<Step> {
+  /** Sends a call; `runsBefore` counts those of the request that may have run. */
+  #begin (endpoint: Endpoint, socket: EndpointSocket, runsBefore: number, onAnswerBegan = (): void => {}): OngoingCall {
     const context = this.#context
     const request = this.#request
+    const replacement = this.#replacementOf(endpoint, () => call.replace())
     const call = new EndpointCall({
       context,
       request,
       endpoint,
       check: this.#check,
       relay: this.#relay,
-      inputs: this.#inputs,
+      inputs: this.#stages.inputs,
       number: ++this.#sendCount,
-      canRetry: this.#isRetryable && this.#runCount + 1 < request.route.maxAttempts,
-      onInputsRead: () => this.#graph?.release(),
-      onBegun: () => this.#noteBegun()
+      canRetry: this.#isRetryable && runsBefore + 1 < request.route.maxAttempts,
+      onInputsRead: () => this.#stages.release(),
+      onBegun: () => this.#noteBegun(),
+      onAnswerBegan,
+      onSilence: () => this.#isCutOff ? this.#handOverSilent(call) : replacement.callIsSilent(),
+      onHeard: () => replacement.callIsHeard()
     })
     context.unsent.delete(this.#service, request)
-    request.detoured?.onRun(this.#runCount + 1)
+    request.detoured?.onRun(runsBefore + 1)
     this.#guard.dispatched()
-    this.#call = call
     this.#usedSockets.add(socket)
-    const end = await call.run(socket)
-    this.#call = undefined
-    return await this.#handleEnd(endpoint, end)
+    return { endpoint, call, replacement, ended: call.run(socket) }
+  }
+
+  async #finish (ongoing: OngoingCall): Promise<Step> {
+    this.#ongoing = ongoing
+    const end = await ongoing.ended
+    this.#ongoing = undefined
+    const step = await this.#handleEnd(ongoing, end)
+    ongoing.replacement.cancel()
+    return step
+  }
+
+  #replacementOf (silent: Endpoint, endSilent: () => void): CallReplacement<SuccessorCall> {
+    const { log, retries } = this.#context
+    return new CallReplacement({
+      denial: () => this.#replacementDenial(silent),
+      takeRetry: () => retries.tryTake(this.#service, 1),
+      returnRetry: () => retries.giveBack(this.#service, 1),
+      stages: this.#stages,
+      begin: () => this.#beginSuccessor(silent),
+      endSilent,
+      onDenied: (missing) => log.emit(FORWARDING_EVENTS.callSilent, { request: this.#request.attempt, endpoint: silent.id, missing })
+    })
+  }
+
+  /** Sends the call that takes the place of the silent one, which goes on until that is accepted. */
+  #beginSuccessor (silent: Endpoint): SuccessorCall | undefined {
+    const { clock, connections } = this.#context
+    const endpoint = this.#successorEndpoint(silent)
+    const socket = endpoint && connections.acquire(endpoint, this.#usedSockets)
+    if (socket === undefined) return undefined
+    let noteAnswerBegan = (): void => {}
+    const answerBegan = new Promise<void>((resolve) => { noteAnswerBegan = resolve })
+    const ongoing = this.#begin(endpoint!, socket, this.#runCount + 1, noteAnswerBegan)
+    void ongoing.ended.then((end) => { if (this.#ongoing !== ongoing) this.#noteUnusedSuccessor(endpoint!, end) })
+    return new SuccessorCall(clock, ongoing, answerBegan)
+  }
+
+  /** An endpoint that has not rejected the request; the silent one if there is no other, since its answer may have been lost. */
+  #successorEndpoint (silent: Endpoint): Endpoint | undefined {
+    const choose = (exclude: ReadonlySet<EndpointId>): Endpoint | undefined =>
+      this.#placement.choose({ ...this.#callPlacement, exclude, canReuseExcluded: false })
+    return choose(new Set([...this.#exclude, silent.id])) ?? choose(this.#exclude)
+  }
+
+  /** A call has ended that did not take the place of the silent one. */
+  #noteUnusedSuccessor ({ id }: Endpoint, end: CallEnd): void {
+    this.#exclude.add(id)
+    if (mayHaveRun(end)) this.#runCount++
+    if (end.kind === 'inputs-gone') this.#stages.release()
+  }
+
+  /** Hands the request of a silent call over to a peer: this instance reaches none of its endpoints. */
+  #handOverSilent (call: EndpointCall): void {
+    if (this.#context.detour.choose(this.#request, this.#service, this.#triedPeers) === undefined) return
+    if (!this.#canEndBeforeStop() || !this.#tryTakeRetry()) return
+    this.#isPermitted = true
+    call.replace()
+  }
+
+  /** What is missing for a call that takes the place of the one at this endpoint, apart from inputs and the retry budget. */
+  #replacementDenial (silent: Endpoint): ReplacementDenial | undefined {
+    const { clock, connections } = this.#context
+    const stageTime = this.#stages.areInputsHeld ? millis(0) : this.#stages.leastTime
+    if (this.#runCount + 1 >= this.#request.route.maxAttempts) return 'attempts'
+    if (clock.now() + stageTime + this.#leastAnswerTime > this.#request.deadline) return 'deadline'
+    if (!this.#canEndBeforeStop(stageTime)) return 'stop'
+    if (this.#quarantine() !== undefined) return 'quarantine'
+    const endpoint = this.#successorEndpoint(silent)
+    if (endpoint === undefined) return 'endpoint'
+    return connections.canAcquire(endpoint, this.#usedSockets) ? undefined : 'connection'
+  }
+
+  /** Usual time until a caller gets the next of its answer: the first event of a stream, or the whole of another answer. */
+  get #leastAnswerTime (): Millis {
+    const { firstEvents, answerTimes } = this.#context
+    const { name, kind } = this.#request.route
+    return (kind === 'streaming' ? firstEvents : answerTimes).mean(name)
   }
 
   /** A request counts once, however many calls it takes. */
@@ -343,7 +397,7 @@
     this.#context.runs?.requestBegan(this.#request)
   }
 
-  async #handleEnd (endpoint: Endpoint, end: CallEnd): Promise<Step> {
+  async #handleEnd ({ endpoint, replacement }: OngoingCall, end: CallEnd): Promise<Step> {
     switch (end.kind) {
       case 'streamed':
         this.#relay?.end()
@@ -351,7 +405,7 @@
       case 'answered': return this.#answered(endpoint, end)
       case 'not-run': return this.#notRun(endpoint, end)
       case 'inputs-gone': return await this.#inputsGone(end.detail)
-      case 'lost': return await this.#lost(endpoint, end)
+      case 'lost': return await this.#lost(endpoint, end, replacement)
     }
   }
 
@@ -378,21 +432,28 @@
   async #inputsGone (detail: string): Promise<Step> {
     this.#undoDispatch()
     if (this.#recomputeCount++ > 0 || !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
-    this.#graph?.cancel()
-    const staged = await this.#runStages()
+    const staged = await this.#stages.run()
     return staged.isErr ? this.#stagesFailed(staged.error) : 'again'
   }
 
-  async #lost (endpoint: Endpoint, { detail, isConnectionLost }: Extract<CallEnd, { kind: 'lost' }>): Promise<Step> {
+  async #lost (
+    endpoint: Endpoint, { detail, isConnectionLost }: Extract<CallEnd, { kind: 'lost' }>, replacement: CallReplacement<SuccessorCall>
+  ): Promise<Step> {
     this.#runCount++
     this.#exclude.add(endpoint.id)
     if (this.#request.signal.aborted) return this.#aborted()
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#quarantined(quarantine)
     if (isConnectionLost && this.#mayHaveCrashedTooMany(endpoint)) return this.#interrupted(detail)
+    const successor = replacement.takeSuccessor()
+    if (successor !== undefined) {
+      this.#retry(detail)
+      return await this.#finish(successor.ongoing)
+    }
+    if (this.#isPermitted || await replacement.takePrepared()) return this.#retry(detail)
     if (!this.#isRetryable || !this.#tryTakeRetry()) return this.#interrupted(detail)
-    if (this.#relay !== undefined && this.#relay.events > 0 && this.#inputs.length > 0) {
-      const staged = await this.#recomputeInputs()
+    if (!this.#stages.areInputsHeld) {
+      const staged = await this.#stages.run()
       if (staged.isErr) return this.#interrupted(`${detail}; its inputs could not be recomputed`)
     }
     return this.#retry(detail)
@@ -409,11 +470,6 @@
     return Math.max(this.#crashCount, before + 1) >= MAX_CRASHES_PER_REQUEST
   }
 
-  async #recomputeInputs (): Promise<Result<void, StageFailure>> {
-    this.#graph?.cancel()
-    return await this.#runStages()
-  }
-
   #tryTakeRetry (): boolean {
     if (this.#runCount >= this.#request.route.maxAttempts || this.#timeLeft < MIN_CALL_TIME) return false
     const isAllowed = this.#context.retries.tryTake(this.#service, 1)
@@ -487,13 +543,13 @@
 
   /** Waits for an endpoint that can accept the request; longer if a refusal would waste earlier work. */
   async #place (): Promise<Endpoint | undefined> {
-    const maxWait = this.#inputs.length > 0 || this.#relay?.isStarted === true ? PLACEMENT_TIMEOUT : FIRST_PLACEMENT_TIMEOUT
+    const maxWait = this.#stages.inputs.length > 0 || this.#relay?.isStarted === true ? PLACEMENT_TIMEOUT : FIRST_PLACEMENT_TIMEOUT
     const { clock, stopTime } = this.#context
     const until = Math.min(clock.now() + maxWait, this.#request.deadline - MIN_CALL_TIME, stopTime.endsAt)
     return await this.#placement.place(this.#callPlacement, millis(until))
   }
 
   get #callPlacement (): CallPlacement {
-    return { exclude: this.#exclude, inputs: this.#inputs, canReuseExcluded: this.#runCount === 0 || this.#isRetryable }
+    return { exclude: this.#exclude, inputs: this.#stages.inputs, canReuseExcluded: this.#runCount === 0 || this.#isRetryable }
   }
 }
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -6,7 +6,9 @@
 import type { CallEffect, RequestLimits } from '@papayahill/limits'
 import type { PathEvidence } from '@papayahill/reach'
 import type { Result } from 'true-myth'
-import { LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE, TIMER_SLACK } from './constants.js'
+import {
+  LATE_ANSWER_GRACE, MAX_BUFFERED_ANSWER, STREAM_SILENCE_GAPS, MIN_STREAM_SILENCE, SILENCE_CHECK_PERIOD, TIMER_SLACK
+} from './constants.js'
 import { EventScanner } from './EventScanner.js'
 import { applyNotices } from './applyNotices.js'
 import type { NoticeContext } from './applyNotices.js'
@@ -27,12 +29,20 @@
   readonly call: OutboundCall
   /** Receives a streamed answer. */
   readonly relay: StreamRelay | undefined
-  /** Timeout for the first byte of the answer. */
-  readonly firstByteTimeout: Millis
-  /** Whether a stalled stream may be resumed at another endpoint. */
-  readonly canSwitchEndpoint: boolean
+  /** Time without progress until the first event of a stream, or in an answer that is none, that counts as silence. */
+  readonly hangTimeout: Millis
+  /** Whether another call may take the place of this one. */
+  readonly canBeReplaced: boolean
+  /** Called when the endpoint has taken the request: its answer begins, and it is not that it did not run the request. */
+  readonly onAnswerBegan: () => void
   /** Called on the first byte of the answer's body. */
   readonly onFirstByte: () => void
+  /** Called on the first event that the caller gets of a stream. */
+  readonly onFirstEvent: () => void
+  /** Called when the endpoint has sent nothing for long, and again and again while that lasts; only if the call can be replaced. */
+  readonly onSilence: () => void
+  /** Called when the endpoint sends again after a silence. */
+  readonly onHeard: () => void
 }
 
 const STATUS_CONFLICT = 409
@@ -57,6 +67,9 @@
   #isFramed = false
   #hasEvents = false
   #silenceTimer: Timer | undefined
+  #isSilent = false
+  /** Ends a call of which nothing has come by its deadline. */
+  #unansweredTimer: Timer | undefined
   #deadlineTimer: Timer | undefined
   #probeTimer: Timer | undefined
   #lastByteAt: Millis = millis(0)
@@ -96,32 +109,39 @@
   }
 
   async run (socket: EndpointSocket): Promise<CallEnd> {
-    const { call, wire, firstByteTimeout } = this.#options
+    const { call, wire, clock, hangTimeout } = this.#options
     const { method, path, body, signal } = call.request
     this.#isConnectionUsed = socket.isUsed
     const onAbort = (): void => this.#end('cancelled', 'the request was cancelled')
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
-    this.#setSilenceTimer(firstByteTimeout)
-    this.#deadlineTimer = this.#options.clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('deadline', 'the deadline passed'))
+    this.#setSilenceTimer(hangTimeout)
+    this.#unansweredTimer = clock.after(call.timeLeft, () => this.#giveUp('deadline', 'the deadline passed'))
+    this.#deadlineTimer = clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('deadline', 'the deadline passed'))
     this.#watchPath()
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#silenceTimer?.cancel()
+    this.#unansweredTimer.cancel()
     this.#deadlineTimer.cancel()
     this.#probeTimer?.cancel()
     signal.removeEventListener('abort', onAbort)
     const end = this.#endOf(result)
-    const { clock, limits } = this.#options
+    const { limits } = this.#options
     if (this.#isStarted) limits.callEnded(call.endpoint, this.#effectOf(end), millis(clock.now() - this.#sentAt))
     this.#updateEndpointHealth(end)
     if (!this.#isConnectionReusable(end)) socket.close()
     return end
   }
 
+  /** Ends the silent call, since another one takes its place. */
+  replace (): void {
+    this.#giveUp('silence', `no data for ${Math.round(this.silence)} ms`)
+  }
+
   /** Stops the call on behalf of this instance. */
-  withdraw (cause: string): void {
+  withdraw (stop: 'quarantine' | 'superseded', cause: string): void {
     this.#isWithdrawn = true
-    this.#end('quarantine', cause)
+    this.#end(stop, cause)
   }
 
   onStart (answer: SocketAnswer): void {
@@ -134,6 +154,7 @@
     const isAuthentic = !isOther && (notices.isSigned || notices.isNotRun)
     applyNotices(this.#options, call.endpoint, notices, { sentAt: this.#sentAt, isAuthentic })
     if (isOther) return this.#end('foreign-answer', 'the answer belongs to another request')
+    if (!notices.isNotRun && !notices.isOtherEndpoint) this.#options.onAnswerBegan()
     const isStream = relay !== undefined && answer.status === 200 && notices.isEventStream && notices.isSigned
     if (isStream) this.#scanner = new EventScanner()
     this.#isFramed = isFramed(answer.headers)
@@ -145,6 +166,7 @@
     this.#lastByteAt = this.#options.clock.now()
     this.#options.paths.noteContact(this.#options.call.endpoint)
     if (this.#scanner !== undefined) return this.#relay(this.#scanner, data)
+    this.#noteProgress(this.#options.hangTimeout)
     if (!this.#body.add(data)) this.#end('too-large', 'the answer is too large')
   }
 
@@ -177,18 +199,32 @@
   }
 
   #relay (scanner: EventScanner, data: Buffer): void {
-    const { canSwitchEndpoint, call, relay } = this.#options
-    const events = relay?.forward(scanner, data) ?? 0
+    const { canBeReplaced, call, relay, onFirstEvent } = this.#options
+    const events = relay?.forward(scanner, data, onFirstEvent) ?? 0
     this.#hasEvents ||= events > 0
-    // Only complete events reset the silence timer: bytes of an incomplete one do not show that the stream goes on.
-    if (events > 0 && canSwitchEndpoint) this.#setSilenceTimer(silenceTimeoutOf(call.request.route))
-    if (!canSwitchEndpoint) this.#silenceTimer?.cancel()
+    // Only complete events count as progress: bytes of an incomplete one do not show that the stream goes on.
+    if (events > 0) this.#noteProgress(silenceTimeoutOf(call.request.route))
+    if (events > 0 || !canBeReplaced) this.#unansweredTimer?.cancel()
     if (scanner.isOversized) this.#end('too-large', 'a stream event is too large')
   }
 
+  #noteProgress (nextSilence: Millis): void {
+    if (this.#isSilent) this.#options.onHeard()
+    this.#isSilent = false
+    this.#setSilenceTimer(nextSilence)
+  }
+
   #setSilenceTimer (span: Millis): void {
     this.#silenceTimer?.cancel()
-    this.#silenceTimer = this.#options.clock.after(span, () => this.#giveUp('silence', `no data for ${Math.round(span)} ms`))
+    if (this.#options.canBeReplaced) this.#silenceTimer = this.#options.clock.after(span, () => this.#noteSilence())
+  }
+
+  #noteSilence (): void {
+    const { paths, call, onSilence } = this.#options
+    if (!this.#isSilent) paths.noteHang(call.endpoint)
+    this.#isSilent = true
+    this.#setSilenceTimer(SILENCE_CHECK_PERIOD)
+    onSilence()
   }
 
   /** Reports each time in which no byte has come for long. */
@@ -200,7 +236,7 @@
     })
   }
 
-  #giveUp (stop: CallStop, cause: string): void {
+  #giveUp (stop: 'silence' | 'deadline', cause: string): void {
     this.#isHung = this.#stopCause === undefined
     this.#end(stop, cause)
   }
@@ -256,6 +292,7 @@
     const now = clock.now()
     if (end.kind === 'not-run' && (this.#isWithheld || !endpoint.isAvailable(now))) return
     const isBroken = end.kind === 'lost' || (end.kind === 'not-run' && (!end.isReceived || this.#notices?.isOtherEndpoint === true))
+    if (isBroken && this.#isHung && this.#isSilent) return
     if (isBroken && this.#isHung) paths.noteHang(endpoint)
     else if (isBroken) endpoint.noteConnectionFailure(now)
     else if (end.kind === 'answered') endpoint.noteAnswer(end.status < 500, now)
@@ -275,7 +312,3 @@
 /** Pause after which a resumable stream is resumed at another endpoint; far above the longest gap of its route. */
 const silenceTimeoutOf = ({ longestGap }: Pick<ServingRoute, 'longestGap'>): Millis =>
   millis(Math.max(MIN_STREAM_SILENCE, STREAM_SILENCE_GAPS * (longestGap ?? 0)))
-
-/** Timeout for the first byte; a call that cannot be retried gets all the time left. */
-export const firstByteTimeoutOf = (timeLeft: Millis, hangTimeout: Millis, canRetry: boolean): Millis =>
-  canRetry ? millis(Math.min(timeLeft, hangTimeout)) : timeLeft
--- a/packages/forwarding/src/SharedRetryBudget.ts
+++ b/packages/forwarding/src/SharedRetryBudget.ts
@@ -60,6 +60,11 @@
     return true
   }
 
+  /** Gives back retries that were taken and not made. */
+  giveBack (service: ServiceId, count: number): void {
+    this.#countsOf(service).retries.remove(count)
+  }
+
   #countsOf (service: ServiceId): Counts {
     const known = this.#counts.get(service)
     if (known !== undefined) return known
--- a/packages/forwarding/src/StreamRelay.ts
+++ b/packages/forwarding/src/StreamRelay.ts
@@ -24,8 +24,6 @@
   #events = 0
   /** Monotonic time of the first event. */
   firstEventAt: Millis | undefined
-  /** Called on the first event. */
-  onFirstEvent: () => void = () => {}
 
   constructor (clock: Clock, sink: CallerSink, resumeAfter: string | undefined) {
     this.#clock = clock
@@ -61,22 +59,25 @@
     this.#sink.end()
   }
 
-  /** Relays the events that the chunk completes; returns their number, with those that the caller already has. */
-  forward (scanner: EventScanner, chunk: Buffer): number {
+  /**
+   * Relays the events that the chunk completes; returns their number, with those that the caller already has. `onFirstEvent` is
+   * called if the first event of all is among them.
+   */
+  forward (scanner: EventScanner, chunk: Buffer, onFirstEvent = (): void => {}): number {
     let count = 0
     const pieces = scanner.feed(chunk, (id) => {
       count++
-      return this.#accepts(id)
+      return this.#accepts(id, onFirstEvent)
     })
     for (const piece of pieces) this.#sink.write(piece)
     return count
   }
 
   /** Whether the caller does not have the event yet; it is counted then. */
-  #accepts (id: string | undefined): boolean {
+  #accepts (id: string | undefined, onFirstEvent: () => void): boolean {
     if (this.#isDuplicate(id)) return false
     this.#sendHead()
-    if (this.firstEventAt === undefined) this.onFirstEvent()
+    if (this.firstEventAt === undefined) onFirstEvent()
     this.firstEventAt ??= this.#clock.now()
     this.#events++
     this.#lastId = id ?? this.#lastId
--- a/packages/forwarding/src/WindowCount.ts
+++ b/packages/forwarding/src/WindowCount.ts
@@ -46,6 +46,17 @@
     this.#spans.push({ first: now, last: now, count })
   }
 
+  /** Takes back events, the newest first. */
+  remove (count: number): void {
+    let left = count
+    for (let at = this.#spans.length - 1; at >= 0 && left > 0; at--) {
+      const span = this.#spans[at]!
+      const removed = Math.min(left, span.count)
+      span.count -= removed
+      left -= removed
+    }
+  }
+
   /** A bound of the events after `now - window`. */
   count (now: Millis, window: Millis): number {
     this.#prune(now, window)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -34,6 +34,15 @@
 export const STREAM_SILENCE_GAPS = 5
 /** Lower bound of that pause. */
 export const MIN_STREAM_SILENCE = millis(1500)
+/** Interval at which a silent call asks again for what its replacement lacked. */
+export const SILENCE_CHECK_PERIOD = millis(200)
+/**
+ * Time in which an endpoint rejects what it has no place for. The silent call before goes on meanwhile; well below the time for
+ * which two endpoints may be at work on one request.
+ */
+export const REJECTION_TIME = millis(150)
+/** Times that inputs are made anew to replace one silent call. */
+export const MAX_PREPARATIONS = 2
 /** Interval at which a request without a usable endpoint checks again. */
 export const PLACEMENT_RETRY_PERIOD = millis(40)
 /** Longest wait for a usable endpoint when a refusal would waste work that was already done. */
--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -18,6 +18,9 @@
   requestUntimely: { number: 1814, level: 'info', text: 'A request was not admitted because its forecast exceeds its deadline.' },
   requestLimited: { number: 1815, level: 'info', text: 'A request could not be sent to an endpoint because its limit left no token.' },
   requestQuarantined: { number: 1816, level: 'info', text: 'A request was refused because parts of its prompt crash endpoints.' },
+  callSilent: {
+    number: 1841, level: 'info', text: 'A call whose endpoint sends nothing goes on, since something is missing for one that would take its place.'
+  },
   endpointFull: {
     number: 1840, level: 'info', text: 'A request could not be sent to a brittle endpoint because this instance\'s calls take all its places there.'
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -125,10 +125,28 @@
   /** The caller left, or the instance has stopped. */
   | 'cancelled'
   | 'quarantine'
+  /** The call that it was to replace goes on. */
+  | 'superseded'
   /** The answer, or an event of it, is larger than what an instance holds. */
   | 'too-large'
   | 'foreign-answer'
 
+/** What is missing to replace a call that sends nothing. */
+export type ReplacementDenial =
+  /** One of the calls that the route allows. */
+  | 'attempts'
+  /** Time until the request's deadline, or until the end of a planned stop. */
+  | 'deadline' | 'stop'
+  /** The request is under quarantine. */
+  | 'quarantine'
+  /** An endpoint, or a peer that reaches one, that can accept the request. */
+  | 'endpoint'
+  | 'connection'
+  /** Results of the stages, which could not be made anew. */
+  | 'inputs'
+  /** A retry in the budget of the service. */
+  | 'budget'
+
 /** How one call ended. */
 export type CallEnd =
   | { readonly kind: 'answered', readonly status: number, readonly headers: HeaderList, readonly body: Buffer }
