--- a/packages/common/src/ArrivalReader.ts
+++ b/packages/common/src/ArrivalReader.ts
@@ -4,8 +4,14 @@
 /** Event loop delay up to which no catching up is needed. */
 const MAX_PROMPT_DELAY = millis(100)
 
-/** Resolves after the event loop has polled for I/O once more. */
-const nextPoll = async (): Promise<void> => {
+/**
+ * Resolves after the event loop has polled for I/O once more: all that has arrived so far is read then.
+ *
+ * @example
+ * await nextPoll()
+ * server.closeIdleConnections() // none of them has an unread request
+ */
+export const nextPoll = async (): Promise<void> => {
   // The first check phase follows the current poll phase, the second one the next poll phase.
   await new Promise(setImmediate)
   await new Promise(setImmediate)
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,4 @@
-export { ArrivalReader } from './ArrivalReader.js'
+export { ArrivalReader, nextPoll } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
 export { ConnectionGuard } from './ConnectionGuard.js'
 export type { ConnectionGuardOptions } from './ConnectionGuard.js'
--- a/packages/edge/src/listenOn.ts
+++ b/packages/edge/src/listenOn.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { bindServer, CallerConnections, ERROR_ANSWERS, failure, KEEP_ALIVE, openListener, SystemClock } from '@papayahill/common'
+import { bindServer, CallerConnections, ERROR_ANSWERS, failure, KEEP_ALIVE, nextPoll, openListener, SystemClock } from '@papayahill/common'
 import type { ErrorKind, EventLog } from '@papayahill/common'
 import type { ListenAddress } from '@papayahill/settings'
 import type polka from 'polka'
@@ -59,11 +59,14 @@
   }
 
   /** Accepts no more connections, lets running answers finish and closes idle connections. */
-  close (): Promise<void> {
+  async close (): Promise<void> {
     this.#isClosing = true
-    const closed = new Promise<void>((resolve) => { this.#server.close(() => resolve()) })
-    this.#closeIdle()
-    return closed
+    // A connection is not idle if its request has arrived and is not read yet.
+    await nextPoll()
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve())
+      this.#closeIdle()
+    })
   }
 
   /** A keep-alive connection whose answer has ended must not delay a planned stop. */
