--- a/packages/detour/src/DetourRouter.test.ts
+++ b/packages/detour/src/DetourRouter.test.ts
@@ -73,6 +73,20 @@
       expect(received).toEqual({ end: { kind: 'streamed' }, streamed: eventsTo(9) })
     })
 
+    // Guards against a stream that is cut since its peer was paused for a moment.
+    it.each([false, true])('goes on at a peer that is silent for a moment, unless another may get it: %s', async (mayReplace) => {
+      const harness = new DetourHarness('i1', 'i2')
+      await harness.clock.advance(seconds(1))
+      harness.of('i2').serve = streamsTo(harness, 60)
+      const { id } = harness.of('i2')
+      harness.clock.after(millis(300), () => harness.network.pause(id))
+      harness.clock.after(millis(300 + 1950), () => harness.network.resume(id))
+      const request = harness.requestOf({ route: routeOf('streaming'), deadline: millis(harness.clock.now() + seconds(6)) })
+      const received = await harness.endOf(seconds(6), 'i1', 'i2', request, { mayReplace: () => mayReplace })
+      const lost = { kind: 'lost', detail: 'the peer is silent', runs: 1 }
+      expect(received?.end).toEqual(mayReplace ? lost : { kind: 'streamed' })
+    })
+
     it('ends as it failed there', async () => {
       const harness = new DetourHarness('i1', 'i2')
       const refused = refusal('over-capacity', 'too much', { retryAfter: millis(700) })
--- a/packages/detour/src/HostedRequest.ts
+++ b/packages/detour/src/HostedRequest.ts
@@ -7,7 +7,7 @@
 import { END_MARGIN, PRESENCE_CHECK_PERIOD } from './constants.js'
 import { packMessage } from './detourMessages.js'
 import { DETOUR_EVENTS } from './events.js'
-import { isPeerPresent } from './isPeerPresent.js'
+import { peerPresence } from './peerPresence.js'
 import { PartReceiver } from './PartReceiver.js'
 import { PartSender } from './PartSender.js'
 import { PeerSink } from './PeerSink.js'
@@ -110,7 +110,7 @@
   #check (): void {
     const { clock, peers, from } = this.#options
     const isLate = clock.now() > this.#deadline + LATE_ANSWER_GRACE + END_MARGIN
-    if (isLate || !isPeerPresent(peers, from.id, from.incarnation)) this.cancel()
+    if (isLate || peerPresence(peers, from.id, from.incarnation) === 'gone') this.cancel()
   }
 
   #request (): ForwardRequest {
--- a/packages/detour/src/OpenHandOver.ts
+++ b/packages/detour/src/OpenHandOver.ts
@@ -6,7 +6,7 @@
 import type { Peers } from '@papayahill/peers'
 import { END_MARGIN, PRESENCE_CHECK_PERIOD, TAKE_TIMEOUT, TAKE_TIME_SHARE } from './constants.js'
 import { packMessage, unpackOfferAnswer } from './detourMessages.js'
-import { isPeerPresent } from './isPeerPresent.js'
+import { peerPresence } from './peerPresence.js'
 import { PartReceiver } from './PartReceiver.js'
 import { PartSender } from './PartSender.js'
 import { partsOf } from './partsOf.js'
@@ -101,7 +101,7 @@
     this.#sender.confirm(count)
   }
 
-  /** Waits for the end, and ends the hand-over if the peer goes away. */
+  /** Waits for the end, and ends the hand-over if the peer goes away, or is silent and another instance may get the request. */
   async #watch (): Promise<HandOverEnd> {
     const timer = this.#options.clock.every(PRESENCE_CHECK_PERIOD, () => this.#check())
     const end = await this.#ended
@@ -191,8 +191,10 @@
   }
 
   #check (): void {
-    const { clock, peers, given: { request } } = this.#options
-    if (!isPeerPresent(peers, this.to, this.incarnation)) this.#lose('the peer is gone')
+    const { clock, peers, given: { request, mayReplace } } = this.#options
+    const presence = peerPresence(peers, this.to, this.incarnation)
+    if (presence === 'gone') this.#lose('the peer is gone')
+    if (presence === 'silent' && mayReplace(this.#runs)) this.#lose('the peer is silent')
     if (clock.now() > request.deadline + LATE_ANSWER_GRACE + END_MARGIN) this.#lose('the deadline passed')
   }
 
--- a/packages/detour/src/isPeerPresent.test.ts
+++ b/packages/detour/src/peerPresence.test.ts
@@ -1,7 +1,7 @@
 import { brand, millis } from '@papayahill/common'
 import type { DomainId, Incarnation, InstanceId } from '@papayahill/common'
 import { describe, expect, it } from 'vitest'
-import { isPeerPresent } from './isPeerPresent.js'
+import { isPeerPresent, peerPresence } from './peerPresence.js'
 
 const ID = brand<InstanceId>('i2')
 const INCARNATION = brand<Incarnation>('i2#1')
@@ -18,3 +18,13 @@
     expect([isPresent(1700), isPresent(1900), isPresent(1900, 1000), isPresent(3700, 1000)]).toEqual([true, false, true, false])
   })
 })
+
+describe('peerPresence', () => {
+  // Guards against a request that is broken off at a peer which is only paused.
+  it('tells a peer that is silent over an open link from one that is gone', () => {
+    const member = { id: ID, incarnation: INCARNATION, domain: brand<DomainId>('d1'), silence: millis(1900) }
+    const presence = (isLinked: boolean, incarnation = INCARNATION): string =>
+      peerPresence({ members: () => [member], isConnected: () => isLinked }, ID, incarnation)
+    expect([presence(true), presence(false), presence(true, brand<Incarnation>('i2#2'))]).toEqual(['silent', 'gone', 'gone'])
+  })
+})
--- a/packages/detour/src/testing/DetourHarness.ts
+++ b/packages/detour/src/testing/DetourHarness.ts
@@ -174,7 +174,8 @@
     let streamed = ''
     const sink: CallerSink = { ...DEAF_SINK, write: (chunk) => { streamed += chunk.toString() } }
     const relay = request.route.kind === 'streaming' ? new StreamRelay(this.clock, sink, request.resumeAfter) : undefined
-    const given = { request, service: SERVICE, to: member, runs: 0, isCounted: false, endsAt: request.deadline, relay, ...more }
+    const state = { runs: 0, isCounted: false, endsAt: request.deadline, relay, mayReplace: () => true }
+    const given = { request, service: SERVICE, to: member, ...state, ...more }
     const end = await this.of(from).router.handOver(given)
     return { end, streamed }
   }
--- a/packages/forwarding/src/Detour.ts
+++ b/packages/forwarding/src/Detour.ts
@@ -25,6 +25,8 @@
   readonly endsAt: Millis
   /** Receives a streamed answer. */
   readonly relay: StreamRelay | undefined
+  /** Whether another instance or endpoint may get the request, since the peer is silent, after so many runs; takes what that needs. */
+  readonly mayReplace: (runs: number) => boolean
 }
 
 /** How a hand-over ended. */
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -220,7 +220,8 @@
       runs: this.#runCount,
       isCounted: this.#isCounted,
       endsAt: millis(Math.min(this.#request.deadline, stopTime.endsAt)),
-      relay: this.#relay
+      relay: this.#relay,
+      mayReplace: (runs) => this.#mayHandOver(runs)
     })
     this.#isHandedOver = false
     return this.#handOverEnded(end)
@@ -244,7 +245,7 @@
       case 'lost':
         this.#runCount = Math.max(this.#runCount, end.runs)
         if (this.#request.signal.aborted) return this.#aborted()
-        return this.#isRetryable && this.#tryTakeRetry() ? this.#retry(end.detail) : this.#interrupted(end.detail)
+        return this.#isPermitted || (this.#isRetryable && this.#tryTakeRetry()) ? this.#retry(end.detail) : this.#interrupted(end.detail)
     }
   }
 
@@ -309,6 +310,7 @@
     context.unsent.delete(this.#service, request)
     request.detoured?.onRun(runsBefore + 1)
     this.#guard.dispatched()
+    this.#isPermitted = false
     this.#usedSockets.add(socket)
     return { endpoint, call, replacement, ended: call.run(socket) }
   }
@@ -364,10 +366,17 @@
 
   /** Hands the request of a silent call over to a peer: this instance reaches none of its endpoints. */
   #handOverSilent (call: EndpointCall): void {
-    if (this.#context.detour.choose(this.#request, this.#service, this.#triedPeers) === undefined) return
-    if (!this.#canEndBeforeStop() || !this.#tryTakeRetry()) return
-    this.#isPermitted = true
-    call.replace()
+    if (this.#mayHandOver(this.#runCount + 1)) call.replace()
+  }
+
+  /** Takes what it needs to give a request to another peer, or to an endpoint that is reached again, after so many runs. */
+  #mayHandOver (runs: number): boolean {
+    const { detour, retries } = this.#context
+    const hasPath = !this.#isCutOff || detour.choose(this.#request, this.#service, this.#triedPeers) !== undefined
+    const isAllowed = this.#isRetryable && runs < this.#request.route.maxAttempts && this.#untakenCount < MAX_UNTAKEN
+    if (!hasPath || !isAllowed || this.#timeLeft < MIN_CALL_TIME || !this.#canEndBeforeStop()) return false
+    this.#isPermitted ||= retries.tryTake(this.#service, 1)
+    return this.#isPermitted
   }
 
   /** What is missing for a call that takes the place of the one at this endpoint, apart from inputs and the retry budget. */
--- a/packages/forwarding/src/silentCalls.test.ts
+++ b/packages/forwarding/src/silentCalls.test.ts
@@ -118,6 +118,6 @@
       expect(brokenOff(fleet.calls, endsAt)).toEqual([])
       if (stopAt !== null || options.full.length > 0) return
       expect(callers.filter((caller) => !isWhole(caller, options.kind))).toEqual([])
-    }), { numRuns: 150 })
+    }), { numRuns: 300 })
   })
 })
--- a/packages/forwarding/src/testing/SilentFleet.ts
+++ b/packages/forwarding/src/testing/SilentFleet.ts
@@ -310,7 +310,7 @@
     }
     await this.#work(endpoint, SilentFleet.FIRST_EVENT)
     if (isOver()) return
-    listener.onStart({ status: 200, headers: { attempt }, rawHeaders: [] })
+    listener.onStart({ status: 200, headers: { attempt, 'transfer-encoding': 'chunked' }, rawHeaders: [] })
     if (kind === 'safe') return listener.onData(Buffer.from('the answer'))
     for (let id = resumeAfter + 1; id <= events; id++) {
       if (isOver()) return
