--- a/packages/pipeline/src/PipelineServer.test.ts
+++ b/packages/pipeline/src/PipelineServer.test.ts
@@ -65,6 +65,7 @@
 class ImmediateScheduler implements Scheduler {
   refusal: Failure | undefined
   retries = 10
+  hasSlot = true
   readonly finishedAs: boolean[] = []
   readonly requests: StageLeaseRequest[] = []
   readonly outcomes: CallOutcome[] = []
@@ -102,6 +103,10 @@
     return this.retries-- > 0
   }
 
+  hasFreeSlot (): boolean {
+    return this.hasSlot
+  }
+
   forecast (): Millis {
     return FORECAST
   }
@@ -350,6 +355,18 @@
       expect((await run(requestOf('guide'))).isOk).toBe(true)
       expect(records[0]?.outcome).toBe('timed-out')
     })
+
+    // Guards against a call that is ended for its silence though no endpoint has a slot for another one.
+    it('do not replace a call that hangs while no slot is free', async () => {
+      scheduler.hasSlot = false
+      const late: AnswerCall = async (call, _onChunk, signal) => {
+        await clock.sleep(seconds(1))
+        return signal.aborted ? error('cancelled') : done(call)
+      }
+      answers.set('encode', answerFirstWith(late))
+      expect((await run(requestOf('guide'))).isOk).toBe(true)
+      expect(stagesCalled()).toEqual(['encode/1@e1', 'generate/1@e1'])
+    })
   })
 
   describe('answers of other calls', () => {
--- a/packages/pipeline/src/StageRun.ts
+++ b/packages/pipeline/src/StageRun.ts
@@ -213,13 +213,13 @@
     return millis(longest * this.#options.context.random.next())
   }
 
-  /** Abandons a call without progress for far longer than usual, if the retry budget allows another. */
+  /** Abandons a call without progress for far longer than usual, if a slot is free for another and the retry budget allows it. */
   #slowCallCheck (planned: PlannedStage): { after: Millis, shouldAbandon: () => boolean } | undefined {
     const { claim, relay, context, settings } = this.#options
     if (claim !== undefined) return undefined
     const after = relay === undefined ? slowCallTime(planned.forecast) : this.#slowFirstChunkAfter(planned)
     const shouldAbandon = (): boolean => {
-      const isTaken = this.#takeRetry(planned)
+      const isTaken = context.scheduler.hasFreeSlot(planned.service.id) && this.#takeRetry(planned)
       if (isTaken) context.log.emit(PIPELINE_EVENTS.slowCall, { class: settings.id, stage: planned.stage.id })
       return isTaken
     }
--- a/packages/scheduling/src/ServiceScheduler.ts
+++ b/packages/scheduling/src/ServiceScheduler.ts
@@ -114,6 +114,11 @@
     return isAllowed
   }
 
+  hasFreeSlot (service: ServiceId): boolean {
+    const { slots, busy } = this.#options.pool.capacity(service)
+    return busy < slots
+  }
+
   forecast (classId: ClassId, stage: StageId, service: ServiceId): Millis {
     const meanCall = this.#options.pool.capacity(service).meanCall
     return this.#times.mean(classId, stage) ?? millis(meanCall || DEFAULT_CALL_TIME)
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -44,6 +44,8 @@
   withLease<Value> (leaseRequest: StageLeaseRequest, use: (lease: EndpointLease) => Promise<Value>): Promise<Result<Value, Failure>>
   /** Takes one retry from the budget of the class and service; false if none is left or the service is overloaded. */
   takeRetry (classId: ClassId, service: ServiceId): boolean
+  /** Whether this instance has a slot for one more call to the service now. */
+  hasFreeSlot (service: ServiceId): boolean
   /** Forecast time of one call of a stage from recent calls, without the wait for a slot. */
   forecast (classId: ClassId, stage: StageId, service: ServiceId): Millis
 }
