--- a/packages/forwarding/src/ForwardMetrics.test.ts
+++ b/packages/forwarding/src/ForwardMetrics.test.ts
@@ -4,7 +4,7 @@
 import { MAX_ROUTE_LABELS, MAX_WORKSPACE_LABELS } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
-import type { RunEnd } from './ForwardRun.js'
+import type { RunEnd } from './RunEnds.js'
 import type { ForwardRequest } from './types.js'
 
 const requestOf = (workspace: string): ForwardRequest => ({ route: { name: 'guide' }, workspace }) as ForwardRequest
--- a/packages/forwarding/src/ForwardMetrics.ts
+++ b/packages/forwarding/src/ForwardMetrics.ts
@@ -6,7 +6,7 @@
 import { MAX_ROUTE_LABELS, MAX_WORKSPACE_LABELS } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardObserver } from './Forwarder.js'
-import type { RunEnd } from './ForwardRun.js'
+import type { RunEnd } from './RunEnds.js'
 import type { ForwardRequest } from './types.js'
 
 /** Upper bounds of the latency histograms, in seconds. */
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -1,38 +1,28 @@
 import type { StageFailure } from '@papayahill/batching'
-import { failure, millis, RunGuard } from '@papayahill/common'
+import { millis } from '@papayahill/common'
 import type { EndpointId, Failure, InstanceId, Millis, ServiceId } from '@papayahill/common'
 import type { EndpointSocket } from '@papayahill/connections'
 import type { Endpoint } from '@papayahill/directory'
-import { timeUntilAvailable } from '@papayahill/limits'
 import type { Quarantine } from '@papayahill/quarantine'
 import { CallReplacement } from './CallReplacement.js'
 import {
-  FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MAX_UNTAKEN, MIN_CALL_TIME, MIN_RETRY_AFTER, PLACEMENT_TIMEOUT,
-  STOP_ANSWER_FACTOR, STOP_RETRY_AFTER
+  FIRST_PLACEMENT_TIMEOUT, MAX_CRASHES_PER_REQUEST, MAX_REJECTIONS, MAX_UNTAKEN, MIN_CALL_TIME, PLACEMENT_TIMEOUT, STOP_ANSWER_FACTOR
 } from './constants.js'
 import { EndpointCall } from './EndpointCall.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { HandOverEnd } from './Detour.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { isCutOff } from './isCutOff.js'
-import { logQuarantined } from './logQuarantined.js'
 import type { CallCheck } from './CallQuarantine.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { CallPlacement } from './RequestPlacement.js'
 import { RequestStages } from './RequestStages.js'
-import { returnTimeOf } from './returnTimeOf.js'
-import { INSTANCE_STOPPED } from './StopTime.js'
+import { RunEnds } from './RunEnds.js'
+import type { RunEnd } from './RunEnds.js'
 import { StreamRelay } from './StreamRelay.js'
 import { mayHaveRun, SuccessorCall } from './SuccessorCall.js'
 import type { OngoingCall } from './SuccessorCall.js'
-import type { CallEnd, CallerSink, FailureCause, ForwardRequest, ReplacementDenial } from './types.js'
-
-/** How a request ended for its caller. */
-export type RunEnd =
-  | { readonly kind: 'answered', readonly status: number }
-  | { readonly kind: 'failed', readonly failure: Failure, readonly cause?: FailureCause | undefined }
-  /** The answer had started and was aborted. */
-  | { readonly kind: 'cut', readonly detail: string }
+import type { CallEnd, CallerSink, ForwardRequest, ReplacementDenial } from './types.js'
 
 type Step = RunEnd | 'again'
 
@@ -64,7 +54,7 @@
   /** Connections that have carried this request. */
   readonly #usedSockets = new Set<EndpointSocket>()
   readonly #stages: RequestStages
-  #guard = new RunGuard()
+  readonly #ends: RunEnds
   #sendCount = 0
   #runCount = 0
   #rejections = 0
@@ -84,8 +74,6 @@
   #isHandedOver = false
   /** Whether an endpoint has begun to run the request. */
   #hasBegun = false
-  /** Time after which the last peer that was asked may take requests again. */
-  #peerRetryAfter: Millis | undefined
 
   constructor ({ context, request, service, sink, check, isCounted }: ForwardRunOptions) {
     this.#context = context
@@ -98,6 +86,7 @@
     this.#placement = new RequestPlacement(context, request, service, check)
     const isStream = request.route.kind === 'streaming'
     if (isStream) this.#relay = new StreamRelay(context.clock, sink, request.resumeAfter)
+    this.#ends = new RunEnds({ context, request, service, sink, relay: this.#relay })
     this.#stages = new RequestStages({
       context,
       request,
@@ -109,7 +98,7 @@
 
   /** The request's end if the instance stops now; undefined during a call or a hand-over, whose own end decides. */
   endAtStop (): RunEnd | undefined {
-    return this.#ongoing === undefined && !this.#isHandedOver ? this.#stopped() : undefined
+    return this.#ongoing === undefined && !this.#isHandedOver ? this.#ends.stopped() : undefined
   }
 
   async run (): Promise<RunEnd> {
@@ -148,7 +137,7 @@
 
   async #directStep (): Promise<Step> {
     if (this.#isStaged) return await this.#attempt()
-    if (await this.#isAborted()) return this.#aborted()
+    if (await this.#isAborted()) return this.#ends.aborted()
     const staged = await this.#stages.run()
     if (staged.isErr) return this.#stagesFailed(staged.error)
     this.#isStaged = true
@@ -184,19 +173,19 @@
 
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
     const quarantine = this.#quarantine()
-    if (quarantine !== undefined) return this.#quarantined(quarantine)
-    if (fault === 'late') return this.#refused('over-capacity', `stage ${stage} could not be run in time`, 'late-stage')
-    return this.#refused('no-endpoint', `stage ${stage} failed: ${fault}`)
+    if (quarantine !== undefined) return this.#ends.quarantined(quarantine)
+    if (fault === 'late') return this.#ends.refused('over-capacity', `stage ${stage} could not be run in time`, 'late-stage')
+    return this.#ends.refused('no-endpoint', `stage ${stage} failed: ${fault}`)
   }
 
   /** The end of a request that must not be sent any more; undefined if it may be. */
   async #endUnsent (): Promise<RunEnd | undefined> {
-    if (await this.#isAborted()) return this.#aborted()
+    if (await this.#isAborted()) return this.#ends.aborted()
     if (this.#isPermitted) return undefined
-    if (!this.#canEndBeforeStop()) return this.#retryDenied('the instance stops before an answer could be complete')
-    if (this.#timeLeft < MIN_CALL_TIME) return this.#timedOut()
+    if (!this.#canEndBeforeStop()) return this.#ends.retryDenied('the instance stops before an answer could be complete')
+    if (this.#timeLeft < MIN_CALL_TIME) return this.#ends.timedOut()
     const quarantine = this.#quarantine()
-    return quarantine === undefined ? undefined : this.#quarantined(quarantine)
+    return quarantine === undefined ? undefined : this.#ends.quarantined(quarantine)
   }
 
   /** Hands the whole request over to a peer, with its stages. */
@@ -210,7 +199,7 @@
     this.#context.unsent.delete(this.#service, this.#request)
     this.#stages.reset()
     this.#isStaged = false
-    this.#guard.dispatched()
+    this.#ends.dispatched()
     this.#isHandedOver = true
     this.#isPermitted = false
     const end = await detour.handOver({
@@ -233,39 +222,36 @@
         this.#relay?.end()
         return { kind: 'answered', status: 200 }
       case 'answered':
-        if (this.#relay?.isStarted === true) return this.#interrupted(`a peer answered ${end.status} instead of resuming the stream`)
+        if (this.#relay?.isStarted === true) return this.#ends.interrupted(`a peer answered ${end.status} instead of resuming the stream`)
         this.#sink.answer(end.status, end.headers, end.body)
         return { kind: 'answered', status: end.status }
       case 'not-taken':
         this.#undoDispatch()
         this.#untakenCount++
-        this.#peerRetryAfter = end.retryAfter
-        return this.#request.signal.aborted ? this.#aborted() : this.#retry(end.detail)
+        this.#ends.peerRetryAfter = end.retryAfter
+        return this.#request.signal.aborted ? this.#ends.aborted() : this.#retry(end.detail)
       case 'failed': return this.#failedAtPeer(end.failure)
       case 'lost':
         this.#runCount = Math.max(this.#runCount, end.runs)
-        if (this.#request.signal.aborted) return this.#aborted()
-        return this.#isPermitted || (this.#isRetryable && this.#tryTakeRetry()) ? this.#retry(end.detail) : this.#interrupted(end.detail)
+        if (this.#request.signal.aborted) return this.#ends.aborted()
+        if (this.#isPermitted || (this.#isRetryable && this.#tryTakeRetry())) return this.#retry(end.detail)
+        return this.#ends.interrupted(end.detail)
     }
   }
 
   /** No call of this request has run: its refusal may say so. */
   #undoDispatch (): void {
-    if (this.#runCount === 0) this.#guard = new RunGuard()
+    if (this.#runCount === 0) this.#ends.undoDispatch()
   }
 
-  #failedAtPeer ({ kind, detail, run, retryAfter }: Failure): RunEnd {
-    if (run === 'not-run') this.#undoDispatch()
-    if (this.#request.signal.aborted) return this.#aborted()
-    if (this.#relay?.isStarted === true) return this.#interrupted(detail)
-    const options = retryAfter === undefined ? {} : { retryAfter }
-    if (run !== 'not-run') return { kind: 'failed', failure: failure(kind, detail, run, options) }
-    return { kind: 'failed', failure: this.#guard.refuse(kind, detail, options) }
+  #failedAtPeer (cause: Failure): RunEnd {
+    if (cause.run === 'not-run') this.#undoDispatch()
+    return this.#ends.failedAtPeer(cause)
   }
 
   #noPath (): RunEnd {
     const detail = `no path to an endpoint of ${this.#service}, nor a peer that takes the request`
-    return this.#guard.isDispatched ? this.#interrupted(detail) : this.#refused('no-endpoint', detail)
+    return this.#ends.isDispatched ? this.#ends.interrupted(detail) : this.#ends.refused('no-endpoint', detail)
   }
 
   async #attempt (): Promise<Step> {
@@ -275,9 +261,9 @@
     if (endpoint === undefined) {
       if (this.#isCutOff) return 'again'
       const late = this.#quarantine()
-      if (late !== undefined) return this.#quarantined(late)
+      if (late !== undefined) return this.#ends.quarantined(late)
       const cause = this.#placement.wasLimited ? 'limit' : undefined
-      return this.#refused('no-endpoint', `no endpoint of ${this.#service} can accept the request`, cause)
+      return this.#ends.refused('no-endpoint', `no endpoint of ${this.#service} can accept the request`, cause)
     }
     const socket = this.#context.connections.acquire(endpoint, this.#usedSockets)
     if (socket === undefined) {
@@ -309,7 +295,7 @@
     })
     context.unsent.delete(this.#service, request)
     request.detoured?.onRun(runsBefore + 1)
-    this.#guard.dispatched()
+    this.#ends.dispatched()
     this.#isPermitted = false
     this.#usedSockets.add(socket)
     return { endpoint, call, replacement, ended: call.run(socket) }
@@ -425,7 +411,7 @@
       this.#exclude.add(endpoint.id)
       return this.#retry(`the endpoint answered ${status}`)
     }
-    if (this.#relay?.isStarted === true) return this.#interrupted(`the endpoint answered ${status} instead of resuming the stream`)
+    if (this.#relay?.isStarted === true) return this.#ends.interrupted(`the endpoint answered ${status} instead of resuming the stream`)
     this.#sink.answer(status, headers, body)
     return { kind: 'answered', status }
   }
@@ -433,14 +419,14 @@
   #notRun (endpoint: Endpoint, { detail, isReceived }: Extract<CallEnd, { kind: 'not-run' }>): Step {
     this.#undoDispatch()
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#aborted()
-    if (isReceived && !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
+    if (this.#request.signal.aborted) return this.#ends.aborted()
+    if (isReceived && !this.#context.retries.tryTake(this.#service, 1)) return this.#ends.retryDenied(detail)
     return this.#rejected(detail)
   }
 
   async #inputsGone (detail: string): Promise<Step> {
     this.#undoDispatch()
-    if (this.#recomputeCount++ > 0 || !this.#context.retries.tryTake(this.#service, 1)) return this.#retryDenied(detail)
+    if (this.#recomputeCount++ > 0 || !this.#context.retries.tryTake(this.#service, 1)) return this.#ends.retryDenied(detail)
     const staged = await this.#stages.run()
     return staged.isErr ? this.#stagesFailed(staged.error) : 'again'
   }
@@ -450,20 +436,20 @@
   ): Promise<Step> {
     this.#runCount++
     this.#exclude.add(endpoint.id)
-    if (this.#request.signal.aborted) return this.#aborted()
+    if (this.#request.signal.aborted) return this.#ends.aborted()
     const quarantine = this.#quarantine()
-    if (quarantine !== undefined) return this.#quarantined(quarantine)
-    if (isConnectionLost && this.#mayHaveCrashedTooMany(endpoint)) return this.#interrupted(detail)
+    if (quarantine !== undefined) return this.#ends.quarantined(quarantine)
+    if (isConnectionLost && this.#mayHaveCrashedTooMany(endpoint)) return this.#ends.interrupted(detail)
     const successor = replacement.takeSuccessor()
     if (successor !== undefined) {
       this.#retry(detail)
       return await this.#finish(successor.ongoing)
     }
     if (this.#isPermitted || await replacement.takePrepared()) return this.#retry(detail)
-    if (!this.#isRetryable || !this.#tryTakeRetry()) return this.#interrupted(detail)
+    if (!this.#isRetryable || !this.#tryTakeRetry()) return this.#ends.interrupted(detail)
     if (!this.#stages.areInputsHeld) {
       const staged = await this.#stages.run()
-      if (staged.isErr) return this.#interrupted(`${detail}; its inputs could not be recomputed`)
+      if (staged.isErr) return this.#ends.interrupted(`${detail}; its inputs could not be recomputed`)
     }
     return this.#retry(detail)
   }
@@ -492,64 +478,10 @@
   }
 
   #rejected (detail: string): Step {
-    if (++this.#rejections > MAX_REJECTIONS && !this.#isCutOff) return this.#retryDenied(detail)
+    if (++this.#rejections > MAX_REJECTIONS && !this.#isCutOff) return this.#ends.retryDenied(detail)
     return this.#retry(detail)
   }
 
-  #retryDenied (detail: string): RunEnd {
-    return this.#relay?.isStarted === true ? this.#interrupted(detail) : this.#refused('no-endpoint', detail)
-  }
-
-  #timedOut (): RunEnd {
-    if (this.#guard.isDispatched) return this.#interrupted('the deadline passed')
-    return this.#refused('over-capacity', 'the deadline passed before the request was sent')
-  }
-
-  /** The answer cannot be completed: aborts it if it has started, else fails the request. */
-  #interrupted (detail: string): RunEnd {
-    if (this.#relay?.isStarted === true) {
-      this.#sink.cut()
-      return { kind: 'cut', detail }
-    }
-    return this.#failed(this.#timeLeft < MIN_CALL_TIME ? 'deadline-passed' : 'stage-failed', detail)
-  }
-
-  #refused (kind: 'no-endpoint' | 'over-capacity', detail: string, cause?: FailureCause): RunEnd {
-    if (this.#relay?.isStarted === true) return this.#interrupted(detail)
-    const stopKind = this.#context.stopTime.isStopping ? 'draining' : kind
-    return { kind: 'failed', failure: this.#guard.refuse(stopKind, detail, { retryAfter: this.#retryAfter() }), cause }
-  }
-
-  /** No endpoint may get the request: it is refused, or its answer is aborted if an earlier call had begun it. */
-  #quarantined (quarantine: Quarantine): RunEnd {
-    const { detail } = logQuarantined(this.#context, this.#request, quarantine)
-    if (this.#relay?.isStarted === true) return this.#interrupted(detail)
-    return { kind: 'failed', failure: this.#guard.refuse('quarantined', detail), cause: 'quarantine' }
-  }
-
-  /** Nobody waits for the request any more, or this instance can wait for it no longer. */
-  #aborted (): RunEnd {
-    if (this.#request.signal.reason === INSTANCE_STOPPED) return this.#stopped()
-    return this.#failed('caller-gone', 'the caller disconnected')
-  }
-
-  #stopped (): RunEnd {
-    const detail = 'the instance has stopped'
-    return this.#guard.isDispatched ? this.#interrupted(detail) : this.#refused('no-endpoint', detail)
-  }
-
-  #failed (kind: Failure['kind'], detail: string): RunEnd {
-    return { kind: 'failed', failure: failure(kind, detail, 'unknown') }
-  }
-
-  #retryAfter (): Millis {
-    const { limits, directory, clock, stopTime } = this.#context
-    if (stopTime.isStopping) return STOP_RETRY_AFTER
-    if (this.#peerRetryAfter !== undefined) return this.#peerRetryAfter
-    const availableIn = timeUntilAvailable(limits, directory.usable(this.#service), clock.now())
-    return returnTimeOf(this.#context, this.#service, millis(Math.max(MIN_RETRY_AFTER, this.#timeLeft / 4, availableIn)))
-  }
-
   /** Waits for an endpoint that can accept the request; longer if a refusal would waste earlier work. */
   async #place (): Promise<Endpoint | undefined> {
     const maxWait = this.#stages.inputs.length > 0 || this.#relay?.isStarted === true ? PLACEMENT_TIMEOUT : FIRST_PLACEMENT_TIMEOUT
