--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export { afterArrivals } from './afterArrivals.js'
 export { ArrivalReader, nextPoll } from './ArrivalReader.js'
 export { assertNever } from './assertNever.js'
 export { ConnectionGuard } from './ConnectionGuard.js'
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -118,12 +118,13 @@
 
   #newExchange (): OpaqueExchange {
     const { context, request, endpoint, check, relay, inputs, canRetry, onAnswerBegan, onSilence, onHeard } = this.#options
-    const { clock, log, wire, directory, limits, firstEvents, paths } = context
+    const { clock, arrivals, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
     const hangTimeout = millis(Math.max(MIN_HANG_TIMEOUT, HANG_TIMEOUT_TARGETS * (route.target + usualFirstEvent)) * this.#slowness)
     return new OpaqueExchange({
       clock,
+      arrivals,
       log,
       wire,
       directory,
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -1,5 +1,5 @@
-import { millis } from '@papayahill/common'
-import type { Clock, EventLog, Millis, Timer } from '@papayahill/common'
+import { afterArrivals, millis } from '@papayahill/common'
+import type { ArrivalReader, Clock, EventLog, Millis, Timer } from '@papayahill/common'
 import { AnswerBody, isFramed, newStopper, stopExchange } from '@papayahill/connections'
 import type { EndpointSocket, SocketAnswer, SocketFailure } from '@papayahill/connections'
 import type { ServingRoute } from '@papayahill/directory'
@@ -17,6 +17,7 @@
 
 export interface OpaqueExchangeOptions {
   readonly clock: Clock
+  readonly arrivals: Pick<ArrivalReader, 'catchUp'>
   readonly log: EventLog
   readonly wire: CallWire
   readonly directory: NoticeContext['directory']
@@ -109,15 +110,16 @@
   }
 
   async run (socket: EndpointSocket): Promise<CallEnd> {
-    const { call, wire, clock, hangTimeout } = this.#options
+    const { call, wire, clock, arrivals, hangTimeout } = this.#options
     const { method, path, body, signal } = call.request
     this.#isConnectionUsed = socket.isUsed
     const onAbort = (): void => this.#end('cancelled', 'the request was cancelled')
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
     this.#setSilenceTimer(hangTimeout)
-    this.#unansweredTimer = clock.after(call.timeLeft, () => this.#giveUp('deadline', 'the deadline passed'))
-    this.#deadlineTimer = clock.after(millis(call.timeLeft + LATE_ANSWER_GRACE), () => this.#giveUp('deadline', 'the deadline passed'))
+    const onDeadline = (): void => this.#giveUp('deadline', 'the deadline passed')
+    this.#unansweredTimer = afterArrivals(clock, arrivals, call.timeLeft, onDeadline)
+    this.#deadlineTimer = afterArrivals(clock, arrivals, millis(call.timeLeft + LATE_ANSWER_GRACE), onDeadline)
     this.#watchPath()
     const result = await this.#exchange(socket, { method, path, headers: wire.headers(call), body })
     this.#silenceTimer?.cancel()
@@ -216,7 +218,8 @@
 
   #setSilenceTimer (span: Millis): void {
     this.#silenceTimer?.cancel()
-    if (this.#options.canBeReplaced) this.#silenceTimer = this.#options.clock.after(span, () => this.#noteSilence())
+    const { clock, arrivals, canBeReplaced } = this.#options
+    if (canBeReplaced) this.#silenceTimer = afterArrivals(clock, arrivals, span, () => this.#noteSilence())
   }
 
   #noteSilence (): void {
