--- a/packages/common/src/ArrivalReader.ts
+++ b/packages/common/src/ArrivalReader.ts
@@ -32,8 +32,13 @@
     this.#delay = delay
   }
 
+  /** Whether the event loop reads and calls back about when it should. */
+  get isPrompt (): boolean {
+    return this.#delay.current <= MAX_PROMPT_DELAY
+  }
+
   /** Resolves once all input that has arrived so far has been read; at once if the event loop was not blocked. */
   async catchUp (): Promise<void> {
-    if (this.#delay.current > MAX_PROMPT_DELAY) await nextPoll()
+    if (!this.isPrompt) await nextPoll()
   }
 }
--- a/packages/forwarding/src/ForwardContext.ts
+++ b/packages/forwarding/src/ForwardContext.ts
@@ -46,7 +46,7 @@
   /** Receives what calls show about the paths to endpoints. */
   readonly paths: PathEvidence
   /** Reads what callers sent or closed while the event loop was blocked. */
-  readonly arrivals: Pick<ArrivalReader, 'catchUp'>
+  readonly arrivals: Pick<ArrivalReader, 'catchUp' | 'isPrompt'>
   readonly detour: Detour
   /** Counts what requests use; absent where the deployment asks for no such counts. */
   readonly runs?: RunObserver | undefined
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -325,7 +325,7 @@
 
   /** Sends the call that takes the place of the silent one, which goes on until that is accepted. */
   #beginSuccessor (silent: Endpoint): SuccessorCall | undefined {
-    const { clock, connections } = this.#context
+    const { connections } = this.#context
     const endpoint = this.#successorEndpoint(silent)
     const socket = endpoint && connections.acquire(endpoint, this.#usedSockets)
     if (socket === undefined) return undefined
@@ -333,7 +333,7 @@
     const answerBegan = new Promise<void>((resolve) => { noteAnswerBegan = resolve })
     const ongoing = this.#begin(endpoint!, socket, this.#runCount + 1, noteAnswerBegan)
     void ongoing.ended.then((end) => { if (this.#ongoing !== ongoing) this.#noteUnusedSuccessor(endpoint!, end) })
-    return new SuccessorCall(clock, ongoing, answerBegan)
+    return new SuccessorCall(this.#context, ongoing, answerBegan)
   }
 
   /** An endpoint that has not rejected the request; the silent one if there is no other, since its answer may have been lost. */
--- a/packages/forwarding/src/silentCalls.test.ts
+++ b/packages/forwarding/src/silentCalls.test.ts
@@ -94,6 +94,29 @@
     })
   })
 
+  // Guards against two endpoints at work on one request for long, since a late process ends the silent call late.
+  it.each([[false, 150], [true, 0]])('is open beside its successor for a moment only, in a late process (%s) not at all', async (isLate, beside) => {
+    const fleet = new SilentFleet({
+      endpoints: 2, silences: [silenceOf(0, 0, 9000), silenceOf(1, 0, 3000)], kind: 'streaming', hasStages: false, retries: 9, connections: 9, isLate
+    })
+    fleet.send('a1')
+    fleet.send('a2')
+    await fleet.clock.advance(seconds(8))
+    const [silent, successor] = fleet.calls.filter(({ attempt }) => fleet.calls.find((call) => call.endpoint === 'e0')?.attempt === attempt)
+    expect(silent!.endedAt! - successor!.startedAt).toBe(beside)
+  })
+
+  // Guards against a silence that is none: a late process had not read yet what had arrived.
+  it('is not taken for silent before what has arrived is read', async () => {
+    const fleet = new SilentFleet({
+      endpoints: 2, silences: [0, 1].map((at) => silenceOf(at, 1000, 1430)), kind: 'streaming', hasStages: false, retries: 10, connections: 10, readDelay: millis(30)
+    })
+    const caller = fleet.send('a1')
+    await fleet.clock.advance(seconds(8))
+    expect(isWhole(caller, 'streaming')).toBe(true)
+    expect(fleet.calls).toHaveLength(1)
+  })
+
   it('is never ended by that unless another call of its request follows at once, whatever is missing', async () => {
     const silence = fc.record({ endpoint: fc.nat(2), from: fc.nat(4000), span: fc.integer({ min: 500, max: 5000 }) })
       .map(({ from, span, ...rest }) => ({ ...rest, from, span: Math.min(span, LAST_SILENCE - from) }))
--- a/packages/forwarding/src/testing/SilentFleet.ts
+++ b/packages/forwarding/src/testing/SilentFleet.ts
@@ -59,6 +59,10 @@
   readonly events?: number
   /** Whether the stages fail when they are run for the second time. */
   readonly failStagesAgain?: boolean
+  /** Whether the instance's event loop is late. */
+  readonly isLate?: boolean
+  /** Time by which the instance reads late what has arrived. */
+  readonly readDelay?: Millis
   /** Endpoints that reject each call after the first ones, as they have no place. */
   readonly full?: readonly number[]
   /** Calls that these take before. */
@@ -230,7 +234,10 @@
       profileOf: () => undefined,
       reach: { reaches: () => true, reachesEndpoint: () => true, onChange: () => {} },
       paths: { noteContact: () => {}, noteNoContact: () => {}, noteSilence: () => {}, noteHang: () => {} },
-      arrivals: { catchUp: () => Promise.resolve() },
+      arrivals: {
+        isPrompt: this.#options.isLate !== true,
+        catchUp: () => this.#options.readDelay === undefined ? Promise.resolve() : clock.sleep(this.#options.readDelay)
+      },
       detour: { choose: () => undefined },
       domain: DOMAIN
     } as unknown as ForwardContext
