--- a/packages/forwarding/src/CallReplacement.ts
+++ b/packages/forwarding/src/CallReplacement.ts
@@ -139,6 +139,7 @@
     if (this.#successor !== successor) return
     if (isAccepted) return this.#options.endSilent()
     this.#successor = undefined
+    successor.cancel()
     this.#deny('endpoint')
   }
 
--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -15,7 +15,7 @@
 import { OpaqueExchange } from './OpaqueExchange.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { StreamRelay } from './StreamRelay.js'
-import type { CallEnd, ForwardRequest } from './types.js'
+import type { CallEnd, CallObserver, ForwardRequest } from './types.js'
 import type { VersionCall } from './VersionGate.js'
 
 export interface EndpointCallOptions {
@@ -31,8 +31,7 @@
   readonly number: number
   /** Whether the request may be sent to another endpoint if this call is lost. */
   readonly canRetry: boolean
-  /** Called when the endpoint has taken the request: its answer begins. */
-  readonly onAnswerBegan: () => void
+  readonly observer: CallObserver | undefined
   /** Called when the endpoint has sent nothing for long, and again and again while that lasts; only if the request may be sent again. */
   readonly onSilence: () => void
   /** Called when the endpoint sends again after a silence. */
@@ -117,7 +116,7 @@
   }
 
   #newExchange (): OpaqueExchange {
-    const { context, request, endpoint, check, relay, inputs, canRetry, onAnswerBegan, onSilence, onHeard } = this.#options
+    const { context, request, endpoint, check, relay, inputs, canRetry, observer, onSilence, onHeard } = this.#options
     const { clock, arrivals, log, wire, directory, limits, firstEvents, paths } = context
     const { route } = request
     const usualFirstEvent = route.kind === 'streaming' ? firstEvents.mean(route.name) : 0
@@ -135,7 +134,7 @@
       relay,
       hangTimeout,
       canBeReplaced: canRetry,
-      onAnswerBegan,
+      observer,
       onFirstByte: () => this.#answerBytesBegan(),
       onFirstEvent: () => this.#noteFirstEvent(),
       onSilence,
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -20,9 +20,9 @@
 import { RunEnds } from './RunEnds.js'
 import type { RunEnd } from './RunEnds.js'
 import { StreamRelay } from './StreamRelay.js'
-import { mayHaveRun, SuccessorCall } from './SuccessorCall.js'
+import { CallAcceptance, mayHaveRun, SuccessorCall } from './SuccessorCall.js'
 import type { OngoingCall } from './SuccessorCall.js'
-import type { CallEnd, CallerSink, ForwardRequest, ReplacementDenial } from './types.js'
+import type { CallEnd, CallerSink, CallObserver, ForwardRequest, ReplacementDenial } from './types.js'
 
 type Step = RunEnd | 'again'
 
@@ -274,7 +274,7 @@
   }
 
   /** Sends a call; `runsBefore` counts those of the request that may have run. */
-  #begin (endpoint: Endpoint, socket: EndpointSocket, runsBefore: number, onAnswerBegan = (): void => {}): OngoingCall {
+  #begin (endpoint: Endpoint, socket: EndpointSocket, runsBefore: number, observer?: CallObserver): OngoingCall {
     const context = this.#context
     const request = this.#request
     const replacement = this.#replacementOf(endpoint, () => call.replace())
@@ -289,7 +289,7 @@
       canRetry: this.#isRetryable && runsBefore + 1 < request.route.maxAttempts,
       onInputsRead: () => this.#stages.release(),
       onBegun: () => this.#noteBegun(),
-      onAnswerBegan,
+      observer,
       onSilence: () => this.#isCutOff ? this.#handOverSilent(call) : replacement.callIsSilent(),
       onHeard: () => replacement.callIsHeard()
     })
@@ -329,11 +329,11 @@
     const endpoint = this.#successorEndpoint(silent)
     const socket = endpoint && connections.acquire(endpoint, this.#usedSockets)
     if (socket === undefined) return undefined
-    let noteAnswerBegan = (): void => {}
-    const answerBegan = new Promise<void>((resolve) => { noteAnswerBegan = resolve })
-    const ongoing = this.#begin(endpoint!, socket, this.#runCount + 1, noteAnswerBegan)
+    const acceptance = new CallAcceptance(this.#context)
+    const ongoing = this.#begin(endpoint!, socket, this.#runCount + 1, acceptance)
     void ongoing.ended.then((end) => { if (this.#ongoing !== ongoing) this.#noteUnusedSuccessor(endpoint!, end) })
-    return new SuccessorCall(this.#context, ongoing, answerBegan)
+    void acceptance.accepted.then((isAccepted) => { if (!isAccepted) this.#exclude.add(endpoint!.id) })
+    return new SuccessorCall(ongoing, acceptance)
   }
 
   /** An endpoint that has not rejected the request; the silent one if there is no other, since its answer may have been lost. */
--- a/packages/forwarding/src/OpaqueExchange.ts
+++ b/packages/forwarding/src/OpaqueExchange.ts
@@ -13,7 +13,7 @@
 import { applyNotices } from './applyNotices.js'
 import type { NoticeContext } from './applyNotices.js'
 import type { StreamRelay } from './StreamRelay.js'
-import type { AnswerNotices, CallEnd, CallStop, CallWire, OutboundCall } from './types.js'
+import type { AnswerNotices, CallEnd, CallObserver, CallStop, CallWire, OutboundCall } from './types.js'
 
 export interface OpaqueExchangeOptions {
   readonly clock: Clock
@@ -34,8 +34,7 @@
   readonly hangTimeout: Millis
   /** Whether another call may take the place of this one. */
   readonly canBeReplaced: boolean
-  /** Called when the endpoint has taken the request: its answer begins, and it is not that it did not run the request. */
-  readonly onAnswerBegan: () => void
+  readonly observer: CallObserver | undefined
   /** Called on the first byte of the answer's body. */
   readonly onFirstByte: () => void
   /** Called on the first event that the caller gets of a stream. */
@@ -156,7 +155,7 @@
     const isAuthentic = !isOther && (notices.isSigned || notices.isNotRun)
     applyNotices(this.#options, call.endpoint, notices, { sentAt: this.#sentAt, isAuthentic })
     if (isOther) return this.#end('foreign-answer', 'the answer belongs to another request')
-    if (!notices.isNotRun && !notices.isOtherEndpoint) this.#options.onAnswerBegan()
+    if (!notices.isNotRun && !notices.isOtherEndpoint) this.#options.observer?.answerBegan()
     const isStream = relay !== undefined && answer.status === 200 && notices.isEventStream && notices.isSigned
     if (isStream) this.#scanner = new EventScanner()
     this.#isFramed = isFramed(answer.headers)
@@ -185,6 +184,7 @@
     this.#sentAt = clock.now()
     this.#isWithheld = !endpoint.isAvailable(this.#sentAt) || !this.#options.isAllowed() || !limits.trySend(endpoint)
     this.#isStarted ||= !this.#isWithheld
+    if (this.#isStarted) this.#options.observer?.sent()
     return !this.#isWithheld
   }
 
@@ -224,6 +224,8 @@
 
   #noteSilence (): void {
     const { paths, call, onSilence } = this.#options
+    // Nothing is broken off where nothing was sent.
+    if (!this.#isStarted) return this.replace()
     if (!this.#isSilent) paths.noteHang(call.endpoint)
     this.#isSilent = true
     this.#setSilenceTimer(SILENCE_CHECK_PERIOD)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -41,6 +41,8 @@
  * which two endpoints may be at work on one request.
  */
 export const REJECTION_TIME = millis(150)
+/** Time in which a connection opens for a call that is to take the place of a silent one. */
+export const MAX_UNSENT_TIME = millis(500)
 /** Times that inputs are made anew to replace one silent call. */
 export const MAX_PREPARATIONS = 2
 /** Interval at which a request without a usable endpoint checks again. */
--- a/packages/forwarding/src/testing/SilentFleet.ts
+++ b/packages/forwarding/src/testing/SilentFleet.ts
@@ -63,9 +63,11 @@
   readonly isLate?: boolean
   /** Time by which the instance reads late what has arrived. */
   readonly readDelay?: Millis
+  /** Endpoints to which no connection opens after the first ones. */
+  readonly unreachable?: readonly number[]
   /** Endpoints that reject each call after the first ones, as they have no place. */
   readonly full?: readonly number[]
-  /** Calls that these take before. */
+  /** Calls that these, and the former, take before. */
   readonly places?: number
 }
 
@@ -288,10 +290,19 @@
     } as unknown as EndpointSocket
   }
 
+  #callsAt (endpoint: EndpointId): number {
+    return this.calls.filter((call) => call.endpoint === endpoint).length
+  }
+
   async #exchange (
     endpoint: EndpointId, { headers }: SocketRequest, listener: AnswerListener, stopper: Stopper
   ): Promise<Result<void, SocketFailure>> {
     const [attempt = '', resumeAfter = ''] = headers as readonly string[]
+    const { unreachable = [], places = 0 } = this.#options
+    if (this.#callsAt(endpoint) >= places && unreachable.some((at) => `e${at}` === endpoint)) {
+      await new Promise<void>((resolve) => { stopper.stop = resolve })
+      return Result.err({ isSent: false, isRefused: false, isNoAnswer: false, detail: 'stopped' })
+    }
     listener.mayStart?.()
     const call: SeenCall = { attempt, endpoint, startedAt: this.clock.now(), endedAt: undefined, isBrokenOff: false }
     this.calls.push(call)
@@ -310,8 +321,7 @@
     endpoint: EndpointId, resumeAfter: number, attempt: string, listener: AnswerListener, isOver: () => boolean
   ): Promise<void> {
     const { kind, events = 24, full = [], places = 0 } = this.#options
-    const taken = this.calls.filter((call) => call.endpoint === endpoint).length
-    if (taken > places && full.some((at) => `e${at}` === endpoint)) {
+    if (this.#callsAt(endpoint) > places && full.some((at) => `e${at}` === endpoint)) {
       await this.clock.sleep(REJECTION_DELAY)
       return listener.onStart({ status: 503, headers: { attempt }, rawHeaders: [] })
     }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -131,6 +131,14 @@
   | 'too-large'
   | 'foreign-answer'
 
+/** Is told how far a call has got. */
+export interface CallObserver {
+  /** The request is about to be written. */
+  sent (): void
+  /** The endpoint has taken the request: its answer begins, and it is not that it did not run the request. */
+  answerBegan (): void
+}
+
 /** What is missing to replace a call that sends nothing. */
 export type ReplacementDenial =
   /** One of the calls that the route allows. */
