--- a/packages/forwarding/src/silentCalls.test.ts
+++ b/packages/forwarding/src/silentCalls.test.ts
@@ -8,6 +8,8 @@
 /** Time within which another call of the request starts once a silent one was ended. */
 const MAX_HANDOVER = millis(50)
 const EVENTS = 24
+/** Streams from which the usual time of an answer is learnt. */
+const WARM_UP = 20
 /** Silences that end before callers give up. */
 const LAST_SILENCE = 6000
 /** Time until the end of a planned stop, and after which all requests have ended. */
@@ -102,14 +104,17 @@
 
     it('time until the end of a planned stop', async () => {
       const fleet = new SilentFleet({
-        endpoints: 2, silences: [0, 1].map((endpoint) => silenceOf(endpoint, 8000, 3500)), kind: 'streaming', hasStages: false, retries: 10, connections: 10
+        endpoints: 2, silences: [0, 1].map((endpoint) => silenceOf(endpoint, 9000, 3500)), kind: 'streaming', hasStages: false, retries: 10, connections: 20
       })
-      await Promise.all([fleet.clock.advance(seconds(7)), fleet.send('w1'), fleet.send('w2')])
+      for (let at = 0; at < WARM_UP; at++) fleet.send(`w${at}`)
+      await fleet.clock.advance(seconds(7))
       const callers = ['a1', 'a2'].map((attempt) => fleet.send(attempt))
       await fleet.clock.advance(millis(100))
       stop(fleet)
       await fleet.clock.advance(seconds(8))
       expect(callers.map((caller) => isWhole(caller, 'streaming'))).toEqual([true, true])
+      expect(missingIn(fleet)).toContain('stop')
+      expect(brokenOff(fleet.calls)).toEqual([])
     })
   })
 
