--- a/packages/forwarding/src/EndpointCall.ts
+++ b/packages/forwarding/src/EndpointCall.ts
@@ -12,6 +12,7 @@
 import { FORWARDING_EVENTS } from './events.js'
 import { fingerprintOf } from './fingerprintOf.js'
 import type { ForwardContext } from './ForwardContext.js'
+import { mayHaveRun } from './mayHaveRun.js'
 import { OpaqueExchange } from './OpaqueExchange.js'
 import type { CallCheck } from './CallQuarantine.js'
 import type { StreamRelay } from './StreamRelay.js'
@@ -194,7 +195,7 @@
   /** A call that was lost may have run, unlike one that the endpoint says it did not run. */
   #noteRun (end: CallEnd): void {
     const { context: { clock, runs }, endpoint, relay } = this.#options
-    const hasRun = end.kind !== 'not-run' && end.kind !== 'inputs-gone'
+    const hasRun = mayHaveRun(end)
     if (hasRun && relay === undefined) this.#options.onBegun()
     runs?.callEnded(endpoint, hasRun ? millis(clock.now() - this.#startedAt) : undefined)
   }
--- a/packages/forwarding/src/SuccessorCall.ts
+++ b/packages/forwarding/src/SuccessorCall.ts
@@ -15,9 +15,6 @@
   readonly replacement: CallReplacement<SuccessorCall>
 }
 
-/** Whether an endpoint that ended a call like this has run it, or may have. */
-export const mayHaveRun = ({ kind }: CallEnd): boolean => kind !== 'not-run' && kind !== 'inputs-gone'
-
 /**
  * Whether an endpoint takes a request: it begins to answer, or does not reject it within a short time after it was sent. It does
  * not if no connection to it opens. A late process could not end the silent call soon enough, and takes what was sent for accepted.
