--- a/packages/directory/src/AnswerGaps.ts
+++ b/packages/directory/src/AnswerGaps.ts
@@ -1,6 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
-import { LAPSE_GRACE, LONG_POLL_WAIT } from './constants.js'
+import { LAPSE_GRACE, USUAL_ANSWER_GAP } from './constants.js'
 
 const NO_OUTAGE = millis(0)
 
@@ -25,7 +25,7 @@
   /** Records that the store confirmed the table at a time. */
   noteAnswer (at: Millis, now: Millis): void {
     const gap = this.#gapUntil(at)
-    if (gap > LONG_POLL_WAIT) [this.#longGap, this.#longGapEnd] = [gap, now]
+    if (gap > USUAL_ANSWER_GAP) [this.#longGap, this.#longGapEnd] = [gap, now]
     this.#answeredAt = millis(Math.max(this.#answeredAt ?? at, at))
   }
 
@@ -36,7 +36,7 @@
   outageOf (reported: Millis, answeredAt: Millis, now: Millis): Millis {
     const recentGap = now - this.#longGapEnd < LAPSE_GRACE ? this.#longGap : NO_OUTAGE
     const gap = Math.max(recentGap, this.#gapUntil(answeredAt))
-    return gap + LONG_POLL_WAIT >= reported ? reported : NO_OUTAGE
+    return gap + USUAL_ANSWER_GAP >= reported ? reported : NO_OUTAGE
   }
 
   #gapUntil (at: Millis): Millis {
--- a/packages/directory/src/TableRelay.test.ts
+++ b/packages/directory/src/TableRelay.test.ts
@@ -45,6 +45,32 @@
     })
   })
 
+  // Callers were served with a revoked key for 5 s: nobody polled while all watchers had silent polls open.
+  describe('while all watchers are cut off from the store, silently', () => {
+    describe.each([4, 6, 9, 60])('%i instances', (count) => {
+      it.each([0, 300, 800, 1500, 2200, 2700, 2950])('know of a change in time, %i ms after a poll began', async (moment) => {
+        const harness = await startHarness(count)
+        const cut = harness.watchers
+        await harness.clock.advance(millis(moment))
+        for (const watcher of cut) watcher.access = 'silent'
+        await harness.clock.advance(millis(20))
+        const others = harness.instances.filter((instance) => !cut.includes(instance))
+        expect(await harness.change('e1', 'left', LEAVING_LIMIT, others)).toBeDefined()
+        expect(await harness.change('e1', 'back', LEAVING_LIMIT, others)).toBeDefined()
+      })
+
+      it('know of a change in time where one watcher is killed and the others are cut off', async () => {
+        const harness = await startHarness(count)
+        const [killed, ...cut] = harness.watchers
+        for (const watcher of cut) watcher.access = 'silent'
+        await harness.clock.advance(millis(900))
+        harness.kill(killed!)
+        const others = harness.instances.filter((instance) => instance !== killed && !cut.includes(instance))
+        expect(await harness.change('e1', 'left', LEAVING_LIMIT, others)).toBeDefined()
+      })
+    })
+  })
+
   it('notifies instances that the store refuses, through the others', async () => {
     const harness = await startHarness(20)
     const refused = harness.instances.filter((_instance, at) => at % 2 === 0)
--- a/packages/directory/src/TableRelay.ts
+++ b/packages/directory/src/TableRelay.ts
@@ -4,8 +4,9 @@
 import { DIRECTORY_EVENTS } from './events.js'
 import { packTableMessage, unpackTableMessage } from './tableMessages.js'
 import type { RelayedChanges, TableStatus } from './tableMessages.js'
+import { pollOrderOf } from './pollOrderOf.js'
+import type { PollPlace } from './pollTimes.js'
 import type { StorePosition } from './types.js'
-import { watchersOf } from './watchersOf.js'
 
 /** One table as seen by the relay. */
 export interface RelayedTable {
@@ -54,10 +55,11 @@
     return this.#options.peers.neighbours().length === 0
   }
 
-  /** Whether this instance polls the table in the store on behalf of the others. */
-  isWatcher (table: string): boolean {
+  /** Place of this instance in the order in which the known instances poll the table. */
+  placeIn (table: string): PollPlace {
     const { peers: { self }, domain } = this.#options
-    return watchersOf(table, [...this.#options.peers.members(), { id: self, domain }]).some(({ id }) => id === self)
+    const order = pollOrderOf(table, [...this.#options.peers.members(), { id: self, domain }])
+    return { rank: order.findIndex(({ id }) => id === self), instances: order.length }
   }
 
   /** Sends a table's status after {@link RELAY_DELAY} to all neighbours but `from`, which already has it. */
--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -2,11 +2,12 @@
 import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  ANSWER_LIMIT, LONG_POLL_WAIT, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, POLL_SPREAD, ROLE_PERIOD,
-  STATUS_LIMIT, STATUS_PERIOD
+  DEFAULT_APPLY_TIME, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, ROLE_PERIOD
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { AnswerGaps } from './AnswerGaps.js'
+import { backupDelayOf, pollTimesOf, pollWaitOf } from './pollTimes.js'
+import type { PollTimes } from './pollTimes.js'
 import { TableAvailability } from './TableAvailability.js'
 import { StoreHistory } from './StoreHistory.js'
 import type { TableChanges } from './TableCopy.js'
@@ -34,11 +35,13 @@
   readonly decode: (key: string, value: Json) => Value
   readonly listener: TableListener<Value>
   /** Relay to the other instances that watch the table; without it, this instance always polls the store. */
-  readonly relay?: Pick<TableRelay, 'add' | 'isAlone' | 'isWatcher' | 'announce' | 'push' | 'fetch'>
+  readonly relay?: Pick<TableRelay, 'add' | 'isAlone' | 'placeIn' | 'announce' | 'push' | 'fetch'>
   /** The store's history, shared by all that read the store; without it, the table's own. */
   readonly history?: StoreHistory
   /** How long rows stay in force that a restored store has lost; by default, as long as endpoints have to register again. */
   readonly retention?: RowRetention
+  /** Time from a change's commit within which it must be in force on all instances. */
+  readonly applyTime?: Millis
 }
 
 const NO_WAIT = millis(0)
@@ -50,8 +53,9 @@
     : { ...changes, retained: changes.retained.map((row) => ({ ...row, until: millis(row.until + by) })) }
 
 /**
- * Keeps a copy of one table current. A watcher polls the table in the store and relays it; an instance that
- * receives no status in time polls the store itself, so that it depends on no single other instance.
+ * Keeps a copy of one table current. The watchers poll the table in the store in turn and relay it. Every status tells how
+ * old the store's last answer is, so that nobody relies on a poll without an answer: an instance that knows of no recent
+ * answer polls the store itself.
  *
  * @example
  * const watch = new TableWatch({ clock, random, log, table, decode, listener, relay })
@@ -64,12 +68,10 @@
   readonly #role: WatchRole
   readonly #availability: TableAvailability
   readonly #answerGaps = new AnswerGaps()
-  /** When an instance was last known to poll the table in the store. */
-  #statusAt: Millis | undefined
-  #pollDelay: Millis = NO_WAIT
+  readonly #times: PollTimes
+  /** The store's clock less this instance's; undefined until the store has told it. */
+  #storeClockOffset: number | undefined
   #isFetching = false
-  /** Whether the last poll of this instance was answered. */
-  #wasLastPollAnswered = false
   #droppedEra: number | undefined
   #isStopped = false
 
@@ -81,6 +83,7 @@
     this.#history = options.history ?? new StoreHistory(log)
     const { decode, listener, retention } = options
     this.#rows = new WatchedRows({ clock, log, name: table.name, decode, listener, retention })
+    this.#times = pollTimesOf(options.applyTime ?? DEFAULT_APPLY_TIME)
     options.relay?.add(this)
   }
 
@@ -110,7 +113,6 @@
 
   start (): void {
     void this.#pollLoop()
-    if (this.#options.relay !== undefined) void this.#publishStatus()
   }
 
   stop (): void {
@@ -120,11 +122,8 @@
 
   status (): TableStatus | undefined {
     const { summary } = this.#view
-    if (summary === undefined || this.#statusAt === undefined || this.#answerGaps.answeredAt === undefined) return undefined
-    const now = this.#options.clock.now()
-    return {
-      ...summary, table: this.name, statusAge: millis(now - this.#statusAt), answerAge: millis(now - this.#answerGaps.answeredAt)
-    }
+    const { age } = this
+    return summary === undefined || age === undefined ? undefined : { ...summary, table: this.name, answerAge: age }
   }
 
   since (after: StorePosition | undefined): RelayedChanges | undefined {
@@ -164,8 +163,8 @@
   async #pollAndWait (): Promise<void> {
     const { clock } = this.#options
     const begunAt = clock.now()
-    this.#wasLastPollAnswered = await this.#poll()
-    if (!this.#wasLastPollAnswered) await this.#availability.pause(this.#isReliedOn ? MAX_POLL_RETRY : MAX_BACKUP_POLL_RETRY)
+    const isAnswered = await this.#poll()
+    if (!isAnswered) await this.#availability.pause(this.#isReliedOn ? MAX_POLL_RETRY : MAX_BACKUP_POLL_RETRY)
     else await clock.sleep(millis(Math.max(0, MIN_POLL_INTERVAL - (clock.now() - begunAt))))
   }
 
@@ -176,22 +175,27 @@
 
   /** Time until this instance polls the store, or checks again whether it should. */
   #timeUntilPoll (): Millis {
-    const { clock, log } = this.#options
-    if (this.#view.position === undefined || this.#role.check()) return NO_WAIT
-    const now = clock.now()
-    const statusDue = (this.#statusAt ?? now) + STATUS_LIMIT
-    const answerDue = (this.#answerGaps.answeredAt ?? now) + ANSWER_LIMIT
-    const left = Math.min(statusDue, answerDue) + this.#pollDelay - now
+    const { age } = this
+    if (this.#view.position === undefined || this.#role.check() || age === undefined) return NO_WAIT
+    const { place } = this.#role
+    const left = this.#times.ageLimit + backupDelayOf(place) - age
     if (left > 0) return millis(Math.min(left, ROLE_PERIOD))
-    log.emit(DIRECTORY_EVENTS.tableStale, { table: this.name, statusAgeMs: now - (this.#statusAt ?? now), answerAgeMs: this.age })
+    this.#options.log.emit(DIRECTORY_EVENTS.tableStale, { table: this.name, answerAgeMs: age, ...place })
     return NO_WAIT
   }
 
+  /** A watcher's poll waits for the next change, at most until this instance's turn; a backup's does not wait. */
+  get #pollWait (): Millis {
+    if (!this.#role.isWatcher) return NO_WAIT
+    const offset = this.#storeClockOffset
+    const storeTime = offset === undefined ? undefined : millis(this.#options.clock.now() + offset)
+    return pollWaitOf(this.#role.place, this.#times.turn, storeTime)
+  }
+
   async #poll (): Promise<boolean> {
     const { table } = this.#options
     const after = this.#view.position
-    const wait = this.#role.isWatcher ? LONG_POLL_WAIT : NO_WAIT
-    const answer = after === undefined ? await table.read() : await table.changes(after.revision, wait)
+    const answer = after === undefined ? await table.read() : await table.changes(after.revision, this.#pollWait)
     if (this.#isStopped) return true
     if (answer.isErr) return await this.#handleError(answer.error)
     if (after === undefined) return this.#applyAnswer(undefined, answer.value)
@@ -209,13 +213,12 @@
 
   /** Applies the store's answer to a poll after a revision, or to a read, and relays it. */
   #applyAnswer (after: number | undefined, answer: TableRows<Json>): boolean {
-    const { clock, random, relay } = this.#options
+    const { clock, relay } = this.#options
     const now = clock.now()
     const outage = this.#answerGaps.outageOf(this.#availability.regained(), now, now)
-    this.#pollDelay = millis(random.next() * POLL_SPREAD)
+    if (answer.storeTime !== undefined) this.#storeClockOffset = answer.storeTime - now
     this.#logIfDropped(after, answer)
     this.#noteAnswer(now)
-    this.#statusAt = now
     this.#apply({ ...answer, after }, outage, undefined)
     relay?.announce(this.name)
     return true
@@ -278,14 +281,12 @@
     this.#answerGaps.noteAnswer(at, this.#options.clock.now())
   }
 
-  #noteStatus ({ statusAge, answerAge }: TableStatus, from: InstanceId): void {
+  #noteStatus ({ answerAge }: TableStatus, from: InstanceId): void {
     const { clock, relay } = this.#options
-    const now = clock.now()
-    this.#noteAnswer(millis(now - answerAge))
-    const at = millis(now - statusAge)
-    if (this.#statusAt !== undefined && at - this.#statusAt < MIN_STATUS_GAIN) return
-    this.#statusAt = at
-    relay?.announce(this.name, from)
+    const known = this.#answerGaps.answeredAt
+    const at = millis(clock.now() - answerAge)
+    this.#noteAnswer(at)
+    if (known === undefined || at - known >= MIN_STATUS_GAIN) relay?.announce(this.name, from)
   }
 
   /** Fetches missing changes from a neighbour; if that fails, the next status triggers another fetch. */
@@ -299,17 +300,5 @@
     const relayed = await this.#options.relay?.fetch(this.name, from, after)
     if (relayed === undefined || this.#isStopped) return
     this.#applyRelayed(relayed, from)
-    this.#statusAt ??= this.#answerGaps.answeredAt
-  }
-
-  /** Publishes the status while this instance is a watcher whose polls are answered, also while it waits for the next change. */
-  async #publishStatus (): Promise<void> {
-    const { clock, relay } = this.#options
-    while (!this.#isStopped) {
-      await clock.sleep(STATUS_PERIOD)
-      if (!this.#role.isWatcher || !this.#wasLastPollAnswered) continue
-      this.#statusAt = clock.now()
-      relay?.announce(this.name)
-    }
   }
 }
--- a/packages/directory/src/WatchRole.ts
+++ b/packages/directory/src/WatchRole.ts
@@ -2,6 +2,8 @@
 import type { Clock, EventLog, Millis } from '@papayahill/common'
 import { ROLE_PERIOD, ROLE_START_DELAY } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
+import { isWatcherAt } from './pollTimes.js'
+import type { PollPlace } from './pollTimes.js'
 import type { TableRelay } from './TableRelay.js'
 
 export interface WatchRoleOptions {
@@ -9,7 +11,7 @@
   readonly log: EventLog
   readonly table: string
   /** Without it, this instance always polls the store. */
-  readonly relay: Pick<TableRelay, 'isAlone' | 'isWatcher'> | undefined
+  readonly relay: Pick<TableRelay, 'isAlone' | 'placeIn'> | undefined
 }
 
 /**
@@ -24,6 +26,7 @@
   readonly #startedAt: Millis
   #checkedAt: Millis | undefined
   #isWatcher: boolean
+  #place: PollPlace = { rank: 0, instances: 1 }
 
   constructor (options: WatchRoleOptions) {
     this.#options = options
@@ -36,6 +39,11 @@
     return this.#isWatcher
   }
 
+  /** Place in the order of polls as of the last check. */
+  get place (): PollPlace {
+    return this.#place
+  }
+
   /** The role, determined again every {@link ROLE_PERIOD}. */
   check (): boolean {
     const { clock, log, table, relay } = this.#options
@@ -43,8 +51,9 @@
     const now = clock.now()
     if (this.#checkedAt !== undefined && now - this.#checkedAt < ROLE_PERIOD) return this.#isWatcher
     this.#checkedAt = now
-    const isWatcher = this.#canWatch(relay, now) && relay.isWatcher(table)
-    if (isWatcher !== this.#isWatcher) log.emit(DIRECTORY_EVENTS.tableRole, { table, watches: isWatcher })
+    this.#place = relay.placeIn(table)
+    const isWatcher = isWatcherAt(this.#place) && this.#canWatch(relay, now)
+    if (isWatcher !== this.#isWatcher) log.emit(DIRECTORY_EVENTS.tableRole, { table, watches: isWatcher, ...this.#place })
     this.#isWatcher = isWatcher
     return isWatcher
   }
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -1,28 +1,38 @@
 import { millis, seconds } from '@papayahill/common'
 
-/** Longest wait of one poll for a change before the next poll; a silent connection is detected after it. */
-export const LONG_POLL_WAIT = seconds(3)
 /** Minimum time between two polls, so that tables with frequent changes cost few calls. */
 export const MIN_POLL_INTERVAL = millis(250)
 /** Bounds of the backoff after a failed poll; the last one applies where others poll the table as well. */
 export const MIN_POLL_RETRY = millis(100)
 export const MAX_POLL_RETRY = millis(800)
 export const MAX_BACKUP_POLL_RETRY = seconds(3)
-/** Instances that poll one table in the store; if two fail at once, one is left. */
+/** Instances that poll one table in the store for all others, in turn. */
 export const WATCHER_COUNT = 3
-/** Period at which a watcher publishes its status. */
-export const STATUS_PERIOD = millis(500)
-/** Age of the newest status from which an instance polls the store itself; all must know of a leaving endpoint in less than twice that. */
-export const STATUS_LIMIT = millis(1100)
-/** Age of the store's last answer from which an instance polls the store itself: a watcher's connection may be silent. */
-export const ANSWER_LIMIT = millis(4200)
-/** Polls of instances that lack a status are spread over this time, so that the first poll makes the others unnecessary. */
-export const POLL_SPREAD = millis(600)
+/** Longest time from one watcher's answer to the next watcher's, while nothing changes. */
+export const MAX_TURN = seconds(1)
+/** Time by which an answer may come after its turn before backups poll. */
+export const TURN_JITTER = millis(240)
+/** A poll that would wait for less than this share of a turn waits for the turn after it. */
+export const MIN_WAIT_SHARE = 1 / 8
+/** Time within which a change must be in force, where the deployment names none. */
+export const DEFAULT_APPLY_TIME = seconds(2)
+/** Share of that time that is left unplanned. */
+export const APPLY_RESERVE = 0.1
+/** Time for a poll that does not wait, and for its answer to reach all instances. */
+export const POLL_ALLOWANCE = millis(100)
+export const RELAY_ALLOWANCE = millis(100)
+/** Shortest age of the store's last answer from which backups poll. */
+export const MIN_AGE_LIMIT = millis(500)
+/** Time from which twice as many backups poll, if none has been answered, and the longest time until all do. */
+export const BACKUP_STEP = millis(45)
+export const MAX_BACKUP_DELAY = millis(360)
+/** Span between two answers of the store up to which no outage is assumed. */
+export const USUAL_ANSWER_GAP = seconds(3)
 /** Time after the start before an instance becomes a watcher: until then it may know only a few of the others. */
 export const ROLE_START_DELAY = millis(2500)
 /** Period at which an instance checks whether it is a watcher. */
 export const ROLE_PERIOD = millis(500)
-/** A status is relayed if it is newer than the known one by at least this much. */
+/** A status is relayed if the store's answer in it is newer than the known one by at least this much. */
 export const MIN_STATUS_GAIN = millis(200)
 /** Delay in which statuses are collected to be sent together. */
 export const RELAY_DELAY = millis(15)
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -18,7 +18,7 @@
   tableRegained: { number: 1614, level: 'info', text: 'A watched table of the platform can be read again.' },
   endpointsHeld: { number: 1615, level: 'info', text: 'Entries missing after an outage are kept until their endpoints have had time to register again.' },
   tableRole: { number: 1616, level: 'info', text: 'This instance started or stopped polling a table in the store for the others.' },
-  tableStale: { number: 1617, level: 'info', text: 'No status of a watcher arrived in time; this instance polls the table itself.' },
+  tableStale: { number: 1617, level: 'info', text: 'The last answer of the store is too old, whoever got it; this instance polls the table itself.' },
   tableChanged: { number: 1618, level: 'info', text: 'Rows of a watched table changed, as the store or a neighbour reported.' },
   tableMessageMalformed: { number: 1619, level: 'warn', text: 'A message about watched tables could not be read and was ignored.' },
   endpointQuiet: { number: 1620, level: 'info', text: 'An endpoint asked for no requests for a time.' },
--- a/packages/directory/src/tableMessages.ts
+++ b/packages/directory/src/tableMessages.ts
@@ -7,8 +7,6 @@
 /** How current one instance's copy of a table is. */
 export interface TableStatus extends TableSummary {
   readonly table: string
-  /** Time since a watcher was last known to poll the table. */
-  readonly statusAge: Millis
   /** Time since the store confirmed the position. */
   readonly answerAge: Millis
 }
@@ -45,12 +43,15 @@
   era, (retained ?? []).map(packRetained)
 ]
 
+/** The age stands twice: earlier versions read the age of a watcher's last sign of life in the first place. */
+const packStatus = ({ table, era, revision, digest, retained, answerAge }: TableStatus): Json =>
+  [table, revision, digest, Math.round(answerAge), Math.round(answerAge), era, retained]
+
 /** Encodes a message compactly, without field names. */
 export const packTableMessage = (message: TableMessage): Json => {
   if (message.kind === 'changes') return packChanges(message.relayed)
   if (message.kind === 'fetch') return [FETCH, message.table, message.after?.revision ?? null, message.after?.era ?? 0]
-  return [STATUS, ...message.statuses.map(({ table, era, revision, digest, retained, statusAge, answerAge }) =>
-    [table, revision, digest, Math.round(statusAge), Math.round(answerAge), era, retained])]
+  return [STATUS, ...message.statuses.map(packStatus)]
 }
 
 const isCount = (value: Json | undefined): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0
@@ -60,10 +61,10 @@
 /** Earlier versions name no era and retain nothing. */
 const statusOf = (packed: Json): TableStatus | undefined => {
   if (!Array.isArray(packed)) return undefined
-  const [table, revision, digest, statusAge, answerAge, era = 0, retained = 0] = packed as readonly Json[]
+  const [table, revision, digest, , answerAge, era = 0, retained = 0] = packed as readonly Json[]
   if (typeof table !== 'string' || !isCount(revision) || !isCount(digest) || !isCount(era) || !isCount(retained)) return undefined
-  if (!isCount(statusAge) || !isCount(answerAge)) return undefined
-  return { table, era, revision, digest, retained, statusAge: millis(statusAge), answerAge: millis(answerAge) }
+  if (!isCount(answerAge)) return undefined
+  return { table, era, revision, digest, retained, answerAge: millis(answerAge) }
 }
 
 const retainedOf = (packed: Json): RetainedRow | undefined => {
--- a/packages/directory/src/testing/TableHarness.ts
+++ b/packages/directory/src/testing/TableHarness.ts
@@ -11,6 +11,8 @@
 /** How the store answers one instance. */
 export type StoreAccess = 'serves' | 'refuses' | 'silent'
 
+type TableAnswer = Result<TableRows<Json>, TableError>
+
 export interface TableHarnessOptions {
   /** Whether the store names its era in answers; without it, instances know revisions alone. */
   readonly namesEra?: boolean
@@ -20,6 +22,7 @@
 
 const CALL_TIME = millis(5)
 const CALL_TIMEOUT = millis(700)
+const NO_WAIT = millis(0)
 const DOMAINS = 6
 const TABLE = 'endpoints'
 const FIRST_PORT = 20_000
@@ -76,34 +79,42 @@
   }
 
   viewFor (accessOf: () => StoreAccess): WatchedTable {
-    const guarded = async (answer: () => Promise<Result<TableRows<Json>, TableError>>): Promise<Result<TableRows<Json>, TableError>> => {
+    const guarded = async (wait: Millis, answer: () => Promise<TableAnswer>): Promise<TableAnswer> => {
+      const timeoutAt = this.#clock.now() + wait + CALL_TIMEOUT
       this.calls++
       await this.#clock.sleep(CALL_TIME)
       if (accessOf() === 'refuses') return unavailable('refused')
-      if (accessOf() === 'serves') return await answer()
-      await this.#clock.sleep(CALL_TIMEOUT)
+      if (accessOf() === 'serves') {
+        const answered = await answer()
+        if (accessOf() !== 'silent') return answered
+      }
+      await this.#clock.sleep(millis(Math.max(0, timeoutAt - this.#clock.now())))
       return unavailable('no answer')
     }
     return {
       name: TABLE,
-      read: () => guarded(() => Promise.resolve(Result.ok({ era: this.era, rows: [...this.#rows.values()], revision: this.revision }))),
-      changes: (after, wait) => guarded(() => this.#feed(after, wait))
+      read: () => guarded(NO_WAIT, () => Promise.resolve(this.#answer([...this.#rows.values()]))),
+      changes: (after, wait) => guarded(wait, () => this.#feed(after, wait))
     }
   }
 
-  async #feed (after: number, wait: Millis): Promise<Result<TableRows<Json>, TableError>> {
+  #answer (rows: ReadonlyArray<TableRow<Json>>): TableAnswer {
+    return Result.ok({ era: this.era, rows, revision: this.revision, storeTime: this.#clock.now() })
+  }
+
+  async #feed (after: number, wait: Millis): Promise<TableAnswer> {
     if (after < this.#oldest) return Result.err({ kind: 'history-gone', detail: 'forgotten' })
     const until = this.#clock.now() + wait
     for (;;) {
       if (after > this.revision) return Result.err({ kind: 'history-gone', detail: 'restored from an older copy' })
       const rows = this.#changes.filter((row) => row.revision > after)
-      if (rows.length > 0 || this.#clock.now() >= until) return Result.ok({ era: this.era, rows, revision: this.revision })
+      if (rows.length > 0 || this.#clock.now() >= until) return this.#answer(rows)
       await this.#clock.sleep(CALL_TIME)
     }
   }
 }
 
-const unavailable = (detail: string): Result<TableRows<Json>, TableError> => Result.err({ kind: 'unavailable', detail })
+const unavailable = (detail: string): TableAnswer => Result.err({ kind: 'unavailable', detail })
 
 /** One instance: its links, its watch, and the rows it knows. */
 export class TableInstance {
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -191,4 +191,6 @@
 /** Rows as of a position; the next poll continues from there. */
 export interface TableRows<Value> extends StorePosition {
   readonly rows: ReadonlyArray<TableRow<Value>>
+  /** The store's steady clock when it answered; undefined if it did not tell. */
+  readonly storeTime?: Millis | undefined
 }
