--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -78,14 +78,26 @@
   readonly #openOrders = new Map<GroupId, number>()
   #chosenDomain: DomainId | undefined
   #isCancelled = false
+  readonly #cancelled: Promise<Result<readonly StageResult[], StageFailure>>
+  #endCancelled: () => void = () => {}
 
   constructor (context: StageContext, work: StageWork) {
     this.#context = context
     this.#work = work
+    this.#cancelled = new Promise((resolve) => {
+      this.#endCancelled = () => resolve(Result.err({ fault: 'late', stage: this.#firstUnfinishedStage }))
+    })
   }
 
-  /** Runs the graph; resolves with the results of the stages that no other stage follows. */
+  /**
+   * Runs the graph; resolves with the results of the stages that no other stage follows. A cancelled graph ends at once,
+   * also while an endpoint is at work on its pieces, whose results are freed when they come.
+   */
   async run (): Promise<Result<readonly StageResult[], StageFailure>> {
+    return await Promise.race([this.#runStages(), this.#cancelled])
+  }
+
+  async #runStages (): Promise<Result<readonly StageResult[], StageFailure>> {
     const { stages } = this.#work
     const followed = new Set(stages.flatMap((stage) => stage.after))
     const last = stages.filter((stage) => !followed.has(stage.index))
@@ -106,6 +118,13 @@
     this.#isCancelled = true
     for (const group of this.#openOrders.keys()) this.#context.router.cancel(group, this.#work.request)
     this.#freeAllBut([])
+    this.#endCancelled()
+  }
+
+  /** Index of the first stage that has not all of its results. */
+  get #firstUnfinishedStage (): number {
+    const { stages, counts } = this.#work
+    return stages.find(({ index }) => (this.#heldByStage.get(index)?.length ?? 0) < (counts[index] ?? 0))?.index ?? 0
   }
 
   /** Frees the last results, once the engine has read them. */
--- a/packages/forwarding/src/ForwardRun.ts
+++ b/packages/forwarding/src/ForwardRun.ts
@@ -27,6 +27,9 @@
 
 type Step = RunEnd | 'again'
 
+/** What a request that has its turn waits for: results of its stages, an endpoint, its call's answer, or a peer's. */
+export type RunPhase = 'stages' | 'placement' | 'call' | 'hand-over'
+
 export interface ForwardRunOptions {
   readonly context: ForwardContext
   readonly request: ForwardRequest
@@ -97,9 +100,26 @@
     })
   }
 
-  /** The request's end if the instance stops now; undefined during a call or a hand-over, whose own end decides. */
-  endAtStop (): RunEnd | undefined {
-    return this.#ongoing === undefined && !this.#isHandedOver ? this.#ends.stopped() : undefined
+  /** What the request waits for. */
+  get phase (): RunPhase {
+    if (this.#ongoing !== undefined) return 'call'
+    if (this.#isHandedOver) return 'hand-over'
+    return this.#isStaged ? 'placement' : 'stages'
+  }
+
+  /** Whether the caller has a part of the answer. */
+  get isAnswering (): boolean {
+    return this.#relay?.isStarted === true
+  }
+
+  /** The request's end if the instance stops now, while no call goes on. */
+  endAtStop (): RunEnd {
+    return this.#ends.stopped()
+  }
+
+  /** The request's end at its deadline. */
+  endAtDeadline (): RunEnd {
+    return this.#ends.timedOut()
   }
 
   async run (): Promise<RunEnd> {
@@ -173,6 +193,7 @@
   }
 
   #stagesFailed ({ fault, stage }: StageFailure): RunEnd {
+    if (this.#request.signal.aborted) return this.#ends.aborted()
     const quarantine = this.#quarantine()
     if (quarantine !== undefined) return this.#ends.quarantined(quarantine)
     if (fault === 'late') return this.#ends.refused('over-capacity', `stage ${stage} could not be run in time`, 'late-stage')
@@ -259,6 +280,7 @@
     const ended = await this.#endUnsent()
     if (ended !== undefined) return ended
     const endpoint = await this.#place()
+    if (this.#request.signal.aborted) return this.#ends.aborted()
     if (endpoint === undefined) {
       if (this.#isCutOff) return 'again'
       const late = this.#quarantine()
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -14,11 +14,12 @@
 import type { RunEnd } from './RunEnds.js'
 import { logLimited } from './logLimited.js'
 import { logQuarantined } from './logQuarantined.js'
+import { PendingRequest } from './PendingRequest.js'
 import { pickService } from './pickService.js'
 import type { CallCheck } from './CallQuarantine.js'
 import { returnTimeOf } from './returnTimeOf.js'
 import { ServiceGate } from './ServiceGate.js'
-import { INSTANCE_STOPPED } from './StopTime.js'
+import { INSTANCE_STOPPED } from './abortReasons.js'
 import type { CallerSink, ForwardRequest } from './types.js'
 
 /** Observes the end of each request, for metrics. */
@@ -26,15 +27,6 @@
   requestEnded (request: ForwardRequest, end: RunEnd, took: Millis): void
 }
 
-/** A request without a final answer. */
-interface PendingRequest {
-  readonly sink: CallerSink
-  /** Ends the request, wherever it waits. */
-  readonly end: (end: RunEnd) => void
-  /** Undefined while it is queued for its service. */
-  run: ForwardRun | undefined
-}
-
 /** Slots of an endpoint that can be used: with a limit, not more than the requests of one second. */
 const usableSlots = ({ record, limit }: Endpoint): number => Math.min(record.slots, Math.ceil(limit?.perSecond ?? Infinity))
 
@@ -54,7 +46,7 @@
     this.#context = context
     this.#observer = observer
     context.quarantines.onQuarantine(() => {
-      for (const { run } of this.#pending) run?.applyQuarantines()
+      for (const pending of this.#pending) pending.applyQuarantines()
     })
     // Requests that go over peers need no slot here, and must not wait for calls to endpoints that are not reached.
     context.reach.onChange((service, isReached) => { if (!isReached) this.#gate.open(service) })
@@ -76,16 +68,13 @@
   }
 
   async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
-    let pending: PendingRequest | undefined
+    const pending = new PendingRequest({ ...this.#context, request, sink })
+    this.#pending.add(pending)
     try {
-      const end = await new Promise<RunEnd>((resolve, reject) => {
-        pending = { sink, end: resolve, run: undefined }
-        this.#pending.add(pending)
-        this.#serve(request, pending).then(resolve, reject)
-      })
+      const end = await pending.endOf(() => this.#serve(pending, sink))
       this.#finish(request, sink, end)
     } finally {
-      if (pending !== undefined) this.#pending.delete(pending)
+      this.#pending.delete(pending)
     }
   }
 
@@ -97,35 +86,27 @@
 
   /** Gives every request its final answer: a refusal if it has not run, wherever it waits; a failure or a cut otherwise. */
   endStop (): void {
-    for (const { sink, run, end } of this.#pending) {
-      sink.abandon()
-      const stopEnd = run === undefined ? this.#unbegunEnd() : run.endAtStop()
-      if (stopEnd !== undefined) end(stopEnd)
-    }
-  }
-
-  /** The end of a request that is still queued for its service. */
-  #unbegunEnd (): RunEnd {
-    return { kind: 'failed', failure: this.#stopRefusal('the instance has stopped') }
+    for (const pending of this.#pending) pending.stop()
   }
 
   #stopRefusal (detail: string): Failure {
     return refusal('draining', detail, { retryAfter: STOP_RETRY_AFTER })
   }
 
-  async #serve (request: ForwardRequest, pending: PendingRequest): Promise<RunEnd> {
+  async #serve (pending: PendingRequest, sink: CallerSink): Promise<RunEnd> {
+    const { request } = pending
     const { random, clock, directory, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
     const check = this.#context.callQuarantine.check(request)
     const quarantined = this.#checkQuarantine(request, service, check)
     if (quarantined !== undefined) return quarantined
-    const newRun = (isCounted: boolean): ForwardRun =>
-      new ForwardRun({ context: this.#context, request, service, sink: pending.sink, check, isCounted })
-    if (isCutOff(this.#context, request, service)) {
-      pending.run = newRun(false)
-      return await pending.run.run()
+    const run = (isCounted: boolean): Promise<RunEnd> => {
+      const begun = new ForwardRun({ context: this.#context, request, service, sink, check, isCounted })
+      pending.begin(begun)
+      return begun.run()
     }
+    if (isCutOff(this.#context, request, service)) return await run(false)
     const refused = this.#admit(request, service)
     if (refused !== undefined) return refused
     this.#countRequest(request, service)
@@ -134,10 +115,7 @@
     const slots = available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
     unsent.add(service, request)
     try {
-      return await this.#gate.run(service, slots, request.priority, () => {
-        pending.run = newRun(true)
-        return pending.run.run()
-      })
+      return await this.#gate.run(service, slots, request.priority, () => run(true))
     } finally {
       unsent.delete(service, request)
     }
--- a/packages/forwarding/src/RunEnds.ts
+++ b/packages/forwarding/src/RunEnds.ts
@@ -6,7 +6,7 @@
 import type { ForwardContext } from './ForwardContext.js'
 import { logQuarantined } from './logQuarantined.js'
 import { returnTimeOf } from './returnTimeOf.js'
-import { INSTANCE_STOPPED } from './StopTime.js'
+import { DEADLINE_PASSED, INSTANCE_STOPPED } from './abortReasons.js'
 import type { StreamRelay } from './StreamRelay.js'
 import type { CallerSink, FailureCause, ForwardRequest } from './types.js'
 
@@ -107,9 +107,11 @@
     return { kind: 'failed', failure: this.#guard.refuse(kind, detail, options) }
   }
 
-  /** Nobody waits for the request any more, or this instance can wait for it no longer. */
+  /** Nobody waits for the request any more, this instance can wait for it no longer, or its deadline has passed. */
   aborted (): RunEnd {
-    if (this.#options.request.signal.reason === INSTANCE_STOPPED) return this.stopped()
+    const { reason } = this.#options.request.signal as { readonly reason: unknown }
+    if (reason === INSTANCE_STOPPED) return this.stopped()
+    if (reason === DEADLINE_PASSED) return this.timedOut()
     return this.#failed('caller-gone', 'the caller disconnected')
   }
 
--- a/packages/forwarding/src/StopTime.ts
+++ b/packages/forwarding/src/StopTime.ts
@@ -1,9 +1,6 @@
 import { millis } from '@papayahill/common'
 import type { Millis } from '@papayahill/common'
 
-/** Reason with which the signal of a request is aborted when the instance can wait for it no longer. */
-export const INSTANCE_STOPPED = Symbol('the instance has stopped')
-
 /**
  * The time by which this instance answers its last request; infinite until a planned stop has begun.
  *
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -30,6 +30,8 @@
 export const TIMER_SLACK = millis(2)
 /** Grace after a call's deadline, which its endpoint enforces itself, before its answer is no longer awaited. */
 export const LATE_ANSWER_GRACE = millis(400)
+/** Grace after a request's deadline, in which its last call ends by itself, before the request is ended without it. */
+export const FINAL_ANSWER_GRACE = millis(LATE_ANSWER_GRACE + 50)
 /** A resumable stream is resumed at another endpoint after a pause of this many times the longest gap of its route. */
 export const STREAM_SILENCE_GAPS = 5
 /** Lower bound of that pause. */
--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -18,6 +18,7 @@
   requestUntimely: { number: 1814, level: 'info', text: 'A request was not admitted because its forecast exceeds its deadline.' },
   requestLimited: { number: 1815, level: 'info', text: 'A request could not be sent to an endpoint because its limit left no token.' },
   requestQuarantined: { number: 1816, level: 'info', text: 'A request was refused because parts of its prompt crash endpoints.' },
+  requestExpired: { number: 1842, level: 'info', text: 'A request was ended at its deadline, whatever it was waiting for.' },
   callSilent: {
     number: 1841, level: 'info', text: 'A call whose endpoint sends nothing goes on, since something is missing for one that would take its place.'
   },
--- a/packages/forwarding/src/testing/SilentFleet.ts
+++ b/packages/forwarding/src/testing/SilentFleet.ts
@@ -1,7 +1,7 @@
 import { BacklogTracker } from '@papayahill/batching'
 import type { GroupId, PieceOutcome, StageOrder } from '@papayahill/batching'
 import { brand, bytes, EventRecorder, millis, seconds, SeededRandom, VirtualClock } from '@papayahill/common'
-import type { DomainId, EndpointId, Failure, Millis, ServiceId } from '@papayahill/common'
+import type { Clock, DomainId, EndpointId, Failure, Millis, ServiceId } from '@papayahill/common'
 import type { AnswerListener, EndpointSocket, SocketFailure, SocketRequest, Stopper } from '@papayahill/connections'
 import { Endpoint, EndpointDirectory } from '@papayahill/directory'
 import type { BatchProfile, ServingRoute } from '@papayahill/directory'
@@ -14,7 +14,8 @@
 import type { RunEnd } from '../RunEnds.js'
 import { newRouteTimes } from '../newRouteTimes.js'
 import { SharedRetryBudget } from '../SharedRetryBudget.js'
-import { INSTANCE_STOPPED, StopTime } from '../StopTime.js'
+import { INSTANCE_STOPPED } from '../abortReasons.js'
+import { StopTime } from '../StopTime.js'
 import type { AnswerNotices, CallerSink, CallWire, ForwardRequest, OutboundCall } from '../types.js'
 import { UnsentRequests } from '../UnsentRequests.js'
 
@@ -69,6 +70,10 @@
   readonly full?: readonly number[]
   /** Calls that these, and the former, take before. */
   readonly places?: number
+  /** Time of a stage's call. */
+  readonly stageTime?: Millis
+  /** Slots of each endpoint, by which requests wait for their turn. */
+  readonly slots?: number
 }
 
 /** One call to an endpoint as the endpoint saw it. */
@@ -87,18 +92,32 @@
   readonly events: number[] = []
   outcome: 'open' | 'whole' | 'cut' | 'failed' = 'open'
   failure: Failure | undefined
+  endedAt: Millis | undefined
+  /** Final answers; one for each request. */
+  answers = 0
+  readonly #clock: Clock
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
 
-  answer (): void { this.outcome = 'whole' }
+  answer (): void { this.#finish('whole') }
   start (): void {}
   write (chunk: Buffer): void { for (const [, id] of chunk.toString().matchAll(/^id: (\d+)$/gm)) this.events.push(Number(id)) }
-  end (): void { this.outcome = 'whole' }
-  cut (): void { this.outcome = 'cut' }
+  end (): void { this.#finish('whole') }
+  cut (): void { this.#finish('cut') }
   fail (failure: Failure): void {
     this.failure = failure
-    this.outcome = 'failed'
+    this.#finish('failed')
   }
 
   abandon (): void { this.controller.abort(INSTANCE_STOPPED) }
+
+  #finish (outcome: 'whole' | 'cut' | 'failed'): void {
+    this.outcome = outcome
+    this.endedAt = this.#clock.now()
+    this.answers++
+  }
 }
 
 /**
@@ -118,6 +137,9 @@
   readonly log = new EventRecorder(this.clock)
   readonly calls: SeenCall[] = []
   readonly forwarder: Forwarder
+  /** Handles of stage results that were made, and those that were freed. */
+  readonly madeHandles: string[] = []
+  readonly freedHandles: string[] = []
   readonly #options: SilentFleetOptions
   readonly #random = new SeededRandom(1)
   readonly #open = new Map<EndpointId, number>()
@@ -146,7 +168,7 @@
   }
 
   send (attempt: string): SilentCaller {
-    const caller = new SilentCaller()
+    const caller = new SilentCaller(this.clock)
     const now = this.clock.now()
     const request: ForwardRequest = {
       attempt,
@@ -224,7 +246,7 @@
         log,
         directory,
         backlogs: new BacklogTracker(clock),
-        router: { run: (order: StageOrder) => this.#runStage(order), free: () => {}, cancel: () => {}, endBy: () => {} },
+        router: { run: (order: StageOrder) => this.#runStage(order), free: this.#free, cancel: () => {}, endBy: () => {} },
         groups: { groupOf: () => GROUP },
         profileOf,
         takeRetry: () => true
@@ -256,7 +278,7 @@
           address: { ip: '10.0.0.1', port: 1000 + at },
           domain: DOMAIN,
           version: 'v1',
-          slots: 1000,
+          slots: this.#options.slots ?? 1000,
           isDraining: false,
           coldFor: millis(0),
           sequence: 1,
@@ -270,12 +292,18 @@
     const { request } = pieces[0]!
     const runs = (this.#stageRuns.get(request) ?? 0) + 1
     this.#stageRuns.set(request, runs)
-    await this.clock.sleep(PROFILE.callTime)
+    await this.clock.sleep(this.#options.stageTime ?? PROFILE.callTime)
     const endpoint = brand<EndpointId>('s0')
     if (runs > 1 && this.#options.failStagesAgain === true) return pieces.map(() => ({ fault: 'late', endpoint }))
-    return pieces.map(({ index }) => ({ handle: `${request}/${runs}/${index}`, endpoint }))
+    return pieces.map(({ index }) => {
+      const handle = `${request}/${runs}/${index}`
+      this.madeHandles.push(handle)
+      return { handle, endpoint }
+    })
   }
 
+  readonly #free = (_endpoint: EndpointId, handles: readonly string[]): void => { this.freedHandles.push(...handles) }
+
   #canAcquire ({ id }: Endpoint): boolean {
     return (this.#open.get(id) ?? 0) < this.#options.connections
   }
