--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,23 +1,16 @@
-import { leastStageTime, longestChain } from '@papayahill/batching'
 import { millis, refusal } from '@papayahill/common'
-import type { Failure, Millis, ServiceId } from '@papayahill/common'
-import type { Endpoint, StageNode } from '@papayahill/directory'
-import { timeUntilAvailable } from '@papayahill/limits'
-import { admit } from './admission.js'
-import type { Admission } from './admission.js'
-import { answerTimeOf } from './answerTimeOf.js'
-import { STOP_RETRY_AFTER } from './constants.js'
+import type { Millis, ServiceId } from '@papayahill/common'
+import type { Endpoint } from '@papayahill/directory'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { ForwardRun } from './ForwardRun.js'
 import { isCutOff } from './isCutOff.js'
 import type { RunEnd } from './RunEnds.js'
-import { logLimited } from './logLimited.js'
 import { logQuarantined } from './logQuarantined.js'
 import { PendingRequest } from './PendingRequest.js'
 import { pickService } from './pickService.js'
 import type { CallCheck } from './CallQuarantine.js'
-import { returnTimeOf } from './returnTimeOf.js'
+import { RequestAdmission } from './RequestAdmission.js'
 import { ServiceGate } from './ServiceGate.js'
 import { INSTANCE_STOPPED } from './abortReasons.js'
 import type { CallerSink, ForwardRequest } from './types.js'
@@ -39,12 +32,15 @@
 export class Forwarder {
   readonly #context: ForwardContext
   readonly #observer: ForwardObserver
-  readonly #gate = new ServiceGate()
+  readonly #gate: ServiceGate
+  readonly #admission: RequestAdmission
   readonly #pending = new Set<PendingRequest>()
 
   constructor (context: ForwardContext, observer: ForwardObserver) {
     this.#context = context
     this.#observer = observer
+    this.#gate = new ServiceGate(context.clock)
+    this.#admission = new RequestAdmission(context)
     context.quarantines.onQuarantine(() => {
       for (const pending of this.#pending) pending.applyQuarantines()
     })
@@ -89,13 +85,9 @@
     for (const pending of this.#pending) pending.stop()
   }
 
-  #stopRefusal (detail: string): Failure {
-    return refusal('draining', detail, { retryAfter: STOP_RETRY_AFTER })
-  }
-
   async #serve (pending: PendingRequest, sink: CallerSink): Promise<RunEnd> {
     const { request } = pending
-    const { random, clock, directory, unsent } = this.#context
+    const { random, clock, unsent } = this.#context
     const service = pickService(random, request.route)
     if (service === undefined) return { kind: 'failed', failure: refusal('no-endpoint', 'the route has no target service') }
     const check = this.#context.callQuarantine.check(request)
@@ -107,20 +99,29 @@
       return begun.run()
     }
     if (isCutOff(this.#context, request, service)) return await run(false)
-    const refused = this.#admit(request, service)
+    const turn = { service, slots: this.#slotsOf(service), priority: request.priority, signal: pending.withdrawal }
+    const refused = this.#admission.check(request, service, this.#gate.expectedWait(turn))
     if (refused !== undefined) return refused
     this.#countRequest(request, service)
-    const now = clock.now()
-    const available = directory.usable(service).filter((endpoint) => endpoint.isAvailable(now))
-    const slots = available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
+    const admittedAt = clock.now()
     unsent.add(service, request)
     try {
-      return await this.#gate.run(service, slots, request.priority, () => run(true))
+      return await this.#gate.run(turn, async () => {
+        const hasWaited = clock.now() > admittedAt
+        return (hasWaited ? this.#admission.checkTurn(request, service) : undefined) ?? await run(true)
+      })
     } finally {
       unsent.delete(service, request)
     }
   }
 
+  #slotsOf (service: ServiceId): number {
+    const { clock, directory } = this.#context
+    const now = clock.now()
+    const available = directory.usable(service).filter((endpoint) => endpoint.isAvailable(now))
+    return available.reduce((sum, endpoint) => sum + usableSlots(endpoint), 0)
+  }
+
   /** Counts the request for the retry budgets, once for all instances that it passes. */
   #countRequest ({ route, pieceCounts, detoured }: ForwardRequest, service: ServiceId): void {
     const { retries } = this.#context
@@ -137,65 +138,6 @@
     return { kind: 'failed', failure: refusal('quarantined', detail), cause: 'quarantine' }
   }
 
-  /** The end of a request that is not admitted; undefined if it is. */
-  #admit (request: ForwardRequest, service: ServiceId): RunEnd | undefined {
-    const { clock, log, directory, limits, unsent, stages, stopTime } = this.#context
-    const { route, attempt, priority, configVersion, pieceCounts } = request
-    const now = clock.now()
-    const endpoints = directory.usable(service)
-    const inputs = {
-      timeLeft: millis(Math.min(request.deadline, stopTime.endsAt) - now),
-      stageWaits: this.#stageWaits(request),
-      stageTime: leastStageTime(route.stages, pieceCounts, stages.profileOf),
-      timeUntilAvailable: timeUntilAvailable(limits, endpoints, now),
-      tokensPerSecond: endpoints.length === 0 ? Infinity : limits.fairShare(endpoints),
-      unsent: unsent.count(service),
-      answerTime: answerTimeOf(this.#context, request, endpoints)
-    }
-    const admission = admit(inputs)
-    const fields = {
-      request: attempt,
-      route: route.name,
-      service,
-      priority,
-      config: configVersion,
-      timeLeftMs: inputs.timeLeft,
-      waitMs: inputs.stageWaits,
-      stageMs: inputs.stageTime,
-      unsent: inputs.unsent,
-      tokensPerSecond: inputs.tokensPerSecond === Infinity ? undefined : inputs.tokensPerSecond,
-      opensInMs: inputs.timeUntilAvailable > 0 ? inputs.timeUntilAvailable : undefined,
-      answerMs: inputs.answerTime
-    }
-    if (admission.kind === 'admitted') {
-      log.emit(FORWARDING_EVENTS.requestTaken, fields)
-      return undefined
-    }
-    log.emit(FORWARDING_EVENTS.requestUntimely, fields)
-    if (admission.cause === 'limit') logLimited(this.#context, request, endpoints[0]!)
-    return this.#refusal(service, admission)
-  }
-
-  #refusal (service: ServiceId, { cause, forecast, retryAfter }: Extract<Admission, { kind: 'refused' }>): RunEnd {
-    const detail = cause === 'limit'
-      ? `the limits of all endpoints of ${service} leave no token in time`
-      : `the forecast of ${Math.round(forecast)} ms exceeds the deadline`
-    if (this.#context.stopTime.isStopping) return { kind: 'failed', failure: this.#stopRefusal(detail), cause }
-    const failure = refusal('over-capacity', detail, { retryAfter: returnTimeOf(this.#context, service, retryAfter) })
-    return { kind: 'failed', failure, cause }
-  }
-
-  /** Queueing time at the least busy endpoint of each stage, summed along the longest chain. */
-  #stageWaits ({ route, pieceCounts }: ForwardRequest): Millis {
-    const { stages: { backlogs }, directory } = this.#context
-    const waits = route.stages.map((stage) => {
-      const endpoints = directory.healthy(stage.service)
-      return (pieceCounts[stage.index] ?? 0) === 0 || endpoints.length === 0 ? 0 : backlogs.leastBacklog(endpoints)
-    })
-    const chainTime = longestChain<StageNode>(({ after }) => after.map((index) => route.stages[index]!), ({ index }) => waits[index]!)
-    return millis(Math.max(0, ...route.stages.map(chainTime)))
-  }
-
   #finish (request: ForwardRequest, sink: CallerSink, end: RunEnd): void {
     const { clock, log, stopTime } = this.#context
     const took = millis(clock.now() - request.arrivedAt)
--- a/packages/forwarding/src/PendingRequest.ts
+++ b/packages/forwarding/src/PendingRequest.ts
@@ -1,6 +1,6 @@
-import { afterArrivals, millis, refusal } from '@papayahill/common'
-import type { ArrivalReader, Clock, EventLog, Millis, Timer } from '@papayahill/common'
-import { DEADLINE_PASSED } from './abortReasons.js'
+import { afterArrivals, failure, millis, refusal } from '@papayahill/common'
+import type { ArrivalReader, Clock, EventLog, Failure, Millis, Timer } from '@papayahill/common'
+import { DEADLINE_PASSED, INSTANCE_STOPPED } from './abortReasons.js'
 import { FINAL_ANSWER_GRACE, MIN_CALL_TIME, STOP_RETRY_AFTER } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardRun } from './ForwardRun.js'
@@ -18,11 +18,18 @@
 /** The part of a request's run that decides how its deadline or a planned stop ends it. */
 export type EndableRun = Pick<ForwardRun, 'phase' | 'isAnswering' | 'endAtStop' | 'endAtDeadline' | 'applyQuarantines'>
 
-const STOPPED_IN_QUEUE = refusal('draining', 'the instance has stopped', { retryAfter: STOP_RETRY_AFTER })
+/** Why a request that still waits for its turn at its service ends, and nothing of it will ever run. */
+type QueueEndCause = 'deadline' | 'stop' | 'caller-gone'
+
+const QUEUE_ENDS: Readonly<Record<QueueEndCause, () => Failure>> = {
+  deadline: () => refusal('over-capacity', 'the deadline passed before the request got its turn', { retryAfter: STOP_RETRY_AFTER }),
+  stop: () => refusal('draining', 'the instance has stopped', { retryAfter: STOP_RETRY_AFTER }),
+  'caller-gone': () => failure('caller-gone', 'the caller disconnected', 'unknown')
+}
 
 /**
- * A request without a final answer. It owns the request's deadline once it has its turn: whatever the request waits for,
- * it is ended in time, and its signal, by which all waits are cancelled, is aborted.
+ * A request without a final answer. It owns the request's deadline from its arrival to its end: whatever the request waits
+ * for, it is ended in time, and its signal, by which all waits are cancelled, is aborted.
  *
  * @example
  * const pending = new PendingRequest({ clock, log, arrivals, request, sink })
@@ -33,6 +40,8 @@
   readonly request: ForwardRequest
   readonly #options: PendingRequestOptions
   readonly #controller = new AbortController()
+  /** Aborted when the request ends while it still waits for its turn. */
+  readonly #withdrawal = new AbortController()
   readonly #ended: Promise<RunEnd>
   #end: (end: RunEnd) => void = () => {}
   #run: EndableRun | undefined
@@ -46,10 +55,15 @@
     this.#timer = this.#endBy(millis(request.deadline - MIN_CALL_TIME), () => this.#unsentIsLate())
   }
 
+  /** Aborted when the request ends while it still waits for its turn. */
+  get withdrawal (): AbortSignal {
+    return this.#withdrawal.signal
+  }
+
   /** Its end: that of its work, or an earlier one. */
   async endOf (work: () => Promise<RunEnd>): Promise<RunEnd> {
     const { signal } = this.#options.request
-    const onAbort = (): void => this.#controller.abort(signal.reason)
+    const onAbort = (): void => this.#callerAborted()
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
     try {
@@ -72,10 +86,21 @@
   /** A planned stop is over: ends the request unless a call decides how it ends. */
   stop (): void {
     this.#options.sink.abandon()
-    if (this.#run === undefined) return this.#end({ kind: 'failed', failure: STOPPED_IN_QUEUE })
+    if (this.#run === undefined) return this.#withdraw('stop')
     if (!isCalling(this.#run)) this.#end(this.#run.endAtStop())
   }
 
+  #callerAborted (): void {
+    const { reason } = this.#options.request.signal as { readonly reason: unknown }
+    this.#controller.abort(reason)
+    if (this.#run === undefined) this.#withdraw(reason === INSTANCE_STOPPED ? 'stop' : 'caller-gone')
+  }
+
+  #withdraw (cause: QueueEndCause): void {
+    this.#end({ kind: 'failed', failure: QUEUE_ENDS[cause]() })
+    this.#withdrawal.abort()
+  }
+
   #endBy (time: Millis, onTime: () => void): Timer {
     const { clock, arrivals } = this.#options
     return afterArrivals(clock, arrivals, millis(Math.max(0, time - clock.now())), onTime)
@@ -84,13 +109,13 @@
   /** Too little time is left for a call, so that a request without one cannot be answered any more. */
   #unsentIsLate (): void {
     const run = this.#run
-    if (run === undefined) return
-    if (isCalling(run)) {
+    if (run !== undefined && isCalling(run)) {
       this.#timer = this.#endBy(millis(this.request.deadline + FINAL_ANSWER_GRACE), () => this.#callIsLate(run))
       return
     }
     this.#logExpired()
-    this.#end(run.endAtDeadline())
+    if (run === undefined) this.#withdraw('deadline')
+    else this.#end(run.endAtDeadline())
     this.#controller.abort(DEADLINE_PASSED)
   }
 
--- a/packages/forwarding/src/admission.test.ts
+++ b/packages/forwarding/src/admission.test.ts
@@ -4,6 +4,7 @@
 
 const forecastOf = (stageWaits: number) => ({
   timeLeft: millis(6000),
+  queueWait: millis(0),
   stageWaits: millis(stageWaits),
   stageTime: millis(750),
   timeUntilAvailable: millis(0),
@@ -25,6 +26,11 @@
     expect('retryAfter' in far && far.retryAfter).toBeLessThanOrEqual(2000)
   })
 
+  it('refuses a request whose turn comes too late, though its stages would be run in time', () => {
+    expect(admit({ ...forecastOf(0), queueWait: millis(4900) }).kind).toBe('admitted')
+    expect(admit({ ...forecastOf(0), queueWait: millis(5100) }).kind).toBe('refused')
+  })
+
   describe('where all endpoints of the last call have limits', () => {
     const limited = (unsent: number) => admit({ ...forecastOf(0), tokensPerSecond: 2, unsent })
 
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -6,6 +6,8 @@
 /** Forecast times of a request at admission. */
 export interface Forecast {
   readonly timeLeft: Millis
+  /** Time until the request has its turn at its service. */
+  readonly queueWait: Millis
   /** Queueing time at the least busy endpoint of each stage, summed along the longest chain. */
   readonly stageWaits: Millis
   /** Run time of the stages without queueing. */
@@ -34,12 +36,12 @@
  * the stages have more pieces queued than they can run within the callers' deadlines.
  *
  * @example
- * admit({ timeLeft, stageWaits, stageTime, timeUntilAvailable, tokensPerSecond, unsent, answerTime })
+ * admit({ timeLeft, queueWait, stageWaits, stageTime, timeUntilAvailable, tokensPerSecond, unsent, answerTime })
  */
 export const admit = ({
-  timeLeft, stageWaits, stageTime, timeUntilAvailable, tokensPerSecond, unsent, answerTime
+  timeLeft, queueWait, stageWaits, stageTime, timeUntilAvailable, tokensPerSecond, unsent, answerTime
 }: Forecast): Admission => {
-  const stagesDone = stageWaits + stageTime
+  const stagesDone = queueWait + stageWaits + stageTime
   const forecast = millis(Math.max(stagesDone, timeUntilAvailable) + answerTime)
   const tokens = tokensPerSecond * (stagesDone + FIRST_PLACEMENT_TIMEOUT) / MILLIS_PER_SECOND
   const hasToken = unsent < Math.max(1, tokens * UNSENT_FACTOR)
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -28,6 +28,8 @@
 export const USUAL_SILENCE_FACTOR = 1.2
 /** Time by which timers may fire early. */
 export const TIMER_SLACK = millis(2)
+/** Weight of the newest request in the mean time for which requests of a service take a place. */
+export const HOLD_TIME_WEIGHT = 0.1
 /** Grace after a call's deadline, which its endpoint enforces itself, before its answer is no longer awaited. */
 export const LATE_ANSWER_GRACE = millis(400)
 /** Grace after a request's deadline, in which its last call ends by itself, before the request is ended without it. */
--- a/packages/forwarding/src/testing/SilentFleet.ts
+++ b/packages/forwarding/src/testing/SilentFleet.ts
@@ -96,9 +96,16 @@
   /** Final answers; one for each request. */
   answers = 0
   readonly #clock: Clock
+  readonly #deadline: Millis
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, deadline: Millis) {
     this.#clock = clock
+    this.#deadline = deadline
+  }
+
+  /** Time from the deadline to the final answer. */
+  get lateness (): number {
+    return this.endedAt === undefined ? Infinity : this.endedAt - this.#deadline
   }
 
   answer (): void { this.#finish('whole') }
@@ -167,9 +174,10 @@
     this.forwarder = new Forwarder(this.#context(), { requestEnded: (_request, _end: RunEnd) => {} })
   }
 
-  send (attempt: string): SilentCaller {
-    const caller = new SilentCaller(this.clock)
+  send (attempt: string, timeout = SilentFleet.TIMEOUT): SilentCaller {
     const now = this.clock.now()
+    const deadline = millis(now + timeout)
+    const caller = new SilentCaller(this.clock, deadline)
     const request: ForwardRequest = {
       attempt,
       method: 'POST',
@@ -182,7 +190,7 @@
       isAllowedIn: () => true,
       configVersion: 1,
       arrivedAt: now,
-      deadline: millis(now + SilentFleet.TIMEOUT),
+      deadline,
       prompt: undefined,
       resumeAfter: undefined,
       pieceCounts: [2],
