--- a/packages/forwarding/src/RequestAdmission.ts
+++ b/packages/forwarding/src/RequestAdmission.ts
@@ -32,7 +32,8 @@
 
   /** The end of an arriving request that is not admitted; undefined if it is. `queueWait` is the expected time until its turn. */
   check (request: ForwardRequest, service: ServiceId, queueWait: Millis): RunEnd | undefined {
-    const forecast = this.#forecastOf(request, service, queueWait)
+    const given = this.#forecastOf(request, service, queueWait)
+    const forecast = queueWait > 0 ? { ...given, answerTime: this.#queuedAnswerTime(request, given) } : given
     const refused = this.#refuse(request, service, forecast)
     if (refused === undefined) this.#context.log.emit(FORWARDING_EVENTS.requestTaken, this.#logFields(request, service, forecast))
     return refused
@@ -42,7 +43,8 @@
   checkTurn (request: ForwardRequest, service: ServiceId): RunEnd | undefined {
     const forecast = this.#forecastOf(request, service, NO_WAIT)
     // The request itself is one of those that were not sent yet.
-    return this.#refuse(request, service, { ...forecast, unsent: forecast.unsent - 1 })
+    const answerTime = this.#queuedAnswerTime(request, forecast)
+    return this.#refuse(request, service, { ...forecast, unsent: forecast.unsent - 1, answerTime })
   }
 
   #refuse (request: ForwardRequest, service: ServiceId, forecast: Forecast): RunEnd | undefined {
@@ -70,6 +72,15 @@
     }
   }
 
+  /**
+   * Time for the answer of a request that has to wait, at least the usual time of a plain one. Where nothing waits, requests
+   * are sent however long answers took before, so that endpoints that are fast again are noticed.
+   */
+  #queuedAnswerTime ({ route }: ForwardRequest, { answerTime }: Forecast): Millis {
+    const usual = route.kind === 'streaming' ? undefined : this.#context.answerTimes.known(route.name)
+    return millis(Math.max(answerTime, usual ?? 0))
+  }
+
   #logFields (
     { attempt, route, priority, configVersion }: ForwardRequest, service: ServiceId, forecast: Forecast
   ): Record<string, string | number | undefined> {
--- a/packages/forwarding/src/deadlines.test.ts
+++ b/packages/forwarding/src/deadlines.test.ts
@@ -4,7 +4,7 @@
 import { FINAL_ANSWER_GRACE } from './constants.js'
 import { FORWARDING_EVENTS } from './events.js'
 import { SilentFleet } from './testing/SilentFleet.js'
-import type { Silence, SilentFleetOptions } from './testing/SilentFleet.js'
+import type { Silence, SilentCaller, SilentFleetOptions } from './testing/SilentFleet.js'
 
 /** Time by which a request that is in no call has its final answer after its deadline. */
 const MAX_LATENESS = millis(100)
@@ -71,6 +71,26 @@
       expect(hopeless.map(({ failure, endedAt }) => [failure?.run, endedAt! - begunAt < 50])).toEqual(hopeless.map(() => ['not-run', true]))
     })
 
+    it('is not awaited where its own answer would take too long: once endpoints are fast again, all are served', async () => {
+      const silences = Array.from({ length: 9 }, (_none, at): Silence => ({ endpoint: 0, from: at * 4000, span: 3800 }))
+      const fleet = new SilentFleet({ ...OPTIONS, silences, slots: 1, retries: 0 })
+      const send = async (count: number): Promise<readonly SilentCaller[]> => {
+        const callers: SilentCaller[] = []
+        for (let at = 0; at < count; at++) {
+          callers.push(fleet.send(`b${fleet.clock.now()}`, millis(4500)))
+          await fleet.clock.advance(millis(100))
+        }
+        return callers
+      }
+      const slow = await send(300)
+      const late = slow.filter(({ failure }) => failure?.kind === 'deadline-passed')
+      expect(late.length).toBeLessThan(slow.length / 10)
+      await fleet.clock.advance(seconds(20))
+      const fast = await send(20)
+      await fleet.clock.advance(seconds(5))
+      expect(fast.map(({ outcome }) => outcome)).toEqual(fast.map(() => 'whole'))
+    })
+
     it('is not reached where its caller leaves: it gives its place back at once', async () => {
       const fleet = new SilentFleet({ ...OPTIONS, silences: [SILENT], slots: 1 })
       const callers = Array.from({ length: TURNS + 2 }, (_none, at) => fleet.send(`a${at}`))
