--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,6 +1,7 @@
 import { millis, refusal } from '@papayahill/common'
 import type { Millis, ServiceId } from '@papayahill/common'
 import type { Endpoint } from '@papayahill/directory'
+import { INSTANCE_STOPPED } from './abortReasons.js'
 import { FORWARDING_EVENTS } from './events.js'
 import type { ForwardContext } from './ForwardContext.js'
 import { ForwardRun } from './ForwardRun.js'
@@ -12,7 +13,6 @@
 import type { CallCheck } from './CallQuarantine.js'
 import { RequestAdmission } from './RequestAdmission.js'
 import { ServiceGate } from './ServiceGate.js'
-import { INSTANCE_STOPPED } from './abortReasons.js'
 import type { CallerSink, ForwardRequest } from './types.js'
 
 /** Observes the end of each request, for metrics. */
@@ -64,7 +64,8 @@
   }
 
   async serve (request: ForwardRequest, sink: CallerSink): Promise<void> {
-    const pending = new PendingRequest({ ...this.#context, request, sink })
+    const { clock, log, arrivals } = this.#context
+    const pending = new PendingRequest({ clock, log, arrivals, request, sink })
     this.#pending.add(pending)
     try {
       const end = await pending.endOf(() => this.#serve(pending, sink))
@@ -108,7 +109,8 @@
     try {
       return await this.#gate.run(turn, async () => {
         const hasWaited = clock.now() > admittedAt
-        return (hasWaited ? this.#admission.checkTurn(request, service) : undefined) ?? await run(true)
+        const late = hasWaited ? this.#admission.checkTurn(request, service) : undefined
+        return late ?? await this.#gate.measure(service, () => run(true))
       })
     } finally {
       unsent.delete(service, request)
--- a/packages/forwarding/src/ServiceGate.test.ts
+++ b/packages/forwarding/src/ServiceGate.test.ts
@@ -80,7 +80,7 @@
   it('expects a wait by those ahead that are as urgent, and by the time that requests take', async () => {
     const clock = new VirtualClock()
     const gate = new ServiceGate(clock)
-    const work = (): Promise<void> => clock.sleep(millis(400))
+    const work = (): Promise<void> => gate.measure(SERVICE, () => clock.sleep(millis(400)))
     const first = Array.from({ length: MIN_CONCURRENCY }, () => gate.run(turnOf(SERVICE, 1), work))
     await clock.advance(millis(500))
     await Promise.all(first)
--- a/packages/forwarding/src/ServiceGate.ts
+++ b/packages/forwarding/src/ServiceGate.ts
@@ -64,13 +64,23 @@
     try {
       return await queue.add(() => {
         leave()
-        return this.#hold(service, work)
+        return work()
       }, { priority: -priority, signal })
     } finally {
       leave()
     }
   }
 
+  /** Does work that has its turn, and learns from it how long requests of the service take a place. */
+  async measure<Value> (service: ServiceId, work: () => Promise<Value>): Promise<Value> {
+    const begunAt = this.#clock.now()
+    try {
+      return await work()
+    } finally {
+      this.#holdTimes.record(service, millis(this.#clock.now() - begunAt))
+    }
+  }
+
   /** Expected time until a request that arrives now has its turn, by those ahead of it and the usual time of a place. */
   expectedWait (turn: Omit<GateTurn, 'signal'>): Millis {
     const known = this.#queues.get(turn.service)
@@ -96,15 +106,6 @@
     return this.#queues.get(service)?.queue.size ?? 0
   }
 
-  async #hold<Value> (service: ServiceId, work: () => Promise<Value>): Promise<Value> {
-    const begunAt = this.#clock.now()
-    try {
-      return await work()
-    } finally {
-      this.#holdTimes.record(service, millis(this.#clock.now() - begunAt))
-    }
-  }
-
   /** A new queue begins with its concurrency: a change of it would make the empty queue idle, and an idle queue is removed. */
   #queueOf (service: ServiceId, concurrency: number): ServiceQueue {
     const known = this.#queues.get(service)
