--- a/packages/batching/src/StageGraphRun.test.ts
+++ b/packages/batching/src/StageGraphRun.test.ts
@@ -72,6 +72,33 @@
     expect(new Set(second!.map(({ inputs }) => inputs)).size).toBe(1)
   })
 
+  // Guards against a failure that is told as a cancellation, since failing ends the rest of the graph.
+  it('tells the fault at which it failed', async () => {
+    const harness = await startHarness(1)
+    const { context } = harness.instances[0]!
+    vi.spyOn(context.router, 'run').mockImplementation(({ pieces }) => Promise.resolve(pieces.map(({ stage }): PieceOutcome =>
+      stage === 1 ? { fault: 'unplaced', endpoint: undefined } : { handle: 'cut-0/1', endpoint: brand<EndpointId>('cut-0') })))
+    const ended = await new StageGraphRun(context, workOf(harness, 'r1', chainOf(5, 'cut', 'scan'), [1, 1], TARGET, TIMEOUT)).run()
+    expect(ended.isErr && ended.error).toEqual({ fault: 'failed', stage: 1 })
+  })
+
+  it('ends at once when it is cancelled, though an endpoint is at work, and frees the result that comes later', async () => {
+    const harness = await startHarness(1)
+    harness.endpoints.slowdown.set('cut-0', 20)
+    harness.endpoints.slowdown.set('cut-1', 20)
+    const { context } = harness.instances[0]!
+    const free = vi.spyOn(context.router, 'free')
+    const run = new StageGraphRun(context, workOf(harness, 'r1', chainOf(5, 'cut'), [1], TARGET, millis(60_000)))
+    const ended = run.run()
+    await harness.clock.advance(millis(300))
+    run.cancel()
+    const outcome = await ended
+    expect(outcome.isErr && outcome.error).toEqual({ fault: 'late', stage: 0 })
+    expect(free).not.toHaveBeenCalled()
+    await harness.clock.advance(millis(30_000))
+    expect(free).toHaveBeenCalledTimes(1)
+  })
+
   describe('a piece that ends each call that it is in', () => {
     it('takes the pieces of others with it once or twice, and never their requests', async () => {
       const harness = await startHarness(1)
--- a/packages/batching/src/StageGraphRun.ts
+++ b/packages/batching/src/StageGraphRun.ts
@@ -104,7 +104,7 @@
     const ended = await Promise.all(last.map((stage) => this.#resultsOf(stage)))
     const failed = ended.find((results) => results.isErr)
     if (failed !== undefined) {
-      this.cancel()
+      this.#drop()
       return failed
     }
     const results = ended.flatMap((result) => result.isOk ? result.value : [])
@@ -112,13 +112,17 @@
     return Result.ok(results)
   }
 
-  /** Drops queued pieces and frees all results, when the request was abandoned or has failed. */
+  /** Drops queued pieces and frees all results of a request that was abandoned; the run ends at once. */
   cancel (): void {
+    this.#drop()
+    this.#endCancelled()
+  }
+
+  #drop (): void {
     if (this.#isCancelled) return
     this.#isCancelled = true
     for (const group of this.#openOrders.keys()) this.#context.router.cancel(group, this.#work.request)
     this.#freeAllBut([])
-    this.#endCancelled()
   }
 
   /** Index of the first stage that has not all of its results. */
