--- a/packages/directory/src/TableWatch.ts
+++ b/packages/directory/src/TableWatch.ts
@@ -2,12 +2,11 @@
 import type { Clock, EventLog, InstanceId, Json, Millis, Random } from '@papayahill/common'
 import type { Result } from 'true-myth'
 import {
-  DEFAULT_APPLY_TIME, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, ROLE_PERIOD
+  APPLY_TIME, MAX_BACKUP_POLL_RETRY, MAX_POLL_RETRY, MIN_POLL_INTERVAL, MIN_STATUS_GAIN, ROLE_PERIOD
 } from './constants.js'
 import { DIRECTORY_EVENTS } from './events.js'
 import { AnswerGaps } from './AnswerGaps.js'
 import { backupDelayOf, pollTimesOf, pollWaitOf } from './pollTimes.js'
-import type { PollTimes } from './pollTimes.js'
 import { TableAvailability } from './TableAvailability.js'
 import { StoreHistory } from './StoreHistory.js'
 import type { TableChanges } from './TableCopy.js'
@@ -40,11 +39,10 @@
   readonly history?: StoreHistory
   /** How long rows stay in force that a restored store has lost; by default, as long as endpoints have to register again. */
   readonly retention?: RowRetention
-  /** Time from a change's commit within which it must be in force on all instances. */
-  readonly applyTime?: Millis
 }
 
 const NO_WAIT = millis(0)
+const POLL_TIMES = pollTimesOf(APPLY_TIME)
 
 /** Changes whose retained rows have other ends: `by` later. */
 const shiftRetained = (changes: TableChanges, by: number): TableChanges =>
@@ -68,7 +66,6 @@
   readonly #role: WatchRole
   readonly #availability: TableAvailability
   readonly #answerGaps = new AnswerGaps()
-  readonly #times: PollTimes
   /** The store's clock less this instance's; undefined until the store has told it. */
   #storeClockOffset: number | undefined
   #isFetching = false
@@ -83,7 +80,6 @@
     this.#history = options.history ?? new StoreHistory(log)
     const { decode, listener, retention } = options
     this.#rows = new WatchedRows({ clock, log, name: table.name, decode, listener, retention })
-    this.#times = pollTimesOf(options.applyTime ?? DEFAULT_APPLY_TIME)
     options.relay?.add(this)
   }
 
@@ -178,7 +174,7 @@
     const { age } = this
     if (this.#view.position === undefined || this.#role.check() || age === undefined) return NO_WAIT
     const { place } = this.#role
-    const left = this.#times.ageLimit + backupDelayOf(place) - age
+    const left = POLL_TIMES.ageLimit + backupDelayOf(place) - age
     if (left > 0) return millis(Math.min(left, ROLE_PERIOD))
     this.#options.log.emit(DIRECTORY_EVENTS.tableStale, { table: this.name, answerAgeMs: age, ...place })
     return NO_WAIT
@@ -189,7 +185,7 @@
     if (!this.#role.isWatcher) return NO_WAIT
     const offset = this.#storeClockOffset
     const storeTime = offset === undefined ? undefined : millis(this.#options.clock.now() + offset)
-    return pollWaitOf(this.#role.place, this.#times.turn, storeTime)
+    return pollWaitOf(this.#role.place, POLL_TIMES.turn, storeTime)
   }
 
   async #poll (): Promise<boolean> {
--- a/packages/directory/src/constants.ts
+++ b/packages/directory/src/constants.ts
@@ -14,8 +14,8 @@
 export const TURN_JITTER = millis(240)
 /** A poll that would wait for less than this share of a turn waits for the turn after it. */
 export const MIN_WAIT_SHARE = 1 / 8
-/** Time within which a change must be in force, where the deployment names none. */
-export const DEFAULT_APPLY_TIME = seconds(2)
+/** Time from its commit within which a change must be in force on all instances: that of the strictest deployments. */
+export const APPLY_TIME = seconds(2)
 /** Share of that time that is left unplanned. */
 export const APPLY_RESERVE = 0.1
 /** Time for a poll that does not wait, and for its answer to reach all instances. */
